--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,15 @@
+//! Every decision of the system, as plain values in and decisions out.
+//!
+//! Nothing below this module does I/O, waits, locks or reads a clock: the time is an argument.
+//! That is what lets the tests drive it through any order of failures.
+
+pub mod estimate;
+pub mod fleet;
+pub mod health;
+pub mod intent;
+pub mod key;
+pub mod retry;
+pub mod roster;
+pub mod slot;
+pub mod table;
+pub mod wave;
--- /dev/null
+++ b/src/decide/health.rs
@@ -0,0 +1,113 @@
+//! Which workers are left out because they fail.
+//!
+//! A worker that fails everything it starts answers at once and so looks idle: a balancer that ranks
+//! by load alone sends it ever more. Workers are judged by what they got done, against the median of
+//! their own pool: when everything fails, the cause is elsewhere, and leaving workers out would only
+//! drown the rest.
+
+use std::time::Duration;
+
+/// Weight of the newest outcome in a worker's failure rate.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// Failures in a row that are enough to judge by.
+const FAILURES_IN_A_ROW: u32 = 3;
+/// How far above the median of its pool a worker's failure rate must be.
+const ABOVE_MEDIAN: f64 = 0.25;
+/// Part of a pool that may be left out at a time.
+const LEFT_OUT_MAX: f64 = 0.34;
+/// Successes in a row after which a worker on trial is back.
+const TRIAL_SUCCESSES: u32 = 3;
+/// Longest time left out, in units of the first.
+const BACKOFF_MAX: u32 = 16;
+
+/// What an entry has seen of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HealthRecord {
+    failure_rate: f64,
+    failures_in_a_row: u32,
+    successes_in_a_row: u32,
+    times_left_out: u32,
+    standing: HealthStanding,
+}
+
+/// Whether a worker gets requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HealthStanding {
+    /// Gets its part.
+    #[default]
+    Good,
+    /// Gets nothing until this time, counted from the entry's start.
+    LeftOut {
+        /// End of the time left out.
+        until: Duration,
+    },
+    /// Gets one idempotent request at a time.
+    OnTrial,
+}
+
+impl HealthRecord {
+    /// Notes what became of a request.
+    pub fn note(&mut self, succeeded: bool) {
+        let newest = if succeeded { 0.0 } else { 1.0 };
+        self.failure_rate += NEWEST_WEIGHT * (newest - self.failure_rate);
+        if succeeded {
+            self.failures_in_a_row = 0;
+            self.successes_in_a_row += 1;
+        } else {
+            self.successes_in_a_row = 0;
+            self.failures_in_a_row += 1;
+        }
+        if self.standing == HealthStanding::OnTrial && self.successes_in_a_row >= TRIAL_SUCCESSES {
+            *self = HealthRecord::default();
+        }
+    }
+
+    /// Part of the newest requests that failed.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    /// Standing at `now`; a time left out that is over turns into a trial.
+    pub fn standing(&mut self, now: Duration) -> HealthStanding {
+        if let HealthStanding::LeftOut { until } = self.standing
+            && now >= until
+        {
+            self.standing = HealthStanding::OnTrial;
+            self.successes_in_a_row = 0;
+            self.failures_in_a_row = 0;
+        }
+        self.standing
+    }
+
+    /// Whether this worker is to be left out, given the failure rates of its whole pool and how
+    /// many of it are left out already.
+    pub fn is_to_leave(&self, pool_rates: &mut [f64], left_out: usize) -> bool {
+        let trial_failed = self.standing == HealthStanding::OnTrial && self.failures_in_a_row > 0;
+        let judged = self.failures_in_a_row >= FAILURES_IN_A_ROW || trial_failed;
+        let room = left_out < most_left_out(pool_rates.len());
+        judged && room && (trial_failed || self.failure_rate > median(pool_rates) + ABOVE_MEDIAN)
+    }
+
+    /// Leaves the worker out; each time for longer.
+    pub fn leave_out(&mut self, now: Duration, first: Duration) {
+        let factor = 1u32.checked_shl(self.times_left_out).unwrap_or(BACKOFF_MAX).min(BACKOFF_MAX);
+        self.times_left_out += 1;
+        self.standing = HealthStanding::LeftOut { until: now + first * factor };
+    }
+}
+
+/// Most workers of a pool that may be left out; one at least where there are two.
+fn most_left_out(workers: usize) -> usize {
+    let (mut most, mut part) = (0, 0.0);
+    let size = f64::from(u32::try_from(workers).unwrap_or(u32::MAX));
+    while part + 1.0 <= size * LEFT_OUT_MAX {
+        part += 1.0;
+        most += 1;
+    }
+    most.max(usize::from(workers > 1))
+}
+
+fn median(rates: &mut [f64]) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/src/decide/roster.rs
@@ -0,0 +1,339 @@
+//! Who owns an idempotency key, and since when.
+//!
+//! Inside its home data centre a key has one owner among the entries of the roster, by the highest
+//! random weight (rendezvous hashing), so that a change of the roster moves only the keys of the
+//! entry that came or went. Ownership itself is safe only together with three waits:
+//!
+//! * An owner that is still up hands its outcomes over; until then the next owner refuses the key.
+//! * An owner that was evicted may still run keys until its lease is over; the next owner waits for
+//!   that and then calls every key minted before `Unknown` instead of running it.
+//! * An evicted owner that has never shown that it knows us doesn't ask us for its lease; we wait
+//!   out the longest time that it may go without the platform.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::name::EntryName;
+
+/// Rosters that are kept to find earlier owners; more changes within a key's window are not followed
+/// and their keys are refused.
+const ROSTERS_KEPT: usize = 64;
+
+/// The entry that owns a key under a roster.
+pub fn owner<'a>(
+    key: &[u8],
+    roster: impl IntoIterator<Item = &'a EntryName>,
+) -> Option<&'a EntryName> {
+    let seed = |entry: &EntryName| xxh3_64_with_seed(entry.as_str().as_bytes(), 0);
+    roster.into_iter().max_by_key(|entry| (xxh3_64_with_seed(key, seed(entry)), *entry))
+}
+
+/// The home of a key that names none: one of the document's data centres, by hash.
+pub fn home<'a, N>(key: &[u8], centres: &'a [N]) -> Option<&'a N> {
+    let count = u64::try_from(centres.len()).ok().filter(|count| *count > 0)?;
+    usize::try_from(xxh3_64_with_seed(key, 0) % count).ok().and_then(|index| centres.get(index))
+}
+
+/// Times that bound ownership.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTimes {
+    /// Age up to which a proof of ownership counts.
+    pub lease: Duration,
+    /// Margin for clocks that run at different speeds, and between wall clocks.
+    pub skew: Duration,
+    /// Longest time that an owner goes on without the platform.
+    pub autonomy: Duration,
+}
+
+/// What an entry knows of an earlier owner of its keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FormerOwner {
+    /// It has not handed over yet.
+    Awaited,
+    /// It handed over; keys minted before `floor_ms` may have run elsewhere before.
+    HandedOver { floor_ms: u64 },
+    /// It was evicted: it runs no key after `stopped` and none minted at or after `floor_ms`.
+    Evicted { stopped: Duration, floor_ms: u64 },
+}
+
+/// One roster that this entry has adopted.
+#[derive(Clone, Debug)]
+struct AdoptedRoster {
+    epoch: u64,
+    entries: BTreeSet<EntryName>,
+}
+
+/// What the owner of a key may do with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyRight {
+    /// Look it up; run it if it is new and minted at or after `floor_ms`.
+    Own {
+        /// Wall clock in milliseconds; an unknown key minted before it may have run.
+        floor_ms: u64,
+    },
+    /// An earlier owner may still run it.
+    Wait,
+    /// Another entry owns it.
+    Other,
+}
+
+/// The time, on this VM's steady clock and on its wall clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// Time since the process started.
+    pub steady: Duration,
+    /// Milliseconds since the epoch.
+    pub wall_ms: u64,
+}
+
+/// A roster as the fold gives it.
+#[derive(Clone, Debug, Default)]
+pub struct RosterView {
+    /// Offset of the record that made it.
+    pub epoch: u64,
+    /// Entries with the offsets of their joins.
+    pub entries: BTreeMap<EntryName, u64>,
+    /// Entries that were evicted lately, with the wall clock of the eviction in milliseconds. An
+    /// entry that is in neither any more has left in good order.
+    pub evicted: BTreeMap<EntryName, u64>,
+    /// The first entry that ever joined.
+    pub first: Option<EntryName>,
+}
+
+/// The rosters that an entry has adopted and what it knows of earlier owners.
+#[derive(Debug)]
+pub struct OwnerBook {
+    me: EntryName,
+    times: LeaseTimes,
+    rosters: VecDeque<AdoptedRoster>,
+    /// Entries that were there when we joined: they may have run what is ours since.
+    at_join: BTreeMap<EntryName, FormerOwner>,
+    /// Entries that have gone since: what was theirs may be ours now.
+    gone: BTreeMap<EntryName, FormerOwner>,
+    /// Entries that have shown that they know us, so that their lease needs our word.
+    acquainted: BTreeSet<EntryName>,
+    /// Keys minted before it were nobody's that we could ask.
+    first_floor_ms: u64,
+}
+
+impl OwnerBook {
+    /// A book without a roster; owns nothing.
+    pub fn new(me: EntryName, times: LeaseTimes) -> Self {
+        OwnerBook {
+            me,
+            times,
+            rosters: VecDeque::new(),
+            at_join: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            acquainted: BTreeSet::new(),
+            first_floor_ms: 0,
+        }
+    }
+
+    /// Epoch of the newest roster.
+    pub fn epoch(&self) -> Option<u64> {
+        self.rosters.back().map(|roster| roster.epoch)
+    }
+
+    /// Entries of the newest roster other than this one.
+    pub fn others(&self) -> impl Iterator<Item = &EntryName> {
+        let newest = self.rosters.back().map(|roster| roster.entries.iter());
+        newest.into_iter().flatten().filter(|entry| **entry != self.me)
+    }
+
+    /// Adopts a newer roster. Returns whether it was newer.
+    pub fn adopt(&mut self, roster: &RosterView, now: Moment) -> bool {
+        let Some(joined) = roster.entries.get(&self.me) else { return false };
+        if self.epoch().is_some_and(|newest| newest >= roster.epoch) {
+            return false;
+        }
+        let entries: BTreeSet<EntryName> = roster.entries.keys().cloned().collect();
+        match self.rosters.back() {
+            None => self.join(roster, *joined, now),
+            Some(newest) => {
+                let lost: Vec<EntryName> = newest.entries.difference(&entries).cloned().collect();
+                for entry in &lost {
+                    self.part(entry, roster.evicted.get(entry).copied(), now);
+                }
+            }
+        }
+        self.rosters.push_back(AdoptedRoster { epoch: roster.epoch, entries });
+        if self.rosters.len() > ROSTERS_KEPT {
+            self.rosters.pop_front();
+        }
+        true
+    }
+
+    /// Whoever joined before us may have run what is ours now; whoever joined after us has not.
+    fn join(&mut self, roster: &RosterView, joined: u64, now: Moment) {
+        let is_first = roster.first.as_ref() == Some(&self.me);
+        self.first_floor_ms = if is_first { 0 } else { now.wall_ms + millis(self.times.skew) };
+        for (entry, _) in roster.entries.iter().filter(|(_, other)| **other < joined) {
+            self.at_join.insert(entry.clone(), FormerOwner::Awaited);
+        }
+        for (entry, at_ms) in &roster.evicted {
+            self.at_join.insert(entry.clone(), self.eviction(entry, *at_ms, now));
+        }
+    }
+
+    fn part(&mut self, entry: &EntryName, evicted_ms: Option<u64>, now: Moment) {
+        // It stopped before its leave; without its last hand-over its outcomes are lost.
+        let left = FormerOwner::HandedOver { floor_ms: now.wall_ms + millis(self.times.skew) };
+        let end = evicted_ms.map_or(left, |at_ms| self.eviction(entry, at_ms, now));
+        if self.at_join.get(entry) == Some(&FormerOwner::Awaited) {
+            self.at_join.insert(entry.clone(), end);
+        }
+        self.gone.entry(entry.clone()).or_insert(end);
+    }
+
+    /// An entry that knows us asks for our word to renew its lease, and no longer gets it: it stops
+    /// within one lease. One that may not know us goes on until its autonomy is over.
+    fn eviction(&self, entry: &EntryName, evicted_ms: u64, now: Moment) -> FormerOwner {
+        let wait = if self.acquainted.contains(entry) {
+            self.times.lease + self.times.skew
+        } else {
+            let over_ms = evicted_ms + millis(self.times.autonomy + self.times.skew);
+            Duration::from_millis(over_ms.saturating_sub(now.wall_ms))
+        };
+        let floor_ms = now.wall_ms + millis(wait + self.times.skew);
+        FormerOwner::Evicted { stopped: now.steady + wait, floor_ms }
+    }
+
+    /// Notes that an entry has shown that it knows us.
+    pub fn acquaint(&mut self, entry: &EntryName) {
+        self.acquainted.insert(entry.clone());
+    }
+
+    /// Notes a hand-over: `from` runs none of our keys any more, and neither does any of `retired`,
+    /// whose lease needed its word. The last one comes before a planned stop.
+    pub fn handed_over(&mut self, handed: &HandedOver<'_>) {
+        self.acquaint(handed.from);
+        let state = FormerOwner::HandedOver { floor_ms: handed.floor_ms };
+        if let Some(awaited) = self.at_join.get_mut(handed.from)
+            && *awaited == FormerOwner::Awaited
+        {
+            *awaited = state;
+        }
+        if handed.last {
+            self.gone.insert(handed.from.clone(), state);
+        }
+        for entry in handed.retired {
+            for map in [&mut self.at_join, &mut self.gone] {
+                if matches!(map.get(entry), Some(FormerOwner::Evicted { .. })) {
+                    map.insert(entry.clone(), state);
+                }
+            }
+        }
+    }
+
+    /// Whether we may hand over: whoever was there before us has, and every evicted entry that
+    /// asked for our word has stopped.
+    pub fn may_hand_over(&self, now: Duration) -> bool {
+        let awaited = self.at_join.values().any(|state| *state == FormerOwner::Awaited);
+        !awaited
+            && self.gone.iter().all(|(entry, state)| match state {
+                FormerOwner::Evicted { stopped, .. } => {
+                    !self.acquainted.contains(entry) || *stopped <= now
+                }
+                FormerOwner::Awaited | FormerOwner::HandedOver { .. } => true,
+            })
+    }
+
+    /// Entry that owns a key by the newest roster.
+    pub fn owner(&self, key: &[u8]) -> Option<&EntryName> {
+        self.rosters.back().and_then(|roster| owner(key, &roster.entries))
+    }
+
+    /// Evicted entries that have stopped, since they asked for our word.
+    pub fn retired(&self, now: Duration) -> Vec<EntryName> {
+        let evicted = self.gone.iter().filter(|(entry, state)| {
+            let stopped = match state {
+                FormerOwner::Evicted { stopped, .. } => *stopped <= now,
+                FormerOwner::Awaited | FormerOwner::HandedOver { .. } => false,
+            };
+            stopped && self.acquainted.contains(*entry)
+        });
+        evicted.map(|(entry, _)| entry.clone()).collect()
+    }
+
+    /// Floor that a hand-over from us carries: unknown keys minted before it may have run.
+    /// Evicted entries that may still run are left out: the next owner has them on its own list.
+    pub fn floor_ms(&self, now: Duration) -> u64 {
+        let states = self.at_join.values().chain(self.gone.values());
+        let ended = states.filter(
+            |state| !matches!(state, FormerOwner::Evicted { stopped, .. } if *stopped > now),
+        );
+        let floors = ended.filter_map(|state| state.floor_ms());
+        let alone = self.joined_alone().then_some(self.first_floor_ms);
+        floors.chain(alone).max().unwrap_or(0)
+    }
+
+    /// What we may do with a key now.
+    pub fn right(&self, key: &[u8], now: Duration) -> KeyRight {
+        let Some(newest) = self.rosters.back() else { return KeyRight::Wait };
+        if owner(key, &newest.entries) != Some(&self.me) {
+            return KeyRight::Other;
+        }
+        let mut former: Vec<Option<&FormerOwner>> = Vec::new();
+        for roster in &self.rosters {
+            match owner(key, &roster.entries) {
+                Some(entry) if *entry != self.me => former.push(self.gone.get(entry)),
+                _ => {}
+            }
+        }
+        let oldest = self.rosters.front().and_then(|roster| owner(key, &roster.entries));
+        let since_join = oldest == Some(&self.me);
+        if since_join {
+            former.extend(self.at_join.values().map(Some));
+        }
+        let floor = if since_join && self.joined_alone() { self.first_floor_ms } else { 0 };
+        right_after(&former, floor, now)
+    }
+
+    fn joined_alone(&self) -> bool {
+        !self.at_join.values().any(|state| matches!(state, FormerOwner::HandedOver { .. }))
+    }
+}
+
+/// The strictest of what each former owner leaves.
+fn right_after(former: &[Option<&FormerOwner>], floor_ms: u64, now: Duration) -> KeyRight {
+    let mut floor = floor_ms;
+    for state in former {
+        match state {
+            None | Some(FormerOwner::Awaited) => return KeyRight::Wait,
+            Some(FormerOwner::Evicted { stopped, .. }) if now < *stopped => return KeyRight::Wait,
+            Some(state) => floor = floor.max(state.floor_ms().unwrap_or(0)),
+        }
+    }
+    KeyRight::Own { floor_ms: floor }
+}
+
+/// What a hand-over says besides the outcomes.
+#[derive(Clone, Copy, Debug)]
+pub struct HandedOver<'a> {
+    /// Who hands over.
+    pub from: &'a EntryName,
+    /// Unknown keys minted before it may have run.
+    pub floor_ms: u64,
+    /// Evicted entries that have stopped.
+    pub retired: &'a [EntryName],
+    /// Whether `from` is about to leave.
+    pub last: bool,
+}
+
+impl FormerOwner {
+    fn floor_ms(&self) -> Option<u64> {
+        match self {
+            FormerOwner::Awaited => None,
+            FormerOwner::HandedOver { floor_ms } | FormerOwner::Evicted { floor_ms, .. } => {
+                Some(*floor_ms)
+            }
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/decide/wave.rs
@@ -0,0 +1,450 @@
+//! What a steward does next with its data centre's VMs: placement, drains, reboots, replacements.
+//!
+//! One planning step looks at the document, the folds of all data centres and what the probes show,
+//! and returns acts for the steward to append. The steward acts on nothing it has not read back, so
+//! a step may return the same act twice; the fold refuses the second.
+//!
+//! A drain never by itself takes a product below its capacity. It starts only if the shortfall that
+//! the loss of the worst remaining rack would cause until the drain is over fits what is left of
+//! the availability budget. So one buffer serves failures and maintenance, and a budget spent by
+//! failures narrows the wave until it pauses.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::decide::fleet::{DrainReason, FleetState, StewardAct, VmPhase, VmState};
+use crate::document::{IntentDocument, PoolSpec, ProductSpec, VmSpec, WaveSpec};
+use crate::name::{CentreName, PoolName, ProductName, RackName, VmName, WaveName};
+
+/// Milliseconds in a day.
+pub const DAY_MS: u64 = 86_400_000;
+/// Most acts of one step; the rest follows in the next.
+const ACTS_MAX: usize = 64;
+
+/// What the steward's probes show of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeView {
+    /// Boot number of its newest answer.
+    pub boot: u64,
+    /// Whether the newest probe was answered.
+    pub answers: bool,
+    /// Milliseconds since it last answered.
+    pub silent_ms: u64,
+}
+
+/// Times that a planning step uses, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanTimes {
+    /// Silence after which a VM counts as lost.
+    pub lost_after_ms: u64,
+    /// Time that a lost VM gets to come back before a spare one takes its place.
+    pub replace_after_ms: u64,
+    /// Time that a drain, a reboot and a return take together.
+    pub drain_ms: u64,
+}
+
+/// Everything that a planning step looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanInput<'a> {
+    /// Data centre that is planned for.
+    pub centre: &'a CentreName,
+    /// The accepted document.
+    pub document: &'a IntentDocument,
+    /// Folds of all data centres.
+    pub fleets: &'a BTreeMap<CentreName, Arc<FleetState>>,
+    /// What the probes show of this data centre's workers.
+    pub probes: &'a BTreeMap<VmName, ProbeView>,
+    /// Steward's wall clock, in milliseconds since the epoch.
+    pub wall_ms: u64,
+    /// Times.
+    pub times: PlanTimes,
+}
+
+/// One step of the plan.
+pub fn plan(input: &PlanInput<'_>) -> Vec<StewardAct> {
+    let mut planner = WavePlanner::new(input);
+    planner.follow_up();
+    planner.watch();
+    planner.place();
+    planner.shrink();
+    planner.waves();
+    planner.acts.truncate(ACTS_MAX);
+    planner.acts
+}
+
+/// Workers of a product by what they do, over all data centres.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProductLoad {
+    /// Workers that serve.
+    pub serving: u32,
+    /// Workers that are drained or rebooted on purpose.
+    pub planned: u32,
+    /// Workers that are lost.
+    pub lost: u32,
+}
+
+/// Counts a product's workers over the folds of all data centres.
+pub fn product_load(
+    document: &IntentDocument,
+    fleets: &BTreeMap<CentreName, Arc<FleetState>>,
+    product: &ProductName,
+) -> ProductLoad {
+    let pools = pools_of(document, product);
+    let mut load = ProductLoad::default();
+    for state in fleets.values().flat_map(|fleet| fleet.vms.values()) {
+        if !state.pool.as_ref().is_some_and(|pool| pools.contains(pool)) {
+            continue;
+        }
+        match state.phase {
+            VmPhase::Serving => load.serving += 1,
+            VmPhase::Draining { .. } | VmPhase::Rebooting { .. } => load.planned += 1,
+            VmPhase::Lost { .. } => load.lost += 1,
+            VmPhase::Spare => {}
+        }
+    }
+    load
+}
+
+/// Workers that a product lacks now.
+pub fn shortfall(document: &IntentDocument, load: &ProductLoad, product: &ProductSpec) -> u32 {
+    // Before the first placement is through, the fleet is being set up and not short.
+    let placed = load.serving + load.planned + load.lost;
+    let capacity = product.capacity.min(document.workers_of(&product.name));
+    if placed < capacity { 0 } else { capacity.saturating_sub(load.serving) }
+}
+
+fn pools_of<'a>(document: &'a IntentDocument, product: &ProductName) -> BTreeSet<&'a PoolName> {
+    let pools = document.pools.iter().filter(|pool| pool.product == *product);
+    pools.map(|pool| &pool.name).collect()
+}
+
+struct WavePlanner<'a> {
+    input: &'a PlanInput<'a>,
+    fleet: &'a FleetState,
+    specs: BTreeMap<&'a VmName, &'a VmSpec>,
+    limit_ms: u64,
+    taken: BTreeSet<VmName>,
+    loads: BTreeMap<&'a ProductName, ProductLoad>,
+    acts: Vec<StewardAct>,
+}
+
+impl<'a> WavePlanner<'a> {
+    fn new(input: &'a PlanInput<'a>) -> Self {
+        static NO_FLEET: std::sync::LazyLock<FleetState> =
+            std::sync::LazyLock::new(FleetState::default);
+        let own = input.document.vms.iter().filter(|vm| vm.data_centre == *input.centre);
+        let products = input.document.products.iter();
+        WavePlanner {
+            input,
+            fleet: input.fleets.get(input.centre).map_or(&NO_FLEET, |fleet| fleet),
+            specs: own.map(|vm| (&vm.name, vm)).collect(),
+            limit_ms: input.document.longest_time_limit_ms(),
+            taken: BTreeSet::new(),
+            loads: products
+                .map(|p| (&p.name, product_load(input.document, input.fleets, &p.name)))
+                .collect(),
+            acts: Vec::new(),
+        }
+    }
+
+    fn probe(&self, vm: &VmName) -> Option<&ProbeView> {
+        self.input.probes.get(vm)
+    }
+
+    fn is_up(&self, vm: &VmName) -> Option<u64> {
+        self.probe(vm).filter(|probe| probe.answers).map(|probe| probe.boot)
+    }
+
+    /// Takes drains and reboots that have begun to their end.
+    fn follow_up(&mut self) {
+        for (vm, state) in &self.fleet.vms {
+            match &state.phase {
+                VmPhase::Draining { reason, .. } if state.is_drained(self.input.wall_ms) => {
+                    // An evicted entry may know this boot; the next pool must not get it.
+                    let fenced = state.fenced_boot == Some(state.boot);
+                    let act = match reason {
+                        DrainReason::Move if !fenced => StewardAct::Release { vm: vm.clone() },
+                        DrainReason::Move | DrainReason::Wave(_) => {
+                            StewardAct::Reboot { vm: vm.clone() }
+                        }
+                    };
+                    self.acts.push(act);
+                }
+                VmPhase::Rebooting { reason } => self.after_reboot(vm, state, reason),
+                VmPhase::Serving
+                | VmPhase::Draining { .. }
+                | VmPhase::Lost { .. }
+                | VmPhase::Spare => {}
+            }
+        }
+    }
+
+    fn after_reboot(&mut self, vm: &VmName, state: &VmState, reason: &DrainReason) {
+        let Some(boot) = self.is_up(vm).filter(|boot| *boot != state.boot) else { return };
+        let act = match reason {
+            DrainReason::Wave(_) => StewardAct::Return { vm: vm.clone(), boot },
+            DrainReason::Move => StewardAct::Release { vm: vm.clone() },
+        };
+        self.acts.push(act);
+    }
+
+    /// Notices VMs that were lost, restarted or came back.
+    fn watch(&mut self) {
+        for (vm, state) in &self.fleet.vms {
+            let Some(probe) = self.probe(vm) else { continue };
+            let lost = !probe.answers && probe.silent_ms >= self.input.times.lost_after_ms;
+            match &state.phase {
+                VmPhase::Serving if lost => self.acts.push(StewardAct::Lost { vm: vm.clone() }),
+                VmPhase::Serving if probe.answers && probe.boot != state.boot => {
+                    self.acts.push(StewardAct::Return { vm: vm.clone(), boot: probe.boot });
+                }
+                VmPhase::Draining { .. } if lost => {
+                    self.acts.push(StewardAct::Lost { vm: vm.clone() });
+                }
+                VmPhase::Rebooting { .. }
+                    if !probe.answers && probe.silent_ms >= self.input.times.replace_after_ms =>
+                {
+                    self.acts.push(StewardAct::Lost { vm: vm.clone() });
+                }
+                VmPhase::Lost { .. } if probe.answers => {
+                    self.acts.push(StewardAct::Return { vm: vm.clone(), boot: probe.boot });
+                }
+                VmPhase::Lost { .. }
+                    if probe.silent_ms >= self.input.times.replace_after_ms
+                        && self.has_spare(state.pool.as_ref()) =>
+                {
+                    self.acts.push(StewardAct::Release { vm: vm.clone() });
+                }
+                VmPhase::Serving
+                | VmPhase::Draining { .. }
+                | VmPhase::Rebooting { .. }
+                | VmPhase::Lost { .. }
+                | VmPhase::Spare => {}
+            }
+        }
+    }
+
+    fn has_spare(&self, pool: Option<&PoolName>) -> bool {
+        let Some(pool) = pool.and_then(|pool| self.input.document.pool(pool)) else { return true };
+        self.specs.values().any(|spec| self.can_assign(spec, pool).is_some())
+    }
+
+    /// Boot number with which a spare VM can join the pool.
+    fn can_assign(&self, spec: &VmSpec, pool: &PoolSpec) -> Option<u64> {
+        let state = self.fleet.vm(&spec.name);
+        let fits = state.phase == VmPhase::Spare
+            && spec.accelerators >= pool.accelerators
+            && !self.taken.contains(&spec.name);
+        self.is_up(&spec.name).filter(|boot| fits && state.fenced_boot != Some(*boot))
+    }
+
+    fn members(&self, pool: &PoolName) -> Vec<(&'a VmName, &'a VmState)> {
+        let members = self.fleet.vms.iter();
+        members.filter(|(_, state)| state.pool.as_ref() == Some(pool)).collect()
+    }
+
+    /// Fills pools with spare VMs, each where its product has the fewest in one rack.
+    fn place(&mut self) {
+        let mut pools: Vec<&PoolSpec> = self.input.document.pools.iter().collect();
+        pools.sort_by_key(|pool| std::cmp::Reverse(pool.accelerators));
+        for pool in pools {
+            let members = self.members(&pool.name);
+            let wanted = pool.workers.get(self.input.centre).copied().unwrap_or(0) as usize;
+            let mut racks: BTreeMap<&RackName, u32> = BTreeMap::new();
+            for (vm, _) in &members {
+                if let Some(spec) = self.specs.get(*vm) {
+                    *racks.entry(&spec.rack).or_default() += 1;
+                }
+            }
+            for _ in members.len()..wanted {
+                let Some((spec, boot)) = self.best_spare(pool, &racks) else { break };
+                *racks.entry(&spec.rack).or_default() += 1;
+                self.taken.insert(spec.name.clone());
+                let (vm, pool) = (spec.name.clone(), pool.name.clone());
+                self.acts.push(StewardAct::Assign { vm, pool, boot });
+            }
+        }
+    }
+
+    /// The spare VM in the rack with the fewest of the pool; then the one that others need least.
+    fn best_spare(
+        &self,
+        pool: &PoolSpec,
+        racks: &BTreeMap<&RackName, u32>,
+    ) -> Option<(&'a VmSpec, u64)> {
+        let open =
+            self.specs.values().filter_map(|spec| Some((*spec, self.can_assign(spec, pool)?)));
+        let mut left: BTreeMap<&RackName, u32> = BTreeMap::new();
+        for (spec, _) in open.clone() {
+            *left.entry(&spec.rack).or_default() += 1;
+        }
+        open.min_by_key(|(spec, _)| {
+            let same = racks.get(&spec.rack).copied().unwrap_or(0);
+            let spares = std::cmp::Reverse(left.get(&spec.rack).copied().unwrap_or(0));
+            (same, spec.accelerators, spares, &spec.name)
+        })
+    }
+
+    /// Drains VMs that their pool no longer asks for, and those the document no longer has.
+    fn shrink(&mut self) {
+        let mut surplus: Vec<&VmName> = Vec::new();
+        for pool in &self.input.document.pools {
+            let members = self.members(&pool.name);
+            let wanted = pool.workers.get(self.input.centre).copied().unwrap_or(0) as usize;
+            let excess = members.len().saturating_sub(wanted);
+            let serving = members.iter().filter(|(_, state)| state.phase == VmPhase::Serving);
+            let moving = members.iter().filter(|(_, state)| is_moving(state)).count();
+            surplus.extend(serving.map(|(vm, _)| *vm).take(excess.saturating_sub(moving)));
+        }
+        for (vm, state) in &self.fleet.vms {
+            let pool = state.pool.as_ref();
+            let orphan = pool.is_some_and(|pool| self.input.document.pool(pool).is_none());
+            if state.phase == VmPhase::Serving && (orphan || !self.specs.contains_key(vm)) {
+                surplus.push(vm);
+            }
+        }
+        for vm in surplus {
+            if self.may_drain(vm) {
+                self.drain(vm, DrainReason::Move);
+            }
+        }
+    }
+
+    fn drain(&mut self, vm: &VmName, reason: DrainReason) {
+        if !self.taken.insert(vm.clone()) {
+            return;
+        }
+        if let Some(product) = self.product_of(vm)
+            && let Some(load) = self.loads.get_mut(&product.name)
+        {
+            load.serving -= 1;
+            load.planned += 1;
+        }
+        self.acts.push(StewardAct::Drain { vm: vm.clone(), reason, limit_ms: self.limit_ms });
+    }
+
+    fn product_of(&self, vm: &VmName) -> Option<&'a ProductSpec> {
+        let pool = self.fleet.vms.get(vm)?.pool.as_ref()?;
+        let pool = self.input.document.pool(pool)?;
+        self.input.document.products.iter().find(|product| product.name == pool.product)
+    }
+
+    /// Whether a VM may be drained now.
+    fn may_drain(&self, vm: &VmName) -> bool {
+        let Some(product) = self.product_of(vm) else { return true };
+        let load = self.loads.get(&product.name).copied().unwrap_or_default();
+        if load.serving <= product.capacity || load.planned >= self.parallel(product) {
+            return false;
+        }
+        let after = load.serving - 1;
+        let worst = self.worst_rack(&product.name, vm);
+        let short = u64::from(product.capacity.saturating_sub(after.saturating_sub(worst)));
+        short * self.input.times.drain_ms <= self.budget_left_ms(product)
+    }
+
+    /// Most VMs of a product out at a time: one, or as many as it has spare, by its weight.
+    fn parallel(&self, product: &ProductSpec) -> u32 {
+        let spare = self.input.document.workers_of(&product.name).saturating_sub(product.capacity);
+        let more = u64::from(spare.saturating_sub(1)) * u64::from(product.rollout_weight);
+        1 + u32::try_from(more.div_ceil(100)).unwrap_or(u32::MAX)
+    }
+
+    /// Most serving workers of a product in one rack, without `vm`.
+    fn worst_rack(&self, product: &ProductName, vm: &VmName) -> u32 {
+        let pools = pools_of(self.input.document, product);
+        let mut racks: BTreeMap<(&CentreName, &RackName), u32> = BTreeMap::new();
+        for spec in &self.input.document.vms {
+            let state =
+                self.input.fleets.get(&spec.data_centre).and_then(|f| f.vms.get(&spec.name));
+            let Some(state) = state else { continue };
+            let counts = spec.name != *vm
+                && state.phase == VmPhase::Serving
+                && !self.taken.contains(&spec.name)
+                && state.pool.as_ref().is_some_and(|pool| pools.contains(pool));
+            if counts {
+                *racks.entry((&spec.data_centre, &spec.rack)).or_default() += 1;
+            }
+        }
+        racks.into_values().max().unwrap_or(0)
+    }
+
+    fn budget_left_ms(&self, product: &ProductSpec) -> u64 {
+        let day = self.input.wall_ms / DAY_MS;
+        let fleets = self.input.fleets.values();
+        let spent: u64 = fleets.map(|fleet| fleet.spent_ms(&product.name, day)).sum();
+        (u64::from(product.budget_worker_minutes) * 60_000).saturating_sub(spent)
+    }
+
+    /// Starts drains of the waves, rack by rack, as far as capacities and budgets allow.
+    fn waves(&mut self) {
+        for wave in self.input.document.waves.iter().filter(|wave| !wave.cancelled) {
+            let mut candidates = self.candidates(wave);
+            candidates.sort_by_key(|vm| self.rack_rank(vm));
+            for vm in candidates {
+                if self.may_drain(vm) {
+                    self.drain(vm, DrainReason::Wave(wave.name.clone()));
+                }
+            }
+        }
+    }
+
+    /// Serving VMs of this data centre that the wave has yet to reach, of products whose turn is here.
+    fn candidates(&self, wave: &WaveSpec) -> Vec<&'a VmName> {
+        let mut found = Vec::new();
+        for pool in wave.pools.iter().filter_map(|pool| self.input.document.pool(pool)) {
+            if self.turn(wave, &pool.product) != Some(self.input.centre) {
+                continue;
+            }
+            let members = self.members(&pool.name).into_iter();
+            let open = members.filter(|(vm, state)| {
+                state.phase == VmPhase::Serving
+                    && is_open(&wave.name, state)
+                    && !self.taken.contains(*vm)
+            });
+            found.extend(open.map(|(vm, _)| vm));
+        }
+        found
+    }
+
+    /// The data centre that may drain the product's VMs: the first in the document's order that has
+    /// some left. Stewards that drained at the same time would each count on the other's VMs.
+    fn turn(&self, wave: &WaveSpec, product: &ProductName) -> Option<&'a CentreName> {
+        let pools: BTreeSet<&PoolName> = pools_of(self.input.document, product)
+            .into_iter()
+            .filter(|p| wave.pools.contains(p))
+            .collect();
+        let centres = self.input.document.data_centres.iter().map(|centre| &centre.name);
+        let mut covered = centres.filter(|centre| wave.covers(centre));
+        covered.find(|centre| {
+            let vms = self.input.fleets.get(*centre).into_iter().flat_map(|f| f.vms.values());
+            let mut open = vms.filter(|state| {
+                state.pool.as_ref().is_some_and(|pool| pools.contains(pool))
+                    && !matches!(state.phase, VmPhase::Lost { .. })
+                    && is_open(&wave.name, state)
+            });
+            open.next().is_some()
+        })
+    }
+
+    /// Racks that have VMs out already come first, so that a wave finishes one before the next.
+    fn rack_rank(&self, vm: &VmName) -> (bool, Option<&'a RackName>, VmName) {
+        let rack = self.specs.get(vm).map(|spec| &spec.rack);
+        let begun = self.fleet.vms.iter().any(|(other, state)| {
+            matches!(state.phase, VmPhase::Draining { .. } | VmPhase::Rebooting { .. })
+                && self.specs.get(other).map(|spec| &spec.rack) == rack
+        });
+        (!begun, rack, vm.clone())
+    }
+}
+
+fn is_open(wave: &WaveName, state: &VmState) -> bool {
+    !state.waves.contains(wave)
+}
+
+fn is_moving(state: &VmState) -> bool {
+    matches!(
+        &state.phase,
+        VmPhase::Draining { reason: DrainReason::Move, .. }
+            | VmPhase::Rebooting { reason: DrainReason::Move }
+    )
+}
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,257 @@
+//! What the entries tell each other: loads, offsets, and that they are alive.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use slog::{Logger, info};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::control::ControlLoop;
+use crate::decide::slot::SlotPolicy;
+use crate::keyring::KeyRing;
+use crate::membership::EntryMembership;
+use crate::name::{CentreName, EntryName, TeamName, VmName};
+use crate::peer::{CallOutcome, PeerCall, PeerClient, PeerGossip, PeerReply};
+use crate::quota::QuotaBook;
+use crate::view::{FleetView, ViewKeeper};
+
+/// Time for a peer to answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Gossip intervals after which a peer's loads count no more.
+const LOADS_KEPT: u32 = 4;
+/// Silence of the log, in gossip intervals, after which peers are asked for what they know.
+const LOG_SILENCE: u32 = 4;
+
+/// The newest that a peer has said.
+#[derive(Clone, Debug)]
+struct HeardPeer {
+    at: Instant,
+    loads: Vec<(VmName, u32)>,
+    teams: Vec<(TeamName, u32)>,
+}
+
+/// What this entry has heard from the others.
+#[derive(Debug, Default)]
+pub struct GossipBook {
+    heard: Mutex<HashMap<EntryName, HeardPeer>>,
+}
+
+impl GossipBook {
+    /// Notes what a peer of the own data centre said.
+    pub fn note(&self, gossip: &PeerGossip) {
+        let heard = HeardPeer {
+            at: Instant::now(),
+            loads: gossip.loads.clone(),
+            teams: gossip.teams.clone(),
+        };
+        self.lock().insert(gossip.from.clone(), heard);
+    }
+
+    /// Time since a peer was last heard.
+    pub fn silence(&self, peer: &EntryName) -> Option<Duration> {
+        self.lock().get(peer).map(|heard| heard.at.elapsed())
+    }
+
+    /// Sums of what the others have in flight; forgets who has been silent for `kept`.
+    fn sums(&self, kept: Duration) -> (BTreeMap<VmName, u32>, BTreeMap<TeamName, u32>) {
+        let (mut loads, mut teams) = (BTreeMap::new(), BTreeMap::new());
+        for heard in self.lock().values().filter(|heard| heard.at.elapsed() < kept) {
+            for (vm, load) in &heard.loads {
+                *loads.entry(vm.clone()).or_default() += load;
+            }
+            for (team, load) in &heard.teams {
+                *teams.entry(team.clone()).or_default() += load;
+            }
+        }
+        (loads, teams)
+    }
+
+    fn forget(&self, after: Duration) {
+        self.lock().retain(|_, heard| heard.at.elapsed() < after);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<EntryName, HeardPeer>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Everything that gossip reads and writes; shared by the loop and the answers to peers.
+#[derive(Clone, Debug)]
+pub struct GossipContext<P> {
+    /// Data centre of this entry.
+    pub centre: CentreName,
+    /// Time between messages to a peer.
+    pub interval: Duration,
+    /// View and table.
+    pub keeper: Arc<ViewKeeper<P>>,
+    /// Place on the roster.
+    pub membership: Arc<EntryMembership>,
+    /// Keys.
+    pub keyring: Arc<KeyRing>,
+    /// Quotas.
+    pub quotas: Arc<QuotaBook>,
+    /// What was heard.
+    pub book: Arc<GossipBook>,
+}
+
+impl<P: SlotPolicy> GossipContext<P> {
+    /// What this entry says of itself.
+    pub fn gossip(&self) -> PeerGossip {
+        PeerGossip {
+            from: self.membership.name().as_ref().clone(),
+            centre: self.centre.clone(),
+            roster_epoch: self.keyring.epoch(),
+            through: self.keeper.view().through(),
+            loads: self.keeper.counts(),
+            teams: self.quotas.counts(),
+        }
+    }
+
+    /// Notes what a peer said, whoever asked.
+    pub fn hear(&self, gossip: &PeerGossip) {
+        if gossip.centre != self.centre {
+            return;
+        }
+        self.book.note(gossip);
+        let kept = self.interval * LOADS_KEPT;
+        let (loads, teams) = self.book.sums(kept);
+        self.keeper.set_others(&loads);
+        self.quotas.set_others(&teams);
+        let view = self.keeper.view();
+        let Some(fleet) = view.fleets.get(&self.centre) else { return };
+        let me = fleet.roster.get(&*self.membership.name());
+        // It acts on a roster that has us, so it asks for our word before it renews its lease.
+        if gossip.roster_epoch.zip(me).is_some_and(|(epoch, me)| epoch >= me.joined) {
+            self.keyring.acquaint(&gossip.from);
+        }
+    }
+
+    /// The states of the streams that are newer here than `through`.
+    pub fn newer(&self, through: &BTreeMap<String, u64>) -> FleetView {
+        let view = self.keeper.view();
+        let own = view.through();
+        let is_newer = |stream: &str| {
+            own.get(stream).copied().unwrap_or(0) > through.get(stream).copied().unwrap_or(0)
+        };
+        let mut newer = FleetView::default();
+        if is_newer(crate::platform::INTENT_STREAM) {
+            newer.intent = view.intent.clone();
+        }
+        let fleets = view.fleets.iter();
+        newer.fleets = fleets
+            .filter(|(centre, _)| is_newer(&crate::platform::fleet_stream(centre)))
+            .map(|(centre, fleet)| (centre.clone(), fleet.clone()))
+            .collect();
+        newer
+    }
+
+    /// Takes over a peer's states. The roster is adopted with the fleet that holds it.
+    fn adopt(&self, newer: &FleetView) {
+        if self.keeper.adopt(newer)
+            && let Some(fleet) = self.keeper.view().fleets.get(&self.centre)
+        {
+            self.keyring.adopt(fleet);
+        }
+    }
+}
+
+/// Sends gossip.
+pub struct GossipSender<P, C> {
+    /// What it reads and writes.
+    pub context: GossipContext<P>,
+    /// Calls to other entries.
+    pub peers: C,
+    /// Entries to ask before any roster is known, from the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Log lines.
+    pub logger: Logger,
+}
+
+impl<P: SlotPolicy, C: PeerClient> ControlLoop for GossipSender<P, C> {
+    const NAME: &'static str = "gossip";
+
+    async fn step(&mut self) -> Duration {
+        let gossip = self.context.gossip();
+        let mut calls = JoinSet::new();
+        for (name, address) in self.targets() {
+            let (peers, gossip) = (self.peers.clone(), gossip.clone());
+            calls.spawn(async move {
+                let asked = Instant::now();
+                let outcome = peers.call(address, &PeerCall::Gossip(gossip), PATIENCE).await;
+                (name, address, asked, outcome)
+            });
+        }
+        while let Some(done) = calls.join_next().await {
+            if let Ok((name, address, asked, CallOutcome::Reply(PeerReply::Gossip(reply)))) = done {
+                self.note(name.as_ref(), asked, &reply);
+                self.fetch(address, &reply).await;
+            }
+        }
+        let interval = self.context.interval;
+        self.context.book.forget(interval * 1_000);
+        interval
+    }
+}
+
+impl<P: SlotPolicy, C: PeerClient> GossipSender<P, C> {
+    /// All entries of the own data centre, one of another, and the seeds while none is known.
+    fn targets(&self) -> Vec<(Option<EntryName>, SocketAddr)> {
+        let view = self.context.keeper.view();
+        let me = self.context.membership.name();
+        let mut targets = Vec::new();
+        for (centre, fleet) in &view.fleets {
+            let others = fleet.roster.iter().filter(|(name, _)| **name != *me);
+            let others: Vec<_> = others
+                .filter_map(|(name, entry)| Some((Some(name.clone()), entry.peer.parse().ok()?)))
+                .collect();
+            if *centre == self.context.centre {
+                targets.extend(others);
+            } else if self.is_log_silent() {
+                targets.extend(others.choose(&mut rand::rng()).cloned());
+            }
+        }
+        if targets.is_empty() && self.is_log_silent() {
+            targets.extend(self.seeds.iter().map(|seed| (None, *seed)));
+        }
+        targets
+    }
+
+    fn is_log_silent(&self) -> bool {
+        let age = self.context.membership.log_age();
+        age.is_none_or(|age| age > self.context.interval * LOG_SILENCE)
+    }
+
+    fn note(&self, name: Option<&EntryName>, asked: Instant, reply: &PeerGossip) {
+        self.context.hear(reply);
+        let own = self.context.keyring.epoch();
+        let knows_no_newer =
+            reply.roster_epoch.is_some_and(|epoch| own.is_some_and(|own| epoch <= own));
+        if name == Some(&reply.from) && reply.centre == self.context.centre && knows_no_newer {
+            self.context.membership.confirm_by_peer(&reply.from, asked);
+        }
+    }
+
+    /// Without the log, the newest that a peer knows is the newest there is for us.
+    async fn fetch(&self, address: SocketAddr, reply: &PeerGossip) {
+        if !self.is_log_silent() {
+            return;
+        }
+        let own = self.context.keeper.view().through();
+        let lacks =
+            |(stream, through): (&String, &u64)| *through > own.get(stream).copied().unwrap_or(0);
+        if !reply.through.iter().any(lacks) {
+            return;
+        }
+        let call = PeerCall::Fetch(own);
+        let outcome = self.peers.call(address, &call, PATIENCE).await;
+        let CallOutcome::Reply(PeerReply::State(bytes)) = outcome else { return };
+        if let Ok(newer) = serde_json::from_slice::<FleetView>(&bytes) {
+            info!(self.logger, "taking states over from a peer"; "peer" => reply.from.as_str());
+            self.context.adopt(&newer);
+        }
+    }
+}
--- /dev/null
+++ b/src/listener.rs
@@ -0,0 +1,261 @@
+//! The callers' side: decodes requests, bounds them, and writes answers.
+//!
+//! hyper reads HTTP/1.1 and HTTP/2 by prior knowledge and answers pipelined requests in order. A
+//! caller that goes away drops its request's future, and with it its place in the queue, at the
+//! worker and in the quota.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST, HeaderValue};
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout};
+
+use crate::control::ControlLoop;
+use crate::decide::key::RequestKey;
+use crate::decide::slot::SlotPolicy;
+use crate::error::{CodeResult, ResultCode, coded};
+use crate::gate::WorkClass;
+use crate::name::{ServiceName, TeamName, is_well_formed};
+use crate::peer::PeerClient;
+use crate::request::{
+    CLASS_HEADER, CallerAnswer, CallerRequest, KEY_HEADER, TEAM_HEADER, TIME_LIMIT_HEADER,
+    end_to_end,
+};
+use crate::router::RequestRouter;
+
+/// Wait after the listener can't accept, as when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sizes and times of callers' connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Largest request body, in bytes.
+    pub body_max: usize,
+    /// Largest request head, in bytes.
+    pub head_max: usize,
+    /// Time for a request's head.
+    pub head_timeout: Duration,
+    /// Time for a request's body.
+    pub body_timeout: Duration,
+    /// Connections at a time.
+    pub callers_max: usize,
+}
+
+/// Connections of callers, to be closed gracefully.
+#[derive(Debug, Default)]
+pub struct CallerConnections {
+    watcher: Mutex<Option<GracefulShutdown>>,
+}
+
+impl CallerConnections {
+    /// An empty set.
+    pub fn open() -> Self {
+        CallerConnections { watcher: Mutex::new(Some(GracefulShutdown::new())) }
+    }
+
+    /// Tells every connection to close after what it has in flight; returns whether all did so
+    /// within `patience`.
+    pub async fn close(&self, patience: Duration) -> bool {
+        let watcher = self.watcher.lock().unwrap_or_else(PoisonError::into_inner).take();
+        match watcher {
+            Some(watcher) => timeout(patience, watcher.shutdown()).await.is_ok(),
+            None => true,
+        }
+    }
+}
+
+/// Accepts callers.
+pub struct CallerListener<P, C> {
+    /// The bound socket.
+    pub listener: Arc<TcpListener>,
+    /// Sizes and times.
+    pub limits: ListenerLimits,
+    /// Routes requests.
+    pub router: Arc<RequestRouter<P, C>>,
+    /// Connections to be closed gracefully.
+    pub connections: Arc<CallerConnections>,
+    /// Places for connections.
+    pub places: Arc<Semaphore>,
+}
+
+/// Binds a TCP address.
+pub async fn bind(address: SocketAddr) -> CodeResult<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| coded(ResultCode::BindFailed, format!("{address}: {error}")))
+}
+
+impl<P: SlotPolicy, C: PeerClient> ControlLoop for CallerListener<P, C> {
+    const NAME: &'static str = "listener";
+
+    async fn step(&mut self) -> Duration {
+        let Ok(place) = self.places.clone().acquire_owned().await else { return ACCEPT_PAUSE };
+        match self.listener.accept().await {
+            Ok((stream, _)) => {
+                self.serve(stream, place);
+                Duration::ZERO
+            }
+            Err(_) => ACCEPT_PAUSE,
+        }
+    }
+}
+
+impl<P: SlotPolicy, C: PeerClient> CallerListener<P, C> {
+    fn serve(&self, stream: TcpStream, place: OwnedSemaphorePermit) {
+        // Answers are small; a socket that refuses the option still works.
+        let _ = stream.set_nodelay(true);
+        let (router, limits) = (self.router.clone(), self.limits);
+        let mut server = auto::Builder::new(TokioExecutor::new());
+        server
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.head_timeout)
+            .max_buf_size(limits.head_max)
+            .pipeline_flush(true);
+        server
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(u32::try_from(limits.head_max).unwrap_or(u32::MAX));
+        let service = service_fn(move |request| {
+            let router = router.clone();
+            async move { Ok::<_, Infallible>(answer(&router, request, &limits).await) }
+        });
+        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
+        let watcher = self.connections.watcher.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(watcher) = watcher.as_ref() else { return };
+        let connection = watcher.watch(connection);
+        let gauge = self.router.metrics.caller_connections.clone();
+        tokio::spawn(async move {
+            gauge.inc();
+            // A caller that breaks off ends its connection with an error; its requests are gone.
+            let _ = connection.await;
+            gauge.dec();
+            drop(place);
+        });
+    }
+}
+
+/// Notes callers that went away before their answer.
+struct GoneGuard<'a> {
+    gone: Option<&'a prometheus_client::metrics::counter::Counter>,
+}
+
+impl Drop for GoneGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(gone) = self.gone {
+            gone.inc();
+        }
+    }
+}
+
+async fn answer<P: SlotPolicy, C: PeerClient>(
+    router: &Arc<RequestRouter<P, C>>,
+    request: Request<Incoming>,
+    limits: &ListenerLimits,
+) -> Response<Full<Bytes>> {
+    let mut guard = GoneGuard { gone: Some(&router.metrics.callers_gone) };
+    let answer = match decode(request, limits).await {
+        Ok(request) => router.handle(request).await,
+        Err(code) => {
+            router.metrics.answer(Some(code));
+            CallerAnswer::coded(code, None)
+        }
+    };
+    guard.gone = None;
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    if matches!(answer.code, Some(ResultCode::BodyTooLarge | ResultCode::BodyTooSlow)) {
+        // What is left of the body would be read as the next request.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn decode(
+    request: Request<Incoming>,
+    limits: &ListenerLimits,
+) -> Result<CallerRequest, ResultCode> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let service = service(&head.uri, &head.headers).ok_or(ResultCode::UnknownService)?;
+    let class = match text(&head.headers, CLASS_HEADER)? {
+        Some(word) => WorkClass::parse(word).ok_or(ResultCode::BadHeader)?,
+        None => WorkClass::Quick,
+    };
+    let limit = match text(&head.headers, TIME_LIMIT_HEADER)? {
+        Some(number) => Some(number.parse().map_err(|_| ResultCode::BadHeader)?),
+        None => None,
+    };
+    let team = match text(&head.headers, TEAM_HEADER)? {
+        Some(team) if is_well_formed(team) => Some(TeamName::from(team)),
+        Some(_) => return Err(ResultCode::BadHeader),
+        None => None,
+    };
+    let key = match text(&head.headers, KEY_HEADER)? {
+        Some(key) => Some(RequestKey::parse(key).ok_or(ResultCode::BadKey)?),
+        None => None,
+    };
+    let body = read_body(body, limits).await?;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let (method, headers) = (head.method, end_to_end(&head.headers));
+    let limit = limit.map(Duration::from_millis);
+    let forwarded = false;
+    Ok(CallerRequest {
+        service,
+        class,
+        team,
+        method,
+        path,
+        headers,
+        body,
+        key,
+        limit,
+        arrived,
+        forwarded,
+    })
+}
+
+async fn read_body(body: Incoming, limits: &ListenerLimits) -> Result<Bytes, ResultCode> {
+    let collect = Limited::new(body, limits.body_max).collect();
+    match timeout(limits.body_timeout, collect).await {
+        Err(_) => Err(ResultCode::BodyTooSlow),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
+        Ok(Err(_)) => Err(ResultCode::BodyCut),
+    }
+}
+
+/// The first segment of the path names the service; where the path has none, the first label of the
+/// host does.
+fn service(uri: &http::Uri, headers: &HeaderMap) -> Option<ServiceName> {
+    let segment = uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
+    if is_well_formed(segment) {
+        return Some(ServiceName::from(segment));
+    }
+    let host = uri.host().or_else(|| headers.get(HOST)?.to_str().ok())?;
+    let label = host.split('.').next().filter(|label| segment.is_empty() && is_well_formed(label));
+    label.map(ServiceName::from)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ResultCode> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    // Two values that disagree: whichever we took, the caller may have meant the other.
+    if values.next().is_some() {
+        return Err(ResultCode::BadHeader);
+    }
+    value.to_str().map(|text| Some(text.trim())).map_err(|_| ResultCode::BadHeader)
+}
--- /dev/null
+++ b/standin/src/app.rs
@@ -0,0 +1,154 @@
+//! Turns arguments into a task and runs it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use getopts::Options;
+use http::Method;
+use ibisweir::error::{CodeResult, ResultCode, coded, explain};
+use ibisweir::name::VmName;
+use ibisweir::platform::exchange;
+use ibisweir_standin::fleet::FleetShape;
+use ibisweir_standin::platform::{PlatformHandle, WorkerLine};
+use ibisweir_standin::quickstart;
+use ibisweir_standin::site::LOOPBACK;
+use ibisweir_standin::worker::{WorkerHandle, WorkerShape};
+
+const USAGE: &str = "\
+ibisweir-standin shows ibisweir at work against small stand-ins, on loopback.
+
+Usage: ibisweir-standin TASK [OPTIONS]
+
+Tasks:
+  quickstart            a whole site in one process, a load, a maintenance wave, a report
+  platform              a platform as a process of its own
+  worker VM             a worker as a process of its own
+  document SHAPE        print a document: regie, halvorsen, or WORKERSxPOOLSxCENTRES
+
+Options:
+";
+
+/// What the command line asks for.
+pub enum Invocation {
+    /// Print and leave.
+    Print(String),
+    /// Complain and leave.
+    Refuse(String),
+    /// Run.
+    Run(Task),
+}
+
+/// What to run.
+pub enum Task {
+    /// The README's main job.
+    Quickstart,
+    /// A platform.
+    Platform {
+        /// Where it listens.
+        listen: SocketAddr,
+    },
+    /// A worker.
+    Worker {
+        /// Its VM.
+        vm: VmName,
+        /// Where it listens.
+        listen: SocketAddr,
+        /// The platform that it registers with.
+        platform: Option<SocketAddr>,
+    },
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "listen", "address to listen at [127.0.0.1:0]", "ADDRESS");
+    options.optopt("", "platform", "platform to register with", "ADDRESS");
+    options.optopt("", "base-port", "first port of a document's workers [9000]", "PORT");
+    options.optflag("h", "help", "show this help");
+    options
+}
+
+/// Reads the command line.
+pub fn read(arguments: Vec<String>) -> Invocation {
+    let options = options();
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return Invocation::Refuse(format!("ibisweir-standin: {error}\n")),
+    };
+    let address = |flag: &str| -> Result<Option<SocketAddr>, String> {
+        let text = matches.opt_str(flag);
+        text.map(|text| text.parse().map_err(|_| format!("--{flag}: {text:?} is not IP:port")))
+            .transpose()
+    };
+    let (listen, platform) = match (address("listen"), address("platform")) {
+        (Ok(listen), Ok(platform)) => (listen.unwrap_or(LOOPBACK), platform),
+        (Err(text), _) | (_, Err(text)) => return Invocation::Refuse(format!("{text}\n")),
+    };
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["quickstart"] => Invocation::Run(Task::Quickstart),
+        ["platform"] => Invocation::Run(Task::Platform { listen }),
+        ["worker", vm] => Invocation::Run(Task::Worker { vm: VmName::from(*vm), listen, platform }),
+        ["document", shape] => document(shape, matches.opt_str("base-port").as_deref()),
+        _ => Invocation::Print(options.usage(USAGE)),
+    }
+}
+
+fn document(shape: &str, base_port: Option<&str>) -> Invocation {
+    let Some(fleet) = fleet(shape) else {
+        return Invocation::Refuse(format!("{shape:?} is no shape\n"));
+    };
+    let Ok(base) = base_port.unwrap_or("9000").parse::<u16>() else {
+        return Invocation::Refuse("--base-port is no port\n".to_owned());
+    };
+    let vms = fleet.vms();
+    let address = |vm: &VmName| {
+        let index = vms.iter().position(|(name, _, _)| name == vm).unwrap_or(0);
+        let port = base.wrapping_add(u16::try_from(index).unwrap_or(0));
+        SocketAddr::new(LOOPBACK.ip(), port)
+    };
+    let text = serde_json::to_string_pretty(&fleet.document(address)).unwrap_or_default();
+    Invocation::Print(format!("{text}\n"))
+}
+
+fn fleet(shape: &str) -> Option<FleetShape> {
+    match shape {
+        "regie" => Some(FleetShape::regie()),
+        "halvorsen" => Some(FleetShape::halvorsen()),
+        _ => {
+            let mut numbers = shape.split('x').map(|number| number.parse::<u32>().ok());
+            let (workers, pools, centres) = (numbers.next()??, numbers.next()??, numbers.next()??);
+            (pools > 0 && centres > 0).then(|| FleetShape::of_size(workers, pools, centres))
+        }
+    }
+}
+
+/// Runs a task; false if a promise was broken.
+pub async fn run(task: Task) -> Result<bool, String> {
+    let outcome = match task {
+        Task::Quickstart => quickstart::run().await,
+        Task::Platform { listen } => platform(listen).await,
+        Task::Worker { vm, listen, platform } => worker(vm, listen, platform).await,
+    };
+    outcome.map_err(|report| explain(&report))
+}
+
+async fn platform(listen: SocketAddr) -> CodeResult<bool> {
+    let platform =
+        PlatformHandle::bind(listen).await.map_err(|error| coded(ResultCode::BindFailed, error))?;
+    println!("platform {}", platform.address);
+    std::future::pending().await
+}
+
+async fn worker(vm: VmName, listen: SocketAddr, platform: Option<SocketAddr>) -> CodeResult<bool> {
+    let worker = WorkerHandle::bind(vm.clone(), listen, WorkerShape::default())
+        .await
+        .map_err(|error| coded(ResultCode::BindFailed, error))?;
+    if let Some(platform) = platform {
+        let line = serde_json::to_vec(&WorkerLine::new(vm, worker.address)).unwrap_or_default();
+        while exchange(platform, Method::POST, "/v1/workers", line.clone()).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    println!("worker {}", worker.address);
+    std::future::pending().await
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for what ibisweir works with, and the experiments that measure it; never shipped.
+
+pub mod fleet;
+pub mod load;
+pub mod platform;
+pub mod quickstart;
+pub mod site;
+pub mod worker;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,92 @@
+//! What the tests share: a small HTTP client, waits, and processes.
+#![allow(dead_code, reason = "each test file uses its own part of this module")]
+
+pub mod process;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use ibisweir::request::CODE_HEADER;
+
+/// Longest wait of a test for something that must come; only a hang reaches it.
+pub const PATIENCE: Duration = Duration::from_secs(120);
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct SeenAnswer {
+    pub status: u16,
+    pub code: Option<u16>,
+    pub headers: http::HeaderMap,
+    pub body: Bytes,
+}
+
+/// One request on a connection of its own; panics if no whole answer comes.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> SeenAnswer {
+    try_call(address, method, path, headers, body).await.expect("a whole answer")
+}
+
+/// One request on a connection of its own.
+pub async fn try_call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<SeenAnswer> {
+    let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+    let (mut sender, driver) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(driver);
+    let mut request = Request::builder().method(method).uri(path).header("host", "site");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body))).expect("a request");
+    let (head, body) = sender.send_request(request).await.ok()?.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let code = head.headers.get(CODE_HEADER).and_then(|code| code.to_str().ok()?.parse().ok());
+    Some(SeenAnswer { status: head.status.as_u16(), code, headers: head.headers, body })
+}
+
+/// A GET.
+pub async fn get(address: SocketAddr, path: &str) -> SeenAnswer {
+    call(address, Method::GET, path, &[], b"").await
+}
+
+/// A POST without a body.
+pub async fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> SeenAnswer {
+    call(address, Method::POST, path, headers, b"").await
+}
+
+/// Waits until a condition holds.
+pub async fn wait(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !holds().await {
+        assert!(started.elapsed() < PATIENCE, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Waits until an entry is ready and has this many workers in its table.
+pub async fn wait_ready(admin: SocketAddr, targets: u64) {
+    wait("an entry to be ready", async || {
+        let Some(answer) = try_call(admin, Method::GET, "/status", &[], b"").await else {
+            return false;
+        };
+        let status: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let pools = status["pools"].as_object().cloned().unwrap_or_default();
+        let seen: u64 = pools.values().filter_map(|pool| pool["targets"].as_u64()).sum();
+        status["ready"] == true && seen == targets
+    })
+    .await;
+}
