Experiments on the request path, beside baselines

Change: `measure path` runs them in one process, but for the crash experiment, whose entries are processes of their own so that they can be killed and frozen.

--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -9,6 +9,7 @@
 use ibisweir::name::VmName;
 use ibisweir::platform::exchange;
 use ibisweir_standin::fleet::FleetShape;
+use ibisweir_standin::measure;
 use ibisweir_standin::platform::{PlatformHandle, WorkerLine};
 use ibisweir_standin::quickstart;
 use ibisweir_standin::site::LOOPBACK;
@@ -21,6 +22,7 @@
 
 Tasks:
   quickstart            a whole site in one process, a load, a maintenance wave, a report
+  measure path          experiments on the request path, beside baselines
   platform              a platform as a process of its own
   worker VM             a worker as a process of its own
   document SHAPE        print a document: regie, halvorsen, or WORKERSxPOOLSxCENTRES
@@ -42,6 +44,8 @@
 pub enum Task {
     /// The README's main job.
     Quickstart,
+    /// Experiments on the request path.
+    MeasurePath,
     /// A platform.
     Platform {
         /// Where it listens.
@@ -86,6 +90,7 @@
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["quickstart"] => Invocation::Run(Task::Quickstart),
+        ["measure", "path"] => Invocation::Run(Task::MeasurePath),
         ["platform"] => Invocation::Run(Task::Platform { listen }),
         ["worker", vm] => Invocation::Run(Task::Worker { vm: VmName::from(*vm), listen, platform }),
         ["document", shape] => document(shape, matches.opt_str("base-port").as_deref()),
@@ -126,6 +131,7 @@
 pub async fn run(task: Task) -> Result<bool, String> {
     let outcome = match task {
         Task::Quickstart => quickstart::run().await,
+        Task::MeasurePath => measure::path::run().await,
         Task::Platform { listen } => platform(listen).await,
         Task::Worker { vm, listen, platform } => worker(vm, listen, platform).await,
     };
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -24,6 +24,8 @@
     pub spare: u32,
     /// Accelerators of a VM.
     pub accelerators: u32,
+    /// Slots and connections of a VM.
+    pub slots: (u32, u32),
     /// Teams.
     pub teams: u32,
     /// Weight between buffer cost and roll-out time.
@@ -42,6 +44,7 @@
             pools: pools.map(|(name, workers)| (name.to_owned(), workers, 0)).to_vec(),
             spare: 1,
             accelerators: 0,
+            slots: (8, 64),
             teams: 3,
             rollout_weight: 0,
         }
@@ -58,6 +61,7 @@
             pools: pools.map(|(name, workers)| (name.to_owned(), workers, 0)).to_vec(),
             spare: 2,
             accelerators: 0,
+            slots: (8, 64),
             teams: 3,
             rollout_weight: 100,
         }
@@ -74,11 +78,21 @@
             pools: (0..pools).map(|index| (format!("pool-{index}"), share(index), 0)).collect(),
             spare: 2,
             accelerators: 2,
+            slots: (8, 64),
             teams: 66,
             rollout_weight: 50,
         }
     }
 
+    /// One data centre and one pool of this many workers, for experiments on the request path.
+    pub fn one_pool(workers: u32) -> Self {
+        FleetShape {
+            centres: vec![("dc".to_owned(), "region".to_owned())],
+            pools: vec![("work".to_owned(), workers, 0)],
+            ..FleetShape::regie()
+        }
+    }
+
     /// VMs of the fleet with their data centres and racks, in order.
     pub fn vms(&self) -> Vec<(VmName, CentreName, RackName)> {
         let mut vms = Vec::new();
@@ -111,8 +125,8 @@
             name,
             data_centre,
             rack,
-            slots: 8,
-            connections: 64,
+            slots: self.slots.0,
+            connections: self.slots.1,
             accelerators: self.accelerators,
         });
         IntentDocument {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod quickstart;
 pub mod site;
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -51,6 +51,8 @@
     pub limit: Duration,
     /// Tries of a caller with the same key, the first included.
     pub tries: u32,
+    /// Whether a caller without a key tries again where its request may have run.
+    pub is_blind: bool,
     /// Seed of what is drawn.
     pub seed: u64,
 }
@@ -67,6 +69,7 @@
             batch: 0.0,
             limit: Duration::from_secs(2),
             tries: 1,
+            is_blind: false,
             seed: 1,
         }
     }
@@ -92,6 +95,8 @@
     pub id: String,
     /// Its key.
     pub key: Option<String>,
+    /// Whether it may be run twice.
+    pub is_idempotent: bool,
     /// When it started, from the start of the load.
     pub started: Duration,
     /// How long it took.
@@ -315,7 +320,7 @@
         id: format!("{}-{number}", plan.seed),
         service,
         work_ms: random.random_range(plan.work_ms.0..=plan.work_ms.1),
-        method: if is_unkeyed { Method::POST } else { Method::GET },
+        method: if is_keyed || is_unkeyed { Method::POST } else { Method::GET },
         key: is_keyed.then(Uuid::now_v7),
         is_batch: random.random::<f64>() < plan.batch,
     }
@@ -329,7 +334,7 @@
             let is_final = match result {
                 CallResult::Answered(_) => true,
                 // A caller without a key must not ask again where it may have run.
-                _ => call.key.is_none(),
+                _ => call.key.is_none() && !self.plan.is_blind,
             };
             if is_final {
                 return;
@@ -354,6 +359,7 @@
         let note = CallNote {
             id: id.to_owned(),
             key: call.key.map(|key| key.to_string()),
+            is_idempotent: call.method == Method::GET,
             started: started - self.started,
             took,
             result,
--- a/standin/src/quickstart.rs
+++ b/standin/src/quickstart.rs
@@ -3,7 +3,6 @@
 use std::io::{IsTerminal, Write};
 use std::time::Duration;
 
-use comfy_table::{Table, presets};
 use ibisweir::admin::waves;
 use ibisweir::decide::slot::BorrowedSlots;
 use ibisweir::document::WaveSpec;
@@ -13,6 +12,7 @@
 
 use crate::fleet::FleetShape;
 use crate::load::{self, CallResult, CallerTargets, LoadPlan, LoadReport, result_name};
+use crate::measure::plain_table as table;
 use crate::site::{LocalSite, SiteShape};
 
 /// How long the load lasts.
@@ -40,6 +40,7 @@
         limit: LIMIT,
         tries: 5,
         seed: 42,
+        ..LoadPlan::default()
     };
     let load = tokio::spawn(load::run(plan, CallerTargets::new(site.callers())));
     sleep(Duration::from_secs(1)).await;
@@ -146,13 +147,6 @@
     format!("{}.{:01}", us / 1_000, us % 1_000 / 100)
 }
 
-/// A plain table.
-pub fn table(head: &[&str]) -> Table {
-    let mut table = Table::new();
-    table.load_preset(presets::UTF8_HORIZONTAL_ONLY).set_header(head.to_vec());
-    table
-}
-
 /// Shows progress on a terminal, and only there.
 fn say(line: &str) {
     let mut out = std::io::stderr();
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -138,8 +138,13 @@
         self.opened += 1;
         let name = format!("{centre}-e{}", self.opened);
         let keys = self.authority.entry()?;
-        let settings =
-            entry_settings(&name, centre, self.platform.address, &keys, &self.shape.settings)?;
+        let settings = entry_settings(&entry_arguments(
+            &name,
+            centre,
+            self.platform.address,
+            &keys,
+            &self.shape.settings,
+        ))?;
         let platform =
             HttpPlatform::new(settings.address("platform"), settings.time("platform-timeout"));
         EntryController::open(&settings, self.shape.policy.clone(), platform, &self.shape.logger)
@@ -189,14 +194,14 @@
     }
 }
 
-/// Settings of an entry on loopback, with the site's times, that `changes` goes before.
-pub fn entry_settings(
+/// Arguments of an entry on loopback, with the site's times, that `changes` goes before.
+pub fn entry_arguments(
     name: &str,
     centre: &CentreName,
     platform: SocketAddr,
     keys: &PeerKeys,
     changes: &[(&'static str, String)],
-) -> CodeResult<EntrySettings> {
+) -> Vec<String> {
     let mut values: Vec<(&str, String)> = vec![
         ("name", name.to_owned()),
         ("data-centre", centre.to_string()),
@@ -215,9 +220,11 @@
     ];
     values.retain(|(flag, _)| !changes.iter().any(|(changed, _)| changed == flag));
     values.extend(changes.iter().cloned());
-    let arguments: Vec<String> =
-        values.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]).collect();
-    EntrySettings::read(&arguments, &HashMap::new()).map_err(|faults| {
+    values.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]).collect()
+}
+
+fn entry_settings(arguments: &[String]) -> CodeResult<EntrySettings> {
+    EntrySettings::read(arguments, &HashMap::new()).map_err(|faults| {
         let texts: Vec<String> =
             faults.iter().map(|fault| format!("--{}: {}", fault.flag, fault.detail)).collect();
         coded(ResultCode::SettingRange, texts.join("; "))
