Silent connections: lend stalled slots, doubt all connections, blame only workers that don't answer

Cause: with half of the connections silent, 38 idempotent requests ended in 106 QueueFull. Requests on silent connections kept their slots until their deadline (3 s), stalls counted as the worker's failures and left healthy workers out, and a retry could pick another silent connection. Ruled out: the retry budget (retries_denied 0) and admission by estimate (no 105). Change: a slot without progress for twice the slow run is lent to others, while the request still counts for drains; one stall makes every idle connection prove itself; a retry uses a proved connection; a stall blames the worker only if it doesn't answer a probe on a new connection or has stalled eight times without a success; a used-up share of connections waits like a busy worker.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -108,6 +108,8 @@
 pub struct ExchangeTerms {
     /// Boot number that the worker must show.
     pub boot: u64,
+    /// Whether the connection must prove itself first, however lately it did.
+    pub must_prove: bool,
     /// Time without an answer after which the attempt is given up.
     pub stall: Option<Duration>,
     /// End of the caller's patience.
@@ -199,7 +201,10 @@
     }
 
     async fn is_proved(&self, connection: &mut OpenConnection, terms: &ExchangeTerms) -> bool {
-        if !connection.is_doubted && connection.proved.elapsed() < self.limits.proof_age {
+        if !terms.must_prove
+            && !connection.is_doubted
+            && connection.proved.elapsed() < self.limits.proof_age
+        {
             return true;
         }
         let report = timeout(self.limits.probe, ask(&mut connection.sender)).await;
@@ -276,11 +281,14 @@
         }
     }
 
-    /// What silenced one connection may have silenced the others.
-    fn give_up(&self, reason: UnknownReason) -> AttemptOutcome<ExchangeAnswer> {
+    /// Makes every idle connection prove itself before it is used.
+    pub fn doubt(&self) {
         for connection in self.lock_idle().iter_mut() {
             connection.is_doubted = true;
         }
+    }
+
+    fn give_up(&self, reason: UnknownReason) -> AttemptOutcome<ExchangeAnswer> {
         count(&self.metrics.connections_given_up, reason.name());
         AttemptOutcome::Unknown(reason)
     }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -24,6 +24,8 @@
 
 /// Bit of a target's load that says that it gets no new work.
 const CLOSED: u64 = 1 << 63;
+/// Stalled runs without a success between after which the worker is to blame, not a connection.
+const STALLS_MAX: u32 = 8;
 /// Requests ahead of batch work in a row before one of it goes first.
 const BATCH_TURN: u32 = 8;
 /// Part of a worker's slots that batch work leaves free, as a divisor.
@@ -73,6 +75,9 @@
     /// Its connections.
     pub connections: Arc<ConnectionPool>,
     load: AtomicU64,
+    /// Requests of `load` that have shown no progress for so long that their slots count as free.
+    stalled: AtomicU32,
+    stalls: AtomicU32,
     others: AtomicU32,
     busy_until_ms: AtomicU64,
     health: Mutex<HealthRecord>,
@@ -87,6 +92,8 @@
             route,
             connections,
             load: AtomicU64::new(0),
+            stalled: AtomicU32::new(0),
+            stalls: AtomicU32::new(0),
             others: AtomicU32::new(0),
             busy_until_ms: AtomicU64::new(0),
             health: Mutex::new(HealthRecord::default()),
@@ -99,6 +106,11 @@
         u32::try_from(self.load.load(Ordering::Acquire) & !CLOSED).unwrap_or(u32::MAX)
     }
 
+    /// Requests that this entry has at the worker's slots.
+    pub fn slots_taken(&self) -> u32 {
+        self.in_flight().saturating_sub(self.stalled.load(Ordering::Acquire))
+    }
+
     /// Stops new work. The count and the stop share one word: a request that counted itself in
     /// before is seen by `is_drained`, one that comes after is turned away. With two words, a
     /// request could slip in between the stop and the look, and run on a VM that has been confirmed.
@@ -116,6 +128,12 @@
         self.others.store(others, Ordering::Release);
     }
 
+    /// Counts a run that stalled although the worker answers probes; true if there were so many
+    /// since its last success that it must be the worker.
+    pub fn note_stall(&self) -> bool {
+        self.stalls.fetch_add(1, Ordering::AcqRel) + 1 >= STALLS_MAX
+    }
+
     /// Passes the worker over for a moment.
     pub fn pause_until(&self, steady_ms: u64) {
         self.busy_until_ms.fetch_max(steady_ms, Ordering::AcqRel);
@@ -123,7 +141,7 @@
 
     fn view(&self) -> SlotView {
         SlotView {
-            own: self.in_flight(),
+            own: self.slots_taken(),
             others: self.others.load(Ordering::Acquire),
             slots: self.route.slots,
             connections: self.connections.share(),
@@ -131,7 +149,8 @@
     }
 
     fn try_enter(&self, limit: u32) -> bool {
-        let enter = |load: u64| (load < u64::from(limit)).then_some(load + 1);
+        let limit = u64::from(limit) + u64::from(self.stalled.load(Ordering::Acquire));
+        let enter = |load: u64| (load < limit).then_some(load + 1);
         self.load.fetch_update(Ordering::AcqRel, Ordering::Acquire, enter).is_ok()
     }
 
@@ -194,17 +213,37 @@
 pub struct TargetPermit<P: SlotPolicy> {
     gate: Arc<PoolGate<P>>,
     target: Arc<PoolTarget>,
+    is_stalled: bool,
 }
 
 impl<P: SlotPolicy> TargetPermit<P> {
+    /// Lets others have the slot: the request may sit on a connection that has gone silent, and the
+    /// worker itself refuses what it has no slot for. It still counts as in flight, so that a drain
+    /// waits for it.
+    pub fn stall(&mut self) {
+        if !self.is_stalled {
+            self.is_stalled = true;
+            self.target.stalled.fetch_add(1, Ordering::AcqRel);
+            self.gate.pump();
+        }
+    }
+
     /// The worker.
     pub fn target(&self) -> &PoolTarget {
         &self.target
     }
+
+    /// The worker, to be kept beyond the request.
+    pub fn shared_target(&self) -> Arc<PoolTarget> {
+        self.target.clone()
+    }
 }
 
 impl<P: SlotPolicy> Drop for TargetPermit<P> {
     fn drop(&mut self) {
+        if self.is_stalled {
+            self.target.stalled.fetch_sub(1, Ordering::AcqRel);
+        }
         self.target.leave();
         self.gate.pump();
     }
@@ -227,7 +266,7 @@
         self.gate.remove(self.id, self.class);
         // Granted in the same moment: the place goes to the next one.
         if let Ok(target) = self.grant.try_recv() {
-            drop(TargetPermit { gate: self.gate.clone(), target });
+            drop(TargetPermit { gate: self.gate.clone(), target, is_stalled: false });
         }
     }
 }
@@ -306,7 +345,7 @@
         if self.waiting() == 0
             && let Some(target) = self.try_take(&request)
         {
-            return Ok(TargetPermit { gate: self.clone(), target });
+            return Ok(TargetPermit { gate: self.clone(), target, is_stalled: false });
         }
         let deadline = request.deadline;
         let mut wait = self.push(request, queue_max)?;
@@ -316,7 +355,7 @@
         match granted {
             Ok(Ok(target)) => {
                 wait.taken = true;
-                Ok(TargetPermit { gate: self.clone(), target })
+                Ok(TargetPermit { gate: self.clone(), target, is_stalled: false })
             }
             Ok(Err(_)) => Err(ResultCode::ShuttingDown),
             Err(_) => Err(ResultCode::DeadlineInQueue),
@@ -328,6 +367,9 @@
         let now = self.clock.steady();
         let mut health = target.lock_health();
         health.note(succeeded);
+        if succeeded {
+            target.stalls.store(0, Ordering::Release);
+        }
         target.failure_rate.store(health.failure_rate().to_bits(), Ordering::Release);
         if succeeded {
             return;
@@ -440,7 +482,7 @@
         let is_open = |index: &usize| {
             let target = &targets[*index];
             !shut[*index]
-                && target.in_flight() < self.limit(target, request.class)
+                && target.slots_taken() < self.limit(target, request.class)
                 && target.busy_until_ms.load(Ordering::Acquire) <= millis(now)
                 && may_take(target, request, now)
         };
--- a/src/router.rs
+++ b/src/router.rs
@@ -12,7 +12,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock::millis;
@@ -270,9 +270,12 @@
             }
             let terms = self.terms(routed, permit.target(), attempts);
             let started = Instant::now();
-            let message = message(routed, permit.target());
-            let outcome = permit.target().connections.exchange(message, &terms).await;
-            let was_busy = matches!(outcome, AttemptOutcome::NotRun(NotRunReason::Busy));
+            let (permit, outcome) = self.attempt(routed, permit, &terms).await;
+            // Its share of connections may be used up for a moment, as its slots may be.
+            let was_busy = matches!(
+                outcome,
+                AttemptOutcome::NotRun(NotRunReason::Busy | NotRunReason::NoConnection)
+            );
             if was_busy {
                 busy += 1;
             } else {
@@ -289,6 +292,35 @@
         }
     }
 
+    /// One exchange. Where it shows no progress for too long, its slot is lent to others; the answer
+    /// is still awaited, for as long as the terms say.
+    async fn attempt(
+        &self,
+        routed: &RoutedRequest<'_, P>,
+        mut permit: TargetPermit<P>,
+        terms: &ExchangeTerms,
+    ) -> (TargetPermit<P>, AttemptOutcome<Result<WholeAnswer, ResultCode>>) {
+        let message = message(routed, permit.target());
+        let connections = permit.target().connections.clone();
+        let exchange = connections.exchange(message, terms);
+        tokio::pin!(exchange);
+        let outcome = match timeout(self.stall_time(routed), &mut exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                permit.stall();
+                self.keeper.doubt_connections();
+                exchange.await
+            }
+        };
+        (permit, outcome)
+    }
+
+    /// Time after which nearly all runs have shown progress.
+    fn stall_time(&self, routed: &RoutedRequest<'_, P>) -> Duration {
+        let slow = routed.estimate().slow().unwrap_or(Duration::MAX);
+        slow.saturating_mul(2).max(self.limits.stall_floor)
+    }
+
     async fn enter_gate(
         &self,
         routed: &RoutedRequest<'_, P>,
@@ -317,11 +349,9 @@
         attempts: u32,
     ) -> ExchangeTerms {
         let may_move = routed.idempotent && attempts + 1 < self.limits.attempts;
-        let slow = routed.estimate().slow().unwrap_or(Duration::MAX);
-        let stall = may_move.then(|| slow.saturating_mul(2).max(self.limits.stall_floor));
-        let stall = stall.filter(|stall| *stall < routed.left());
+        let stall = may_move.then(|| self.stall_time(routed)).filter(|s| *s < routed.left());
         let (boot, deadline) = (target.route.boot, routed.deadline);
-        ExchangeTerms { boot, stall, deadline }
+        ExchangeTerms { boot, must_prove: attempts > 0, stall, deadline }
     }
 
     fn retry_state(&self, routed: &RoutedRequest<'_, P>, attempts: u32) -> RetryState {
@@ -347,7 +377,7 @@
             AttemptOutcome::Unknown(reason) => {
                 self.metrics.unknown(reason);
                 if is_workers_fault(reason, started, &routed.estimate()) {
-                    routed.service.gate.note(permit.target(), false);
+                    self.blame(routed, permit, reason);
                 }
                 if self.may_run_again(state) {
                     return NextStep::Again(reason.name());
@@ -376,6 +406,29 @@
         }
     }
 
+    /// A worker that still answers on a new connection is not to blame for a silent one; left out, it
+    /// would be missing just when connections are.
+    fn blame(
+        &self,
+        routed: &RoutedRequest<'_, P>,
+        permit: &TargetPermit<P>,
+        reason: UnknownReason,
+    ) {
+        match reason {
+            UnknownReason::Lost | UnknownReason::Cut => {
+                routed.service.gate.note(permit.target(), false);
+            }
+            UnknownReason::Stalled | UnknownReason::Deadline => {
+                let (gate, target) = (routed.service.gate.clone(), permit.shared_target());
+                tokio::spawn(async move {
+                    if target.connections.report().await.is_none() || target.note_stall() {
+                        gate.note(&target, false);
+                    }
+                });
+            }
+        }
+    }
+
     fn after_not_run(
         &self,
         routed: &RoutedRequest<'_, P>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -167,7 +167,7 @@
     number(
         TARGETS,
         "stall-floor",
-        "500",
+        "250",
         1,
         600_000,
         "least time without progress before another try, in ms",
--- a/src/view.rs
+++ b/src/view.rs
@@ -223,10 +223,10 @@
         !in_table && !state.leaving.iter().any(|target| target.route.vm == *vm)
     }
 
-    /// Requests that this entry has in flight, by VM; those without are left out.
+    /// Slots that this entry has taken, by VM; those without are left out.
     pub fn counts(&self) -> Vec<(VmName, u32)> {
         let state = self.lock();
-        let loads = state.targets.values().map(|t| (t.route.vm.clone(), t.in_flight()));
+        let loads = state.targets.values().map(|t| (t.route.vm.clone(), t.slots_taken()));
         loads.filter(|(_, load)| *load > 0).collect()
     }
 
@@ -239,6 +239,14 @@
         self.pump();
     }
 
+    /// What silenced one connection may have silenced others, to any worker.
+    pub fn doubt_connections(&self) {
+        let pools: Vec<Arc<ConnectionPool>> = self.lock().connections.values().cloned().collect();
+        for pool in pools {
+            pool.doubt();
+        }
+    }
+
     /// Lets those that wait look again: a pause or a time left out may be over.
     pub fn pump(&self) {
         for gate in self.table().gates.values() {
--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -22,7 +22,7 @@
 
 Tasks:
   quickstart            a whole site in one process, a load, a maintenance wave, a report
-  measure path          experiments on the request path, beside baselines
+  measure path [NAME]   experiments on the request path, beside baselines
   platform              a platform as a process of its own
   worker VM             a worker as a process of its own
   document SHAPE        print a document: regie, halvorsen, or WORKERSxPOOLSxCENTRES
@@ -45,7 +45,10 @@
     /// The README's main job.
     Quickstart,
     /// Experiments on the request path.
-    MeasurePath,
+    MeasurePath {
+        /// The only one to run.
+        only: Option<String>,
+    },
     /// A platform.
     Platform {
         /// Where it listens.
@@ -90,7 +93,10 @@
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["quickstart"] => Invocation::Run(Task::Quickstart),
-        ["measure", "path"] => Invocation::Run(Task::MeasurePath),
+        ["measure", "path"] => Invocation::Run(Task::MeasurePath { only: None }),
+        ["measure", "path", only] if measure::path::NAMES.contains(only) => {
+            Invocation::Run(Task::MeasurePath { only: Some((*only).to_owned()) })
+        }
         ["platform"] => Invocation::Run(Task::Platform { listen }),
         ["worker", vm] => Invocation::Run(Task::Worker { vm: VmName::from(*vm), listen, platform }),
         ["document", shape] => document(shape, matches.opt_str("base-port").as_deref()),
@@ -131,7 +137,7 @@
 pub async fn run(task: Task) -> Result<bool, String> {
     let outcome = match task {
         Task::Quickstart => quickstart::run().await,
-        Task::MeasurePath => measure::path::run().await,
+        Task::MeasurePath { only } => measure::path::run(only.as_deref()).await,
         Task::Platform { listen } => platform(listen).await,
         Task::Worker { vm, listen, platform } => worker(vm, listen, platform).await,
     };
--- a/standin/src/measure/path.rs
+++ b/standin/src/measure/path.rs
@@ -27,18 +27,25 @@
 /// Pairs of runs from which the throughput ratio's median is taken.
 const PAIRS: usize = 5;
 
-/// Runs every experiment on the path.
-pub async fn run() -> CodeResult<bool> {
+/// Names of the experiments.
+pub const NAMES: [&str; 7] =
+    ["throughput", "slots", "overload", "failing", "silent", "replacement", "crash"];
+
+/// Runs the experiments on the path, or only one of them.
+pub async fn run(only: Option<&str>) -> CodeResult<bool> {
     super::print_machine();
-    let tables = [
-        throughput().await?,
-        slots().await?,
-        overload().await?,
-        failing_worker().await?,
-        silent_connections().await?,
-        replacement().await?,
-        crate::measure::crash::run().await?,
-    ];
+    let mut tables = Vec::new();
+    for name in NAMES.into_iter().filter(|name| only.is_none_or(|only| only == *name)) {
+        tables.push(match name {
+            "throughput" => throughput().await?,
+            "slots" => slots().await?,
+            "overload" => overload().await?,
+            "failing" => failing_worker().await?,
+            "silent" => silent_connections().await?,
+            "replacement" => replacement().await?,
+            _ => super::crash::run().await?,
+        });
+    }
     Ok(super::all_reached(&tables))
 }
 
@@ -296,8 +303,8 @@
         "One of nine workers fails everything at once, from second 2 on",
         &["way", "failures from second 4 on", "of", "others' load max / min"],
     );
-    let ours = failing_row(&mut table, "ours", BorrowedSlots, 3).await?;
-    failing_row(&mut table, "blind choice, no retry", BlindChoice, 1).await?;
+    let ours = failing_row(&mut table, "ours", BorrowedSlots, 3, 2_000).await?;
+    failing_row(&mut table, "blind choice, nobody left out, no retry", BlindChoice, 1, 1).await?;
     table.verdict(format!("{:.4} of requests fail, 0.005 at most", ours.0), ours.0 <= 0.005);
     table.verdict(format!("others' load max / min {:.2}, 1.25 at most", ours.1), ours.1 <= 1.25);
     Ok(table)
@@ -308,9 +315,11 @@
     name: &str,
     policy: P,
     attempts: u32,
+    eject_ms: u64,
 ) -> CodeResult<(f64, f64)> {
     let mut shape = shape(policy, 3);
     shape.settings.push(("attempts", attempts.to_string()));
+    shape.settings.push(("eject-time", eject_ms.to_string()));
     let site = LocalSite::open(shape).await?;
     let load = LoadPlan { unkeyed: 0.3, ..plan(0.5, Duration::from_secs(8)) };
     let running = tokio::spawn(load::run(load, CallerTargets::new(site.callers())));
