Models of VM ownership and key ownership; three faults found and mended

Found, each by a shrunk sequence that failed first: 1. A key taken over from an entry that itself waited for an evicted one ran at once. The owner now waits for everybody that was there when it joined, whatever way the key came. 2. Two roster changes read at once hid an owner in between. A key that was ever another's now follows every entry that has gone since. 3. A drain just after an eviction did not wait for the evicted entry's requests. Also: only roster entries claim terms, and a steward that leaves or is evicted is none any more.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -318,6 +318,9 @@
         if term != self.term + 1 {
             return FleetVerdict::StaleTerm;
         }
+        if !self.roster.contains_key(by) {
+            return FleetVerdict::Refused;
+        }
         self.term = term;
         self.steward = Some(by.clone());
         self.steward_seen = offset;
@@ -352,6 +355,7 @@
             return FleetVerdict::Refused;
         }
         self.roster_epoch = offset;
+        self.steward = self.steward.take().filter(|steward| steward != by);
         for vm in self.vms.values_mut() {
             if let VmPhase::Draining { awaiting, .. } = &mut vm.phase {
                 awaiting.remove(by);
@@ -364,6 +368,7 @@
         let Some(gone) = self.roster.remove(entry) else { return FleetVerdict::Refused };
         self.evicted.insert(entry.clone(), EvictedEntry { at_ms, lane: gone.lane });
         self.roster_epoch = offset;
+        self.steward = self.steward.take().filter(|steward| steward != entry);
         for vm in self.vms.values_mut() {
             vm.fence(entry, at_ms);
         }
@@ -400,7 +405,9 @@
             StewardAct::Beat | StewardAct::Restate { .. } => FleetVerdict::Accepted,
             StewardAct::Evict { entry } => self.evict(offset, record.at_ms, entry),
             StewardAct::Assign { vm, pool, boot } => self.assign(offset, vm, pool, *boot),
-            StewardAct::Drain { vm, reason, limit_ms } => self.drain(offset, vm, reason, *limit_ms),
+            StewardAct::Drain { vm, reason, limit_ms } => {
+                self.drain(offset, record.at_ms, vm, reason, *limit_ms)
+            }
             StewardAct::Reboot { vm } => self.reboot(record.at_ms, vm),
             StewardAct::Return { vm, boot } => self.give_back(offset, vm, *boot),
             StewardAct::Lost { vm } => self.lose(vm),
@@ -423,10 +430,14 @@
     fn drain(
         &mut self,
         offset: u64,
+        at_ms: u64,
         vm: &VmName,
         reason: &DrainReason,
         limit_ms: u64,
     ) -> FleetVerdict {
+        // An entry evicted just now may still have requests in flight, and confirms nothing.
+        let evicted = self.evicted.values().map(|entry| entry.at_ms).max();
+        let orphaned_at_ms = evicted.filter(|evicted| evicted + limit_ms > at_ms);
         let awaiting: BTreeSet<EntryName> = self.roster.keys().cloned().collect();
         let Some(state) = self.vms.get_mut(vm) else { return FleetVerdict::Refused };
         if state.phase != VmPhase::Serving {
@@ -437,7 +448,7 @@
             awaiting,
             reason: reason.clone(),
             limit_ms,
-            orphaned_at_ms: None,
+            orphaned_at_ms,
         };
         FleetVerdict::Accepted
     }
--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -276,19 +276,16 @@
         if owner(key, &newest.entries) != Some(&self.me) {
             return KeyRight::Other;
         }
-        let mut former: Vec<Option<&FormerOwner>> = Vec::new();
-        for roster in &self.rosters {
-            match owner(key, &roster.entries) {
-                Some(entry) if *entry != self.me => former.push(self.gone.get(entry)),
-                _ => {}
-            }
-        }
-        let oldest = self.rosters.front().and_then(|roster| owner(key, &roster.entries));
-        let since_join = oldest == Some(&self.me);
-        if since_join {
-            former.extend(self.at_join.values().map(Some));
+        // Whoever was there when we joined may still act on a roster without us. That holds for a
+        // key that came to us from somebody else since, too: that one may have waited as we do.
+        let mut former: Vec<&FormerOwner> = self.at_join.values().collect();
+        // Several changes may be read at once, so a key may have passed through owners that no
+        // adopted roster shows; each of them was on one, or waits for our hand-over.
+        let owners = self.rosters.iter().filter_map(|roster| owner(key, &roster.entries));
+        if owners.into_iter().any(|entry| *entry != self.me) {
+            former.extend(self.gone.values());
         }
-        let floor = if since_join && self.joined_alone() { self.first_floor_ms } else { 0 };
+        let floor = if self.joined_alone() { self.first_floor_ms } else { 0 };
         right_after(&former, floor, now)
     }
 
@@ -298,13 +295,13 @@
 }
 
 /// The strictest of what each former owner leaves.
-fn right_after(former: &[Option<&FormerOwner>], floor_ms: u64, now: Duration) -> KeyRight {
+fn right_after(former: &[&FormerOwner], floor_ms: u64, now: Duration) -> KeyRight {
     let mut floor = floor_ms;
     for state in former {
         match state {
-            None | Some(FormerOwner::Awaited) => return KeyRight::Wait,
-            Some(FormerOwner::Evicted { stopped, .. }) if now < *stopped => return KeyRight::Wait,
-            Some(state) => floor = floor.max(state.floor_ms().unwrap_or(0)),
+            FormerOwner::Awaited => return KeyRight::Wait,
+            FormerOwner::Evicted { stopped, .. } if now < *stopped => return KeyRight::Wait,
+            state => floor = floor.max(state.floor_ms().unwrap_or(0)),
         }
     }
     KeyRight::Own { floor_ms: floor }
--- a/src/decide/slot.rs
+++ b/src/decide/slot.rs
@@ -25,6 +25,12 @@
     /// Most requests that this entry may have in flight at the worker.
     fn limit(&self, view: &SlotView, entries: u32) -> u32;
 
+    /// Most requests that this entry may have in flight at a worker that it tries now and then
+    /// although it seems full; 0 if it never does.
+    fn try_limit(&self, _view: &SlotView) -> u32 {
+        0
+    }
+
     /// Index of the worker to use among those below their limit.
     fn pick<R: Rng>(&self, open: &[SlotView], random: &mut R) -> Option<usize>;
 }
@@ -34,7 +40,10 @@
     (slots / entries.max(1)).max(1)
 }
 
-/// Shortest queue over all entries' counts; beyond its share an entry borrows what the others leave.
+/// The better of two random workers; beyond its share an entry borrows what the others leave.
+///
+/// The shortest queue over all workers was tried first: all entries see the same least-loaded worker
+/// by counts of the same age and rush to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BorrowedSlots;
 
@@ -44,14 +53,12 @@
         left.max(fair_share(view.slots, entries)).min(view.connections)
     }
 
+    fn try_limit(&self, view: &SlotView) -> u32 {
+        view.slots.min(view.connections)
+    }
+
     fn pick<R: Rng>(&self, open: &[SlotView], random: &mut R) -> Option<usize> {
-        let least = open.iter().map(|view| view.own + view.others).min()?;
-        let ties = open.iter().filter(|view| view.own + view.others == least).count();
-        // All entries see the same least-loaded worker; without the draw they would all rush to it.
-        let chosen = random.random_range(0..ties);
-        let mut shortest =
-            open.iter().enumerate().filter(|(_, view)| view.own + view.others == least);
-        shortest.nth(chosen).map(|(index, _)| index)
+        TwoChoices.pick(open, random)
     }
 }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -204,6 +204,10 @@
     eject_time: Duration,
     targets: ArcSwap<Vec<Arc<PoolTarget>>>,
     entries: AtomicU32,
+    /// Average run, in microseconds.
+    run_us: AtomicU64,
+    /// Steady time from which a worker that seems full may be tried again, in microseconds.
+    next_try_us: AtomicU64,
     queue: Mutex<WaitQueue>,
     waiting: AtomicUsize,
 }
@@ -286,6 +290,8 @@
             eject_time,
             targets: ArcSwap::from_pointee(Vec::new()),
             entries: AtomicU32::new(1),
+            run_us: AtomicU64::new(0),
+            next_try_us: AtomicU64::new(0),
             queue: Mutex::new(WaitQueue::default()),
             waiting: AtomicUsize::new(0),
         }
@@ -330,6 +336,13 @@
         limits.fold(0, u32::saturating_add)
     }
 
+    /// Notes how long a run took.
+    pub fn note_run(&self, run: Duration) {
+        let newest = u64::try_from(run.as_micros()).unwrap_or(u64::MAX) / 8;
+        let old = self.run_us.load(Ordering::Acquire);
+        self.run_us.store(old - old / 8 + newest, Ordering::Release);
+    }
+
     /// Whether a worker can be used now or soon.
     pub fn is_usable(&self) -> bool {
         let now = self.clock.steady();
@@ -453,6 +466,38 @@
     /// Counts the request in on a worker, if one is free for it.
     fn try_take(&self, request: &GateRequest) -> Option<Arc<PoolTarget>> {
         let targets = self.targets.load();
+        if let Some(target) = self.take_open(&targets, request, false) {
+            return Some(target);
+        }
+        // What the others said they have in flight is some runs old by now. Slots come free at a
+        // known pace, though, and a worker that is full after all says so at little cost.
+        if !self.may_try(&targets) {
+            return None;
+        }
+        self.take_open(&targets, request, true)
+    }
+
+    /// Whether enough time has passed for a slot to have come free unseen.
+    fn may_try(&self, targets: &[Arc<PoolTarget>]) -> bool {
+        let slots: u64 = targets.iter().map(|target| u64::from(target.route.slots)).sum();
+        let pace = self.run_us.load(Ordering::Acquire) / slots.max(1);
+        let now = u64::try_from(self.clock.steady().as_micros()).unwrap_or(u64::MAX);
+        let next = self.next_try_us.load(Ordering::Acquire);
+        let taken = self.next_try_us.compare_exchange(
+            next,
+            now + pace,
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+        next <= now && taken.is_ok()
+    }
+
+    fn take_open(
+        &self,
+        targets: &[Arc<PoolTarget>],
+        request: &GateRequest,
+        is_try: bool,
+    ) -> Option<Arc<PoolTarget>> {
         let mut shut: Vec<bool> =
             targets.iter().map(|target| request.avoid.contains(&target.route.vm)).collect();
         // All workers have failed it: rather one of them than none.
@@ -460,11 +505,11 @@
             shut.fill(false);
         }
         loop {
-            let open = self.open_targets(&targets, request, &shut);
+            let open = self.open_targets(targets, request, &shut, is_try);
             let views: Vec<SlotView> = open.iter().map(|index| targets[*index].view()).collect();
             let chosen = open[self.policy.pick(&views, &mut rand::rng())?];
             let target = &targets[chosen];
-            if target.try_enter(self.limit(target, request.class)) {
+            if target.try_enter(self.limit(target, request.class, is_try)) {
                 return Some(target.clone());
             }
             // Somebody else was faster, or it was closed.
@@ -477,20 +522,25 @@
         targets: &[Arc<PoolTarget>],
         request: &GateRequest,
         shut: &[bool],
+        is_try: bool,
     ) -> Vec<usize> {
         let now = self.clock.steady();
         let is_open = |index: &usize| {
             let target = &targets[*index];
             !shut[*index]
-                && target.slots_taken() < self.limit(target, request.class)
+                && target.slots_taken() < self.limit(target, request.class, is_try)
                 && target.busy_until_ms.load(Ordering::Acquire) <= millis(now)
                 && may_take(target, request, now)
         };
         (0..targets.len()).filter(is_open).collect()
     }
 
-    fn limit(&self, target: &PoolTarget, class: WorkClass) -> u32 {
-        let limit = self.policy.limit(&target.view(), self.entries.load(Ordering::Acquire));
+    fn limit(&self, target: &PoolTarget, class: WorkClass, is_try: bool) -> u32 {
+        let view = target.view();
+        let limit = match is_try {
+            true => self.policy.try_limit(&view),
+            false => self.policy.limit(&view, self.entries.load(Ordering::Acquire)),
+        };
         match class {
             WorkClass::Urgent | WorkClass::Quick => limit,
             // Batch work runs long; were it to fill every slot, quick work would wait for its end.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -3,7 +3,6 @@
 //! An entry that was evicted while it was frozen or cut off comes back under a new name: whatever
 //! the old name still has in flight belongs to a past that the others have closed.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,25 +12,15 @@
 
 use crate::clock::{ProcessClock, millis, system_ms};
 use crate::decide::fleet::AUTONOMY_MS;
-use crate::decide::roster::LeaseTimes;
+use crate::decide::lease::PlaceLease;
+use crate::decide::roster::{LeaseTimes, Moment};
 use crate::name::EntryName;
 
-/// Difference between the steady clock and the system's that gives a pause away, in milliseconds.
-const PAUSE_MS: u64 = 1_000;
-
-/// When something was confirmed, on both clocks.
-#[derive(Clone, Copy, Debug)]
-struct Confirmation {
-    steady: Instant,
-    system_ms: u64,
-}
-
 #[derive(Debug, Default)]
 struct MembershipState {
     joined: bool,
     caught_up: bool,
-    log: Option<Confirmation>,
-    peers: HashMap<EntryName, Confirmation>,
+    lease: PlaceLease,
 }
 
 /// This entry's place in its data centre.
@@ -102,52 +91,33 @@
 
     /// Notes that a read of the log, asked for at `asked`, showed it on the roster at the end.
     pub fn confirm_by_log(&self, asked: Instant) {
-        self.lock().log = Some(self.confirmation(asked));
+        let asked = self.moment(asked.elapsed());
+        self.lock().lease.confirm_by_log(asked);
     }
 
     /// Notes that a peer, asked at `asked`, knows no newer roster than ours.
     pub fn confirm_by_peer(&self, peer: &EntryName, asked: Instant) {
-        let confirmation = self.confirmation(asked);
-        self.lock().peers.insert(peer.clone(), confirmation);
+        let asked = self.moment(asked.elapsed());
+        self.lock().lease.confirm_by_peer(peer, asked);
     }
 
     /// Time since the log last showed it on the roster.
     pub fn log_age(&self) -> Option<Duration> {
-        self.lock().log.map(|log| log.age())
+        self.lock().lease.log_age(self.moment(Duration::ZERO))
     }
 
-    /// Whether no roster without us can be in force that others act on: the log has shown ours
-    /// within the lease, or all others of the roster have said so. A roster can change only through
-    /// the log, and whoever takes over waits for our lease; the one who wrote the change is one of
-    /// `others`, or waits for our autonomy to be over.
-    pub fn is_fresh<'a>(&self, mut others: impl Iterator<Item = &'a EntryName>) -> bool {
+    /// Whether its place on the roster is confirmed; `others` are the roster's other entries.
+    pub fn is_fresh<'a>(&self, others: impl Iterator<Item = &'a EntryName>) -> bool {
         let state = self.lock();
-        let within = |confirmation: Option<&Confirmation>, time: Duration| {
-            confirmation.is_some_and(|confirmation| confirmation.age() < time)
-        };
-        if !state.joined {
-            return false;
-        }
-        within(state.log.as_ref(), self.times.lease)
-            || within(state.log.as_ref(), self.times.autonomy)
-                && others.all(|other| within(state.peers.get(other), self.times.lease))
+        state.joined && state.lease.is_fresh(others, &self.times, self.moment(Duration::ZERO))
     }
 
     /// Whether it may route: it is on the roster and has heard from the platform or a peer within
     /// its autonomy.
     pub fn may_route(&self) -> bool {
         let state = self.lock();
-        let mut heard = state.log.iter().chain(state.peers.values());
         let autonomy = Duration::from_millis(AUTONOMY_MS);
-        state.joined && heard.any(|heard| heard.age() < autonomy)
-    }
-
-    /// A wait on both clocks counts from when the question was asked.
-    fn confirmation(&self, asked: Instant) -> Confirmation {
-        Confirmation {
-            steady: asked,
-            system_ms: system_ms().saturating_sub(millis(asked.elapsed())),
-        }
+        state.joined && state.lease.was_heard(autonomy, self.moment(Duration::ZERO))
     }
 
     /// The process's clock.
@@ -155,18 +125,16 @@
         self.clock
     }
 
-    fn lock(&self) -> MutexGuard<'_, MembershipState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The moment `ago` before now, by the steady clock and by the system's.
+    fn moment(&self, ago: Duration) -> Moment {
+        Moment {
+            steady: self.clock.steady().saturating_sub(ago),
+            wall_ms: system_ms().saturating_sub(millis(ago)),
+        }
     }
-}
 
-impl Confirmation {
-    /// Age by the slower of two clocks would let a paused VM act on a lease that is over: its
-    /// steady clock may stand still while the others' go on. The system's clock gives that away.
-    fn age(&self) -> Duration {
-        let steady = self.steady.elapsed();
-        let system = Duration::from_millis(system_ms().saturating_sub(self.system_ms));
-        if millis(system) > millis(steady) + PAUSE_MS { system } else { steady }
+    fn lock(&self) -> MutexGuard<'_, MembershipState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -399,6 +399,7 @@
                 }
                 if !failed {
                     routed.learn(started.elapsed());
+                    routed.service.gate.note_run(started.elapsed());
                 }
                 let WholeAnswer { head, body } = answer;
                 NextStep::Answer(CallerAnswer::of_worker(head.status, &head.headers, body))
--- /dev/null
+++ b/tests/fleet_model.rs
@@ -0,0 +1,449 @@
+//! The fold of a fleet stream against an oracle, through any order of failures.
+//!
+//! Entries, stewards and a platform are drawn steps over the real fold: appends whose answer is lost,
+//! copies, late appends of a paused steward, evictions of entries that are only cut off, workers
+//! that restart. The oracle knows nothing of terms or rosters: it watches where an entry that goes on
+//! by what it last read could still send, and what the VM at the other end would make of it.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ibisweir::decide::fleet::{
+    DrainReason, FleetBody, FleetRecord, FleetState, FleetVerdict, StewardAct, VmPhase,
+};
+use ibisweir::name::{EntryName, PoolName, VmName, WaveName};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use support::seeded;
+use uuid::Uuid;
+
+const ENTRIES: u8 = 4;
+const VMS: u8 = 3;
+const POOLS: u8 = 2;
+/// Longest time limit of a request, in the model's milliseconds.
+const LIMIT_MS: u64 = 100;
+
+/// One drawn step.
+#[derive(Clone, Copy, Debug)]
+enum ModelStep {
+    /// An entry reads the log to its end.
+    Read(u8),
+    /// An entry joins by what it has read.
+    Join(u8),
+    /// An entry claims the next term by what it has read.
+    Claim(u8),
+    /// An entry that thinks it is the steward acts by what it has read.
+    Act(u8, ActKind, u8, u8),
+    /// An entry confirms a drain by what it has read, having nothing in flight.
+    Confirm(u8, u8),
+    /// An entry leaves, having nothing in flight.
+    Leave(u8),
+    /// An entry sends a request by what it has read.
+    Send(u8, u8),
+    /// An entry's requests to a VM end.
+    Finish(u8, u8),
+    /// One of the newest records is appended once more: its answer was lost, or the copy late.
+    Copy(u8),
+    /// A record is held back by its paused writer, and appended later.
+    Hold(u8, ActKind, u8, u8),
+    /// The records held back are appended.
+    Release,
+    /// A VM restarts by itself.
+    Restart(u8),
+    /// Time passes.
+    Wait(u8),
+    /// Every entry sends a request to a VM, by what it has read.
+    SendAll(u8),
+    /// The steward takes a VM from its pool to another as far as the fold lets it, while only the
+    /// entries of a mask read on; the last flag has it evict the others.
+    Move(u8, u8, u8, bool),
+    /// The same for a VM that it takes for lost.
+    Replace(u8, u8),
+    /// A newcomer starts from a restatement and the records after it.
+    Restore,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ActKind {
+    Assign,
+    DrainWave,
+    DrainMove,
+    Reboot,
+    Return,
+    Lost,
+    Release,
+    Evict,
+}
+
+impl Arbitrary for ActKind {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kinds = [
+            ActKind::Assign,
+            ActKind::Assign,
+            ActKind::DrainWave,
+            ActKind::DrainMove,
+            ActKind::DrainMove,
+            ActKind::Reboot,
+            ActKind::Return,
+            ActKind::Lost,
+            ActKind::Release,
+            ActKind::Release,
+            ActKind::Evict,
+        ];
+        *g.choose(&kinds).expect("the list is not empty")
+    }
+}
+
+impl Arbitrary for ModelStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (entry, vm, other) = (u8::arbitrary(g), u8::arbitrary(g), u8::arbitrary(g));
+        match u8::arbitrary(g) % 44 {
+            32..=35 => ModelStep::SendAll(vm),
+            36..=41 => ModelStep::Move(vm, other, entry, bool::arbitrary(g)),
+            42..=43 => ModelStep::Replace(vm, other),
+            0..=5 => ModelStep::Read(entry),
+            6 => ModelStep::Join(entry),
+            7 => ModelStep::Claim(entry),
+            8..=15 => ModelStep::Act(entry, ActKind::arbitrary(g), vm, other),
+            16..=19 => ModelStep::Confirm(entry, vm),
+            20 => ModelStep::Leave(entry),
+            21..=24 => ModelStep::Send(entry, vm),
+            25 => ModelStep::Finish(entry, vm),
+            26 => ModelStep::Copy(other),
+            27 => ModelStep::Hold(entry, ActKind::arbitrary(g), vm, other),
+            28 => ModelStep::Release,
+            29 => ModelStep::Restart(vm),
+            30 => ModelStep::Wait(other),
+            _ => ModelStep::Restore,
+        }
+    }
+}
+
+/// What a VM is in truth: the pool that the newest accepted assignment gave it, and its boot number.
+#[derive(Clone, Debug, Default)]
+struct TrueVm {
+    pool: Option<PoolName>,
+    boot: u64,
+    drained_ms: u64,
+}
+
+/// A request on its way.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ModelRequest {
+    vm: VmName,
+    boot: u64,
+    pool: PoolName,
+    sent_ms: u64,
+}
+
+/// An entry: what it has read, and what it has in flight.
+#[derive(Clone, Debug, Default)]
+struct ModelEntry {
+    view: FleetState,
+    in_flight: BTreeSet<ModelRequest>,
+    evicted_ms: Option<u64>,
+}
+
+struct FleetModel {
+    log: Vec<FleetRecord>,
+    fold: FleetState,
+    entries: BTreeMap<EntryName, ModelEntry>,
+    vms: BTreeMap<VmName, TrueVm>,
+    held: Vec<FleetRecord>,
+    /// The newest accepted claim.
+    terms: (u64, EntryName),
+    now_ms: u64,
+    boots: u64,
+}
+
+impl FleetModel {
+    fn new() -> Self {
+        let vms = (0..VMS)
+            .map(|vm| (vm_name(vm), TrueVm { boot: u64::from(vm) + 1, ..TrueVm::default() }));
+        let entries = (0..ENTRIES).map(|entry| (entry_name(entry), ModelEntry::default()));
+        FleetModel {
+            log: Vec::new(),
+            fold: FleetState::default(),
+            entries: entries.collect(),
+            vms: vms.collect(),
+            held: Vec::new(),
+            terms: (0, entry_name(0)),
+            now_ms: 0,
+            boots: 100,
+        }
+    }
+
+    fn append(&mut self, record: FleetRecord) {
+        let offset = self.log.len() as u64;
+        self.log.push(record.clone());
+        let verdict = self.fold.apply(offset, &record);
+        if let FleetBody::Act { term, .. } = &record.body {
+            // A steward whose term was claimed by another since changes nothing.
+            let is_stale = *term != self.terms.0 || record.by != self.terms.1;
+            assert!(!is_stale || verdict != FleetVerdict::Accepted, "a stale act counted");
+        }
+        if verdict == FleetVerdict::Accepted {
+            self.note(&record);
+        }
+    }
+
+    /// The truth follows accepted records only.
+    fn note(&mut self, record: &FleetRecord) {
+        if matches!(record.body, FleetBody::Join { .. })
+            && let Some(entry) = self.entries.get_mut(&record.by)
+        {
+            entry.evicted_ms = None;
+        }
+        if let FleetBody::Claim { term } = &record.body {
+            self.terms = (*term, record.by.clone());
+        }
+        let FleetBody::Act { act, .. } = &record.body else { return };
+        match act {
+            StewardAct::Assign { vm, pool, .. } => {
+                let truth = self.vms.get_mut(vm).expect("the model's VMs are fixed");
+                assert_eq!(truth.pool, None, "{vm} was assigned while it belonged to a pool");
+                // A spare VM may finish requests of its last pool only if it goes back there.
+                let other = |request: &ModelRequest| {
+                    request.vm == *vm && request.boot == truth.boot && request.pool != *pool
+                };
+                let mixed = self.entries.values().flat_map(|entry| &entry.in_flight).any(other);
+                assert!(!mixed, "{vm} went to {pool} with another pool's requests in flight");
+                truth.pool = Some(pool.clone());
+            }
+            StewardAct::Drain { vm, .. } => {
+                let truth = self.vms.get_mut(vm).expect("the model's VMs are fixed");
+                truth.drained_ms = self.now_ms;
+            }
+            StewardAct::Evict { entry } => {
+                let entry = self.entries.get_mut(entry).expect("the model's entries are fixed");
+                entry.evicted_ms = Some(self.now_ms);
+            }
+            StewardAct::Release { vm } => {
+                self.vms.get_mut(vm).expect("the model's VMs are fixed").pool = None;
+            }
+            StewardAct::Reboot { vm } => {
+                self.boots += 1;
+                let truth = self.vms.get_mut(vm).expect("the model's VMs are fixed");
+                // A planned stop cuts nothing off that was sent before the drain. What an evicted
+                // entry sends after its eviction is the worker's own grace to finish.
+                for (name, entry) in &self.entries {
+                    let cut = entry.in_flight.iter().find(|request| {
+                        request.vm == *vm
+                            && request.boot == truth.boot
+                            && request.sent_ms < truth.drained_ms
+                            && request.sent_ms + LIMIT_MS > self.now_ms
+                            && entry.evicted_ms.is_none_or(|evicted| request.sent_ms <= evicted)
+                    });
+                    assert!(cut.is_none(), "the reboot of {vm} cut off {cut:?} of {name}");
+                }
+                truth.boot = self.boots;
+            }
+            _ => {}
+        }
+    }
+
+    fn record(&self, by: u8, body: FleetBody) -> FleetRecord {
+        FleetRecord { id: Uuid::nil(), by: entry_name(by), at_ms: self.now_ms, body }
+    }
+
+    fn act_record(&self, by: u8, kind: ActKind, vm: u8, other: u8) -> FleetRecord {
+        let view = &self.entries[&entry_name(by)].view;
+        let vm = vm_name(vm);
+        let boot = self.vms[&vm].boot;
+        let (reason, pool) =
+            (DrainReason::Move, PoolName::from(format!("p{}", other % POOLS).as_str()));
+        let limit_ms = LIMIT_MS;
+        let act = match kind {
+            ActKind::Assign => StewardAct::Assign { vm, pool, boot },
+            ActKind::DrainMove => StewardAct::Drain { vm, reason, limit_ms },
+            ActKind::DrainWave => {
+                let reason = DrainReason::Wave(WaveName::from("w"));
+                StewardAct::Drain { vm, reason, limit_ms }
+            }
+            ActKind::Reboot => StewardAct::Reboot { vm },
+            ActKind::Return => StewardAct::Return { vm, boot },
+            ActKind::Lost => StewardAct::Lost { vm },
+            ActKind::Release => StewardAct::Release { vm },
+            ActKind::Evict => StewardAct::Evict { entry: entry_name(other) },
+        };
+        self.record(by, FleetBody::Act { term: view.term, act })
+    }
+
+    fn step(&mut self, step: ModelStep) {
+        self.now_ms += 1;
+        match step {
+            ModelStep::Read(entry) => self.read(&entry_name(entry)),
+            ModelStep::Join(entry) => {
+                let body = FleetBody::Join { peer: "127.0.0.1:1".to_owned() };
+                self.append(self.record(entry, body));
+            }
+            ModelStep::Claim(entry) => {
+                let term = self.entries[&entry_name(entry)].view.term + 1;
+                self.append(self.record(entry, FleetBody::Claim { term }));
+            }
+            ModelStep::Act(entry, kind, vm, other) => {
+                let record = self.act_record(entry, kind, vm, other);
+                self.append(record);
+            }
+            ModelStep::Hold(entry, kind, vm, other) => {
+                let record = self.act_record(entry, kind, vm, other);
+                self.held.push(record);
+            }
+            ModelStep::Release => {
+                for record in std::mem::take(&mut self.held) {
+                    self.append(record);
+                }
+            }
+            ModelStep::Copy(back) => {
+                let back = 1 + usize::from(back) % 32;
+                let index = self.log.len().checked_sub(back);
+                if let Some(record) = index.map(|index| self.log[index].clone()) {
+                    self.append(record);
+                }
+            }
+            ModelStep::Confirm(entry, vm) => self.confirm(entry, vm),
+            ModelStep::Leave(entry) => {
+                let name = entry_name(entry);
+                if self.entries[&name].in_flight.is_empty() {
+                    // It sends no more: it forgets what it has read.
+                    self.entries.insert(name, ModelEntry::default());
+                    self.append(self.record(entry, FleetBody::Leave));
+                }
+            }
+            ModelStep::Send(entry, vm) => self.send(&entry_name(entry), vm),
+            ModelStep::Finish(entry, vm) => {
+                let vm = vm_name(vm);
+                let entry = self.entries.get_mut(&entry_name(entry)).expect("entries are fixed");
+                entry.in_flight.retain(|request| request.vm != vm);
+            }
+            ModelStep::Restart(vm) => {
+                self.boots += 1;
+                self.vms.get_mut(&vm_name(vm)).expect("VMs are fixed").boot = self.boots;
+            }
+            ModelStep::Wait(time) => {
+                self.now_ms += u64::from(time);
+                // Past the longest limit, no request of before is alive.
+                if u64::from(time) > LIMIT_MS {
+                    self.entries.values_mut().for_each(|entry| entry.in_flight.clear());
+                }
+            }
+            ModelStep::SendAll(vm) => {
+                for entry in 0..ENTRIES {
+                    self.send(&entry_name(entry), vm);
+                }
+            }
+            ModelStep::Move(vm, pool, readers, evicts) => self.move_vm(vm, pool, readers, evicts),
+            ModelStep::Replace(vm, pool) => {
+                self.steward_acts(&[ActKind::Lost, ActKind::Release, ActKind::Assign], vm, pool);
+            }
+            ModelStep::Restore => self.restore(),
+        }
+    }
+
+    fn steward_acts(&mut self, kinds: &[ActKind], vm: u8, other: u8) {
+        let steward = (0..ENTRIES).find(|e| self.fold.steward.as_ref() == Some(&entry_name(*e)));
+        let Some(steward) = steward else { return };
+        for kind in kinds {
+            self.read(&entry_name(steward));
+            let record = self.act_record(steward, *kind, vm, other);
+            self.append(record);
+        }
+    }
+
+    fn move_vm(&mut self, vm: u8, pool: u8, readers: u8, evicts: bool) {
+        self.steward_acts(&[ActKind::DrainMove], vm, pool);
+        for entry in 0..ENTRIES {
+            if readers & (1 << entry) != 0 {
+                self.read(&entry_name(entry));
+                self.confirm(entry, vm);
+            } else if evicts {
+                self.steward_acts(&[ActKind::Evict], vm, entry);
+            }
+        }
+        self.steward_acts(&[ActKind::Reboot, ActKind::Release, ActKind::Assign], vm, pool);
+    }
+
+    fn read(&mut self, name: &EntryName) {
+        let entry = self.entries.get_mut(name).expect("entries are fixed");
+        for (offset, record) in (0..).zip(&self.log) {
+            entry.view.apply(offset, record);
+        }
+    }
+
+    fn confirm(&mut self, by: u8, vm: u8) {
+        let vm = vm_name(vm);
+        let entry = &self.entries[&entry_name(by)];
+        let VmPhase::Draining { since, .. } = entry.view.vm(&vm).phase else { return };
+        let busy = entry.in_flight.iter().any(|request| request.vm == vm);
+        if !busy {
+            self.append(self.record(by, FleetBody::Confirm { vm, drain: since }));
+        }
+    }
+
+    /// An entry sends by what it has read, however old. The worker's boot number must be the one
+    /// that it knows, else the connection is not used; then no other pool may own the VM.
+    fn send(&mut self, name: &EntryName, vm: u8) {
+        let vm = vm_name(vm);
+        let entry = self.entries.get_mut(name).expect("entries are fixed");
+        let known = entry.view.vm(&vm);
+        let may = entry.view.roster.contains_key(name) && known.phase == VmPhase::Serving;
+        let truth = &self.vms[&vm];
+        let Some(pool) = known.pool.filter(|_| may && known.boot == truth.boot) else { return };
+        assert!(
+            truth.pool.as_ref().is_none_or(|owner| *owner == pool),
+            "{name} sent a request of {pool} to {vm}, which belongs to {:?}",
+            truth.pool
+        );
+        entry.in_flight.insert(ModelRequest { vm, boot: truth.boot, pool, sent_ms: self.now_ms });
+    }
+
+    /// Any prefix of the log that is restated gives the same state as the whole log.
+    fn restore(&self) {
+        let through = self.log.len() / 2;
+        let mut prefix = FleetState::default();
+        for (offset, record) in (0..).zip(&self.log[..through]) {
+            prefix.apply(offset, record);
+        }
+        let mut newcomer = FleetState::default();
+        newcomer.adopt(&prefix);
+        for (offset, record) in (0..).zip(&self.log) {
+            newcomer.apply(offset, record);
+        }
+        assert_eq!(newcomer, self.fold, "a newcomer folds to another state");
+    }
+}
+
+fn entry_name(entry: u8) -> EntryName {
+    EntryName::from(format!("e{}", entry % ENTRIES).as_str())
+}
+
+fn vm_name(vm: u8) -> VmName {
+    VmName::from(format!("vm{}", vm % VMS).as_str())
+}
+
+fn holds(steps: Vec<ModelStep>) -> TestResult {
+    let mut model = FleetModel::new();
+    // Every entry starts on the roster and the first is steward, so that few steps are wasted.
+    for entry in 0..ENTRIES {
+        model.step(ModelStep::Join(entry));
+    }
+    model.step(ModelStep::Claim(0));
+    for entry in 0..ENTRIES {
+        model.step(ModelStep::Read(entry));
+    }
+    for step in steps {
+        model.step(step);
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn a_vm_belongs_to_one_pool_and_no_planned_stop_cuts_a_request_off() {
+    seeded(0xF1EE7, |seed| {
+        let generator = Gen::from_size_and_seed(400, seed);
+        QuickCheck::new()
+            .rng(generator)
+            .tests(4_000)
+            .quickcheck(holds as fn(Vec<ModelStep>) -> TestResult);
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -90,3 +90,12 @@
     })
     .await;
 }
+
+/// Runs a property with a pinned seed, or with the one in `IBISWEIR_TEST_SEED`; prints it when the
+/// property fails.
+pub fn seeded(pinned: u64, property: impl FnOnce(u64)) {
+    let seed = std::env::var("IBISWEIR_TEST_SEED").ok().and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(pinned);
+    println!("seed {seed}; IBISWEIR_TEST_SEED sets another");
+    property(seed);
+}
