--- a/src/admin.rs
+++ b/src/admin.rs
@@ -19,7 +19,7 @@
 use crate::control::ControlLoop;
 use crate::decide::fleet::VmPhase;
 use crate::decide::slot::SlotPolicy;
-use crate::decide::wave::{DAY_MS, product_load, shortfall};
+use crate::decide::wave::{DAY_MS, product_loads, shortfall};
 use crate::member::is_ready;
 use crate::membership::EntryMembership;
 use crate::metrics::EntryMetrics;
@@ -249,8 +249,9 @@
 
 fn products(view: &FleetView, wall_ms: u64) -> BTreeMap<ProductName, ProductStatus> {
     let Some(document) = view.document() else { return BTreeMap::new() };
+    let loads = product_loads(document, &view.fleets);
     let products = document.products.iter().map(|product| {
-        let load = product_load(document, &view.fleets, &product.name);
+        let load = loads.get(&product.name).copied().unwrap_or_default();
         let fleets = view.fleets.values();
         let status = ProductStatus {
             capacity: product.capacity,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -133,6 +133,11 @@
         &self.parts.keeper
     }
 
+    /// The platform as this entry sees it.
+    pub fn platform(&self) -> &L {
+        &self.parts.platform
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &EntryMetrics {
         &self.parts.metrics
@@ -271,6 +276,8 @@
                 context: context.clone(),
                 peers: gossip.peers.clone(),
                 seeds: seeds.clone(),
+                contact: None,
+                behind_since: None,
                 logger: gossip.logger.clone(),
             }),
         ]
@@ -405,8 +412,8 @@
     async fn answer(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::Gossip(gossip) => {
-                self.context.hear(&gossip);
-                PeerReply::Gossip(self.context.gossip())
+                self.context.hear_gossip(&gossip);
+                PeerReply::Heard(self.context.word())
             }
             PeerCall::Fetch(through) => {
                 let newer = self.context.newer(&through);
--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -9,7 +9,7 @@
 //! the availability budget. So one buffer serves failures and maintenance, and a budget spent by
 //! failures narrows the wave until it pauses.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::decide::fleet::{DrainReason, FleetState, StewardAct, VmPhase, VmState};
@@ -83,18 +83,17 @@
     pub lost: u32,
 }
 
-/// Counts a product's workers over the folds of all data centres.
-pub fn product_load(
-    document: &IntentDocument,
+/// Counts every product's workers over the folds of all data centres, in one pass.
+pub fn product_loads<'a>(
+    document: &'a IntentDocument,
     fleets: &BTreeMap<CentreName, Arc<FleetState>>,
-    product: &ProductName,
-) -> ProductLoad {
-    let pools = pools_of(document, product);
-    let mut load = ProductLoad::default();
+) -> HashMap<&'a ProductName, ProductLoad> {
+    let product_of = products_by_pool(document);
+    let mut loads: HashMap<&ProductName, ProductLoad> =
+        document.products.iter().map(|product| (&product.name, ProductLoad::default())).collect();
     for state in fleets.values().flat_map(|fleet| fleet.vms.values()) {
-        if !state.pool.as_ref().is_some_and(|pool| pools.contains(pool)) {
-            continue;
-        }
+        let product = state.pool.as_ref().and_then(|pool| product_of.get(pool));
+        let Some(load) = product.and_then(|product| loads.get_mut(product)) else { continue };
         match state.phase {
             VmPhase::Serving => load.serving += 1,
             VmPhase::Draining { .. } | VmPhase::Rebooting { .. } => load.planned += 1,
@@ -102,7 +101,11 @@
             VmPhase::Spare => {}
         }
     }
-    load
+    loads
+}
+
+fn products_by_pool(document: &IntentDocument) -> HashMap<&PoolName, &ProductName> {
+    document.pools.iter().map(|pool| (&pool.name, &pool.product)).collect()
 }
 
 /// Workers that a product lacks now.
@@ -113,18 +116,14 @@
     if placed < capacity { 0 } else { capacity.saturating_sub(load.serving) }
 }
 
-fn pools_of<'a>(document: &'a IntentDocument, product: &ProductName) -> BTreeSet<&'a PoolName> {
-    let pools = document.pools.iter().filter(|pool| pool.product == *product);
-    pools.map(|pool| &pool.name).collect()
-}
-
 struct WavePlanner<'a> {
     input: &'a PlanInput<'a>,
     fleet: &'a FleetState,
     specs: BTreeMap<&'a VmName, &'a VmSpec>,
     limit_ms: u64,
     taken: BTreeSet<VmName>,
-    loads: BTreeMap<&'a ProductName, ProductLoad>,
+    loads: HashMap<&'a ProductName, ProductLoad>,
+    product_of: HashMap<&'a PoolName, &'a ProductName>,
     acts: Vec<StewardAct>,
 }
 
@@ -133,16 +132,14 @@
         static NO_FLEET: std::sync::LazyLock<FleetState> =
             std::sync::LazyLock::new(FleetState::default);
         let own = input.document.vms.iter().filter(|vm| vm.data_centre == *input.centre);
-        let products = input.document.products.iter();
         WavePlanner {
             input,
             fleet: input.fleets.get(input.centre).map_or(&NO_FLEET, |fleet| fleet),
             specs: own.map(|vm| (&vm.name, vm)).collect(),
             limit_ms: input.document.longest_time_limit_ms(),
             taken: BTreeSet::new(),
-            loads: products
-                .map(|p| (&p.name, product_load(input.document, input.fleets, &p.name)))
-                .collect(),
+            loads: product_loads(input.document, input.fleets),
+            product_of: products_by_pool(input.document),
             acts: Vec::new(),
         }
     }
@@ -292,6 +289,9 @@
             let members = self.members(&pool.name);
             let wanted = pool.workers.get(self.input.centre).copied().unwrap_or(0) as usize;
             let excess = members.len().saturating_sub(wanted);
+            let mut members = members;
+            // Those that the document no longer has go first: they go in any case.
+            members.sort_by_key(|(vm, _)| self.specs.contains_key(*vm));
             let serving = members.iter().filter(|(_, state)| state.phase == VmPhase::Serving);
             let moving = members.iter().filter(|(_, state)| is_moving(state)).count();
             surplus.extend(serving.map(|(vm, _)| *vm).take(excess.saturating_sub(moving)));
@@ -351,8 +351,7 @@
 
     /// Most serving workers of a product in one rack, without `vm`.
     fn worst_rack(&self, product: &ProductName, vm: &VmName) -> u32 {
-        let pools = pools_of(self.input.document, product);
-        let mut racks: BTreeMap<(&CentreName, &RackName), u32> = BTreeMap::new();
+        let mut racks: HashMap<(&CentreName, &RackName), u32> = HashMap::new();
         for spec in &self.input.document.vms {
             let state =
                 self.input.fleets.get(&spec.data_centre).and_then(|f| f.vms.get(&spec.name));
@@ -360,7 +359,7 @@
             let counts = spec.name != *vm
                 && state.phase == VmPhase::Serving
                 && !self.taken.contains(&spec.name)
-                && state.pool.as_ref().is_some_and(|pool| pools.contains(pool));
+                && self.product_of_state(state) == Some(product);
             if counts {
                 *racks.entry((&spec.data_centre, &spec.rack)).or_default() += 1;
             }
@@ -380,19 +379,24 @@
         for wave in self.input.document.waves.iter().filter(|wave| !wave.cancelled) {
             let mut candidates = self.candidates(wave);
             candidates.sort_by_key(|vm| self.rack_rank(vm));
+            let open = self.open_by_centre(wave);
             for vm in candidates {
-                if self.may_drain(vm) {
+                let Some(product) = self.product_of(vm) else { continue };
+                let allowed = self.allowance(wave, &product.name, &open);
+                if self.out_here(&product.name) < allowed && self.may_drain(vm) {
                     self.drain(vm, DrainReason::Wave(wave.name.clone()));
                 }
             }
         }
     }
 
-    /// Serving VMs of this data centre that the wave has yet to reach, of products whose turn is here.
+    /// Serving VMs of this data centre that the wave has yet to reach, as many of each product as may
+    /// be out here.
     fn candidates(&self, wave: &WaveSpec) -> Vec<&'a VmName> {
+        let open = self.open_by_centre(wave);
         let mut found = Vec::new();
         for pool in wave.pools.iter().filter_map(|pool| self.input.document.pool(pool)) {
-            if self.turn(wave, &pool.product) != Some(self.input.centre) {
+            if self.allowance(wave, &pool.product, &open) == 0 {
                 continue;
             }
             let members = self.members(&pool.name).into_iter();
@@ -406,24 +410,56 @@
         found
     }
 
-    /// The data centre that may drain the product's VMs: the first in the document's order that has
-    /// some left. Stewards that drained at the same time would each count on the other's VMs.
-    fn turn(&self, wave: &WaveSpec, product: &ProductName) -> Option<&'a CentreName> {
-        let pools: BTreeSet<&PoolName> = pools_of(self.input.document, product)
-            .into_iter()
-            .filter(|p| wave.pools.contains(p))
-            .collect();
-        let centres = self.input.document.data_centres.iter().map(|centre| &centre.name);
-        let mut covered = centres.filter(|centre| wave.covers(centre));
-        covered.find(|centre| {
-            let vms = self.input.fleets.get(*centre).into_iter().flat_map(|f| f.vms.values());
-            let mut open = vms.filter(|state| {
-                state.pool.as_ref().is_some_and(|pool| pools.contains(pool))
-                    && !matches!(state.phase, VmPhase::Lost { .. })
-                    && is_open(&wave.name, state)
+    /// VMs that the wave has yet to finish, by product and data centre.
+    fn open_by_centre(&self, wave: &WaveSpec) -> HashMap<(&'a ProductName, &'a CentreName), u32> {
+        let mut open = HashMap::new();
+        for (centre, fleet) in self.input.fleets {
+            let left = fleet.vms.values().filter(|state| {
+                is_open(&wave.name, state) && !matches!(state.phase, VmPhase::Lost { .. })
             });
-            open.next().is_some()
-        })
+            for state in left {
+                if state.pool.as_ref().is_some_and(|pool| wave.pools.contains(pool))
+                    && let Some(product) = self.product_of_state(state)
+                {
+                    *open.entry((product, centre)).or_default() += 1;
+                }
+            }
+        }
+        open
+    }
+
+    /// VMs of a product that this data centre may have out at a time: what is left of the product's
+    /// parallel drains after the data centres before it in the document's order have drained all that
+    /// they still have to. Stewards that drained without it would each count on the other's VMs.
+    fn allowance(
+        &self,
+        wave: &WaveSpec,
+        product: &ProductName,
+        open: &HashMap<(&ProductName, &CentreName), u32>,
+    ) -> u32 {
+        let centres = self.input.document.data_centres.iter().map(|centre| &centre.name);
+        let earlier = centres.take_while(|centre| *centre != self.input.centre);
+        let ahead: u32 = earlier
+            .filter(|centre| wave.covers(centre))
+            .filter_map(|centre| open.get(&(product, centre)))
+            .sum();
+        let spec = self.input.document.products.iter().find(|spec| spec.name == *product);
+        let covered = wave.covers(self.input.centre);
+        spec.filter(|_| covered).map_or(0, |spec| self.parallel(spec).saturating_sub(ahead))
+    }
+
+    fn product_of_state(&self, state: &VmState) -> Option<&'a ProductName> {
+        state.pool.as_ref().and_then(|pool| self.product_of.get(pool)).copied()
+    }
+
+    /// VMs of a product that are out in this data centre, this step's drains included.
+    fn out_here(&self, product: &ProductName) -> u32 {
+        let out = self.fleet.vms.iter().filter(|(vm, state)| {
+            let planned =
+                matches!(state.phase, VmPhase::Draining { .. } | VmPhase::Rebooting { .. });
+            (planned || self.taken.contains(*vm)) && self.product_of_state(state) == Some(product)
+        });
+        u32::try_from(out.count()).unwrap_or(u32::MAX)
     }
 
     /// Racks that have VMs out already come first, so that a wave finishes one before the next.
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,6 +90,8 @@
     KeyTableFull = 119, 503, "the key's owner remembers as many keys as it may";
     /// A request that can't be run by any worker the pool will ever have.
     CantEverRun = 120, 422, "no worker of the pool can ever run this request within any limit";
+    /// The head is over the limit.
+    HeadTooLarge = 121, 431, "the request head is over the limit";
     /// Sent, and no answer came in time or the connection died.
     Unknown = 201, 504, "the request was sent and may have run; its outcome is not known";
     /// The key was minted before its present owner took over.
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -38,6 +38,10 @@
 /// Wait after the listener can't accept, as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Size of the buffer for heads, in largest heads: one that is somewhat over the limit gets its
+/// code, one that doesn't fit the buffer hyper's bare 431.
+const HEAD_BUFFER: usize = 8;
+
 /// Sizes and times of callers' connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenerLimits {
@@ -122,8 +126,7 @@
             .http1()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout)
-            .max_buf_size(limits.head_max)
-            .pipeline_flush(true);
+            .max_buf_size(limits.head_max * HEAD_BUFFER);
         server
             .http2()
             .timer(TokioTimer::new())
@@ -190,6 +193,9 @@
 ) -> Result<CallerRequest, ResultCode> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
+    if head_size(&head) > limits.head_max {
+        return Err(ResultCode::HeadTooLarge);
+    }
     let service = service(&head.uri, &head.headers).ok_or(ResultCode::UnknownService)?;
     let class = match text(&head.headers, CLASS_HEADER)? {
         Some(word) => WorkClass::parse(word).ok_or(ResultCode::BadHeader)?,
@@ -228,6 +234,12 @@
     })
 }
 
+fn head_size(head: &http::request::Parts) -> usize {
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    headers.sum::<usize>() + path
+}
+
 async fn read_body(body: Incoming, limits: &ListenerLimits) -> Result<Bytes, ResultCode> {
     let collect = Limited::new(body, limits.body_max).collect();
     match timeout(limits.body_timeout, collect).await {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -185,11 +185,42 @@
             registry,
         };
         metrics.revision.set(-1);
+        metrics.preset();
         metrics
     }
 }
 
+/// Reasons of metrics whose words no enum holds.
+const FORWARDED: [&str; 2] = ["key_owner", "no_target"];
+const GIVEN_UP: [&str; 1] = ["unproved"];
+const RETRIED: [&str; 1] = ["failed"];
+const FLEET_RECORDS: [&str; 4] = ["accepted", "seen", "stale_term", "refused"];
+const PLATFORM_ERRORS: [&str; 3] = ["read", "append", "reboot"];
+const PEER_ERRORS: [&str; 6] = ["connect", "open", "write", "read", "nonsense", "timeout"];
+const STEWARD_ACTS: [&str; 10] =
+    ["beat", "evict", "assign", "drain", "reboot", "return", "lost", "release", "spend", "restate"];
+
 impl EntryMetrics {
+    /// Counters exist from the start, at 0: a rate over one that appears with its first event misses
+    /// that event.
+    fn preset(&self) {
+        for code in ResultCode::ALL.iter().filter(|code| code.number() < 400) {
+            let label = CodeLabel { code: code.number().into(), name: code.name() };
+            drop(self.answers.get_or_create(&label));
+        }
+        let not_run = NotRunReason::ALL.map(NotRunReason::name);
+        let unknown = UnknownReason::ALL.map(UnknownReason::name);
+        preset(&self.attempts_not_run, &[&not_run]);
+        preset(&self.attempts_unknown, &[&unknown]);
+        preset(&self.retries, &[&not_run, &unknown, &RETRIED]);
+        preset(&self.connections_given_up, &[&unknown, &GIVEN_UP]);
+        preset(&self.forwarded, &[&FORWARDED]);
+        preset(&self.fleet_records, &[&FLEET_RECORDS]);
+        preset(&self.platform_errors, &[&PLATFORM_ERRORS]);
+        preset(&self.peer_errors, &[&PEER_ERRORS]);
+        preset(&self.steward_acts, &[&STEWARD_ACTS]);
+    }
+
     /// Prometheus text.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -218,6 +249,12 @@
     }
 }
 
+fn preset(family: &Reasons, reasons: &[&[&'static str]]) {
+    for reason in reasons.iter().copied().flatten() {
+        drop(family.get_or_create(&ReasonLabel { reason }));
+    }
+}
+
 /// Counts one under a reason.
 pub fn count(family: &Reasons, reason: &'static str) {
     family.get_or_create(&ReasonLabel { reason }).inc();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -23,7 +23,7 @@
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::gate::WorkClass;
 use crate::metrics::{EntryMetrics, count};
-use crate::name::{CentreName, EntryName, ServiceName, TeamName, VmName};
+use crate::name::{CentreName, EntryName, ServiceName, TeamName};
 
 /// Name that every entry's certificate carries.
 pub const PEER_NAME: &str = "ibisweir-entry";
@@ -52,8 +52,8 @@
 /// The other's answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// Newest offsets, and the roster in force there.
-    Gossip(PeerGossip),
+    /// The other's word; its loads come with its own gossip.
+    Heard(PeerWord),
     /// A view as JSON, as it holds documents.
     State(Vec<u8>),
     /// Answer to a forwarded request.
@@ -64,21 +64,33 @@
     Refused,
 }
 
-/// What entries tell each other all the time.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PeerGossip {
+/// What an entry says of itself in every message.
+///
+/// Streams, VMs and teams go by number, not by name: at 70 VMs and 66 teams names alone took four
+/// fifths of the bytes that control may spend.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerWord {
     /// Who says it.
     pub from: EntryName,
     /// Its data centre.
     pub centre: CentreName,
     /// Epoch of the newest roster that it has adopted.
     pub roster_epoch: Option<u64>,
-    /// Next offset by stream.
-    pub through: BTreeMap<String, u64>,
-    /// Requests in flight by VM; those without are left out.
-    pub loads: Vec<(VmName, u32)>,
+    /// Next offsets: of intent, then of the fleets in the order of their names.
+    pub through: Vec<u64>,
+}
+
+/// What an entry tells the others now and then.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerGossip {
+    /// Of itself.
+    pub word: PeerWord,
+    /// Revision whose document numbers the VMs and teams.
+    pub revision: Option<u64>,
+    /// Slots taken by VM; those without are left out.
+    pub loads: Vec<(u16, u32)>,
     /// Requests in flight by team; those without are left out.
-    pub teams: Vec<(TeamName, u32)>,
+    pub teams: Vec<(u16, u32)>,
 }
 
 /// A request on its way to another entry.
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -45,7 +45,7 @@
     }
 
     /// Requests that this entry has in flight by team; those without are left out.
-    pub fn counts(&self) -> Vec<(TeamName, u32)> {
+    pub fn counts(&self) -> BTreeMap<TeamName, u32> {
         let teams = self.lock();
         let busy = teams.iter().filter(|(_, load)| load.own > 0);
         busy.map(|(team, load)| (team.clone(), load.own)).collect()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -200,7 +200,7 @@
         "time for the platform to answer, in ms",
     ),
     number(PLATFORM, "poll", "1000", 10, 60_000, "longest wait of one read of the log, in ms"),
-    number(PLATFORM, "gossip", "500", 10, 60_000, "time between messages to a peer, in ms"),
+    number(PLATFORM, "gossip", "1000", 10, 60_000, "time between messages to a peer, in ms"),
     SettingSpec {
         flag: "seeds",
         default: Some(""),
@@ -251,7 +251,7 @@
     number(FLEET, "beat", "1000", 10, 60_000, "time between a steward's planning steps, in ms"),
     number(FLEET, "steward-timeout", "5000", 100, 600_000, "silence before a claim, in ms"),
     number(FLEET, "entry-timeout", "5000", 100, 600_000, "silence before an eviction, in ms"),
-    number(FLEET, "probe", "2000", 10, 600_000, "time between two probes of a worker, in ms"),
+    number(FLEET, "probe", "30000", 10, 600_000, "time between two probes of a worker, in ms"),
     number(FLEET, "lost-after", "6000", 100, 3_600_000, "silence after which a VM is lost, in ms"),
     number(
         FLEET,
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -18,7 +18,9 @@
 use crate::decide::fleet::{FleetBody, FleetState, StewardAct, VmPhase};
 use crate::decide::intent::{IntentBody, IntentRecord};
 use crate::decide::slot::SlotPolicy;
-use crate::decide::wave::{DAY_MS, PlanInput, PlanTimes, ProbeView, plan, product_load, shortfall};
+use crate::decide::wave::{
+    DAY_MS, PlanInput, PlanTimes, ProbeView, plan, product_loads, shortfall,
+};
 use crate::error::explain;
 use crate::gossip::GossipBook;
 use crate::member::{append, record};
@@ -158,7 +160,7 @@
             self.beat(fleet).await;
             return;
         };
-        self.probe(document).await;
+        self.probe(document, fleet).await;
         let mut acts = self.evictions(fleet);
         let probes = self.probe_views();
         let input = PlanInput {
@@ -233,12 +235,15 @@
     }
 
     /// Probes workers whose last probe is long enough ago, a few at a time.
-    async fn probe(&mut self, document: &crate::document::IntentDocument) {
+    async fn probe(&mut self, document: &crate::document::IntentDocument, fleet: &FleetState) {
         let now = Instant::now();
         let mut calls = JoinSet::new();
         for spec in document.vms.iter().filter(|spec| spec.data_centre == self.centre) {
             let asked = self.memory.probes.get(&spec.name).map(|note| note.asked);
-            if asked.is_some_and(|asked| asked.elapsed() < self.times.probe) {
+            // The way back of a VM holds a wave up; nothing waits for the others' probes.
+            let awaited = matches!(fleet.vm(&spec.name).phase, VmPhase::Rebooting { .. });
+            let pause = if awaited { self.times.beat } else { self.times.probe };
+            if asked.is_some_and(|asked| asked.elapsed() < pause) {
                 continue;
             }
             let Some(pool) = self.keeper.connections(&spec.name) else { continue };
@@ -278,8 +283,9 @@
         let Some(document) = view.document() else { return Vec::new() };
         let day = self.membership.clock().wall_ms() / DAY_MS;
         let mut acts = Vec::new();
+        let loads = product_loads(document, &view.fleets);
         for product in &document.products {
-            let load = product_load(document, &view.fleets, &product.name);
+            let load = loads.get(&product.name).copied().unwrap_or_default();
             let short = shortfall(document, &load, product);
             if short == 0 || !self.is_charging(view, &product.name) {
                 self.memory.short_since.remove(&product.name);
@@ -302,8 +308,8 @@
         let out = |centre: &CentreName| {
             let fleet = view.fleets.get(centre).map(|fleet| (centre.clone(), fleet.clone()));
             let one: BTreeMap<_, _> = fleet.into_iter().collect();
-            let load = product_load(document, &one, product);
-            load.planned + load.lost > 0
+            let loads = product_loads(document, &one);
+            loads.get(product).is_some_and(|load| load.planned + load.lost > 0)
         };
         let mut centres = document.data_centres.iter().map(|centre| &centre.name);
         centres.find(|centre| out(centre)) == Some(&self.centre)
--- a/src/view.rs
+++ b/src/view.rs
@@ -43,6 +43,12 @@
         self.intent.accepted.as_ref().map(|accepted| &accepted.document)
     }
 
+    /// Next offsets: of intent, then of the fleets in the order of their names.
+    pub fn offsets(&self) -> Vec<u64> {
+        let fleets = self.fleets.values().map(|fleet| fleet.through);
+        [self.intent.through].into_iter().chain(fleets).collect()
+    }
+
     /// Next offset by stream.
     pub fn through(&self) -> BTreeMap<String, u64> {
         let fleets =
@@ -224,7 +230,7 @@
     }
 
     /// Slots that this entry has taken, by VM; those without are left out.
-    pub fn counts(&self) -> Vec<(VmName, u32)> {
+    pub fn counts(&self) -> BTreeMap<VmName, u32> {
         let state = self.lock();
         let loads = state.targets.values().map(|t| (t.route.vm.clone(), t.slots_taken()));
         loads.filter(|(_, load)| *load > 0).collect()
--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -23,6 +23,8 @@
 Tasks:
   quickstart            a whole site in one process, a load, a maintenance wave, a report
   measure path [NAME]   experiments on the request path, beside baselines
+  measure fleet         experiments on planning and intent, beside baselines and lower bounds
+  measure capacity      state, messages, processor time and memory of control, by size
   platform              a platform as a process of its own
   worker VM             a worker as a process of its own
   document SHAPE        print a document: regie, halvorsen, or WORKERSxPOOLSxCENTRES
@@ -49,6 +51,10 @@
         /// The only one to run.
         only: Option<String>,
     },
+    /// Slopes for the capacity page.
+    MeasureCapacity,
+    /// Experiments on planning and intent.
+    MeasureFleet,
     /// A platform.
     Platform {
         /// Where it listens.
@@ -93,6 +99,8 @@
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["quickstart"] => Invocation::Run(Task::Quickstart),
+        ["measure", "fleet"] => Invocation::Run(Task::MeasureFleet),
+        ["measure", "capacity"] => Invocation::Run(Task::MeasureCapacity),
         ["measure", "path"] => Invocation::Run(Task::MeasurePath { only: None }),
         ["measure", "path", only] if measure::path::NAMES.contains(only) => {
             Invocation::Run(Task::MeasurePath { only: Some((*only).to_owned()) })
@@ -138,6 +146,8 @@
     let outcome = match task {
         Task::Quickstart => quickstart::run().await,
         Task::MeasurePath { only } => measure::path::run(only.as_deref()).await,
+        Task::MeasureFleet => measure::fleet::run().await,
+        Task::MeasureCapacity => measure::capacity::run().await,
         Task::Platform { listen } => platform(listen).await,
         Task::Worker { vm, listen, platform } => worker(vm, listen, platform).await,
     };
--- a/standin/src/measure.rs
+++ b/standin/src/measure.rs
@@ -1,7 +1,10 @@
 //! Experiments: ours beside its baselines, in one run, as tables.
 
+pub mod capacity;
 pub mod crash;
+pub mod fleet;
 pub mod path;
+pub mod publish;
 
 use std::process::{Command, Stdio};
 use std::time::Duration;
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -1,7 +1,9 @@
 //! A whole site in one process: platform, workers and entries on loopback.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ibisweir::controller::EntryController;
@@ -13,7 +15,9 @@
 use ibisweir::logging;
 use ibisweir::name::{CentreName, VmName};
 use ibisweir::peer::PeerKeys;
-use ibisweir::platform::HttpPlatform;
+use ibisweir::platform::{
+    HttpPlatform, LogClient, MemberClient, MemberLine, ReadAnswer, RebootOrder,
+};
 use ibisweir::publisher::IntentPublisher;
 use ibisweir::settings::EntrySettings;
 use tokio::time::{Instant, sleep};
@@ -30,7 +34,52 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// An entry of a site.
-pub type SiteEntry<P> = EntryController<P, HttpPlatform>;
+pub type SiteEntry<P> = EntryController<P, CuttablePlatform>;
+
+/// The platform over a way that can be cut for one entry.
+#[derive(Clone, Debug)]
+pub struct CuttablePlatform {
+    platform: HttpPlatform,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl CuttablePlatform {
+    /// Cuts the way, or mends it.
+    pub fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Release);
+    }
+
+    fn check(&self) -> CodeResult<()> {
+        let is_cut = self.is_cut.load(Ordering::Acquire);
+        if is_cut { Err(coded(ResultCode::PlatformAway, "cut off")) } else { Ok(()) }
+    }
+}
+
+impl LogClient for CuttablePlatform {
+    async fn append(&self, stream: &str, body: &[u8]) -> CodeResult<u64> {
+        self.check()?;
+        self.platform.append(stream, body).await
+    }
+
+    async fn read(&self, from: &BTreeMap<String, u64>, wait: Duration) -> CodeResult<ReadAnswer> {
+        self.check()?;
+        let answer = self.platform.read(from, wait).await?;
+        self.check()?;
+        Ok(answer)
+    }
+}
+
+impl MemberClient for CuttablePlatform {
+    async fn members(&self) -> CodeResult<Vec<MemberLine>> {
+        self.check()?;
+        self.platform.members().await
+    }
+
+    async fn reboot(&self, vm: &VmName, order: &RebootOrder) -> CodeResult<()> {
+        self.check()?;
+        self.platform.reboot(vm, order).await
+    }
+}
 
 /// What a site is like.
 #[derive(Clone, Debug)]
@@ -147,6 +196,7 @@
         ))?;
         let platform =
             HttpPlatform::new(settings.address("platform"), settings.time("platform-timeout"));
+        let platform = CuttablePlatform { platform, is_cut: Arc::default() };
         EntryController::open(&settings, self.shape.policy.clone(), platform, &self.shape.logger)
             .await
     }
--- /dev/null
+++ b/tests/fold_rules.rs
@@ -0,0 +1,191 @@
+//! Rules of the folds that one sequence each shows.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+
+use ibisweir::decide::fleet::{
+    DrainReason, FleetBody, FleetRecord, FleetState, FleetVerdict, StewardAct, VmPhase,
+};
+use ibisweir::decide::intent::{IntentBody, IntentRecord, IntentState, IntentVerdict};
+use ibisweir::document::IntentDocument;
+use ibisweir::name::{EntryName, PoolName, VmName, WaveName};
+use ibisweir_standin::fleet::FleetShape;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use support::seeded;
+use uuid::Uuid;
+
+struct Stream {
+    state: FleetState,
+}
+
+impl Stream {
+    /// Two entries, the first is steward of term 1, and a VM that serves pool `a` with boot 1.
+    fn open() -> Self {
+        let mut stream = Stream { state: FleetState::default() };
+        stream.write("e1", FleetBody::Join { peer: "127.0.0.1:1".to_owned() });
+        stream.write("e2", FleetBody::Join { peer: "127.0.0.1:2".to_owned() });
+        stream.write("e1", FleetBody::Claim { term: 1 });
+        stream.act(StewardAct::Assign { vm: vm(), pool: PoolName::from("a"), boot: 1 });
+        stream
+    }
+
+    fn write(&mut self, by: &str, body: FleetBody) -> FleetVerdict {
+        let record = FleetRecord { id: Uuid::nil(), by: EntryName::from(by), at_ms: 0, body };
+        self.state.apply(self.state.through, &record)
+    }
+
+    fn act(&mut self, act: StewardAct) -> FleetVerdict {
+        let term = self.state.term;
+        self.write("e1", FleetBody::Act { term, act })
+    }
+
+    fn drain(&mut self) -> u64 {
+        let reason = DrainReason::Wave(WaveName::from("w"));
+        let verdict = self.act(StewardAct::Drain { vm: vm(), reason, limit_ms: 10 });
+        assert_eq!(verdict, FleetVerdict::Accepted);
+        self.state.through - 1
+    }
+
+    fn confirm(&mut self, by: &str, drain: u64) -> FleetVerdict {
+        self.write(by, FleetBody::Confirm { vm: vm(), drain })
+    }
+}
+
+fn vm() -> VmName {
+    VmName::from("vm")
+}
+
+/// An entry confirms a drain, its answer is lost, and the copy of the confirmation arrives when the
+/// VM is being drained again. Counted, it would let the VM reboot under the entry's new requests.
+#[test]
+fn a_late_confirmation_of_an_earlier_drain_does_not_count() {
+    let mut stream = Stream::open();
+    let first = stream.drain();
+    stream.confirm("e1", first);
+    stream.confirm("e2", first);
+    stream.act(StewardAct::Reboot { vm: vm() });
+    assert_eq!(stream.act(StewardAct::Return { vm: vm(), boot: 2 }), FleetVerdict::Accepted);
+    let second = stream.drain();
+    stream.confirm("e1", second);
+    assert_eq!(stream.confirm("e2", first), FleetVerdict::Refused);
+    assert_eq!(stream.act(StewardAct::Reboot { vm: vm() }), FleetVerdict::Refused);
+    assert_eq!(stream.confirm("e2", second), FleetVerdict::Accepted);
+    assert_eq!(stream.act(StewardAct::Reboot { vm: vm() }), FleetVerdict::Accepted);
+}
+
+/// An entry that was evicted wakes up and claims the next term before it has read its eviction. It
+/// would plan with a view in which it still is an entry.
+#[test]
+fn only_an_entry_of_the_roster_becomes_steward() {
+    let mut stream = Stream::open();
+    stream.act(StewardAct::Evict { entry: EntryName::from("e2") });
+    assert_eq!(stream.write("e2", FleetBody::Claim { term: 2 }), FleetVerdict::Refused);
+    assert_eq!(stream.state.steward, Some(EntryName::from("e1")));
+}
+
+/// The platform has taken a reboot order and the worker still answers with its old boot number. Were
+/// the VM to return by it, callers' requests would be cut off when it does go down.
+#[test]
+fn a_vm_returns_from_a_wave_only_with_a_new_boot_number() {
+    let mut stream = Stream::open();
+    let drain = stream.drain();
+    stream.confirm("e1", drain);
+    stream.confirm("e2", drain);
+    stream.act(StewardAct::Reboot { vm: vm() });
+    assert_eq!(stream.act(StewardAct::Return { vm: vm(), boot: 1 }), FleetVerdict::Refused);
+    assert_eq!(stream.act(StewardAct::Return { vm: vm(), boot: 2 }), FleetVerdict::Accepted);
+    let state = stream.state.vm(&vm());
+    assert_eq!((state.phase, state.waves), (VmPhase::Serving, vec![WaveName::from("w")]));
+}
+
+/// More entries than lanes would take a worker's connections past its bound.
+#[test]
+fn an_entry_without_a_lane_does_not_join() {
+    let mut stream = Stream::open();
+    let mut joined = 2;
+    for entry in 3..20 {
+        let body = FleetBody::Join { peer: "127.0.0.1:3".to_owned() };
+        joined += u32::from(stream.write(&format!("e{entry}"), body) == FleetVerdict::Accepted);
+    }
+    assert_eq!(joined, ibisweir::decide::fleet::ENTRY_LANES);
+    stream.write("e2", FleetBody::Leave);
+    let body = FleetBody::Join { peer: "127.0.0.1:3".to_owned() };
+    assert_eq!(stream.write("e99", body), FleetVerdict::Accepted);
+    // The lane of an entry that was evicted may still be in use.
+    stream.act(StewardAct::Evict { entry: EntryName::from("e99") });
+    let body = FleetBody::Join { peer: "127.0.0.1:3".to_owned() };
+    assert_eq!(stream.write("e100", body), FleetVerdict::Refused);
+}
+
+fn publish(id: u128, base: Option<u64>, document: &IntentDocument) -> IntentRecord {
+    IntentRecord {
+        id: Uuid::from_u128(id),
+        at_ms: 0,
+        by: "operator".to_owned(),
+        body: IntentBody::Publish { base, document: Box::new(document.clone()) },
+    }
+}
+
+fn sample() -> IntentDocument {
+    let mut ports: BTreeMap<VmName, u16> = BTreeMap::new();
+    let fleet = FleetShape::regie();
+    for (port, (vm, _, _)) in (9_000..).zip(fleet.vms()) {
+        ports.insert(vm, port);
+    }
+    fleet.document(|vm| ([127, 0, 0, 1], ports[vm]).into())
+}
+
+/// Two operators and a platform that loses answers, holds records back and copies them: each base
+/// gets one winner, no revision reverts, and a newcomer that starts from a restatement agrees.
+#[test]
+fn racing_publishes_have_one_winner_a_base() {
+    seeded(0x1A7E, |seed| {
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(60, seed))
+            .tests(60)
+            .quickcheck(races_hold as fn(Vec<(u8, u8)>) -> TestResult);
+    });
+}
+
+fn races_hold(draws: Vec<(u8, u8)>) -> TestResult {
+    static DOCUMENT: LazyLock<IntentDocument> = LazyLock::new(sample);
+    let mut state = IntentState::default();
+    let mut log: Vec<IntentRecord> = Vec::new();
+    let mut bases = [None, None];
+    let mut winners: BTreeMap<Option<u64>, u32> = BTreeMap::new();
+    for (id, (operator, kind)) in (1u128..).zip(draws) {
+        let operator = usize::from(operator % 2);
+        if kind.is_multiple_of(3) {
+            bases[operator] = state.revision();
+        }
+        let copied = log.len().checked_sub(1 + usize::from(kind % 8)).map(|at| log[at].clone());
+        let record = match copied {
+            Some(copy) if kind % 5 == 4 => copy,
+            _ => publish(id, bases[operator], &DOCUMENT),
+        };
+        let (offset, before) = (log.len() as u64, state.revision());
+        let was_judged = state.verdict(&record.id);
+        state.apply(offset, &record);
+        log.push(record.clone());
+        let verdict = state.verdict(&record.id).expect("a folded publish has its verdict");
+        assert!(was_judged.is_none_or(|was| was == verdict), "a copy changed the verdict");
+        if was_judged.is_none() && matches!(verdict, IntentVerdict::Accepted { .. }) {
+            *winners.entry(before).or_default() += 1;
+        }
+        assert!(state.revision() >= before, "the configuration reverted");
+    }
+    assert!(winners.values().all(|winners| *winners == 1), "a base has two winners");
+    let mut prefix = IntentState::default();
+    for (offset, record) in (0..).zip(&log[..log.len() / 2]) {
+        prefix.apply(offset, record);
+    }
+    let mut newcomer = IntentState::default();
+    newcomer.adopt(&prefix);
+    for (offset, record) in (0..).zip(&log) {
+        newcomer.apply(offset, record);
+    }
+    assert_eq!(newcomer, state, "a newcomer folds to another state");
+    TestResult::passed()
+}
