Failures of a running site; cancelled callers free connections; an evicted entry routes nothing

After a thousand callers went away, the next was answered 113: each dropped connection kept its part of the share for a minute, as silent ones must. Only connections that showed no progress, or did not answer a probe, linger now; others count until the worker has had our FIN. 2. An entry that read its own eviction went on routing until its next control step, up to 50 ms, with no drain waiting for it. It stops with the read that shows it. Ruled out for 1: the queue (0 waiting, 0 in flight at the time).

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -29,8 +29,9 @@
 use crate::metrics::{EntryMetrics, count};
 use crate::worker::{self, REPORT_BYTES_MAX, REPORT_PATH, WorkerReport};
 
-/// Time that a connection closed in good order still counts against the share: the worker's end
-/// closes when our FIN arrives.
+/// Time that a connection that was alive lately still counts against the share after it was closed:
+/// the worker's end closes when our FIN arrives. Callers that go away close many at once; counted
+/// for as long as silent ones, these would keep the next callers out for a minute.
 const CLOSE_LINGER: Duration = Duration::from_millis(100);
 
 /// Times and sizes of connections.
@@ -171,28 +172,28 @@
     /// Asks the worker for its report on a connection of its own.
     pub async fn report(&self) -> Option<WorkerReport> {
         let mut connection = self.connect().await.ok()?;
-        let report = timeout(self.limits.probe, ask(&mut connection.sender)).await.ok().flatten();
-        connection.share.linger = CLOSE_LINGER;
-        report
+        timeout(self.limits.probe, ask(&mut connection.sender)).await.ok().flatten()
     }
 
     /// A connection that may carry the request.
     async fn ready(&self, terms: &ExchangeTerms) -> Result<OpenConnection, NotRunReason> {
         while let Some(mut connection) = self.take_idle() {
             if connection.boot != terms.boot || connection.sender.is_closed() {
-                connection.share.linger = CLOSE_LINGER;
                 continue;
             }
             if self.is_proved(&mut connection, terms).await {
                 return Ok(connection);
             }
+            connection.share.linger = self.limits.linger;
             count(&self.metrics.connections_given_up, "unproved");
         }
         let mut connection = self.connect().await?;
         let report = timeout(self.limits.probe, ask(&mut connection.sender)).await;
-        let report = report.ok().flatten().ok_or(NotRunReason::Connect)?;
+        let Some(report) = report.ok().flatten() else {
+            connection.share.linger = self.limits.linger;
+            return Err(NotRunReason::Connect);
+        };
         if report.boot != terms.boot {
-            connection.share.linger = CLOSE_LINGER;
             return Err(NotRunReason::WrongBoot);
         }
         connection.boot = report.boot;
@@ -229,7 +230,7 @@
     fn take_share(&self) -> Option<ShareGuard> {
         let take = |open: u32| (open < self.share).then_some(open + 1);
         self.open.fetch_update(Ordering::AcqRel, Ordering::Acquire, take).ok()?;
-        Some(ShareGuard { open: self.open.clone(), linger: self.limits.linger })
+        Some(ShareGuard { open: self.open.clone(), linger: CLOSE_LINGER })
     }
 
     /// The most recently used one, so that the others age and close.
@@ -251,12 +252,14 @@
         let until = stall.map_or(terms.deadline, |stall| stall.min(terms.deadline));
         let sent = timeout_at(until, connection.sender.try_send_request(request)).await;
         let response = match sent {
-            Err(_) => return self.give_up(late(until, terms)),
+            Err(_) => return self.give_up(connection, late(until, terms)),
             Ok(Err(mut error)) => {
-                connection.share.linger = CLOSE_LINGER;
                 return match error.take_message() {
                     Some(_) => AttemptOutcome::NotRun(NotRunReason::Closed),
-                    None => self.give_up(UnknownReason::Lost),
+                    None => {
+                        count(&self.metrics.connections_given_up, UnknownReason::Lost.name());
+                        AttemptOutcome::Unknown(UnknownReason::Lost)
+                    }
                 };
             }
             Ok(Ok(response)) => response,
@@ -269,12 +272,10 @@
         }
         let whole = timeout_at(terms.deadline, whole(response, self.limits.answer_max)).await;
         match whole {
-            Err(_) => self.give_up(UnknownReason::Deadline),
+            Err(_) => self.give_up(connection, UnknownReason::Deadline),
             Ok(answer) => {
                 if answer.is_ok() {
                     self.put_back(connection);
-                } else {
-                    connection.share.linger = CLOSE_LINGER;
                 }
                 AttemptOutcome::Done(answer)
             }
@@ -288,7 +289,13 @@
         }
     }
 
-    fn give_up(&self, reason: UnknownReason) -> AttemptOutcome<ExchangeAnswer> {
+    /// Drops a connection that shows no progress: the worker may count it until it notices.
+    fn give_up(
+        &self,
+        mut connection: OpenConnection,
+        reason: UnknownReason,
+    ) -> AttemptOutcome<ExchangeAnswer> {
+        connection.share.linger = self.limits.linger;
         count(&self.metrics.connections_given_up, reason.name());
         AttemptOutcome::Unknown(reason)
     }
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -77,8 +77,11 @@
         let Some(fleet) = view.fleets.get(&self.centre) else { return };
         self.keyring.adopt(fleet);
         let joined = fleet.roster.contains_key(&*self.membership.name());
+        // On the way to the end of the log, the roster may be one of long ago.
+        if at_end || !joined {
+            self.membership.set_on_roster(joined);
+        }
         if at_end && joined {
-            self.membership.set_joined(true);
             self.membership.confirm_by_log(asked);
         }
         self.membership.set_caught_up(at_end);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -195,6 +195,10 @@
             && let Some(fleet) = self.keeper.view().fleets.get(&self.centre)
         {
             self.keyring.adopt(fleet);
+            let on_roster = fleet.roster.contains_key(&*self.membership.name());
+            if !on_roster {
+                self.membership.set_on_roster(false);
+            }
         }
     }
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -77,10 +77,10 @@
 
     async fn check_place(&mut self, fleet: &FleetState) {
         let name = self.membership.name();
-        if fleet.roster.contains_key(&*name) || self.membership.is_stopping() {
+        if self.membership.is_stopping() {
             return;
         }
-        if self.membership.is_joined() {
+        if self.membership.is_evicted() {
             // Evicted while frozen or cut off. The old name's keys may run elsewhere by now.
             warn!(self.logger, "evicted; coming back under a new name"; "old" => name.as_str());
             self.membership.rename();
@@ -88,6 +88,9 @@
             self.join_tried = None;
             return;
         }
+        if fleet.roster.contains_key(&*name) {
+            return;
+        }
         let waited = self.join_tried.is_none_or(|tried| tried.elapsed() >= REPEAT);
         if !waited || !self.membership.is_caught_up() {
             return;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 struct MembershipState {
     joined: bool,
+    evicted: bool,
     caught_up: bool,
     lease: PlaceLease,
 }
@@ -64,9 +65,17 @@
         self.lock().joined
     }
 
-    /// Notes whether the roster has it.
-    pub fn set_joined(&self, joined: bool) {
-        self.lock().joined = joined;
+    /// Notes whether the roster, as it was last read, has it. An entry that was on it and is not any
+    /// more routes nothing from this moment: no drain waits for it.
+    pub fn set_on_roster(&self, on_roster: bool) {
+        let mut state = self.lock();
+        state.evicted |= state.joined && !on_roster;
+        state.joined = on_roster;
+    }
+
+    /// Whether it was taken off the roster.
+    pub fn is_evicted(&self) -> bool {
+        self.lock().evicted
     }
 
     /// Whether the newest read of the log came to its end.
