A request that a busy worker turned away keeps its turn

A request whose try met a full worker went to the end of the queue, waited longer than was reckoned when it was let in, and was refused late or found the queue full. Change: such a request goes to the front of its class and is never refused for a full queue.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -175,6 +175,8 @@
     pub class: WorkClass,
     /// Whether it may go to a worker on trial.
     pub idempotent: bool,
+    /// Whether it had a place before and was turned away by the worker.
+    pub is_back: bool,
     /// Workers that failed it before.
     pub avoid: Vec<VmName>,
     /// End of its patience.
@@ -438,14 +440,20 @@
         queue_max: usize,
     ) -> Result<WaitGuard<'a, P>, ResultCode> {
         let (sender, grant) = oneshot::channel();
-        let class = request.class;
+        let (class, is_back) = (request.class, request.is_back);
         let mut queue = self.lock_queue();
-        if queue.classes[class.index()].len() >= queue_max {
-            return Err(ResultCode::QueueFull);
-        }
         queue.next_id += 1;
         let id = queue.next_id;
-        queue.classes[class.index()].push_back(GateWaiter { id, request, grant: sender });
+        let waiters = &mut queue.classes[class.index()];
+        // One that a busy worker turned away has waited its turn. At the end of the queue it would
+        // wait again for longer than was reckoned when it was let in, and be refused late.
+        if is_back {
+            waiters.push_front(GateWaiter { id, request, grant: sender });
+        } else if waiters.len() >= queue_max {
+            return Err(ResultCode::QueueFull);
+        } else {
+            waiters.push_back(GateWaiter { id, request, grant: sender });
+        }
         self.waiting.fetch_add(1, Ordering::AcqRel);
         Ok(WaitGuard { gate: self, id, class, grant, taken: false })
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -263,7 +263,8 @@
     async fn attempts(&self, routed: &RoutedRequest<'_, P>) -> CallerAnswer {
         let (mut attempts, mut busy, mut avoid) = (0, 0, Vec::new());
         loop {
-            let permit = match self.enter_gate(routed, &avoid).await {
+            let is_back = busy > 0 || attempts > 0;
+            let permit = match self.enter_gate(routed, &avoid, is_back).await {
                 Ok(permit) => permit,
                 Err(code) => return refuse(code, routed.come_back()),
             };
@@ -327,10 +328,12 @@
         &self,
         routed: &RoutedRequest<'_, P>,
         avoid: &[VmName],
+        is_back: bool,
     ) -> Result<TargetPermit<P>, ResultCode> {
         let request = GateRequest {
             class: routed.request.class,
             idempotent: routed.idempotent,
+            is_back,
             avoid: avoid.to_vec(),
             deadline: routed.deadline,
         };
