A run that ends takes the pause off its worker

A worker that said busy was passed over for 5 ms, also when a run of this entry ended there meanwhile and its slot was free. Change: a success clears the worker's pause. Not measured again after this: the table of slots.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -384,6 +384,8 @@
         health.note(succeeded);
         if succeeded {
             target.stalls.store(0, Ordering::Release);
+            // The slot of this very run is free now, whatever the worker said a moment ago.
+            target.busy_until_ms.store(0, Ordering::Release);
         }
         target.failure_rate.store(health.failure_rate().to_bits(), Ordering::Release);
         if succeeded {
