--- a/tests/fold_rules.rs
+++ b/tests/fold_rules.rs
@@ -172,7 +172,8 @@
         let verdict = state.verdict(&record.id).expect("a folded publish has its verdict");
         assert!(was_judged.is_none_or(|was| was == verdict), "a copy changed the verdict");
         if was_judged.is_none() && matches!(verdict, IntentVerdict::Accepted { .. }) {
-            *winners.entry(before).or_default() += 1;
+            let IntentBody::Publish { base, .. } = &record.body else { continue };
+            *winners.entry(*base).or_default() += 1;
         }
         assert!(state.revision() >= before, "the configuration reverted");
     }
