--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -116,6 +116,26 @@
     if placed < capacity { 0 } else { capacity.saturating_sub(load.serving) }
 }
 
+/// A rack is named within its data centre.
+type RackKey<'a> = (&'a CentreName, &'a RackName);
+
+fn serving_by_rack<'a>(
+    input: &PlanInput<'a>,
+    product_of: &HashMap<&'a PoolName, &'a ProductName>,
+) -> HashMap<&'a ProductName, HashMap<RackKey<'a>, u32>> {
+    let mut racks: HashMap<&ProductName, HashMap<RackKey<'a>, u32>> = HashMap::new();
+    for spec in &input.document.vms {
+        let fleet = input.fleets.get(&spec.data_centre);
+        let Some(state) = fleet.and_then(|fleet| fleet.vms.get(&spec.name)) else { continue };
+        let product = state.pool.as_ref().and_then(|pool| product_of.get(pool));
+        if let Some(product) = product.filter(|_| state.phase == VmPhase::Serving) {
+            let rack = (&spec.data_centre, &spec.rack);
+            *racks.entry(product).or_default().entry(rack).or_default() += 1;
+        }
+    }
+    racks
+}
+
 struct WavePlanner<'a> {
     input: &'a PlanInput<'a>,
     fleet: &'a FleetState,
@@ -124,6 +144,8 @@
     taken: BTreeSet<VmName>,
     loads: HashMap<&'a ProductName, ProductLoad>,
     product_of: HashMap<&'a PoolName, &'a ProductName>,
+    /// Serving workers of each product by rack, this step's drains taken off.
+    racks: HashMap<&'a ProductName, HashMap<RackKey<'a>, u32>>,
     acts: Vec<StewardAct>,
 }
 
@@ -132,6 +154,7 @@
         static NO_FLEET: std::sync::LazyLock<FleetState> =
             std::sync::LazyLock::new(FleetState::default);
         let own = input.document.vms.iter().filter(|vm| vm.data_centre == *input.centre);
+        let product_of = products_by_pool(input.document);
         WavePlanner {
             input,
             fleet: input.fleets.get(input.centre).map_or(&NO_FLEET, |fleet| fleet),
@@ -139,7 +162,8 @@
             limit_ms: input.document.longest_time_limit_ms(),
             taken: BTreeSet::new(),
             loads: product_loads(input.document, input.fleets),
-            product_of: products_by_pool(input.document),
+            racks: serving_by_rack(input, &product_of),
+            product_of,
             acts: Vec::new(),
         }
     }
@@ -319,10 +343,20 @@
         {
             load.serving -= 1;
             load.planned += 1;
+            self.leave_rack(&product.name, vm);
         }
         self.acts.push(StewardAct::Drain { vm: vm.clone(), reason, limit_ms: self.limit_ms });
     }
 
+    fn leave_rack(&mut self, product: &ProductName, vm: &VmName) {
+        let Some(rack) = self.specs.get(vm).map(|spec| &spec.rack) else { return };
+        let serving =
+            self.racks.get_mut(product).and_then(|r| r.get_mut(&(self.input.centre, rack)));
+        if let Some(serving) = serving {
+            *serving = serving.saturating_sub(1);
+        }
+    }
+
     fn product_of(&self, vm: &VmName) -> Option<&'a ProductSpec> {
         let pool = self.fleet.vms.get(vm)?.pool.as_ref()?;
         let pool = self.input.document.pool(pool)?;
@@ -351,20 +385,13 @@
 
     /// Most serving workers of a product in one rack, without `vm`.
     fn worst_rack(&self, product: &ProductName, vm: &VmName) -> u32 {
-        let mut racks: HashMap<(&CentreName, &RackName), u32> = HashMap::new();
-        for spec in &self.input.document.vms {
-            let state =
-                self.input.fleets.get(&spec.data_centre).and_then(|f| f.vms.get(&spec.name));
-            let Some(state) = state else { continue };
-            let counts = spec.name != *vm
-                && state.phase == VmPhase::Serving
-                && !self.taken.contains(&spec.name)
-                && self.product_of_state(state) == Some(product);
-            if counts {
-                *racks.entry((&spec.data_centre, &spec.rack)).or_default() += 1;
-            }
-        }
-        racks.into_values().max().unwrap_or(0)
+        let own = self.specs.get(vm).map(|spec| &spec.rack);
+        let racks = self.racks.get(product).into_iter().flatten();
+        let without = racks.map(|(rack, serving)| match own {
+            Some(own) if *rack == (self.input.centre, own) => serving.saturating_sub(1),
+            _ => *serving,
+        });
+        without.max().unwrap_or(0)
     }
 
     fn budget_left_ms(&self, product: &ProductSpec) -> u64 {
