--- a/src/error.rs
+++ b/src/error.rs
@@ -89,7 +89,7 @@
     /// The owner remembers as many keys as it may.
     KeyTableFull = 119, 503, "the key's owner remembers as many keys as it may";
     /// A request that can't be run by any worker the pool will ever have.
-    CantEverRun = 120, 422, "no worker of the pool can ever run this request within any limit";
+    CantEverRun = 120, 422, "the service's pool has no worker in any data centre";
     /// The head is over the limit.
     HeadTooLarge = 121, 431, "the request head is over the limit";
     /// Sent, and no answer came in time or the connection died.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod document;
 pub mod error;
 pub mod follower;
+pub mod forward;
 pub mod gate;
 pub mod gossip;
 pub mod keyring;
--- a/src/router.rs
+++ b/src/router.rs
@@ -18,6 +18,7 @@
 use crate::clock::millis;
 use crate::connection::{ExchangeTerms, WholeAnswer};
 use crate::decide::estimate::{RunEstimate, queue_wait};
+use crate::decide::fleet::VmPhase;
 use crate::decide::key::{KEPT_ANSWER_MAX, KeptAnswer, KeyOutcome, KeyStep, RequestKey};
 use crate::decide::retry::{
     AttemptOutcome, NotRunReason, RetryBudget, RetryState, UnknownReason, may_go_elsewhere,
@@ -26,16 +27,15 @@
 use crate::decide::roster::{home, owner};
 use crate::decide::slot::SlotPolicy;
 use crate::error::ResultCode;
+use crate::forward::{pack, pack_answer, unpack, unpack_answer};
 use crate::gate::{GateRequest, PoolTarget, TargetPermit};
 use crate::keyring::KeyRing;
 use crate::membership::EntryMembership;
 use crate::metrics::{EntryMetrics, count};
 use crate::name::{CentreName, VmName};
-use crate::peer::{
-    CallOutcome, ForwardedAnswer, ForwardedRequest, PeerCall, PeerClient, PeerReply,
-};
+use crate::peer::{CallOutcome, ForwardedRequest, PeerCall, PeerClient, PeerReply};
 use crate::quota::{QuotaBook, QuotaPermit};
-use crate::request::{CallerAnswer, CallerRequest, KEY_HEADER};
+use crate::request::{CallerAnswer, CallerRequest};
 use crate::view::{RouteTable, ServiceRoute, ViewKeeper};
 use crate::worker::{self, BUSY_PAUSE, TIME_LEFT_HEADER};
 
@@ -125,6 +125,9 @@
         let Some(service) = table.services.get(&request.service).cloned() else {
             return CallerAnswer::coded(ResultCode::UnknownService, None);
         };
+        if table.hopeless.contains(&service.spec.pool) {
+            return CallerAnswer::coded(ResultCode::CantEverRun, None);
+        }
         let idempotent = is_idempotent(&request.method) || service.spec.idempotent;
         match &request.key {
             Some(key) if !idempotent => {
@@ -519,7 +522,7 @@
                 let mut vms = fleet.vms.values();
                 vms.any(|vm| {
                     vm.pool.as_ref() == Some(&routed.service.spec.pool)
-                        && vm.phase == crate::decide::fleet::VmPhase::Serving
+                        && vm.phase == VmPhase::Serving
                 })
             })
         };
@@ -656,70 +659,3 @@
     }
     CallerAnswer::of_worker(status, &headers, body)
 }
-
-fn pack(request: &CallerRequest, left: Duration) -> ForwardedRequest {
-    ForwardedRequest {
-        service: request.service.clone(),
-        class: request.class,
-        team: request.team.clone(),
-        method: request.method.to_string(),
-        path: request.path.clone(),
-        headers: pack_headers(&request.headers),
-        body: request.body.clone(),
-        key: request.headers.get(KEY_HEADER).and_then(|key| key.to_str().ok()).map(str::to_owned),
-        left_ms: millis(left),
-    }
-}
-
-fn unpack(forwarded: ForwardedRequest) -> Option<CallerRequest> {
-    let key = match &forwarded.key {
-        Some(text) => Some(RequestKey::parse(text)?),
-        None => None,
-    };
-    Some(CallerRequest {
-        service: forwarded.service,
-        class: forwarded.class,
-        team: forwarded.team,
-        method: forwarded.method.parse().ok()?,
-        path: forwarded.path,
-        headers: unpack_headers(&forwarded.headers),
-        body: forwarded.body,
-        key,
-        limit: Some(Duration::from_millis(forwarded.left_ms)),
-        arrived: Instant::now(),
-        forwarded: true,
-    })
-}
-
-fn pack_answer(answer: &CallerAnswer) -> ForwardedAnswer {
-    ForwardedAnswer {
-        code: answer.code.map(ResultCode::number),
-        status: answer.status.as_u16(),
-        headers: pack_headers(&answer.headers),
-        body: answer.body.clone(),
-    }
-}
-
-fn unpack_answer(answer: ForwardedAnswer) -> CallerAnswer {
-    let code = ResultCode::ALL.iter().copied().find(|code| Some(code.number()) == answer.code);
-    let Ok(status) = StatusCode::from_u16(answer.status) else {
-        return CallerAnswer::coded(ResultCode::Unknown, None);
-    };
-    CallerAnswer { code, status, headers: unpack_headers(&answer.headers), body: answer.body }
-}
-
-fn pack_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    headers.iter().map(|(n, value)| (n.as_str().to_owned(), value.as_bytes().to_vec())).collect()
-}
-
-fn unpack_headers(packed: &[(String, Vec<u8>)]) -> HeaderMap {
-    let mut headers = HeaderMap::new();
-    for (name, value) in packed {
-        if let (Ok(name), Ok(value)) =
-            (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_bytes(value))
-        {
-            headers.append(name, value);
-        }
-    }
-    headers
-}
--- a/src/view.rs
+++ b/src/view.rs
@@ -77,6 +77,8 @@
     pub services: HashMap<ServiceName, Arc<ServiceRoute<P>>>,
     /// Gates by pool.
     pub gates: BTreeMap<PoolName, Arc<PoolGate<P>>>,
+    /// Pools without a worker in any data centre.
+    pub hopeless: BTreeSet<PoolName>,
     /// Requests in flight that a team may have in this data centre.
     pub teams: HashMap<TeamName, u32>,
     /// Data centres in the document's order.
@@ -138,6 +140,7 @@
             revision: None,
             services: HashMap::new(),
             gates: BTreeMap::new(),
+            hopeless: BTreeSet::new(),
             teams: HashMap::new(),
             centres: Vec::new(),
         };
@@ -390,6 +393,7 @@
         let table = RouteTable {
             revision: Some(accepted.revision),
             services: services.collect(),
+            hopeless: hopeless_pools(document),
             teams: document.teams.iter().map(|t| (t.name.clone(), t.in_flight)).collect(),
             centres: document.data_centres.iter().map(|centre| centre.name.clone()).collect(),
             gates,
@@ -456,6 +460,11 @@
     }
 }
 
+fn hopeless_pools(document: &IntentDocument) -> BTreeSet<PoolName> {
+    let empty = document.pools.iter().filter(|pool| pool.workers.values().all(|n| *n == 0));
+    empty.map(|pool| pool.name.clone()).collect()
+}
+
 /// Keeps what was learned of a service while its pool stays the same.
 fn service_route<P>(
     spec: &ServiceSpec,
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -128,6 +128,24 @@
     assert_eq!(get(entry, "/work/x").await.status, 200);
 }
 
+#[tokio::test]
+async fn a_service_without_a_worker_is_refused_for_good() {
+    let site = LocalSite::open(small_site()).await.expect("a site");
+    let mut document = site.document.clone();
+    let mut pool = document.pools[0].clone();
+    let mut service = document.services[0].clone();
+    (pool.name, service.name, service.pool) = ("none".into(), "idle".into(), "none".into());
+    pool.workers.clear();
+    document.pools.push(pool);
+    document.services.push(service);
+    site.publish(&document, Some(site.revision)).await.expect("it is accepted");
+    let entry = site.entries[0].callers;
+    support::wait("the document", async || get(entry, "/idle/x").await.code != Some(101)).await;
+    let answer = get(entry, "/idle/x").await;
+    assert_eq!(answer.code, Some(120), "{answer:?}");
+    assert!(!answer.headers.contains_key("retry-after"), "there is no use in coming back");
+}
+
 /// Sends bytes as they are; the status that comes back.
 async fn raw(entry: std::net::SocketAddr, bytes: &[u8]) -> u16 {
     let mut stream = tokio::net::TcpStream::connect(entry).await.expect("a connection");
