--- a/src/request.rs
+++ b/src/request.rs
@@ -6,8 +6,9 @@
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::decide::key::RequestKey;
+use crate::decide::key::{KEPT_ANSWER_MAX, KeptAnswer, KeyOutcome, RequestKey};
 use crate::error::ResultCode;
 use crate::gate::WorkClass;
 use crate::name::{ServiceName, TeamName};
@@ -65,6 +66,19 @@
     pub forwarded: bool,
 }
 
+impl CallerRequest {
+    /// Hash that tells a key's second use for another request from a retry.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.method.as_str().as_bytes());
+        hash.update(&[0]);
+        hash.update(self.path.as_bytes());
+        hash.update(&[0]);
+        hash.update(&self.body);
+        hash.digest()
+    }
+}
+
 /// The answer to a request.
 #[derive(Clone, Debug)]
 pub struct CallerAnswer {
@@ -105,6 +119,35 @@
         }
     }
 
+    /// What the key's owner remembers of the answer; nothing if the request was not run.
+    pub fn key_outcome(&self) -> Option<KeyOutcome> {
+        match self.code {
+            Some(code) if code.is_not_run() => None,
+            Some(ResultCode::Unknown) => Some(KeyOutcome::Unknown),
+            code => {
+                let is_kept = code.is_none() && self.body.len() <= KEPT_ANSWER_MAX;
+                let content_type = self.headers.get(CONTENT_TYPE);
+                Some(KeyOutcome::Done(KeptAnswer {
+                    status: self.status.as_u16(),
+                    content_type: content_type.and_then(|t| t.to_str().ok()).map(str::to_owned),
+                    body: is_kept.then(|| self.body.clone()),
+                }))
+            }
+        }
+    }
+
+    /// The answer of a key's first run.
+    pub fn replayed(kept: KeptAnswer) -> Self {
+        let (Some(body), Ok(status)) = (kept.body, StatusCode::from_u16(kept.status)) else {
+            return CallerAnswer::coded(ResultCode::AnswerNotKept, None);
+        };
+        let mut headers = HeaderMap::new();
+        if let Some(value) = kept.content_type.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert(CONTENT_TYPE, value);
+        }
+        CallerAnswer::of_worker(status, &headers, body)
+    }
+
     /// A worker's answer.
     pub fn of_worker(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Self {
         let mut headers = end_to_end(headers);
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,18 +8,17 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Request, StatusCode};
+use http::header::{HOST, HeaderName, HeaderValue};
+use http::{Method, Request};
 use http_body_util::Full;
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, timeout};
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock::millis;
 use crate::connection::{ExchangeTerms, WholeAnswer};
 use crate::decide::estimate::{RunEstimate, queue_wait};
 use crate::decide::fleet::VmPhase;
-use crate::decide::key::{KEPT_ANSWER_MAX, KeptAnswer, KeyOutcome, KeyStep, RequestKey};
+use crate::decide::key::{KeyStep, RequestKey};
 use crate::decide::retry::{
     AttemptOutcome, NotRunReason, RetryBudget, RetryState, UnknownReason, may_go_elsewhere,
     may_run_again,
@@ -184,9 +183,9 @@
         table: &Arc<RouteTable<P>>,
         key: RequestKey,
     ) -> CallerAnswer {
-        match self.keyring.begin(&key, fingerprint(&request)) {
+        match self.keyring.begin(&key, request.fingerprint()) {
             KeyStep::Run => {}
-            KeyStep::Replay(answer) => return replay(answer),
+            KeyStep::Replay(kept) => return CallerAnswer::replayed(kept),
             KeyStep::Answer(code) => return CallerAnswer::coded(code, Some(COME_BACK)),
             KeyStep::Forward => return refuse(ResultCode::KeyOwnerStale, COME_BACK),
         }
@@ -194,7 +193,7 @@
         let (router, table) = (self.clone(), table.clone());
         let run = tokio::spawn(async move {
             let answer = router.route_plain(&request, &service, &table, Some(&key)).await;
-            router.keyring.finish(&key.id, outcome(&answer));
+            router.keyring.finish(&key.id, answer.key_outcome());
             answer
         });
         run.await.unwrap_or_else(|_| CallerAnswer::coded(ResultCode::Unknown, None))
@@ -621,41 +620,3 @@
     headers.insert(HeaderName::from_static(TIME_LEFT_HEADER), left);
     message
 }
-
-fn fingerprint(request: &CallerRequest) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(request.method.as_str().as_bytes());
-    hash.update(&[0]);
-    hash.update(request.path.as_bytes());
-    hash.update(&[0]);
-    hash.update(&request.body);
-    hash.digest()
-}
-
-/// What the owner remembers of an answer; nothing if the request was not run.
-fn outcome(answer: &CallerAnswer) -> Option<KeyOutcome> {
-    match answer.code {
-        Some(code) if code.is_not_run() => None,
-        Some(ResultCode::Unknown) => Some(KeyOutcome::Unknown),
-        code => {
-            let is_kept = code.is_none() && answer.body.len() <= KEPT_ANSWER_MAX;
-            let content_type = answer.headers.get(http::header::CONTENT_TYPE);
-            Some(KeyOutcome::Done(KeptAnswer {
-                status: answer.status.as_u16(),
-                content_type: content_type.and_then(|t| t.to_str().ok()).map(str::to_owned),
-                body: is_kept.then(|| answer.body.clone()),
-            }))
-        }
-    }
-}
-
-fn replay(kept: KeptAnswer) -> CallerAnswer {
-    let (Some(body), Ok(status)) = (kept.body, StatusCode::from_u16(kept.status)) else {
-        return CallerAnswer::coded(ResultCode::AnswerNotKept, None);
-    };
-    let mut headers = HeaderMap::new();
-    if let Some(value) = kept.content_type.and_then(|text| HeaderValue::from_str(&text).ok()) {
-        headers.insert(http::header::CONTENT_TYPE, value);
-    }
-    CallerAnswer::of_worker(status, &headers, body)
-}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -88,7 +88,7 @@
     pub fn one_pool(workers: u32) -> Self {
         FleetShape {
             centres: vec![("dc".to_owned(), "region".to_owned())],
-            pools: vec![("work".to_owned(), workers, 0)],
+            pools: vec![("jobs".to_owned(), workers, 0)],
             ..FleetShape::regie()
         }
     }
--- a/standin/src/measure/path.rs
+++ b/standin/src/measure/path.rs
@@ -71,7 +71,7 @@
     LoadPlan {
         rate: capacity() * part,
         time,
-        services: vec!["work".to_owned()],
+        services: vec!["jobs".to_owned()],
         work_ms: (WORK_MS, WORK_MS),
         ..LoadPlan::default()
     }
@@ -94,7 +94,7 @@
         runs.spawn(async move {
             let mut latencies = Vec::new();
             while Instant::now() < until {
-                let request = http::Request::get("/work/run").header("host", "site");
+                let request = http::Request::get("/jobs/run").header("host", "site");
                 let Ok(request) = request.body(Empty::<bytes::Bytes>::new()) else { break };
                 let started = Instant::now();
                 let Ok(answer) = sender.send_request(request).await else { break };
