--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 pub mod health;
 pub mod intent;
 pub mod key;
+pub mod leadership;
 pub mod lease;
 pub mod retry;
 pub mod roster;
--- /dev/null
+++ b/src/decide/leadership.rs
@@ -0,0 +1,106 @@
+//! Who leads, by conditional appends to one stream of the log.
+//!
+//! The stream holds claims, renewals and resignations. Each is appended only if the stream still
+//! ends where the writer read it to end, so there is one order and one winner of every race. The
+//! term of a leader is the offset of its claim plus one: it rises with every leader, and is the root
+//! of every fencing token.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Time without a renewal after which others may claim, in milliseconds: three renewals, and room
+/// for a log that takes 300 ms to answer.
+pub const SILENCE_MS: u64 = 1_400;
+/// Time between two renewals, in milliseconds.
+pub const RENEWAL_MS: u64 = 450;
+
+/// What a record of the stream says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeadershipAct {
+    /// The holder leads from here on.
+    Claim,
+    /// The holder still leads.
+    Renew,
+    /// The holder has stopped leading.
+    Resign,
+}
+
+/// One record of the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadershipRecord {
+    /// What it says.
+    pub act: LeadershipAct,
+    /// Name of the holder.
+    pub holder: Arc<str>,
+    /// Drawn at the start of the holder's process: a restarted one is another holder.
+    pub life: u64,
+}
+
+/// What a process knows of the stream.
+#[derive(Clone, Debug, Default)]
+pub struct LeadershipView {
+    /// Where the stream ends, as far as it was read.
+    pub end: u64,
+    /// Term of the newest claim; 0 before any.
+    pub term: u64,
+    /// Who made it.
+    pub holder: Option<(Arc<str>, u64)>,
+    /// Whether it has resigned.
+    pub has_resigned: bool,
+    /// When the newest record was read, in milliseconds.
+    pub seen_ms: Option<u64>,
+    /// Since when reads have been answered without a gap, in milliseconds.
+    contact_ms: Option<u64>,
+}
+
+impl LeadershipView {
+    /// Takes the record at `offset`.
+    pub fn fold(&mut self, offset: u64, record: &LeadershipRecord, now: u64) {
+        self.end = self.end.max(offset + 1);
+        self.seen_ms = Some(now);
+        match record.act {
+            LeadershipAct::Claim => {
+                self.term = offset + 1;
+                self.holder = Some((record.holder.clone(), record.life));
+                self.has_resigned = false;
+            }
+            LeadershipAct::Renew => {
+                // A reader that starts behind the claim still learns who leads.
+                if self.holder.is_none() {
+                    self.holder = Some((record.holder.clone(), record.life));
+                }
+            }
+            LeadershipAct::Resign => self.has_resigned = true,
+        }
+    }
+
+    /// The stream was read to its end.
+    pub fn reached(&mut self, end: u64, now: u64) {
+        self.end = self.end.max(end);
+        self.contact_ms.get_or_insert(now);
+    }
+
+    /// A read failed: a renewal may have been missed since.
+    pub fn lost_contact(&mut self) {
+        self.contact_ms = None;
+    }
+
+    /// Time until a claim is allowed, in milliseconds; nothing without contact. Silence counts only
+    /// while the log could be read: after its outage the leader gets the time to renew.
+    pub fn claim_in_ms(&self, now: u64) -> Option<u64> {
+        let contact = self.contact_ms?;
+        let Some(seen) = self.seen_ms else { return Some(0) };
+        if self.has_resigned {
+            return Some(0);
+        }
+        let quiet_since = seen.max(contact);
+        Some((quiet_since + SILENCE_MS).saturating_sub(now))
+    }
+
+    /// Whether this process made the newest claim.
+    pub fn is_held_by(&self, holder: &str, life: u64) -> bool {
+        !self.has_resigned
+            && self.holder.as_ref().is_some_and(|(name, own)| &**name == holder && *own == life)
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -92,11 +92,21 @@
     CantEverRun = 120, 422, "the service's pool has no worker in any data centre";
     /// The head is over the limit.
     HeadTooLarge = 121, 431, "the request head is over the limit";
+    /// A job that no caller ever submitted, or that is over for long.
+    UnknownJob = 122, 410, "no such job is known";
+    /// A job that no worker could make sense of.
+    BadJob = 123, 400, "the job is malformed";
+    /// The log can't be written or read now; nothing was done.
+    LogAway = 124, 503, "the log can't be reached; nothing was done";
+    /// A path or method that no call has.
+    UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
     Unknown = 201, 504, "the request was sent and may have run; its outcome is not known";
     /// The key was minted before its present owner took over.
     KeyOutcomeLost = 202, 504,
         "an earlier attempt of this key may have run; its owner was lost with the outcome";
+    /// The log has not said whether it has the job or the cancellation.
+    JobOutcomeUnknown = 203, 504, "the job may have been stored; its outcome is not known";
     /// The worker's answer was cut or malformed.
     AnswerCut = 301, 502, "the request ran, but its answer was cut or malformed";
     /// The worker's answer is over the limit.
--- /dev/null
+++ b/src/jobs/conductor.rs
@@ -0,0 +1,595 @@
+//! Runs the scheduler against the outside while this entry leads.
+//!
+//! One task drives the scheduler and hands out what it decides; each worker has a lane for its
+//! commands, one at a time and in order, and a task that renews its leases; one task commits to the
+//! log. All end together when the leadership does.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::jobs::follower::{TailReader, TailStep};
+use crate::jobs::metrics::count;
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{
+    AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RunCall, StartCall,
+    VmClient, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
+};
+use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::site::WorkerEntry;
+use crate::scheduler::commit::CommitBatch;
+use crate::scheduler::exits::RenewPlan;
+use crate::scheduler::runs::refusal_word;
+use crate::scheduler::{
+    Scheduler, SchedulerAction, SchedulerCensus, SchedulerNote, SchedulerStart,
+};
+
+/// Longest time between two ticks of the scheduler.
+const TICK: Duration = Duration::from_millis(50);
+/// Pause between two ticks, in which facts gather: jobs and exits come in bursts.
+const TICK_GAP: Duration = Duration::from_millis(6);
+/// Time for a start or stop to be answered.
+const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
+/// Time for an append to be answered before it is repeated.
+const APPEND_PATIENCE: Duration = Duration::from_millis(700);
+/// Pause before an append is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(40);
+/// Wait for a record of the workers' stream in one read, and the pause after records.
+const WORKERS_WAIT: Duration = Duration::from_millis(700);
+const WORKERS_GAP: Duration = Duration::from_millis(120);
+/// Name of the leader's writer on the log; its epoch is the term.
+const WRITER: &str = "leader";
+
+/// Reads a worker's record; the platform's adapter knows the form.
+pub type WorkerDecoder = fn(&KeyedRecord) -> Option<WorkerEntry>;
+/// Writes a wave's status; the platform's adapter knows the form.
+pub type WaveEncoder = fn(u64, bool) -> Option<KeyedRecord>;
+
+/// What a leader works with.
+#[derive(Clone)]
+pub struct ConductorParts<L, W, V, P> {
+    /// The log.
+    pub log: L,
+    /// The workers.
+    pub workers: W,
+    /// The VMs.
+    pub vms: V,
+    /// The placement policy service.
+    pub permits: P,
+    /// Reads a worker's record.
+    pub worker_decoder: WorkerDecoder,
+    /// Writes a wave's status.
+    pub wave_encoder: WaveEncoder,
+}
+
+/// A running leader.
+pub struct Conductor {
+    main: AbortHandle,
+}
+
+impl Conductor {
+    /// Takes over in a task of its own.
+    pub fn spawn<L, W, V, P>(
+        node: Arc<JobNode>,
+        parts: ConductorParts<L, W, V, P>,
+        term: u64,
+        predecessor_ms: Option<u64>,
+    ) -> Conductor
+    where
+        L: JobLog,
+        W: WorkerClient,
+        V: VmClient,
+        P: PermitClient,
+    {
+        let run = LeaderRun {
+            node,
+            parts,
+            term,
+            sequence: Mutex::new(0),
+            lanes: Mutex::new(HashMap::new()),
+            commit_wake: Notify::new(),
+        };
+        let main = tokio::spawn(Arc::new(run).lead(predecessor_ms)).abort_handle();
+        Conductor { main }
+    }
+
+    /// Whether it has ended by itself: somebody with a higher term was seen.
+    pub fn is_over(&self) -> bool {
+        self.main.is_finished()
+    }
+
+    /// Ends it at once.
+    pub fn stop(self) {
+        self.main.abort();
+    }
+}
+
+/// A command in a worker's lane.
+enum LaneCommand {
+    Start(StartCall),
+    Stop(RunCall),
+    Throttle(RunCall, u32),
+}
+
+/// What a worker's tasks are reached by.
+#[derive(Clone)]
+struct WorkerLane {
+    wake: Arc<Notify>,
+    commands: mpsc::UnboundedSender<LaneCommand>,
+}
+
+struct LeaderRun<L, W, V, P> {
+    node: Arc<JobNode>,
+    parts: ConductorParts<L, W, V, P>,
+    term: u64,
+    sequence: Mutex<u64>,
+    lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
+    commit_wake: Notify,
+}
+
+impl<L, W, V, P> LeaderRun<L, W, V, P>
+where
+    L: JobLog,
+    W: WorkerClient,
+    V: VmClient,
+    P: PermitClient,
+{
+    async fn lead(self: Arc<Self>, predecessor_ms: Option<u64>) {
+        let Some(end) = self.raise_epoch().await else { return };
+        self.read_through(end).await;
+        let Some((tail, workers)) = self.first_workers().await else { return };
+        let Some(config) = self.node.config() else { return };
+        let start = SchedulerStart {
+            term: self.term,
+            bounds: self.node.settings.bounds,
+            config,
+            predecessor_ms,
+            now: self.node.now(),
+            wall_ms: self.node.clock.wall_ms(),
+        };
+        let census = self.install(start, workers);
+        info!(self.node.logger, "taken over"; "term" => self.term, "jobs" => census.jobs,
+            "runs" => census.runs, "workers" => census.workers, "offset" => end);
+        // All tasks end with this one.
+        let mut tasks = JoinSet::new();
+        tasks.spawn(self.clone().commit());
+        tasks.spawn(self.clone().follow_workers(tail));
+        self.drive(&mut tasks).await;
+        self.node.set_scheduler(None);
+    }
+
+    /// Opens the scheduler. The book stays locked until it is in place: a record that is folded
+    /// meanwhile would be told to nobody, and its job would wait for the next leader.
+    fn install(&self, start: SchedulerStart, workers: Vec<WorkerEntry>) -> SchedulerCensus {
+        let now = start.now;
+        let waves = self.node.waves();
+        let book = self.node.book();
+        let mut scheduler = Scheduler::open(start, &book);
+        scheduler.workers_listed(workers, now);
+        for wave in waves.values() {
+            scheduler.take_wave(wave.clone(), book.maintained(wave.number), now);
+        }
+        let census = scheduler.census();
+        self.node.set_scheduler(Some(scheduler));
+        census
+    }
+
+    /// Shuts earlier leaders out of the log; answers with its end, or nothing if we are shut out.
+    async fn raise_epoch(&self) -> Option<u64> {
+        loop {
+            match self.append(Vec::new(), 0).await {
+                AppendOutcome::Done { end, .. } => {
+                    *self.sequence() = 1;
+                    return Some(end);
+                }
+                AppendOutcome::Fenced => return None,
+                AppendOutcome::OutOfSequence => {
+                    // An earlier try was done.
+                    *self.sequence() = 1;
+                }
+                AppendOutcome::EndMoved { .. }
+                | AppendOutcome::Refused
+                | AppendOutcome::Unknown => {}
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    fn sequence(&self) -> MutexGuard<'_, u64> {
+        self.sequence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn append(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendOutcome {
+        let stamp = WriterStamp { writer: WRITER.into(), epoch: self.term, sequence };
+        let call = AppendCall {
+            topic: LogTopic::Jobs,
+            records,
+            expected_end: None,
+            stamp: Some(stamp),
+        };
+        let begun = Instant::now();
+        let outcome = self.parts.log.append(&call, APPEND_PATIENCE).await;
+        self.node.metrics.append_seconds.observe(begun.elapsed().as_secs_f64());
+        if matches!(outcome, AppendOutcome::Done { .. }) {
+            self.node.touch();
+        }
+        outcome
+    }
+
+    /// Waits until the book has everything that leaders before us have written.
+    async fn read_through(&self, end: u64) {
+        let mut tail = TailReader::new(LogTopic::Jobs);
+        if self.node.book_end() > 0 {
+            tail = TailReader::at(LogTopic::Jobs, self.node.book_end());
+        }
+        while self.node.book_end() < end {
+            match tail.next(&self.parts.log, Duration::ZERO).await {
+                TailStep::Snapshot(records) | TailStep::Records(records) => {
+                    crate::jobs::follower::fold_raw(&self.node, &records);
+                    self.node.set_book_end(tail.position());
+                    if records.is_empty() && tail.position() < end {
+                        sleep(REPEAT_PAUSE).await;
+                    }
+                }
+                TailStep::Failed => sleep(REPEAT_PAUSE).await,
+            }
+        }
+    }
+
+    async fn first_workers(&self) -> Option<(TailReader, Vec<WorkerEntry>)> {
+        let mut tail = TailReader::new(LogTopic::Workers);
+        loop {
+            if let TailStep::Snapshot(records) = tail.next(&self.parts.log, Duration::ZERO).await {
+                return Some((tail, self.decode_workers(&records)));
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    fn decode_workers(&self, records: &[(u64, KeyedRecord)]) -> Vec<WorkerEntry> {
+        let decode = |(_, record): &(u64, KeyedRecord)| {
+            let entry = (self.parts.worker_decoder)(record);
+            if entry.is_none() && !record.value.is_empty() {
+                warn!(self.node.logger, "a worker's record can't be read"; "key" => &record.key);
+            }
+            entry
+        };
+        records.iter().filter_map(decode).collect()
+    }
+
+    async fn follow_workers(self: Arc<Self>, mut tail: TailReader) {
+        loop {
+            let step = tail.next(&self.parts.log, WORKERS_WAIT).await;
+            let now = self.node.now();
+            match step {
+                TailStep::Snapshot(records) => {
+                    let entries = self.decode_workers(&records);
+                    self.node.touch();
+                    self.node.with_scheduler(|scheduler| scheduler.workers_listed(entries, now));
+                }
+                TailStep::Records(records) => {
+                    self.node.touch();
+                    self.take_workers(&records, now);
+                }
+                TailStep::Failed => {}
+            }
+            self.node.wake.notify_one();
+            sleep(WORKERS_GAP).await;
+        }
+    }
+
+    fn take_workers(&self, records: &[(u64, KeyedRecord)], now: u64) {
+        for (_, record) in records {
+            if record.value.is_empty() {
+                let id: Arc<str> = record.key.as_str().into();
+                self.node.with_scheduler(|scheduler| scheduler.worker_unlisted(&id, now));
+                continue;
+            }
+            match (self.parts.worker_decoder)(record) {
+                Some(entry) => {
+                    self.node.with_scheduler(|scheduler| scheduler.worker_seen(entry, now));
+                }
+                None => {
+                    warn!(self.node.logger, "a worker's record can't be read"; "key" => &record.key)
+                }
+            }
+        }
+    }
+
+    async fn drive(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
+        loop {
+            let now = self.node.now();
+            let wall_ms = self.node.clock.wall_ms();
+            let turn = self.node.with_scheduler(|scheduler| {
+                scheduler.tick(now, wall_ms);
+                (scheduler.take_actions(), scheduler.is_deposed())
+            });
+            let Some((actions, is_deposed)) = turn else { return };
+            if is_deposed {
+                info!(self.node.logger, "a higher term was seen"; "term" => self.term);
+                return;
+            }
+            for action in actions {
+                self.carry_out(action, tasks);
+            }
+            self.commit_wake.notify_one();
+            while tasks.try_join_next().is_some() {}
+            sleep(TICK_GAP).await;
+            // No wake within the time is the usual case.
+            let _ = timeout(TICK, self.node.wake.notified()).await;
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: SchedulerAction, tasks: &mut JoinSet<()>) {
+        match action {
+            SchedulerAction::Start(target, call) => {
+                self.send(&target, LaneCommand::Start(call), tasks);
+            }
+            SchedulerAction::Stop(target, call) => {
+                self.send(&target, LaneCommand::Stop(call), tasks);
+            }
+            SchedulerAction::Throttle(target, call, percent) => {
+                self.send(&target, LaneCommand::Throttle(call, percent), tasks);
+            }
+            SchedulerAction::Watch(target) => {
+                self.lane(&target, tasks).wake.notify_one();
+            }
+            SchedulerAction::Wake(worker) => {
+                if let Some(lane) = self.lanes().get(&worker) {
+                    lane.wake.notify_one();
+                }
+            }
+            SchedulerAction::ListVms => {
+                tasks.spawn(self.clone().list_vms());
+            }
+            SchedulerAction::CommandVm(command, fence) => {
+                let run = self.clone();
+                tasks.spawn(async move {
+                    let holder = run.node.settings.node.clone();
+                    let outcome =
+                        run.parts.vms.command(&command, &VmStamp { holder, fence }).await;
+                    let now = run.node.now();
+                    run.node.with_scheduler(|scheduler| {
+                        scheduler.vm_commanded(&command, outcome, now);
+                    });
+                    run.node.wake.notify_one();
+                });
+            }
+            SchedulerAction::TellWave(number, is_completed) => {
+                tasks.spawn(self.clone().tell_wave(number, is_completed));
+            }
+            SchedulerAction::AskPermits(step, workers) => {
+                let run = self.clone();
+                tasks.spawn(async move {
+                    let grant = run.parts.permits.ask(&step, &workers).await;
+                    let now = run.node.now();
+                    run.node.with_scheduler(|scheduler| scheduler.take_permits(step, grant, now));
+                    run.node.wake.notify_one();
+                });
+            }
+            SchedulerAction::Note(note) => self.log_note(&note),
+        }
+    }
+
+    fn lanes(&self) -> MutexGuard<'_, HashMap<Arc<str>, WorkerLane>> {
+        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The lane of a worker; its tasks are started with it.
+    fn lane(self: &Arc<Self>, target: &WorkerTarget, tasks: &mut JoinSet<()>) -> WorkerLane {
+        let mut lanes = self.lanes();
+        if let Some(lane) = lanes.get(&target.id) {
+            return lane.clone();
+        }
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let lane = WorkerLane { wake: Arc::new(Notify::new()), commands };
+        lanes.insert(target.id.clone(), lane.clone());
+        tasks.spawn(self.clone().renew(target.id.clone(), lane.wake.clone()));
+        tasks.spawn(self.clone().command(target.clone(), receiver));
+        lane
+    }
+
+    fn send(
+        self: &Arc<Self>,
+        target: &WorkerTarget,
+        command: LaneCommand,
+        tasks: &mut JoinSet<()>,
+    ) {
+        // The lane ends only with its worker, whose runs are then over.
+        let _ = self.lane(target, tasks).commands.send(command);
+    }
+
+    /// Sends a worker's commands one after the other.
+    async fn command(
+        self: Arc<Self>,
+        target: WorkerTarget,
+        mut commands: mpsc::UnboundedReceiver<LaneCommand>,
+    ) {
+        while let Some(command) = commands.recv().await {
+            self.send_command(&target, command).await;
+            self.node.wake.notify_one();
+        }
+    }
+
+    async fn send_command(&self, target: &WorkerTarget, command: LaneCommand) {
+        let workers = &self.parts.workers;
+        match command {
+            LaneCommand::Start(call) => {
+                let outcome = workers.start(target, &call, COMMAND_PATIENCE).await;
+                self.count_start(&outcome);
+                let now = self.node.now();
+                self.node.with_scheduler(|scheduler| {
+                    scheduler.started(&target.id, &call.task, call.run, &outcome, now);
+                });
+            }
+            LaneCommand::Stop(call) => {
+                let outcome = workers.stop(target, &call, COMMAND_PATIENCE).await;
+                let now = self.node.now();
+                self.node.with_scheduler(|scheduler| {
+                    scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
+                });
+            }
+            LaneCommand::Throttle(call, percent) => {
+                let outcome = workers.throttle(target, &call, percent, COMMAND_PATIENCE).await;
+                let is_done = matches!(outcome, CommandOutcome::Done(_));
+                self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
+            }
+        }
+    }
+
+    fn count_start(&self, outcome: &CommandOutcome<u64>) {
+        let reason = match outcome {
+            CommandOutcome::Done(_) => "done",
+            CommandOutcome::Refused(refusal, _) => refusal_word(*refusal),
+            CommandOutcome::Unknown => "no_answer",
+        };
+        count(&self.node.metrics.starts, reason);
+    }
+
+    /// Renews a worker's leases until its life is over.
+    async fn renew(self: Arc<Self>, id: Arc<str>, wake: Arc<Notify>) {
+        loop {
+            let now = self.node.now();
+            let plan = self.node.with_scheduler(|scheduler| scheduler.renew_plan(&id, now));
+            match plan {
+                None | Some(RenewPlan::Leave) => break,
+                Some(RenewPlan::Wait(wait)) => {
+                    // Either ends the wait.
+                    let _ = timeout(wait, wake.notified()).await;
+                }
+                Some(RenewPlan::Call(target, call, patience)) => {
+                    let sent_ms = self.node.now();
+                    let outcome = self.parts.workers.renew(&target, &call, patience).await;
+                    self.node.metrics.renewals.inc();
+                    let now = self.node.now();
+                    self.node.with_scheduler(|scheduler| {
+                        scheduler.renewed(&id, &call, outcome, sent_ms, now);
+                    });
+                    self.node.wake.notify_one();
+                }
+            }
+        }
+        self.lanes().remove(&id);
+    }
+
+    async fn list_vms(self: Arc<Self>) {
+        let asked_ms = self.node.now();
+        let Some(vms) = self.parts.vms.list().await else {
+            count(&self.node.metrics.vm_calls, "list_failed");
+            return;
+        };
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| scheduler.take_vms(vms, asked_ms, now));
+        self.node.wake.notify_one();
+    }
+
+    /// Tells operators of a wave, until the log has it.
+    async fn tell_wave(self: Arc<Self>, number: u64, is_completed: bool) {
+        let Some(record) = (self.parts.wave_encoder)(number, is_completed) else { return };
+        info!(self.node.logger, "wave status"; "wave" => number, "completed" => is_completed);
+        let call = AppendCall {
+            topic: LogTopic::Status,
+            records: vec![record],
+            expected_end: None,
+            stamp: None,
+        };
+        loop {
+            let outcome = self.parts.log.append(&call, APPEND_PATIENCE).await;
+            if matches!(outcome, AppendOutcome::Done { .. }) {
+                return;
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    /// Commits what the scheduler has decided, one append at a time.
+    async fn commit(self: Arc<Self>) {
+        loop {
+            let batch = self.node.with_scheduler(Scheduler::take_commit).flatten();
+            let Some(batch) = batch else {
+                self.commit_wake.notified().await;
+                continue;
+            };
+            if !self.commit_batch(&batch).await {
+                self.node.with_scheduler(Scheduler::depose);
+                self.node.wake.notify_one();
+                return;
+            }
+        }
+    }
+
+    /// Appends until the log has the batch; false if a later leader has shut us out.
+    async fn commit_batch(&self, batch: &CommitBatch) -> bool {
+        let sequence = *self.sequence();
+        if batch.records.is_empty() {
+            self.committed(batch, &[]);
+            return true;
+        }
+        loop {
+            match self.append(batch.records.clone(), sequence).await {
+                AppendOutcome::Done { offset, .. } => {
+                    *self.sequence() = sequence + 1;
+                    let folded: Vec<(u64, JobRecord)> =
+                        (offset..).zip(batch.folded.iter().cloned()).collect();
+                    self.committed(batch, &folded);
+                    return true;
+                }
+                AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return false,
+                AppendOutcome::EndMoved { .. }
+                | AppendOutcome::Refused
+                | AppendOutcome::Unknown => {}
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    fn committed(&self, batch: &CommitBatch, folded: &[(u64, JobRecord)]) {
+        {
+            let mut book = self.node.book();
+            for (offset, record) in folded {
+                book.fold(record, *offset);
+            }
+        }
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| scheduler.committed(batch, now));
+        self.node.wake.notify_one();
+    }
+
+    fn log_note(&self, note: &SchedulerNote) {
+        let logger = &self.node.logger;
+        match note {
+            SchedulerNote::Placed { task, run, worker, age_ms } => {
+                info!(logger, "placed"; "job" => %task.job, "task" => %task, "run" => run,
+                    "worker" => &**worker, "age_ms" => age_ms);
+            }
+            SchedulerNote::Ended { task, run, worker, how } => {
+                count(&self.node.metrics.exits, how);
+                info!(logger, "ended"; "job" => %task.job, "task" => %task, "run" => run,
+                    "worker" => &**worker, "how" => how);
+            }
+            SchedulerNote::StartRefused { task, run, worker, reason } => {
+                info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
+                    "worker" => &**worker, "reason" => reason);
+            }
+            SchedulerNote::JobState { job, state, age_ms } => {
+                info!(logger, "job state"; "job" => %job, "state" => ?state, "age_ms" => age_ms);
+            }
+            SchedulerNote::Worker { worker, change, runs } => {
+                info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
+            }
+            SchedulerNote::Vm { vm, change } => {
+                info!(logger, "vm"; "vm" => &**vm, "change" => change);
+            }
+            SchedulerNote::Stopped { task, run, reason } => {
+                count(&self.node.metrics.stops, reason);
+                info!(logger, "stopping"; "job" => %task.job, "task" => %task, "run" => run,
+                    "reason" => reason);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/desk.rs
@@ -0,0 +1,196 @@
+//! What callers ask of an entry: submit a job, look at it, cancel it, count a queue.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info};
+use tokio::time::{Instant, timeout};
+
+use crate::error::ResultCode;
+use crate::jobs::follower::fold_raw;
+use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{JobLog, LogTopic, ReadOutcome};
+use crate::jobs::record::JobRecord;
+use crate::jobs::site::QueueSpec;
+use crate::jobs::submitter::{SubmitHandle, SubmitOutcome};
+
+/// Time by which an answer leaves before its caller gives up: the way back and a busy process.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Longest wait for the log before a caller is told that the outcome is not known: by then another
+/// entry is the better choice, and the caller has time left for it.
+const SUBMIT_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time to read the newest records before a job is said not to exist.
+const CATCH_UP_PATIENCE: Duration = Duration::from_millis(800);
+/// When a caller that was refused for an outage may come back.
+const OUTAGE_RETRY: Duration = Duration::from_secs(1);
+
+/// What an entry answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeskReply {
+    /// The job is stored, or its cancellation is.
+    Stored,
+    /// The job's state.
+    State(JobState),
+    /// Jobs of the queue of which no task has started.
+    Waiting(u64),
+    /// Nothing was done; when to come back, where that helps.
+    Refused(ResultCode, Option<Duration>),
+    /// Not known whether it was done.
+    Unknown(ResultCode),
+}
+
+/// Answers callers.
+#[derive(Clone)]
+pub struct JobDesk<L> {
+    /// Shared state.
+    pub node: Arc<JobNode>,
+    /// The log.
+    pub log: L,
+    /// Puts records on the log.
+    pub submitter: SubmitHandle,
+}
+
+impl<L: JobLog> JobDesk<L> {
+    /// The queue that a request belongs to.
+    ///
+    /// # Errors
+    /// `NotReady` before a configuration was read, `UnknownService` if no queue has this host and
+    /// path.
+    pub fn queue(&self, host: &str, path: &str) -> Result<QueueSpec, DeskReply> {
+        let refused = |code, wait| DeskReply::Refused(code, wait);
+        let Some(config) = self.node.config() else {
+            return Err(refused(ResultCode::NotReady, Some(OUTAGE_RETRY)));
+        };
+        let queue = config.route(host, path);
+        queue.cloned().ok_or_else(|| refused(ResultCode::UnknownService, None))
+    }
+
+    /// Stores a job; the same id again is the same job.
+    pub async fn submit(
+        &self,
+        queue: &QueueSpec,
+        job: JobId,
+        spec: JobSpec,
+        patience: Duration,
+    ) -> DeskReply {
+        let logger = self.node.logger.clone();
+        if let Err(fault) = spec.check() {
+            info!(logger, "job refused"; "job" => %job, "fault" => ?fault,
+                "code" => ResultCode::BadJob.number());
+            return DeskReply::Refused(ResultCode::BadJob, None);
+        }
+        if self.is_known(job) {
+            info!(logger, "job known already"; "job" => %job);
+            return DeskReply::Stored;
+        }
+        let submission = JobSubmission {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            accepted_ms: self.node.clock.wall_ms(),
+            spec,
+        };
+        let record = JobRecord::Submitted(job, Arc::new(submission));
+        let begun = Instant::now();
+        let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
+        note(&logger, "submission", job, outcome, begun);
+        reply(outcome)
+    }
+
+    /// Tells a job's state.
+    pub async fn look(&self, job: JobId) -> DeskReply {
+        if let Some(state) = self.state(job) {
+            return DeskReply::State(state);
+        }
+        match self.catch_up().await {
+            true => self.state(job).map_or_else(no_such_job, DeskReply::State),
+            false => outage(),
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, queue: &QueueSpec, job: JobId, patience: Duration) -> DeskReply {
+        let logger = self.node.logger.clone();
+        if self.state(job).is_none() && !self.catch_up().await {
+            return outage();
+        }
+        match self.state(job) {
+            None => {
+                info!(logger, "no such job to cancel"; "job" => %job);
+                return no_such_job();
+            }
+            Some(state) if state.is_final() => return DeskReply::Stored,
+            Some(_) => {}
+        }
+        let begun = Instant::now();
+        let record = JobRecord::Cancelled(job);
+        let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
+        note(&logger, "cancellation", job, outcome, begun);
+        reply(outcome)
+    }
+
+    /// Counts the jobs of a queue that wait for their first task.
+    pub fn count(&self, queue: &QueueSpec) -> DeskReply {
+        DeskReply::Waiting(self.node.book().waiting(&queue.name))
+    }
+
+    fn is_known(&self, job: JobId) -> bool {
+        self.state(job).is_some()
+    }
+
+    fn state(&self, job: JobId) -> Option<JobState> {
+        self.node.book().get(job).and_then(|entry| entry.state())
+    }
+
+    /// Reads the newest records of the job log; false if that can't be done now. Another entry may
+    /// have accepted the job a moment ago.
+    async fn catch_up(&self) -> bool {
+        let reading = async {
+            let mut position = self.node.book_end();
+            loop {
+                match self.log.read(LogTopic::Jobs, position, Duration::ZERO).await {
+                    ReadOutcome::Read(batch) => {
+                        fold_raw(&self.node, &batch.records);
+                        position = position.max(batch.next);
+                        if position >= batch.end || batch.records.is_empty() {
+                            return true;
+                        }
+                    }
+                    ReadOutcome::Expired { .. } | ReadOutcome::Refused | ReadOutcome::Unknown => {
+                        return false;
+                    }
+                }
+            }
+        };
+        timeout(CATCH_UP_PATIENCE, reading).await.unwrap_or(false)
+    }
+}
+
+fn deadline(queue: &QueueSpec, patience: Duration) -> Instant {
+    let own = match queue.timeout_ms {
+        0 => SUBMIT_PATIENCE,
+        timeout => SUBMIT_PATIENCE.min(Duration::from_millis(timeout)),
+    };
+    Instant::now() + own.min(patience.saturating_sub(ANSWER_MARGIN))
+}
+
+fn reply(outcome: SubmitOutcome) -> DeskReply {
+    match outcome {
+        SubmitOutcome::Stored => DeskReply::Stored,
+        SubmitOutcome::Refused => outage(),
+        SubmitOutcome::Unknown => DeskReply::Unknown(ResultCode::JobOutcomeUnknown),
+    }
+}
+
+fn outage() -> DeskReply {
+    DeskReply::Refused(ResultCode::LogAway, Some(OUTAGE_RETRY))
+}
+
+fn no_such_job() -> DeskReply {
+    DeskReply::Refused(ResultCode::UnknownJob, None)
+}
+
+fn note(logger: &Logger, what: &'static str, job: JobId, outcome: SubmitOutcome, begun: Instant) {
+    let took_ms = crate::clock::millis(begun.elapsed());
+    info!(logger, "{}", what; "job" => %job, "outcome" => ?outcome, "took_ms" => took_ms);
+}
--- /dev/null
+++ b/src/jobs/entry.rs
@@ -0,0 +1,234 @@
+//! One entry's job side, tied together: listeners, followers, leadership, and a graceful stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper_util::server::graceful::Watcher;
+use ractor::ActorRef;
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::control::{LoopSupervisor, SupervisedLoop, SupervisorCall};
+use crate::decide::leadership::LeadershipView;
+use crate::error::{CodeResult, ResultCode, coded};
+use crate::jobs::conductor::ConductorParts;
+use crate::jobs::desk::JobDesk;
+use crate::jobs::follower::{JobFollower, OperatorDecoder, OperatorFollower, TailReader};
+use crate::jobs::leadership::LeadershipLoop;
+use crate::jobs::metrics::JobMetrics;
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{JobLog, LogTopic, PermitClient, VmClient, WorkerClient};
+use crate::jobs::site::SiteSettings;
+use crate::jobs::submitter;
+use crate::listener::{self, CallerConnections};
+
+/// Time not ready before connections are closed at a stop: the balancer looks once a second and
+/// wants two misses.
+const STOP_NOTICE: Duration = Duration::from_millis(2_400);
+/// Time for requests in flight after that, within the platform's own limit.
+const STOP_PATIENCE: Duration = Duration::from_millis(2_600);
+/// Part of the platform's limit that is left unused.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+/// Pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves a caller's connection; the platform's adapter knows the protocol.
+pub trait CallerProtocol<L: JobLog>: Clone + Send + Sync + 'static {
+    /// Serves requests until the connection ends.
+    fn serve(
+        &self,
+        stream: TcpStream,
+        desk: JobDesk<L>,
+        watcher: Watcher,
+    ) -> impl Future<Output = ()> + Send;
+
+    /// Serves readiness probes and metrics.
+    fn serve_probes(
+        &self,
+        stream: TcpStream,
+        node: Arc<JobNode>,
+    ) -> impl Future<Output = ()> + Send;
+}
+
+/// What an entry works with.
+pub struct EntryPorts<L, W, V, P, C> {
+    /// What a leader works with.
+    pub leader: ConductorParts<L, W, V, P>,
+    /// The callers' protocol.
+    pub callers: C,
+    /// Reads what operators write.
+    pub operator_decoder: OperatorDecoder,
+}
+
+/// A running entry.
+pub struct JobEntry {
+    /// Address that callers reach.
+    pub callers: SocketAddr,
+    node: Arc<JobNode>,
+    supervisor: ActorRef<SupervisorCall>,
+    accepting: Vec<JoinHandle<()>>,
+    connections: Arc<CallerConnections>,
+}
+
+impl JobEntry {
+    /// Binds the addresses and starts the loops.
+    ///
+    /// # Errors
+    /// `BindFailed` if an address can't be bound.
+    pub async fn open<L, W, V, P, C>(
+        settings: SiteSettings,
+        ports: EntryPorts<L, W, V, P, C>,
+        logger: Logger,
+    ) -> CodeResult<JobEntry>
+    where
+        L: JobLog,
+        W: WorkerClient,
+        V: VmClient,
+        P: PermitClient,
+        C: CallerProtocol<L>,
+    {
+        let callers = bind(settings.callers).await?;
+        let ready = bind(settings.ready).await?;
+        let metrics = bind(settings.metrics).await?;
+        let address = callers
+            .local_addr()
+            .map_err(|error| coded(ResultCode::BindFailed, error.to_string()))?;
+        let life: u64 = rand::random();
+        info!(logger, "starting"; "callers" => %address, "life" => format!("{life:x}"),
+            "log" => %settings.log);
+        let node = Arc::new(JobNode::new(settings, Arc::new(JobMetrics::default()), logger));
+        let log = ports.leader.log.clone();
+        let submitter = submitter::spawn(node.clone(), log.clone(), life);
+        let desk = JobDesk { node: node.clone(), log, submitter };
+        let connections = Arc::new(CallerConnections::open());
+        let accepting = vec![
+            tokio::spawn(accept_callers(
+                callers,
+                desk,
+                ports.callers.clone(),
+                connections.clone(),
+            )),
+            tokio::spawn(accept_probes(ready, node.clone(), ports.callers.clone())),
+            tokio::spawn(accept_probes(metrics, node.clone(), ports.callers)),
+        ];
+        let loops = loops(&node, &ports.leader, ports.operator_decoder, life);
+        let supervisor = LoopSupervisor::spawn(node.logger.clone(), loops)
+            .await
+            .map_err(|error| coded(ResultCode::BindFailed, error))?;
+        Ok(JobEntry { callers: address, node, supervisor, accepting, connections })
+    }
+
+    /// Shared state.
+    pub fn node(&self) -> &Arc<JobNode> {
+        &self.node
+    }
+
+    /// Stops gracefully: not ready and not leading first; callers are served on until the balancer
+    /// has noticed; then connections close after what they have in flight. Returns whether nothing
+    /// was cut off.
+    pub async fn stop(self) -> bool {
+        let begun = Instant::now();
+        info!(self.node.logger, "stopping");
+        self.node.begin_stop();
+        let grace = Duration::from_millis(self.node.settings.bounds.grace_ms);
+        let whole = grace.saturating_sub(STOP_RESERVE);
+        sleep(STOP_NOTICE.min(whole / 2)).await;
+        for task in &self.accepting {
+            task.abort();
+        }
+        let left = STOP_PATIENCE.min(whole.saturating_sub(begun.elapsed()));
+        let is_graceful = self.connections.close(left).await;
+        if !is_graceful {
+            warn!(self.node.logger, "requests were still in flight at the end of the stop");
+        }
+        // The supervisor may be gone already; then there is nothing left to stop.
+        let _ = self.supervisor.cast(SupervisorCall::StopAll);
+        info!(self.node.logger, "stopped"; "graceful" => is_graceful);
+        is_graceful
+    }
+}
+
+async fn bind(address: SocketAddr) -> CodeResult<TcpListener> {
+    listener::bind(address).await
+}
+
+async fn accept_callers<L: JobLog, C: CallerProtocol<L>>(
+    listener: TcpListener,
+    desk: JobDesk<L>,
+    protocol: C,
+    connections: Arc<CallerConnections>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let Some(watcher) = connections.watcher() else { return };
+                let (desk, protocol) = (desk.clone(), protocol.clone());
+                tokio::spawn(async move { protocol.serve(stream, desk, watcher).await });
+            }
+            Err(error) => {
+                warn!(desk.node.logger, "a connection can't be accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept_probes<L: JobLog, C: CallerProtocol<L>>(
+    listener: TcpListener,
+    node: Arc<JobNode>,
+    protocol: C,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (node, protocol) = (node.clone(), protocol.clone());
+                tokio::spawn(async move { protocol.serve_probes(stream, node).await });
+            }
+            Err(error) => {
+                warn!(node.logger, "a probe can't be accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn loops<L, W, V, P>(
+    node: &Arc<JobNode>,
+    parts: &ConductorParts<L, W, V, P>,
+    decoder: OperatorDecoder,
+    life: u64,
+) -> Vec<SupervisedLoop>
+where
+    L: JobLog,
+    W: WorkerClient,
+    V: VmClient,
+    P: PermitClient,
+{
+    let jobs = (node.clone(), parts.log.clone());
+    let operator = (node.clone(), parts.log.clone());
+    let leadership = (node.clone(), parts.clone());
+    vec![
+        SupervisedLoop::new(move || JobFollower {
+            node: jobs.0.clone(),
+            log: jobs.1.clone(),
+            tail: TailReader::new(LogTopic::Jobs),
+        }),
+        SupervisedLoop::new(move || OperatorFollower {
+            node: operator.0.clone(),
+            log: operator.1.clone(),
+            tail: TailReader::new(LogTopic::Operator),
+            decoder,
+        }),
+        SupervisedLoop::new(move || LeadershipLoop {
+            node: leadership.0.clone(),
+            parts: leadership.1.clone(),
+            life,
+            view: LeadershipView::default(),
+            conductor: None,
+            is_in_doubt: false,
+        }),
+    ]
+}
--- /dev/null
+++ b/src/jobs/follower.rs
@@ -0,0 +1,203 @@
+//! Follows a keyed stream of the log: the newest record of each key first, then what is appended.
+//!
+//! The log drops old records soon. A reader that is behind what is kept starts again from the newest
+//! record of each key, so nothing rests on records being read in time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+
+use crate::control::ControlLoop;
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{JobLog, LogTopic, ReadOutcome};
+use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::site::OperatorRecord;
+
+/// Wait for a record in one read. A connection that has gone silent shows only when the read's time
+/// is up; a configuration must be in force within 2 s.
+const READ_WAIT: Duration = Duration::from_millis(700);
+/// Pause after a read that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// Least time between two reads of the job log where nothing depends on them at once: each read is
+/// paid for.
+const FOLLOW_GAP: Duration = Duration::from_millis(120);
+/// The same where the leader runs: a job should start soon.
+const LEADER_GAP: Duration = Duration::from_millis(12);
+/// Least time between two reads of what operators wrote.
+const OPERATOR_GAP: Duration = Duration::from_millis(50);
+
+/// Decodes what operators write; the platform's adapter knows the form.
+pub type OperatorDecoder = fn(&KeyedRecord) -> Option<OperatorRecord>;
+
+/// What one read brought.
+#[derive(Debug)]
+pub enum TailStep {
+    /// The newest record of every key.
+    Snapshot(Vec<(u64, KeyedRecord)>),
+    /// Records appended since; maybe none.
+    Records(Vec<(u64, KeyedRecord)>),
+    /// The log could not be read.
+    Failed,
+}
+
+/// Reads one keyed stream from where it left off.
+#[derive(Debug)]
+pub struct TailReader {
+    topic: LogTopic,
+    position: Option<u64>,
+}
+
+impl TailReader {
+    /// A reader that begins with a snapshot.
+    pub fn new(topic: LogTopic) -> TailReader {
+        TailReader { topic, position: None }
+    }
+
+    /// A reader that goes on from an offset.
+    pub fn at(topic: LogTopic, position: u64) -> TailReader {
+        TailReader { topic, position: Some(position) }
+    }
+
+    /// Everything before this offset was read.
+    pub fn position(&self) -> u64 {
+        self.position.unwrap_or(0)
+    }
+
+    /// Reads on.
+    pub async fn next<L: JobLog>(&mut self, log: &L, wait: Duration) -> TailStep {
+        let Some(position) = self.position else { return self.snapshot(log).await };
+        match log.read(self.topic, position, wait).await {
+            ReadOutcome::Read(batch) => {
+                self.position = Some(position.max(batch.next));
+                TailStep::Records(batch.records)
+            }
+            ReadOutcome::Expired { .. } => {
+                self.position = None;
+                self.snapshot(log).await
+            }
+            ReadOutcome::Refused | ReadOutcome::Unknown => TailStep::Failed,
+        }
+    }
+
+    async fn snapshot<L: JobLog>(&mut self, log: &L) -> TailStep {
+        let mut records: Vec<(u64, KeyedRecord)> = Vec::new();
+        let mut end = None;
+        let mut after: Option<String> = None;
+        loop {
+            let Some(page) = log.newest(self.topic, after.as_deref()).await else {
+                return TailStep::Failed;
+            };
+            // Later pages may tell newer records; reading on from the first page's end repeats
+            // some and misses none.
+            end.get_or_insert(page.end);
+            after = page.records.last().map(|(_, record)| record.key.clone());
+            records.extend(page.records);
+            if !page.has_more || after.is_none() {
+                break;
+            }
+        }
+        self.position = end;
+        TailStep::Snapshot(records)
+    }
+}
+
+/// Follows the job log into the book.
+pub struct JobFollower<L> {
+    /// Shared state.
+    pub node: Arc<JobNode>,
+    /// The log.
+    pub log: L,
+    /// Where the reading is.
+    pub tail: TailReader,
+}
+
+impl<L: JobLog> ControlLoop for JobFollower<L> {
+    const NAME: &'static str = "job follower";
+
+    async fn step(&mut self) -> Duration {
+        let records = match self.tail.next(&self.log, READ_WAIT).await {
+            TailStep::Snapshot(records) | TailStep::Records(records) => records,
+            TailStep::Failed => return FAILED_PAUSE,
+        };
+        self.node.touch();
+        let is_empty = records.is_empty();
+        fold_raw(&self.node, &records);
+        self.node.set_book_end(self.tail.position());
+        if is_empty {
+            return Duration::ZERO;
+        }
+        match self.node.with_scheduler(|_| ()) {
+            Some(()) => LEADER_GAP,
+            None => FOLLOW_GAP,
+        }
+    }
+}
+
+/// Folds raw records of the job log; what can't be read is skipped with a line.
+pub fn fold_raw(node: &JobNode, records: &[(u64, KeyedRecord)]) {
+    let mut folded = Vec::with_capacity(records.len());
+    for (offset, record) in records {
+        match JobRecord::decode(&record.key, &record.value) {
+            Some(record) => folded.push((*offset, record)),
+            None if record.value.is_empty() => {}
+            None => warn!(node.logger, "a record of the job log can't be read";
+                "key" => &record.key, "offset" => offset),
+        }
+    }
+    if !folded.is_empty() {
+        node.fold(&folded);
+    }
+}
+
+/// Follows what operators write.
+pub struct OperatorFollower<L> {
+    /// Shared state.
+    pub node: Arc<JobNode>,
+    /// The log.
+    pub log: L,
+    /// Where the reading is.
+    pub tail: TailReader,
+    /// Reads a record.
+    pub decoder: OperatorDecoder,
+}
+
+impl<L: JobLog> ControlLoop for OperatorFollower<L> {
+    const NAME: &'static str = "operator follower";
+
+    async fn step(&mut self) -> Duration {
+        let records = match self.tail.next(&self.log, READ_WAIT).await {
+            TailStep::Snapshot(records) | TailStep::Records(records) => records,
+            TailStep::Failed => return FAILED_PAUSE,
+        };
+        self.node.touch();
+        for (offset, record) in &records {
+            self.take(*offset, record);
+        }
+        if records.is_empty() { Duration::ZERO } else { OPERATOR_GAP }
+    }
+}
+
+impl<L: JobLog> OperatorFollower<L> {
+    fn take(&self, offset: u64, record: &KeyedRecord) {
+        match (self.decoder)(record) {
+            Some(OperatorRecord::Config(config)) => {
+                let (version, queues) = (config.version, config.queues.len());
+                if self.node.set_config(config) {
+                    info!(self.node.logger, "configuration in force";
+                        "version" => version, "queues" => queues, "offset" => offset);
+                }
+            }
+            Some(OperatorRecord::Wave(wave)) => {
+                info!(self.node.logger, "maintenance wave"; "wave" => wave.number,
+                    "vms" => wave.vms.len(), "parallel" => wave.parallel_max,
+                    "within_ms" => wave.within_ms);
+                self.node.take_wave(wave);
+            }
+            None if record.value.is_empty() => {}
+            None => warn!(self.node.logger, "an operator's record can't be read";
+                "key" => &record.key, "offset" => offset),
+        }
+    }
+}
+
--- /dev/null
+++ b/src/jobs/leadership.rs
@@ -0,0 +1,225 @@
+//! Follows who leads, claims when nobody does, and renews while this entry leads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::control::ControlLoop;
+use crate::decide::leadership::{LeadershipAct, LeadershipRecord, LeadershipView, RENEWAL_MS};
+use crate::jobs::conductor::{Conductor, ConductorParts};
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogTopic, PermitClient, ReadOutcome, VmClient, WorkerClient,
+};
+use crate::jobs::record::KeyedRecord;
+
+/// Time for an append to be answered; a slow log takes 300 ms.
+const APPEND_PATIENCE: Duration = Duration::from_millis(600);
+/// Pause after a read or an append that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest and longest wait of one read.
+const WAIT_MIN: Duration = Duration::from_millis(20);
+const WAIT_MAX: Duration = Duration::from_millis(1_000);
+
+/// Follows and holds the leadership.
+pub struct LeadershipLoop<L, W, V, P> {
+    /// Shared state.
+    pub node: Arc<JobNode>,
+    /// What a leader works with.
+    pub parts: ConductorParts<L, W, V, P>,
+    /// Drawn at the start of the process.
+    pub life: u64,
+    /// What is known of the stream.
+    pub view: LeadershipView,
+    /// Running while this entry leads.
+    pub conductor: Option<Conductor>,
+    /// Whether a claim or renewal had no answer: it may be done yet.
+    pub is_in_doubt: bool,
+}
+
+impl<L, W, V, P> ControlLoop for LeadershipLoop<L, W, V, P>
+where
+    L: JobLog,
+    W: WorkerClient,
+    V: VmClient,
+    P: PermitClient,
+{
+    const NAME: &'static str = "leadership";
+
+    async fn step(&mut self) -> Duration {
+        if self.conductor.is_some() { self.lead().await } else { self.follow().await }
+    }
+}
+
+impl<L, W, V, P> LeadershipLoop<L, W, V, P>
+where
+    L: JobLog,
+    W: WorkerClient,
+    V: VmClient,
+    P: PermitClient,
+{
+    async fn follow(&mut self) -> Duration {
+        if self.node.is_stopping() {
+            return WAIT_MAX;
+        }
+        let now = self.node.now();
+        let claim_in = self.view.claim_in_ms(now);
+        if claim_in == Some(0) && !self.is_in_doubt {
+            return self.claim().await;
+        }
+        let wait = claim_in.map_or(Duration::ZERO, |wait_ms| {
+            Duration::from_millis(wait_ms).clamp(WAIT_MIN, WAIT_MAX)
+        });
+        if self.read(wait).await { Duration::ZERO } else { FAILED_PAUSE }
+    }
+
+    /// Reads what was appended; false if the log can't be read.
+    async fn read(&mut self, wait: Duration) -> bool {
+        let outcome = self.parts.log.read(LogTopic::Leadership, self.view.end, wait).await;
+        let now = self.node.now();
+        match outcome {
+            ReadOutcome::Read(batch) => {
+                self.node.touch();
+                for (offset, record) in &batch.records {
+                    self.fold(*offset, record, now);
+                }
+                self.view.reached(batch.next.max(self.view.end), now);
+                if batch.records.is_empty() {
+                    self.is_in_doubt = false;
+                }
+                true
+            }
+            ReadOutcome::Expired { first } => {
+                self.view.end = self.view.end.max(first);
+                self.view.seen_ms = Some(now);
+                true
+            }
+            ReadOutcome::Refused | ReadOutcome::Unknown => {
+                self.view.lost_contact();
+                false
+            }
+        }
+    }
+
+    fn fold(&mut self, offset: u64, record: &KeyedRecord, now: u64) {
+        match postcard::from_bytes::<LeadershipRecord>(&record.value) {
+            Ok(record) => {
+                if record.act != LeadershipAct::Renew {
+                    info!(self.node.logger, "leadership"; "act" => ?record.act,
+                        "holder" => &*record.holder, "offset" => offset);
+                }
+                self.view.fold(offset, &record, now);
+            }
+            Err(error) => {
+                warn!(self.node.logger, "a leadership record can't be read";
+                    "offset" => offset, "error" => %error);
+                self.view.end = self.view.end.max(offset + 1);
+                self.view.seen_ms = Some(now);
+            }
+        }
+    }
+
+    async fn append(&self, act: LeadershipAct) -> AppendOutcome {
+        let record =
+            LeadershipRecord { act, holder: self.node.settings.node.clone(), life: self.life };
+        let Ok(value) = postcard::to_stdvec(&record) else { return AppendOutcome::Refused };
+        let call = AppendCall {
+            topic: LogTopic::Leadership,
+            records: vec![KeyedRecord { key: String::new(), value }],
+            expected_end: Some(self.view.end),
+            stamp: None,
+        };
+        self.parts.log.append(&call, APPEND_PATIENCE).await
+    }
+
+    async fn claim(&mut self) -> Duration {
+        let predecessor_ms = self.view.seen_ms;
+        match self.append(LeadershipAct::Claim).await {
+            AppendOutcome::Done { .. } => {
+                let now = self.node.now();
+                let record = LeadershipRecord {
+                    act: LeadershipAct::Claim,
+                    holder: self.node.settings.node.clone(),
+                    life: self.life,
+                };
+                self.view.fold(self.view.end, &record, now);
+                info!(self.node.logger, "leading"; "term" => self.view.term);
+                self.node.metrics.takeovers.inc();
+                let term = self.view.term;
+                let parts = self.parts.clone();
+                self.conductor =
+                    Some(Conductor::spawn(self.node.clone(), parts, term, predecessor_ms));
+                Duration::from_millis(RENEWAL_MS)
+            }
+            AppendOutcome::EndMoved { .. } => Duration::ZERO,
+            // A claim that is done later is found by reading on; it has no conductor, and is
+            // followed by a claim of somebody who has one.
+            AppendOutcome::Unknown => {
+                self.is_in_doubt = true;
+                FAILED_PAUSE
+            }
+            _ => {
+                self.view.lost_contact();
+                FAILED_PAUSE
+            }
+        }
+    }
+
+    async fn lead(&mut self) -> Duration {
+        let is_over = self.conductor.as_ref().is_none_or(Conductor::is_over);
+        if is_over {
+            self.step_down("the conductor has ended");
+            return Duration::ZERO;
+        }
+        if self.node.is_stopping() {
+            // Nothing may be commanded once the resignation can be read.
+            self.step_down("stopping");
+            let outcome = self.append(LeadershipAct::Resign).await;
+            info!(self.node.logger, "resigned"; "outcome" => ?outcome);
+            return WAIT_MAX;
+        }
+        let sent_ms = self.node.now();
+        match self.append(LeadershipAct::Renew).await {
+            AppendOutcome::Done { end, .. } => {
+                self.view.end = end;
+                self.confirm(sent_ms);
+                let spent = self.node.now().saturating_sub(sent_ms);
+                Duration::from_millis(RENEWAL_MS.saturating_sub(spent))
+            }
+            AppendOutcome::EndMoved { .. } | AppendOutcome::Unknown => self.resolve(sent_ms).await,
+            _ => FAILED_PAUSE,
+        }
+    }
+
+    /// A renewal may have been done: the stream tells.
+    async fn resolve(&mut self, sent_ms: u64) -> Duration {
+        let end = self.view.end;
+        if !self.read(Duration::ZERO).await {
+            return FAILED_PAUSE;
+        }
+        if !self.view.is_held_by(&self.node.settings.node, self.life) {
+            self.step_down("another entry leads");
+            return Duration::ZERO;
+        }
+        if self.view.end > end {
+            self.confirm(sent_ms);
+        }
+        sleep(WAIT_MIN).await;
+        Duration::ZERO
+    }
+
+    fn confirm(&mut self, sent_ms: u64) {
+        self.node.touch();
+        self.node.with_scheduler(|scheduler| scheduler.confirm(sent_ms));
+    }
+
+    fn step_down(&mut self, cause: &'static str) {
+        info!(self.node.logger, "not leading any more"; "term" => self.view.term, "cause" => cause);
+        if let Some(conductor) = self.conductor.take() {
+            conductor.stop();
+        }
+        self.node.set_scheduler(None);
+    }
+}
--- /dev/null
+++ b/src/jobs/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and histograms of the job side, as Prometheus text.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::metrics::ReasonLabel;
+
+type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
+
+/// Every metric of the job side of one entry.
+#[derive(Debug)]
+pub struct JobMetrics {
+    registry: Registry,
+    /// Answers to callers, by call and status.
+    pub replies: Reasons,
+    /// Time to answer a caller, in seconds.
+    pub reply_seconds: Histogram,
+    /// Starts, by what became of them.
+    pub starts: Reasons,
+    /// Ends of runs, by kind.
+    pub exits: Reasons,
+    /// Stops, by reason.
+    pub stops: Reasons,
+    /// Lease renewals.
+    pub renewals: Counter,
+    /// Calls to the VM service that failed, by kind.
+    pub vm_calls: Reasons,
+    /// Time of an append to the log, in seconds.
+    pub append_seconds: Histogram,
+    /// Times that this entry began to lead.
+    pub takeovers: Counter,
+    /// Whether this entry leads.
+    pub leading: Gauge,
+    /// Age of the last answer of the log, in milliseconds.
+    pub log_age_ms: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Jobs that are not over, where this entry leads.
+    pub open_jobs: Gauge,
+    /// Runs that may be alive, where this entry leads.
+    pub live_runs: Gauge,
+    /// Workers that don't answer, where this entry leads.
+    pub silent_workers: Gauge,
+}
+
+impl Default for JobMetrics {
+    fn default() -> Self {
+        let seconds = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
+        let mut metrics = JobMetrics {
+            registry: Registry::with_prefix("ibisweir_job"),
+            replies: Family::default(),
+            reply_seconds: seconds(),
+            starts: Family::default(),
+            exits: Family::default(),
+            stops: Family::default(),
+            renewals: Counter::default(),
+            vm_calls: Family::default(),
+            append_seconds: seconds(),
+            takeovers: Counter::default(),
+            leading: Gauge::default(),
+            log_age_ms: Gauge::default(),
+            config_version: Gauge::default(),
+            open_jobs: Gauge::default(),
+            live_runs: Gauge::default(),
+            silent_workers: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl JobMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("replies", "answers to callers, by call and code", self.replies.clone());
+        let help = "time to answer a caller, in seconds";
+        registry.register("reply_seconds", help, self.reply_seconds.clone());
+        registry.register("starts", "starts, by what became of them", self.starts.clone());
+        registry.register("exits", "ends of runs, by kind", self.exits.clone());
+        registry.register("stops", "stops, by reason", self.stops.clone());
+        registry.register("renewals", "lease renewals", self.renewals.clone());
+        registry.register("vm_calls", "failed calls to the VM service", self.vm_calls.clone());
+        let help = "time of an append to the log, in seconds";
+        registry.register("append_seconds", help, self.append_seconds.clone());
+        registry.register("takeovers", "times this entry began to lead", self.takeovers.clone());
+        registry.register("leading", "1 while this entry leads", self.leading.clone());
+        let help = "age of the last answer of the log, in ms";
+        registry.register("log_age_ms", help, self.log_age_ms.clone());
+        let help = "version of the configuration in force";
+        registry.register("config_version", help, self.config_version.clone());
+        registry.register("open", "jobs that are not over, at the leader", self.open_jobs.clone());
+        let help = "runs that may be alive, at the leader";
+        registry.register("live_runs", help, self.live_runs.clone());
+        let help = "workers that don't answer, at the leader";
+        registry.register("silent_workers", help, self.silent_workers.clone());
+    }
+
+    /// Prometheus text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Counts one more for a reason.
+pub fn count(family: &Reasons, reason: &'static str) {
+    family.get_or_create(&ReasonLabel { reason }).inc();
+}
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,19 @@
+//! Jobs: accepted from callers, kept on the log, scheduled on workers by the leader.
+//!
+//! Every entry accepts jobs and answers for them from its own copy of the log ([`book`]). One entry
+//! leads at a time ([`leadership`]) and runs the [`crate::scheduler`] against the outside
+//! ([`conductor`]). What the outside looks like is behind the traits of [`ports`].
+
+pub mod book;
+pub mod conductor;
+pub mod desk;
+pub mod entry;
+pub mod follower;
+pub mod leadership;
+pub mod metrics;
+pub mod model;
+pub mod node;
+pub mod ports;
+pub mod record;
+pub mod site;
+pub mod submitter;
--- /dev/null
+++ b/src/jobs/node.rs
@@ -0,0 +1,184 @@
+//! What the parts of one entry share on the job side.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::clock::ProcessClock;
+use crate::jobs::book::JobBook;
+use crate::jobs::metrics::JobMetrics;
+use crate::jobs::record::JobRecord;
+use crate::jobs::site::{MaintenanceWave, SiteConfig, SiteSettings};
+use crate::scheduler::Scheduler;
+
+/// Age of the last answer of the log, in milliseconds, from which an entry is not ready: the others
+/// of its data centre may still reach it.
+const CONTACT_AGE_MAX_MS: u64 = 2_500;
+
+/// State shared by the loops of one entry.
+pub struct JobNode {
+    /// Settings of the process.
+    pub settings: SiteSettings,
+    /// Its clock.
+    pub clock: ProcessClock,
+    /// Counters and histograms.
+    pub metrics: Arc<JobMetrics>,
+    /// Log lines.
+    pub logger: Logger,
+    /// Wakes the leader's loop.
+    pub wake: Notify,
+    config: ArcSwapOption<SiteConfig>,
+    book: Mutex<JobBook>,
+    book_end: AtomicU64,
+    waves: Mutex<BTreeMap<u64, MaintenanceWave>>,
+    scheduler: Mutex<Option<Scheduler>>,
+    contact_ms: AtomicU64,
+    is_stopping: AtomicBool,
+}
+
+impl JobNode {
+    /// An entry that knows nothing yet.
+    pub fn new(settings: SiteSettings, metrics: Arc<JobMetrics>, logger: Logger) -> JobNode {
+        JobNode {
+            settings,
+            clock: ProcessClock::start(),
+            metrics,
+            logger,
+            wake: Notify::new(),
+            config: ArcSwapOption::empty(),
+            book: Mutex::new(JobBook::default()),
+            book_end: AtomicU64::new(0),
+            waves: Mutex::new(BTreeMap::new()),
+            scheduler: Mutex::new(None),
+            contact_ms: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Milliseconds of the steady clock.
+    pub fn now(&self) -> u64 {
+        self.clock.steady_ms()
+    }
+
+    /// Configuration in force, once one was read.
+    pub fn config(&self) -> Option<Arc<SiteConfig>> {
+        self.config.load_full()
+    }
+
+    /// Takes a configuration; an older one than that in force is ignored, as reads may overlap.
+    pub fn set_config(&self, config: SiteConfig) -> bool {
+        let is_newer = self.config().is_none_or(|own| own.version < config.version);
+        if is_newer {
+            let config = Arc::new(config);
+            self.config.store(Some(config.clone()));
+            self.with_scheduler(|scheduler| scheduler.set_config(config));
+            self.wake.notify_one();
+        }
+        is_newer
+    }
+
+    /// The job book.
+    pub fn book(&self) -> MutexGuard<'_, JobBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Folds records of the job log, and tells the leader if it runs here.
+    pub fn fold(&self, records: &[(u64, JobRecord)]) {
+        {
+            let mut book = self.book();
+            for (offset, record) in records {
+                book.fold(record, *offset);
+            }
+        }
+        let now = self.now();
+        self.with_scheduler(|scheduler| {
+            for (_, record) in records {
+                scheduler.take_record(record, now);
+            }
+        });
+        self.wake.notify_one();
+    }
+
+    /// The book tells everything before this offset.
+    pub fn set_book_end(&self, end: u64) {
+        self.book_end.fetch_max(end, Ordering::AcqRel);
+    }
+
+    /// Offset up to which the book tells everything.
+    pub fn book_end(&self) -> u64 {
+        self.book_end.load(Ordering::Acquire)
+    }
+
+    /// Takes a wave.
+    pub fn take_wave(&self, wave: MaintenanceWave) {
+        let done = self.book().maintained(wave.number);
+        let now = self.now();
+        self.waves().insert(wave.number, wave.clone());
+        self.with_scheduler(|scheduler| scheduler.take_wave(wave, done, now));
+    }
+
+    /// Every wave that was read.
+    pub fn waves(&self) -> MutexGuard<'_, BTreeMap<u64, MaintenanceWave>> {
+        self.waves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs `edit` on the scheduler if this entry leads.
+    pub fn with_scheduler<R>(&self, edit: impl FnOnce(&mut Scheduler) -> R) -> Option<R> {
+        let mut scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner);
+        scheduler.as_mut().map(edit)
+    }
+
+    /// Begins or ends leading.
+    pub fn set_scheduler(&self, scheduler: Option<Scheduler>) {
+        *self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) = scheduler;
+    }
+
+    /// The log has answered.
+    pub fn touch(&self) {
+        self.contact_ms.store(self.now().max(1), Ordering::Release);
+    }
+
+    /// Time since the log last answered, in milliseconds; nothing if it never did.
+    pub fn log_age_ms(&self) -> Option<u64> {
+        match self.contact_ms.load(Ordering::Acquire) {
+            0 => None,
+            contact => Some(self.now().saturating_sub(contact)),
+        }
+    }
+
+    /// Stops being ready.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether a stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.config().is_some()
+            && self.log_age_ms().is_some_and(|age| age < CONTACT_AGE_MAX_MS)
+    }
+
+    /// Brings the gauges up to date.
+    pub fn measure(&self) {
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let size = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let metrics = &self.metrics;
+        metrics.log_age_ms.set(self.log_age_ms().map_or(-1, gauge));
+        metrics.config_version.set(self.config().map_or(0, |config| gauge(config.version)));
+        let census = self.with_scheduler(|scheduler| scheduler.census());
+        metrics.leading.set(i64::from(census.is_some()));
+        let census = census.unwrap_or_default();
+        metrics.open_jobs.set(size(census.jobs));
+        metrics.live_runs.set(size(census.runs));
+        metrics.silent_workers.set(size(census.silent));
+    }
+}
--- /dev/null
+++ b/src/jobs/record.rs
@@ -0,0 +1,134 @@
+//! What is kept of a job on the log.
+//!
+//! Three keys a job, so that no writer overwrites what another one says: the submission and the
+//! cancellation may be written by any entry and any number of times, the progress by the leader
+//! alone. The log keeps the newest record of each key.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::jobs::model::{JobId, JobState, JobSubmission};
+
+/// What one record of the job log says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JobRecord {
+    /// A caller handed the job in.
+    Submitted(JobId, Arc<JobSubmission>),
+    /// A caller cancelled it.
+    Cancelled(JobId),
+    /// How far it is.
+    Progress(JobId, Arc<JobProgress>),
+    /// One of its keys was dropped; the job is over for long.
+    Dropped(JobId),
+    /// VMs of a maintenance wave that have been maintained, by the number of the wave.
+    Wave(u64, Arc<BTreeSet<Arc<str>>>),
+}
+
+/// How far a job is, whole: each record replaces the one before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobProgress {
+    /// Term of the leader that wrote it.
+    pub term: u64,
+    /// State for callers.
+    pub state: JobState,
+    /// When the state became final, in milliseconds since the epoch.
+    pub ended_ms: u64,
+    /// Occurrences before this one are done.
+    pub occurrences_done: u32,
+    /// Steps whose tasks are all done, by occurrence and position.
+    pub steps_done: Vec<(u32, u16)>,
+    /// Tasks of other steps of which there is something to say.
+    pub tasks: Vec<TaskProgress>,
+    /// Workers that the tasks name.
+    pub workers: Vec<Arc<str>>,
+}
+
+/// How far a task is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+    /// Index in the step.
+    pub index: u32,
+    /// Highest run number given out.
+    pub run: u32,
+    /// Runs that ended in failure.
+    pub failures: u32,
+    /// Whether it is done.
+    pub is_done: bool,
+    /// Runs that may be alive: position of the worker in the list, and run number.
+    pub live: Vec<(u16, u32)>,
+    /// Newest checkpoint; empty for none.
+    pub checkpoint: String,
+}
+
+const SUBMITTED: &str = "s";
+const CANCELLED: &str = "x";
+const PROGRESS: &str = "p";
+const WAVE: &str = "w";
+
+/// A record as the log keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value; empty if the key is dropped.
+    pub value: Vec<u8>,
+}
+
+impl JobRecord {
+    /// Writes a record that is not a drop.
+    pub fn encode(&self) -> Option<KeyedRecord> {
+        if let JobRecord::Wave(number, done) = self {
+            let value = postcard::to_stdvec(&**done).ok()?;
+            return Some(KeyedRecord { key: format!("{WAVE}{number}"), value });
+        }
+        let (prefix, job, value) = match self {
+            JobRecord::Submitted(job, submission) => {
+                (SUBMITTED, job, postcard::to_stdvec(&**submission).ok()?)
+            }
+            JobRecord::Cancelled(job) => (CANCELLED, job, vec![1]),
+            JobRecord::Progress(job, progress) => {
+                (PROGRESS, job, postcard::to_stdvec(&**progress).ok()?)
+            }
+            JobRecord::Dropped(_) | JobRecord::Wave(..) => return None,
+        };
+        Some(KeyedRecord { key: format!("{prefix}{job}"), value })
+    }
+
+    /// The records that drop every key of a job. The submission goes last: a reader that sees only
+    /// some of them must not take the job for one that has not begun.
+    pub fn drops(job: JobId) -> Vec<KeyedRecord> {
+        [CANCELLED, PROGRESS, SUBMITTED]
+            .iter()
+            .map(|prefix| KeyedRecord { key: format!("{prefix}{job}"), value: Vec::new() })
+            .collect()
+    }
+
+    /// Reads a record; nothing if it is malformed.
+    pub fn decode(key: &str, value: &[u8]) -> Option<JobRecord> {
+        if let Some(number) = key.strip_prefix(WAVE) {
+            let done = postcard::from_bytes(value).ok()?;
+            return Some(JobRecord::Wave(number.parse().ok()?, Arc::new(done)));
+        }
+        let job = JobId::parse(key.get(1..)?)?;
+        match (key.get(..1)?, value.is_empty()) {
+            (SUBMITTED, true) => Some(JobRecord::Dropped(job)),
+            (CANCELLED | PROGRESS, true) => None,
+            (SUBMITTED, false) => {
+                let submission = postcard::from_bytes(value).ok()?;
+                Some(JobRecord::Submitted(job, Arc::new(submission)))
+            }
+            (CANCELLED, false) => Some(JobRecord::Cancelled(job)),
+            (PROGRESS, false) => {
+                let progress = postcard::from_bytes(value).ok()?;
+                Some(JobRecord::Progress(job, Arc::new(progress)))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/submitter.rs
@@ -0,0 +1,178 @@
+//! Puts submissions and cancellations on the log, many in one append, one append at a time.
+//!
+//! An append without an answer may have been done, or may be done seconds later. It is repeated
+//! under the same number, which the log does once. Only an outcome that the log states is passed on
+//! as such; a caller whose time is up first is told that the outcome is not known.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
+use crate::jobs::record::{JobRecord, KeyedRecord};
+
+/// Records in one append at most.
+const BATCH_MAX: usize = 128;
+/// Submissions that may wait; beyond, callers are refused at once.
+const QUEUE_MAX: usize = 2_048;
+/// Time for an append to be answered before it is repeated: a slow log takes 300 ms.
+const APPEND_PATIENCE: Duration = Duration::from_millis(700);
+/// Pause before an append is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+/// Age of an append without an answer from which callers that wait behind it are refused: their
+/// records have not been sent, so the refusal is true, and they may try another entry.
+const STUCK_AGE: Duration = Duration::from_millis(500);
+
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitOutcome {
+    /// It is on the log.
+    Stored,
+    /// It is not, and never will be.
+    Refused,
+    /// Not known.
+    Unknown,
+}
+
+struct SubmitRequest {
+    record: JobRecord,
+    keyed: KeyedRecord,
+    answer: oneshot::Sender<SubmitOutcome>,
+}
+
+/// Hands records to the submitter's task.
+#[derive(Clone)]
+pub struct SubmitHandle {
+    requests: mpsc::Sender<SubmitRequest>,
+}
+
+impl SubmitHandle {
+    /// Puts a record on the log; `Unknown` if that has no outcome by `deadline`.
+    pub async fn submit(&self, record: JobRecord, deadline: Instant) -> SubmitOutcome {
+        let Some(keyed) = record.encode() else { return SubmitOutcome::Refused };
+        let (answer, outcome) = oneshot::channel();
+        // A full queue means that the log is far behind; nothing was sent.
+        if self.requests.try_send(SubmitRequest { record, keyed, answer }).is_err() {
+            return SubmitOutcome::Refused;
+        }
+        match timeout_at(deadline, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => SubmitOutcome::Unknown,
+        }
+    }
+}
+
+/// Appends in order.
+struct Submitter<L> {
+    node: Arc<JobNode>,
+    log: L,
+    requests: mpsc::Receiver<SubmitRequest>,
+    writer: Arc<str>,
+    epoch: u64,
+    sequence: u64,
+}
+
+/// Starts the submitter's task.
+pub fn spawn<L: JobLog>(node: Arc<JobNode>, log: L, life: u64) -> SubmitHandle {
+    let (sender, requests) = mpsc::channel(QUEUE_MAX);
+    // A restarted process has forgotten its numbers: it is another writer.
+    let writer = format!("{}-{life:x}", node.settings.node).into();
+    let submitter = Submitter { node, log, requests, writer, epoch: 1, sequence: 0 };
+    tokio::spawn(submitter.run());
+    SubmitHandle { requests: sender }
+}
+
+impl<L: JobLog> Submitter<L> {
+    async fn run(mut self) {
+        while let Some(first) = self.requests.recv().await {
+            let mut batch = vec![first];
+            while batch.len() < BATCH_MAX {
+                let Ok(next) = self.requests.try_recv() else { break };
+                batch.push(next);
+            }
+            self.append(batch).await;
+        }
+    }
+
+    async fn append(&mut self, batch: Vec<SubmitRequest>) {
+        let call = AppendCall {
+            topic: LogTopic::Jobs,
+            records: batch.iter().map(|request| request.keyed.clone()).collect(),
+            expected_end: None,
+            stamp: Some(WriterStamp {
+                writer: self.writer.clone(),
+                epoch: self.epoch,
+                sequence: self.sequence,
+            }),
+        };
+        let begun = Instant::now();
+        let mut is_in_doubt = false;
+        loop {
+            match self.log.append(&call, APPEND_PATIENCE).await {
+                AppendOutcome::Done { offset, .. } => {
+                    self.sequence += 1;
+                    self.node.touch();
+                    self.finish(batch, offset);
+                    return;
+                }
+                AppendOutcome::Refused if !is_in_doubt => {
+                    info!(self.node.logger, "the log refused an append"; "records" => batch.len());
+                    answer(batch, SubmitOutcome::Refused);
+                    return;
+                }
+                AppendOutcome::Refused => {}
+                AppendOutcome::Unknown => is_in_doubt = true,
+                // Without a number of ours that is known to be next, nothing can be repeated
+                // safely: a new epoch shuts out whatever is still under way.
+                AppendOutcome::Fenced
+                | AppendOutcome::OutOfSequence
+                | AppendOutcome::EndMoved { .. } => {
+                    warn!(self.node.logger, "the log takes our numbers for wrong";
+                        "epoch" => self.epoch, "sequence" => self.sequence);
+                    self.next_epoch();
+                    answer(batch, SubmitOutcome::Unknown);
+                    return;
+                }
+            }
+            if batch.iter().all(|request| request.answer.is_closed()) {
+                // Nobody waits any more. It may be done yet, and then it is a job.
+                self.next_epoch();
+                return;
+            }
+            if begun.elapsed() >= STUCK_AGE {
+                self.refuse_waiting();
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    fn next_epoch(&mut self) {
+        self.epoch += 1;
+        self.sequence = 0;
+    }
+
+    fn refuse_waiting(&mut self) {
+        while let Ok(request) = self.requests.try_recv() {
+            answer(vec![request], SubmitOutcome::Refused);
+        }
+    }
+
+    /// The entry knows its own submissions before it reads them back.
+    fn finish(&self, batch: Vec<SubmitRequest>, offset: u64) {
+        let records: Vec<(u64, JobRecord)> =
+            (offset..).zip(batch.iter().map(|request| request.record.clone())).collect();
+        self.node.fold(&records);
+        answer(batch, SubmitOutcome::Stored);
+    }
+}
+
+fn answer(batch: Vec<SubmitRequest>, outcome: SubmitOutcome) {
+    for request in batch {
+        // A caller that went away needs no answer.
+        let _ = request.answer.send(outcome);
+    }
+}
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -17,7 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
@@ -69,6 +69,12 @@
         CallerConnections { watcher: Mutex::new(Some(GracefulShutdown::new())) }
     }
 
+    /// Watches one connection; nothing once closing has begun.
+    pub fn watcher(&self) -> Option<Watcher> {
+        let watcher = self.watcher.lock().unwrap_or_else(PoisonError::into_inner);
+        watcher.as_ref().map(GracefulShutdown::watcher)
+    }
+
     /// Tells every connection to close after what it has in flight; returns whether all did so
     /// within `patience`.
     pub async fn close(&self, patience: Duration) -> bool {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -29,6 +29,12 @@
     }
 }
 
+/// A logger that writes JSON lines to standard output, for a platform that collects them there.
+pub fn open_output(level: Level) -> Logger {
+    let drain = slog_json::Json::new(io::stdout()).add_default_keys().build();
+    spawn(Mutex::new(drain).map(slog::Fuse), level)
+}
+
 /// A logger that writes nothing.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
--- /dev/null
+++ b/src/scheduler/commit.rs
@@ -0,0 +1,151 @@
+//! What waits for the log: runs that may start and exits that may be forgotten once it has them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::jobs::model::{JobId, TaskKey};
+use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::scheduler::Scheduler;
+use crate::scheduler::job::RunPhase;
+
+/// Most bytes of one commit: well under the platform's least limit for an append.
+const COMMIT_BYTES_MAX: usize = 512 << 10;
+
+/// Records for one append, and what it releases.
+#[derive(Clone, Debug, Default)]
+pub struct CommitBatch {
+    /// Records.
+    pub records: Vec<KeyedRecord>,
+    /// The same, as a reader of the log sees them.
+    pub folded: Vec<JobRecord>,
+    starts: Vec<(TaskKey, u32)>,
+    exits: BTreeMap<Arc<str>, u64>,
+}
+
+/// What has changed since the last commit was taken.
+#[derive(Debug, Default)]
+pub struct CommitQueue {
+    jobs: BTreeSet<JobId>,
+    starts: Vec<(TaskKey, u32)>,
+    exits: BTreeMap<Arc<str>, u64>,
+    drops: Vec<JobId>,
+    waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
+}
+
+impl CommitQueue {
+    /// A job has changed.
+    pub fn mark(&mut self, job: JobId) {
+        self.jobs.insert(job);
+    }
+
+    /// A run may be started once its job's record is on the log.
+    pub fn start(&mut self, task: TaskKey, run: u32) {
+        self.jobs.insert(task.job);
+        self.starts.push((task, run));
+    }
+
+    /// Exits of a worker through this number have been taken in.
+    pub fn exits(&mut self, worker: Arc<str>, through: u64) {
+        self.exits.insert(worker, through);
+    }
+
+    /// A job is over for so long that the log need not keep it.
+    pub fn drop_job(&mut self, job: JobId) {
+        self.drops.push(job);
+    }
+
+    /// VMs of a wave that have been maintained.
+    pub fn wave(&mut self, number: u64, done: BTreeSet<Arc<str>>) {
+        self.waves.insert(number, done);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+            && self.exits.is_empty()
+            && self.drops.is_empty()
+            && self.waves.is_empty()
+    }
+}
+
+impl Scheduler {
+    /// The next append; nothing if the log has everything. The caller appends it until it is done,
+    /// in order, and then calls [`Scheduler::committed`].
+    pub fn take_commit(&mut self) -> Option<CommitBatch> {
+        if self.is_deposed || self.commits.is_empty() {
+            return None;
+        }
+        let mut batch = CommitBatch::default();
+        let mut bytes = 0;
+        while let Some(id) = self.commits.jobs.pop_first() {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let record = JobRecord::Progress(id, Arc::new(job.progress(self.term)));
+            bytes += push(&mut batch, record);
+            if bytes >= COMMIT_BYTES_MAX {
+                break;
+            }
+        }
+        for job in self.commits.drops.drain(..) {
+            batch.records.extend(JobRecord::drops(job));
+            batch.folded.push(JobRecord::Dropped(job));
+        }
+        while let Some((number, done)) = self.commits.waves.pop_first() {
+            push(&mut batch, JobRecord::Wave(number, Arc::new(done)));
+        }
+        // Jobs that did not fit keep their starts and every exit back for the next append.
+        let left = &self.commits.jobs;
+        let (later, now): (Vec<_>, Vec<_>) =
+            self.commits.starts.drain(..).partition(|(task, _)| left.contains(&task.job));
+        batch.starts = now;
+        self.commits.starts = later;
+        if self.commits.jobs.is_empty() {
+            batch.exits = std::mem::take(&mut self.commits.exits);
+        }
+        Some(batch)
+    }
+
+    /// An append is on the log.
+    pub fn committed(&mut self, batch: &CommitBatch, now: u64) {
+        for (task, run) in &batch.starts {
+            self.release_start(task, *run, now);
+        }
+        for (id, through) in &batch.exits {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.exits_logged = worker.exits_logged.max(*through);
+                self.actions.push(crate::scheduler::SchedulerAction::Wake(id.clone()));
+            }
+        }
+        self.forget_finished();
+    }
+
+    fn release_start(&mut self, task: &TaskKey, run: u32, now: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let is_over = job.state.is_final();
+        let Some(state) = job.task_mut(task) else { return };
+        let Some(live) = state.live.iter_mut().find(|live| live.run == run) else { return };
+        if live.phase != RunPhase::Planned {
+            return;
+        }
+        if is_over || state.is_done {
+            self.remove_run(task, run, now);
+            return;
+        }
+        live.enter(RunPhase::Starting, now);
+        self.attention.insert((*task, run));
+    }
+
+    /// Drops jobs that are over and quiet from memory; the log has their last state.
+    fn forget_finished(&mut self) {
+        let dirty = &self.commits.jobs;
+        self.jobs.retain(|id, job| {
+            !job.state.is_final() || dirty.contains(id) || !job.live_tasks().is_empty()
+        });
+    }
+}
+
+fn push(batch: &mut CommitBatch, record: JobRecord) -> usize {
+    let Some(keyed) = record.encode() else { return 0 };
+    let bytes = keyed.key.len() + keyed.value.len();
+    batch.records.push(keyed);
+    batch.folded.push(record);
+    bytes
+}
--- /dev/null
+++ b/src/scheduler/dispatch.rs
@@ -0,0 +1,504 @@
+//! Places tasks that are ready on workers with room.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
+use crate::scheduler::rank::{JobRank, RankTier, rank};
+use crate::scheduler::worker::WorkerRun;
+use crate::scheduler::{Scheduler, SchedulerAction};
+
+/// Workers named in one question for permits, as the platform allows.
+const PERMIT_WORKERS_MAX: usize = 100;
+/// Time after which a question for permits that had no answer is asked again, in milliseconds.
+const PERMIT_RETRY_MS: u64 = 4_000;
+/// Permits are not used in the last part of their life, in milliseconds: a start takes a while.
+const PERMIT_SLACK_MS: u64 = 300;
+/// Copies of a task that may run at once.
+const COPIES_MAX: usize = 2;
+/// Time beyond its declared run time after which a task that allows copies gets one, in
+/// milliseconds: the notice of its end takes a while.
+const COPY_SLACK_MS: u64 = 400;
+
+/// A step with tasks to place.
+#[derive(Clone, Debug)]
+struct ReadyStep {
+    rank: JobRank,
+    key: StepKey,
+    service: Arc<str>,
+    waiting: Vec<TaskKey>,
+}
+
+/// What a task asks of a worker beside room.
+struct PlaceQuery<'a> {
+    spec: &'a StepSpec,
+    /// Runs of the step by worker.
+    beside: &'a BTreeMap<Arc<str>, u32>,
+    /// Runs of the step by rack.
+    racks: &'a BTreeMap<Arc<str>, u32>,
+    /// Workers on which the task failed.
+    avoided: &'a [Arc<str>],
+    /// Workers that may run the step; none for all.
+    permitted: Option<Vec<Arc<str>>>,
+    /// Rack that it must be on.
+    rack: Option<&'a str>,
+}
+
+impl Scheduler {
+    /// Places what is ready, best rank first.
+    pub(crate) fn dispatch(&mut self, now: u64) {
+        let mut ready = self.ready_steps(now);
+        ready.sort_by_key(|step| (step.rank, step.key));
+        // Once a pool has refused the smallest request, the others behind it need no look.
+        let mut full: BTreeMap<Arc<str>, ResourceVector> = BTreeMap::new();
+        for step in ready {
+            let Some(spec) = self.step_spec(&step.key) else { continue };
+            let booked = spec.booked();
+            let is_hopeless = full.get(&step.service).is_some_and(|least| booked.holds(least));
+            let is_urgent = step.rank.tier == RankTier::Service && !spec.is_best_effort;
+            if is_hopeless && !is_urgent {
+                continue;
+            }
+            let is_placed = if spec.is_gang {
+                self.place_gang(&step, &spec, now)
+            } else {
+                self.place_tasks(&step, &spec, now)
+            };
+            if !is_placed && is_plain(&spec) {
+                full.insert(step.service.clone(), booked);
+            }
+        }
+        self.place_copies(now);
+    }
+
+    fn step_spec(&self, key: &StepKey) -> Option<StepSpec> {
+        let job = self.jobs.get(&key.job)?;
+        job.submission.spec.steps.get(usize::from(key.step)).cloned()
+    }
+
+    fn ready_steps(&self, now: u64) -> Vec<ReadyStep> {
+        let mut ready = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let Some(queue) = self.queue_of(job) else { continue };
+            let specs = &job.submission.spec.steps;
+            for (occurrence, run) in &job.occurrences {
+                let mut ranked = None;
+                for (position, step) in run.steps.iter().enumerate() {
+                    let is_open = |before: &u16| {
+                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
+                    };
+                    if step.is_done() || !specs[position].after.iter().all(is_open) {
+                        continue;
+                    }
+                    let waiting: Vec<TaskKey> = step
+                        .tasks
+                        .iter()
+                        .enumerate()
+                        .filter(|(_, task)| !task.is_done && !task.is_covered())
+                        .filter(|(_, task)| task.not_before_ms <= now)
+                        .map(|(index, _)| job.key(*occurrence, position, index))
+                        .collect();
+                    if waiting.is_empty() {
+                        continue;
+                    }
+                    let due = self.due_ms(job, *occurrence, now);
+                    let rank = *ranked.get_or_insert_with(|| rank(job, queue, run, due, now));
+                    ready.push(ReadyStep {
+                        rank,
+                        key: waiting[0].step_key(),
+                        service: queue.service.clone(),
+                        waiting,
+                    });
+                }
+            }
+        }
+        ready
+    }
+
+    /// When an occurrence was due, by the steady clock.
+    pub(crate) fn due_ms(&self, job: &crate::scheduler::job::JobRun, occurrence: u32, now: u64) -> u64 {
+        match job.submission.spec.due_ms(occurrence) {
+            0 => job.arrived_ms,
+            due => now.saturating_sub(self.wall_ms.saturating_sub(due)),
+        }
+    }
+
+    /// Places the waiting tasks of a step; false if one found no room.
+    fn place_tasks(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
+        let Some(permitted) = self.permitted(step, now) else { return true };
+        for key in &step.waiting {
+            let waited = self.waited_ms(key, now);
+            let (beside, racks) = self.neighbours(&step.key);
+            let avoided = self.avoided(key);
+            let query = PlaceQuery {
+                spec,
+                beside: &beside,
+                racks: &racks,
+                avoided: &avoided,
+                permitted: permitted.clone(),
+                rack: None,
+            };
+            let mut worker = self.find_worker(&step.service, &query, waited, now);
+            if worker.is_none() && spec.is_service && !spec.is_best_effort {
+                self.make_room(&step.service, &query, step.rank, now);
+            }
+            if worker.is_none() && !avoided.is_empty() {
+                let query = PlaceQuery { avoided: &[], ..query };
+                worker = self.find_worker(&step.service, &query, waited, now);
+            }
+            let Some(worker) = worker else { return false };
+            let run = self.next_run(key);
+            self.plan_run(key, run, &worker, now);
+        }
+        true
+    }
+
+    fn next_run(&self, key: &TaskKey) -> u32 {
+        self.jobs.get(&key.job).and_then(|job| job.task(key)).map_or(1, |task| task.run + 1)
+    }
+
+    fn waited_ms(&self, key: &TaskKey, now: u64) -> u64 {
+        let Some(job) = self.jobs.get(&key.job) else { return 0 };
+        let since = job.task(key).map_or(0, |task| task.waiting_since_ms).max(job.arrived_ms);
+        now.saturating_sub(since)
+    }
+
+    fn avoided(&self, key: &TaskKey) -> Vec<Arc<str>> {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.map(|task| task.failed_on.clone()).unwrap_or_default()
+    }
+
+    /// Runs of a step by worker and by rack.
+    fn neighbours(&self, key: &StepKey) -> (BTreeMap<Arc<str>, u32>, BTreeMap<Arc<str>, u32>) {
+        let (mut beside, mut racks) = (BTreeMap::new(), BTreeMap::new());
+        let Some(job) = self.jobs.get(&key.job) else { return (beside, racks) };
+        let Some(run) = job.occurrences.get(&key.occurrence) else { return (beside, racks) };
+        let Some(step) = run.steps.get(usize::from(key.step)) else { return (beside, racks) };
+        for live in step.tasks.iter().flat_map(|task| task.live.iter()) {
+            *beside.entry(live.worker.clone()).or_insert(0) += 1;
+            if let Some(worker) = self.workers.get(&live.worker) {
+                *racks.entry(worker.entry.rack().into()).or_insert(0) += 1;
+            }
+        }
+        (beside, racks)
+    }
+
+    /// Workers that may run a step: all if its queue needs no permits (`Some(None)`), nothing while
+    /// the permits are being asked for.
+    fn permitted(&mut self, step: &ReadyStep, now: u64) -> Option<Option<Vec<Arc<str>>>> {
+        let policy = self.jobs.get(&step.key.job).and_then(|job| self.queue_of(job)?.permits);
+        if policy.is_none() {
+            return Some(None);
+        }
+        let pool = self.pool_workers(&step.service);
+        let permits = self.permits.entry(step.key).or_default();
+        if !permits.allowed.is_empty() && now + PERMIT_SLACK_MS < permits.expires_ms {
+            return Some(Some(permits.allowed.keys().cloned().collect()));
+        }
+        let is_asked = permits.asked_ms.is_some_and(|asked| now < asked + PERMIT_RETRY_MS);
+        if !is_asked && !pool.is_empty() {
+            permits.asked_ms = Some(now);
+            let named = pool.into_iter().take(PERMIT_WORKERS_MAX).collect();
+            self.actions.push(SchedulerAction::AskPermits(step.key, named));
+        }
+        None
+    }
+
+    fn pool_workers(&self, service: &str) -> Vec<Arc<str>> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| worker.is_listed && &*worker.entry.service == service)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// The worker that fits best, if any does.
+    fn find_worker(
+        &self,
+        service: &str,
+        query: &PlaceQuery<'_>,
+        waited_ms: u64,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        let remote_ms = remote_cost_ms(query.spec, self.bounds.remote_factor);
+        self.workers
+            .iter()
+            .filter(|(_, worker)| &*worker.entry.service == service && worker.takes_starts(now))
+            .filter(|(id, worker)| is_allowed(id, worker, query))
+            .filter(|(_, worker)| worker.free().holds(&query.spec.booked()))
+            .filter(|(_, worker)| {
+                // Away from its data it takes longer than a short wait for room beside it.
+                is_near(worker, query.spec) || waited_ms >= remote_ms
+            })
+            .min_by_key(|(_, worker)| self.misfit(worker, query))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Whether a service task that is moved would find room on another worker.
+    pub(crate) fn has_room_elsewhere(&self, key: &TaskKey, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let Some(spec) = job.spec(key) else { return false };
+        let (beside, racks) = self.neighbours(&key.step_key());
+        let query = PlaceQuery {
+            spec,
+            beside: &beside,
+            racks: &racks,
+            avoided: &[],
+            permitted: None,
+            rack: None,
+        };
+        self.find_worker(&self.service_of(job), &query, u64::MAX, now).is_some()
+    }
+
+    /// How badly a worker fits; the least is best.
+    fn misfit(&self, worker: &WorkerRun, query: &PlaceQuery<'_>) -> (u64, u64, u64, u64) {
+        let spec = query.spec;
+        let is_far = u64::from(!is_near(worker, spec));
+        let due = u64::from(self.fleet.is_due(&worker.entry.id));
+        let rack = query.racks.get(worker.entry.rack()).copied().unwrap_or(0);
+        let load = worker.used().share_of(&worker.entry.capacity);
+        if spec.is_best_effort {
+            // It lives on what is left over: the emptiest worker.
+            return (is_far, u64::from(rack), due, load);
+        }
+        if spec.is_service {
+            // Racks fail as a whole, and a move of a service counts against its budget.
+            return (is_far, due, u64::from(rack), 1_000 - load.min(1_000));
+        }
+        // The fullest worker: empty ones can then change pools or be maintained at no cost.
+        (is_far, 0, due, 1_000 - load.min(1_000))
+    }
+
+    /// Places all members of a gang or none; false if there is no room.
+    fn place_gang(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
+        let is_whole = step.waiting.len() == usize::try_from(spec.count).unwrap_or(0);
+        if !is_whole {
+            return true;
+        }
+        let Some(permitted) = self.permitted(step, now) else { return true };
+        let waited = self.waited_ms(&step.waiting[0], now);
+        let racks = if spec.wants_one_rack { self.racks(&step.service) } else { Vec::new() };
+        let mut plan = racks
+            .iter()
+            .find_map(|rack| self.gang_plan(step, spec, permitted.clone(), Some(rack), now));
+        let remote_ms = remote_cost_ms(spec, self.bounds.remote_factor);
+        if plan.is_none() && (!spec.wants_one_rack || waited >= remote_ms) {
+            plan = self.gang_plan(step, spec, permitted, None, now);
+        }
+        let Some(plan) = plan else { return false };
+        let run = step.waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
+        for (key, worker) in step.waiting.iter().zip(plan) {
+            self.plan_run(key, run, &worker, now);
+        }
+        true
+    }
+
+    fn racks(&self, service: &str) -> Vec<String> {
+        let workers = self.workers.values().filter(|worker| &*worker.entry.service == service);
+        let mut racks: Vec<String> = workers.map(|worker| worker.entry.rack().to_owned()).collect();
+        racks.sort();
+        racks.dedup();
+        racks
+    }
+
+    /// A worker for each member, on a scratch copy of what is free.
+    fn gang_plan(
+        &self,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        permitted: Option<Vec<Arc<str>>>,
+        rack: Option<&str>,
+        now: u64,
+    ) -> Option<Vec<Arc<str>>> {
+        let (mut beside, racks) = (BTreeMap::new(), BTreeMap::new());
+        let mut free: BTreeMap<&Arc<str>, ResourceVector> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.entry.service == step.service && worker.takes_starts(now))
+            .map(|(id, worker)| (id, worker.free()))
+            .collect();
+        let mut plan = Vec::with_capacity(step.waiting.len());
+        for _ in &step.waiting {
+            let query = PlaceQuery {
+                spec,
+                beside: &beside,
+                racks: &racks,
+                avoided: &[],
+                permitted: permitted.clone(),
+                rack,
+            };
+            let chosen = free
+                .iter()
+                .filter(|(id, room)| {
+                    room.holds(&spec.booked())
+                        && self.workers.get(**id).is_some_and(|worker| is_allowed(id, worker, &query))
+                })
+                .min_by_key(|(id, room)| {
+                    let worker = &self.workers[**id];
+                    (!is_near(worker, spec), room.share_of(&worker.entry.capacity))
+                })
+                .map(|(id, _)| (*id).clone())?;
+            if let Some(room) = free.get_mut(&chosen) {
+                *room = room.less(&spec.booked());
+            }
+            *beside.entry(chosen.clone()).or_insert(0) += 1;
+            plan.push(chosen);
+        }
+        Some(plan)
+    }
+
+    /// Stops tasks that may be displaced so that a service task finds room.
+    fn make_room(&mut self, service: &str, query: &PlaceQuery<'_>, rank: JobRank, now: u64) {
+        let mut best: Option<(u64, Vec<(TaskKey, u32)>)> = None;
+        for (id, worker) in &self.workers {
+            if &*worker.entry.service != service
+                || !worker.takes_starts(now)
+                || !is_allowed(id, worker, query)
+            {
+                continue;
+            }
+            let Some((cost, victims)) = self.victims(worker, query.spec, rank) else { continue };
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, victims));
+            }
+        }
+        let Some((_, victims)) = best else { return };
+        for (key, run) in victims {
+            self.stop_run(&key, run, "displaced by a service", now);
+        }
+    }
+
+    /// Runs whose end would make room on a worker, and the work thrown away.
+    fn victims(
+        &self,
+        worker: &WorkerRun,
+        spec: &StepSpec,
+        rank: JobRank,
+    ) -> Option<(u64, Vec<(TaskKey, u32)>)> {
+        let mut runs: Vec<(u64, TaskKey, u32, ResourceVector)> = Vec::new();
+        for ((key, run), booked) in &worker.runs {
+            if booked.is_service {
+                continue;
+            }
+            let job = self.jobs.get(&key.job)?;
+            let priority = self.queue_of(job).map_or(u32::MAX, |queue| queue.priority);
+            if priority < rank.priority {
+                continue;
+            }
+            let live = job.task(key)?.live.iter().find(|live| live.run == *run)?;
+            let cost = u64::from(live.percent.min(100)) * booked.need.cpu.max(1);
+            runs.push((cost, *key, *run, booked.need));
+        }
+        runs.sort_by_key(|(cost, key, run, _)| (*cost, *key, *run));
+        let mut room = worker.free();
+        let (mut total, mut victims) = (0, Vec::new());
+        for (cost, key, run, need) in runs {
+            if room.holds(&spec.booked()) {
+                break;
+            }
+            room.add(&need);
+            total += cost;
+            victims.push((key, run));
+        }
+        (room.holds(&spec.booked()) && !victims.is_empty()).then_some((total, victims))
+    }
+
+    /// Gives tasks that allow copies and take too long, or whose worker is silent, a second run.
+    fn place_copies(&mut self, now: u64) {
+        let mut late = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for (occurrence, run) in &job.occurrences {
+                for (position, step) in run.steps.iter().enumerate() {
+                    let spec = &job.submission.spec.steps[position];
+                    if !spec.allows_copies || spec.is_gang || spec.is_service || step.is_done() {
+                        continue;
+                    }
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        if !task.is_done && self.wants_copy(spec, task, now) {
+                            late.push(job.key(*occurrence, position, index));
+                        }
+                    }
+                }
+            }
+        }
+        for key in late {
+            let Some(spec) = self.step_spec(&key.step_key()) else { continue };
+            let Some(service) = self.jobs.get(&key.job).map(|job| self.service_of(job)) else {
+                continue;
+            };
+            let (beside, racks) = self.neighbours(&key.step_key());
+            let mut avoided = self.avoided(&key);
+            let live = self.jobs.get(&key.job).and_then(|job| job.task(&key));
+            avoided.extend(live.into_iter().flat_map(|task| {
+                task.live.iter().map(|live| live.worker.clone()).collect::<Vec<_>>()
+            }));
+            let query = PlaceQuery {
+                spec: &spec,
+                beside: &beside,
+                racks: &racks,
+                avoided: &avoided,
+                permitted: None,
+                rack: None,
+            };
+            if let Some(worker) = self.find_worker(&service, &query, u64::MAX, now) {
+                let run = self.next_run(&key);
+                self.plan_run(&key, run, &worker, now);
+            }
+        }
+    }
+
+    fn wants_copy(
+        &self,
+        spec: &StepSpec,
+        task: &crate::scheduler::job::TaskRun,
+        now: u64,
+    ) -> bool {
+        use crate::scheduler::job::RunPhase;
+        if task.live.is_empty() || task.live.len() >= COPIES_MAX {
+            return false;
+        }
+        task.live.iter().all(|live| {
+            let worker = self.workers.get(&live.worker);
+            let is_silent = worker.is_none_or(|worker| worker.silent_since_ms.is_some());
+            let elapsed = now.saturating_sub(live.since_ms);
+            let heading_for = elapsed * 100 / u64::from(live.percent.max(1));
+            let is_late = live.phase == RunPhase::Running
+                && elapsed > spec.estimate_ms * 3 / 2 + COPY_SLACK_MS
+                && heading_for > elapsed + spec.estimate_ms;
+            is_silent || is_late
+        })
+    }
+}
+
+/// Whether a step asks for nothing but room, so that its refusal tells of the whole pool.
+fn is_plain(spec: &StepSpec) -> bool {
+    spec.required_label.is_none()
+        && spec.data_rack.is_none()
+        && spec.per_worker_max == 0
+        && !spec.is_gang
+        && !spec.is_best_effort
+}
+
+fn is_near(worker: &WorkerRun, spec: &StepSpec) -> bool {
+    spec.data_rack.as_deref().is_none_or(|rack| worker.entry.rack() == rack)
+}
+
+/// What a task loses away from its data, in milliseconds.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+fn remote_cost_ms(spec: &StepSpec, factor: f64) -> u64 {
+    (spec.estimate_ms as f64 * (factor - 1.0).max(0.0)) as u64
+}
+
+fn is_allowed(id: &Arc<str>, worker: &WorkerRun, query: &PlaceQuery<'_>) -> bool {
+    let spec = query.spec;
+    let has_label = spec
+        .required_label
+        .as_deref()
+        .is_none_or(|label| worker.entry.labels.iter().any(|own| &**own == label));
+    let beside = query.beside.get(id).copied().unwrap_or(0);
+    has_label
+        && (spec.per_worker_max == 0 || beside < spec.per_worker_max)
+        && !query.avoided.contains(id)
+        && query.rack.is_none_or(|rack| worker.entry.rack() == rack)
+        && query.permitted.as_ref().is_none_or(|allowed| allowed.contains(id))
+}
--- /dev/null
+++ b/src/scheduler/exits.rs
@@ -0,0 +1,433 @@
+//! Renewals of workers' leases, and what their reports tell.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::jobs::model::{ExitKind, JobState, TaskKey};
+use crate::jobs::ports::{
+    CommandOutcome, CommandRefusal, RenewCall, RunningTask, TaskExit, WorkerReport, WorkerTarget,
+};
+use crate::scheduler::job::RunPhase;
+use crate::scheduler::{Scheduler, SchedulerNote};
+
+/// Longest wait for an exit in one renewal. Also the age at which a worker's silence is noticed and
+/// its gauges are read again; shorter waits cost a call each.
+const RENEW_WAIT: Duration = Duration::from_millis(500);
+/// Time for an answer beyond the wait that was asked for.
+const RENEW_PATIENCE: Duration = Duration::from_millis(300);
+/// Least time between two renewals of a worker, in milliseconds: exits that come together are then
+/// taken together, for one call and one append.
+const RENEW_GAP_MS: u64 = 40;
+/// Time between two tries to reach a worker that doesn't answer, in milliseconds.
+const SILENT_GAP_MS: u64 = 150;
+/// Time that exits may wait for the log before the leases are renewed all the same, in
+/// milliseconds.
+const COMMIT_WAIT_MS: u64 = 400;
+/// Exits in one report at most, as the platform states; a full report may hide others.
+const REPORT_EXITS_MAX: usize = 500;
+/// First wait before a service task that failed is started again, in milliseconds.
+const SERVICE_BACKOFF_MS: u64 = 100;
+/// Longest such wait, in milliseconds: well under the six seconds in which it must be back.
+const SERVICE_BACKOFF_MAX_MS: u64 = 1_500;
+
+/// What to do about a worker's leases.
+#[derive(Clone, Debug)]
+pub enum RenewPlan {
+    /// Call it.
+    Call(WorkerTarget, RenewCall, Duration),
+    /// Look again after this time, or when woken.
+    Wait(Duration),
+    /// Its life is over or it is not listed any more.
+    Leave,
+}
+
+impl Scheduler {
+    /// What to do next about a worker's leases.
+    pub fn renew_plan(&mut self, id: &Arc<str>, now: u64) -> RenewPlan {
+        if self.is_deposed {
+            return RenewPlan::Leave;
+        }
+        let (fence, lease_ms, is_confirmed) =
+            (self.fence(), self.lease_ms(), self.is_confirmed(now));
+        let Some(worker) = self.workers.get_mut(id) else { return RenewPlan::Leave };
+        if !worker.is_listed && worker.runs.is_empty() {
+            return RenewPlan::Leave;
+        }
+        if now < worker.renew_ms {
+            return RenewPlan::Wait(Duration::from_millis(worker.renew_ms - now));
+        }
+        let is_silent = worker.silent_since_ms.is_some();
+        let has_untold = worker.exits_logged > worker.exits_told;
+        if worker.is_fenced && !is_silent && worker.runs.is_empty() && !has_untold {
+            return RenewPlan::Wait(Duration::from_secs(60));
+        }
+        // The same exits would be listed again at once until the log has them.
+        let waits_for_log = worker.exits_seen > worker.exits_logged;
+        let is_recent = now < worker.report_ms + COMMIT_WAIT_MS;
+        if worker.is_fenced && waits_for_log && is_recent {
+            return RenewPlan::Wait(Duration::from_millis(worker.report_ms + COMMIT_WAIT_MS - now));
+        }
+        // Leases of a worker that doesn't answer must run out, or its tasks could never be started
+        // elsewhere.
+        let extends = is_confirmed && !is_silent && !worker.runs.is_empty();
+        let lease_until_ms = if extends { worker.lease_until(lease_ms, now) } else { None };
+        let wait = match worker.is_fenced && !is_silent && !waits_for_log && !worker.runs.is_empty()
+        {
+            true => RENEW_WAIT,
+            false => Duration::ZERO,
+        };
+        let call =
+            RenewCall { fence, exits_through: worker.exits_logged, lease_until_ms, wait };
+        RenewPlan::Call(worker.target(), call, RENEW_PATIENCE)
+    }
+
+    /// A renewal that was sent at `sent_ms` was answered, or not.
+    pub fn renewed(
+        &mut self,
+        id: &Arc<str>,
+        call: &RenewCall,
+        outcome: CommandOutcome<WorkerReport>,
+        sent_ms: u64,
+        now: u64,
+    ) {
+        match outcome {
+            CommandOutcome::Done(report) => self.take_report(id, call, report, sent_ms, now),
+            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.is_deposed = true,
+            CommandOutcome::Refused(CommandRefusal::WrongLife, _) => {
+                self.worker_over(id, "another life answers", now);
+            }
+            CommandOutcome::Refused(..) => {
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                worker.renew_ms = now + SILENT_GAP_MS;
+            }
+            CommandOutcome::Unknown => self.not_answered(id, sent_ms, now),
+        }
+    }
+
+    fn not_answered(&mut self, id: &Arc<str>, sent_ms: u64, now: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.renew_ms = now + SILENT_GAP_MS;
+        let was_silent = worker.silent_since_ms.is_some();
+        worker.silent_since_ms.get_or_insert(sent_ms.max(worker.report_ms));
+        let runs = worker.runs.len();
+        self.fleet.wants_list = true;
+        if !was_silent {
+            let change = "does not answer";
+            self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
+            self.needs_dispatch = true;
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        id: &Arc<str>,
+        call: &RenewCall,
+        report: WorkerReport,
+        sent_ms: u64,
+        now: u64,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let was_silent = worker.silent_since_ms.take().is_some();
+        let was_fenced = std::mem::replace(&mut worker.is_fenced, true);
+        worker.sample_clock(report.clock_ms, now);
+        worker.report_ms = now;
+        worker.exits_told = worker.exits_told.max(call.exits_through);
+        let has_more = !report.exits.is_empty() || !report.running.is_empty();
+        // The first report under our token gave no lease yet.
+        let gap_ms = if was_fenced && !was_silent { RENEW_GAP_MS } else { 0 };
+        worker.renew_ms = now + if has_more { gap_ms } else { 0 };
+        if !was_fenced || was_silent {
+            self.needs_dispatch = true;
+            let change = if was_fenced { "answers again" } else { "is ours" };
+            let runs = self.workers.get(id).map_or(0, |worker| worker.runs.len());
+            self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
+        }
+        let is_full = report.exits.len() >= REPORT_EXITS_MAX;
+        self.take_exits(id, &report.exits, now);
+        self.take_running(id, &report.running, sent_ms, is_full, now);
+        self.adjust_throttles(id, &report.running, now);
+    }
+
+    fn take_exits(&mut self, id: &Arc<str>, exits: &[TaskExit], now: u64) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let seen = worker.exits_seen;
+        let mut through = seen;
+        for exit in exits.iter().filter(|exit| exit.number > seen) {
+            through = through.max(exit.number);
+            self.take_exit(id, exit, now);
+        }
+        if through > seen {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.exits_seen = through;
+            }
+            self.commits.exits(id.clone(), through);
+        }
+    }
+
+    fn take_exit(&mut self, id: &Arc<str>, exit: &TaskExit, now: u64) {
+        let how = exit_word(exit.kind);
+        let (task, run) = (exit.task, exit.run);
+        self.note(SchedulerNote::Ended { task, run, worker: id.clone(), how });
+        let Some(job) = self.jobs.get_mut(&exit.task.job) else { return };
+        let Some(spec) = job.spec(&exit.task).cloned() else { return };
+        let is_over = job.state.is_final();
+        let Some(task) = job.task_mut(&exit.task) else { return };
+        let live = task
+            .live
+            .iter()
+            .find(|live| live.run == exit.run && live.worker == *id)
+            .map(|live| (live.phase, live.begun_ms));
+        if !exit.checkpoint.is_empty() && spec.is_resumable {
+            task.checkpoint.clone_from(&exit.checkpoint);
+        }
+        let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
+        if live.is_some() {
+            self.remove_run(&exit.task, exit.run, now);
+        }
+        match exit.kind {
+            // Also of a run that was taken for over: it did end so, and must not be run again.
+            ExitKind::Done if !spec.is_service => {
+                self.credit_worker(id, now);
+                self.task_done(&exit.task, now);
+            }
+            ExitKind::Failed if live.is_some() && !is_over => {
+                self.blame_worker(id, &exit.task, now);
+                self.task_failed(&exit.task, exit.run, now);
+            }
+            ExitKind::Done
+            | ExitKind::Failed
+            | ExitKind::Stopped
+            | ExitKind::Lapsed
+            | ExitKind::Broken
+            | ExitKind::Alone => {
+                if spec.is_service && !was_stopping && !is_over {
+                    self.back_off(&exit.task, now);
+                }
+            }
+        }
+    }
+
+    fn credit_worker(&mut self, id: &Arc<str>, now: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.judge(true, now);
+        }
+    }
+
+    fn blame_worker(&mut self, id: &Arc<str>, key: &TaskKey, now: u64) {
+        // A task that has failed elsewhere too is more likely at fault itself.
+        let fails_elsewhere = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.task(key))
+            .is_some_and(|task| task.failed_on.iter().any(|other| other != id));
+        if let Some(worker) = self.workers.get_mut(id)
+            && !fails_elsewhere
+        {
+            worker.judge(false, now);
+        }
+        if let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(key)) {
+            task.failed_on.push(id.clone());
+        }
+    }
+
+    /// A task is done: its copies stop, and the job may be completed.
+    fn task_done(&mut self, key: &TaskKey, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let is_gang = job.spec(key).is_some_and(|spec| spec.is_gang);
+        let Some(step) = job.step_mut(key) else { return };
+        // The members of a gang end together; one such end tells of all.
+        let done: Vec<usize> = match is_gang {
+            true => (0..step.tasks.len()).collect(),
+            false => vec![usize::try_from(key.index).unwrap_or(usize::MAX)],
+        };
+        let mut is_new = false;
+        for index in &done {
+            is_new |= step.finish(*index);
+        }
+        if !is_new {
+            return;
+        }
+        self.commits.mark(key.job);
+        self.needs_dispatch = true;
+        for index in done {
+            let copy = TaskKey { index: u32::try_from(index).unwrap_or(u32::MAX), ..*key };
+            if !is_gang {
+                self.stop_task(&copy, "another copy is done", now);
+            }
+        }
+        let is_over = self.jobs.get_mut(&key.job).is_some_and(|job| job.sweep());
+        if is_over {
+            self.finish_job(key.job, JobState::Completed, now);
+        }
+    }
+
+    /// A run has failed: the task is tried again, or its job has failed.
+    fn task_failed(&mut self, key: &TaskKey, run: u32, now: u64) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let attempts = self.queue_of(job).map_or(1, |queue| queue.attempts);
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(spec) = job.spec(key).cloned() else { return };
+        if spec.is_service {
+            self.back_off(key, now);
+            return;
+        }
+        let Some(step) = job.step_mut(key) else { return };
+        let failures = if spec.is_gang {
+            // The members carry one run number; their failures count once.
+            let is_new = step.tasks.iter().all(|task| task.failed_run != run);
+            for task in &mut step.tasks {
+                task.failures += u32::from(is_new);
+                task.failed_run = run;
+            }
+            step.tasks.first().map_or(0, |task| task.failures)
+        } else {
+            let index = usize::try_from(key.index).unwrap_or(usize::MAX);
+            let Some(task) = step.tasks.get_mut(index) else { return };
+            task.failures += 1;
+            task.failures
+        };
+        self.commits.mark(key.job);
+        if failures >= attempts {
+            self.finish_job(key.job, JobState::Failed, now);
+        }
+    }
+
+    /// Puts the next start of a service task off by a growing time.
+    fn back_off(&mut self, key: &TaskKey, now: u64) {
+        let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(key)) else {
+            return;
+        };
+        let steps = task.failures.min(4);
+        task.failures += 1;
+        let wait = (SERVICE_BACKOFF_MS << steps).min(SERVICE_BACKOFF_MAX_MS);
+        // One that was at work for a while has not failed in a row.
+        let was_at_work = now.saturating_sub(task.at_work_ms) < SERVICE_BACKOFF_MAX_MS;
+        if was_at_work {
+            task.failures = 0;
+        }
+        task.not_before_ms = now + if was_at_work { 0 } else { wait };
+    }
+
+    fn finish_job(&mut self, id: crate::jobs::model::JobId, state: JobState, now: u64) {
+        let wall_ms = self.wall_ms;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = state;
+        job.ended_wall_ms = wall_ms;
+        let age_ms = now.saturating_sub(job.arrived_ms);
+        self.finished.insert(id, wall_ms);
+        self.note(SchedulerNote::JobState { job: id, state, age_ms });
+        self.commits.mark(id);
+        self.stop_all(id, now);
+    }
+
+    /// Compares what runs with the books.
+    fn take_running(
+        &mut self,
+        id: &Arc<str>,
+        running: &[RunningTask],
+        sent_ms: u64,
+        is_full: bool,
+        now: u64,
+    ) {
+        let told: BTreeMap<(TaskKey, u32), &RunningTask> =
+            running.iter().map(|told| ((told.task, told.run), told)).collect();
+        let Some(worker) = self.workers.get(id) else { return };
+        let booked: Vec<(TaskKey, u32)> = worker.runs.keys().copied().collect();
+        for (key, run) in &booked {
+            match told.get(&(*key, *run)) {
+                Some(told) => self.run_seen(key, *run, told, now),
+                None if is_full => {}
+                None => self.run_missing(id, key, *run, sent_ms, now),
+            }
+        }
+        for (key, run) in told.keys().filter(|key| !booked.contains(key)) {
+            self.stop_stray(id, key, *run);
+        }
+    }
+
+    fn run_seen(&mut self, key: &TaskKey, run: u32, told: &RunningTask, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let is_over = job.state.is_final();
+        let Some(spec) = job.spec(key).cloned() else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        if spec.is_resumable && !told.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&told.checkpoint);
+        }
+        let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
+        if matches!(live.phase, RunPhase::Starting | RunPhase::Inherited) {
+            live.enter(RunPhase::Running, now);
+            live.answered_ms = Some(now);
+            live.begun_ms = now;
+            live.progress_ms = now;
+        }
+        if told.percent > live.percent {
+            live.progress_ms = now;
+        }
+        let was_at_work = live.percent >= 100;
+        live.percent = told.percent;
+        if spec.is_service && told.percent >= 100 {
+            task.at_work_ms = now;
+            if !was_at_work {
+                task.failures = 0;
+            }
+        }
+        if is_over || task.is_done {
+            self.stop_run(key, run, "job is over", now);
+        }
+    }
+
+    /// A booked run is not listed. Only what the worker was asked after it had confirmed counts.
+    fn run_missing(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, sent_ms: u64, now: u64) {
+        let Some(live) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.task(key))
+            .and_then(|task| task.live.iter().find(|live| live.run == run))
+        else {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.release(&(*key, run), now);
+            }
+            return;
+        };
+        let is_over = match live.phase {
+            RunPhase::Planned | RunPhase::Starting => false,
+            // Our token was the first thing that this worker saw of us: no older start counts now.
+            RunPhase::Inherited => true,
+            RunPhase::Running | RunPhase::Stopping => {
+                live.answered_ms.is_some_and(|answered| sent_ms > answered)
+            }
+        };
+        if is_over {
+            let how = "not on the worker";
+            self.note(SchedulerNote::Ended { task: *key, run, worker: id.clone(), how });
+            self.remove_run(key, run, now);
+        }
+    }
+
+    /// Something runs that the books know nothing of: the books were right when it was taken off
+    /// them, so it must not go on.
+    fn stop_stray(&mut self, id: &Arc<str>, key: &TaskKey, run: u32) {
+        let fence = self.fence();
+        let Some(worker) = self.workers.get(id) else { return };
+        let call = crate::jobs::ports::RunCall { task: *key, run, fence };
+        let reason = "not on the books";
+        self.actions.push(crate::scheduler::SchedulerAction::Stop(worker.target(), call));
+        self.note(SchedulerNote::Stopped { task: *key, run, reason });
+    }
+}
+
+/// The word for an exit in logs and metrics.
+pub fn exit_word(kind: ExitKind) -> &'static str {
+    match kind {
+        ExitKind::Done => "done",
+        ExitKind::Failed => "failed",
+        ExitKind::Stopped => "stopped",
+        ExitKind::Lapsed => "lapsed",
+        ExitKind::Broken => "broken",
+        ExitKind::Alone => "alone",
+    }
+}
--- /dev/null
+++ b/src/scheduler/fleet.rs
@@ -0,0 +1,449 @@
+//! Which pool each VM serves, and the commands that bring it there.
+//!
+//! The load that this answers: the queues' demand rises and falls by turns, each asking several
+//! times its mean for some seconds. A VM takes a second or two to change pools, about the time that
+//! a job can wait, so pools follow the demand that is there, and idle VMs go to the standby pool,
+//! where they cost nothing. Only VMs on which nothing runs change pools: no work is thrown away.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::jobs::model::ResourceVector;
+use crate::jobs::ports::{VmCommand, VmOutcome};
+use crate::jobs::site::{MaintenanceWave, VmEntry, VmState};
+use crate::scheduler::maintenance::WaveRun;
+use crate::scheduler::rank::{RankTier, rank};
+use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
+
+/// Time between two looks at the VM list while something is under way, in milliseconds.
+const LIST_BUSY_MS: u64 = 250;
+/// Time between two looks while nothing is, in milliseconds.
+const LIST_QUIET_MS: u64 = 2_000;
+/// Age from which the VM list is not acted on, in milliseconds.
+const LIST_AGE_MAX_MS: u64 = 3_000;
+/// Time between two plans of the pools, in milliseconds.
+const PLAN_GAP_MS: u64 = 100;
+/// Time after which a command that was refused or not answered is sent again, in milliseconds.
+const COMMAND_RETRY_MS: u64 = 300;
+/// Time after which a command that was accepted and never showed is forgotten, in milliseconds.
+const COMMAND_FORGET_MS: u64 = 10_000;
+/// Time that a VM idles before it is given away, in milliseconds. A move there and back costs about
+/// as much as two seconds of a VM in a pool.
+const IDLE_MS: u64 = 1_500;
+/// Share of a VM that can be filled on average, in percent: tasks come in sizes that leave gaps.
+const PACKED_PERCENT: u64 = 88;
+/// Share, in percent, that tasks count whose step has not begun yet.
+const UPCOMING_PERCENT: u64 = 50;
+
+/// Where a command to a VM stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntentPhase {
+    /// The VM is kept free of new work until it is empty.
+    Draining,
+    /// Sent; refused or not answered so far.
+    Sent,
+    /// Accepted; the list has not shown the VM back yet.
+    Accepted,
+}
+
+/// What is to become of a VM.
+#[derive(Clone, Debug)]
+pub struct VmIntent {
+    /// Command.
+    pub command: VmCommand,
+    /// Where it stands.
+    pub phase: IntentPhase,
+    /// When it entered the phase, in milliseconds.
+    pub since_ms: u64,
+    /// Earliest time to send it (again), in milliseconds.
+    pub retry_ms: u64,
+    /// Worker that ran on the VM when it was sent; empty for none.
+    pub worker: Arc<str>,
+    /// Whether a try had no answer, so that it may be carried out any time.
+    pub is_in_doubt: bool,
+}
+
+/// VMs, what is to become of them, and the waves of maintenance.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    /// VMs by name, as last listed.
+    pub vms: BTreeMap<Arc<str>, VmEntry>,
+    /// When the list was asked for, in milliseconds.
+    pub listed_ms: Option<u64>,
+    /// Whether a fresh list is wanted soon.
+    pub wants_list: bool,
+    /// What is to become of VMs.
+    pub intents: BTreeMap<Arc<str>, VmIntent>,
+    /// Waves by number.
+    pub waves: BTreeMap<u64, WaveRun>,
+    by_worker: HashMap<Arc<str>, Arc<str>>,
+    asked_ms: Option<u64>,
+    planned_ms: u64,
+}
+
+impl FleetState {
+    /// Takes a list that was asked for at `asked_ms`.
+    pub fn take_list(&mut self, vms: Vec<VmEntry>, asked_ms: u64) {
+        self.by_worker.clear();
+        self.vms.clear();
+        for vm in vms {
+            if !vm.worker.is_empty() {
+                self.by_worker.insert(vm.worker.clone(), vm.vm.clone());
+            }
+            self.vms.insert(vm.vm.clone(), vm);
+        }
+        self.listed_ms = Some(asked_ms);
+    }
+
+    /// Takes a wave; one that is known keeps its progress.
+    pub fn take_wave(&mut self, wave: MaintenanceWave, done: BTreeSet<Arc<str>>, now: u64) {
+        let known = self.waves.entry(wave.number).or_insert_with(|| WaveRun::new(wave, now));
+        known.done.extend(done);
+    }
+
+    /// State of the VM of each worker that the list shows; nothing before a first list.
+    pub fn lives(&self) -> Option<HashMap<Arc<str>, VmState>> {
+        self.listed_ms?;
+        let state = |vm: &VmEntry| (vm.worker.clone(), vm.state);
+        Some(self.vms.values().filter(|vm| !vm.worker.is_empty()).map(state).collect())
+    }
+
+    /// The VM that a worker runs on.
+    pub fn vm_of(&self, worker: &str) -> Option<&VmEntry> {
+        self.vms.get(self.by_worker.get(worker)?)
+    }
+
+    /// Whether the VM of a worker is still to be maintained.
+    pub fn is_due(&self, worker: &str) -> bool {
+        let Some(vm) = self.by_worker.get(worker) else { return false };
+        self.waves.values().any(|wave| wave.is_due(vm))
+    }
+
+    /// VMs with a command to move them into a pool that the list does not show there yet.
+    fn arriving(&self, pool: &str) -> usize {
+        self.intents
+            .values()
+            .filter(|intent| match &intent.command {
+                VmCommand::Assign { pool: to, .. } => &**to == pool,
+                VmCommand::Maintain { .. } => false,
+            })
+            .count()
+    }
+}
+
+/// What a pool has and needs, in VMs.
+#[derive(Clone, Debug, Default)]
+struct PoolNeed {
+    needed: usize,
+    usable: usize,
+    /// Empty VMs that it can give away, and for how long they have idled, in milliseconds.
+    idle: Vec<(Arc<str>, u64)>,
+}
+
+impl Scheduler {
+    /// Looks after the VM list, the commands under way, the waves and the pools.
+    pub(crate) fn plan_fleet(&mut self, now: u64) {
+        self.ask_list(now);
+        self.advance_intents(now);
+        if now < self.fleet.planned_ms + PLAN_GAP_MS || !self.is_confirmed(now) {
+            return;
+        }
+        self.fleet.planned_ms = now;
+        let is_fresh =
+            self.fleet.listed_ms.is_some_and(|listed| now < listed + LIST_AGE_MAX_MS);
+        if is_fresh {
+            self.plan_waves(now);
+            self.plan_pools(now);
+        }
+        self.reserve_workers();
+    }
+
+    fn ask_list(&mut self, now: u64) {
+        let is_busy = self.fleet.wants_list
+            || !self.fleet.intents.is_empty()
+            || self.fleet.waves.values().any(|wave| !wave.is_completed);
+        let gap = if is_busy { LIST_BUSY_MS } else { LIST_QUIET_MS };
+        if self.fleet.asked_ms.is_none_or(|asked| now >= asked + gap) {
+            self.fleet.asked_ms = Some(now);
+            self.fleet.wants_list = false;
+            self.actions.push(SchedulerAction::ListVms);
+        }
+    }
+
+    /// Workers of VMs with a command take no new work.
+    fn reserve_workers(&mut self) {
+        let reserved: BTreeSet<Arc<str>> = self
+            .fleet
+            .intents
+            .keys()
+            .filter_map(|vm| self.fleet.vms.get(vm))
+            .map(|vm| vm.worker.clone())
+            .collect();
+        for (id, worker) in &mut self.workers {
+            let is_reserved = reserved.contains(id);
+            self.needs_dispatch |= worker.is_reserved && !is_reserved;
+            worker.is_reserved = is_reserved;
+        }
+    }
+
+    fn advance_intents(&mut self, now: u64) {
+        let names: Vec<Arc<str>> = self.fleet.intents.keys().cloned().collect();
+        for name in names {
+            self.advance_intent(&name, now);
+        }
+    }
+
+    fn advance_intent(&mut self, name: &Arc<str>, now: u64) {
+        let fence = self.fence();
+        let is_confirmed = self.is_confirmed(now);
+        let listed_ms = self.fleet.listed_ms.unwrap_or(0);
+        let Some(vm) = self.fleet.vms.get(name) else {
+            self.fleet.intents.remove(name);
+            return;
+        };
+        let is_empty = vm.worker.is_empty() || self.is_quiet(&vm.worker);
+        let Some(intent) = self.fleet.intents.get_mut(name) else { return };
+        match intent.phase {
+            IntentPhase::Accepted => {
+                let is_back = vm.state == VmState::Up
+                    && listed_ms > intent.since_ms
+                    && vm.worker != intent.worker;
+                if is_back || now > intent.since_ms + COMMAND_FORGET_MS {
+                    self.fleet.intents.remove(name);
+                }
+            }
+            IntentPhase::Draining if !is_empty => {}
+            IntentPhase::Draining | IntentPhase::Sent => {
+                if now < intent.retry_ms || !is_confirmed {
+                    return;
+                }
+                intent.phase = IntentPhase::Sent;
+                intent.worker = vm.worker.clone();
+                // No answer by then counts as one that is lost.
+                intent.retry_ms = now + COMMAND_FORGET_MS;
+                let command = intent.command.clone();
+                self.actions.push(SchedulerAction::CommandVm(command, fence));
+            }
+        }
+    }
+
+    /// Whether nothing runs on a worker and the log has all that ended there.
+    fn is_quiet(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_none_or(|worker| {
+            worker.runs.is_empty() && worker.exits_logged >= worker.exits_seen
+        })
+    }
+
+    /// A command to a VM was answered, or not.
+    pub fn vm_commanded(&mut self, command: &VmCommand, outcome: VmOutcome, now: u64) {
+        let name = command.vm().clone();
+        let change = format!("{command:?}: {outcome:?}");
+        self.note(SchedulerNote::Vm { vm: name.clone(), change });
+        self.fleet.wants_list = true;
+        if outcome == VmOutcome::Fenced {
+            self.is_deposed = true;
+            return;
+        }
+        let Some(intent) = self.fleet.intents.get_mut(&name) else { return };
+        if intent.command != *command {
+            return;
+        }
+        match outcome {
+            VmOutcome::Done => {
+                intent.phase = IntentPhase::Accepted;
+                intent.since_ms = now;
+                let worker = intent.worker.clone();
+                if let VmCommand::Maintain { wave, .. } = command {
+                    self.maintained(*wave, &name);
+                }
+                self.worker_over(&worker, "its VM was commanded", now);
+            }
+            VmOutcome::Unknown => {
+                // It may be carried out any time and end what runs there by then; the VM stays
+                // reserved until the same command, which is idempotent, was accepted.
+                intent.is_in_doubt = true;
+                intent.retry_ms = now + COMMAND_RETRY_MS;
+            }
+            VmOutcome::Refused => intent.retry_ms = now + COMMAND_RETRY_MS,
+            VmOutcome::Busy if intent.is_in_doubt => intent.retry_ms = now + COMMAND_RETRY_MS,
+            VmOutcome::Busy => {
+                self.fleet.intents.remove(&name);
+            }
+            VmOutcome::Malformed => {
+                self.fleet.intents.remove(&name);
+                if let VmCommand::Maintain { wave, .. } = command {
+                    self.not_of_wave(*wave, &name);
+                }
+            }
+            VmOutcome::Fenced => {}
+        }
+    }
+
+    /// Plans a command for a VM.
+    pub(crate) fn intend(&mut self, command: VmCommand, now: u64) {
+        let vm = command.vm().clone();
+        let change = format!("{command:?}: planned");
+        self.note(SchedulerNote::Vm { vm: vm.clone(), change });
+        let worker = self.fleet.vms.get(&vm).map(|vm| vm.worker.clone()).unwrap_or_default();
+        let intent = VmIntent {
+            command,
+            phase: IntentPhase::Draining,
+            since_ms: now,
+            retry_ms: now,
+            worker: worker.clone(),
+            is_in_doubt: false,
+        };
+        self.fleet.intents.insert(vm, intent);
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.is_reserved = true;
+        }
+    }
+
+    fn plan_pools(&mut self, now: u64) {
+        let standby: Option<Arc<str>> =
+            self.config.pools.iter().find(|pool| pool.is_standby).map(|pool| pool.name.clone());
+        let mut needs = self.pool_needs(now);
+        let short: Vec<(Arc<str>, usize)> = needs
+            .iter()
+            .map(|(pool, need)| {
+                let coming = need.usable + self.fleet.arriving(pool);
+                (pool.clone(), need.needed.saturating_sub(coming))
+            })
+            .filter(|(_, short)| *short > 0)
+            .collect();
+        let mut spare = self.standby_vms();
+        for (pool, count) in short {
+            for _ in 0..count {
+                let donor = give(&mut needs, &pool).or_else(|| spare.pop());
+                let Some(vm) = donor else { break };
+                self.intend(VmCommand::Assign { vm, pool: pool.clone() }, now);
+            }
+        }
+        let Some(standby) = standby else { return };
+        for need in needs.values() {
+            let surplus = need.usable.saturating_sub(need.needed);
+            let idle = need.idle.iter().filter(|(_, idle_ms)| *idle_ms >= IDLE_MS);
+            for (vm, _) in idle.take(surplus) {
+                self.intend(VmCommand::Assign { vm: vm.clone(), pool: standby.clone() }, now);
+            }
+        }
+    }
+
+    /// VMs of standby pools that can be lent, those first that are not due for maintenance.
+    fn standby_vms(&self) -> Vec<Arc<str>> {
+        let is_standby =
+            |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
+        let mut vms: Vec<(bool, Arc<str>)> = self
+            .fleet
+            .vms
+            .values()
+            .filter(|vm| is_standby(&vm.pool) && vm.state == VmState::Up)
+            .filter(|vm| !self.fleet.intents.contains_key(&vm.vm))
+            .map(|vm| (!self.fleet.waves.values().any(|wave| wave.is_due(&vm.vm)), vm.vm.clone()))
+            .collect();
+        vms.sort();
+        vms.into_iter().map(|(_, vm)| vm).collect()
+    }
+
+    fn pool_needs(&self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
+        let loads = self.pool_loads(now);
+        let mut needs = BTreeMap::new();
+        for pool in self.config.pools.iter().filter(|pool| !pool.is_standby) {
+            let mut need = PoolNeed::default();
+            let mut room = ResourceVector::default();
+            for worker in self.workers.values() {
+                if worker.entry.service != pool.name || !worker.is_listed {
+                    continue;
+                }
+                room = worker.entry.capacity;
+                let is_usable = worker.silent_since_ms.is_none()
+                    && !worker.entry.is_draining
+                    && !worker.is_reserved
+                    && worker.is_fenced;
+                if !is_usable {
+                    continue;
+                }
+                need.usable += 1;
+                let vm = self.fleet.vm_of(&worker.entry.id);
+                if let Some(vm) = vm.filter(|vm| vm.state == VmState::Up)
+                    && self.is_quiet(&worker.entry.id)
+                    && !self.fleet.intents.contains_key(&vm.vm)
+                {
+                    let idle_ms = now.saturating_sub(worker.idle_since_ms);
+                    need.idle.push((vm.vm.clone(), idle_ms));
+                }
+            }
+            need.idle.sort_by_key(|(_, idle_ms)| std::cmp::Reverse(*idle_ms));
+            if room == ResourceVector::default() {
+                room = self.usual_room();
+            }
+            let (load, least) = loads.get(&pool.name).cloned().unwrap_or_default();
+            let packed = load.times(100).share_of(&room.times(PACKED_PERCENT));
+            let vms = usize::try_from(packed.div_ceil(1_000)).unwrap_or(usize::MAX);
+            need.needed = vms.max(least).max(1);
+            needs.insert(pool.name.clone(), need);
+        }
+        needs
+    }
+
+    /// What a VM holds where a pool has none to show it.
+    fn usual_room(&self) -> ResourceVector {
+        self.fleet.vms.values().map(|vm| vm.capacity).next().unwrap_or_default()
+    }
+
+    /// By pool: what is booked and what is about to be, and the least number of VMs that its
+    /// services need to be apart.
+    fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, (ResourceVector, usize)> {
+        let mut loads: BTreeMap<Arc<str>, (ResourceVector, usize)> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let Some(queue) = self.queue_of(job) else { continue };
+            let (load, least) = loads.entry(queue.service.clone()).or_default();
+            for (occurrence, run) in &job.occurrences {
+                let due = self.due_ms(job, *occurrence, now);
+                let tier = rank(job, queue, run, due, now).tier;
+                for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
+                    let open = step.tasks.len() - step.done;
+                    if open == 0 {
+                        continue;
+                    }
+                    let booked: usize = step.tasks.iter().map(|task| task.live.len()).sum();
+                    let waiting = open.saturating_sub(booked);
+                    let is_begun = spec.after.iter().all(|before| {
+                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
+                    });
+                    // What is late already is worth little: it takes what is there.
+                    let counted = match (tier, is_begun) {
+                        (RankTier::Late | RankTier::Overdue, _) => 0,
+                        (_, true) => waiting * 100,
+                        (_, false) => waiting * usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
+                    };
+                    let wanted = u64::try_from(booked * 100 + counted).unwrap_or(0);
+                    let all = spec.booked().times(wanted);
+                    load.add(&ResourceVector {
+                        cpu: all.cpu / 100,
+                        memory: all.memory / 100,
+                        accelerators: all.accelerators / 100,
+                    });
+                    if spec.is_service && spec.per_worker_max > 0 {
+                        let apart = spec.count.div_ceil(spec.per_worker_max);
+                        *least = (*least).max(usize::try_from(apart).unwrap_or(0));
+                    }
+                }
+            }
+        }
+        loads
+    }
+}
+
+/// Takes an empty VM from the pool that can best spare one.
+fn give(needs: &mut BTreeMap<Arc<str>, PoolNeed>, to: &str) -> Option<Arc<str>> {
+    let donor = needs
+        .iter()
+        .filter(|(pool, need)| &***pool != to && need.usable > need.needed)
+        .filter(|(_, need)| !need.idle.is_empty())
+        .max_by_key(|(_, need)| need.usable - need.needed)
+        .map(|(pool, _)| pool.clone())?;
+    let need = needs.get_mut(&donor)?;
+    need.usable -= 1;
+    Some(need.idle.remove(0).0)
+}
--- /dev/null
+++ b/src/scheduler/job.rs
@@ -0,0 +1,386 @@
+//! A job while its tasks are being placed, and how it is written to and read from the log.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::book::BookedJob;
+use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TaskKey};
+use crate::jobs::record::{JobProgress, TaskProgress};
+
+/// Where a run is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Chosen, and not yet on the log: no start may be sent.
+    Planned,
+    /// On the log; the start was sent or will be, and has no answer yet.
+    Starting,
+    /// The worker has confirmed it.
+    Running,
+    /// Read from the log by a new leader; the worker has not been heard yet.
+    Inherited,
+    /// A stop was sent or will be.
+    Stopping,
+}
+
+/// One run of a task that may be alive.
+#[derive(Clone, Debug)]
+pub struct LiveRun {
+    /// Worker that it is on.
+    pub worker: Arc<str>,
+    /// Run number.
+    pub run: u32,
+    /// Where it is in its life.
+    pub phase: RunPhase,
+    /// When it entered the phase, in milliseconds.
+    pub since_ms: u64,
+    /// When the start or stop may be sent again, in milliseconds.
+    pub retry_ms: u64,
+    /// Latest progress that the worker told, in percent.
+    pub percent: u32,
+    /// When the progress last rose, in milliseconds.
+    pub progress_ms: u64,
+    /// When it was first confirmed, in milliseconds.
+    pub begun_ms: u64,
+    /// When the worker answered the start or stop of this phase, in milliseconds.
+    pub answered_ms: Option<u64>,
+    /// Whether a start had no answer: it may be carried out seconds later.
+    pub is_in_doubt: bool,
+    /// Share of its speed that it may use, in percent.
+    pub throttle: u32,
+    /// When the throttle was last changed, in milliseconds.
+    pub throttled_ms: u64,
+}
+
+impl LiveRun {
+    /// A run that is chosen now.
+    pub fn planned(worker: Arc<str>, run: u32, now: u64) -> LiveRun {
+        LiveRun {
+            worker,
+            run,
+            phase: RunPhase::Planned,
+            since_ms: now,
+            retry_ms: now,
+            percent: 0,
+            progress_ms: now,
+            begun_ms: 0,
+            answered_ms: None,
+            is_in_doubt: false,
+            throttle: 100,
+            throttled_ms: 0,
+        }
+    }
+
+    /// Enters a phase.
+    pub fn enter(&mut self, phase: RunPhase, now: u64) {
+        self.phase = phase;
+        self.since_ms = now;
+        self.retry_ms = now;
+        self.answered_ms = None;
+    }
+}
+
+/// A task.
+#[derive(Clone, Debug, Default)]
+pub struct TaskRun {
+    /// Highest run number given out.
+    pub run: u32,
+    /// Runs that ended in failure.
+    pub failures: u32,
+    /// Whether it is done.
+    pub is_done: bool,
+    /// Runs that may be alive.
+    pub live: Vec<LiveRun>,
+    /// Newest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// Earliest time of the next start, in milliseconds.
+    pub not_before_ms: u64,
+    /// When it became ready to be placed or last ended, in milliseconds.
+    pub waiting_since_ms: u64,
+    /// Latest run that failed.
+    pub failed_run: u32,
+    /// Workers on which it failed.
+    pub failed_on: Vec<Arc<str>>,
+    /// Services only: when it was last at work, in milliseconds.
+    pub at_work_ms: u64,
+}
+
+impl TaskRun {
+    /// Whether a run is on its way or at work.
+    pub fn is_covered(&self) -> bool {
+        !self.live.is_empty()
+    }
+
+    /// Whether a service task is at work.
+    pub fn is_at_work(&self) -> bool {
+        self.live.iter().any(|live| live.phase == RunPhase::Running && live.percent >= 100)
+    }
+}
+
+/// A step of one occurrence.
+#[derive(Clone, Debug)]
+pub struct StepRun {
+    /// Its tasks.
+    pub tasks: Vec<TaskRun>,
+    /// Tasks that are done.
+    pub done: usize,
+}
+
+impl StepRun {
+    fn new(spec: &StepSpec) -> StepRun {
+        let count = usize::try_from(spec.count).unwrap_or(0);
+        StepRun { tasks: vec![TaskRun::default(); count], done: 0 }
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.done >= self.tasks.len()
+    }
+
+    /// Marks a task done; returns whether it was not before.
+    pub fn finish(&mut self, index: usize) -> bool {
+        let Some(task) = self.tasks.get_mut(index) else { return false };
+        if std::mem::replace(&mut task.is_done, true) {
+            return false;
+        }
+        self.done += 1;
+        true
+    }
+}
+
+/// One run of a job's steps.
+#[derive(Clone, Debug)]
+pub struct OccurrenceRun {
+    /// Steps.
+    pub steps: Vec<StepRun>,
+}
+
+impl OccurrenceRun {
+    fn new(submission: &JobSubmission) -> OccurrenceRun {
+        OccurrenceRun { steps: submission.spec.steps.iter().map(StepRun::new).collect() }
+    }
+
+    /// Whether every step is done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepRun::is_done)
+    }
+}
+
+/// A job that is not over, or of which runs may still be alive.
+#[derive(Clone, Debug)]
+pub struct JobRun {
+    /// Its id.
+    pub id: JobId,
+    /// What it is.
+    pub submission: Arc<JobSubmission>,
+    /// State for callers, as it will be on the log.
+    pub state: JobState,
+    /// When it arrived, in milliseconds of the leader's steady clock.
+    pub arrived_ms: u64,
+    /// When its state became final, in milliseconds since the epoch.
+    pub ended_wall_ms: u64,
+    /// Occurrences that have begun and are not done.
+    pub occurrences: BTreeMap<u32, OccurrenceRun>,
+    /// Occurrences from here on have not begun.
+    pub next_occurrence: u32,
+}
+
+impl JobRun {
+    /// A job that the log knows, with what it tells of its progress.
+    pub fn restore(id: JobId, job: &BookedJob, arrived_ms: u64) -> Option<JobRun> {
+        let submission = job.submission.clone()?;
+        let mut run = JobRun {
+            id,
+            state: job.state()?,
+            submission,
+            arrived_ms,
+            ended_wall_ms: 0,
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+        };
+        if let Some(progress) = &job.progress {
+            run.apply(progress);
+        }
+        Some(run)
+    }
+
+    fn apply(&mut self, progress: &JobProgress) {
+        self.ended_wall_ms = progress.ended_ms;
+        self.next_occurrence = progress.occurrences_done;
+        for (occurrence, step) in &progress.steps_done {
+            let submission = self.submission.clone();
+            let entry = self.occurrence(*occurrence, &submission);
+            if let Some(step) = entry.steps.get_mut(usize::from(*step)) {
+                for index in 0..step.tasks.len() {
+                    step.finish(index);
+                }
+            }
+        }
+        for told in &progress.tasks {
+            self.apply_task(told, &progress.workers);
+        }
+    }
+
+    fn apply_task(&mut self, told: &TaskProgress, workers: &[Arc<str>]) {
+        let submission = self.submission.clone();
+        let entry = self.occurrence(told.occurrence, &submission);
+        let Some(step) = entry.steps.get_mut(usize::from(told.step)) else { return };
+        let index = usize::try_from(told.index).unwrap_or(usize::MAX);
+        if told.is_done {
+            step.finish(index);
+        }
+        let Some(task) = step.tasks.get_mut(index) else { return };
+        task.run = told.run;
+        task.failures = told.failures;
+        task.checkpoint.clone_from(&told.checkpoint);
+        for (position, run) in &told.live {
+            let Some(worker) = workers.get(usize::from(*position)) else { continue };
+            let mut live = LiveRun::planned(worker.clone(), *run, 0);
+            live.phase = RunPhase::Inherited;
+            task.live.push(live);
+        }
+    }
+
+    fn occurrence(&mut self, number: u32, submission: &JobSubmission) -> &mut OccurrenceRun {
+        self.next_occurrence = self.next_occurrence.max(number + 1);
+        self.occurrences.entry(number).or_insert_with(|| OccurrenceRun::new(submission))
+    }
+
+    /// Begins the occurrences that are due; returns whether there were any.
+    pub fn begin_due(&mut self, wall_ms: u64) -> bool {
+        let mut has_begun = false;
+        let submission = self.submission.clone();
+        while self.next_occurrence < submission.spec.occurrences()
+            && submission.spec.due_ms(self.next_occurrence) <= wall_ms
+        {
+            self.occurrence(self.next_occurrence, &submission);
+            has_begun = true;
+        }
+        has_begun
+    }
+
+    /// What goes to the log.
+    pub fn progress(&self, term: u64) -> JobProgress {
+        let mut progress = JobProgress {
+            term,
+            state: self.state,
+            ended_ms: self.ended_wall_ms,
+            occurrences_done: 0,
+            steps_done: Vec::new(),
+            tasks: Vec::new(),
+            workers: Vec::new(),
+        };
+        progress.occurrences_done =
+            self.occurrences.keys().next().copied().unwrap_or(self.next_occurrence);
+        for (occurrence, run) in &self.occurrences {
+            for (position, step) in run.steps.iter().enumerate() {
+                let position = u16::try_from(position).unwrap_or(u16::MAX);
+                let is_quiet = step.tasks.iter().all(|task| task.live.is_empty());
+                if step.is_done() && is_quiet {
+                    progress.steps_done.push((*occurrence, position));
+                    continue;
+                }
+                write_tasks(&mut progress, *occurrence, position, step);
+            }
+        }
+        progress
+    }
+
+    /// A task by its key.
+    pub fn task(&self, key: &TaskKey) -> Option<&TaskRun> {
+        let step = self.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))?;
+        step.tasks.get(usize::try_from(key.index).ok()?)
+    }
+
+    /// A task by its key, to change it.
+    pub fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskRun> {
+        let index = usize::try_from(key.index).ok()?;
+        self.step_mut(key)?.tasks.get_mut(index)
+    }
+
+    /// The step of a task, to change it.
+    pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepRun> {
+        self.occurrences.get_mut(&key.occurrence)?.steps.get_mut(usize::from(key.step))
+    }
+
+    /// What a task's step asks for.
+    pub fn spec(&self, key: &TaskKey) -> Option<&StepSpec> {
+        self.submission.spec.steps.get(usize::from(key.step))
+    }
+
+    /// Every task with a run that may be alive.
+    pub fn live_tasks(&self) -> Vec<TaskKey> {
+        let mut keys = Vec::new();
+        for (occurrence, run) in &self.occurrences {
+            for (step, step_run) in run.steps.iter().enumerate() {
+                for (index, task) in step_run.tasks.iter().enumerate() {
+                    if task.is_covered() {
+                        keys.push(self.key(*occurrence, step, index));
+                    }
+                }
+            }
+        }
+        keys
+    }
+
+    /// Key of a task by its position.
+    pub fn key(&self, occurrence: u32, step: usize, index: usize) -> TaskKey {
+        TaskKey {
+            job: self.id,
+            occurrence,
+            step: u16::try_from(step).unwrap_or(u16::MAX),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Drops occurrences that are done; returns whether the whole job is.
+    pub fn sweep(&mut self) -> bool {
+        let submission = self.submission.clone();
+        let is_over = |run: &OccurrenceRun| {
+            let is_quiet =
+                run.steps.iter().all(|step| step.tasks.iter().all(|task| task.live.is_empty()));
+            run.is_done() && is_quiet
+        };
+        // Only from the front: the log tells how many leading occurrences are done.
+        if submission.spec.schedule.is_some() {
+            while let Some(first) = self.occurrences.first_entry() {
+                if !is_over(first.get()) || self.next_occurrence <= *first.key() {
+                    break;
+                }
+                first.remove();
+            }
+        }
+        self.next_occurrence >= submission.spec.occurrences()
+            && self.occurrences.values().all(OccurrenceRun::is_done)
+    }
+}
+
+fn write_tasks(progress: &mut JobProgress, occurrence: u32, step: u16, run: &StepRun) {
+    for (index, task) in run.tasks.iter().enumerate() {
+        if task.run == 0 && !task.is_done {
+            continue;
+        }
+        let live = task
+            .live
+            .iter()
+            .map(|live| (worker_position(&mut progress.workers, &live.worker), live.run))
+            .collect();
+        progress.tasks.push(TaskProgress {
+            occurrence,
+            step,
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            run: task.run,
+            failures: task.failures,
+            is_done: task.is_done,
+            live,
+            checkpoint: if task.is_done { String::new() } else { task.checkpoint.clone() },
+        });
+    }
+}
+
+fn worker_position(workers: &mut Vec<Arc<str>>, worker: &Arc<str>) -> u16 {
+    let position = workers.iter().position(|known| known == worker).unwrap_or_else(|| {
+        workers.push(worker.clone());
+        workers.len() - 1
+    });
+    u16::try_from(position).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/src/scheduler/maintenance.rs
@@ -0,0 +1,232 @@
+//! Waves of maintenance: each VM once, no more at a time than the wave allows, in time.
+//!
+//! VMs that are off or empty go first, as that costs nothing. Others are kept free of new work until
+//! they are empty. Service tasks are moved within their disruption budget, and only when the wave
+//! would be late otherwise.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::jobs::model::TaskKey;
+use crate::jobs::ports::VmCommand;
+use crate::jobs::site::{MaintenanceWave, VmState};
+use crate::scheduler::{Scheduler, SchedulerAction};
+
+/// Time that a VM takes beside the maintenance itself, in milliseconds: it is emptied, listed, and
+/// its worker reports itself.
+const OVERHEAD_MS: u64 = 1_200;
+/// Share of the time left, in percent, in which a wave plans to be done; the rest is for failures.
+const PLANNED_PERCENT: u64 = 70;
+
+/// A wave under way.
+#[derive(Clone, Debug)]
+pub struct WaveRun {
+    /// What is asked.
+    pub wave: MaintenanceWave,
+    /// VMs whose maintenance has begun or is over.
+    pub done: BTreeSet<Arc<str>>,
+    /// When it was first seen, in milliseconds.
+    pub since_ms: u64,
+    /// Whether operators were told that it is complete.
+    pub is_completed: bool,
+    is_told: bool,
+}
+
+impl WaveRun {
+    /// A wave that is seen now.
+    pub fn new(wave: MaintenanceWave, now: u64) -> WaveRun {
+        WaveRun { wave, done: BTreeSet::new(), since_ms: now, is_completed: false, is_told: false }
+    }
+
+    /// Whether a VM is still to be maintained.
+    pub fn is_due(&self, vm: &Arc<str>) -> bool {
+        !self.is_completed && self.wave.vms.contains(vm) && !self.done.contains(vm)
+    }
+}
+
+/// How much it takes to get a VM ready for maintenance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EmptyingCost {
+    /// Off, or nothing runs on it.
+    Nothing,
+    /// What runs on it ends by itself soon.
+    Wait,
+    /// Services have to be moved.
+    Evict,
+}
+
+impl Scheduler {
+    /// Commands or prepares the next VMs of each wave.
+    pub(crate) fn plan_waves(&mut self, now: u64) {
+        let numbers: Vec<u64> =
+            self.fleet.waves.values().filter(|run| !run.is_completed).map(|run| run.wave.number).collect();
+        for number in numbers {
+            self.plan_wave(number, now);
+        }
+    }
+
+    fn plan_wave(&mut self, number: u64, now: u64) {
+        let Some(run) = self.fleet.waves.get_mut(&number) else { return };
+        if !std::mem::replace(&mut run.is_told, true) {
+            self.actions.push(SchedulerAction::TellWave(number, false));
+        }
+        let left: Vec<Arc<str>> = run
+            .wave
+            .vms
+            .iter()
+            .filter(|vm| !run.done.contains(*vm) && self.fleet.vms.contains_key(*vm))
+            .cloned()
+            .collect();
+        if left.is_empty() {
+            run.is_completed = true;
+            self.actions.push(SchedulerAction::TellWave(number, true));
+            return;
+        }
+        let deadline = run.since_ms + run.wave.within_ms;
+        let parallel_max = run.wave.parallel_max.max(1);
+        let under_way = self.under_way(number);
+        let wanted = self.wanted_parallel(left.len(), deadline, now).min(parallel_max);
+        let mut slots = parallel_max.saturating_sub(under_way);
+        let mut candidates: Vec<(EmptyingCost, u64, Arc<str>)> = left
+            .into_iter()
+            .filter(|vm| !self.fleet.intents.contains_key(vm))
+            .filter_map(|vm| self.emptying_cost(&vm, now).map(|(cost, load)| (cost, load, vm)))
+            .collect();
+        candidates.sort();
+        for (cost, _, vm) in candidates {
+            if slots == 0 {
+                break;
+            }
+            let running = parallel_max - slots;
+            if cost > EmptyingCost::Nothing && running >= wanted {
+                break;
+            }
+            if cost == EmptyingCost::Evict && !self.is_pressed(number, now) {
+                break;
+            }
+            self.intend(VmCommand::Maintain { vm, wave: number }, now);
+            slots -= 1;
+        }
+        self.evict_services(number, now);
+    }
+
+    /// VMs of a wave that are down for it, or will be any moment.
+    fn under_way(&self, number: u64) -> usize {
+        let Some(run) = self.fleet.waves.get(&number) else { return 0 };
+        run.wave
+            .vms
+            .iter()
+            .filter(|name| {
+                let is_down = self
+                    .fleet
+                    .vms
+                    .get(*name)
+                    .is_some_and(|vm| vm.state == VmState::Maintained);
+                let is_intended = self.fleet.intents.get(*name).is_some_and(
+                    |intent| matches!(intent.command, VmCommand::Maintain { wave, .. } if wave == number),
+                );
+                is_down || is_intended
+            })
+            .count()
+    }
+
+    /// VMs that must be maintained at a time for the wave to be in time.
+    fn wanted_parallel(&self, left: usize, deadline: u64, now: u64) -> usize {
+        let each_ms = self.bounds.maintain_ms + OVERHEAD_MS;
+        let left_ms = deadline.saturating_sub(now) * PLANNED_PERCENT / 100;
+        let work_ms = u64::try_from(left).unwrap_or(0) * each_ms;
+        match left_ms {
+            0 => usize::MAX,
+            _ => usize::try_from(work_ms.div_ceil(left_ms)).unwrap_or(usize::MAX),
+        }
+    }
+
+    /// Whether services have to be moved for the wave to be in time.
+    fn is_pressed(&self, number: u64, now: u64) -> bool {
+        let Some(run) = self.fleet.waves.get(&number) else { return false };
+        let left = run.wave.vms.len().saturating_sub(run.done.len());
+        let deadline = run.since_ms + run.wave.within_ms;
+        self.wanted_parallel(left, deadline, now) > 0
+    }
+
+    /// What it takes to empty a VM, and how loaded it is; nothing if it can't be commanded now.
+    fn emptying_cost(&self, name: &Arc<str>, now: u64) -> Option<(EmptyingCost, u64)> {
+        let vm = self.fleet.vms.get(name)?;
+        if vm.state != VmState::Up {
+            return None;
+        }
+        let Some(worker) = self.workers.get(&vm.worker) else {
+            return Some((EmptyingCost::Nothing, 0));
+        };
+        if worker.silent_since_ms.is_some() || worker.entry.is_draining {
+            return None;
+        }
+        let load = worker.used().share_of(&worker.entry.capacity);
+        if worker.runs.is_empty() {
+            // One that has just been given to a pool is about to be used.
+            let is_wanted = now < worker.idle_since_ms + 300;
+            return Some((EmptyingCost::Nothing, u64::from(is_wanted)));
+        }
+        let has_service = worker.runs.values().any(|run| run.is_service);
+        let cost = if has_service { EmptyingCost::Evict } else { EmptyingCost::Wait };
+        Some((cost, load))
+    }
+
+    /// Moves services off VMs that are being emptied for a wave, as their budgets allow.
+    fn evict_services(&mut self, number: u64, now: u64) {
+        let emptied: Vec<Arc<str>> = self
+            .fleet
+            .intents
+            .values()
+            .filter(|intent| {
+                matches!(intent.command, VmCommand::Maintain { wave, .. } if wave == number)
+            })
+            .map(|intent| intent.worker.clone())
+            .collect();
+        for id in emptied {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let services: Vec<(TaskKey, u32)> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.is_service)
+                .map(|(key, _)| *key)
+                .collect();
+            for (key, run) in services {
+                if self.may_evict(&key) && self.has_room_elsewhere(&key, now) {
+                    self.stop_run(&key, run, "moved for maintenance", now);
+                }
+            }
+        }
+    }
+
+    /// Whether a service task may be ended now: at most as many of its step are away as its budget
+    /// allows, this one included.
+    pub(crate) fn may_evict(&self, key: &TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return true };
+        let Some(spec) = job.spec(key) else { return true };
+        let Some(run) = job.occurrences.get(&key.occurrence) else { return true };
+        let Some(step) = run.steps.get(usize::from(key.step)) else { return true };
+        let is_other = |index: usize| u32::try_from(index).is_ok_and(|index| index != key.index);
+        let away = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, task)| is_other(*index) && !task.is_at_work())
+            .count();
+        away < usize::try_from(spec.disruption_budget.max(1)).unwrap_or(1)
+    }
+
+    /// A VM's maintenance has begun or is over.
+    pub(crate) fn maintained(&mut self, number: u64, vm: &Arc<str>) {
+        let Some(run) = self.fleet.waves.get_mut(&number) else { return };
+        run.done.insert(vm.clone());
+        self.commits.wave(number, run.done.clone());
+    }
+
+    /// The platform says that a VM does not belong to the wave.
+    pub(crate) fn not_of_wave(&mut self, number: u64, vm: &Arc<str>) {
+        if let Some(run) = self.fleet.waves.get_mut(&number) {
+            run.wave.vms.retain(|other| other != vm);
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,485 @@
+//! The leader's decisions about jobs, workers and VMs, as one state machine without I/O.
+//!
+//! Facts come in through methods that take the time as an argument; what is to be done about them
+//! is collected as [`SchedulerAction`]s and as [`CommitBatch`]es for the log. Three rules hold the
+//! rest together:
+//!
+//! * A run is written to the log before its start is sent. A new leader therefore knows every run
+//!   that may be alive, and on which worker.
+//! * A worker's exit is acknowledged to it only once its effect is on the log. Until then the worker
+//!   lists it again, whoever leads.
+//! * A task is started again only when its earlier run is known to be over: it is listed as ended,
+//!   the life of its worker is over, or every lease that the worker can have has run out.
+
+pub mod commit;
+pub mod dispatch;
+pub mod exits;
+pub mod fleet;
+pub mod job;
+pub mod maintenance;
+pub mod rank;
+pub mod runs;
+pub mod throttle;
+pub mod worker;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::jobs::book::{BookedJob, JobBook};
+use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
+use crate::jobs::ports::{PermitGrant, RunCall, StartCall, VmCommand, WorkerTarget};
+use crate::jobs::record::JobRecord;
+use crate::jobs::site::{MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry};
+use crate::scheduler::commit::CommitQueue;
+use crate::scheduler::fleet::FleetState;
+use crate::scheduler::job::JobRun;
+use crate::scheduler::worker::WorkerRun;
+
+/// Fencing tokens that one term may use: room for a leader to raise its own.
+pub const FENCES_PER_TERM: u64 = 1 << 10;
+/// Time without a confirmation of our leadership after which no lease is extended and nothing is
+/// started, in milliseconds. A successor waits it out before it takes runs on workers that it can't
+/// reach for dead; three renewals of the leadership fit in.
+pub const CONFIRMATION_MS: u64 = 1_600;
+/// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
+const LEASE_SLACK_MS: u64 = 200;
+
+/// What a leader starts from.
+pub struct SchedulerStart {
+    /// Term of this leader.
+    pub term: u64,
+    /// Promised times.
+    pub bounds: SiteBounds,
+    /// Configuration in force.
+    pub config: Arc<SiteConfig>,
+    /// When the leader before was last seen, in milliseconds of the steady clock.
+    pub predecessor_ms: Option<u64>,
+    /// Now, in milliseconds of the steady clock.
+    pub now: u64,
+    /// Now, in milliseconds since the epoch.
+    pub wall_ms: u64,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum SchedulerAction {
+    /// Start a run.
+    Start(WorkerTarget, StartCall),
+    /// Stop a run.
+    Stop(WorkerTarget, RunCall),
+    /// Let a run work at a share of its speed, in percent.
+    Throttle(WorkerTarget, RunCall, u32),
+    /// Keep renewing the leases of a worker.
+    Watch(WorkerTarget),
+    /// Renew at once.
+    Wake(Arc<str>),
+    /// Fetch the list of VMs.
+    ListVms,
+    /// Command a VM, with this fencing token.
+    CommandVm(VmCommand, u64),
+    /// Tell operators of a wave: its number, and whether it is complete.
+    TellWave(u64, bool),
+    /// Ask for placement permits.
+    AskPermits(StepKey, Vec<Arc<str>>),
+    /// Log a decision.
+    Note(SchedulerNote),
+}
+
+/// A decision worth a log line.
+#[derive(Clone, Debug)]
+pub enum SchedulerNote {
+    /// A run was given to a worker.
+    Placed {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// Time since the job arrived, in milliseconds.
+        age_ms: u64,
+    },
+    /// A run ended, or is known to be over.
+    Ended {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// How.
+        how: &'static str,
+    },
+    /// A start was refused.
+    StartRefused {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A job's state changed.
+    JobState {
+        /// Job.
+        job: JobId,
+        /// New state.
+        state: JobState,
+        /// Time since it arrived, in milliseconds.
+        age_ms: u64,
+    },
+    /// What is believed of a worker changed.
+    Worker {
+        /// Worker.
+        worker: Arc<str>,
+        /// What.
+        change: &'static str,
+        /// Runs that it had.
+        runs: usize,
+    },
+    /// A VM was commanded, or answered.
+    Vm {
+        /// VM.
+        vm: Arc<str>,
+        /// What.
+        change: String,
+    },
+    /// Runs are stopped to make room or because they are not wanted any more.
+    Stopped {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Why.
+        reason: &'static str,
+    },
+}
+
+/// Permits of a step.
+#[derive(Clone, Debug, Default)]
+struct StepPermits {
+    allowed: HashMap<Arc<str>, Arc<str>>,
+    expires_ms: u64,
+    asked_ms: Option<u64>,
+}
+
+/// The leader's state.
+pub struct Scheduler {
+    term: u64,
+    bounds: SiteBounds,
+    config: Arc<SiteConfig>,
+    /// Last definition of queues that the configuration no longer has but jobs still name.
+    retired: HashMap<Arc<str>, QueueSpec>,
+    foreign_bound_ms: u64,
+    confirmed_ms: u64,
+    is_deposed: bool,
+    jobs: HashMap<JobId, JobRun>,
+    scheduled: BTreeSet<JobId>,
+    /// Jobs that are over, and when they ended, in milliseconds since the epoch.
+    finished: BTreeMap<JobId, u64>,
+    workers: BTreeMap<Arc<str>, WorkerRun>,
+    attention: BTreeSet<(TaskKey, u32)>,
+    permits: HashMap<StepKey, StepPermits>,
+    commits: CommitQueue,
+    fleet: FleetState,
+    actions: Vec<SchedulerAction>,
+    needs_dispatch: bool,
+    next_sweep_ms: u64,
+    wall_ms: u64,
+}
+
+impl Scheduler {
+    /// Takes over from the log: every run that it tells of may be alive.
+    pub fn open(start: SchedulerStart, book: &JobBook) -> Scheduler {
+        let SchedulerStart { term, bounds, config, predecessor_ms, now, wall_ms } = start;
+        // The leader before extends no lease later than this long after it was last confirmed.
+        let lease_ms = bounds.lease_max_ms * 100 / 98 + 100;
+        let foreign_bound_ms = predecessor_ms.map_or(0, |seen| seen + CONFIRMATION_MS + lease_ms);
+        let mut scheduler = Scheduler {
+            term,
+            bounds,
+            config,
+            retired: HashMap::new(),
+            foreign_bound_ms,
+            confirmed_ms: now,
+            is_deposed: false,
+            jobs: HashMap::new(),
+            scheduled: BTreeSet::new(),
+            finished: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            attention: BTreeSet::new(),
+            permits: HashMap::new(),
+            commits: CommitQueue::default(),
+            fleet: FleetState::default(),
+            actions: Vec::new(),
+            needs_dispatch: true,
+            next_sweep_ms: now,
+            wall_ms,
+        };
+        for (id, job) in book.iter() {
+            scheduler.restore(*id, job, now, wall_ms);
+        }
+        scheduler
+    }
+
+    fn restore(
+        &mut self,
+        id: JobId,
+        job: &BookedJob,
+        now: u64,
+        wall_ms: u64,
+    ) {
+        let Some(submission) = &job.submission else { return };
+        let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
+        let Some(run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
+        let live = run.live_tasks();
+        if run.state.is_final() {
+            self.finished.insert(id, run.ended_wall_ms.max(1));
+            if live.is_empty() {
+                return;
+            }
+        }
+        self.jobs.insert(id, run);
+        for key in live {
+            self.adopt_runs(&key, now);
+        }
+        self.scheduled.insert(id);
+    }
+
+    /// Term of this leader.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Fencing token of its commands.
+    pub fn fence(&self) -> u64 {
+        self.term * FENCES_PER_TERM
+    }
+
+    /// Whether somebody with a higher term was seen: nothing may be done any more.
+    pub fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// A later leader has shut us out of the log.
+    pub fn depose(&mut self) {
+        self.is_deposed = true;
+    }
+
+    /// The log has confirmed our leadership with an append that was sent at `sent_ms`.
+    pub fn confirm(&mut self, sent_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(sent_ms);
+    }
+
+    fn is_confirmed(&self, now: u64) -> bool {
+        now < self.confirmed_ms + CONFIRMATION_MS
+    }
+
+    fn lease_ms(&self) -> u64 {
+        self.bounds.lease_max_ms.saturating_sub(LEASE_SLACK_MS)
+    }
+
+    /// What is to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<SchedulerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn note(&mut self, note: SchedulerNote) {
+        self.actions.push(SchedulerAction::Note(note));
+    }
+
+    /// A new configuration is in force.
+    pub fn set_config(&mut self, config: Arc<SiteConfig>) {
+        for queue in &self.config.queues {
+            self.retired.insert(queue.name.clone(), queue.clone());
+        }
+        self.config = config;
+        self.needs_dispatch = true;
+    }
+
+    /// Queue of a job: as configured now, else as it last was.
+    fn queue_of(&self, job: &JobRun) -> Option<&QueueSpec> {
+        let name = &job.submission.queue;
+        self.config.queue(name).or_else(|| self.retired.get(name))
+    }
+
+    /// Pool of a job: as configured now, else as it was when the job was accepted.
+    fn service_of(&self, job: &JobRun) -> Arc<str> {
+        self.queue_of(job)
+            .map_or_else(|| job.submission.service.clone(), |queue| queue.service.clone())
+    }
+
+    /// A record of the job log that others may have written.
+    pub fn take_record(&mut self, record: &JobRecord, now: u64) {
+        match record {
+            JobRecord::Submitted(job, submission) => {
+                if self.jobs.contains_key(job) {
+                    return;
+                }
+                let booked = BookedJob::submitted(submission.clone());
+                let Some(run) = JobRun::restore(*job, &booked, now) else { return };
+                self.jobs.insert(*job, run);
+                self.scheduled.insert(*job);
+                self.needs_dispatch = true;
+            }
+            JobRecord::Cancelled(job) => self.cancel(*job, now),
+            JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => {}
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, now: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = JobState::Cancelled;
+        let age_ms = now.saturating_sub(job.arrived_ms);
+        self.note(SchedulerNote::JobState { job: id, state: JobState::Cancelled, age_ms });
+        self.commits.mark(id);
+        self.stop_all(id, now);
+    }
+
+    /// A worker reports itself, for the first time or with something new.
+    pub fn worker_seen(&mut self, entry: WorkerEntry, now: u64) {
+        let id = entry.id.clone();
+        self.needs_dispatch = true;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            let worker = WorkerRun::new(entry, self.foreign_bound_ms, now);
+            let target = worker.target();
+            self.workers.insert(id.clone(), worker);
+            self.note(SchedulerNote::Worker { worker: id, change: "listed", runs: 0 });
+            self.actions.push(SchedulerAction::Watch(target));
+            return;
+        };
+        if entry.is_draining && !worker.entry.is_draining {
+            worker.draining_since_ms = Some(now);
+            let runs = worker.runs.len();
+            worker.entry = entry;
+            self.note(SchedulerNote::Worker { worker: id, change: "draining", runs });
+            return;
+        }
+        let was_listed = std::mem::replace(&mut worker.is_listed, true);
+        if !entry.is_draining {
+            worker.draining_since_ms = None;
+        }
+        worker.entry = entry;
+        if !was_listed {
+            let target = worker.target();
+            self.actions.push(SchedulerAction::Watch(target));
+        }
+    }
+
+    /// A worker's entry is gone. It may run on behind a cut, so its runs are not over yet.
+    pub fn worker_unlisted(&mut self, id: &Arc<str>, now: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.is_listed = false;
+        worker.silent_since_ms.get_or_insert(now);
+        let runs = worker.runs.len();
+        self.note(SchedulerNote::Worker { worker: id.clone(), change: "not listed", runs });
+        if runs == 0 {
+            self.workers.remove(id);
+        }
+        self.fleet.wants_list = true;
+        self.needs_dispatch = true;
+    }
+
+    /// Every worker that is listed now; the others' entries are gone.
+    pub fn workers_listed(&mut self, entries: Vec<WorkerEntry>, now: u64) {
+        let listed: BTreeSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let gone: Vec<Arc<str>> =
+            self.workers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in gone {
+            self.worker_unlisted(&id, now);
+        }
+        for entry in entries {
+            self.worker_seen(entry, now);
+        }
+    }
+
+    /// The VM list, as it was when it was asked for at `asked_ms`.
+    pub fn take_vms(&mut self, vms: Vec<VmEntry>, asked_ms: u64, now: u64) {
+        self.fleet.take_list(vms, asked_ms);
+        self.bury_workers(asked_ms, now);
+        self.needs_dispatch = true;
+    }
+
+    /// A wave of maintenance, and which VMs of it have been maintained already.
+    pub fn take_wave(&mut self, wave: MaintenanceWave, done: BTreeSet<Arc<str>>, now: u64) {
+        self.fleet.take_wave(wave, done, now);
+    }
+
+    /// Permits of a step have come; none if there was no answer.
+    pub fn take_permits(&mut self, step: StepKey, grant: Option<PermitGrant>, now: u64) {
+        let permits = self.permits.entry(step).or_default();
+        permits.asked_ms = None;
+        if let Some(grant) = grant {
+            permits.expires_ms = now + grant.valid_ms;
+            permits.allowed = grant.allowed.into_iter().collect();
+        }
+        self.needs_dispatch = true;
+    }
+
+    /// Does what is due: occurrences, retries, judgements, placement, VMs.
+    pub fn tick(&mut self, now: u64, wall_ms: u64) {
+        if self.is_deposed {
+            return;
+        }
+        self.wall_ms = wall_ms;
+        self.begin_due(wall_ms);
+        self.expire_silent(now);
+        if now >= self.next_sweep_ms {
+            self.next_sweep_ms = now + runs::SWEEP_MS;
+            self.judge_runs(now);
+            self.drop_over_jobs(wall_ms);
+            self.needs_dispatch = true;
+        }
+        self.plan_fleet(now);
+        if std::mem::take(&mut self.needs_dispatch) {
+            self.dispatch(now);
+        }
+        self.send_due(now);
+    }
+
+    fn begin_due(&mut self, wall_ms: u64) {
+        let mut over = Vec::new();
+        for id in &self.scheduled {
+            let Some(job) = self.jobs.get_mut(id) else {
+                over.push(*id);
+                continue;
+            };
+            self.needs_dispatch |= job.begin_due(wall_ms);
+            if job.next_occurrence >= job.submission.spec.occurrences() || job.state.is_final() {
+                over.push(*id);
+            }
+        }
+        for id in over {
+            self.scheduled.remove(&id);
+        }
+    }
+
+    /// Figures for metrics and status.
+    pub fn census(&self) -> SchedulerCensus {
+        let mut census = SchedulerCensus { jobs: self.jobs.len(), ..Default::default() };
+        for worker in self.workers.values() {
+            census.workers += usize::from(worker.is_listed);
+            census.silent += usize::from(worker.silent_since_ms.is_some());
+            census.runs += worker.runs.len();
+        }
+        census
+    }
+}
+
+/// Figures of a leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SchedulerCensus {
+    /// Jobs that are not over.
+    pub jobs: usize,
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Workers that don't answer.
+    pub silent: usize,
+    /// Runs that may be alive.
+    pub runs: usize,
+}
--- /dev/null
+++ b/src/scheduler/rank.rs
@@ -0,0 +1,114 @@
+//! In which order jobs get room.
+//!
+//! The load that this answers: a queue asks several times its mean for some seconds, more than its
+//! pool holds. Served in order of arrival, every job would wait for all the work before it and miss
+//! its objective. So what can still meet its objective goes before what can't, and among these the
+//! job with the least work left: it frees its room soonest, and most jobs are in time.
+
+use crate::jobs::model::{JobState, StepSpec};
+use crate::jobs::site::QueueSpec;
+use crate::scheduler::job::{JobRun, OccurrenceRun, StepRun};
+
+/// Share of the declared run time left, in percent, that must fit before the objective for a job to
+/// count as one that can meet it: declared times are off by half either way.
+const HOPE_PERCENT: u64 = 70;
+/// Times its objective up to which a late job still is worth something.
+const LATE_FACTOR: u64 = 3;
+
+/// How urgent the tasks of an occurrence are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RankTier {
+    /// Services: each second that one is away counts.
+    Service,
+    /// Can meet the objective.
+    InTime,
+    /// Late, and still worth something.
+    Late,
+    /// Far too late.
+    Overdue,
+}
+
+/// Place in the order; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobRank {
+    /// Priority of the queue.
+    pub priority: u32,
+    /// Urgency.
+    pub tier: RankTier,
+    /// Processor time left, in core-milliseconds.
+    pub work: u64,
+}
+
+/// Longest chain of declared run times through the steps, in milliseconds; `weight` says how much of
+/// a step counts.
+fn chain_ms(steps: &[StepSpec], weight: impl Fn(usize) -> u64) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for (position, step) in steps.iter().enumerate() {
+        let earlier = step.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+        let begins = earlier.copied().max().unwrap_or(0);
+        ends.push(begins + weight(position));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
+/// Declared run time that a step has left, in milliseconds.
+fn step_left_ms(spec: &StepSpec, run: &StepRun, now: u64) -> u64 {
+    if run.is_done() {
+        return 0;
+    }
+    let is_waiting = run.tasks.iter().any(|task| !task.is_done && !task.is_covered());
+    if is_waiting {
+        return spec.estimate_ms;
+    }
+    let begun = run.tasks.iter().flat_map(|task| task.live.iter()).map(|live| live.since_ms).max();
+    let elapsed = begun.map_or(0, |begun| now.saturating_sub(begun));
+    // One that has outlived its declared time is taken to be nearly over.
+    spec.estimate_ms.saturating_sub(elapsed).max(spec.estimate_ms / 10)
+}
+
+/// Time by which an occurrence should be over, and by which it is worth nothing, in milliseconds of
+/// the steady clock.
+pub fn deadlines(job: &JobRun, queue: &QueueSpec, due_ms: u64) -> (u64, u64) {
+    let steps = &job.submission.spec.steps;
+    let chain = chain_ms(steps, |position| steps[position].estimate_ms);
+    let objective = stretched(chain, queue.stretch) + queue.objective_ms;
+    (due_ms + objective, due_ms + objective * LATE_FACTOR)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+fn stretched(chain: u64, stretch: f64) -> u64 {
+    (chain as f64 * stretch.max(1.0)) as u64
+}
+
+/// Place of an occurrence's tasks in the order.
+pub fn rank(
+    job: &JobRun,
+    queue: &QueueSpec,
+    run: &OccurrenceRun,
+    due_ms: u64,
+    now: u64,
+) -> JobRank {
+    let steps = &job.submission.spec.steps;
+    let left = |position: usize| {
+        run.steps.get(position).map_or(0, |step| step_left_ms(&steps[position], step, now))
+    };
+    let chain = chain_ms(steps, left);
+    let mut work = 0;
+    for (spec, step) in steps.iter().zip(&run.steps) {
+        let tasks = u64::try_from(step.tasks.len() - step.done).unwrap_or(0);
+        work += tasks * spec.need.cpu.max(1) * spec.estimate_ms / 1_000;
+    }
+    let (objective, worthless) = deadlines(job, queue, due_ms);
+    let is_service = steps.iter().any(|step| step.is_service);
+    let tier = if is_service {
+        RankTier::Service
+    } else if now + chain * HOPE_PERCENT / 100 <= objective {
+        RankTier::InTime
+    } else if now + chain <= worthless {
+        RankTier::Late
+    } else {
+        RankTier::Overdue
+    };
+    debug_assert!(!job.state.is_final() || job.state == JobState::Running);
+    JobRank { priority: queue.priority, tier, work }
+}
