--- /dev/null
+++ b/src/scheduler/runs.rs
@@ -0,0 +1,450 @@
+//! The life of a run on a worker: started, confirmed, stopped, or known to be over.
+
+use std::sync::Arc;
+
+use crate::jobs::model::{JobState, TaskKey};
+use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall};
+use crate::jobs::site::VmState;
+use crate::scheduler::job::{LiveRun, RunPhase};
+use crate::scheduler::worker::{BookedRun, WorkerRun};
+use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
+
+/// Time between two looks at how runs get on, in milliseconds.
+pub const SWEEP_MS: u64 = 100;
+/// Time for a start or stop to be answered before it is sent again, in milliseconds; repeats are
+/// idempotent, so this only bounds the traffic to a worker that is slow to answer.
+const COMMAND_RETRY_MS: u64 = 600;
+/// Wait before a task that a worker refused is placed again, in milliseconds: by then the worker's
+/// next report has corrected the book.
+const REFUSED_PAUSE_MS: u64 = 60;
+/// Wait before a malformed task is tried again, in milliseconds.
+const MALFORMED_PAUSE_MS: u64 = 2_000;
+/// Time after which a run without progress is taken for stalled, in milliseconds, beside its
+/// declared run time: several reports without a change.
+const STALL_MS: u64 = 1_500;
+/// Times its declared run time that a run may be heading for before it is moved: declared times are
+/// off by half, slow workers take four times as long and more.
+const SLOW_FACTOR: u64 = 3;
+/// Time that a moved run loses at least, in milliseconds.
+const MOVE_COST_MS: u64 = 400;
+
+impl Scheduler {
+    /// Books what a new leader read from the log on workers that may not be listed any more.
+    pub(crate) fn adopt_runs(&mut self, key: &TaskKey, now: u64) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(booked) = booked(job.spec(key)) else { return };
+        let Some(task) = job.task(key) else { return };
+        let runs: Vec<(Arc<str>, u32)> =
+            task.live.iter().map(|live| (live.worker.clone(), live.run)).collect();
+        let bound = self.foreign_bound_ms;
+        for (worker, run) in runs {
+            let entry = self
+                .workers
+                .entry(worker.clone())
+                .or_insert_with(|| WorkerRun::unlisted(worker, bound, now));
+            entry.book((*key, run), booked);
+        }
+    }
+
+    /// Gives a task to a worker; the start goes out once the log has it.
+    pub(crate) fn plan_run(&mut self, key: &TaskKey, run: u32, worker: &Arc<str>, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(booked) = booked(job.spec(key)) else { return };
+        let age_ms = now.saturating_sub(job.arrived_ms);
+        let Some(task) = job.task_mut(key) else { return };
+        task.run = task.run.max(run);
+        task.live.push(LiveRun::planned(worker.clone(), run, now));
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.book((*key, run), booked);
+        }
+        self.commits.start(*key, run);
+        self.note(SchedulerNote::Placed { task: *key, run, worker: worker.clone(), age_ms });
+    }
+
+    /// Takes a run off the books: it is over, or was never begun.
+    pub(crate) fn remove_run(&mut self, key: &TaskKey, run: u32, now: u64) {
+        self.attention.remove(&(*key, run));
+        self.needs_dispatch = true;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
+        let live = task.live.remove(position);
+        task.waiting_since_ms = now;
+        self.commits.mark(key.job);
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
+            worker.release(&(*key, run), now);
+        }
+    }
+
+    /// Stops every run of a job.
+    pub(crate) fn stop_all(&mut self, id: crate::jobs::model::JobId, now: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        for key in job.live_tasks() {
+            self.stop_task(&key, "job is over", now);
+        }
+    }
+
+    /// Stops every run of a task.
+    pub(crate) fn stop_task(&mut self, key: &TaskKey, reason: &'static str, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        let runs: Vec<u32> = task.live.iter().map(|live| live.run).collect();
+        for run in runs {
+            self.stop_run(key, run, reason, now);
+        }
+    }
+
+    /// Stops one run. One that was not put on the log yet simply never starts.
+    pub(crate) fn stop_run(&mut self, key: &TaskKey, run: u32, reason: &'static str, now: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
+        match live.phase {
+            RunPhase::Stopping => {}
+            RunPhase::Planned => self.remove_run(key, run, now),
+            RunPhase::Starting | RunPhase::Running | RunPhase::Inherited => {
+                live.enter(RunPhase::Stopping, now);
+                self.attention.insert((*key, run));
+                self.note(SchedulerNote::Stopped { task: *key, run, reason });
+            }
+        }
+    }
+
+    /// Sends the starts and stops that are due.
+    pub(crate) fn send_due(&mut self, now: u64) {
+        if !self.is_confirmed(now) {
+            return;
+        }
+        let due: Vec<(TaskKey, u32)> = self.attention.iter().copied().collect();
+        for (key, run) in due {
+            if !self.send_command(&key, run, now) {
+                self.attention.remove(&(key, run));
+            }
+        }
+    }
+
+    /// Sends a run's start or stop if it is due; false if it needs none.
+    fn send_command(&mut self, key: &TaskKey, run: u32, now: u64) -> bool {
+        let (fence, lease_ms) = (self.fence(), self.lease_ms());
+        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
+        let payload: Arc<str> = job.submission.spec.payload.as_str().into();
+        let is_gang = job.spec(key).is_some_and(|spec| spec.is_gang);
+        let Some(task) = job.task_mut(key) else { return false };
+        let checkpoint = task.checkpoint.clone();
+        let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return false };
+        let is_start = match live.phase {
+            RunPhase::Starting => true,
+            RunPhase::Stopping => false,
+            RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return false,
+        };
+        if now < live.retry_ms {
+            return true;
+        }
+        let Some(worker) = self.workers.get_mut(&live.worker) else { return true };
+        // A start to a worker that doesn't answer would prolong the time after which its runs are
+        // known to be over.
+        if worker.silent_since_ms.is_some() || !worker.is_listed {
+            return true;
+        }
+        let target = worker.target();
+        if !is_start {
+            live.retry_ms = now + COMMAND_RETRY_MS;
+            let call = RunCall { task: *key, run, fence };
+            self.actions.push(SchedulerAction::Stop(target, call));
+            return true;
+        }
+        let Some(lease_until_ms) = worker.lease_until(lease_ms, now) else { return true };
+        live.retry_ms = now + COMMAND_RETRY_MS;
+        let permit = self
+            .permits
+            .get(&key.step_key())
+            .and_then(|permits| permits.allowed.get(&target.id))
+            .cloned();
+        // Every member of a gang must carry the same checkpoint.
+        let checkpoint = if is_gang { self.gang_checkpoint(key) } else { checkpoint };
+        let call =
+            StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
+        self.actions.push(SchedulerAction::Start(target, call));
+        true
+    }
+
+    fn gang_checkpoint(&self, key: &TaskKey) -> String {
+        let first = TaskKey { index: 0, ..*key };
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(&first));
+        task.map(|task| task.checkpoint.clone()).unwrap_or_default()
+    }
+
+    /// A start was answered, or not.
+    pub fn started(
+        &mut self,
+        worker: &Arc<str>,
+        key: &TaskKey,
+        run: u32,
+        outcome: &CommandOutcome<u64>,
+        now: u64,
+    ) {
+        match outcome {
+            CommandOutcome::Done(clock_ms) => self.start_done(worker, key, run, *clock_ms, now),
+            CommandOutcome::Unknown => {
+                // It may be carried out seconds later. The same start again settles it: the worker
+                // takes a run once, however often it is told.
+                if let Some(live) = self.live_mut(key, run) {
+                    live.is_in_doubt = true;
+                    live.retry_ms = live.retry_ms.min(now + SWEEP_MS);
+                }
+                self.actions.push(SchedulerAction::Wake(worker.clone()));
+            }
+            CommandOutcome::Refused(refusal, clock_ms) => {
+                if let (Some(clock), Some(worker)) = (clock_ms, self.workers.get_mut(worker)) {
+                    worker.sample_clock(*clock, now);
+                }
+                self.start_refused(worker, key, run, *refusal, now);
+            }
+        }
+    }
+
+    fn start_done(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, clock_ms: u64, now: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.sample_clock(clock_ms, now);
+        }
+        let Some(live) = self.live_mut(key, run) else { return };
+        if live.phase == RunPhase::Starting {
+            live.enter(RunPhase::Running, now);
+            live.answered_ms = Some(now);
+            live.begun_ms = now;
+            live.progress_ms = now;
+            self.actions.push(SchedulerAction::Wake(id.clone()));
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        id: &Arc<str>,
+        key: &TaskKey,
+        run: u32,
+        refusal: CommandRefusal,
+        now: u64,
+    ) {
+        let reason = refusal_word(refusal);
+        self.note(SchedulerNote::StartRefused { task: *key, run, worker: id.clone(), reason });
+        match refusal {
+            CommandRefusal::Fenced => {
+                self.is_deposed = true;
+                return;
+            }
+            CommandRefusal::WrongLife => {
+                self.worker_over(id, "another life answers", now);
+                return;
+            }
+            CommandRefusal::LateLease => {
+                if let Some(live) = self.live_mut(key, run) {
+                    live.retry_ms = now;
+                }
+                return;
+            }
+            CommandRefusal::Permit => {
+                self.permits.remove(&key.step_key());
+            }
+            CommandRefusal::Unhealthy => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.judge(false, now);
+                }
+            }
+            CommandRefusal::NoRoom | CommandRefusal::OldRun | CommandRefusal::Malformed => {}
+        }
+        // An earlier try without an answer may be carried out yet, when there is room again: the
+        // task would run twice. A stop makes the worker refuse that run for good.
+        let is_in_doubt = self.live_mut(key, run).is_some_and(|live| live.is_in_doubt);
+        if is_in_doubt && refusal != CommandRefusal::OldRun {
+            self.stop_run(key, run, "start in doubt", now);
+            return;
+        }
+        self.remove_run(key, run, now);
+        let pause =
+            if refusal == CommandRefusal::Malformed { MALFORMED_PAUSE_MS } else { REFUSED_PAUSE_MS };
+        if let Some(task) = self.task_mut(key) {
+            task.not_before_ms = now + pause;
+        }
+        self.actions.push(SchedulerAction::Wake(id.clone()));
+    }
+
+    /// A stop was answered, or not. The run is over only when the worker lists its end.
+    pub fn stopped(
+        &mut self,
+        worker: &Arc<str>,
+        key: &TaskKey,
+        run: u32,
+        outcome: &CommandOutcome<u64>,
+        now: u64,
+    ) {
+        match outcome {
+            CommandOutcome::Done(_) => {
+                self.actions.push(SchedulerAction::Wake(worker.clone()));
+                // Its end is listed within the stop time; a run that never was there is shown by
+                // the next report.
+                let stop_ms = self.bounds.stop_ms;
+                if let Some(live) = self.live_mut(key, run) {
+                    live.retry_ms = now + stop_ms + COMMAND_RETRY_MS;
+                    live.answered_ms.get_or_insert(now);
+                }
+            }
+            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.is_deposed = true,
+            CommandOutcome::Refused(CommandRefusal::WrongLife, _) => {
+                self.worker_over(worker, "another life answers", now);
+            }
+            CommandOutcome::Refused(..) | CommandOutcome::Unknown => {}
+        }
+    }
+
+    fn live_mut(&mut self, key: &TaskKey, run: u32) -> Option<&mut LiveRun> {
+        self.task_mut(key)?.live.iter_mut().find(|live| live.run == run)
+    }
+
+    fn task_mut(&mut self, key: &TaskKey) -> Option<&mut crate::scheduler::job::TaskRun> {
+        self.jobs.get_mut(&key.job)?.task_mut(key)
+    }
+
+    /// The life of a worker is over: nothing runs there any more.
+    pub(crate) fn worker_over(&mut self, id: &Arc<str>, change: &'static str, now: u64) {
+        let Some(worker) = self.workers.remove(id) else { return };
+        let runs = worker.runs.len();
+        self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
+        for (key, run) in worker.runs.keys() {
+            self.run_over(id, key, *run, "worker is gone", now);
+        }
+        self.needs_dispatch = true;
+        self.fleet.wants_list = true;
+    }
+
+    fn run_over(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, how: &'static str, now: u64) {
+        self.note(SchedulerNote::Ended { task: *key, run, worker: id.clone(), how });
+        self.remove_run(key, run, now);
+    }
+
+    /// Workers that don't answer: once every lease that they can have has run out, nothing runs
+    /// there.
+    pub(crate) fn expire_silent(&mut self, now: u64) {
+        let expired: Vec<Arc<str>> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.silent_since_ms.is_some() || !worker.is_fenced)
+            .filter(|(_, worker)| !worker.runs.is_empty() && now >= worker.lease_bound_ms())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in expired {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let runs: Vec<(TaskKey, u32)> = worker.runs.keys().copied().collect();
+            let change = "leases have run out";
+            self.note(SchedulerNote::Worker { worker: id.clone(), change, runs: runs.len() });
+            for (key, run) in runs {
+                self.run_over(&id, &key, run, "lease has run out", now);
+            }
+            if !self.workers.get(&id).is_some_and(|worker| worker.is_listed) {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    /// Buries workers that don't answer and whose VM no longer runs them.
+    pub(crate) fn bury_workers(&mut self, asked_ms: u64, now: u64) {
+        let Some(lives) = self.fleet.lives() else { return };
+        let over: Vec<Arc<str>> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.silent_since_ms.is_some_and(|since| since <= asked_ms))
+            .filter(|(id, _)| lives.get(*id).is_none_or(|state| *state == VmState::Down))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in over {
+            self.worker_over(&id, "its VM no longer runs it", now);
+        }
+    }
+
+    /// Looks for runs that stall or crawl, and takes them elsewhere.
+    pub(crate) fn judge_runs(&mut self, now: u64) {
+        let mut stalled = Vec::new();
+        for worker in self.workers.values() {
+            if worker.silent_since_ms.is_some() || worker.entry.is_draining {
+                continue;
+            }
+            for (key, run) in worker.runs.keys() {
+                if let Some(reason) = self.verdict(key, *run, now) {
+                    stalled.push((worker.entry.id.clone(), *key, *run, reason));
+                }
+            }
+        }
+        for (id, key, run, reason) in stalled {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.judge(false, now);
+            }
+            if let Some(task) = self.task_mut(&key) {
+                task.failed_on.push(id);
+            }
+            self.stop_run(&key, run, reason, now);
+        }
+    }
+
+    /// Why a run should be taken elsewhere, if it should.
+    fn verdict(&self, key: &TaskKey, run: u32, now: u64) -> Option<&'static str> {
+        let job = self.jobs.get(&key.job)?;
+        let spec = job.spec(key)?;
+        let live = job.task(key)?.live.iter().find(|live| live.run == run)?;
+        if live.phase != RunPhase::Running || spec.is_gang || spec.is_service {
+            return None;
+        }
+        if live.throttle < 100 {
+            return None;
+        }
+        if now.saturating_sub(live.progress_ms) > STALL_MS + spec.estimate_ms {
+            return Some("no progress");
+        }
+        let elapsed = live.progress_ms.saturating_sub(live.begun_ms);
+        let heading_for = elapsed * 100 / u64::from(live.percent.max(1));
+        let left = heading_for.saturating_sub(now.saturating_sub(live.begun_ms));
+        let is_slow = live.percent > 0
+            && heading_for > spec.estimate_ms * SLOW_FACTOR
+            && left > spec.estimate_ms + MOVE_COST_MS;
+        is_slow.then_some("far slower than declared")
+    }
+
+    /// Drops jobs from the log whose last state need not be told any more.
+    pub(crate) fn drop_over_jobs(&mut self, wall_ms: u64) {
+        let status_ms = self.bounds.status_ms;
+        let is_old = |ended: u64| ended > 0 && ended + status_ms + STATUS_MARGIN_MS < wall_ms;
+        let old: Vec<_> =
+            self.finished.iter().filter(|(_, ended)| is_old(**ended)).map(|(id, _)| *id).collect();
+        for id in old {
+            self.finished.remove(&id);
+            self.commits.drop_job(id);
+        }
+    }
+}
+
+/// Time for which a job's last state is kept beyond what is promised, in milliseconds: the entries'
+/// wall clocks differ, and the caller's wait begins when it learns of the end.
+const STATUS_MARGIN_MS: u64 = 30_000;
+
+fn booked(spec: Option<&crate::jobs::model::StepSpec>) -> Option<BookedRun> {
+    spec.map(|spec| BookedRun {
+        need: spec.booked(),
+        is_best_effort: spec.is_best_effort,
+        is_service: spec.is_service,
+    })
+}
+
+/// The word for a refusal in logs and metrics.
+pub fn refusal_word(refusal: CommandRefusal) -> &'static str {
+    match refusal {
+        CommandRefusal::Fenced => "fenced",
+        CommandRefusal::OldRun => "old_run",
+        CommandRefusal::LateLease => "late_lease",
+        CommandRefusal::NoRoom => "no_room",
+        CommandRefusal::Permit => "permit",
+        CommandRefusal::Unhealthy => "unhealthy",
+        CommandRefusal::WrongLife => "wrong_life",
+        CommandRefusal::Malformed => "malformed",
+    }
+}
--- /dev/null
+++ b/src/scheduler/throttle.rs
@@ -0,0 +1,106 @@
+//! Keeps best-effort tasks from harming the service tasks beside them.
+//!
+//! By how much one disturbs another differs by image and changes within seconds, so it is not
+//! predicted but regulated: halved at once when a tail nears its target, raised in small steps while
+//! there is room.
+
+use std::sync::Arc;
+
+use crate::jobs::model::TaskKey;
+use crate::jobs::ports::{RunCall, RunningTask};
+use crate::scheduler::{Scheduler, SchedulerAction};
+
+/// Share of a target, in percent, from which the tasks beside are slowed down. The gauge is rough
+/// and half a second old; the rest of the way is the reserve.
+const ALARM_PERCENT: u64 = 88;
+/// Share of a target, in percent, under which they may go faster.
+const CALM_PERCENT: u64 = 65;
+/// Step by which they go faster, in percent.
+const RAISE: u32 = 15;
+/// Time between two changes for one worker, in milliseconds: the gauge's window, and the time for a
+/// change to show in it.
+const CHANGE_GAP_MS: u64 = 600;
+/// A share below this is no use and becomes zero, in percent.
+const SHARE_MIN: u32 = 10;
+
+impl Scheduler {
+    /// Reads the tails of service tasks on a worker and changes the speed of best-effort tasks.
+    pub(crate) fn adjust_throttles(&mut self, id: &Arc<str>, running: &[RunningTask], now: u64) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let mut best_effort = Vec::new();
+        let mut worst = 0;
+        for told in running {
+            let key = (told.task, told.run);
+            let Some(booked) = worker.runs.get(&key) else { continue };
+            if booked.is_best_effort {
+                best_effort.push(key);
+                continue;
+            }
+            let spec = self.jobs.get(&told.task.job).and_then(|job| job.spec(&told.task));
+            let target = spec.map_or(0, |spec| spec.target_ms);
+            if let (Some(tail), true) = (told.gauge, target > 0) {
+                worst = worst.max(tail * 100 / target);
+            }
+        }
+        if best_effort.is_empty() {
+            return;
+        }
+        let target = worker.target();
+        for (task, run) in best_effort {
+            self.adjust(&target, task, run, worst, now);
+        }
+    }
+
+    fn adjust(
+        &mut self,
+        target: &crate::jobs::ports::WorkerTarget,
+        task: TaskKey,
+        run: u32,
+        worst: u64,
+        now: u64,
+    ) {
+        let fence = self.fence();
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(state) = job.task_mut(&task) else { return };
+        let Some(live) = state.live.iter_mut().find(|live| live.run == run) else { return };
+        if now < live.throttled_ms + CHANGE_GAP_MS {
+            return;
+        }
+        let percent = next_share(live.throttle, worst);
+        if percent == live.throttle {
+            return;
+        }
+        live.throttle = percent;
+        live.throttled_ms = now;
+        let call = RunCall { task, run, fence };
+        self.actions.push(SchedulerAction::Throttle(target.clone(), call, percent));
+    }
+
+    /// A throttle was answered, or not; the next report corrects one that was lost.
+    pub fn throttled(&mut self, call: &RunCall, is_done: bool) {
+        if is_done {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&call.task.job) else { return };
+        let Some(task) = job.task_mut(&call.task) else { return };
+        if let Some(live) = task.live.iter_mut().find(|live| live.run == call.run) {
+            // Not known whether it was applied: neither the old nor the new share can be assumed,
+            // and the next adjustment must differ from both to be sent.
+            live.throttle = live.throttle.saturating_add(1).min(99);
+            live.throttled_ms = 0;
+        }
+    }
+}
+
+/// The next share for best-effort tasks beside a service whose tail is at `worst` percent of its
+/// target.
+pub fn next_share(share: u32, worst: u64) -> u32 {
+    if worst >= ALARM_PERCENT {
+        let halved = share / 2;
+        return if halved < SHARE_MIN { 0 } else { halved };
+    }
+    if worst < CALM_PERCENT {
+        return (share + RAISE).min(100);
+    }
+    share
+}
--- /dev/null
+++ b/src/scheduler/worker.rs
@@ -0,0 +1,225 @@
+//! One life of a worker as the leader sees it: what is booked on it, how long its leases may last,
+//! and whether it does its work.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::jobs::model::{ResourceVector, TaskKey};
+use crate::jobs::ports::WorkerTarget;
+use crate::jobs::site::WorkerEntry;
+
+/// Rate by which a worker's clock may be slow, in percent, as the platform states it.
+const CLOCK_DRIFT_PERCENT: u64 = 2;
+/// Added to every bound on a lease, in milliseconds: a worker's own timers and its kill take a while.
+const LEASE_MARGIN_MS: u64 = 100;
+/// Exits by which a worker is judged.
+const VERDICTS_KEPT: usize = 8;
+/// Failures among these from which a worker is left out: one task that always fails must not do it.
+const FAILURES_MIN: usize = 3;
+/// First time that a failing worker is left out, in milliseconds: about one task's run time.
+const SUSPENSION_MS: u64 = 1_500;
+/// Longest time that it is left out, in milliseconds, so that a cured worker comes back.
+const SUSPENSION_MAX_MS: u64 = 8_000;
+
+/// A sample of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+struct ClockSample {
+    worker_ms: u64,
+    received_ms: u64,
+}
+
+/// A run on a worker and what it books there.
+#[derive(Clone, Copy, Debug)]
+pub struct BookedRun {
+    /// What it takes.
+    pub need: ResourceVector,
+    /// Whether it takes processor time only where others leave it.
+    pub is_best_effort: bool,
+    /// Whether it lasts until it is cancelled.
+    pub is_service: bool,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct WorkerRun {
+    /// Its newest report of itself.
+    pub entry: WorkerEntry,
+    /// VM that it runs on, once the VM list has shown it.
+    pub vm: Option<Arc<str>>,
+    /// When it was first seen draining, in milliseconds.
+    pub draining_since_ms: Option<u64>,
+    /// Whether its entry is listed; one that is not may still run on.
+    pub is_listed: bool,
+    /// Whether it has answered under our fencing token.
+    pub is_fenced: bool,
+    /// When it stopped answering, in milliseconds.
+    pub silent_since_ms: Option<u64>,
+    /// Exits up to this number have been taken in.
+    pub exits_seen: u64,
+    /// Exits up to this number are on the log.
+    pub exits_logged: u64,
+    /// Exits up to this number were acknowledged to the worker.
+    pub exits_told: u64,
+    /// When its last report was received, in milliseconds.
+    pub report_ms: u64,
+    /// Earliest time of the next renewal, in milliseconds.
+    pub renew_ms: u64,
+    /// Kept free for maintenance or a move.
+    pub is_reserved: bool,
+    /// Since when nothing is booked on it, in milliseconds.
+    pub idle_since_ms: u64,
+    /// What is booked.
+    pub runs: BTreeMap<(TaskKey, u32), BookedRun>,
+    used: ResourceVector,
+    clock: Option<ClockSample>,
+    lease_bound_ms: u64,
+    verdicts: VecDeque<bool>,
+    suspended_until_ms: u64,
+    suspension_ms: u64,
+    is_on_trial: bool,
+}
+
+impl WorkerRun {
+    /// A worker of which nothing is known but its entry. All that runs there may last until
+    /// `lease_bound_ms`.
+    pub fn new(entry: WorkerEntry, lease_bound_ms: u64, now: u64) -> WorkerRun {
+        WorkerRun {
+            draining_since_ms: entry.is_draining.then_some(now),
+            entry,
+            vm: None,
+            is_listed: true,
+            is_fenced: false,
+            silent_since_ms: None,
+            exits_seen: 0,
+            exits_logged: 0,
+            exits_told: 0,
+            report_ms: 0,
+            renew_ms: 0,
+            is_reserved: false,
+            idle_since_ms: now,
+            runs: BTreeMap::new(),
+            used: ResourceVector::default(),
+            clock: None,
+            lease_bound_ms,
+            verdicts: VecDeque::new(),
+            suspended_until_ms: 0,
+            suspension_ms: SUSPENSION_MS,
+            is_on_trial: false,
+        }
+    }
+
+    /// A worker that only the log tells of.
+    pub fn unlisted(id: Arc<str>, lease_bound_ms: u64, now: u64) -> WorkerRun {
+        let entry = WorkerEntry {
+            id,
+            service: "".into(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            centre: "".into(),
+            is_draining: true,
+            drain_left_ms: 0,
+            capacity: ResourceVector::default(),
+            labels: Vec::new(),
+        };
+        let worker = WorkerRun::new(entry, lease_bound_ms, now);
+        WorkerRun { is_listed: false, silent_since_ms: Some(now), ..worker }
+    }
+
+    /// How calls reach this life.
+    pub fn target(&self) -> WorkerTarget {
+        WorkerTarget { id: self.entry.id.clone(), address: self.entry.address }
+    }
+
+    /// Books a run.
+    pub fn book(&mut self, key: (TaskKey, u32), run: BookedRun) {
+        if self.runs.insert(key, run).is_none() {
+            self.used.add(&run.need);
+        }
+    }
+
+    /// Takes a run off the book; returns whether it was there.
+    pub fn release(&mut self, key: &(TaskKey, u32), now: u64) -> bool {
+        let Some(run) = self.runs.remove(key) else { return false };
+        self.used = self.used.less(&run.need);
+        if self.runs.is_empty() {
+            self.idle_since_ms = now;
+        }
+        true
+    }
+
+    /// What is booked.
+    pub fn used(&self) -> &ResourceVector {
+        &self.used
+    }
+
+    /// What is free.
+    pub fn free(&self) -> ResourceVector {
+        self.entry.capacity.less(&self.used)
+    }
+
+    /// Whether starts may be sent to it at all.
+    pub fn takes_starts(&self, now: u64) -> bool {
+        self.is_fenced
+            && self.is_listed
+            && self.silent_since_ms.is_none()
+            && !self.entry.is_draining
+            && !self.is_reserved
+            && now >= self.suspended_until_ms
+            && (!self.is_on_trial || self.runs.is_empty())
+    }
+
+    /// Whether it is left out because what it starts fails.
+    pub fn is_suspended(&self, now: u64) -> bool {
+        now < self.suspended_until_ms || self.is_on_trial
+    }
+
+    /// Takes a sample of its clock.
+    pub fn sample_clock(&mut self, worker_ms: u64, received_ms: u64) {
+        self.clock = Some(ClockSample { worker_ms, received_ms });
+    }
+
+    /// End of a lease that lasts `lease_ms` from now, on its clock; nothing before a first sample.
+    /// Counts the lease: from here on its runs may last that long.
+    pub fn lease_until(&mut self, lease_ms: u64, now: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let since = now.saturating_sub(clock.received_ms);
+        let until = clock.worker_ms + since + lease_ms;
+        // The sample is from before `received_ms`, and the clock may be slow: this is the latest
+        // time by ours at which its clock reaches `until`.
+        let length = (since + lease_ms) * 100 / (100 - CLOCK_DRIFT_PERCENT);
+        let bound = clock.received_ms + length + LEASE_MARGIN_MS;
+        self.lease_bound_ms = self.lease_bound_ms.max(bound);
+        Some(until)
+    }
+
+    /// Time by ours after which nothing that was started there can be alive without a renewal.
+    pub fn lease_bound_ms(&self) -> u64 {
+        self.lease_bound_ms
+    }
+
+    /// Takes in how a run ended, and leaves the worker out if it fails what others get done.
+    pub fn judge(&mut self, is_good: bool, now: u64) {
+        if self.verdicts.len() >= VERDICTS_KEPT {
+            self.verdicts.pop_front();
+        }
+        self.verdicts.push_back(is_good);
+        if is_good {
+            self.is_on_trial = false;
+            self.suspension_ms = SUSPENSION_MS;
+            return;
+        }
+        let failures = self.verdicts.iter().filter(|verdict| !**verdict).count();
+        let is_bad = failures >= FAILURES_MIN && failures * 2 > self.verdicts.len();
+        if (is_bad || self.is_on_trial) && now >= self.suspended_until_ms {
+            self.suspend(now);
+        }
+    }
+
+    /// Leaves the worker out for a growing time, and then tries it with one run.
+    pub fn suspend(&mut self, now: u64) {
+        self.suspended_until_ms = now + self.suspension_ms;
+        self.suspension_ms = (self.suspension_ms * 2).min(SUSPENSION_MAX_MS);
+        self.is_on_trial = true;
+        self.verdicts.clear();
+    }
+}
