Slow runs are judged by their siblings; a lost race for the leadership reads on

A process that lost the race for the leadership claimed again at once at the same end (49,515 calls to the log). Change: a run is slow only against the median of its step's other tasks; after a lost race the stream is read first.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -42,6 +42,8 @@
 /// Wait for a record of the workers' stream in one read, and the pause after records.
 const WORKERS_WAIT: Duration = Duration::from_millis(700);
 const WORKERS_GAP: Duration = Duration::from_millis(120);
+/// Pause between two looks for a first configuration.
+const CONFIG_PAUSE: Duration = Duration::from_millis(50);
 /// Name of the leader's writer on the log; its epoch is the term.
 const WRITER: &str = "leader";
 
@@ -143,7 +145,13 @@
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
         let Some((tail, workers)) = self.first_workers().await else { return };
-        let Some(config) = self.node.config() else { return };
+        // The first configuration may come after the first leader.
+        let config = loop {
+            match self.node.config() {
+                Some(config) => break config,
+                None => sleep(CONFIG_PAUSE).await,
+            }
+        };
         let start = SchedulerStart {
             term: self.term,
             bounds: self.node.settings.bounds,
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -153,7 +153,10 @@
                     Some(Conductor::spawn(self.node.clone(), parts, term, predecessor_ms));
                 Duration::from_millis(RENEWAL_MS)
             }
-            AppendOutcome::EndMoved { .. } => Duration::ZERO,
+            // Somebody was faster; what was appended tells who.
+            AppendOutcome::EndMoved { .. } => {
+                if self.read(Duration::ZERO).await { Duration::ZERO } else { FAILED_PAUSE }
+            }
             // A claim that is done later is found by reading on; it has no conductor, and is
             // followed by a claim of somebody who has one.
             AppendOutcome::Unknown => {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
+use crate::scheduler::job::{RunPhase, StepRun};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
+use crate::scheduler::runs::{heading_for_ms, usual_ms};
 use crate::scheduler::worker::WorkerRun;
 use crate::scheduler::{Scheduler, SchedulerAction};
 
@@ -414,7 +416,7 @@
                         continue;
                     }
                     for (index, task) in step.tasks.iter().enumerate() {
-                        if !task.is_done && self.wants_copy(spec, task, now) {
+                        if !task.is_done && self.wants_copy(step, index, now) {
                             late.push(job.key(*occurrence, position, index));
                         }
                     }
@@ -447,24 +449,22 @@
         }
     }
 
-    fn wants_copy(
-        &self,
-        spec: &StepSpec,
-        task: &crate::scheduler::job::TaskRun,
-        now: u64,
-    ) -> bool {
-        use crate::scheduler::job::RunPhase;
+    /// Whether every run of a task is on a silent worker, or takes far longer than its siblings do.
+    fn wants_copy(&self, step: &StepRun, index: usize, now: u64) -> bool {
+        let Some(task) = step.tasks.get(index) else { return false };
         if task.live.is_empty() || task.live.len() >= COPIES_MAX {
             return false;
         }
+        let usual = usual_ms(step, u32::try_from(index).unwrap_or(u32::MAX));
         task.live.iter().all(|live| {
             let worker = self.workers.get(&live.worker);
             let is_silent = worker.is_none_or(|worker| worker.silent_since_ms.is_some());
             let elapsed = now.saturating_sub(live.since_ms);
-            let heading_for = elapsed * 100 / u64::from(live.percent.max(1));
-            let is_late = live.phase == RunPhase::Running
-                && elapsed > spec.estimate_ms * 3 / 2 + COPY_SLACK_MS
-                && heading_for > elapsed + spec.estimate_ms;
+            let is_late = usual.is_some_and(|usual| {
+                live.phase == RunPhase::Running
+                    && elapsed > usual * 3 / 2 + COPY_SLACK_MS
+                    && heading_for_ms(live) > elapsed + usual
+            });
             is_silent || is_late
         })
     }
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -181,6 +181,9 @@
         if !exit.checkpoint.is_empty() && spec.is_resumable {
             task.checkpoint.clone_from(&exit.checkpoint);
         }
+        if exit.kind == ExitKind::Done {
+            task.took_ms = live.map(|(_, begun_ms)| now.saturating_sub(begun_ms));
+        }
         let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
         if live.is_some() {
             self.remove_run(&exit.task, exit.run, now);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -96,6 +96,8 @@
     pub not_before_ms: u64,
     /// When it became ready to be placed or last ended, in milliseconds.
     pub waiting_since_ms: u64,
+    /// Time that its last run took, in milliseconds, once it is done.
+    pub took_ms: Option<u64>,
     /// Latest run that failed.
     pub failed_run: u32,
     /// Workers on which it failed.
@@ -287,8 +289,7 @@
 
     /// A task by its key.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskRun> {
-        let step = self.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))?;
-        step.tasks.get(usize::try_from(key.index).ok()?)
+        self.step(key)?.tasks.get(usize::try_from(key.index).ok()?)
     }
 
     /// A task by its key, to change it.
@@ -297,6 +298,11 @@
         self.step_mut(key)?.tasks.get_mut(index)
     }
 
+    /// The step of a task.
+    pub fn step(&self, key: &TaskKey) -> Option<&StepRun> {
+        self.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))
+    }
+
     /// The step of a task, to change it.
     pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepRun> {
         self.occurrences.get_mut(&key.occurrence)?.steps.get_mut(usize::from(key.step))
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -5,7 +5,7 @@
 use crate::jobs::model::{JobState, TaskKey};
 use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall};
 use crate::jobs::site::VmState;
-use crate::scheduler::job::{LiveRun, RunPhase};
+use crate::scheduler::job::{JobRun, LiveRun, RunPhase, StepRun};
 use crate::scheduler::worker::{BookedRun, WorkerRun};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
@@ -22,9 +22,13 @@
 /// Time after which a run without progress is taken for stalled, in milliseconds, beside its
 /// declared run time: several reports without a change.
 const STALL_MS: u64 = 1_500;
-/// Times its declared run time that a run may be heading for before it is moved: declared times are
-/// off by half, slow workers take four times as long and more.
+/// Times its siblings' run time that a run may be heading for before it is moved: tasks of a step
+/// differ by a third, slow workers take four times as long and more.
 const SLOW_FACTOR: u64 = 3;
+/// Siblings that a run is compared with at least.
+const SIBLINGS_MIN: usize = 2;
+/// Progress from which a run's pace tells its run time, in percent.
+const TELLING_PERCENT: u32 = 20;
 /// Time that a moved run loses at least, in milliseconds.
 const MOVE_COST_MS: u64 = 400;
 
@@ -401,13 +405,20 @@
         if now.saturating_sub(live.progress_ms) > STALL_MS + spec.estimate_ms {
             return Some("no progress");
         }
-        let elapsed = live.progress_ms.saturating_sub(live.begun_ms);
-        let heading_for = elapsed * 100 / u64::from(live.percent.max(1));
+        self.is_far_slower(job, key, live, now).then_some("far slower than its siblings")
+    }
+
+    /// Whether a run is heading for far longer than the other tasks of its step take: they do work
+    /// of the same kind, while declared run times tell little. One without siblings is left alone.
+    fn is_far_slower(&self, job: &JobRun, key: &TaskKey, live: &LiveRun, now: u64) -> bool {
+        let Some(step) = job.step(key) else { return false };
+        let Some(usual) = usual_ms(step, key.index) else { return false };
+        if live.percent == 0 {
+            return now.saturating_sub(live.begun_ms) > usual * SLOW_FACTOR;
+        }
+        let heading_for = heading_for_ms(live);
         let left = heading_for.saturating_sub(now.saturating_sub(live.begun_ms));
-        let is_slow = live.percent > 0
-            && heading_for > spec.estimate_ms * SLOW_FACTOR
-            && left > spec.estimate_ms + MOVE_COST_MS;
-        is_slow.then_some("far slower than declared")
+        heading_for > usual * SLOW_FACTOR && left > usual + MOVE_COST_MS
     }
 
     /// Drops jobs from the log whose last state need not be told any more.
@@ -423,6 +434,32 @@
     }
 }
 
+/// Run time that a run is heading for at its present pace, in milliseconds.
+pub(crate) fn heading_for_ms(live: &LiveRun) -> u64 {
+    let elapsed = live.progress_ms.saturating_sub(live.begun_ms);
+    elapsed * 100 / u64::from(live.percent.clamp(1, 100))
+}
+
+/// Median run time of the other tasks of a step, done or well under way; nothing for too few.
+pub(crate) fn usual_ms(step: &StepRun, index: u32) -> Option<u64> {
+    let mut times: Vec<u64> = Vec::new();
+    for (position, task) in step.tasks.iter().enumerate() {
+        if u32::try_from(position).is_ok_and(|position| position == index) {
+            continue;
+        }
+        if let Some(took) = task.took_ms {
+            times.push(took);
+            continue;
+        }
+        let is_telling = |live: &&LiveRun| {
+            live.phase == RunPhase::Running && live.percent >= TELLING_PERCENT
+        };
+        times.extend(task.live.iter().find(is_telling).map(heading_for_ms));
+    }
+    times.sort_unstable();
+    (times.len() >= SIBLINGS_MIN).then(|| times[times.len() / 2])
+}
+
 /// Time for which a job's last state is kept beyond what is promised, in milliseconds: the entries'
 /// wall clocks differ, and the caller's wait begins when it learns of the end.
 const STATUS_MARGIN_MS: u64 = 30_000;
