--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -315,7 +315,8 @@
     pub fn take_record(&mut self, record: &JobRecord, now: u64) {
         match record {
             JobRecord::Submitted(job, submission) => {
-                if self.jobs.contains_key(job) {
+                // Repeats of a submission come seconds late, also after the job is over.
+                if self.jobs.contains_key(job) || self.finished.contains_key(job) {
                     return;
                 }
                 let booked = BookedJob::submitted(submission.clone());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its own part of this module")]
 
 pub mod process;
+pub mod stage;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/tests/support/stage.rs
@@ -0,0 +1,470 @@
+//! A scheduler on a stage: workers that do what they are told at once, and time that the test moves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::model::{
+    ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec, TaskKey,
+};
+use ibisweir::jobs::ports::{
+    CommandOutcome, RenewCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
+    WorkerReport,
+};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::{
+    CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, VmEntry, VmState, WorkerEntry,
+};
+use ibisweir::scheduler::exits::RenewPlan;
+use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
+
+/// Queue and pool of most tests.
+pub const QUEUE: &str = "holds";
+pub const POOL: &str = "tours";
+/// Pool whose VMs are off.
+pub const STANDBY: &str = "helpers";
+
+/// Times as the users' sites have them.
+pub fn bounds() -> SiteBounds {
+    SiteBounds {
+        lease_max_ms: 6_000,
+        stop_ms: 200,
+        cancel_ms: 3_000,
+        visible_ms: 3_000,
+        status_ms: 120_000,
+        drain_ms: 2_000,
+        grace_ms: 6_000,
+        remote_factor: 3.0,
+        move_ms: 1_500,
+        maintain_ms: 2_000,
+        holder_ms: 3_000,
+        throttle_ms: 100,
+        harm_ms: 4_000,
+        notice_ms: 4_500,
+        checkpoint_ms: 500,
+        restore_ms: 600,
+        gang_wait_ms: 3_000,
+    }
+}
+
+/// One queue on one pool, and a standby pool.
+pub fn config() -> SiteConfig {
+    let pool = |name: &str, is_standby| PoolSpec { name: name.into(), is_guarded: true, is_standby };
+    SiteConfig {
+        version: 1,
+        queues: vec![queue(QUEUE, POOL)],
+        pools: vec![pool(POOL, false), pool(STANDBY, true)],
+        limits: CallerLimits::default(),
+    }
+}
+
+/// A queue.
+pub fn queue(name: &str, service: &str) -> QueueSpec {
+    QueueSpec {
+        name: name.into(),
+        host: "site.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        service: service.into(),
+        timeout_ms: 3_000,
+        objective_ms: 600,
+        stretch: 1.6,
+        priority: 0,
+        attempts: 3,
+        permits: None,
+    }
+}
+
+/// A step of tasks of one core that run a second.
+pub fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        need: ResourceVector { cpu: 1_000, memory: 1_000, accelerators: 0 },
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+/// A step of tasks that last.
+pub fn service_step(count: u32) -> StepSpec {
+    StepSpec { is_service: true, per_worker_max: 1, disruption_budget: 1, ..step(count) }
+}
+
+/// A worker of eight cores.
+pub fn worker(name: &str, rack: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: name.into(),
+        service: POOL.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        centre: "regina-a".into(),
+        is_draining: false,
+        drain_left_ms: 0,
+        capacity: ResourceVector { cpu: 8_000, memory: 32_000, accelerators: 0 },
+        labels: vec!["a".into(), rack.into()],
+    }
+}
+
+/// The VM under a worker.
+pub fn vm(worker: &WorkerEntry, pool: &str) -> VmEntry {
+    VmEntry {
+        vm: format!("m-{}", worker.id).into(),
+        pool: pool.into(),
+        state: VmState::Up,
+        centre: worker.centre.clone(),
+        rack: worker.rack().into(),
+        capacity: worker.capacity,
+        worker: worker.id.clone(),
+    }
+}
+
+/// What a worker on the stage holds.
+#[derive(Clone, Debug, Default)]
+pub struct StageWorker {
+    /// Runs, with their progress in percent.
+    pub running: BTreeMap<(TaskKey, u32), u32>,
+    /// Exits that were not acknowledged.
+    pub exits: Vec<TaskExit>,
+    /// Runs that were told to stop or have ended; they never start again.
+    pub refused: BTreeSet<(TaskKey, u32)>,
+    /// Whether it answers.
+    pub is_silent: bool,
+    /// Whether starts go unanswered, to be carried out when the test says so.
+    pub is_late: bool,
+    /// Starts that went unanswered.
+    pub late: Vec<StartCall>,
+    next_exit: u64,
+}
+
+/// The scheduler, its book and its workers.
+pub struct Stage {
+    /// The scheduler.
+    pub scheduler: Scheduler,
+    /// What the log tells.
+    pub book: JobBook,
+    /// End of the log.
+    pub end: u64,
+    /// Workers by id.
+    pub workers: BTreeMap<Arc<str>, StageWorker>,
+    /// Every start that a worker carried out, in order.
+    pub started: Vec<(TaskKey, u32, Arc<str>)>,
+    /// Commands to VMs.
+    pub vm_commands: Vec<VmCommand>,
+    /// Waves told to operators.
+    pub told: Vec<(u64, bool)>,
+    /// Throttles sent.
+    pub throttles: Vec<(TaskKey, u32)>,
+    /// Whether the log takes appends.
+    pub log_is_up: bool,
+    /// Whether the VM service answers `Done` to commands.
+    pub vm_outcome: VmOutcome,
+    /// Now.
+    pub now: u64,
+    entries: Vec<WorkerEntry>,
+}
+
+/// Start of the stage's time: a new leader with no predecessor needs no bound.
+pub const START_MS: u64 = 100_000;
+const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
+
+impl Stage {
+    /// A leader of term 1 with these workers, all under its token.
+    pub fn open(config: SiteConfig, entries: Vec<WorkerEntry>) -> Stage {
+        let mut stage = Stage {
+            scheduler: leader(1, None, config, &JobBook::default(), START_MS),
+            book: JobBook::default(),
+            end: 0,
+            workers: BTreeMap::new(),
+            started: Vec::new(),
+            vm_commands: Vec::new(),
+            told: Vec::new(),
+            throttles: Vec::new(),
+            log_is_up: true,
+            vm_outcome: VmOutcome::Done,
+            now: START_MS,
+            entries,
+        };
+        stage.list_workers();
+        stage.pump();
+        stage
+    }
+
+    /// Another entry takes over from the log; the old leader says no more.
+    pub fn take_over(&mut self, term: u64, config: SiteConfig) {
+        self.scheduler = leader(term, Some(self.now), config, &self.book, self.now);
+        self.list_workers();
+        self.pump();
+    }
+
+    fn list_workers(&mut self) {
+        for entry in &self.entries {
+            self.workers.entry(entry.id.clone()).or_default();
+        }
+        self.scheduler.workers_listed(self.entries.clone(), self.now);
+    }
+
+    /// Hands a job in and lets the scheduler act.
+    pub fn submit(&mut self, id: u64, spec: JobSpec) -> JobId {
+        let job = job_id(id);
+        let record = JobRecord::Submitted(job, Arc::new(submission(spec)));
+        self.append(&record);
+        self.pump();
+        job
+    }
+
+    /// Puts a record on the log that some entry wrote.
+    pub fn append(&mut self, record: &JobRecord) {
+        if self.book.fold(record, self.end) {
+            self.scheduler.take_record(record, self.now);
+        }
+        self.end += 1;
+    }
+
+    /// Moves the time in steps, letting everybody act.
+    pub fn advance(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = (self.now + 20).min(end);
+            self.scheduler.confirm(self.now);
+            self.pump();
+        }
+    }
+
+    /// The same while the leadership can't be confirmed.
+    pub fn advance_unconfirmed(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = (self.now + 20).min(end);
+            self.pump();
+        }
+    }
+
+    /// Ends a run on its worker.
+    pub fn end(&mut self, key: TaskKey, kind: ExitKind) {
+        let run = self.started.iter().rev().find(|(task, ..)| *task == key).cloned();
+        let (_, run, worker) = run.expect("the task was started");
+        self.end_run(key, run, &worker, kind);
+    }
+
+    /// Ends this run on this worker.
+    pub fn end_run(&mut self, key: TaskKey, run: u32, worker: &str, kind: ExitKind) {
+        let worker = self.workers.get_mut(worker).expect("the worker is known");
+        worker.exit(key, run, kind);
+        self.pump();
+    }
+
+    /// State of a job as callers see it.
+    pub fn state(&self, job: JobId) -> Option<JobState> {
+        self.book.get(job).and_then(|entry| entry.state())
+    }
+
+    /// Runs of a task that are alive on any worker.
+    pub fn alive(&self, key: TaskKey) -> usize {
+        let on = |worker: &StageWorker| worker.running.keys().filter(|(task, _)| *task == key).count();
+        self.workers.values().map(on).sum()
+    }
+
+    /// Starts of a task that workers carried out.
+    pub fn starts(&self, key: TaskKey) -> usize {
+        self.started.iter().filter(|(task, ..)| *task == key).count()
+    }
+
+    /// Worker on which a task was last started.
+    pub fn place(&self, key: TaskKey) -> Arc<str> {
+        let run = self.started.iter().rev().find(|(task, ..)| *task == key);
+        run.map(|(.., worker)| worker.clone()).expect("the task was started")
+    }
+
+    /// Lets the scheduler act until it has no more to do at this time.
+    pub fn pump(&mut self) {
+        for _ in 0..50 {
+            self.scheduler.tick(self.now, WALL_OFFSET_MS + self.now);
+            let mut is_quiet = !self.commit();
+            for action in self.scheduler.take_actions() {
+                is_quiet &= !self.carry_out(action);
+            }
+            is_quiet &= !self.renew_all();
+            if is_quiet {
+                return;
+            }
+        }
+    }
+
+    fn commit(&mut self) -> bool {
+        if !self.log_is_up {
+            return false;
+        }
+        let Some(batch) = self.scheduler.take_commit() else { return false };
+        for record in &batch.folded {
+            self.book.fold(record, self.end);
+            self.end += 1;
+        }
+        self.scheduler.committed(&batch, self.now);
+        true
+    }
+
+    fn carry_out(&mut self, action: SchedulerAction) -> bool {
+        match action {
+            SchedulerAction::Start(target, call) => {
+                let outcome = self.start(&target.id, &call);
+                let (task, run) = (call.task, call.run);
+                self.scheduler.started(&target.id, &task, run, &outcome, self.now);
+            }
+            SchedulerAction::Stop(target, call) => {
+                let outcome = match self.workers.get_mut(&target.id) {
+                    Some(worker) if !worker.is_silent => {
+                        worker.stop(call.task, call.run);
+                        CommandOutcome::Done(self.now)
+                    }
+                    _ => CommandOutcome::Unknown,
+                };
+                self.scheduler.stopped(&target.id, &call.task, call.run, &outcome, self.now);
+            }
+            SchedulerAction::Throttle(_, call, percent) => {
+                self.throttles.push((call.task, percent));
+                self.scheduler.throttled(&call, true);
+            }
+            SchedulerAction::CommandVm(command, _) => {
+                self.vm_commands.push(command.clone());
+                self.scheduler.vm_commanded(&command, self.vm_outcome, self.now);
+            }
+            SchedulerAction::TellWave(number, is_completed) => {
+                self.told.push((number, is_completed));
+            }
+            SchedulerAction::Watch(_)
+            | SchedulerAction::Wake(_)
+            | SchedulerAction::ListVms
+            | SchedulerAction::AskPermits(..)
+            | SchedulerAction::Note(_) => return false,
+        }
+        true
+    }
+
+    fn start(&mut self, id: &Arc<str>, call: &StartCall) -> CommandOutcome<u64> {
+        let Some(worker) = self.workers.get_mut(id) else { return CommandOutcome::Unknown };
+        if worker.is_silent {
+            return CommandOutcome::Unknown;
+        }
+        if worker.is_late {
+            worker.late.push(call.clone());
+            return CommandOutcome::Unknown;
+        }
+        if worker.begin(call) {
+            self.started.push((call.task, call.run, id.clone()));
+        }
+        CommandOutcome::Done(self.now)
+    }
+
+    /// Carries out the starts that went unanswered on a worker.
+    pub fn deliver_late(&mut self, id: &str) {
+        let worker = self.workers.get_mut(id).expect("the worker is known");
+        for call in std::mem::take(&mut worker.late) {
+            if worker.begin(&call) {
+                self.started.push((call.task, call.run, id.into()));
+            }
+        }
+        self.pump();
+    }
+
+    fn renew_all(&mut self) -> bool {
+        let ids: Vec<Arc<str>> = self.workers.keys().cloned().collect();
+        let mut has_called = false;
+        for id in ids {
+            if let RenewPlan::Call(_, call, _) = self.scheduler.renew_plan(&id, self.now) {
+                self.renew(&id, &call);
+                has_called = true;
+            }
+        }
+        has_called
+    }
+
+    fn renew(&mut self, id: &Arc<str>, call: &RenewCall) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let outcome = if worker.is_silent {
+            CommandOutcome::Unknown
+        } else {
+            worker.exits.retain(|exit| exit.number > call.exits_through);
+            CommandOutcome::Done(worker.report(self.now))
+        };
+        self.scheduler.renewed(id, call, outcome, self.now, self.now);
+    }
+}
+
+impl StageWorker {
+    fn begin(&mut self, call: &StartCall) -> bool {
+        let key = (call.task, call.run);
+        if self.refused.contains(&key) || self.running.contains_key(&key) {
+            return false;
+        }
+        self.running.insert(key, 0);
+        true
+    }
+
+    fn stop(&mut self, task: TaskKey, run: u32) {
+        if self.running.contains_key(&(task, run)) {
+            self.exit(task, run, ExitKind::Stopped);
+        }
+        self.refused.insert((task, run));
+    }
+
+    fn exit(&mut self, task: TaskKey, run: u32, kind: ExitKind) {
+        self.running.remove(&(task, run));
+        self.refused.insert((task, run));
+        self.next_exit += 1;
+        let number = self.next_exit;
+        self.exits.push(TaskExit { number, task, run, kind, checkpoint: String::new() });
+    }
+
+    fn report(&self, now: u64) -> WorkerReport {
+        let running = self.running.iter().map(|((task, run), percent)| RunningTask {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: *percent,
+            gauge: None,
+        });
+        WorkerReport { clock_ms: now, running: running.collect(), exits: self.exits.clone() }
+    }
+}
+
+fn leader(
+    term: u64,
+    predecessor_ms: Option<u64>,
+    config: SiteConfig,
+    book: &JobBook,
+    now: u64,
+) -> Scheduler {
+    let start = SchedulerStart {
+        term,
+        bounds: bounds(),
+        config: Arc::new(config),
+        predecessor_ms,
+        now,
+        wall_ms: WALL_OFFSET_MS + now,
+    };
+    Scheduler::open(start, book)
+}
+
+/// A job's id.
+pub fn job_id(id: u64) -> JobId {
+    JobId::parse(&format!("{id:016x}")).expect("sixteen digits")
+}
+
+/// A task of the first occurrence.
+pub fn task(job: JobId, step: u16, index: u32) -> TaskKey {
+    TaskKey { job, occurrence: 0, step, index }
+}
+
+/// A job of these steps.
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { payload: "text".to_owned(), steps, schedule: None }
+}
+
+/// What an entry writes for a job.
+pub fn submission(spec: JobSpec) -> JobSubmission {
+    JobSubmission {
+        queue: QUEUE.into(),
+        service: POOL.into(),
+        accepted_ms: WALL_OFFSET_MS + START_MS,
+        spec,
+    }
+}
