A start refused as old waits for the worker's report; a task is moved as slow twice at most

Cause 1: a start without an answer was carried out, the task was done, and the repeat was refused as an old run. Ruled out: overlapping renewals, repeated submissions, a second leader. Change: the refused run counts as confirmed until a report that was asked for afterwards tells its end; moves are counted and the patience doubles with each. Two tests, each failing before.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -96,6 +96,8 @@
     pub not_before_ms: u64,
     /// When it became ready to be placed or last ended, in milliseconds.
     pub waiting_since_ms: u64,
+    /// Times that it was moved for being slow or stalled.
+    pub moves: u32,
     /// Time that its last run took, in milliseconds, once it is done.
     pub took_ms: Option<u64>,
     /// Latest run that failed.
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -29,6 +29,8 @@
 const SIBLINGS_MIN: usize = 2;
 /// Progress from which a run's pace tells its run time, in percent.
 const TELLING_PERCENT: u32 = 20;
+/// Times that a task is moved for being slow or stalled: beyond, it is the task and not its worker.
+const MOVES_MAX: u32 = 2;
 /// Time that a moved run loses at least, in milliseconds.
 const MOVE_COST_MS: u64 = 400;
 
@@ -243,6 +245,18 @@
                 self.worker_over(id, "another life answers", now);
                 return;
             }
+            CommandRefusal::OldRun => {
+                // An earlier try was carried out and has ended, or the run was stopped: the next
+                // report lists its end. Taken for one that never ran, it would run again.
+                if let Some(live) = self.live_mut(key, run)
+                    && live.phase == RunPhase::Starting
+                {
+                    live.enter(RunPhase::Running, now);
+                    live.answered_ms = Some(now);
+                }
+                self.actions.push(SchedulerAction::Wake(id.clone()));
+                return;
+            }
             CommandRefusal::LateLease => {
                 if let Some(live) = self.live_mut(key, run) {
                     live.retry_ms = now;
@@ -257,12 +271,12 @@
                     worker.judge(false, now);
                 }
             }
-            CommandRefusal::NoRoom | CommandRefusal::OldRun | CommandRefusal::Malformed => {}
+            CommandRefusal::NoRoom | CommandRefusal::Malformed => {}
         }
         // An earlier try without an answer may be carried out yet, when there is room again: the
         // task would run twice. A stop makes the worker refuse that run for good.
         let is_in_doubt = self.live_mut(key, run).is_some_and(|live| live.is_in_doubt);
-        if is_in_doubt && refusal != CommandRefusal::OldRun {
+        if is_in_doubt {
             self.stop_run(key, run, "start in doubt", now);
             return;
         }
@@ -386,6 +400,7 @@
             }
             if let Some(task) = self.task_mut(&key) {
                 task.failed_on.push(id);
+                task.moves += 1;
             }
             self.stop_run(&key, run, reason, now);
         }
@@ -399,10 +414,13 @@
         if live.phase != RunPhase::Running || spec.is_gang || spec.is_service {
             return None;
         }
-        if live.throttle < 100 {
+        let moves = job.task(key)?.moves;
+        if moves >= MOVES_MAX {
             return None;
         }
-        if now.saturating_sub(live.progress_ms) > STALL_MS + spec.estimate_ms {
+        // What took long on several workers is long itself.
+        let patience = (STALL_MS + spec.estimate_ms) << moves;
+        if now.saturating_sub(live.progress_ms) > patience {
             return Some("no progress");
         }
         self.is_far_slower(job, key, live, now).then_some("far slower than its siblings")
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -27,3 +27,45 @@
     assert_eq!(stage.starts(task(id, 0, 0)), 1);
     assert_eq!(stage.state(id), Some(JobState::Completed));
 }
+
+/// A start has no answer, is carried out all the same, and the task is done before the start is sent
+/// again. The worker refuses the repeat as an old run. That refusal is the trace of a run that took
+/// place, not of one that never will: the caller's task must not run a second time.
+#[test]
+fn a_repeated_start_that_is_refused_as_old_leaves_the_end_to_the_report() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let w1 = stage.workers.get_mut("w1").expect("a worker");
+    w1.is_late = true;
+    w1.is_stale = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    stage.deliver_late("w1");
+    let w1 = stage.workers.get_mut("w1").expect("a worker");
+    w1.is_late = false;
+    w1.exit(key, 1, ExitKind::Done);
+    stage.advance(1_000);
+    stage.workers.get_mut("w1").expect("a worker").is_stale = false;
+    stage.advance(1_000);
+
+    assert_eq!(stage.starts(key), 1);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// One task of a step simply is larger than the others and takes four times as long, on any worker.
+/// Moved again and again as slow it would never end, and the caller would wait for ever. It is
+/// given another worker at most twice.
+#[test]
+fn a_task_that_is_slow_everywhere_is_left_to_end() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let id = stage.submit(1, job(vec![step(4)]));
+    let large = task(id, 0, 3);
+    stage.advance(1_000);
+    for index in 0..3 {
+        stage.end(task(id, 0, index), ExitKind::Done);
+    }
+    for _ in 0..200 {
+        stage.progress(large, 2, 100);
+    }
+    assert!(stage.starts(large) <= 3, "{} starts", stage.starts(large));
+    assert_eq!(stage.alive(large), 1);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -9,7 +9,7 @@
     ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec, TaskKey,
 };
 use ibisweir::jobs::ports::{
-    CommandOutcome, RenewCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
+    CommandOutcome, CommandRefusal, RenewCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
     WorkerReport,
 };
 use ibisweir::jobs::record::JobRecord;
@@ -126,8 +126,10 @@
     pub exits: Vec<TaskExit>,
     /// Runs that were told to stop or have ended; they never start again.
     pub refused: BTreeSet<(TaskKey, u32)>,
-    /// Whether it answers.
+    /// Whether it leaves calls unanswered.
     pub is_silent: bool,
+    /// Whether its reports are from before anything was started.
+    pub is_stale: bool,
     /// Whether starts go unanswered, to be carried out when the test says so.
     pub is_late: bool,
     /// Starts that went unanswered.
@@ -238,6 +240,18 @@
         }
     }
 
+    /// Lets a task get on by some percent, and then the time by some milliseconds.
+    pub fn progress(&mut self, key: TaskKey, percent: u32, ms: u64) {
+        for worker in self.workers.values_mut() {
+            for ((task, _), done) in &mut worker.running {
+                if *task == key {
+                    *done = (*done + percent).min(99);
+                }
+            }
+        }
+        self.advance(ms);
+    }
+
     /// Ends a run on its worker.
     pub fn end(&mut self, key: TaskKey, kind: ExitKind) {
         let run = self.started.iter().rev().find(|(task, ..)| *task == key).cloned();
@@ -348,6 +362,9 @@
             worker.late.push(call.clone());
             return CommandOutcome::Unknown;
         }
+        if worker.refused.contains(&(call.task, call.run)) {
+            return CommandOutcome::Refused(CommandRefusal::OldRun, Some(self.now));
+        }
         if worker.begin(call) {
             self.started.push((call.task, call.run, id.clone()));
         }
@@ -381,11 +398,14 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
+        } else if worker.is_stale {
+            CommandOutcome::Done(WorkerReport { clock_ms: self.now, ..WorkerReport::default() })
         } else {
             worker.exits.retain(|exit| exit.number > call.exits_through);
             CommandOutcome::Done(worker.report(self.now))
         };
-        self.scheduler.renewed(id, call, outcome, self.now, self.now);
+        let sent_ms = if worker.is_stale { START_MS } else { self.now };
+        self.scheduler.renewed(id, call, outcome, sent_ms, self.now);
     }
 }
 
@@ -406,7 +426,8 @@
         self.refused.insert((task, run));
     }
 
-    fn exit(&mut self, task: TaskKey, run: u32, kind: ExitKind) {
+    /// Ends a run.
+    pub fn exit(&mut self, task: TaskKey, run: u32, kind: ExitKind) {
         self.running.remove(&(task, run));
         self.refused.insert((task, run));
         self.next_exit += 1;
