A command is made when its turn has come, not when it was decided

Ruled out: late execution by the worker (the start left our process late). Change: the lane carries the run; the scheduler makes its command, or none, at the moment of sending. Test: a_start_that_waited_behind_other_commands_is_not_sent_once_its_job_is_over.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -15,6 +15,7 @@
 
 use crate::jobs::follower::{TailReader, TailStep};
 use crate::jobs::metrics::count;
+use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{
     AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RunCall, StartCall,
@@ -24,7 +25,7 @@
 use crate::jobs::site::WorkerEntry;
 use crate::scheduler::commit::CommitBatch;
 use crate::scheduler::exits::RenewPlan;
-use crate::scheduler::runs::refusal_word;
+use crate::scheduler::runs::{RunCommand, refusal_word};
 use crate::scheduler::{
     Scheduler, SchedulerAction, SchedulerCensus, SchedulerNote, SchedulerStart,
 };
@@ -113,7 +114,8 @@
 
 /// A command in a worker's lane.
 enum LaneCommand {
-    Start(StartCall),
+    /// What this run needs when its turn has come.
+    Run(TaskKey, u32),
     Stop(RunCall),
     Throttle(RunCall, u32),
 }
@@ -335,8 +337,8 @@
 
     fn carry_out(self: &Arc<Self>, action: SchedulerAction, tasks: &mut JoinSet<()>) {
         match action {
-            SchedulerAction::Start(target, call) => {
-                self.send(&target, LaneCommand::Start(call), tasks);
+            SchedulerAction::Send(target, task, run) => {
+                self.send(&target, LaneCommand::Run(task, run), tasks);
             }
             SchedulerAction::Stop(target, call) => {
                 self.send(&target, LaneCommand::Stop(call), tasks);
@@ -425,24 +427,20 @@
     }
 
     async fn send_command(&self, target: &WorkerTarget, command: LaneCommand) {
-        let workers = &self.parts.workers;
         match command {
-            LaneCommand::Start(call) => {
-                let outcome = workers.start(target, &call, COMMAND_PATIENCE).await;
-                self.count_start(&outcome);
+            LaneCommand::Run(task, run) => {
                 let now = self.node.now();
-                self.node.with_scheduler(|scheduler| {
-                    scheduler.started(&target.id, &call.task, call.run, &outcome, now);
-                });
-            }
-            LaneCommand::Stop(call) => {
-                let outcome = workers.stop(target, &call, COMMAND_PATIENCE).await;
-                let now = self.node.now();
-                self.node.with_scheduler(|scheduler| {
-                    scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
-                });
+                let command =
+                    self.node.with_scheduler(|scheduler| scheduler.command(&task, run, now));
+                match command.flatten() {
+                    Some(RunCommand::Start(call)) => self.send_start(target, &call).await,
+                    Some(RunCommand::Stop(call)) => self.send_stop(target, &call).await,
+                    None => {}
+                }
             }
+            LaneCommand::Stop(call) => self.send_stop(target, &call).await,
             LaneCommand::Throttle(call, percent) => {
+                let workers = &self.parts.workers;
                 let outcome = workers.throttle(target, &call, percent, COMMAND_PATIENCE).await;
                 let is_done = matches!(outcome, CommandOutcome::Done(_));
                 self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
@@ -450,6 +448,23 @@
         }
     }
 
+    async fn send_start(&self, target: &WorkerTarget, call: &StartCall) {
+        let outcome = self.parts.workers.start(target, call, COMMAND_PATIENCE).await;
+        self.count_start(&outcome);
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| {
+            scheduler.started(&target.id, &call.task, call.run, &outcome, now);
+        });
+    }
+
+    async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
+        let outcome = self.parts.workers.stop(target, call, COMMAND_PATIENCE).await;
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| {
+            scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
+        });
+    }
+
     fn count_start(&self, outcome: &CommandOutcome<u64>) {
         let reason = match outcome {
             CommandOutcome::Done(_) => "done",
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::jobs::book::{BookedJob, JobBook};
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
-use crate::jobs::ports::{PermitGrant, RunCall, StartCall, VmCommand, WorkerTarget};
+use crate::jobs::ports::{PermitGrant, RunCall, VmCommand, WorkerTarget};
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry};
 use crate::scheduler::commit::CommitQueue;
@@ -63,9 +63,9 @@
 /// What is to be done.
 #[derive(Clone, Debug)]
 pub enum SchedulerAction {
-    /// Start a run.
-    Start(WorkerTarget, StartCall),
-    /// Stop a run.
+    /// Send the command that a run needs; see [`Scheduler::command`].
+    Send(WorkerTarget, TaskKey, u32),
+    /// Stop a run that is on no book.
     Stop(WorkerTarget, RunCall),
     /// Let a run work at a share of its speed, in percent.
     Throttle(WorkerTarget, RunCall, u32),
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -34,6 +34,15 @@
 /// Time that a moved run loses at least, in milliseconds.
 const MOVE_COST_MS: u64 = 400;
 
+/// A command to a worker about one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunCommand {
+    /// Start it.
+    Start(StartCall),
+    /// Stop it.
+    Stop(RunCall),
+}
+
 impl Scheduler {
     /// Books what a new leader read from the log on workers that may not be listed any more.
     pub(crate) fn adopt_runs(&mut self, key: &TaskKey, now: u64) {
@@ -119,62 +128,79 @@
         }
     }
 
-    /// Sends the starts and stops that are due.
+    /// Hands out the starts and stops that are due.
     pub(crate) fn send_due(&mut self, now: u64) {
         if !self.is_confirmed(now) {
             return;
         }
         let due: Vec<(TaskKey, u32)> = self.attention.iter().copied().collect();
         for (key, run) in due {
-            if !self.send_command(&key, run, now) {
+            let Some(live) = self.live_mut(&key, run) else {
                 self.attention.remove(&(key, run));
+                continue;
+            };
+            if !matches!(live.phase, RunPhase::Starting | RunPhase::Stopping) {
+                self.attention.remove(&(key, run));
+                continue;
+            }
+            if now < live.retry_ms {
+                continue;
+            }
+            let id = live.worker.clone();
+            let Some(worker) = self.workers.get(&id) else { continue };
+            // A start to a worker that doesn't answer would prolong the time after which its runs
+            // are known to be over.
+            if worker.silent_since_ms.is_some() || !worker.is_listed {
+                continue;
             }
+            let target = worker.target();
+            if let Some(live) = self.live_mut(&key, run) {
+                live.retry_ms = now + COMMAND_RETRY_MS;
+            }
+            self.actions.push(SchedulerAction::Send(target, key, run));
         }
     }
 
-    /// Sends a run's start or stop if it is due; false if it needs none.
-    fn send_command(&mut self, key: &TaskKey, run: u32, now: u64) -> bool {
-        let (fence, lease_ms) = (self.fence(), self.lease_ms());
-        let Some(job) = self.jobs.get_mut(&key.job) else { return false };
-        let payload: Arc<str> = job.submission.spec.payload.as_str().into();
-        let is_gang = job.spec(key).is_some_and(|spec| spec.is_gang);
-        let Some(task) = job.task_mut(key) else { return false };
-        let checkpoint = task.checkpoint.clone();
-        let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return false };
-        let is_start = match live.phase {
-            RunPhase::Starting => true,
-            RunPhase::Stopping => false,
-            RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return false,
-        };
-        if now < live.retry_ms {
-            return true;
+    /// The command that a run needs at the moment at which it can be sent. It may have waited for
+    /// others to the same worker: what was right when it was handed out, such as a start of a task
+    /// that has meanwhile been done elsewhere, may be wrong now.
+    pub fn command(&mut self, key: &TaskKey, run: u32, now: u64) -> Option<RunCommand> {
+        if self.is_deposed || !self.is_confirmed(now) {
+            return None;
         }
-        let Some(worker) = self.workers.get_mut(&live.worker) else { return true };
-        // A start to a worker that doesn't answer would prolong the time after which its runs are
-        // known to be over.
-        if worker.silent_since_ms.is_some() || !worker.is_listed {
-            return true;
+        let (fence, lease_ms) = (self.fence(), self.lease_ms());
+        let live = self.live_mut(key, run)?;
+        let phase = live.phase;
+        let id = live.worker.clone();
+        live.retry_ms = now + COMMAND_RETRY_MS;
+        match phase {
+            RunPhase::Starting => {}
+            RunPhase::Stopping => return Some(RunCommand::Stop(RunCall { task: *key, run, fence })),
+            RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return None,
         }
-        let target = worker.target();
-        if !is_start {
-            live.retry_ms = now + COMMAND_RETRY_MS;
-            let call = RunCall { task: *key, run, fence };
-            self.actions.push(SchedulerAction::Stop(target, call));
-            return true;
+        let worker = self.workers.get_mut(&id)?;
+        if worker.silent_since_ms.is_some() {
+            return None;
         }
-        let Some(lease_until_ms) = worker.lease_until(lease_ms, now) else { return true };
-        live.retry_ms = now + COMMAND_RETRY_MS;
-        let permit = self
-            .permits
-            .get(&key.step_key())
-            .and_then(|permits| permits.allowed.get(&target.id))
-            .cloned();
+        let lease_until_ms = worker.lease_until(lease_ms, now)?;
+        let permits = self.permits.get(&key.step_key());
+        let permit = permits.and_then(|permits| permits.allowed.get(&id)).cloned();
+        let job = self.jobs.get(&key.job)?;
         // Every member of a gang must carry the same checkpoint.
-        let checkpoint = if is_gang { self.gang_checkpoint(key) } else { checkpoint };
-        let call =
-            StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
-        self.actions.push(SchedulerAction::Start(target, call));
-        true
+        let checkpoint = match job.spec(key)?.is_gang {
+            true => self.gang_checkpoint(key),
+            false => job.task(key)?.checkpoint.clone(),
+        };
+        let payload = job.submission.spec.payload.as_str().into();
+        Some(RunCommand::Start(StartCall {
+            task: *key,
+            run,
+            payload,
+            lease_until_ms,
+            fence,
+            checkpoint,
+            permit,
+        }))
     }
 
     fn gang_checkpoint(&self, key: &TaskKey) -> String {
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -69,3 +69,20 @@
     assert!(stage.starts(large) <= 3, "{} starts", stage.starts(large));
     assert_eq!(stage.alive(large), 1);
 }
+
+/// A worker is slow to answer, so a start waits behind other commands to it. Meanwhile the caller
+/// cancels the job, and is told so. The start that is sent last must not be sent at all.
+#[test]
+fn a_start_that_waited_behind_other_commands_is_not_sent_once_its_job_is_over() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    stage.lane_is_slow = true;
+    let id = stage.submit(1, job(vec![step(2)]));
+    stage.advance(100);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.empty_lanes();
+    stage.advance(1_000);
+    stage.empty_lanes();
+
+    assert!(stage.started.is_empty(), "started {:?}", stage.started);
+    assert_eq!(stage.state(id), Some(JobState::Cancelled));
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -9,7 +9,7 @@
     ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec, TaskKey,
 };
 use ibisweir::jobs::ports::{
-    CommandOutcome, CommandRefusal, RenewCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
+    CommandOutcome, CommandRefusal, RenewCall, RunCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
     WorkerReport,
 };
 use ibisweir::jobs::record::JobRecord;
@@ -17,6 +17,7 @@
     CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, VmEntry, VmState, WorkerEntry,
 };
 use ibisweir::scheduler::exits::RenewPlan;
+use ibisweir::scheduler::runs::RunCommand;
 use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
 
 /// Queue and pool of most tests.
@@ -155,6 +156,9 @@
     pub told: Vec<(u64, bool)>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
+    /// Whether commands wait in their lanes until the test empties them.
+    pub lane_is_slow: bool,
+    lane: Vec<(Arc<str>, TaskKey, u32)>,
     /// Whether the log takes appends.
     pub log_is_up: bool,
     /// Whether the VM service answers `Done` to commands.
@@ -180,6 +184,8 @@
             vm_commands: Vec::new(),
             told: Vec::new(),
             throttles: Vec::new(),
+            lane_is_slow: false,
+            lane: Vec::new(),
             log_is_up: true,
             vm_outcome: VmOutcome::Done,
             now: START_MS,
@@ -318,21 +324,11 @@
 
     fn carry_out(&mut self, action: SchedulerAction) -> bool {
         match action {
-            SchedulerAction::Start(target, call) => {
-                let outcome = self.start(&target.id, &call);
-                let (task, run) = (call.task, call.run);
-                self.scheduler.started(&target.id, &task, run, &outcome, self.now);
-            }
-            SchedulerAction::Stop(target, call) => {
-                let outcome = match self.workers.get_mut(&target.id) {
-                    Some(worker) if !worker.is_silent => {
-                        worker.stop(call.task, call.run);
-                        CommandOutcome::Done(self.now)
-                    }
-                    _ => CommandOutcome::Unknown,
-                };
-                self.scheduler.stopped(&target.id, &call.task, call.run, &outcome, self.now);
+            SchedulerAction::Send(target, task, run) if self.lane_is_slow => {
+                self.lane.push((target.id, task, run));
             }
+            SchedulerAction::Send(target, task, run) => self.send(&target.id, task, run),
+            SchedulerAction::Stop(target, call) => self.stop(&target.id, &call),
             SchedulerAction::Throttle(_, call, percent) => {
                 self.throttles.push((call.task, percent));
                 self.scheduler.throttled(&call, true);
@@ -353,6 +349,36 @@
         true
     }
 
+    /// Sends what waits in the lanes.
+    pub fn empty_lanes(&mut self) {
+        for (id, task, run) in std::mem::take(&mut self.lane) {
+            self.send(&id, task, run);
+        }
+        self.pump();
+    }
+
+    fn send(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
+        match self.scheduler.command(&task, run, self.now) {
+            Some(RunCommand::Start(call)) => {
+                let outcome = self.start(id, &call);
+                self.scheduler.started(id, &task, run, &outcome, self.now);
+            }
+            Some(RunCommand::Stop(call)) => self.stop(id, &call),
+            None => {}
+        }
+    }
+
+    fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
+        let outcome = match self.workers.get_mut(id) {
+            Some(worker) if !worker.is_silent => {
+                worker.stop(call.task, call.run);
+                CommandOutcome::Done(self.now)
+            }
+            _ => CommandOutcome::Unknown,
+        };
+        self.scheduler.stopped(id, &call.task, call.run, &outcome, self.now);
+    }
+
     fn start(&mut self, id: &Arc<str>, call: &StartCall) -> CommandOutcome<u64> {
         let Some(worker) = self.workers.get_mut(id) else { return CommandOutcome::Unknown };
         if worker.is_silent {
