A submission that is repeated after its job was cancelled starts nothing

Ruled out: the cancel itself (on the log, and acted on). Change: a cancelled job is remembered like a completed one. Test failed first.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -336,6 +336,8 @@
             return;
         }
         job.state = JobState::Cancelled;
+        job.ended_wall_ms = self.wall_ms;
+        self.finished.insert(id, self.wall_ms);
         let age_ms = now.saturating_sub(job.arrived_ms);
         self.note(SchedulerNote::JobState { job: id, state: JobState::Cancelled, age_ms });
         self.commits.mark(id);
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -86,3 +86,18 @@
     assert!(stage.started.is_empty(), "started {:?}", stage.started);
     assert_eq!(stage.state(id), Some(JobState::Cancelled));
 }
+
+/// The same repeat, for a job that the caller has cancelled: it stays cancelled.
+#[test]
+fn a_submission_that_is_repeated_after_a_cancel_starts_nothing() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(500);
+    let record = JobRecord::Submitted(id, Arc::new(submission(job(vec![step(1)]))));
+    stage.scheduler.take_record(&record, stage.now);
+    stage.advance(500);
+
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+    assert_eq!(stage.state(id), Some(JobState::Cancelled));
+}
