VMs are called for by the rate of arrival; idle ones leave a part at a time

Cause: pools grew when work already stood in line, a whole move (1.5 s) late, and the VMs that idled after one queue's turn were on their way to the standby pool when the next turn began. Ruled out: placement (pools were 97% booked at the time), latency of the VM list. Change: scheduler/demand.rs forecasts the load from the work that arrives (average over 600 ms); at most a quarter of what could be called for is on its way to the standby pool. One log line a second and pool. Tests: tests/scheduler_fleet.rs replays a burst, idle VMs, and waves.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -605,6 +605,10 @@
             SchedulerNote::Worker { worker, change, runs } => {
                 info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
             }
+            SchedulerNote::Pool { pool, needed, usable, idle, booked } => {
+                info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
+                    "idle" => idle, "booked_permille" => booked);
+            }
             SchedulerNote::Vm { vm, change } => {
                 info!(logger, "vm"; "vm" => &**vm, "change" => change);
             }
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -140,6 +140,24 @@
         }
     }
 
+    /// A hundredth of the amount.
+    pub fn percent(&self) -> ResourceVector {
+        ResourceVector {
+            cpu: self.cpu / 100,
+            memory: self.memory / 100,
+            accelerators: self.accelerators / 100,
+        }
+    }
+
+    /// Of each resource the larger amount.
+    pub fn most(&self, other: &ResourceVector) -> ResourceVector {
+        ResourceVector {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The largest share of `room` that this takes in any resource, in thousandths.
     pub fn share_of(&self, room: &ResourceVector) -> u64 {
         let part = |own: u64, all: u64| match (own, all) {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -11,6 +11,7 @@
 use crate::jobs::model::ResourceVector;
 use crate::jobs::ports::{VmCommand, VmOutcome};
 use crate::jobs::site::{MaintenanceWave, VmEntry, VmState};
+use crate::scheduler::demand::ArrivalRate;
 use crate::scheduler::maintenance::WaveRun;
 use crate::scheduler::rank::{RankTier, rank};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
@@ -23,6 +24,8 @@
 const LIST_AGE_MAX_MS: u64 = 3_000;
 /// Time between two plans of the pools, in milliseconds.
 const PLAN_GAP_MS: u64 = 100;
+/// Time between two log lines about a pool, in milliseconds.
+const NOTE_GAP_MS: u64 = 1_000;
 /// Time after which a command that was refused or not answered is sent again, in milliseconds.
 const COMMAND_RETRY_MS: u64 = 300;
 /// Time after which a command that was accepted and never showed is forgotten, in milliseconds.
@@ -30,6 +33,9 @@
 /// Time that a VM idles before it is given away, in milliseconds. A move there and back costs about
 /// as much as two seconds of a VM in a pool.
 const IDLE_MS: u64 = 1_500;
+/// Part of the VMs that could be called for that may be on their way to the standby pool: one in so
+/// many.
+const LEAVING_PART: usize = 4;
 /// Share of a VM that can be filled on average, in percent: tasks come in sizes that leave gaps.
 const PACKED_PERCENT: u64 = 88;
 /// Share, in percent, that tasks count whose step has not begun yet.
@@ -74,11 +80,14 @@
     pub wants_list: bool,
     /// What is to become of VMs.
     pub intents: BTreeMap<Arc<str>, VmIntent>,
+    /// Work that arrives, by pool.
+    pub arrivals: BTreeMap<Arc<str>, ArrivalRate>,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveRun>,
     by_worker: HashMap<Arc<str>, Arc<str>>,
     asked_ms: Option<u64>,
     planned_ms: u64,
+    noted_ms: u64,
 }
 
 impl FleetState {
@@ -131,11 +140,24 @@
     }
 }
 
+/// What the jobs of a pool take.
+#[derive(Clone, Debug, Default)]
+struct PoolLoad {
+    /// Booked, or about to be.
+    booked: ResourceVector,
+    /// The services' part of it.
+    services: ResourceVector,
+    /// Least number of VMs for services whose tasks must be apart.
+    apart: usize,
+}
+
 /// What a pool has and needs, in VMs.
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
     needed: usize,
     usable: usize,
+    booked: ResourceVector,
+    room: ResourceVector,
     /// Empty VMs that it can give away, and for how long they have idled, in milliseconds.
     idle: Vec<(Arc<str>, u64)>,
 }
@@ -303,6 +325,7 @@
         let standby: Option<Arc<str>> =
             self.config.pools.iter().find(|pool| pool.is_standby).map(|pool| pool.name.clone());
         let mut needs = self.pool_needs(now);
+        self.note_pools(&needs, now);
         let short: Vec<(Arc<str>, usize)> = needs
             .iter()
             .map(|(pool, need)| {
@@ -320,15 +343,42 @@
             }
         }
         let Some(standby) = standby else { return };
+        let surplus = |need: &PoolNeed| need.usable.saturating_sub(need.needed);
+        let idle: usize =
+            needs.values().map(|need| surplus(need).min(need.idle.len())).sum();
+        // A VM on its way to the standby pool can't be called for, and the next queue's turn may
+        // begin any moment: only a part of what could be called for is under way at a time.
+        let liquid = idle + spare.len();
+        let leaving = self.fleet.arriving(&standby);
+        let mut allowed = (liquid / LEAVING_PART).max(1).saturating_sub(leaving);
         for need in needs.values() {
-            let surplus = need.usable.saturating_sub(need.needed);
             let idle = need.idle.iter().filter(|(_, idle_ms)| *idle_ms >= IDLE_MS);
-            for (vm, _) in idle.take(surplus) {
+            for (vm, _) in idle.take(surplus(need)) {
+                if allowed == 0 {
+                    return;
+                }
+                allowed -= 1;
                 self.intend(VmCommand::Assign { vm: vm.clone(), pool: standby.clone() }, now);
             }
         }
     }
 
+    fn note_pools(&mut self, needs: &BTreeMap<Arc<str>, PoolNeed>, now: u64) {
+        if now < self.fleet.noted_ms + NOTE_GAP_MS {
+            return;
+        }
+        self.fleet.noted_ms = now;
+        for (pool, need) in needs {
+            self.note(SchedulerNote::Pool {
+                pool: pool.clone(),
+                needed: need.needed,
+                usable: need.usable,
+                idle: need.idle.len(),
+                booked: need.booked.share_of(&need.room),
+            });
+        }
+    }
+
     /// VMs of standby pools that can be lent, those first that are not due for maintenance.
     fn standby_vms(&self) -> Vec<Arc<str>> {
         let is_standby =
@@ -345,10 +395,11 @@
         vms.into_iter().map(|(_, vm)| vm).collect()
     }
 
-    fn pool_needs(&self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
+    fn pool_needs(&mut self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
         let loads = self.pool_loads(now);
         let mut needs = BTreeMap::new();
-        for pool in self.config.pools.iter().filter(|pool| !pool.is_standby) {
+        let config = self.config.clone();
+        for pool in config.pools.iter().filter(|pool| !pool.is_standby) {
             let mut need = PoolNeed::default();
             let mut room = ResourceVector::default();
             for worker in self.workers.values() {
@@ -364,6 +415,8 @@
                     continue;
                 }
                 need.usable += 1;
+                need.booked.add(worker.used());
+                need.room.add(&worker.entry.capacity);
                 let vm = self.fleet.vm_of(&worker.entry.id);
                 if let Some(vm) = vm.filter(|vm| vm.state == VmState::Up)
                     && self.is_quiet(&worker.entry.id)
@@ -377,10 +430,16 @@
             if room == ResourceVector::default() {
                 room = self.usual_room();
             }
-            let (load, least) = loads.get(&pool.name).cloned().unwrap_or_default();
-            let packed = load.times(100).share_of(&room.times(PACKED_PERCENT));
+            let PoolLoad { mut booked, services, apart } =
+                loads.get(&pool.name).cloned().unwrap_or_default();
+            if let Some(arrivals) = self.fleet.arrivals.get_mut(&pool.name) {
+                let mut coming = arrivals.load(now);
+                coming.add(&services);
+                booked = booked.most(&coming);
+            }
+            let packed = booked.times(100).share_of(&room.times(PACKED_PERCENT));
             let vms = usize::try_from(packed.div_ceil(1_000)).unwrap_or(usize::MAX);
-            need.needed = vms.max(least).max(1);
+            need.needed = vms.max(apart).max(1);
             needs.insert(pool.name.clone(), need);
         }
         needs
@@ -391,13 +450,11 @@
         self.fleet.vms.values().map(|vm| vm.capacity).next().unwrap_or_default()
     }
 
-    /// By pool: what is booked and what is about to be, and the least number of VMs that its
-    /// services need to be apart.
-    fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, (ResourceVector, usize)> {
-        let mut loads: BTreeMap<Arc<str>, (ResourceVector, usize)> = BTreeMap::new();
+    fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, PoolLoad> {
+        let mut loads: BTreeMap<Arc<str>, PoolLoad> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
-            let (load, least) = loads.entry(queue.service.clone()).or_default();
+            let load = loads.entry(queue.service.clone()).or_default();
             for (occurrence, run) in &job.occurrences {
                 let due = self.due_ms(job, *occurrence, now);
                 let tier = rank(job, queue, run, due, now).tier;
@@ -418,15 +475,15 @@
                         (_, false) => waiting * usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
                     };
                     let wanted = u64::try_from(booked * 100 + counted).unwrap_or(0);
-                    let all = spec.booked().times(wanted);
-                    load.add(&ResourceVector {
-                        cpu: all.cpu / 100,
-                        memory: all.memory / 100,
-                        accelerators: all.accelerators / 100,
-                    });
-                    if spec.is_service && spec.per_worker_max > 0 {
+                    let all = spec.booked().times(wanted).percent();
+                    load.booked.add(&all);
+                    if !spec.is_service {
+                        continue;
+                    }
+                    load.services.add(&all);
+                    if spec.per_worker_max > 0 {
                         let apart = spec.count.div_ceil(spec.per_worker_max);
-                        *least = (*least).max(usize::try_from(apart).unwrap_or(0));
+                        load.apart = load.apart.max(usize::try_from(apart).unwrap_or(0));
                     }
                 }
             }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 //!   the life of its worker is over, or every lease that the worker can have has run out.
 
 pub mod commit;
+pub mod demand;
 pub mod dispatch;
 pub mod exits;
 pub mod fleet;
@@ -139,6 +140,19 @@
         /// Runs that it had.
         runs: usize,
     },
+    /// How a pool is doing, now and then.
+    Pool {
+        /// Pool.
+        pool: Arc<str>,
+        /// VMs that its load needs.
+        needed: usize,
+        /// VMs that take work.
+        usable: usize,
+        /// VMs of these on which nothing runs.
+        idle: usize,
+        /// Processor booked, in thousandths of that of the usable VMs.
+        booked: u64,
+    },
     /// A VM was commanded, or answered.
     Vm {
         /// VM.
@@ -321,6 +335,10 @@
                 }
                 let booked = BookedJob::submitted(submission.clone());
                 let Some(run) = JobRun::restore(*job, &booked, now) else { return };
+                if submission.spec.schedule.is_none() {
+                    let service = self.service_of(&run);
+                    self.fleet.arrivals.entry(service).or_default().arrive(&submission.spec, now);
+                }
                 self.jobs.insert(*job, run);
                 self.scheduled.insert(*job);
                 self.needs_dispatch = true;
--- /dev/null
+++ b/tests/scheduler_fleet.rs
@@ -0,0 +1,188 @@
+//! VMs follow the demand, and maintenance keeps to its bounds.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{ExitKind, JobState, StepSpec};
+use ibisweir::jobs::ports::VmCommand;
+use ibisweir::jobs::site::{MaintenanceWave, VmEntry, WorkerEntry};
+use ibisweir::scheduler::demand::ArrivalRate;
+use support::stage::{
+    POOL, STANDBY, Stage, config, job, service_step, step, task, vm, worker,
+};
+
+fn workers(count: usize) -> Vec<WorkerEntry> {
+    (0..count).map(|n| worker(&format!("w{n}"), &format!("r{}", n / 4))).collect()
+}
+
+/// The VMs of these workers, and as many more on standby.
+fn vms(workers: &[WorkerEntry], standby: usize) -> Vec<VmEntry> {
+    let mut vms: Vec<VmEntry> = workers.iter().map(|worker| vm(worker, POOL)).collect();
+    for n in 0..standby {
+        let off = WorkerEntry { id: "".into(), ..worker("", "r9") };
+        vms.push(VmEntry { vm: format!("s{n}").into(), ..vm(&off, STANDBY) });
+    }
+    vms
+}
+
+fn assigned_to(stage: &Stage, pool: &str) -> usize {
+    let to = |command: &&VmCommand| {
+        matches!(command, VmCommand::Assign { pool: to, .. } if &**to == pool)
+    };
+    stage.vm_commands.iter().filter(to).count()
+}
+
+/// A queue that was quiet begins to ask for several times what its pool holds. Callers' objectives
+/// leave little more time than a VM takes to come: VMs are called for by the rate at which work
+/// arrives, when only the first jobs stand in line.
+#[test]
+fn a_burst_calls_for_vms_by_its_rate_not_by_its_queue() {
+    let pool = workers(1);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 20), stage.now, stage.now);
+    // Each 50 ms a job of four core-seconds: eighty cores, ten VMs, once it is steady.
+    for id in 0..10 {
+        stage.submit(id, job(vec![step(4)]));
+        stage.advance(50);
+    }
+    let called = assigned_to(&stage, POOL);
+    // The ten jobs that have come take forty cores, four VMs beside the one that is there.
+    assert!((5..=12).contains(&called), "{called} VMs called for after half a second");
+}
+
+/// The rate falls again within two windows after the last arrival: a burst that is over calls for
+/// nothing.
+#[test]
+fn the_rate_of_arrival_is_forgotten_soon() {
+    let mut rate = ArrivalRate::default();
+    for n in 0..20 {
+        rate.arrive(&job(vec![step(4)]), 1_000 + n * 50);
+    }
+    let steady = rate.load(2_000).cpu;
+    assert!((60_000..=90_000).contains(&steady), "{steady}");
+    assert!(rate.load(3_500).cpu < steady / 10);
+}
+
+/// A queue's turn is over and its VMs idle; the next queue's turn may begin any moment. A VM on its
+/// way to the standby pool could not be called for, so they leave a part at a time.
+#[test]
+fn idle_vms_leave_a_part_at_a_time() {
+    let pool = workers(16);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.advance(2_000);
+    let leaving = assigned_to(&stage, STANDBY);
+    assert!((1..=4).contains(&leaving), "{leaving} of 16 idle VMs leave at once");
+}
+
+/// Two of the VMs that a wave may take down at once are down. A third may not go, however many are
+/// due.
+#[test]
+fn a_wave_takes_no_more_vms_at_once_than_it_may() {
+    let pool = workers(6);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 2), BTreeSet::new(), stage.now);
+    stage.advance(1_500);
+    assert_eq!(maintained(&stage).len(), 2);
+    assert_eq!(stage.told, vec![(1, false)]);
+}
+
+/// A VM that is due runs tasks of a step that may miss one. They are moved one at a time, each only
+/// when the one before is at work again: callers see at most one away.
+#[test]
+fn services_are_moved_within_their_budget() {
+    let pool = workers(6);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    let lasting = StepSpec { disruption_budget: 1, ..service_step(4) };
+    let id = stage.submit(1, job(vec![lasting]));
+    for _ in 0..5 {
+        for index in 0..4 {
+            stage.progress(task(id, 0, index), 100, 0);
+        }
+        stage.advance(100);
+    }
+    let due: Vec<WorkerEntry> = (0..4)
+        .map(|index| stage.place(task(id, 0, index)))
+        .map(|place| pool.iter().find(|worker| worker.id == place).expect("known").clone())
+        .collect();
+    stage.scheduler.take_wave(wave(&due, 4), BTreeSet::new(), stage.now);
+    for _ in 0..40 {
+        stage.advance(20);
+        let away = (0..4).filter(|index| stage.alive(task(id, 0, *index)) == 0).count();
+        assert!(away <= 1, "{away} of 4 away");
+    }
+    // The one that was moved is not at work yet, so no other was ended.
+    let starts: usize = (0..4).map(|index| stage.starts(task(id, 0, index))).sum();
+    assert_eq!(starts, 5);
+}
+
+/// A wave is complete when every VM of it that still exists has begun its maintenance, and operators
+/// are told so once.
+#[test]
+fn a_wave_is_told_complete_when_all_have_begun() {
+    let pool = workers(2);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 2), BTreeSet::new(), stage.now);
+    stage.advance(1_000);
+    assert_eq!(maintained(&stage).len(), 2);
+    assert_eq!(stage.told, vec![(1, false), (1, true)]);
+}
+
+/// A new leader takes over in the middle of a wave. What the log says to be done is not done again.
+#[test]
+fn a_successor_goes_on_with_a_wave_where_it_stood() {
+    let pool = workers(2);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 1), BTreeSet::new(), stage.now);
+    stage.advance(300);
+    let first = maintained(&stage);
+    assert_eq!(first.len(), 1);
+
+    let done = stage.book.maintained(1);
+    assert_eq!(done, first);
+    stage.take_over(2, config());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 1), done, stage.now);
+    stage.advance(300);
+    assert_eq!(maintained(&stage).len(), 2);
+    assert_eq!(stage.vm_commands.len(), 2);
+}
+
+/// A VM is only taken from a pool when nothing runs on it: a task at work on it ends by itself first.
+#[test]
+fn a_vm_that_is_due_is_not_taken_from_under_a_task() {
+    let pool = workers(1);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.scheduler.take_wave(wave(&pool, 1), BTreeSet::new(), stage.now);
+    stage.advance(500);
+    assert!(maintained(&stage).is_empty());
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.advance(500);
+    assert_eq!(maintained(&stage).len(), 1);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+fn wave(due: &[WorkerEntry], parallel_max: usize) -> MaintenanceWave {
+    MaintenanceWave {
+        number: 1,
+        vms: due.iter().map(|worker| vm(worker, POOL).vm).collect(),
+        within_ms: 4_000,
+        parallel_max,
+    }
+}
+
+fn maintained(stage: &Stage) -> BTreeSet<Arc<str>> {
+    let vm = |command: &VmCommand| match command {
+        VmCommand::Maintain { vm, .. } => Some(vm.clone()),
+        VmCommand::Assign { .. } => None,
+    };
+    stage.vm_commands.iter().filter_map(vm).collect()
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -251,7 +251,7 @@
         for worker in self.workers.values_mut() {
             for ((task, _), done) in &mut worker.running {
                 if *task == key {
-                    *done = (*done + percent).min(99);
+                    *done = (*done + percent).min(100);
                 }
             }
         }
