Entries hand their callers' records to the leader; services are packed on few VMs

Cause: each entry made its own append. Services were spread by rack, each pool held two VMs more than they need. Ruled out: leadership changes (57 ms from resignation to the successor's first placement), pool planning. Change: jobs/relay.rs; the leader stores submissions and placements in one append; an entry appends itself where the leader can't be reached. Services go to the fullest worker that takes them, then by rack. Tests: tests/scheduler_commit.rs.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -5,6 +5,7 @@
 //! term of a leader is the offset of its claim plus one: it rises with every leader, and is the root
 //! of every fencing token.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,8 @@
     pub holder: Arc<str>,
     /// Drawn at the start of the holder's process: a restarted one is another holder.
     pub life: u64,
+    /// Where other entries reach the holder.
+    pub address: SocketAddr,
 }
 
 /// What a process knows of the stream.
@@ -46,6 +49,8 @@
     pub term: u64,
     /// Who made it.
     pub holder: Option<(Arc<str>, u64)>,
+    /// Where it is reached.
+    pub address: Option<SocketAddr>,
     /// Whether it has resigned.
     pub has_resigned: bool,
     /// When the newest record was read, in milliseconds.
@@ -59,6 +64,7 @@
     pub fn fold(&mut self, offset: u64, record: &LeadershipRecord, now: u64) {
         self.end = self.end.max(offset + 1);
         self.seen_ms = Some(now);
+        self.address = (record.act != LeadershipAct::Resign).then_some(record.address);
         match record.act {
             LeadershipAct::Claim => {
                 self.term = offset + 1;
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -580,6 +580,7 @@
         }
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| scheduler.committed(batch, now));
+        self.node.relayed(&batch.relayed);
         self.node.wake.notify_one();
     }
 
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -21,9 +21,11 @@
 use crate::jobs::metrics::JobMetrics;
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{JobLog, LogTopic, PermitClient, VmClient, WorkerClient};
+use crate::jobs::relay::{self, RelayClient};
 use crate::jobs::site::SiteSettings;
 use crate::jobs::submitter;
 use crate::listener::{self, CallerConnections};
+use crate::transport::HttpTransport;
 
 /// Time not ready before connections are closed at a stop: the balancer looks once a second and
 /// wants two misses.
@@ -45,7 +47,7 @@
         watcher: Watcher,
     ) -> impl Future<Output = ()> + Send;
 
-    /// Serves readiness probes and metrics.
+    /// Serves readiness probes.
     fn serve_probes(
         &self,
         stream: TcpStream,
@@ -61,6 +63,8 @@
     pub callers: C,
     /// Reads what operators write.
     pub operator_decoder: OperatorDecoder,
+    /// Reaches other entries.
+    pub transport: HttpTransport,
 }
 
 /// A running entry.
@@ -92,7 +96,7 @@
     {
         let callers = bind(settings.callers).await?;
         let ready = bind(settings.ready).await?;
-        let metrics = bind(settings.metrics).await?;
+        let peers = bind(settings.peer).await?;
         let address = callers
             .local_addr()
             .map_err(|error| coded(ResultCode::BindFailed, error.to_string()))?;
@@ -101,7 +105,8 @@
             "log" => %settings.log);
         let node = Arc::new(JobNode::new(settings, Arc::new(JobMetrics::default()), logger));
         let log = ports.leader.log.clone();
-        let submitter = submitter::spawn(node.clone(), log.clone(), life);
+        let relay = RelayClient::new(ports.transport);
+        let submitter = submitter::spawn(node.clone(), log.clone(), relay, life);
         let desk = JobDesk { node: node.clone(), log, submitter };
         let connections = Arc::new(CallerConnections::open());
         let accepting = vec![
@@ -111,8 +116,8 @@
                 ports.callers.clone(),
                 connections.clone(),
             )),
-            tokio::spawn(accept_probes(ready, node.clone(), ports.callers.clone())),
-            tokio::spawn(accept_probes(metrics, node.clone(), ports.callers)),
+            tokio::spawn(accept_probes(ready, node.clone(), ports.callers)),
+            tokio::spawn(relay::accept(peers, node.clone())),
         ];
         let loops = loops(&node, &ports.leader, ports.operator_decoder, life);
         let supervisor = LoopSupervisor::spawn(node.logger.clone(), loops)
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -85,6 +85,7 @@
                 for (offset, record) in &batch.records {
                     self.fold(*offset, record, now);
                 }
+                self.node.set_leader(self.view.address);
                 self.view.reached(batch.next.max(self.view.end), now);
                 if batch.records.is_empty() {
                     self.is_in_doubt = false;
@@ -121,9 +122,17 @@
         }
     }
 
+    fn record(&self, act: LeadershipAct) -> LeadershipRecord {
+        LeadershipRecord {
+            act,
+            holder: self.node.settings.node.clone(),
+            life: self.life,
+            address: self.node.settings.peer,
+        }
+    }
+
     async fn append(&self, act: LeadershipAct) -> AppendOutcome {
-        let record =
-            LeadershipRecord { act, holder: self.node.settings.node.clone(), life: self.life };
+        let record = self.record(act);
         let Ok(value) = postcard::to_stdvec(&record) else { return AppendOutcome::Refused };
         let call = AppendCall {
             topic: LogTopic::Leadership,
@@ -139,12 +148,9 @@
         match self.append(LeadershipAct::Claim).await {
             AppendOutcome::Done { .. } => {
                 let now = self.node.now();
-                let record = LeadershipRecord {
-                    act: LeadershipAct::Claim,
-                    holder: self.node.settings.node.clone(),
-                    life: self.life,
-                };
+                let record = self.record(LeadershipAct::Claim);
                 self.view.fold(self.view.end, &record, now);
+                self.node.set_leader(None);
                 info!(self.node.logger, "leading"; "term" => self.view.term);
                 self.node.metrics.takeovers.inc();
                 let term = self.view.term;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -15,5 +15,6 @@
 pub mod node;
 pub mod ports;
 pub mod record;
+pub mod relay;
 pub mod site;
 pub mod submitter;
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -1,12 +1,13 @@
 //! What the parts of one entry share on the job side.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
 use crate::clock::ProcessClock;
 use crate::jobs::book::JobBook;
@@ -36,6 +37,9 @@
     book_end: AtomicU64,
     waves: Mutex<BTreeMap<u64, MaintenanceWave>>,
     scheduler: Mutex<Option<Scheduler>>,
+    leader: ArcSwapOption<SocketAddr>,
+    relayed: Mutex<HashMap<u64, oneshot::Sender<()>>>,
+    next_token: AtomicU64,
     contact_ms: AtomicU64,
     is_stopping: AtomicBool,
 }
@@ -54,6 +58,9 @@
             book_end: AtomicU64::new(0),
             waves: Mutex::new(BTreeMap::new()),
             scheduler: Mutex::new(None),
+            leader: ArcSwapOption::empty(),
+            relayed: Mutex::new(HashMap::new()),
+            next_token: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
         }
@@ -132,8 +139,58 @@
         scheduler.as_mut().map(edit)
     }
 
+    /// Where the leader is reached, if it is another entry.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader.load().as_ref().map(|address| **address)
+    }
+
+    /// Takes the leader's address from the leadership stream.
+    pub fn set_leader(&self, address: Option<SocketAddr>) {
+        let other = address.filter(|address| *address != self.settings.peer);
+        self.leader.store(other.map(Arc::new));
+    }
+
+    /// Hands records to the scheduler if this entry leads. The receiver hears when the log has them;
+    /// if it hears nothing, the leadership ended first and they may be on the log or not.
+    pub fn relay(&self, records: Vec<JobRecord>) -> Option<oneshot::Receiver<()>> {
+        let token = self.next_token.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let now = self.now();
+        // In place before the scheduler knows the token, so that no commit can come first.
+        self.waiters().insert(token, sender);
+        let is_taken = self.with_scheduler(|scheduler| {
+            let leads = !scheduler.is_deposed();
+            if leads {
+                scheduler.relay(token, records, now);
+            }
+            leads
+        });
+        if is_taken != Some(true) {
+            self.waiters().remove(&token);
+            return None;
+        }
+        self.wake.notify_one();
+        Some(receiver)
+    }
+
+    /// Tells those that relayed these batches that the log has them.
+    pub fn relayed(&self, tokens: &[u64]) {
+        let mut waiters = self.waiters();
+        for sender in tokens.iter().filter_map(|token| waiters.remove(token)) {
+            // One that went away meanwhile needs no answer.
+            let _ = sender.send(());
+        }
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<()>>> {
+        self.relayed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins or ends leading.
     pub fn set_scheduler(&self, scheduler: Option<Scheduler>) {
+        if scheduler.is_none() {
+            self.waiters().clear();
+        }
         *self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) = scheduler;
     }
 
--- /dev/null
+++ b/src/jobs/relay.rs
@@ -0,0 +1,195 @@
+//! Entries hand their callers' records to the leader, which puts them on the log with its own.
+//!
+//! Plain HTTP/1.1 between entries, with the log's own record codec as body: the platform hands out
+//! no keys, and a connection is a few kilobytes where QUIC's state is tens. The same address serves
+//! the metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::jobs::node::JobNode;
+use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
+
+/// Path of a batch of records.
+const RELAY_PATH: &str = "/relay";
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Largest batch, in bytes: 128 jobs of the largest size that callers may send.
+const BATCH_BYTES_MAX: usize = 40 << 20;
+/// Time for the leader to store a batch: two appends of a slow log.
+const STORE_PATIENCE: Duration = Duration::from_millis(900);
+/// Time for which a leader that did not answer is passed over, in milliseconds: about the time until
+/// its successor is known.
+const PASS_OVER_MS: u64 = 1_000;
+/// Time for a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What became of a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayOutcome {
+    /// It is on the log.
+    Stored,
+    /// There is no leader to be reached, or it does not lead any more; it has not seen the batch.
+    NotSent,
+    /// It may be on the log, or may be yet.
+    Unknown,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RelayBatch {
+    /// Key and value of each record.
+    records: Vec<(String, Vec<u8>)>,
+}
+
+/// Hands batches to the leader.
+#[derive(Clone)]
+pub struct RelayClient {
+    transport: HttpTransport,
+    passed_over_until_ms: Arc<AtomicU64>,
+}
+
+impl RelayClient {
+    /// A client over this transport.
+    pub fn new(transport: HttpTransport) -> RelayClient {
+        RelayClient { transport, passed_over_until_ms: Arc::new(AtomicU64::new(0)) }
+    }
+
+    /// Has the leader store records, which may be this entry.
+    pub async fn store(&self, node: &JobNode, records: Vec<JobRecord>) -> RelayOutcome {
+        if let Some(stored) = node.relay(records.clone()) {
+            return match timeout(STORE_PATIENCE, stored).await {
+                Ok(Ok(())) => RelayOutcome::Stored,
+                Ok(Err(_)) | Err(_) => RelayOutcome::Unknown,
+            };
+        }
+        let Some(leader) = node.leader() else { return RelayOutcome::NotSent };
+        if node.now() < self.passed_over_until_ms.load(Ordering::Relaxed) {
+            return RelayOutcome::NotSent;
+        }
+        let outcome = self.send(leader, &records).await;
+        if outcome != RelayOutcome::Stored {
+            info!(node.logger, "the leader has not stored a batch"; "leader" => %leader,
+                "records" => records.len(), "outcome" => ?outcome);
+            self.passed_over_until_ms.store(node.now() + PASS_OVER_MS, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    async fn send(&self, leader: SocketAddr, records: &[JobRecord]) -> RelayOutcome {
+        let keyed = records.iter().filter_map(JobRecord::encode);
+        let records = keyed.map(|record| (record.key, record.value)).collect();
+        let Ok(body) = postcard::to_stdvec(&RelayBatch { records }) else {
+            return RelayOutcome::NotSent;
+        };
+        let call = HttpCall {
+            method: Method::POST,
+            path: RELAY_PATH.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::from(body),
+        };
+        match self.transport.exchange(leader, call, STORE_PATIENCE).await {
+            Ok(answer) if answer.status == StatusCode::OK => RelayOutcome::Stored,
+            Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => RelayOutcome::NotSent,
+            Err(ExchangeFailure::NotSent) => RelayOutcome::NotSent,
+            Ok(_) | Err(ExchangeFailure::NoAnswer) => RelayOutcome::Unknown,
+        }
+    }
+}
+
+/// Serves other entries and whoever collects metrics.
+pub async fn accept(listener: TcpListener, node: Arc<JobNode>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, node.clone()));
+            }
+            Err(error) => {
+                warn!(node.logger, "an entry's connection can't be accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, node: Arc<JobNode>) {
+    // Answers are small; a socket that refuses the option still works.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(answer(&node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // The other side repeats what it has no answer to.
+    drop(connection.await);
+}
+
+async fn answer(node: &JobNode, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        RELAY_PATH => status(store(node, request).await),
+        METRICS_PATH => {
+            node.measure();
+            let mut response = Response::new(Full::new(Bytes::from(node.metrics.text())));
+            let kind = HeaderValue::from_static("text/plain; version=1.0.0");
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+            response
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn store(node: &JobNode, request: Request<Incoming>) -> StatusCode {
+    let Ok(body) = Limited::new(request.into_body(), BATCH_BYTES_MAX).collect().await else {
+        return StatusCode::PAYLOAD_TOO_LARGE;
+    };
+    let Some(records) = decode(&body.to_bytes()) else {
+        warn!(node.logger, "an entry's batch can't be read");
+        return StatusCode::BAD_REQUEST;
+    };
+    let Some(stored) = node.relay(records) else { return StatusCode::MISDIRECTED_REQUEST };
+    match stored.await {
+        Ok(()) => StatusCode::OK,
+        // The leadership has ended; the append may have been made.
+        Err(_) => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// Reads a batch; nothing if it is malformed.
+pub fn decode(body: &[u8]) -> Option<Vec<JobRecord>> {
+    let batch: RelayBatch = postcard::from_bytes(body).ok()?;
+    let keyed = batch.records.into_iter().map(|(key, value)| KeyedRecord { key, value });
+    keyed
+        .map(|record| match JobRecord::decode(&record.key, &record.value)? {
+            // Only what callers say is relayed; progress is the leader's own.
+            own @ (JobRecord::Submitted(..) | JobRecord::Cancelled(_)) => Some(own),
+            JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => None,
+        })
+        .collect()
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -240,8 +240,8 @@
     pub callers: SocketAddr,
     /// Address for the balancer's readiness probe.
     pub ready: SocketAddr,
-    /// First port that entries may use among themselves; metrics are served there.
-    pub metrics: SocketAddr,
+    /// Address for other entries; metrics are served there too.
+    pub peer: SocketAddr,
     /// The log service.
     pub log: SocketAddr,
     /// The VM service.
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -3,6 +3,10 @@
 //! An append without an answer may have been done, or may be done seconds later. It is repeated
 //! under the same number, which the log does once. Only an outcome that the log states is passed on
 //! as such; a caller whose time is up first is told that the outcome is not known.
+//!
+//! While a leader can be reached it makes the append: one for all entries, together with what it
+//! decides. A slow log takes its appends one after the other, so an append of each entry's own would
+//! make every caller wait for all of them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +18,7 @@
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
 use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::relay::{RelayClient, RelayOutcome};
 
 /// Records in one append at most.
 const BATCH_MAX: usize = 128;
@@ -71,17 +76,23 @@
     node: Arc<JobNode>,
     log: L,
     requests: mpsc::Receiver<SubmitRequest>,
+    relay: RelayClient,
     writer: Arc<str>,
     epoch: u64,
     sequence: u64,
 }
 
 /// Starts the submitter's task.
-pub fn spawn<L: JobLog>(node: Arc<JobNode>, log: L, life: u64) -> SubmitHandle {
+pub fn spawn<L: JobLog>(
+    node: Arc<JobNode>,
+    log: L,
+    relay: RelayClient,
+    life: u64,
+) -> SubmitHandle {
     let (sender, requests) = mpsc::channel(QUEUE_MAX);
     // A restarted process has forgotten its numbers: it is another writer.
     let writer = format!("{}-{life:x}", node.settings.node).into();
-    let submitter = Submitter { node, log, requests, writer, epoch: 1, sequence: 0 };
+    let submitter = Submitter { node, log, requests, relay, writer, epoch: 1, sequence: 0 };
     tokio::spawn(submitter.run());
     SubmitHandle { requests: sender }
 }
@@ -94,11 +105,19 @@
                 let Ok(next) = self.requests.try_recv() else { break };
                 batch.push(next);
             }
-            self.append(batch).await;
+            let records: Vec<JobRecord> =
+                batch.iter().map(|request| request.record.clone()).collect();
+            match self.relay.store(&self.node, records).await {
+                RelayOutcome::Stored => self.finish(batch, 0),
+                RelayOutcome::NotSent => self.append(batch, false).await,
+                // The leader may have made the append, or may make it yet: a refusal of the log
+                // would not be the whole truth.
+                RelayOutcome::Unknown => self.append(batch, true).await,
+            }
         }
     }
 
-    async fn append(&mut self, batch: Vec<SubmitRequest>) {
+    async fn append(&mut self, batch: Vec<SubmitRequest>, is_relayed: bool) {
         let call = AppendCall {
             topic: LogTopic::Jobs,
             records: batch.iter().map(|request| request.keyed.clone()).collect(),
@@ -110,7 +129,7 @@
             }),
         };
         let begun = Instant::now();
-        let mut is_in_doubt = false;
+        let mut is_in_doubt = is_relayed;
         loop {
             match self.log.append(&call, APPEND_PATIENCE).await {
                 AppendOutcome::Done { offset, .. } => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod scheduler;
 pub mod settings;
 pub mod steward;
+pub mod transport;
 pub mod view;
 pub mod worker;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -18,6 +18,8 @@
     pub records: Vec<KeyedRecord>,
     /// The same, as a reader of the log sees them.
     pub folded: Vec<JobRecord>,
+    /// Batches of other entries that it carries.
+    pub relayed: Vec<u64>,
     starts: Vec<(TaskKey, u32)>,
     exits: BTreeMap<Arc<str>, u64>,
 }
@@ -30,6 +32,7 @@
     exits: BTreeMap<Arc<str>, u64>,
     drops: Vec<JobId>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    relayed: Vec<(u64, Vec<JobRecord>)>,
 }
 
 impl CommitQueue {
@@ -64,10 +67,21 @@
             && self.exits.is_empty()
             && self.drops.is_empty()
             && self.waves.is_empty()
+            && self.relayed.is_empty()
     }
 }
 
 impl Scheduler {
+    /// Takes records that another entry has for the log. They go into the next append, together with
+    /// what is decided about them: a job is accepted and placed with one wait for the log, and the
+    /// log gets one append where each entry would make its own.
+    pub fn relay(&mut self, token: u64, records: Vec<JobRecord>, now: u64) {
+        for record in &records {
+            self.take_record(record, now);
+        }
+        self.commits.relayed.push((token, records));
+    }
+
     /// The next append; nothing if the log has everything. The caller appends it until it is done,
     /// in order, and then calls [`Scheduler::committed`].
     pub fn take_commit(&mut self) -> Option<CommitBatch> {
@@ -76,6 +90,13 @@
         }
         let mut batch = CommitBatch::default();
         let mut bytes = 0;
+        // A submission stands before the progress of its job.
+        for (token, records) in self.commits.relayed.drain(..) {
+            batch.relayed.push(token);
+            for record in records {
+                bytes += push(&mut batch, record);
+            }
+        }
         while let Some(id) = self.commits.jobs.pop_first() {
             let Some(job) = self.jobs.get(&id) else { continue };
             let record = JobRecord::Progress(id, Arc::new(job.progress(self.term)));
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -265,7 +265,7 @@
         }
         if spec.is_service {
             // Racks fail as a whole, and a move of a service counts against its budget.
-            return (is_far, due, u64::from(rack), 1_000 - load.min(1_000));
+            return (is_far, due, 1_000 - load.min(1_000), u64::from(rack));
         }
         // The fullest worker: empty ones can then change pools or be maintained at no cost.
         (is_far, 0, due, 1_000 - load.min(1_000))
--- a/platform/transport.rs
+++ b/src/transport.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 client for every service of the platform.
+//! One HTTP/1.1 client for the platform's services, the workers and other entries.
 //!
 //! Connections are kept, one exchange at a time on each. Something between the two ends may lose
 //! track of an open connection while new ones work, and a dead machine answers nothing: so each
--- /dev/null
+++ b/tests/scheduler_commit.rs
@@ -0,0 +1,145 @@
+//! What goes to the log, in which order, and what waits for it.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{ExitKind, JobState};
+use ibisweir::jobs::record::JobRecord;
+use support::stage::{Stage, config, job, job_id, step, submission, task, worker};
+
+/// The log is slow: each append takes a third of a second, one after the other. A caller's job is
+/// accepted and placed with one append, not with one of its entry and one of the leader.
+#[test]
+fn a_relayed_job_is_stored_and_placed_by_one_append() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = job_id(1);
+    let record = JobRecord::Submitted(id, Arc::new(submission(job(vec![step(1)]))));
+    stage.scheduler.relay(7, vec![record], stage.now);
+    stage.scheduler.tick(stage.now, 0);
+    let batch = stage.scheduler.take_commit().expect("an append");
+    assert_eq!(batch.relayed, vec![7]);
+    assert!(matches!(batch.folded[0], JobRecord::Submitted(..)), "{:?}", batch.folded);
+    assert!(matches!(batch.folded[1], JobRecord::Progress(..)), "{:?}", batch.folded);
+    assert!(stage.scheduler.take_commit().is_none());
+}
+
+/// The log is away. A job that was placed must not start: a successor would not know of the run, and
+/// start the task a second time. It starts as soon as the log has the placement.
+#[test]
+fn nothing_starts_before_the_log_has_it() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    stage.log_is_up = false;
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.advance(1_000);
+    assert_eq!(stage.starts(task(id, 0, 0)), 0);
+    stage.log_is_up = true;
+    stage.advance(100);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+}
+
+/// The log is away when a task is done. The end is not acknowledged to the worker, which goes on
+/// listing it, and callers are not told that the job is completed: both would be lost with the
+/// leader, and the task would run again.
+#[test]
+fn an_exit_is_acknowledged_only_once_the_log_has_it() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.log_is_up = false;
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.advance(2_000);
+    assert_eq!(stage.workers["w1"].exits.len(), 1);
+    assert_ne!(stage.state(id), Some(JobState::Completed));
+    stage.log_is_up = true;
+    stage.advance(200);
+    assert!(stage.workers["w1"].exits.is_empty());
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// The leader dies after a task is done and before the log has it. The successor finds the end on
+/// the worker's list: the task does not run again.
+#[test]
+fn a_successor_finds_an_exit_that_the_log_does_not_have() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.log_is_up = false;
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.log_is_up = true;
+    stage.take_over(2, config());
+    stage.advance(500);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// The leader dies after the log has a placement and before the start was sent. The worker answers
+/// the successor and has no such run: the task starts at once.
+#[test]
+fn a_successor_starts_what_was_placed_and_never_started() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    stage.lane_is_slow = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.advance(100);
+    stage.lane_is_slow = false;
+    assert_eq!(stage.starts(task(id, 0, 0)), 0);
+    stage.take_over(2, config());
+    stage.advance(200);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+}
+
+/// The leader dies, and the worker that ran a task does not answer its successor. It may run on
+/// behind a cut: the task is started elsewhere only when every lease that the old leader can have
+/// given has run out.
+#[test]
+fn a_successor_waits_out_the_leases_of_a_worker_that_it_cannot_reach() {
+    let pool = vec![worker("w1", "r1"), worker("w2", "r2")];
+    let mut stage = Stage::open(config(), pool);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let first = stage.place(task(id, 0, 0));
+    stage.workers.get_mut(&first).expect("known").is_silent = true;
+    stage.take_over(2, config());
+    stage.advance(6_500);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1, "its lease may still run");
+    stage.advance(2_500);
+    assert_eq!(stage.starts(task(id, 0, 0)), 2);
+}
+
+/// The same worker, but the VM list shows that its VM runs another life by now: nothing of the old
+/// one is alive, and the task starts elsewhere at once.
+#[test]
+fn a_worker_whose_vm_runs_another_life_is_not_waited_for() {
+    let pool = vec![worker("w1", "r1"), worker("w2", "r2")];
+    let mut stage = Stage::open(config(), pool.clone());
+    let id = stage.submit(1, job(vec![step(1)]));
+    let first = stage.place(task(id, 0, 0));
+    stage.workers.get_mut(&first).expect("known").is_silent = true;
+    stage.take_over(2, config());
+    stage.advance(1_000);
+    let vms = pool
+        .iter()
+        .map(|entry| support::stage::vm(entry, support::stage::POOL))
+        .map(|mut vm| {
+            if vm.worker == first {
+                vm.worker = "another-life".into();
+            }
+            vm
+        })
+        .collect();
+    stage.scheduler.take_vms(vms, stage.now, stage.now);
+    stage.advance(500);
+    assert_eq!(stage.starts(task(id, 0, 0)), 2);
+}
+
+/// The leader loses the log but not its workers. Its successor takes their runs for over a while
+/// after the old leader was last confirmed, so the old one must stop prolonging leases in time.
+#[test]
+fn leases_are_not_prolonged_once_the_leadership_is_unconfirmed() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    stage.submit(1, job(vec![step(1)]));
+    stage.advance(500);
+    let confirmed = stage.leases.len();
+    assert!(confirmed > 0);
+    stage.advance_unconfirmed(1_700);
+    let last = stage.leases.len();
+    stage.advance_unconfirmed(3_000);
+    assert_eq!(stage.leases.len(), last);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -154,6 +154,8 @@
     pub vm_commands: Vec<VmCommand>,
     /// Waves told to operators.
     pub told: Vec<(u64, bool)>,
+    /// Ends of leases that renewals asked for.
+    pub leases: Vec<u64>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
     /// Whether commands wait in their lanes until the test empties them.
@@ -183,6 +185,7 @@
             started: Vec::new(),
             vm_commands: Vec::new(),
             told: Vec::new(),
+            leases: Vec::new(),
             throttles: Vec::new(),
             lane_is_slow: false,
             lane: Vec::new(),
@@ -422,6 +425,7 @@
 
     fn renew(&mut self, id: &Arc<str>, call: &RenewCall) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        self.leases.extend(call.lease_until_ms);
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
         } else if worker.is_stale {
