Work that waits goes before work that is expected; waves keep back in bursts

Ruled out: the standby pool (empty by then), the time of a move. Change: needs are told apart by what waits now and what is expected; idle VMs go to the first. While work waits for VMs a wave takes only what it needs to be in time. Test: work_that_waits_takes_the_vms_that_idle_for_work_that_is_expected, failing first.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -143,7 +143,9 @@
 /// What the jobs of a pool take.
 #[derive(Clone, Debug, Default)]
 struct PoolLoad {
-    /// Booked, or about to be.
+    /// Booked, or waiting for room.
+    waiting: ResourceVector,
+    /// The same, and what its jobs will ask for next.
     booked: ResourceVector,
     /// The services' part of it.
     services: ResourceVector,
@@ -154,8 +156,13 @@
 /// What a pool has and needs, in VMs.
 #[derive(Clone, Debug, Default)]
 struct PoolNeed {
+    /// For what runs and what waits.
+    needed_now: usize,
+    /// For what is expected too.
     needed: usize,
     usable: usize,
+    /// On their way.
+    coming: usize,
     booked: ResourceVector,
     room: ResourceVector,
     /// Empty VMs that it can give away, and for how long they have idled, in milliseconds.
@@ -174,8 +181,10 @@
         let is_fresh =
             self.fleet.listed_ms.is_some_and(|listed| now < listed + LIST_AGE_MAX_MS);
         if is_fresh {
-            self.plan_waves(now);
-            self.plan_pools(now);
+            let needs = self.pool_needs(now);
+            self.note_pools(&needs, now);
+            self.plan_waves(is_scarce(&needs), now);
+            self.plan_pools(needs, now);
         }
         self.reserve_workers();
     }
@@ -321,31 +330,28 @@
         }
     }
 
-    fn plan_pools(&mut self, now: u64) {
+    fn plan_pools(&mut self, mut needs: BTreeMap<Arc<str>, PoolNeed>, now: u64) {
         let standby: Option<Arc<str>> =
             self.config.pools.iter().find(|pool| pool.is_standby).map(|pool| pool.name.clone());
-        let mut needs = self.pool_needs(now);
-        self.note_pools(&needs, now);
-        let short: Vec<(Arc<str>, usize)> = needs
-            .iter()
-            .map(|(pool, need)| {
-                let coming = need.usable + self.fleet.arriving(pool);
-                (pool.clone(), need.needed.saturating_sub(coming))
-            })
-            .filter(|(_, short)| *short > 0)
-            .collect();
         let mut spare = self.standby_vms();
-        for (pool, count) in short {
-            for _ in 0..count {
-                let donor = give(&mut needs, &pool).or_else(|| spare.pop());
-                let Some(vm) = donor else { break };
-                self.intend(VmCommand::Assign { vm, pool: pool.clone() }, now);
+        // Work that waits goes before work that is expected, in every pool.
+        for kind in [NeedKind::Now, NeedKind::Soon] {
+            let short: Vec<(Arc<str>, usize)> =
+                needs.iter().map(|(pool, need)| (pool.clone(), need.short(kind))).collect();
+            for (pool, count) in short {
+                for _ in 0..count {
+                    let donor = give(&mut needs, &pool, kind).or_else(|| spare.pop());
+                    let Some(vm) = donor else { break };
+                    if let Some(need) = needs.get_mut(&pool) {
+                        need.coming += 1;
+                    }
+                    self.intend(VmCommand::Assign { vm, pool: pool.clone() }, now);
+                }
             }
         }
         let Some(standby) = standby else { return };
-        let surplus = |need: &PoolNeed| need.usable.saturating_sub(need.needed);
-        let idle: usize =
-            needs.values().map(|need| surplus(need).min(need.idle.len())).sum();
+        let surplus = |need: &PoolNeed| need.surplus(NeedKind::Soon).min(need.idle.len());
+        let idle: usize = needs.values().map(surplus).sum();
         // A VM on its way to the standby pool can't be called for, and the next queue's turn may
         // begin any moment: only a part of what could be called for is under way at a time.
         let liquid = idle + spare.len();
@@ -430,16 +436,16 @@
             if room == ResourceVector::default() {
                 room = self.usual_room();
             }
-            let PoolLoad { mut booked, services, apart } =
+            let PoolLoad { waiting, mut booked, services, apart } =
                 loads.get(&pool.name).cloned().unwrap_or_default();
             if let Some(arrivals) = self.fleet.arrivals.get_mut(&pool.name) {
                 let mut coming = arrivals.load(now);
                 coming.add(&services);
                 booked = booked.most(&coming);
             }
-            let packed = booked.times(100).share_of(&room.times(PACKED_PERCENT));
-            let vms = usize::try_from(packed.div_ceil(1_000)).unwrap_or(usize::MAX);
-            need.needed = vms.max(apart).max(1);
+            need.needed_now = vms_for(&waiting, &room).max(apart).max(1);
+            need.needed = vms_for(&booked, &room).max(need.needed_now);
+            need.coming = self.fleet.arriving(&pool.name);
             needs.insert(pool.name.clone(), need);
         }
         needs
@@ -477,6 +483,9 @@
                     let wanted = u64::try_from(booked * 100 + counted).unwrap_or(0);
                     let all = spec.booked().times(wanted).percent();
                     load.booked.add(&all);
+                    if is_begun {
+                        load.waiting.add(&all);
+                    }
                     if !spec.is_service {
                         continue;
                     }
@@ -492,13 +501,54 @@
     }
 }
 
+/// VMs that a load fills.
+fn vms_for(load: &ResourceVector, room: &ResourceVector) -> usize {
+    let packed = load.times(100).share_of(&room.times(PACKED_PERCENT));
+    usize::try_from(packed.div_ceil(1_000)).unwrap_or(usize::MAX)
+}
+
+/// What a VM is needed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NeedKind {
+    /// Work that runs or waits.
+    Now,
+    /// Work that is expected.
+    Soon,
+}
+
+impl PoolNeed {
+    fn needed(&self, kind: NeedKind) -> usize {
+        match kind {
+            NeedKind::Now => self.needed_now,
+            NeedKind::Soon => self.needed,
+        }
+    }
+
+    fn short(&self, kind: NeedKind) -> usize {
+        self.needed(kind).saturating_sub(self.usable + self.coming)
+    }
+
+    fn surplus(&self, kind: NeedKind) -> usize {
+        self.usable.saturating_sub(self.needed(kind))
+    }
+}
+
+/// Whether work waits for VMs.
+fn is_scarce(needs: &BTreeMap<Arc<str>, PoolNeed>) -> bool {
+    needs.values().any(|need| need.short(NeedKind::Now) > 0)
+}
+
 /// Takes an empty VM from the pool that can best spare one.
-fn give(needs: &mut BTreeMap<Arc<str>, PoolNeed>, to: &str) -> Option<Arc<str>> {
+fn give(
+    needs: &mut BTreeMap<Arc<str>, PoolNeed>,
+    to: &str,
+    kind: NeedKind,
+) -> Option<Arc<str>> {
     let donor = needs
         .iter()
-        .filter(|(pool, need)| &***pool != to && need.usable > need.needed)
+        .filter(|(pool, need)| &***pool != to && need.surplus(kind) > 0)
         .filter(|(_, need)| !need.idle.is_empty())
-        .max_by_key(|(_, need)| need.usable - need.needed)
+        .max_by_key(|(_, need)| need.surplus(kind))
         .map(|(pool, _)| pool.clone())?;
     let need = needs.get_mut(&donor)?;
     need.usable -= 1;
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -57,15 +57,18 @@
 
 impl Scheduler {
     /// Commands or prepares the next VMs of each wave.
-    pub(crate) fn plan_waves(&mut self, now: u64) {
+    ///
+    /// While work waits for VMs (`is_scarce`), a wave takes no more of them at a time than it needs to
+    /// be in time: a VM that is maintained in a burst is missed there.
+    pub(crate) fn plan_waves(&mut self, is_scarce: bool, now: u64) {
         let numbers: Vec<u64> =
             self.fleet.waves.values().filter(|run| !run.is_completed).map(|run| run.wave.number).collect();
         for number in numbers {
-            self.plan_wave(number, now);
+            self.plan_wave(number, is_scarce, now);
         }
     }
 
-    fn plan_wave(&mut self, number: u64, now: u64) {
+    fn plan_wave(&mut self, number: u64, is_scarce: bool, now: u64) {
         let Some(run) = self.fleet.waves.get_mut(&number) else { return };
         if !std::mem::replace(&mut run.is_told, true) {
             self.actions.push(SchedulerAction::TellWave(number, false));
@@ -98,10 +101,8 @@
                 break;
             }
             let running = parallel_max - slots;
-            if cost > EmptyingCost::Nothing && running >= wanted {
-                break;
-            }
-            if cost == EmptyingCost::Evict && !self.is_pressed(number, now) {
+            let is_free = cost == EmptyingCost::Nothing && !is_scarce;
+            if !is_free && running >= wanted {
                 break;
             }
             self.intend(VmCommand::Maintain { vm, wave: number }, now);
@@ -141,14 +142,6 @@
         }
     }
 
-    /// Whether services have to be moved for the wave to be in time.
-    fn is_pressed(&self, number: u64, now: u64) -> bool {
-        let Some(run) = self.fleet.waves.get(&number) else { return false };
-        let left = run.wave.vms.len().saturating_sub(run.done.len());
-        let deadline = run.since_ms + run.wave.within_ms;
-        self.wanted_parallel(left, deadline, now) > 0
-    }
-
     /// What it takes to empty a VM, and how loaded it is; nothing if it can't be commanded now.
     fn emptying_cost(&self, name: &Arc<str>, now: u64) -> Option<(EmptyingCost, u64)> {
         let vm = self.fleet.vms.get(name)?;
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -7,10 +7,12 @@
 
 use ibisweir::jobs::model::{ExitKind, JobState, StepSpec};
 use ibisweir::jobs::ports::VmCommand;
-use ibisweir::jobs::site::{MaintenanceWave, VmEntry, WorkerEntry};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::{MaintenanceWave, PoolSpec, SiteConfig, VmEntry, WorkerEntry};
 use ibisweir::scheduler::demand::ArrivalRate;
 use support::stage::{
-    POOL, STANDBY, Stage, config, job, service_step, step, task, vm, worker,
+    POOL, STANDBY, Stage, config, job, job_id, queue, service_step, step, submission, task, vm,
+    worker,
 };
 
 fn workers(count: usize) -> Vec<WorkerEntry> {
@@ -154,6 +156,39 @@
     assert_eq!(stage.vm_commands.len(), 2);
 }
 
+/// One queue expects work: its jobs' later steps have not begun, and its VMs idle. Another queue's
+/// callers wait for room now. The idle VMs go to those that wait.
+#[test]
+fn work_that_waits_takes_the_vms_that_idle_for_work_that_is_expected() {
+    let config = two_pools();
+    let mut pool = workers(9);
+    pool[8].service = OTHER_POOL.into();
+    let mut stage = Stage::open(config, pool.clone());
+    let listed: Vec<VmEntry> =
+        pool.iter().map(|worker| vm(worker, &worker.service)).collect();
+    // Its second step will want seven VMs, but the first runs on one.
+    let later = StepSpec { after: vec![0], ..step(56) };
+    stage.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(1) }, later]));
+    stage.advance(3_000);
+    stage.scheduler.take_vms(listed, stage.now, stage.now);
+    let mut waiting = submission(job(vec![step(32)]));
+    waiting.queue = OTHER_QUEUE.into();
+    stage.append(&JobRecord::Submitted(job_id(2), Arc::new(waiting)));
+    stage.advance(200);
+    assert!(assigned_to(&stage, OTHER_POOL) >= 3, "{:?}", stage.vm_commands);
+}
+
+const OTHER_QUEUE: &str = "letters";
+const OTHER_POOL: &str = "residence";
+
+fn two_pools() -> SiteConfig {
+    let mut config = config();
+    config.queues.push(queue(OTHER_QUEUE, OTHER_POOL));
+    config.pools.retain(|pool| !pool.is_standby);
+    config.pools.push(PoolSpec { name: OTHER_POOL.into(), is_guarded: true, is_standby: false });
+    config
+}
+
 /// A VM is only taken from a pool when nothing runs on it: a task at work on it ends by itself first.
 #[test]
 fn a_vm_that_is_due_is_not_taken_from_under_a_task() {
