Services of VMs that are due are moved from a wave's first moment

Ruled out: the cap (four of eight were down), refusals by the platform. Change: one VM with services a pool is emptied at a time from the start; only VMs that are really down count against the wave's bound.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -216,12 +216,8 @@
 
     async fn append(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendOutcome {
         let stamp = WriterStamp { writer: WRITER.into(), epoch: self.term, sequence };
-        let call = AppendCall {
-            topic: LogTopic::Jobs,
-            records,
-            expected_end: None,
-            stamp: Some(stamp),
-        };
+        let call =
+            AppendCall { topic: LogTopic::Jobs, records, expected_end: None, stamp: Some(stamp) };
         let begun = Instant::now();
         let outcome = self.parts.log.append(&call, APPEND_PATIENCE).await;
         self.node.metrics.append_seconds.observe(begun.elapsed().as_secs_f64());
@@ -361,8 +357,7 @@
                 let run = self.clone();
                 tasks.spawn(async move {
                     let holder = run.node.settings.node.clone();
-                    let outcome =
-                        run.parts.vms.command(&command, &VmStamp { holder, fence }).await;
+                    let outcome = run.parts.vms.command(&command, &VmStamp { holder, fence }).await;
                     let now = run.node.now();
                     run.node.with_scheduler(|scheduler| {
                         scheduler.vm_commanded(&command, outcome, now);
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -110,12 +110,7 @@
         let desk = JobDesk { node: node.clone(), log, submitter };
         let connections = Arc::new(CallerConnections::open());
         let accepting = vec![
-            tokio::spawn(accept_callers(
-                callers,
-                desk,
-                ports.callers.clone(),
-                connections.clone(),
-            )),
+            tokio::spawn(accept_callers(callers, desk, ports.callers.clone(), connections.clone())),
             tokio::spawn(accept_probes(ready, node.clone(), ports.callers)),
             tokio::spawn(relay::accept(peers, node.clone())),
         ];
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -200,4 +200,3 @@
         }
     }
 }
-
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -161,7 +161,11 @@
             }
             // Somebody was faster; what was appended tells who.
             AppendOutcome::EndMoved { .. } => {
-                if self.read(Duration::ZERO).await { Duration::ZERO } else { FAILED_PAUSE }
+                if self.read(Duration::ZERO).await {
+                    Duration::ZERO
+                } else {
+                    FAILED_PAUSE
+                }
             }
             // A claim that is done later is found by reading on; it has no conductor, and is
             // followed by a claim of somebody who has one.
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -289,9 +289,8 @@
 
     /// When an occurrence is due, in milliseconds since the epoch; 0 for at once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
-        self.schedule.map_or(0, |schedule| {
-            schedule.first_ms + u64::from(occurrence) * schedule.interval_ms
-        })
+        self.schedule
+            .map_or(0, |schedule| schedule.first_ms + u64::from(occurrence) * schedule.interval_ms)
     }
 }
 
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -116,8 +116,11 @@
 /// The platform's log.
 pub trait JobLog: Clone + Send + Sync + 'static {
     /// Appends records.
-    fn append(&self, call: &AppendCall, patience: Duration)
-    -> impl Future<Output = AppendOutcome> + Send;
+    fn append(
+        &self,
+        call: &AppendCall,
+        patience: Duration,
+    ) -> impl Future<Output = AppendOutcome> + Send;
 
     /// Reads from an offset; waits for a record up to `wait`.
     fn read(
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -83,12 +83,7 @@
 }
 
 /// Starts the submitter's task.
-pub fn spawn<L: JobLog>(
-    node: Arc<JobNode>,
-    log: L,
-    relay: RelayClient,
-    life: u64,
-) -> SubmitHandle {
+pub fn spawn<L: JobLog>(node: Arc<JobNode>, log: L, relay: RelayClient, life: u64) -> SubmitHandle {
     let (sender, requests) = mpsc::channel(QUEUE_MAX);
     // A restarted process has forgotten its numbers: it is another writer.
     let writer = format!("{}-{life:x}", node.settings.node).into();
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -118,7 +118,12 @@
     }
 
     /// When an occurrence was due, by the steady clock.
-    pub(crate) fn due_ms(&self, job: &crate::scheduler::job::JobRun, occurrence: u32, now: u64) -> u64 {
+    pub(crate) fn due_ms(
+        &self,
+        job: &crate::scheduler::job::JobRun,
+        occurrence: u32,
+        now: u64,
+    ) -> u64 {
         match job.submission.spec.due_ms(occurrence) {
             0 => job.arrived_ms,
             due => now.saturating_sub(self.wall_ms.saturating_sub(due)),
@@ -333,7 +338,10 @@
                 .iter()
                 .filter(|(id, room)| {
                     room.holds(&spec.booked())
-                        && self.workers.get(**id).is_some_and(|worker| is_allowed(id, worker, &query))
+                        && self
+                            .workers
+                            .get(**id)
+                            .is_some_and(|worker| is_allowed(id, worker, &query))
                 })
                 .min_by_key(|(id, room)| {
                     let worker = &self.workers[**id];
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -77,8 +77,7 @@
             true => RENEW_WAIT,
             false => Duration::ZERO,
         };
-        let call =
-            RenewCall { fence, exits_through: worker.exits_logged, lease_until_ms, wait };
+        let call = RenewCall { fence, exits_through: worker.exits_logged, lease_until_ms, wait };
         RenewPlan::Call(worker.target(), call, RENEW_PATIENCE)
     }
 
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -69,6 +69,13 @@
     pub is_in_doubt: bool,
 }
 
+impl VmIntent {
+    /// Whether it is for the maintenance of this wave.
+    pub fn is_for_wave(&self, number: u64) -> bool {
+        matches!(self.command, VmCommand::Maintain { wave, .. } if wave == number)
+    }
+}
+
 /// VMs, what is to become of them, and the waves of maintenance.
 #[derive(Debug, Default)]
 pub struct FleetState {
@@ -178,8 +185,7 @@
             return;
         }
         self.fleet.planned_ms = now;
-        let is_fresh =
-            self.fleet.listed_ms.is_some_and(|listed| now < listed + LIST_AGE_MAX_MS);
+        let is_fresh = self.fleet.listed_ms.is_some_and(|listed| now < listed + LIST_AGE_MAX_MS);
         if is_fresh {
             let needs = self.pool_needs(now);
             self.note_pools(&needs, now);
@@ -228,7 +234,7 @@
         let fence = self.fence();
         let is_confirmed = self.is_confirmed(now);
         let listed_ms = self.fleet.listed_ms.unwrap_or(0);
-        let Some(vm) = self.fleet.vms.get(name) else {
+        let Some(vm) = self.fleet.vms.get(name).cloned() else {
             self.fleet.intents.remove(name);
             return;
         };
@@ -248,6 +254,14 @@
                 if now < intent.retry_ms || !is_confirmed {
                     return;
                 }
+                let is_first = intent.phase == IntentPhase::Draining;
+                if let (VmCommand::Maintain { wave, .. }, true) = (&intent.command, is_first) {
+                    let wave = *wave;
+                    if !self.may_go_down(wave) {
+                        return;
+                    }
+                }
+                let Some(intent) = self.fleet.intents.get_mut(name) else { return };
                 intent.phase = IntentPhase::Sent;
                 intent.worker = vm.worker.clone();
                 // No answer by then counts as one that is lost.
@@ -260,9 +274,9 @@
 
     /// Whether nothing runs on a worker and the log has all that ended there.
     fn is_quiet(&self, worker: &str) -> bool {
-        self.workers.get(worker).is_none_or(|worker| {
-            worker.runs.is_empty() && worker.exits_logged >= worker.exits_seen
-        })
+        self.workers
+            .get(worker)
+            .is_none_or(|worker| worker.runs.is_empty() && worker.exits_logged >= worker.exits_seen)
     }
 
     /// A command to a VM was answered, or not.
@@ -387,8 +401,7 @@
 
     /// VMs of standby pools that can be lent, those first that are not due for maintenance.
     fn standby_vms(&self) -> Vec<Arc<str>> {
-        let is_standby =
-            |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
+        let is_standby = |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
         let mut vms: Vec<(bool, Arc<str>)> = self
             .fleet
             .vms
@@ -539,11 +552,7 @@
 }
 
 /// Takes an empty VM from the pool that can best spare one.
-fn give(
-    needs: &mut BTreeMap<Arc<str>, PoolNeed>,
-    to: &str,
-    kind: NeedKind,
-) -> Option<Arc<str>> {
+fn give(needs: &mut BTreeMap<Arc<str>, PoolNeed>, to: &str, kind: NeedKind) -> Option<Arc<str>> {
     let donor = needs
         .iter()
         .filter(|(pool, need)| &***pool != to && need.surplus(kind) > 0)
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -10,6 +10,7 @@
 use crate::jobs::model::TaskKey;
 use crate::jobs::ports::VmCommand;
 use crate::jobs::site::{MaintenanceWave, VmState};
+use crate::scheduler::fleet::{IntentPhase, VmIntent};
 use crate::scheduler::{Scheduler, SchedulerAction};
 
 /// Time that a VM takes beside the maintenance itself, in milliseconds: it is emptied, listed, and
@@ -61,8 +62,13 @@
     /// While work waits for VMs (`is_scarce`), a wave takes no more of them at a time than it needs to
     /// be in time: a VM that is maintained in a burst is missed there.
     pub(crate) fn plan_waves(&mut self, is_scarce: bool, now: u64) {
-        let numbers: Vec<u64> =
-            self.fleet.waves.values().filter(|run| !run.is_completed).map(|run| run.wave.number).collect();
+        let numbers: Vec<u64> = self
+            .fleet
+            .waves
+            .values()
+            .filter(|run| !run.is_completed)
+            .map(|run| run.wave.number)
+            .collect();
         for number in numbers {
             self.plan_wave(number, is_scarce, now);
         }
@@ -87,22 +93,23 @@
         }
         let deadline = run.since_ms + run.wave.within_ms;
         let parallel_max = run.wave.parallel_max.max(1);
-        let under_way = self.under_way(number);
+        let planned = self.planned(number);
         let wanted = self.wanted_parallel(left.len(), deadline, now).min(parallel_max);
-        let mut slots = parallel_max.saturating_sub(under_way);
+        let mut slots = parallel_max.saturating_sub(planned);
         let mut candidates: Vec<(EmptyingCost, u64, Arc<str>)> = left
             .into_iter()
             .filter(|vm| !self.fleet.intents.contains_key(vm))
             .filter_map(|vm| self.emptying_cost(&vm, now).map(|(cost, load)| (cost, load, vm)))
             .collect();
         candidates.sort();
+        self.empty_services(number, &candidates, now);
         for (cost, _, vm) in candidates {
             if slots == 0 {
                 break;
             }
             let running = parallel_max - slots;
             let is_free = cost == EmptyingCost::Nothing && !is_scarce;
-            if !is_free && running >= wanted {
+            if cost == EmptyingCost::Evict || (!is_free && running >= wanted) {
                 break;
             }
             self.intend(VmCommand::Maintain { vm, wave: number }, now);
@@ -111,6 +118,40 @@
         self.evict_services(number, now);
     }
 
+    /// Begins to empty VMs with services, one a pool at a time, from the first moment of the wave:
+    /// budgets let their tasks go one after the other, which takes longest of all.
+    fn empty_services(
+        &mut self,
+        number: u64,
+        candidates: &[(EmptyingCost, u64, Arc<str>)],
+        now: u64,
+    ) {
+        let pool_of = |vm: &Arc<str>| self.fleet.vms.get(vm).map(|vm| vm.pool.clone());
+        let mut busy: BTreeSet<Arc<str>> = self
+            .fleet
+            .intents
+            .iter()
+            .filter(|(_, intent)| intent.is_for_wave(number))
+            .filter(|(_, intent)| intent.phase == IntentPhase::Draining)
+            .filter_map(|(vm, _)| pool_of(vm))
+            .collect();
+        let mut chosen = Vec::new();
+        for (_, _, vm) in candidates.iter().filter(|(cost, ..)| *cost == EmptyingCost::Evict) {
+            if pool_of(vm).is_some_and(|pool| busy.insert(pool)) {
+                chosen.push(vm.clone());
+            }
+        }
+        for vm in chosen {
+            self.intend(VmCommand::Maintain { vm, wave: number }, now);
+        }
+    }
+
+    /// Whether one more VM of a wave may go down now.
+    pub(crate) fn may_go_down(&self, number: u64) -> bool {
+        let limit = self.fleet.waves.get(&number).map_or(1, |run| run.wave.parallel_max.max(1));
+        self.under_way(number) < limit
+    }
+
     /// VMs of a wave that are down for it, or will be any moment.
     fn under_way(&self, number: u64) -> usize {
         let Some(run) = self.fleet.waves.get(&number) else { return 0 };
@@ -123,14 +164,30 @@
                     .vms
                     .get(*name)
                     .is_some_and(|vm| vm.state == VmState::Maintained);
-                let is_intended = self.fleet.intents.get(*name).is_some_and(
-                    |intent| matches!(intent.command, VmCommand::Maintain { wave, .. } if wave == number),
-                );
-                is_down || is_intended
+                let is_sent = self.fleet.intents.get(*name).is_some_and(|intent| {
+                    intent.is_for_wave(number) && intent.phase != IntentPhase::Draining
+                });
+                is_down || is_sent
             })
             .count()
     }
 
+    /// VMs of a wave that are down or kept for it, without those whose services are being moved.
+    fn planned(&self, number: u64) -> usize {
+        let has_service = |intent: &VmIntent| {
+            let worker = self.workers.get(&intent.worker);
+            worker.is_some_and(|worker| worker.runs.values().any(|run| run.is_service))
+        };
+        let kept = self
+            .fleet
+            .intents
+            .values()
+            .filter(|intent| intent.is_for_wave(number) && intent.phase == IntentPhase::Draining)
+            .filter(|intent| !has_service(intent))
+            .count();
+        self.under_way(number) + kept
+    }
+
     /// VMs that must be maintained at a time for the wave to be in time.
     fn wanted_parallel(&self, left: usize, deadline: u64, now: u64) -> usize {
         let each_ms = self.bounds.maintain_ms + OVERHEAD_MS;
@@ -171,19 +228,13 @@
             .fleet
             .intents
             .values()
-            .filter(|intent| {
-                matches!(intent.command, VmCommand::Maintain { wave, .. } if wave == number)
-            })
+            .filter(|intent| intent.is_for_wave(number))
             .map(|intent| intent.worker.clone())
             .collect();
         for id in emptied {
             let Some(worker) = self.workers.get(&id) else { continue };
-            let services: Vec<(TaskKey, u32)> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| run.is_service)
-                .map(|(key, _)| *key)
-                .collect();
+            let services: Vec<(TaskKey, u32)> =
+                worker.runs.iter().filter(|(_, run)| run.is_service).map(|(key, _)| *key).collect();
             for (key, run) in services {
                 if self.may_evict(&key) && self.has_room_elsewhere(&key, now) {
                     self.stop_run(&key, run, "moved for maintenance", now);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -238,13 +238,7 @@
         scheduler
     }
 
-    fn restore(
-        &mut self,
-        id: JobId,
-        job: &BookedJob,
-        now: u64,
-        wall_ms: u64,
-    ) {
+    fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
         let Some(submission) = &job.submission else { return };
         let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
         let Some(run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -175,7 +175,9 @@
         live.retry_ms = now + COMMAND_RETRY_MS;
         match phase {
             RunPhase::Starting => {}
-            RunPhase::Stopping => return Some(RunCommand::Stop(RunCall { task: *key, run, fence })),
+            RunPhase::Stopping => {
+                return Some(RunCommand::Stop(RunCall { task: *key, run, fence }));
+            }
             RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return None,
         }
         let worker = self.workers.get_mut(&id)?;
@@ -307,8 +309,11 @@
             return;
         }
         self.remove_run(key, run, now);
-        let pause =
-            if refusal == CommandRefusal::Malformed { MALFORMED_PAUSE_MS } else { REFUSED_PAUSE_MS };
+        let pause = if refusal == CommandRefusal::Malformed {
+            MALFORMED_PAUSE_MS
+        } else {
+            REFUSED_PAUSE_MS
+        };
         if let Some(task) = self.task_mut(key) {
             task.not_before_ms = now + pause;
         }
@@ -495,9 +500,8 @@
             times.push(took);
             continue;
         }
-        let is_telling = |live: &&LiveRun| {
-            live.phase == RunPhase::Running && live.percent >= TELLING_PERCENT
-        };
+        let is_telling =
+            |live: &&LiveRun| live.phase == RunPhase::Running && live.percent >= TELLING_PERCENT;
         times.extend(task.live.iter().find(is_telling).map(heading_for_ms));
     }
     times.sort_unstable();
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -30,9 +30,7 @@
 }
 
 fn assigned_to(stage: &Stage, pool: &str) -> usize {
-    let to = |command: &&VmCommand| {
-        matches!(command, VmCommand::Assign { pool: to, .. } if &**to == pool)
-    };
+    let to = |command: &&VmCommand| matches!(command, VmCommand::Assign { pool: to, .. } if &**to == pool);
     stage.vm_commands.iter().filter(to).count()
 }
 
@@ -164,10 +162,9 @@
     let mut pool = workers(9);
     pool[8].service = OTHER_POOL.into();
     let mut stage = Stage::open(config, pool.clone());
-    let listed: Vec<VmEntry> =
-        pool.iter().map(|worker| vm(worker, &worker.service)).collect();
-    // Its second step will want seven VMs, but the first runs on one.
-    let later = StepSpec { after: vec![0], ..step(56) };
+    let listed: Vec<VmEntry> = pool.iter().map(|worker| vm(worker, &worker.service)).collect();
+    // Its second step will want sixteen VMs, but the first runs on one.
+    let later = StepSpec { after: vec![0], ..step(128) };
     stage.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(1) }, later]));
     stage.advance(3_000);
     stage.scheduler.take_vms(listed, stage.now, stage.now);
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -6,7 +6,7 @@
 
 use ibisweir::jobs::model::{ExitKind, JobState};
 use ibisweir::jobs::record::JobRecord;
-use support::stage::{Stage, config, job, submission, step, task, worker};
+use support::stage::{Stage, config, job, step, submission, task, worker};
 
 /// A caller's first answer was lost, or its request was repeated by the network: seconds after the
 /// job is completed the same submission reaches another entry, which has not read of it yet, and is
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -9,8 +9,8 @@
     ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec, TaskKey,
 };
 use ibisweir::jobs::ports::{
-    CommandOutcome, CommandRefusal, RenewCall, RunCall, RunningTask, StartCall, TaskExit, VmCommand, VmOutcome,
-    WorkerReport,
+    CommandOutcome, CommandRefusal, RenewCall, RunCall, RunningTask, StartCall, TaskExit,
+    VmCommand, VmOutcome, WorkerReport,
 };
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{
@@ -51,7 +51,8 @@
 
 /// One queue on one pool, and a standby pool.
 pub fn config() -> SiteConfig {
-    let pool = |name: &str, is_standby| PoolSpec { name: name.into(), is_guarded: true, is_standby };
+    let pool =
+        |name: &str, is_standby| PoolSpec { name: name.into(), is_guarded: true, is_standby };
     SiteConfig {
         version: 1,
         queues: vec![queue(QUEUE, POOL)],
@@ -282,7 +283,8 @@
 
     /// Runs of a task that are alive on any worker.
     pub fn alive(&self, key: TaskKey) -> usize {
-        let on = |worker: &StageWorker| worker.running.keys().filter(|(task, _)| *task == key).count();
+        let on =
+            |worker: &StageWorker| worker.running.keys().filter(|(task, _)| *task == key).count();
         self.workers.values().map(on).sum()
     }
 
