Services are packed with services and moved together after a burst

Ruled out: the trickle to the standby pool (idle VMs were few then). Change: tasks go to VMs that host services already; a pool with two VMs too many empties the one with the fewest services, within their budgets, and stops when the pool wants it again. Test: services_are_moved_together_after_a_burst.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -264,16 +264,19 @@
         let due = u64::from(self.fleet.is_due(&worker.entry.id));
         let rack = query.racks.get(worker.entry.rack()).copied().unwrap_or(0);
         let load = worker.used().share_of(&worker.entry.capacity);
+        let fullest = 1_000 - load.min(1_000);
         if spec.is_best_effort {
             // It lives on what is left over: the emptiest worker.
             return (is_far, u64::from(rack), due, load);
         }
+        // A VM with a service can't be given away; the others become empty the sooner the more runs
+        // beside services, and empty ones change pools or are maintained at no cost.
+        let hosts_none = u64::from(!worker.runs.values().any(|run| run.is_service));
         if spec.is_service {
-            // Racks fail as a whole, and a move of a service counts against its budget.
-            return (is_far, due, 1_000 - load.min(1_000), u64::from(rack));
+            // A move of a service counts against its budget: not to where it is moved again.
+            return (is_far, due, hosts_none, fullest);
         }
-        // The fullest worker: empty ones can then change pools or be maintained at no cost.
-        (is_far, 0, due, 1_000 - load.min(1_000))
+        (is_far, hosts_none, due, fullest)
     }
 
     /// Places all members of a gang or none; false if there is no room.
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -36,6 +36,9 @@
 /// Part of the VMs that could be called for that may be on their way to the standby pool: one in so
 /// many.
 const LEAVING_PART: usize = 4;
+/// VMs beyond its need from which a pool's services are moved together: one VM more than is needed
+/// keeps room for the next jobs.
+const CONSOLIDATE_SURPLUS: usize = 2;
 /// Share of a VM that can be filled on average, in percent: tasks come in sizes that leave gaps.
 const PACKED_PERCENT: u64 = 88;
 /// Share, in percent, that tasks count whose step has not begun yet.
@@ -70,6 +73,11 @@
 }
 
 impl VmIntent {
+    /// Whether it takes the VM to this pool.
+    pub fn is_for_pool(&self, pool: &str) -> bool {
+        matches!(&self.command, VmCommand::Assign { pool: to, .. } if &**to == pool)
+    }
+
     /// Whether it is for the maintenance of this wave.
     pub fn is_for_wave(&self, number: u64) -> bool {
         matches!(self.command, VmCommand::Maintain { wave, .. } if wave == number)
@@ -137,13 +145,7 @@
 
     /// VMs with a command to move them into a pool that the list does not show there yet.
     fn arriving(&self, pool: &str) -> usize {
-        self.intents
-            .values()
-            .filter(|intent| match &intent.command {
-                VmCommand::Assign { pool: to, .. } => &**to == pool,
-                VmCommand::Maintain { .. } => false,
-            })
-            .count()
+        self.intents.values().filter(|intent| intent.is_for_pool(pool)).count()
     }
 }
 
@@ -191,6 +193,7 @@
             self.note_pools(&needs, now);
             self.plan_waves(is_scarce(&needs), now);
             self.plan_pools(needs, now);
+            self.evict_services(now);
         }
         self.reserve_workers();
     }
@@ -364,6 +367,8 @@
             }
         }
         let Some(standby) = standby else { return };
+        self.keep_wanted(&needs, &standby);
+        self.consolidate(&needs, &standby, now);
         let surplus = |need: &PoolNeed| need.surplus(NeedKind::Soon).min(need.idle.len());
         let idle: usize = needs.values().map(surplus).sum();
         // A VM on its way to the standby pool can't be called for, and the next queue's turn may
@@ -399,6 +404,56 @@
         }
     }
 
+    /// Gives up emptying VMs of pools that want them again.
+    fn keep_wanted(&mut self, needs: &BTreeMap<Arc<str>, PoolNeed>, standby: &str) {
+        let is_wanted = |vm: &Arc<str>| {
+            let pool = self.fleet.vms.get(vm).map(|vm| &vm.pool);
+            pool.and_then(|pool| needs.get(pool)).is_some_and(|need| need.short(NeedKind::Soon) > 0)
+        };
+        let kept: Vec<Arc<str>> = self
+            .fleet
+            .intents
+            .iter()
+            .filter(|(_, intent)| intent.phase == IntentPhase::Draining)
+            .filter(|(_, intent)| intent.is_for_pool(standby))
+            .filter(|(vm, _)| is_wanted(vm))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in kept {
+            self.fleet.intents.remove(&vm);
+        }
+    }
+
+    /// After a burst services are left on more VMs than they need. One VM a pool at a time is emptied,
+    /// that with the fewest of them, where nothing else runs.
+    fn consolidate(&mut self, needs: &BTreeMap<Arc<str>, PoolNeed>, standby: &Arc<str>, now: u64) {
+        let mut chosen = Vec::new();
+        for (pool, need) in needs {
+            if need.surplus(NeedKind::Soon) < CONSOLIDATE_SURPLUS || !need.idle.is_empty() {
+                continue;
+            }
+            let is_busy = self.fleet.intents.iter().any(|(vm, intent)| {
+                intent.phase == IntentPhase::Draining
+                    && self.fleet.vms.get(vm).is_some_and(|vm| vm.pool == *pool)
+            });
+            if is_busy {
+                continue;
+            }
+            let fewest = self
+                .workers
+                .values()
+                .filter(|worker| worker.entry.service == *pool && worker.takes_starts(now))
+                .filter(|worker| worker.runs.values().all(|run| run.is_service))
+                .filter(|worker| !worker.runs.is_empty())
+                .min_by_key(|worker| worker.runs.len());
+            let vm = fewest.and_then(|worker| self.fleet.vm_of(&worker.entry.id));
+            chosen.extend(vm.filter(|vm| vm.state == VmState::Up).map(|vm| vm.vm.clone()));
+        }
+        for vm in chosen {
+            self.intend(VmCommand::Assign { vm, pool: standby.clone() }, now);
+        }
+    }
+
     /// VMs of standby pools that can be lent, those first that are not due for maintenance.
     fn standby_vms(&self) -> Vec<Arc<str>> {
         let is_standby = |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -115,7 +115,6 @@
             self.intend(VmCommand::Maintain { vm, wave: number }, now);
             slots -= 1;
         }
-        self.evict_services(number, now);
     }
 
     /// Begins to empty VMs with services, one a pool at a time, from the first moment of the wave:
@@ -219,13 +218,13 @@
         Some((cost, load))
     }
 
-    /// Moves services off VMs that are being emptied for a wave, as their budgets allow.
-    fn evict_services(&mut self, number: u64, now: u64) {
+    /// Moves services off VMs that are being emptied, as their budgets allow.
+    pub(crate) fn evict_services(&mut self, now: u64) {
         let emptied: Vec<Arc<str>> = self
             .fleet
             .intents
             .values()
-            .filter(|intent| intent.is_for_wave(number))
+            .filter(|intent| intent.phase == IntentPhase::Draining)
             .map(|intent| intent.worker.clone())
             .collect();
         for id in emptied {
@@ -234,7 +233,7 @@
                 worker.runs.iter().filter(|(_, run)| run.is_service).map(|(key, _)| *key).collect();
             for (key, run) in services {
                 if self.may_evict(&key) && self.has_room_elsewhere(&key, now) {
-                    self.stop_run(&key, run, "moved for maintenance", now);
+                    self.stop_run(&key, run, "its VM is wanted", now);
                 }
             }
         }
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -154,6 +154,38 @@
     assert_eq!(stage.vm_commands.len(), 2);
 }
 
+/// A burst is over, and the tasks of a service stand one each on four VMs where two would hold them.
+/// They are moved together, within their budget, and the VMs that become empty leave the pool.
+#[test]
+fn services_are_moved_together_after_a_burst() {
+    let pool = workers(4);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    // Each worker is full but for one place, so that the service's tasks must spread.
+    let full = stage.submit(1, job(vec![StepSpec { per_worker_max: 7, ..step(28) }]));
+    stage.advance(100);
+    let spread = stage.submit(2, job(vec![StepSpec { per_worker_max: 2, ..service_step(4) }]));
+    stage.advance(100);
+    for index in 0..28 {
+        stage.end(task(full, 0, index), ExitKind::Done);
+    }
+    let places = |stage: &Stage| {
+        (0..4).map(|index| stage.place(task(spread, 0, index))).collect::<BTreeSet<_>>().len()
+    };
+    assert_eq!(places(&stage), 4);
+    for _ in 0..60 {
+        stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+        for index in 0..4 {
+            stage.progress(task(spread, 0, index), 100, 0);
+        }
+        stage.advance(100);
+        let away = (0..4).filter(|index| stage.alive(task(spread, 0, *index)) == 0).count();
+        assert!(away <= 1, "{away} of 4 away");
+    }
+    assert!(places(&stage) <= 3, "{} VMs", places(&stage));
+    assert!(assigned_to(&stage, STANDBY) >= 1);
+}
+
 /// One queue expects work: its jobs' later steps have not begun, and its VMs idle. Another queue's
 /// callers wait for room now. The idle VMs go to those that wait.
 #[test]
