A job cancelled around a takeover is kept; the rest of a broken gang is stopped; a random model

A new leader read time 0, dropped the job's keys at once, and ran it again when its submission was repeated. Change: such a job counts from the takeover; what is left of a gang is stopped after 0.8 s. Tests: tests/scheduler_model.rs, random jobs, silence, late starts, log outages, takeovers and crashes against the callers' rules; a_job_cancelled_around_a_takeover_is_kept failed first.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -241,10 +241,15 @@
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
         let Some(submission) = &job.submission else { return };
         let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
-        let Some(run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
+        let Some(mut run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
         let live = run.live_tasks();
         if run.state.is_final() {
-            self.finished.insert(id, run.ended_wall_ms.max(1));
+            // A cancellation can be on the log without the progress that tells its time. Taken for
+            // one of long ago its job would be dropped at once, and run again when it is repeated.
+            if run.ended_wall_ms == 0 {
+                run.ended_wall_ms = wall_ms;
+            }
+            self.finished.insert(id, run.ended_wall_ms);
             if live.is_empty() {
                 return;
             }
@@ -447,6 +452,7 @@
         if now >= self.next_sweep_ms {
             self.next_sweep_ms = now + runs::SWEEP_MS;
             self.judge_runs(now);
+            self.stop_broken_gangs(now);
             self.drop_over_jobs(wall_ms);
             self.needs_dispatch = true;
         }
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -29,6 +29,9 @@
 const SIBLINGS_MIN: usize = 2;
 /// Progress from which a run's pace tells its run time, in percent.
 const TELLING_PERCENT: u32 = 20;
+/// Time that the rest of a gang that has lost a member is left to end by itself, in milliseconds: the
+/// workers end it too, as soon as they notice.
+const BROKEN_GANG_MS: u64 = 800;
 /// Times that a task is moved for being slow or stalled: beyond, it is the task and not its worker.
 const MOVES_MAX: u32 = 2;
 /// Time that a moved run loses at least, in milliseconds.
@@ -437,6 +440,32 @@
         }
     }
 
+    /// Stops what is left of gangs that have lost a member: the rest can't work without it, and the
+    /// gang is only started as a whole.
+    pub(crate) fn stop_broken_gangs(&mut self, now: u64) {
+        let mut broken = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for (occurrence, run) in &job.occurrences {
+                for (position, step) in run.steps.iter().enumerate() {
+                    let is_gang = job.submission.spec.steps[position].is_gang;
+                    if !is_gang || step.is_done() || step.tasks.iter().all(|task| task.is_covered())
+                    {
+                        continue;
+                    }
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        let is_old = |live: &LiveRun| now > live.since_ms + BROKEN_GANG_MS;
+                        if task.live.iter().any(is_old) {
+                            broken.push(job.key(*occurrence, position, index));
+                        }
+                    }
+                }
+            }
+        }
+        for key in broken {
+            self.stop_task(&key, "its gang is broken", now);
+        }
+    }
+
     /// Why a run should be taken elsewhere, if it should.
     fn verdict(&self, key: &TaskKey, run: u32, now: u64) -> Option<&'static str> {
         let job = self.jobs.get(&key.job)?;
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -143,3 +143,18 @@
     stage.advance_unconfirmed(3_000);
     assert_eq!(stage.leases.len(), last);
 }
+
+/// A caller cancels, and the leader dies before the log has what it made of it. The successor knows
+/// the cancellation but not its time. It must keep the job for the promised time: dropped at once, the
+/// job would be unknown to its caller, and a repeat of its submission would run it again.
+#[test]
+fn a_job_cancelled_around_a_takeover_is_kept() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.log_is_up = false;
+    stage.append(&JobRecord::Cancelled(id));
+    stage.log_is_up = true;
+    stage.take_over(2, config());
+    stage.advance(5_000);
+    assert_eq!(stage.state(id), Some(JobState::Cancelled));
+}
--- /dev/null
+++ b/tests/scheduler_model.rs
@@ -0,0 +1,362 @@
+//! Long random runs of the scheduler against the rules that callers rely on.
+//!
+//! Jobs of every kind come while workers fall silent, starts are carried out late, the log is away,
+//! leaders change, and callers cancel. After every step the rules are checked from what workers did:
+//! no task runs twice at a time, none runs again after its end was recorded, steps keep their order,
+//! workers are not overfilled. In the end everything heals, and every job must come to its end.
+//!
+//! `IBISWEIR_TEST_SEED` and `IBISWEIR_TEST_RUNS` draw other and longer runs.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{
+    ExitKind, JobId, JobSpec, JobState, ResourceVector, StepSpec, TaskKey,
+};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::SiteConfig;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::stage::{POOL, Stage, config, job, service_step, step, vm, worker};
+
+/// Runs in CI; by hand thousands.
+const RUNS: u64 = 40;
+/// Steps of a run.
+const STEPS: usize = 120;
+const WORKERS: usize = 5;
+
+struct Model {
+    stage: Stage,
+    random: StdRng,
+    jobs: BTreeMap<JobId, JobSpec>,
+    cancelled: BTreeSet<JobId>,
+    /// Tasks whose end as done the log has.
+    recorded: BTreeSet<TaskKey>,
+    /// Tasks that a worker has ended as done.
+    done: BTreeSet<TaskKey>,
+    /// Jobs whose last state was told; their keys are dropped some minutes later.
+    over: BTreeSet<JobId>,
+    checked_starts: usize,
+    term: u64,
+    next_job: u64,
+}
+
+/// Without a standby pool no VM leaves: moves are tested elsewhere.
+fn one_pool() -> SiteConfig {
+    let mut config = config();
+    config.pools.retain(|pool| !pool.is_standby);
+    config
+}
+
+impl Model {
+    fn open(seed: u64) -> Model {
+        let pool = (0..WORKERS).map(|n| worker(&format!("w{n}"), &format!("r{}", n / 2))).collect();
+        Model {
+            stage: Stage::open(one_pool(), pool),
+            random: StdRng::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            recorded: BTreeSet::new(),
+            done: BTreeSet::new(),
+            over: BTreeSet::new(),
+            checked_starts: 0,
+            term: 1,
+            next_job: 0,
+        }
+    }
+
+    fn act(&mut self) {
+        match self.random.random_range(0..100) {
+            0..20 => self.submit(),
+            20..60 => self.end_some(),
+            60..64 => self.cancel(),
+            64..68 => self.repeat_submission(),
+            68..74 => self.toggle_silence(),
+            74..78 => self.toggle_late(),
+            78..82 => self.stage.log_is_up = !self.stage.log_is_up,
+            82..85 => self.take_over(),
+            85..88 => self.crash(),
+            _ => {}
+        }
+        let ms = self.random.random_range(0..400);
+        self.stage.advance(ms);
+        self.check();
+    }
+
+    fn submit(&mut self) {
+        let mut steps = vec![self.step()];
+        for position in 1..self.random.random_range(1..4) {
+            let after = vec![position - 1];
+            steps.push(StepSpec { after, ..self.step() });
+        }
+        if self.random.random_range(0..6) == 0 {
+            steps = vec![service_step(self.random.random_range(1..4))];
+        }
+        self.next_job += 1;
+        let spec = job(steps);
+        let id = self.stage.submit(self.next_job, spec.clone());
+        self.jobs.insert(id, spec);
+    }
+
+    fn step(&mut self) -> StepSpec {
+        let cpu = self.random.random_range(1..6) * 1_000;
+        let count = self.random.random_range(1..5);
+        StepSpec {
+            need: ResourceVector { cpu, memory: 500, accelerators: 0 },
+            is_gang: count > 1 && self.random.random_range(0..5) == 0,
+            per_worker_max: self.random.random_range(0..3),
+            is_resumable: self.random.random_range(0..2) == 0,
+            ..step(count)
+        }
+    }
+
+    /// Ends one of the runs that are alive, most of them well.
+    fn end_some(&mut self) {
+        let alive: Vec<(Arc<str>, TaskKey, u32)> = self
+            .stage
+            .workers
+            .iter()
+            .flat_map(|(id, worker)| {
+                worker.running.keys().map(|(task, run)| (id.clone(), *task, *run))
+            })
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        let (id, task, run) = alive[self.random.random_range(0..alive.len())].clone();
+        let spec = &self.jobs[&task.job].steps[usize::from(task.step)];
+        if spec.is_gang {
+            self.end_gang(task, run);
+            return;
+        }
+        let is_failure = spec.is_service || self.random.random_range(0..12) == 0;
+        let kind = if is_failure { ExitKind::Failed } else { ExitKind::Done };
+        if kind == ExitKind::Done {
+            self.done.insert(task);
+        }
+        self.stage.end_run(task, run, &id, kind);
+    }
+
+    /// The members of a gang end together, once all of one run are there.
+    fn end_gang(&mut self, task: TaskKey, run: u32) {
+        let count = self.jobs[&task.job].steps[usize::from(task.step)].count;
+        let members: Vec<(Arc<str>, TaskKey)> = self
+            .stage
+            .workers
+            .iter()
+            .flat_map(|(id, worker)| worker.running.keys().map(move |key| (id.clone(), *key)))
+            .filter(|(_, (key, other))| key.step_key() == task.step_key() && *other == run)
+            .map(|(id, (key, _))| (id, key))
+            .collect();
+        if members.len() < usize::try_from(count).expect("a small count") {
+            return;
+        }
+        for (id, key) in members {
+            self.done.insert(key);
+            let worker = self.stage.workers.get_mut(&id).expect("known");
+            worker.exit(key, run, ExitKind::Done);
+        }
+        self.stage.pump();
+    }
+
+    fn cancel(&mut self) {
+        let Some(id) = self.any_job() else { return };
+        self.cancelled.insert(id);
+        self.stage.append(&JobRecord::Cancelled(id));
+    }
+
+    fn repeat_submission(&mut self) {
+        let Some(id) = self.any_job() else { return };
+        let spec = self.jobs[&id].clone();
+        let record = JobRecord::Submitted(id, Arc::new(support::stage::submission(spec)));
+        self.stage.scheduler.take_record(&record, self.stage.now);
+        self.stage.append(&record);
+    }
+
+    fn any_job(&mut self) -> Option<JobId> {
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        (!ids.is_empty()).then(|| ids[self.random.random_range(0..ids.len())])
+    }
+
+    fn any_worker(&mut self) -> Arc<str> {
+        let ids: Vec<Arc<str>> = self.stage.workers.keys().cloned().collect();
+        ids[self.random.random_range(0..ids.len())].clone()
+    }
+
+    fn toggle_silence(&mut self) {
+        let id = self.any_worker();
+        let worker = self.stage.workers.get_mut(&id).expect("known");
+        worker.is_silent = !worker.is_silent;
+    }
+
+    fn toggle_late(&mut self) {
+        let id = self.any_worker();
+        let worker = self.stage.workers.get_mut(&id).expect("known");
+        worker.is_late = !worker.is_late;
+        if !worker.is_late {
+            self.stage.deliver_late(&id);
+        }
+    }
+
+    fn take_over(&mut self) {
+        self.term += 1;
+        self.stage.take_over(self.term, one_pool());
+    }
+
+    /// A worker loses all that it runs; its VM shows another life.
+    fn crash(&mut self) {
+        let id = self.any_worker();
+        self.stage.crash(&id);
+    }
+
+    fn check(&mut self) {
+        self.check_starts();
+        let mut alive: BTreeMap<TaskKey, u32> = BTreeMap::new();
+        for (id, worker) in &self.stage.workers {
+            let mut used = 0;
+            for (task, _) in worker.running.keys() {
+                *alive.entry(*task).or_default() += 1;
+                used += self.jobs[&task.job].steps[usize::from(task.step)].need.cpu;
+            }
+            assert!(used <= 8_000, "{id} is overfilled: {used}");
+        }
+        for (task, count) in alive {
+            assert!(count <= 1, "{task} runs {count} times at once");
+        }
+        self.record_done();
+        let is_over = |id: &&JobId| self.stage.state(**id).is_some_and(JobState::is_final);
+        self.over.extend(self.jobs.keys().filter(is_over));
+    }
+
+    /// Looks at the starts since the last check.
+    fn check_starts(&mut self) {
+        for (task, run, worker) in &self.stage.started[self.checked_starts..] {
+            // A start that was under way when an earlier run, taken for lapsed, turned out to be done.
+            let is_late = self.stage.started_late.contains(&(*task, *run));
+            let is_again = self.recorded.contains(task) && !is_late;
+            assert!(!is_again, "{task} run {run} on {worker} after its end");
+            let spec = &self.jobs[&task.job];
+            for before in &spec.steps[usize::from(task.step)].after {
+                for index in 0..spec.steps[usize::from(*before)].count {
+                    let earlier = TaskKey { step: *before, index, ..*task };
+                    assert!(self.done.contains(&earlier), "{task} before {earlier}");
+                }
+            }
+        }
+        self.checked_starts = self.stage.started.len();
+    }
+
+    fn record_done(&mut self) {
+        for id in self.jobs.keys() {
+            let Some(progress) = self.stage.book.get(*id).and_then(|job| job.progress.clone())
+            else {
+                continue;
+            };
+            for told in progress.tasks.iter().filter(|told| told.is_done) {
+                let (step, index) = (told.step, told.index);
+                self.recorded.insert(TaskKey { job: *id, occurrence: 0, step, index });
+            }
+        }
+    }
+
+    /// Everything heals; every job that can end must.
+    fn heal(&mut self) {
+        self.stage.log_is_up = true;
+        for id in self.stage.workers.keys().cloned().collect::<Vec<_>>() {
+            let worker = self.stage.workers.get_mut(&id).expect("known");
+            worker.is_silent = false;
+            worker.is_late = false;
+            self.stage.deliver_late(&id);
+        }
+        self.cancel_services();
+        for _ in 0..4_000 {
+            self.end_well();
+            self.stage.advance(100);
+            self.check();
+            if self.open_jobs() == 0 {
+                return;
+            }
+        }
+        let open: Vec<_> = self.jobs.iter().filter(|(id, _)| !self.over.contains(id)).collect();
+        let told: Vec<_> = open.iter().map(|(id, _)| self.stage.book.get(**id)).collect();
+        panic!("these never end: {open:#?} {told:#?}");
+    }
+
+    /// Callers take their services back, so that there is room for the rest.
+    fn cancel_services(&mut self) {
+        let is_service = |spec: &JobSpec| spec.steps.iter().any(|step| step.is_service);
+        let services: Vec<JobId> =
+            self.jobs.iter().filter(|(_, spec)| is_service(spec)).map(|(id, _)| *id).collect();
+        for id in services {
+            self.cancelled.insert(id);
+            self.stage.append(&JobRecord::Cancelled(id));
+        }
+    }
+
+    fn end_well(&mut self) {
+        let alive: Vec<(Arc<str>, TaskKey, u32)> = self
+            .stage
+            .workers
+            .iter()
+            .flat_map(|(id, worker)| {
+                worker.running.keys().map(|(task, run)| (id.clone(), *task, *run))
+            })
+            .collect();
+        for (id, task, run) in alive {
+            let spec = &self.jobs[&task.job].steps[usize::from(task.step)];
+            if spec.is_service {
+                continue;
+            }
+            if spec.is_gang {
+                self.end_gang(task, run);
+                continue;
+            }
+            self.done.insert(task);
+            let worker = self.stage.workers.get_mut(&id).expect("known");
+            worker.exit(task, run, ExitKind::Done);
+        }
+    }
+
+    fn open_jobs(&self) -> usize {
+        let is_service = |spec: &JobSpec| spec.steps.iter().any(|step| step.is_service);
+        let is_open = |id: &JobId| !self.over.contains(id);
+        self.jobs.iter().filter(|(id, spec)| !is_service(spec) && is_open(id)).count()
+    }
+}
+
+#[test]
+fn random_runs_keep_the_rules() {
+    let number = |name: &str, default| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first: u64 = number("IBISWEIR_TEST_SEED", 1);
+    for seed in first..first + number("IBISWEIR_TEST_RUNS", RUNS) {
+        let run = std::panic::AssertUnwindSafe(|| {
+            let mut model = Model::open(seed);
+            for _ in 0..STEPS {
+                model.act();
+            }
+            model.heal();
+            for id in &model.cancelled {
+                assert!(model.over.contains(id), "{id} was cancelled and goes on");
+            }
+        });
+        if let Err(fault) = std::panic::catch_unwind(run) {
+            eprintln!("seed {seed}");
+            std::panic::resume_unwind(fault);
+        }
+    }
+}
+
+/// The VM list names every worker of the stage.
+#[test]
+fn a_crashed_worker_is_replaced_by_another_life() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    stage.crash("w0");
+    assert!(!stage.workers.contains_key("w0"));
+    assert_eq!(stage.workers.len(), 1);
+    let entry = worker("w0", "r0");
+    assert_eq!(&*vm(&entry, POOL).pool, POOL);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -136,6 +136,10 @@
     pub is_late: bool,
     /// Starts that went unanswered.
     pub late: Vec<StartCall>,
+    /// End of the leases of all that runs.
+    pub lease_until_ms: u64,
+    /// Highest fencing token seen.
+    pub fence: u64,
     next_exit: u64,
 }
 
@@ -151,6 +155,8 @@
     pub workers: BTreeMap<Arc<str>, StageWorker>,
     /// Every start that a worker carried out, in order.
     pub started: Vec<(TaskKey, u32, Arc<str>)>,
+    /// Runs whose start a worker carried out late.
+    pub started_late: BTreeSet<(TaskKey, u32)>,
     /// Commands to VMs.
     pub vm_commands: Vec<VmCommand>,
     /// Waves told to operators.
@@ -169,6 +175,7 @@
     /// Now.
     pub now: u64,
     entries: Vec<WorkerEntry>,
+    crashes: u32,
 }
 
 /// Start of the stage's time: a new leader with no predecessor needs no bound.
@@ -184,6 +191,7 @@
             end: 0,
             workers: BTreeMap::new(),
             started: Vec::new(),
+            started_late: BTreeSet::new(),
             vm_commands: Vec::new(),
             told: Vec::new(),
             leases: Vec::new(),
@@ -194,6 +202,7 @@
             vm_outcome: VmOutcome::Done,
             now: START_MS,
             entries,
+            crashes: 0,
         };
         stage.list_workers();
         stage.pump();
@@ -236,6 +245,7 @@
         let end = self.now + ms;
         while self.now < end {
             self.now = (self.now + 20).min(end);
+            self.expire_leases();
             self.scheduler.confirm(self.now);
             self.pump();
         }
@@ -246,10 +256,30 @@
         let end = self.now + ms;
         while self.now < end {
             self.now = (self.now + 20).min(end);
+            self.expire_leases();
             self.pump();
         }
     }
 
+    /// A worker loses all that it runs, and its VM comes back with another life.
+    pub fn crash(&mut self, id: &str) {
+        self.workers.remove(id);
+        self.crashes += 1;
+        let position = self.entries.iter().position(|entry| &*entry.id == id);
+        let entry = &mut self.entries[position.expect("the worker is known")];
+        entry.id = format!("{}-{}", id.split('-').next().unwrap_or(id), self.crashes).into();
+        self.list_workers();
+        let vms = self.entries.iter().map(|entry| vm(entry, POOL)).collect();
+        self.scheduler.take_vms(vms, self.now, self.now);
+        self.pump();
+    }
+
+    fn expire_leases(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.expire(self.now);
+        }
+    }
+
     /// Lets a task get on by some percent, and then the time by some milliseconds.
     pub fn progress(&mut self, key: TaskKey, percent: u32, ms: u64) {
         for worker in self.workers.values_mut() {
@@ -396,7 +426,7 @@
         if worker.refused.contains(&(call.task, call.run)) {
             return CommandOutcome::Refused(CommandRefusal::OldRun, Some(self.now));
         }
-        if worker.begin(call) {
+        if worker.begin(call, self.now) {
             self.started.push((call.task, call.run, id.clone()));
         }
         CommandOutcome::Done(self.now)
@@ -406,8 +436,9 @@
     pub fn deliver_late(&mut self, id: &str) {
         let worker = self.workers.get_mut(id).expect("the worker is known");
         for call in std::mem::take(&mut worker.late) {
-            if worker.begin(&call) {
+            if worker.begin(&call, self.now) {
                 self.started.push((call.task, call.run, id.into()));
+                self.started_late.insert((call.task, call.run));
             }
         }
         self.pump();
@@ -428,6 +459,10 @@
     fn renew(&mut self, id: &Arc<str>, call: &RenewCall) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         self.leases.extend(call.lease_until_ms);
+        if !worker.is_silent {
+            worker.fence = worker.fence.max(call.fence);
+            worker.lease_until_ms = worker.lease_until_ms.max(call.lease_until_ms.unwrap_or(0));
+        }
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
         } else if worker.is_stale {
@@ -442,8 +477,13 @@
 }
 
 impl StageWorker {
-    fn begin(&mut self, call: &StartCall) -> bool {
+    fn begin(&mut self, call: &StartCall, now: u64) -> bool {
         let key = (call.task, call.run);
+        if call.fence < self.fence || call.lease_until_ms <= now {
+            return false;
+        }
+        self.fence = call.fence;
+        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms);
         if self.refused.contains(&key) || self.running.contains_key(&key) {
             return false;
         }
@@ -451,6 +491,17 @@
         true
     }
 
+    /// Kills what runs once its lease is over.
+    fn expire(&mut self, now: u64) {
+        if now < self.lease_until_ms {
+            return;
+        }
+        let lapsed: Vec<(TaskKey, u32)> = self.running.keys().copied().collect();
+        for (task, run) in lapsed {
+            self.exit(task, run, ExitKind::Lapsed);
+        }
+    }
+
     fn stop(&mut self, task: TaskKey, run: u32) {
         if self.running.contains_key(&(task, run)) {
             self.exit(task, run, ExitKind::Stopped);
