--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -84,6 +84,9 @@
             info!(logger, "job known already"; "job" => %job);
             return DeskReply::Stored;
         }
+        if self.node.is_log_away() {
+            return outage();
+        }
         let submission = JobSubmission {
             queue: queue.name.clone(),
             service: queue.service.clone(),
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -20,6 +20,9 @@
 /// of its data centre may still reach it.
 const CONTACT_AGE_MAX_MS: u64 = 2_500;
 
+/// Silence after which the log counts as away, in milliseconds: the followers' reads are answered at
+/// least every 700 ms, a slow log's 300 ms later.
+const AWAY_AGE_MS: u64 = 1_200;
 /// Time for which it counts that the leader's address was found closed, in milliseconds: longer than
 /// the silence after which it is acted on.
 const CLOSED_AGE_MAX_MS: u64 = 2_000;
@@ -46,6 +49,7 @@
     relayed: Mutex<HashMap<u64, oneshot::Sender<()>>>,
     next_token: AtomicU64,
     contact_ms: AtomicU64,
+    stored_ms: AtomicU64,
     is_stopping: AtomicBool,
 }
 
@@ -68,6 +72,7 @@
             relayed: Mutex::new(HashMap::new()),
             next_token: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
+            stored_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
         }
     }
@@ -224,6 +229,20 @@
         }
     }
 
+    /// A record of a caller has reached the log, by whatever way.
+    pub fn stored(&self) {
+        self.stored_ms.store(self.now().max(1), Ordering::Relaxed);
+    }
+
+    /// Whether nothing reaches the log from here: it does not answer, nor does the leader store for
+    /// us. A caller is then refused at once, while it still has time to try another entry; waiting
+    /// would only show the same a second later.
+    pub fn is_log_away(&self) -> bool {
+        let stored = self.stored_ms.load(Ordering::Relaxed);
+        let last = stored.max(self.contact_ms.load(Ordering::Acquire));
+        self.now() > last + AWAY_AGE_MS
+    }
+
     /// Stops being ready.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Release);
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -177,6 +177,7 @@
 
     /// The entry knows its own submissions before it reads them back.
     fn finish(&self, batch: Vec<SubmitRequest>, offset: u64) {
+        self.node.stored();
         let records: Vec<(u64, JobRecord)> =
             (offset..).zip(batch.iter().map(|request| request.record.clone())).collect();
         self.node.fold(&records);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,9 +1,11 @@
 //! Structured logs: JSON lines for machines, or plain lines for a terminal.
 
+use std::collections::HashMap;
 use std::io;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
-use slog::{Drain, Level, Logger, o};
+use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,9 +32,84 @@
 }
 
 /// A logger that writes JSON lines to standard output, for a platform that collects them there.
+/// At most [`LINES_PER_SECOND`] lines of a kind are written.
 pub fn open_output(level: Level) -> Logger {
     let drain = slog_json::Json::new(io::stdout()).add_default_keys().build();
-    spawn(Mutex::new(drain).map(slog::Fuse), level)
+    let bounded = BoundedDrain::new(Mutex::new(drain).map(slog::Fuse), LINES_PER_SECOND);
+    spawn(bounded, level)
+}
+
+/// Lines of one kind that are written in a second: the leader of fifty workers writes half as many
+/// in a burst.
+pub const LINES_PER_SECOND: u32 = 500;
+
+/// Lines of one kind in the present second.
+#[derive(Debug, Default)]
+struct LineCount {
+    second: u64,
+    written: u32,
+    left_out: u32,
+}
+
+/// Bounds the lines of each kind, a kind being a message, and says how many it left out. A flood of
+/// one kind, as when every caller is refused, then neither fills the disk nor hides the other kinds.
+#[derive(Debug)]
+pub struct BoundedDrain<D> {
+    inner: D,
+    per_second: u32,
+    started: Instant,
+    counts: Mutex<HashMap<String, LineCount>>,
+}
+
+impl<D> BoundedDrain<D> {
+    /// A drain that passes on `per_second` lines of a kind.
+    pub fn new(inner: D, per_second: u32) -> BoundedDrain<D> {
+        BoundedDrain {
+            inner,
+            per_second,
+            started: Instant::now(),
+            counts: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Whether a line may be written, and how many of its kind were left out in the second before.
+    fn admit(&self, kind: &str) -> (bool, u32) {
+        let second = self.started.elapsed().as_secs();
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if !counts.contains_key(kind) {
+            counts.insert(kind.to_owned(), LineCount::default());
+        }
+        let Some(count) = counts.get_mut(kind) else { return (true, 0) };
+        let mut left_out = 0;
+        if count.second != second {
+            left_out = count.left_out;
+            *count = LineCount { second, ..LineCount::default() };
+        }
+        let is_admitted = count.written < self.per_second;
+        count.written += u32::from(is_admitted);
+        count.left_out += u32::from(!is_admitted);
+        (is_admitted, left_out)
+    }
+}
+
+impl<D: Drain> Drain for BoundedDrain<D> {
+    type Ok = ();
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), D::Err> {
+        let kind = record.msg().to_string();
+        let (is_admitted, left_out) = self.admit(&kind);
+        if left_out > 0 {
+            let place = slog::record_static!(Level::Warning, "");
+            let message = format_args!("lines left out");
+            let pairs = slog::b!("kind" => kind, "count" => left_out);
+            self.inner.log(&Record::new(&place, &message, pairs), values)?;
+        }
+        if is_admitted {
+            self.inner.log(record, values)?;
+        }
+        Ok(())
+    }
 }
 
 /// A logger that writes nothing.
--- /dev/null
+++ b/tests/logging.rs
@@ -0,0 +1,39 @@
+//! The log's volume is bounded, and it says what it left out.
+
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use ibisweir::logging::BoundedDrain;
+use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o};
+
+/// Keeps the messages.
+#[derive(Clone, Default)]
+struct KeptLines(Arc<Mutex<Vec<String>>>);
+
+impl Drain for KeptLines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        self.0.lock().expect("no panic holds it").push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+/// Every caller is refused at once. The lines about it are cut off, those of other kinds are not.
+#[test]
+fn a_flood_of_one_kind_leaves_room_for_the_others() {
+    let kept = KeptLines::default();
+    let logger = Logger::root(BoundedDrain::new(kept.clone(), 10).fuse(), o!());
+    let begun = Instant::now();
+    for _ in 0..1_000 {
+        info!(logger, "not served");
+    }
+    info!(logger, "leading");
+    let lines = kept.0.lock().expect("no panic holds it").clone();
+    let floods = lines.iter().filter(|line| *line == "not served").count();
+    // On a busy machine the second may have turned meanwhile.
+    let seconds = usize::try_from(begun.elapsed().as_secs()).expect("a short test") + 2;
+    assert!(floods <= 10 * seconds, "{floods}");
+    assert!(lines.iter().any(|line| line == "leading"));
+}
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use ibisweir::error::ResultCode;
+use ibisweir::jobs::metrics::JobMetrics;
 use ibisweir::metrics::{EntryMetrics, set_pool};
 use ibisweir::settings::{SETTINGS, SettingKind};
 
@@ -88,6 +89,7 @@
     let coded: BTreeSet<String> = metrics
         .text()
         .lines()
+        .chain(JobMetrics::default().text().lines())
         .filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next())
         .map(str::to_owned)
         .collect();
