Pool needs and log lines of the leader in modules of their own

Change: scheduler/needs.rs (how many VMs a pool needs), jobs/notes.rs (decisions as lines and counters); no behaviour changes.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -17,6 +17,7 @@
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
+use crate::jobs::notes;
 use crate::jobs::ports::{
     AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RunCall, StartCall,
     VmClient, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
@@ -26,9 +27,7 @@
 use crate::scheduler::commit::CommitBatch;
 use crate::scheduler::exits::RenewPlan;
 use crate::scheduler::runs::{RunCommand, refusal_word};
-use crate::scheduler::{
-    Scheduler, SchedulerAction, SchedulerCensus, SchedulerNote, SchedulerStart,
-};
+use crate::scheduler::{Scheduler, SchedulerAction, SchedulerCensus, SchedulerStart};
 
 /// Longest time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
@@ -377,7 +376,7 @@
                     run.node.wake.notify_one();
                 });
             }
-            SchedulerAction::Note(note) => self.log_note(&note),
+            SchedulerAction::Note(note) => notes::write(&self.node, &note),
         }
     }
 
@@ -578,41 +577,4 @@
         self.node.relayed(&batch.relayed);
         self.node.wake.notify_one();
     }
-
-    fn log_note(&self, note: &SchedulerNote) {
-        let logger = &self.node.logger;
-        match note {
-            SchedulerNote::Placed { task, run, worker, age_ms } => {
-                info!(logger, "placed"; "job" => %task.job, "task" => %task, "run" => run,
-                    "worker" => &**worker, "age_ms" => age_ms);
-            }
-            SchedulerNote::Ended { task, run, worker, how } => {
-                count(&self.node.metrics.exits, how);
-                info!(logger, "ended"; "job" => %task.job, "task" => %task, "run" => run,
-                    "worker" => &**worker, "how" => how);
-            }
-            SchedulerNote::StartRefused { task, run, worker, reason } => {
-                info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
-                    "worker" => &**worker, "reason" => reason);
-            }
-            SchedulerNote::JobState { job, state, age_ms } => {
-                info!(logger, "job state"; "job" => %job, "state" => ?state, "age_ms" => age_ms);
-            }
-            SchedulerNote::Worker { worker, change, runs } => {
-                info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
-            }
-            SchedulerNote::Pool { pool, needed, usable, idle, booked } => {
-                info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
-                    "idle" => idle, "booked_permille" => booked);
-            }
-            SchedulerNote::Vm { vm, change } => {
-                info!(logger, "vm"; "vm" => &**vm, "change" => change);
-            }
-            SchedulerNote::Stopped { task, run, reason } => {
-                count(&self.node.metrics.stops, reason);
-                info!(logger, "stopping"; "job" => %task.job, "task" => %task, "run" => run,
-                    "reason" => reason);
-            }
-        }
-    }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod model;
 pub mod node;
+pub mod notes;
 pub mod ports;
 pub mod record;
 pub mod relay;
--- /dev/null
+++ b/src/jobs/notes.rs
@@ -0,0 +1,45 @@
+//! The leader's decisions as log lines and counters.
+
+use slog::info;
+
+use crate::jobs::metrics::count;
+use crate::jobs::node::JobNode;
+use crate::scheduler::SchedulerNote;
+
+/// Writes a decision down.
+pub fn write(node: &JobNode, note: &SchedulerNote) {
+    let logger = &node.logger;
+    match note {
+        SchedulerNote::Placed { task, run, worker, age_ms } => {
+            info!(logger, "placed"; "job" => %task.job, "task" => %task, "run" => run,
+                "worker" => &**worker, "age_ms" => age_ms);
+        }
+        SchedulerNote::Ended { task, run, worker, how } => {
+            count(&node.metrics.exits, how);
+            info!(logger, "ended"; "job" => %task.job, "task" => %task, "run" => run,
+                "worker" => &**worker, "how" => how);
+        }
+        SchedulerNote::StartRefused { task, run, worker, reason } => {
+            info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
+                "worker" => &**worker, "reason" => reason);
+        }
+        SchedulerNote::JobState { job, state, age_ms } => {
+            info!(logger, "job state"; "job" => %job, "state" => ?state, "age_ms" => age_ms);
+        }
+        SchedulerNote::Worker { worker, change, runs } => {
+            info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
+        }
+        SchedulerNote::Pool { pool, needed, usable, idle, booked } => {
+            info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
+                "idle" => idle, "booked_permille" => booked);
+        }
+        SchedulerNote::Vm { vm, change } => {
+            info!(logger, "vm"; "vm" => &**vm, "change" => change);
+        }
+        SchedulerNote::Stopped { task, run, reason } => {
+            count(&node.metrics.stops, reason);
+            info!(logger, "stopping"; "job" => %task.job, "task" => %task, "run" => run,
+                "reason" => reason);
+        }
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod job;
 pub mod maintenance;
+pub mod needs;
 pub mod rank;
 pub mod runs;
 pub mod throttle;
--- /dev/null
+++ b/src/scheduler/needs.rs
@@ -0,0 +1,198 @@
+//! How many VMs each pool needs, now and soon.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::ResourceVector;
+use crate::jobs::site::VmState;
+use crate::scheduler::Scheduler;
+use crate::scheduler::rank::{RankTier, rank};
+
+/// Share of a VM that can be filled on average, in percent: tasks come in sizes that leave gaps.
+const PACKED_PERCENT: u64 = 88;
+/// Share, in percent, that tasks count whose step has not begun yet.
+const UPCOMING_PERCENT: u64 = 50;
+
+/// What the jobs of a pool take.
+#[derive(Clone, Debug, Default)]
+struct PoolLoad {
+    /// Booked, or waiting for room.
+    waiting: ResourceVector,
+    /// The same, and what its jobs will ask for next.
+    booked: ResourceVector,
+    /// The services' part of it.
+    services: ResourceVector,
+    /// Least number of VMs for services whose tasks must be apart.
+    apart: usize,
+}
+
+/// What a pool has and needs, in VMs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolNeed {
+    /// For what runs and what waits.
+    pub(crate) needed_now: usize,
+    /// For what is expected too.
+    pub(crate) needed: usize,
+    pub(crate) usable: usize,
+    /// On their way.
+    pub(crate) coming: usize,
+    pub(crate) booked: ResourceVector,
+    pub(crate) room: ResourceVector,
+    /// Empty VMs that it can give away, and for how long they have idled, in milliseconds.
+    pub(crate) idle: Vec<(Arc<str>, u64)>,
+}
+
+impl Scheduler {
+    pub(crate) fn pool_needs(&mut self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
+        let loads = self.pool_loads(now);
+        let mut needs = BTreeMap::new();
+        let config = self.config.clone();
+        for pool in config.pools.iter().filter(|pool| !pool.is_standby) {
+            let mut need = PoolNeed::default();
+            let mut room = ResourceVector::default();
+            for worker in self.workers.values() {
+                if worker.entry.service != pool.name || !worker.is_listed {
+                    continue;
+                }
+                room = worker.entry.capacity;
+                let is_usable = worker.silent_since_ms.is_none()
+                    && !worker.entry.is_draining
+                    && !worker.is_reserved
+                    && worker.is_fenced;
+                if !is_usable {
+                    continue;
+                }
+                need.usable += 1;
+                need.booked.add(worker.used());
+                need.room.add(&worker.entry.capacity);
+                let vm = self.fleet.vm_of(&worker.entry.id);
+                if let Some(vm) = vm.filter(|vm| vm.state == VmState::Up)
+                    && self.is_quiet(&worker.entry.id)
+                    && !self.fleet.intents.contains_key(&vm.vm)
+                {
+                    let idle_ms = now.saturating_sub(worker.idle_since_ms);
+                    need.idle.push((vm.vm.clone(), idle_ms));
+                }
+            }
+            need.idle.sort_by_key(|(_, idle_ms)| std::cmp::Reverse(*idle_ms));
+            if room == ResourceVector::default() {
+                room = self.usual_room();
+            }
+            let PoolLoad { waiting, mut booked, services, apart } =
+                loads.get(&pool.name).cloned().unwrap_or_default();
+            if let Some(arrivals) = self.fleet.arrivals.get_mut(&pool.name) {
+                let mut coming = arrivals.load(now);
+                coming.add(&services);
+                booked = booked.most(&coming);
+            }
+            need.needed_now = vms_for(&waiting, &room).max(apart).max(1);
+            need.needed = vms_for(&booked, &room).max(need.needed_now);
+            need.coming = self.fleet.arriving(&pool.name);
+            needs.insert(pool.name.clone(), need);
+        }
+        needs
+    }
+
+    /// What a VM holds where a pool has none to show it.
+    fn usual_room(&self) -> ResourceVector {
+        self.fleet.vms.values().map(|vm| vm.capacity).next().unwrap_or_default()
+    }
+
+    fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, PoolLoad> {
+        let mut loads: BTreeMap<Arc<str>, PoolLoad> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let Some(queue) = self.queue_of(job) else { continue };
+            let load = loads.entry(queue.service.clone()).or_default();
+            for (occurrence, run) in &job.occurrences {
+                let due = self.due_ms(job, *occurrence, now);
+                let tier = rank(job, queue, run, due, now).tier;
+                for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
+                    let open = step.tasks.len() - step.done;
+                    if open == 0 {
+                        continue;
+                    }
+                    let booked: usize = step.tasks.iter().map(|task| task.live.len()).sum();
+                    let waiting = open.saturating_sub(booked);
+                    let is_begun = spec.after.iter().all(|before| {
+                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
+                    });
+                    // What is late already is worth little: it takes what is there.
+                    let counted = match (tier, is_begun) {
+                        (RankTier::Late | RankTier::Overdue, _) => 0,
+                        (_, true) => waiting * 100,
+                        (_, false) => waiting * usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
+                    };
+                    let wanted = u64::try_from(booked * 100 + counted).unwrap_or(0);
+                    let all = spec.booked().times(wanted).percent();
+                    load.booked.add(&all);
+                    if is_begun {
+                        load.waiting.add(&all);
+                    }
+                    if !spec.is_service {
+                        continue;
+                    }
+                    load.services.add(&all);
+                    if spec.per_worker_max > 0 {
+                        let apart = spec.count.div_ceil(spec.per_worker_max);
+                        load.apart = load.apart.max(usize::try_from(apart).unwrap_or(0));
+                    }
+                }
+            }
+        }
+        loads
+    }
+}
+
+/// VMs that a load fills.
+fn vms_for(load: &ResourceVector, room: &ResourceVector) -> usize {
+    let packed = load.times(100).share_of(&room.times(PACKED_PERCENT));
+    usize::try_from(packed.div_ceil(1_000)).unwrap_or(usize::MAX)
+}
+
+/// What a VM is needed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NeedKind {
+    /// Work that runs or waits.
+    Now,
+    /// Work that is expected.
+    Soon,
+}
+
+impl PoolNeed {
+    fn needed(&self, kind: NeedKind) -> usize {
+        match kind {
+            NeedKind::Now => self.needed_now,
+            NeedKind::Soon => self.needed,
+        }
+    }
+
+    pub(crate) fn short(&self, kind: NeedKind) -> usize {
+        self.needed(kind).saturating_sub(self.usable + self.coming)
+    }
+
+    pub(crate) fn surplus(&self, kind: NeedKind) -> usize {
+        self.usable.saturating_sub(self.needed(kind))
+    }
+}
+
+/// Whether work waits for VMs.
+pub(crate) fn is_scarce(needs: &BTreeMap<Arc<str>, PoolNeed>) -> bool {
+    needs.values().any(|need| need.short(NeedKind::Now) > 0)
+}
+
+/// Takes an empty VM from the pool that can best spare one.
+pub(crate) fn give(
+    needs: &mut BTreeMap<Arc<str>, PoolNeed>,
+    to: &str,
+    kind: NeedKind,
+) -> Option<Arc<str>> {
+    let donor = needs
+        .iter()
+        .filter(|(pool, need)| &***pool != to && need.surplus(kind) > 0)
+        .filter(|(_, need)| !need.idle.is_empty())
+        .max_by_key(|(_, need)| need.surplus(kind))
+        .map(|(pool, _)| pool.clone())?;
+    let need = needs.get_mut(&donor)?;
+    need.usable -= 1;
+    Some(need.idle.remove(0).0)
+}
