--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use ibisweir::error::ResultCode;
-use ibisweir::jobs::metrics::JobMetrics;
+use ibisweir::jobs::metrics::{JobMetrics, count};
 use ibisweir::metrics::{EntryMetrics, set_pool};
 use ibisweir::settings::{SETTINGS, SettingKind};
 
@@ -86,10 +86,14 @@
     for family in [&metrics.in_flight, &metrics.waiting, &metrics.targets] {
         set_pool(family, "pool", 0);
     }
+    let jobs = JobMetrics::default();
+    for family in [&jobs.replies, &jobs.starts, &jobs.exits, &jobs.stops, &jobs.vm_calls] {
+        count(family, "reason");
+    }
     let coded: BTreeSet<String> = metrics
         .text()
         .lines()
-        .chain(JobMetrics::default().text().lines())
+        .chain(jobs.text().lines())
         .filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next())
         .map(str::to_owned)
         .collect();
