--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -42,8 +42,6 @@
 /// Wait for a record of the workers' stream in one read, and the pause after records.
 const WORKERS_WAIT: Duration = Duration::from_millis(700);
 const WORKERS_GAP: Duration = Duration::from_millis(120);
-/// Pause between two looks for a first configuration.
-const CONFIG_PAUSE: Duration = Duration::from_millis(50);
 /// Name of the leader's writer on the log; its epoch is the term.
 const WRITER: &str = "leader";
 
@@ -146,13 +144,7 @@
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
         let Some((tail, workers)) = self.first_workers().await else { return };
-        // The first configuration may come after the first leader.
-        let config = loop {
-            match self.node.config() {
-                Some(config) => break config,
-                None => sleep(CONFIG_PAUSE).await,
-            }
-        };
+        let Some(config) = self.node.config() else { return };
         let start = SchedulerStart {
             term: self.term,
             bounds: self.node.settings.bounds,
@@ -228,10 +220,7 @@
 
     /// Waits until the book has everything that leaders before us have written.
     async fn read_through(&self, end: u64) {
-        let mut tail = TailReader::new(LogTopic::Jobs);
-        if self.node.book_end() > 0 {
-            tail = TailReader::at(LogTopic::Jobs, self.node.book_end());
-        }
+        let mut tail = TailReader::at(LogTopic::Jobs, self.node.book_end());
         while self.node.book_end() < end {
             match tail.next(&self.parts.log, Duration::ZERO).await {
                 TailStep::Snapshot(records) | TailStep::Records(records) => {
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -41,22 +41,31 @@
     Failed,
 }
 
+/// Pages of a snapshot that have been read.
+#[derive(Debug, Default)]
+struct PartialSnapshot {
+    records: Vec<(u64, KeyedRecord)>,
+    end: Option<u64>,
+    after: Option<String>,
+}
+
 /// Reads one keyed stream from where it left off.
 #[derive(Debug)]
 pub struct TailReader {
     topic: LogTopic,
     position: Option<u64>,
+    partial: PartialSnapshot,
 }
 
 impl TailReader {
     /// A reader that begins with a snapshot.
     pub fn new(topic: LogTopic) -> TailReader {
-        TailReader { topic, position: None }
+        TailReader { topic, position: None, partial: PartialSnapshot::default() }
     }
 
     /// A reader that goes on from an offset.
     pub fn at(topic: LogTopic, position: u64) -> TailReader {
-        TailReader { topic, position: Some(position) }
+        TailReader { topic, position: Some(position), partial: PartialSnapshot::default() }
     }
 
     /// Everything before this offset was read.
@@ -80,25 +89,26 @@
         }
     }
 
+    /// Reads the pages that are missing. A page that fails is asked for again; those before it are
+    /// kept, or a slow link would never get to the last one.
     async fn snapshot<L: JobLog>(&mut self, log: &L) -> TailStep {
-        let mut records: Vec<(u64, KeyedRecord)> = Vec::new();
-        let mut end = None;
-        let mut after: Option<String> = None;
         loop {
+            let after = self.partial.after.clone();
             let Some(page) = log.newest(self.topic, after.as_deref()).await else {
                 return TailStep::Failed;
             };
             // Later pages may tell newer records; reading on from the first page's end repeats
             // some and misses none.
-            end.get_or_insert(page.end);
-            after = page.records.last().map(|(_, record)| record.key.clone());
-            records.extend(page.records);
-            if !page.has_more || after.is_none() {
+            self.partial.end.get_or_insert(page.end);
+            self.partial.after = page.records.last().map(|(_, record)| record.key.clone());
+            self.partial.records.extend(page.records);
+            if !page.has_more || self.partial.after.is_none() {
                 break;
             }
         }
-        self.position = end;
-        TailStep::Snapshot(records)
+        let whole = std::mem::take(&mut self.partial);
+        self.position = whole.end;
+        TailStep::Snapshot(whole.records)
     }
 }
 
@@ -116,7 +126,9 @@
     const NAME: &'static str = "job follower";
 
     async fn step(&mut self) -> Duration {
-        let records = match self.tail.next(&self.log, READ_WAIT).await {
+        let step = self.tail.next(&self.log, READ_WAIT).await;
+        let is_whole = matches!(step, TailStep::Snapshot(_));
+        let records = match step {
             TailStep::Snapshot(records) | TailStep::Records(records) => records,
             TailStep::Failed => return FAILED_PAUSE,
         };
@@ -124,6 +136,9 @@
         let is_empty = records.is_empty();
         fold_raw(&self.node, &records);
         self.node.set_book_end(self.tail.position());
+        if is_whole {
+            self.node.set_loaded();
+        }
         if is_empty {
             return Duration::ZERO;
         }
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -69,7 +69,7 @@
         let now = self.node.now();
         let is_closed = self.node.leader_is_closed();
         let claim_in = self.view.claim_in_ms(&self.own, is_closed, now);
-        if claim_in == Some(0) && !self.is_in_doubt {
+        if claim_in == Some(0) && !self.is_in_doubt && self.node.may_lead() {
             return self.claim().await;
         }
         let wait = claim_in.map_or(Duration::ZERO, |wait_ms| {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -42,6 +42,7 @@
     config: ArcSwapOption<SiteConfig>,
     book: Mutex<JobBook>,
     book_end: AtomicU64,
+    is_loaded: AtomicBool,
     waves: Mutex<BTreeMap<u64, MaintenanceWave>>,
     scheduler: Mutex<Option<Scheduler>>,
     leader: ArcSwapOption<SocketAddr>,
@@ -65,6 +66,7 @@
             config: ArcSwapOption::empty(),
             book: Mutex::new(JobBook::default()),
             book_end: AtomicU64::new(0),
+            is_loaded: AtomicBool::new(false),
             waves: Mutex::new(BTreeMap::new()),
             scheduler: Mutex::new(None),
             leader: ArcSwapOption::empty(),
@@ -126,6 +128,17 @@
         self.book_end.fetch_max(end, Ordering::AcqRel);
     }
 
+    /// The book holds the newest record of each key: this entry may lead.
+    pub fn set_loaded(&self) {
+        self.is_loaded.store(true, Ordering::Release);
+    }
+
+    /// Whether this entry could lead at once: one that must read the whole log first would keep the
+    /// leadership from those that need not.
+    pub fn may_lead(&self) -> bool {
+        self.is_loaded.load(Ordering::Acquire) && self.config().is_some()
+    }
+
     /// Offset up to which the book tells everything.
     pub fn book_end(&self) -> u64 {
         self.book_end.load(Ordering::Acquire)
--- /dev/null
+++ b/tests/follower.rs
@@ -0,0 +1,87 @@
+//! Reading a keyed stream whose history is short.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use ibisweir::jobs::follower::{TailReader, TailStep};
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::KeyedRecord;
+
+/// Keys in the log, ten to a page.
+const KEYS: usize = 35;
+const PAGE: usize = 10;
+
+/// A log with pages of newest records; every second page is not answered.
+#[derive(Clone, Default)]
+struct PagedLog {
+    asked: Arc<AtomicUsize>,
+    is_expired: bool,
+}
+
+fn key(position: usize) -> String {
+    format!("k{position:03}")
+}
+
+impl JobLog for PagedLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        match self.is_expired {
+            true => ReadOutcome::Expired { first: from + 100 },
+            false => ReadOutcome::Read(LogBatch { end: from, next: from, records: Vec::new() }),
+        }
+    }
+
+    async fn newest(&self, _: LogTopic, after: Option<&str>) -> Option<NewestPage> {
+        if self.asked.fetch_add(1, Ordering::Relaxed) % 2 == 1 {
+            return None;
+        }
+        let first = (0..KEYS).find(|n| after.is_none_or(|after| key(*n).as_str() > after));
+        let positions = first.unwrap_or(KEYS)..KEYS.min(first.unwrap_or(KEYS) + PAGE);
+        let has_more = positions.end < KEYS;
+        let record = |n: usize| (n as u64, KeyedRecord { key: key(n), value: vec![1] });
+        Some(NewestPage { records: positions.map(record).collect(), has_more, end: 500 })
+    }
+}
+
+/// An entry restarts behind a slow link: a page of the log's newest records is not answered in time,
+/// again and again. It goes on with that page; begun anew each time, it would never know the jobs,
+/// and a leader among such entries would renew its leadership and schedule nothing.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_goes_on_with_the_page_that_failed() {
+    let log = PagedLog::default();
+    let mut tail = TailReader::new(LogTopic::Jobs);
+    let mut failures = 0;
+    loop {
+        match tail.next(&log, Duration::ZERO).await {
+            TailStep::Snapshot(records) => {
+                assert_eq!(records.len(), KEYS);
+                break;
+            }
+            TailStep::Failed => failures += 1,
+            TailStep::Records(_) => panic!("nothing was read yet"),
+        }
+        assert!(failures < 10, "it begins anew each time");
+    }
+    assert_eq!(tail.position(), 500);
+}
+
+/// The log has forgotten what came after the last read. The reader starts from the newest record of
+/// each key, and nothing is missed.
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_fell_behind_starts_from_the_newest_records() {
+    let log = PagedLog { is_expired: true, ..PagedLog::default() };
+    let mut tail = TailReader::at(LogTopic::Jobs, 7);
+    let mut read = None;
+    while read.is_none() {
+        if let TailStep::Snapshot(records) = tail.next(&log, Duration::ZERO).await {
+            read = Some(records.len());
+        }
+    }
+    assert_eq!(read, Some(KEYS));
+}
