--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -16,6 +16,20 @@
 /// The same where an entry has found the holder's address closed: its process has ended, and only a
 /// renewal or two that are under way are waited for.
 pub const CLOSED_SILENCE_MS: u64 = 800;
+/// Processor, in thousandths of a core, and link, in Mbit/s, from which a VM is fit to lead at any size:
+/// placing the jobs of 350 workers takes a tenth of a core, and its log traffic a few Mbit/s.
+const FIT_PROCESSOR: u64 = 250;
+const FIT_LINK: u64 = 40;
+/// Time by which a VM that is less fit claims later, for each of the two, in milliseconds: a fit one is
+/// then first, and where there is none the leadership still does not stay free.
+const UNFIT_DELAY_MS: u64 = 500;
+
+/// Time by which a VM with this processor and link holds its claims back, in milliseconds.
+pub fn claim_delay_ms(processor: u64, link: u64) -> u64 {
+    let weak = u64::from(processor < FIT_PROCESSOR) + u64::from(link < FIT_LINK);
+    weak * UNFIT_DELAY_MS
+}
+
 /// Time between two renewals, in milliseconds.
 pub const RENEWAL_MS: u64 = 450;
 
@@ -50,6 +64,8 @@
     pub name: Arc<str>,
     /// Drawn at its start.
     pub life: u64,
+    /// Time by which it holds its claims back, in milliseconds.
+    pub delay_ms: u64,
 }
 
 /// What a process knows of the stream.
@@ -112,16 +128,21 @@
     /// the leader before.
     pub fn claim_in_ms(&self, own: &HolderId, is_closed: bool, now: u64) -> Option<u64> {
         let contact = self.contact_ms?;
-        let Some(seen) = self.seen_ms else { return Some(0) };
+        let Some(seen) = self.seen_ms else {
+            return Some((contact + own.delay_ms).saturating_sub(now));
+        };
         // An earlier life of this process: it has ended, or this one would not run.
         let was_own =
             self.holder.as_ref().is_some_and(|(name, life)| *name == own.name && *life != own.life);
-        if self.has_resigned || was_own {
+        if was_own {
             return Some(0);
         }
         let quiet_since = seen.max(contact);
+        if self.has_resigned {
+            return Some((quiet_since + own.delay_ms).saturating_sub(now));
+        }
         let silence = if is_closed { CLOSED_SILENCE_MS } else { SILENCE_MS };
-        Some((quiet_since + silence).saturating_sub(now))
+        Some((quiet_since + silence + own.delay_ms).saturating_sub(now))
     }
 
     /// Whether this process made the newest claim.
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -35,6 +35,9 @@
 const TICK_GAP: Duration = Duration::from_millis(6);
 /// Time for a start or stop to be answered.
 const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
+/// Pause between two appends: exits of a burst come a few milliseconds apart, and each append is paid
+/// for. Short against the shortest task.
+const COMMIT_GAP: Duration = Duration::from_millis(8);
 /// Time for an append to be answered before it is repeated.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
 /// Pause before an append is repeated.
@@ -526,6 +529,7 @@
                 self.node.wake.notify_one();
                 return;
             }
+            sleep(COMMIT_GAP).await;
         }
     }
 
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::control::{LoopSupervisor, SupervisedLoop, SupervisorCall};
-use crate::decide::leadership::{HolderId, LeadershipView};
+use crate::decide::leadership::{HolderId, LeadershipView, claim_delay_ms};
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::jobs::conductor::ConductorParts;
 use crate::jobs::desk::JobDesk;
@@ -151,6 +151,11 @@
     }
 }
 
+fn holder(settings: &SiteSettings, life: u64) -> HolderId {
+    let delay_ms = claim_delay_ms(settings.processor, settings.link);
+    HolderId { name: settings.node.clone(), life, delay_ms }
+}
+
 async fn bind(address: SocketAddr) -> CodeResult<TcpListener> {
     listener::bind(address).await
 }
@@ -225,7 +230,7 @@
         SupervisedLoop::new(move || LeadershipLoop {
             node: leadership.0.clone(),
             parts: leadership.1.clone(),
-            own: HolderId { name: leadership.0.settings.node.clone(), life },
+            own: holder(&leadership.0.settings, life),
             view: LeadershipView::default(),
             conductor: None,
             is_in_doubt: false,
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -19,11 +19,10 @@
 const READ_WAIT: Duration = Duration::from_millis(700);
 /// Pause after a read that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
-/// Least time between two reads of the job log where nothing depends on them at once: each read is
-/// paid for.
-const FOLLOW_GAP: Duration = Duration::from_millis(120);
-/// The same where the leader runs: a job should start soon.
-const LEADER_GAP: Duration = Duration::from_millis(12);
+/// Least time between two reads of the job log: each read is paid for, a caller looks at its job a few
+/// times in its life, and the leader learns of jobs by the relay. Only what an entry has appended
+/// itself, since it could not reach the leader, waits for this.
+const FOLLOW_GAP: Duration = Duration::from_millis(180);
 /// Least time between two reads of what operators wrote.
 const OPERATOR_GAP: Duration = Duration::from_millis(50);
 
@@ -139,13 +138,7 @@
         if is_whole {
             self.node.set_loaded();
         }
-        if is_empty {
-            return Duration::ZERO;
-        }
-        match self.node.with_scheduler(|_| ()) {
-            Some(()) => LEADER_GAP,
-            None => FOLLOW_GAP,
-        }
+        if is_empty { Duration::ZERO } else { FOLLOW_GAP }
     }
 }
 
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -242,6 +242,10 @@
     pub ready: SocketAddr,
     /// Address for other entries; metrics are served there too.
     pub peer: SocketAddr,
+    /// Processor of the VM, in thousandths of a core.
+    pub processor: u64,
+    /// Link of the VM, in Mbit/s.
+    pub link: u64,
     /// The log service.
     pub log: SocketAddr,
     /// The VM service.
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -4,10 +4,11 @@
 
 use ibisweir::decide::leadership::{
     CLOSED_SILENCE_MS, HolderId, LeadershipAct, LeadershipRecord, LeadershipView, SILENCE_MS,
+    claim_delay_ms,
 };
 
 fn holder(name: &str, life: u64) -> HolderId {
-    HolderId { name: name.into(), life }
+    HolderId { name: name.into(), life, delay_ms: 0 }
 }
 
 fn record(act: LeadershipAct, name: &str, life: u64) -> LeadershipRecord {
@@ -73,6 +74,19 @@
     assert!(!view.is_held_by(&holder("a", 1)));
 }
 
+/// The leader dies on a site whose VMs differ. One with a tenth of a core would be overrun by the jobs
+/// of 350 workers: those that are fit claim first, and it only where none of them does.
+#[test]
+fn a_weak_vm_claims_after_the_fit_ones() {
+    assert_eq!(claim_delay_ms(250, 1_000), 0);
+    let delay_ms = claim_delay_ms(120, 10);
+    assert!(delay_ms > claim_delay_ms(500, 10) && claim_delay_ms(500, 10) > 0);
+    let view = led_by_a();
+    let weak = HolderId { delay_ms, ..holder("b", 2) };
+    assert_eq!(view.claim_in_ms(&weak, false, 1_000), Some(SILENCE_MS + delay_ms));
+    assert_eq!(view.claim_in_ms(&weak, false, 1_000 + SILENCE_MS + delay_ms), Some(0));
+}
+
 /// Two processes claim at once; the log takes the first, and the second reads who won.
 #[test]
 fn the_loser_of_a_race_learns_the_winner_by_reading_on() {
