--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -363,6 +363,9 @@
                 let run = self.clone();
                 tasks.spawn(async move {
                     let grant = run.parts.permits.ask(&step, &workers).await;
+                    let allowed = grant.as_ref().map(|grant| grant.allowed.len());
+                    info!(run.node.logger, "placement permits"; "step" => %step,
+                        "asked" => workers.len(), "allowed" => allowed);
                     let now = run.node.now();
                     run.node.with_scheduler(|scheduler| scheduler.take_permits(step, grant, now));
                     run.node.wake.notify_one();
@@ -490,6 +493,8 @@
         let asked_ms = self.node.now();
         let Some(vms) = self.parts.vms.list().await else {
             count(&self.node.metrics.vm_calls, "list_failed");
+            warn!(self.node.logger, "the list of VMs can't be had";
+                "took_ms" => self.node.now().saturating_sub(asked_ms));
             return;
         };
         let now = self.node.now();
@@ -512,6 +517,8 @@
             if matches!(outcome, AppendOutcome::Done { .. }) {
                 return;
             }
+            warn!(self.node.logger, "a wave's status is not on the log yet";
+                "wave" => number, "outcome" => ?outcome);
             sleep(REPEAT_PAUSE).await;
         }
     }
