A worker that says it has no room is left alone for a moment; three safeguards get tests of their own

Cause: with the safeguards taken out one by one, four were not noticed by any test. Writing the test for a start in doubt showed that a task whose start was refused for want of room went to the same worker again at once, and again. Ruled out: the stop in doubt itself (it was sent, and settled the run). Change: such a worker gets no start for 0.3 s. Tests for a start in doubt, for leases of a worker that does not answer, for a VM that was emptied and waits for its turn; the test of acknowledgements keeps its worker renewed (stricter: it passed without the safeguard before).

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -17,6 +17,8 @@
 /// Wait before a task that a worker refused is placed again, in milliseconds: by then the worker's
 /// next report has corrected the book.
 const REFUSED_PAUSE_MS: u64 = 60;
+/// Time for which a worker that says that it has no room gets no start, in milliseconds: a report or two.
+const FULL_PAUSE_MS: u64 = 300;
 /// Wait before a malformed task is tried again, in milliseconds.
 const MALFORMED_PAUSE_MS: u64 = 2_000;
 /// Time after which a run without progress is taken for stalled, in milliseconds, beside its
@@ -302,7 +304,13 @@
                     worker.judge(false, now);
                 }
             }
-            CommandRefusal::NoRoom | CommandRefusal::Malformed => {}
+            // The books are wrong about it, and each further try would be refused too.
+            CommandRefusal::NoRoom => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.full_until_ms = now + FULL_PAUSE_MS;
+                }
+            }
+            CommandRefusal::Malformed => {}
         }
         // An earlier try without an answer may be carried out yet, when there is room again: the
         // task would run twice. A stop makes the worker refuse that run for good.
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -65,6 +65,8 @@
     pub report_ms: u64,
     /// Earliest time of the next renewal, in milliseconds.
     pub renew_ms: u64,
+    /// Until when it gets no start since it said that it has no room, in milliseconds.
+    pub full_until_ms: u64,
     /// Kept free for maintenance or a move.
     pub is_reserved: bool,
     /// Since when nothing is booked on it, in milliseconds.
@@ -96,6 +98,7 @@
             exits_told: 0,
             report_ms: 0,
             renew_ms: 0,
+            full_until_ms: 0,
             is_reserved: false,
             idle_since_ms: now,
             runs: BTreeMap::new(),
@@ -165,6 +168,7 @@
             && !self.entry.is_draining
             && !self.is_reserved
             && now >= self.suspended_until_ms
+            && now >= self.full_until_ms
             && (!self.is_on_trial || self.runs.is_empty())
     }
 
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -45,6 +45,8 @@
 fn an_exit_is_acknowledged_only_once_the_log_has_it() {
     let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
     let id = stage.submit(1, job(vec![step(1)]));
+    // Another job keeps the worker's leases in use, so that it is renewed all the while.
+    stage.submit(2, job(vec![step(1)]));
     stage.log_is_up = false;
     stage.end(task(id, 0, 0), ExitKind::Done);
     stage.advance(2_000);
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -90,6 +90,24 @@
     assert_eq!(stage.told, vec![(1, false)]);
 }
 
+/// One VM of a wave may be down at a time, and one is. Another has just been emptied of its services:
+/// it waits until the first is back.
+#[test]
+fn a_vm_that_was_emptied_waits_for_its_turn() {
+    let pool = workers(4);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    let id = stage.submit(1, job(vec![service_step(1)]));
+    stage.progress(task(id, 0, 0), 100, 100);
+    let host = stage.place(task(id, 0, 0));
+    let host = pool.iter().find(|worker| worker.id == host).expect("known").clone();
+    let other = pool.iter().find(|worker| worker.id != host.id).expect("known").clone();
+    stage.scheduler.take_wave(wave(&[host, other], 1), BTreeSet::new(), stage.now);
+    stage.advance(2_000);
+    assert_ne!(stage.starts(task(id, 0, 0)), 1, "the service was moved");
+    assert_eq!(maintained(&stage).len(), 1);
+}
+
 /// A VM that is due runs tasks of a step that may miss one. They are moved one at a time, each only
 /// when the one before is at work again: callers see at most one away.
 #[test]
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -101,3 +101,42 @@
     assert_eq!(stage.starts(task(id, 0, 0)), 1);
     assert_eq!(stage.state(id), Some(JobState::Cancelled));
 }
+
+/// A start has no answer, and its repeat is refused for want of room. The first may still be carried
+/// out, when there is room again: before the task goes to another worker, the first is made to refuse
+/// that run for good. The caller's task must not run in two places.
+#[test]
+fn a_start_in_doubt_is_ruled_out_before_the_task_goes_elsewhere() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    for worker in stage.workers.values_mut() {
+        worker.is_late = true;
+        worker.is_stale = true;
+    }
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let first = stage.workers.iter().find(|(_, worker)| !worker.late.is_empty());
+    let first = first.map(|(name, _)| name.clone()).expect("a start is under way");
+    for worker in stage.workers.values_mut() {
+        worker.is_late = false;
+        worker.is_stale = false;
+    }
+    stage.workers.get_mut(&first).expect("known").is_full = true;
+    stage.advance(1_500);
+    assert_eq!(stage.alive(key), 1, "it runs elsewhere");
+    stage.deliver_late(&first);
+    assert_eq!(stage.alive(key), 1);
+}
+
+/// A worker's answers are lost, and what is sent to it arrives. Renewals that prolonged its leases
+/// would do so for ever, and its tasks could never be started elsewhere.
+#[test]
+fn leases_of_a_worker_that_does_not_answer_are_not_prolonged() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    stage.submit(1, job(vec![step(1)]));
+    stage.advance(500);
+    stage.workers.get_mut("w1").expect("a worker").is_silent = true;
+    stage.advance(1_000);
+    let prolonged = stage.leases.len();
+    stage.advance(2_000);
+    assert_eq!(stage.leases.len(), prolonged);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -134,6 +134,8 @@
     pub is_stale: bool,
     /// Whether starts go unanswered, to be carried out when the test says so.
     pub is_late: bool,
+    /// Whether it says that it has no room for any start.
+    pub is_full: bool,
     /// Starts that went unanswered.
     pub late: Vec<StartCall>,
     /// End of the leases of all that runs.
@@ -423,6 +425,9 @@
             worker.late.push(call.clone());
             return CommandOutcome::Unknown;
         }
+        if worker.is_full {
+            return CommandOutcome::Refused(CommandRefusal::NoRoom, Some(self.now));
+        }
         if worker.refused.contains(&(call.task, call.run)) {
             return CommandOutcome::Refused(CommandRefusal::OldRun, Some(self.now));
         }
