--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -94,6 +94,12 @@
             spec,
         };
         let record = JobRecord::Submitted(job, Arc::new(submission));
+        let bytes = record.encode().map_or(usize::MAX, |keyed| keyed.value.len());
+        if bytes > self.node.settings.record_bytes_max {
+            info!(logger, "job refused"; "job" => %job, "bytes" => bytes,
+                "code" => ResultCode::BodyTooLarge.number());
+            return DeskReply::Refused(ResultCode::BodyTooLarge, None);
+        }
         let begun = Instant::now();
         let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
         note(&logger, "submission", job, outcome, begun);
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -7,8 +7,12 @@
 
 /// Most steps of a job; one more is refused as malformed.
 pub const STEPS_MAX: usize = 256;
-/// Most tasks of one step.
-pub const TASKS_MAX: u32 = 10_000;
+/// Most tasks that a job may have under way, over all its steps and occurrences that have begun. The
+/// progress of each takes up to 95 bytes of one record, and the log takes records of 262,144 bytes:
+/// one that did not fit would be refused for ever, and no commit would come after it.
+pub const TASKS_MAX: usize = 2_000;
+/// Longest checkpoint that is kept, in bytes; those that workers give have 16.
+pub const CHECKPOINT_BYTES_MAX: usize = 64;
 /// Longest text that a job hands to its tasks, in bytes.
 pub const PAYLOAD_BYTES_MAX: usize = 4_000;
 /// Times that a scheduled job may run.
@@ -245,11 +249,11 @@
 pub enum SpecFault {
     /// No step, or too many.
     StepCount,
-    /// A step with no task, or too many.
+    /// A step with no task, or too many tasks in all.
     TaskCount,
     /// The text for the tasks is too long.
     Payload,
-    /// A step waits for itself or a later one.
+    /// A step waits for itself or a later one, or for one twice.
     StepOrder,
     /// The schedule has no occurrence, too many, or no interval.
     Schedule,
@@ -264,11 +268,12 @@
         if self.payload.len() > PAYLOAD_BYTES_MAX {
             return Err(SpecFault::Payload);
         }
+        if self.tasks() > TASKS_MAX || self.steps.iter().any(|step| step.count == 0) {
+            return Err(SpecFault::TaskCount);
+        }
         for (position, step) in self.steps.iter().enumerate() {
-            if step.count == 0 || step.count > TASKS_MAX {
-                return Err(SpecFault::TaskCount);
-            }
-            if step.after.iter().any(|earlier| usize::from(*earlier) >= position) {
+            let is_early = |earlier: &u16| usize::from(*earlier) < position;
+            if step.after.len() > position || !step.after.iter().all(is_early) {
                 return Err(SpecFault::StepOrder);
             }
         }
@@ -282,6 +287,12 @@
         }
     }
 
+    /// Tasks of one occurrence.
+    pub fn tasks(&self) -> usize {
+        let count = |step: &StepSpec| usize::try_from(step.count).unwrap_or(usize::MAX);
+        self.steps.iter().map(count).fold(0, usize::saturating_add)
+    }
+
     /// Times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -31,8 +31,8 @@
 const RELAY_PATH: &str = "/relay";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
-/// Largest batch, in bytes: 128 jobs of the largest size that callers may send.
-const BATCH_BYTES_MAX: usize = 40 << 20;
+/// Largest batch, in bytes: what an entry puts into one, and its last record.
+const BATCH_BYTES_MAX: usize = 1 << 20;
 /// Time for the leader to store a batch: two appends of a slow log.
 const STORE_PATIENCE: Duration = Duration::from_millis(900);
 /// Time for which a leader that did not answer is passed over, in milliseconds: about the time until
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -1,6 +1,5 @@
 //! What the operators and the platform say of a site: queues, pools, workers, VMs, maintenance.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -195,36 +194,14 @@
     pub lease_max_ms: u64,
     /// Longest time for a task to stop, in milliseconds.
     pub stop_ms: u64,
-    /// Time within which a cancelled job must be gone, in milliseconds.
-    pub cancel_ms: u64,
-    /// Time within which every entry must know an accepted job, in milliseconds.
-    pub visible_ms: u64,
     /// Time for which a job's last state can be asked for, in milliseconds.
     pub status_ms: u64,
-    /// Longest time that a leaving worker may still get tasks, in milliseconds.
-    pub drain_ms: u64,
     /// Time between a stop signal and the kill, in milliseconds.
     pub grace_ms: u64,
     /// How many times as long a task takes away from its data or split over racks.
     pub remote_factor: f64,
-    /// Time that a VM takes to change pools, in milliseconds.
-    pub move_ms: u64,
     /// Time that a VM takes to be maintained, in milliseconds.
     pub maintain_ms: u64,
-    /// Time between two holders' orders to the same VM, in milliseconds.
-    pub holder_ms: u64,
-    /// Time for a throttle to take effect, in milliseconds.
-    pub throttle_ms: u64,
-    /// Longest time that a service task may be over its target for best-effort work, in milliseconds.
-    pub harm_ms: u64,
-    /// Time that a service task may be away before it counts as away, in milliseconds.
-    pub notice_ms: u64,
-    /// Work between two checkpoints, in milliseconds.
-    pub checkpoint_ms: u64,
-    /// Time to resume from a checkpoint, in milliseconds.
-    pub restore_ms: u64,
-    /// Time that a gang's members wait for each other, in milliseconds.
-    pub gang_wait_ms: u64,
 }
 
 /// Where a process runs and what it talks to.
@@ -234,8 +211,6 @@
     pub node: Arc<str>,
     /// Its data centre.
     pub centre: Arc<str>,
-    /// Data centres and their regions.
-    pub regions: HashMap<String, String>,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for the balancer's readiness probe.
@@ -252,12 +227,8 @@
     pub vms: Option<SocketAddr>,
     /// The placement policy service.
     pub permits: Option<SocketAddr>,
-    /// Time between two reports of a worker, in milliseconds.
-    pub heartbeat_ms: u64,
-    /// Largest append, in bytes.
-    pub append_bytes_max: usize,
-    /// Commands to the VM service per second, over all entries.
-    pub vm_commands_per_s: f64,
+    /// Largest submission that fits into one record of the log, in bytes.
+    pub record_bytes_max: usize,
     /// Promised times.
     pub bounds: SiteBounds,
 }
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -22,6 +22,9 @@
 
 /// Records in one append at most.
 const BATCH_MAX: usize = 128;
+/// Bytes from which an append takes no more records; with the last one it stays under the 2 MB that the
+/// platform takes, also together with what the leader adds.
+const BATCH_BYTES_MAX: usize = 256 << 10;
 /// Submissions that may wait; beyond, callers are refused at once.
 const QUEUE_MAX: usize = 2_048;
 /// Time for an append to be answered before it is repeated: a slow log takes 300 ms.
@@ -95,9 +98,11 @@
 impl<L: JobLog> Submitter<L> {
     async fn run(mut self) {
         while let Some(first) = self.requests.recv().await {
+            let mut bytes = first.keyed.value.len();
             let mut batch = vec![first];
-            while batch.len() < BATCH_MAX {
+            while batch.len() < BATCH_MAX && bytes < BATCH_BYTES_MAX {
                 let Ok(next) = self.requests.try_recv() else { break };
+                bytes += next.keyed.value.len();
                 batch.push(next);
             }
             let records: Vec<JobRecord> =
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -1,6 +1,6 @@
 //! What waits for the log: runs that may start and exits that may be forgotten once it has them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::jobs::model::{JobId, TaskKey};
@@ -8,8 +8,11 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::job::RunPhase;
 
-/// Most bytes of one commit: well under the platform's least limit for an append.
+/// Bytes from which a commit takes no more: with the last record, and a last batch of another entry, it
+/// stays under the 2 MB that the platform takes in one append.
 const COMMIT_BYTES_MAX: usize = 512 << 10;
+/// Jobs dropped in one commit, of three small records each.
+const DROPS_MAX: usize = 500;
 
 /// Records for one append, and what it releases.
 #[derive(Clone, Debug, Default)]
@@ -32,7 +35,7 @@
     exits: BTreeMap<Arc<str>, u64>,
     drops: Vec<JobId>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
-    relayed: Vec<(u64, Vec<JobRecord>)>,
+    relayed: VecDeque<(u64, Vec<JobRecord>)>,
 }
 
 impl CommitQueue {
@@ -79,7 +82,7 @@
         for record in &records {
             self.take_record(record, now);
         }
-        self.commits.relayed.push((token, records));
+        self.commits.relayed.push_back((token, records));
     }
 
     /// The next append; nothing if the log has everything. The caller appends it until it is done,
@@ -90,22 +93,28 @@
         }
         let mut batch = CommitBatch::default();
         let mut bytes = 0;
-        // A submission stands before the progress of its job.
-        for (token, records) in self.commits.relayed.drain(..) {
+        // A submission stands before the progress of its job, and no task may start before the log has
+        // the job: while submissions are left, nothing else goes out.
+        while bytes < COMMIT_BYTES_MAX
+            && let Some((token, records)) = self.commits.relayed.pop_front()
+        {
             batch.relayed.push(token);
             for record in records {
                 bytes += push(&mut batch, record);
             }
         }
-        while let Some(id) = self.commits.jobs.pop_first() {
+        if !self.commits.relayed.is_empty() {
+            return Some(batch);
+        }
+        while bytes < COMMIT_BYTES_MAX
+            && let Some(id) = self.commits.jobs.pop_first()
+        {
             let Some(job) = self.jobs.get(&id) else { continue };
             let record = JobRecord::Progress(id, Arc::new(job.progress(self.term)));
             bytes += push(&mut batch, record);
-            if bytes >= COMMIT_BYTES_MAX {
-                break;
-            }
         }
-        for job in self.commits.drops.drain(..) {
+        let dropped = self.commits.drops.len().min(DROPS_MAX);
+        for job in self.commits.drops.drain(..dropped) {
             batch.records.extend(JobRecord::drops(job));
             batch.folded.push(JobRecord::Dropped(job));
         }
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::jobs::model::{ExitKind, JobState, TaskKey};
+use crate::jobs::model::{CHECKPOINT_BYTES_MAX, ExitKind, JobState, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, RenewCall, RunningTask, TaskExit, WorkerReport, WorkerTarget,
 };
@@ -177,7 +177,7 @@
             .iter()
             .find(|live| live.run == exit.run && live.worker == *id)
             .map(|live| (live.phase, live.begun_ms));
-        if !exit.checkpoint.is_empty() && spec.is_resumable {
+        if is_kept(&exit.checkpoint) && spec.is_resumable {
             task.checkpoint.clone_from(&exit.checkpoint);
         }
         if exit.kind == ExitKind::Done {
@@ -356,7 +356,7 @@
         let is_over = job.state.is_final();
         let Some(spec) = job.spec(key).cloned() else { return };
         let Some(task) = job.task_mut(key) else { return };
-        if spec.is_resumable && !told.checkpoint.is_empty() {
+        if spec.is_resumable && is_kept(&told.checkpoint) {
             task.checkpoint.clone_from(&told.checkpoint);
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
@@ -422,6 +422,11 @@
     }
 }
 
+/// Whether there is a checkpoint, and one that the log can hold beside all others.
+fn is_kept(checkpoint: &str) -> bool {
+    !checkpoint.is_empty() && checkpoint.len() <= CHECKPOINT_BYTES_MAX
+}
+
 /// The word for an exit in logs and metrics.
 pub fn exit_word(kind: ExitKind) -> &'static str {
     match kind {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::jobs::book::BookedJob;
-use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TaskKey};
+use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
 use crate::jobs::record::{JobProgress, TaskProgress};
 
 /// Where a run is in its life.
@@ -249,11 +249,14 @@
         self.occurrences.entry(number).or_insert_with(|| OccurrenceRun::new(submission))
     }
 
-    /// Begins the occurrences that are due; returns whether there were any.
+    /// Begins the occurrences that are due, as far as the bound on tasks allows; returns whether
+    /// there were any. Those that come faster than they are done wait for the ones before.
     pub fn begin_due(&mut self, wall_ms: u64) -> bool {
         let mut has_begun = false;
         let submission = self.submission.clone();
+        let tasks = submission.spec.tasks();
         while self.next_occurrence < submission.spec.occurrences()
+            && (self.occurrences.len() + 1).saturating_mul(tasks) <= TASKS_MAX
             && submission.spec.due_ms(self.next_occurrence) <= wall_ms
         {
             self.occurrence(self.next_occurrence, &submission);
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -36,7 +36,7 @@
     assert_eq!(settings.peer.to_string(), "10.1.0.9:7060");
     assert_eq!(settings.bounds.lease_max_ms, 6_000);
     assert_eq!(settings.bounds.status_ms, 120_000);
-    assert_eq!(settings.bounds.move_ms, 1_500);
+    assert_eq!(settings.bounds.grace_ms, 6_000);
 }
 
 /// Workers that fetch their commands with their heartbeats are not supported. A process that started
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use ibisweir::jobs::model::{ExitKind, JobState};
+use ibisweir::jobs::model::{ExitKind, JobSpec, JobState};
 use ibisweir::jobs::record::JobRecord;
 use support::stage::{Stage, config, job, job_id, step, submission, task, worker};
 
@@ -160,3 +160,38 @@
     stage.advance(5_000);
     assert_eq!(stage.state(id), Some(JobState::Cancelled));
 }
+
+/// Many large jobs come at once. One append of them all would be over the log's limit, refused again
+/// and again, and nothing would be committed any more. They go out in parts, and no task starts
+/// before its own job is on the log.
+#[test]
+fn a_flood_of_large_submissions_is_appended_in_parts() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let payload = "x".repeat(4_000);
+    for token in 0..12 {
+        let records = (0..30)
+            .map(|n| {
+                let spec = JobSpec { payload: payload.clone(), ..job(vec![step(1)]) };
+                JobRecord::Submitted(job_id(token * 100 + n), Arc::new(submission(spec)))
+            })
+            .collect();
+        stage.scheduler.relay(token, records, stage.now);
+    }
+    stage.scheduler.tick(stage.now, 0);
+    let mut relayed = 0;
+    let mut submitted = std::collections::BTreeSet::new();
+    while let Some(batch) = stage.scheduler.take_commit() {
+        let bytes: usize = batch.records.iter().map(|record| record.value.len()).sum();
+        assert!(bytes < 1 << 20, "{bytes} bytes in one append");
+        relayed += batch.relayed.len();
+        for record in &batch.folded {
+            match record {
+                JobRecord::Submitted(id, _) => drop(submitted.insert(*id)),
+                JobRecord::Progress(id, _) => assert!(submitted.contains(id), "{id} too early"),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(relayed, 12);
+    assert_eq!(submitted.len(), 360);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -6,7 +6,7 @@
 
 use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::model::{
-    ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec, TaskKey,
+    ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepKey, StepSpec, TaskKey,
 };
 use ibisweir::jobs::ports::{
     CommandOutcome, CommandRefusal, RenewCall, RunCall, RunningTask, StartCall, TaskExit,
@@ -31,21 +31,10 @@
     SiteBounds {
         lease_max_ms: 6_000,
         stop_ms: 200,
-        cancel_ms: 3_000,
-        visible_ms: 3_000,
         status_ms: 120_000,
-        drain_ms: 2_000,
         grace_ms: 6_000,
         remote_factor: 3.0,
-        move_ms: 1_500,
         maintain_ms: 2_000,
-        holder_ms: 3_000,
-        throttle_ms: 100,
-        harm_ms: 4_000,
-        notice_ms: 4_500,
-        checkpoint_ms: 500,
-        restore_ms: 600,
-        gang_wait_ms: 3_000,
     }
 }
 
@@ -163,6 +152,12 @@
     pub vm_commands: Vec<VmCommand>,
     /// Waves told to operators.
     pub told: Vec<(u64, bool)>,
+    /// Steps and workers for which permits were asked.
+    pub permits_asked: Vec<(StepKey, Vec<Arc<str>>)>,
+    /// Permits that starts carried.
+    pub permits_used: Vec<Option<Arc<str>>>,
+    /// Gauges that workers report.
+    pub gauges: BTreeMap<TaskKey, u64>,
     /// Ends of leases that renewals asked for.
     pub leases: Vec<u64>,
     /// Throttles sent.
@@ -182,7 +177,8 @@
 
 /// Start of the stage's time: a new leader with no predecessor needs no bound.
 pub const START_MS: u64 = 100_000;
-const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
+/// Wall clock at the stage's time 0, in milliseconds since the epoch.
+pub const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
 impl Stage {
     /// A leader of term 1 with these workers, all under its token.
@@ -196,6 +192,9 @@
             started_late: BTreeSet::new(),
             vm_commands: Vec::new(),
             told: Vec::new(),
+            permits_asked: Vec::new(),
+            permits_used: Vec::new(),
+            gauges: BTreeMap::new(),
             leases: Vec::new(),
             throttles: Vec::new(),
             lane_is_slow: false,
@@ -374,13 +373,15 @@
                 self.vm_commands.push(command.clone());
                 self.scheduler.vm_commanded(&command, self.vm_outcome, self.now);
             }
+            SchedulerAction::AskPermits(step, workers) => {
+                self.permits_asked.push((step, workers));
+            }
             SchedulerAction::TellWave(number, is_completed) => {
                 self.told.push((number, is_completed));
             }
             SchedulerAction::Watch(_)
             | SchedulerAction::Wake(_)
             | SchedulerAction::ListVms
-            | SchedulerAction::AskPermits(..)
             | SchedulerAction::Note(_) => return false,
         }
         true
@@ -397,6 +398,7 @@
     fn send(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
         match self.scheduler.command(&task, run, self.now) {
             Some(RunCommand::Start(call)) => {
+                self.permits_used.push(call.permit.clone());
                 let outcome = self.start(id, &call);
                 self.scheduler.started(id, &task, run, &outcome, self.now);
             }
@@ -474,7 +476,7 @@
             CommandOutcome::Done(WorkerReport { clock_ms: self.now, ..WorkerReport::default() })
         } else {
             worker.exits.retain(|exit| exit.number > call.exits_through);
-            CommandOutcome::Done(worker.report(self.now))
+            CommandOutcome::Done(worker.report(self.now, &self.gauges))
         };
         let sent_ms = if worker.is_stale { START_MS } else { self.now };
         self.scheduler.renewed(id, call, outcome, sent_ms, self.now);
@@ -523,13 +525,13 @@
         self.exits.push(TaskExit { number, task, run, kind, checkpoint: String::new() });
     }
 
-    fn report(&self, now: u64) -> WorkerReport {
+    fn report(&self, now: u64, gauges: &BTreeMap<TaskKey, u64>) -> WorkerReport {
         let running = self.running.iter().map(|((task, run), percent)| RunningTask {
             task: *task,
             run: *run,
             checkpoint: String::new(),
             percent: *percent,
-            gauge: None,
+            gauge: gauges.get(task).copied(),
         });
         WorkerReport { clock_ms: now, running: running.collect(), exits: self.exits.clone() }
     }
