--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -94,7 +94,7 @@
         let mut batch = CommitBatch::default();
         let mut bytes = 0;
         // A submission stands before the progress of its job, and no task may start before the log has
-        // the job: while submissions are left, nothing else goes out.
+        // the job: where submissions fill the append, no progress goes out with them.
         while bytes < COMMIT_BYTES_MAX
             && let Some((token, records)) = self.commits.relayed.pop_front()
         {
@@ -103,9 +103,6 @@
                 bytes += push(&mut batch, record);
             }
         }
-        if !self.commits.relayed.is_empty() {
-            return Some(batch);
-        }
         while bytes < COMMIT_BYTES_MAX
             && let Some(id) = self.commits.jobs.pop_first()
         {
--- /dev/null
+++ b/tests/platform_calls.rs
@@ -0,0 +1,149 @@
+//! What calls to the platform carry on the wire: the guards that other parts rely on.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ibisweir::jobs::model::{JobId, TaskKey};
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, CommandOutcome, CommandRefusal, JobLog, LogTopic, RenewCall,
+    RunCall, VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
+};
+use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::platform_adapter::{log::PlatformLog, vm::PlatformVms, worker::PlatformWorkers};
+use ibisweir::transport::HttpTransport;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Answers one request with `status` and `body`; gives back what it was sent, in lower case.
+async fn answer_once(status: &str, body: &str) -> (SocketAddr, JoinHandle<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let answer = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let served = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        let mut seen = Vec::new();
+        // The head tells how long the body is.
+        loop {
+            let mut chunk = [0; 4_096];
+            let read = stream.read(&mut chunk).await.expect("readable");
+            seen.extend_from_slice(&chunk[..read]);
+            if is_whole(&seen) || read == 0 {
+                break;
+            }
+        }
+        stream.write_all(answer.as_bytes()).await.expect("writable");
+        String::from_utf8_lossy(&seen).to_lowercase()
+    });
+    (address, served)
+}
+
+fn is_whole(seen: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(seen).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    body.len() >= length.and_then(|length| length.parse().ok()).unwrap_or(0)
+}
+
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn task() -> TaskKey {
+    let job = JobId::parse("00000000000000ff").expect("an id");
+    TaskKey { job, occurrence: 0, step: 0, index: 0 }
+}
+
+/// A worker's address has gone to another service. Without the id of the life that a call is meant for,
+/// a stop or a lease would reach whoever answers there now.
+#[tokio::test]
+async fn a_call_to_a_worker_names_the_life_that_it_is_meant_for() {
+    let (address, served) = answer_once("421 Misdirected Request", "{}").await;
+    let workers = PlatformWorkers::new(HttpTransport::open());
+    let target = WorkerTarget { id: "i-old".into(), address };
+    let call = RunCall { task: task(), run: 3, fence: 77 };
+    let outcome = workers.stop(&target, &call, PATIENCE).await;
+    assert_eq!(outcome, CommandOutcome::Refused(CommandRefusal::WrongLife, None));
+    let seen = served.await.expect("served");
+    assert!(seen.contains("expect-instance: i-old"), "{seen}");
+    assert!(seen.contains("\"fence\":77") && seen.contains("\"run\":3"), "{seen}");
+}
+
+/// An old leader's renewal that arrives late is only harmless if it carries its token.
+#[tokio::test]
+async fn a_renewal_carries_token_lease_and_acknowledgement() {
+    let (address, served) =
+        answer_once("200 OK", r#"{"clock-ms":5,"running":[],"ended":[]}"#).await;
+    let workers = PlatformWorkers::new(HttpTransport::open());
+    let target = WorkerTarget { id: "i-1".into(), address };
+    let wait = Duration::from_millis(500);
+    let call = RenewCall { fence: 9, exits_through: 57, lease_until_ms: Some(486_000), wait };
+    let outcome = workers.renew(&target, &call, PATIENCE).await;
+    assert!(matches!(outcome, CommandOutcome::Done(report) if report.clock_ms == 5));
+    let seen = served.await.expect("served");
+    for part in ["\"fence\":9", "\"last-seen\":57", "\"until-ms\":486000", "\"wait-ms\":500"] {
+        assert!(seen.contains(part), "{part} in {seen}");
+    }
+}
+
+/// A deposed leader appends progress after its successor has read the log. The epoch makes the log
+/// refuse it; without, callers would see a job go back to an older state.
+#[tokio::test]
+async fn an_append_carries_its_writers_epoch_and_a_fence_is_told_apart() {
+    let (address, served) = answer_once("409 Conflict", r#"{"reason":"fenced"}"#).await;
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let call = AppendCall {
+        topic: LogTopic::Jobs,
+        records: vec![KeyedRecord { key: "p1".to_owned(), value: vec![1] }],
+        expected_end: None,
+        stamp: Some(WriterStamp { writer: "leader".into(), epoch: 41, sequence: 6 }),
+    };
+    assert_eq!(log.append(&call, PATIENCE).await, AppendOutcome::Fenced);
+    let seen = served.await.expect("served");
+    assert!(seen.contains("producer=leader&epoch=41&seq=6"), "{seen}");
+}
+
+/// Two entries claim the leadership at once. Each claim names the end that it was read at, so the log
+/// takes one.
+#[tokio::test]
+async fn a_claim_is_appended_only_at_the_end_that_was_read() {
+    let (address, served) = answer_once("412 Precondition Failed", r#"{"end":12}"#).await;
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let call = AppendCall {
+        topic: LogTopic::Leadership,
+        records: vec![KeyedRecord { key: String::new(), value: vec![1] }],
+        expected_end: Some(11),
+        stamp: None,
+    };
+    assert_eq!(log.append(&call, PATIENCE).await, AppendOutcome::EndMoved { end: 12 });
+    assert!(served.await.expect("served").contains("&at=11"));
+}
+
+/// A command of an old leader to a VM arrives after its successor's. The token makes the platform
+/// refuse it, and the old leader learns that it leads no more.
+#[tokio::test]
+async fn a_command_to_a_vm_carries_holder_and_token() {
+    let (address, served) = answer_once("409 Conflict", r#"{"reason":"fence"}"#).await;
+    let vms = PlatformVms::new(Some(address), HttpTransport::open());
+    let command = VmCommand::Maintain { vm: "m-1".into(), wave: 3 };
+    let stamp = VmStamp { holder: "front-1".into(), fence: 4_096 };
+    assert_eq!(vms.command(&command, &stamp).await, VmOutcome::Fenced);
+    let seen = served.await.expect("served");
+    assert!(
+        seen.contains("lease-holder: front-1") && seen.contains("fencing-token: 4096"),
+        "{seen}"
+    );
+}
+
+/// A peer that accepts and never answers: the outcome is unknown, which is not a refusal.
+#[tokio::test]
+async fn no_answer_is_not_a_refusal() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let call =
+        AppendCall { topic: LogTopic::Jobs, records: Vec::new(), expected_end: None, stamp: None };
+    let outcome = log.append(&call, Duration::from_millis(200)).await;
+    assert_eq!(outcome, AppendOutcome::Unknown);
+    drop(listener);
+}
--- a/tests/scheduler_model.rs
+++ b/tests/scheduler_model.rs
@@ -112,16 +112,18 @@
         }
     }
 
+    /// Runs that are alive, with their workers.
+    fn alive(&self) -> Vec<(Arc<str>, TaskKey, u32)> {
+        let mut alive = Vec::new();
+        for (id, worker) in &self.stage.workers {
+            alive.extend(worker.running.keys().map(|(task, run)| (id.clone(), *task, *run)));
+        }
+        alive
+    }
+
     /// Ends one of the runs that are alive, most of them well.
     fn end_some(&mut self) {
-        let alive: Vec<(Arc<str>, TaskKey, u32)> = self
-            .stage
-            .workers
-            .iter()
-            .flat_map(|(id, worker)| {
-                worker.running.keys().map(|(task, run)| (id.clone(), *task, *run))
-            })
-            .collect();
+        let alive = self.alive();
         if alive.is_empty() {
             return;
         }
@@ -296,14 +298,7 @@
     }
 
     fn end_well(&mut self) {
-        let alive: Vec<(Arc<str>, TaskKey, u32)> = self
-            .stage
-            .workers
-            .iter()
-            .flat_map(|(id, worker)| {
-                worker.running.keys().map(|(task, run)| (id.clone(), *task, *run))
-            })
-            .collect();
+        let alive = self.alive();
         for (id, task, run) in alive {
             let spec = &self.jobs[&task.job].steps[usize::from(task.step)];
             if spec.is_service {
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use ibisweir::jobs::model::{ExitKind, JobState};
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, VmCommand, VmOutcome};
 use ibisweir::jobs::record::JobRecord;
+use ibisweir::scheduler::SchedulerAction;
 use support::stage::{Stage, config, job, step, submission, task, worker};
 
 /// A caller's first answer was lost, or its request was repeated by the network: seconds after the
@@ -140,3 +142,26 @@
     stage.advance(2_000);
     assert_eq!(stage.leases.len(), prolonged);
 }
+
+/// A successor has raised its token on a worker or a VM. The old leader learns it by the first refusal
+/// and must command nothing any more: what it believes is out of date from then on.
+#[test]
+fn a_refused_token_ends_the_leadership() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let fenced = CommandOutcome::Refused(CommandRefusal::Fenced, None);
+    stage.scheduler.started(&"w1".into(), &task(id, 0, 0), 1, &fenced, stage.now);
+    assert!(stage.scheduler.is_deposed());
+    stage.scheduler.tick(stage.now + 100, 0);
+    assert!(
+        stage.scheduler.take_actions().iter().all(|action| {
+            matches!(action, SchedulerAction::Note(_) | SchedulerAction::Wake(_))
+        })
+    );
+    assert!(stage.scheduler.take_commit().is_none());
+
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let command = VmCommand::Assign { vm: "m-1".into(), pool: "helpers".into() };
+    stage.scheduler.vm_commanded(&command, VmOutcome::Fenced, stage.now);
+    assert!(stage.scheduler.is_deposed());
+}
