A successor counts a task as at work once stops of its predecessor are through

Cause, from the code: a stop takes up to 200 ms here (400 ms on the other site), and the worker lists the run as running, at 100 percent, meanwhile. A successor that took over within it counted that task as at work and stopped another of the step. Ruled out: the leader's own stops (a run that is being stopped counts as away), commands to VMs (sent only when empty).

Change: a run that was read from the log stays unconfirmed until a report that was asked for after the stop time, counted from the worker's first answer under the new token. Commands of the old leader can't come after that answer. Cost: no eviction for about a second after a takeover.

Test: a_successor_counts_a_task_that_is_being_stopped_as_away failed first (2 being stopped, 0 gone).

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -129,6 +129,9 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let was_silent = worker.silent_since_ms.take().is_some();
         let was_fenced = std::mem::replace(&mut worker.is_fenced, true);
+        if !was_fenced {
+            worker.fenced_ms = now;
+        }
         worker.sample_clock(report.clock_ms, now);
         worker.report_ms = now;
         worker.exits_told = worker.exits_told.max(call.exits_through);
@@ -339,9 +342,14 @@
             running.iter().map(|told| ((told.task, told.run), told)).collect();
         let Some(worker) = self.workers.get(id) else { return };
         let booked: Vec<(TaskKey, u32)> = worker.runs.keys().copied().collect();
+        // A stop that an earlier leader sent is through by then. Until it is, the worker lists the
+        // run as if it stayed; counted as at work, another task of its step would be stopped beside
+        // it, and more be away than its disruption budget allows.
+        let settled_ms = worker.fenced_ms + self.bounds.stop_ms;
+        let is_settled = sent_ms > settled_ms;
         for (key, run) in &booked {
             match told.get(&(*key, *run)) {
-                Some(told) => self.run_seen(key, *run, told, now),
+                Some(told) => self.run_seen(key, *run, told, is_settled, now),
                 None if is_full => {}
                 None => self.run_missing(id, key, *run, sent_ms, now),
             }
@@ -351,7 +359,14 @@
         }
     }
 
-    fn run_seen(&mut self, key: &TaskKey, run: u32, told: &RunningTask, now: u64) {
+    fn run_seen(
+        &mut self,
+        key: &TaskKey,
+        run: u32,
+        told: &RunningTask,
+        is_settled: bool,
+        now: u64,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let is_over = job.state.is_final();
         let Some(spec) = job.spec(key).cloned() else { return };
@@ -360,7 +375,12 @@
             task.checkpoint.clone_from(&told.checkpoint);
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
-        if matches!(live.phase, RunPhase::Starting | RunPhase::Inherited) {
+        let is_confirmed = match live.phase {
+            RunPhase::Starting => true,
+            RunPhase::Inherited => is_settled,
+            RunPhase::Planned | RunPhase::Running | RunPhase::Stopping => false,
+        };
+        if is_confirmed {
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
             live.begun_ms = now;
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -16,7 +16,7 @@
     Starting,
     /// The worker has confirmed it.
     Running,
-    /// Read from the log by a new leader; the worker has not been heard yet.
+    /// Read from the log by a new leader; the worker has not confirmed yet that it stays.
     Inherited,
     /// A stop was sent or will be.
     Stopping,
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -53,6 +53,8 @@
     pub is_listed: bool,
     /// Whether it has answered under our fencing token.
     pub is_fenced: bool,
+    /// When it first did, in milliseconds: commands of earlier leaders count only if they came before.
+    pub fenced_ms: u64,
     /// When it stopped answering, in milliseconds.
     pub silent_since_ms: Option<u64>,
     /// Exits up to this number have been taken in.
@@ -92,6 +94,7 @@
             vm: None,
             is_listed: true,
             is_fenced: false,
+            fenced_ms: 0,
             silent_since_ms: None,
             exits_seen: 0,
             exits_logged: 0,
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -172,6 +172,50 @@
     assert_eq!(stage.vm_commands.len(), 2);
 }
 
+/// Callers of a service find two of its tasks away where one may be. Its leader stops the first task
+/// to empty a VM and hands over; until the stop is through, the worker still lists the task at work.
+/// The successor must not take that for a task that stays, and stop a second one.
+#[test]
+fn a_successor_counts_a_task_that_is_being_stopped_as_away() {
+    let pool = workers(6);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    let lasting = StepSpec { disruption_budget: 1, ..service_step(4) };
+    let id = stage.submit(1, job(vec![lasting]));
+    for worker in stage.workers.values_mut() {
+        worker.stop_ms = 200;
+    }
+    for _ in 0..5 {
+        for index in 0..4 {
+            stage.progress(task(id, 0, index), 100, 0);
+        }
+        stage.advance(100);
+    }
+    let due: Vec<WorkerEntry> = (0..4)
+        .map(|index| stage.place(task(id, 0, index)))
+        .map(|place| pool.iter().find(|worker| worker.id == place).expect("known").clone())
+        .collect();
+    stage.scheduler.take_wave(wave(&due, 4), BTreeSet::new(), stage.now);
+    let mut waited = 0;
+    while stage.workers.values().all(|worker| worker.ending.is_empty()) {
+        stage.advance(20);
+        waited += 20;
+        assert!(waited < 4_000, "no task was stopped");
+    }
+    // The successor would begin with another VM: the first one has more to end by now.
+    let others: Vec<WorkerEntry> =
+        due.iter().filter(|worker| stage.workers[&worker.id].ending.is_empty()).cloned().collect();
+    stage.take_over(2, config());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&others, 4), BTreeSet::new(), stage.now);
+    for _ in 0..100 {
+        let ending: usize = stage.workers.values().map(|worker| worker.ending.len()).sum();
+        let gone = (0..4).filter(|index| stage.alive(task(id, 0, *index)) == 0).count();
+        assert!(ending + gone <= 1, "{ending} being stopped, {gone} gone");
+        stage.advance(20);
+    }
+}
+
 /// A burst is over, and the tasks of a service stand one each on four VMs where two would hold them.
 /// They are moved together, within their budget, and the VMs that become empty leave the pool.
 #[test]
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -125,6 +125,10 @@
     pub is_late: bool,
     /// Whether it says that it has no room for any start.
     pub is_full: bool,
+    /// Time that a stop takes, in milliseconds; until then the run is listed as running.
+    pub stop_ms: u64,
+    /// Runs that were told to stop and have not ended, and when they will.
+    pub ending: BTreeMap<(TaskKey, u32), u64>,
     /// Starts that went unanswered.
     pub late: Vec<StartCall>,
     /// End of the leases of all that runs.
@@ -277,6 +281,7 @@
 
     fn expire_leases(&mut self) {
         for worker in self.workers.values_mut() {
+            worker.finish_stops(self.now);
             worker.expire(self.now);
         }
     }
@@ -410,7 +415,7 @@
     fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
         let outcome = match self.workers.get_mut(id) {
             Some(worker) if !worker.is_silent => {
-                worker.stop(call.task, call.run);
+                worker.stop(call.task, call.run, self.now);
                 CommandOutcome::Done(self.now)
             }
             _ => CommandOutcome::Unknown,
@@ -509,13 +514,28 @@
         }
     }
 
-    fn stop(&mut self, task: TaskKey, run: u32) {
+    fn stop(&mut self, task: TaskKey, run: u32, now: u64) {
         if self.running.contains_key(&(task, run)) {
+            if self.stop_ms > 0 {
+                self.ending.entry((task, run)).or_insert(now + self.stop_ms);
+                return;
+            }
             self.exit(task, run, ExitKind::Stopped);
         }
         self.refused.insert((task, run));
     }
 
+    /// Ends the runs whose stop has taken its time.
+    fn finish_stops(&mut self, now: u64) {
+        let is_over = |(_, end): &(&(TaskKey, u32), &u64)| now >= **end;
+        let over: Vec<(TaskKey, u32)> =
+            self.ending.iter().filter(is_over).map(|(key, _)| *key).collect();
+        for (task, run) in over {
+            self.ending.remove(&(task, run));
+            self.exit(task, run, ExitKind::Stopped);
+        }
+    }
+
     /// Ends a run.
     pub fn exit(&mut self, task: TaskKey, run: u32, kind: ExitKind) {
         self.running.remove(&(task, run));
