--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -61,9 +61,6 @@
             if is_hopeless && !is_urgent {
                 continue;
             }
-            if step.rank.tier.is_late() && self.fleet.without_late_work.contains(&step.service) {
-                continue;
-            }
             let is_placed = if spec.is_gang {
                 self.place_gang(&step, &spec, now)
             } else {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -12,7 +12,7 @@
 use crate::jobs::site::{MaintenanceWave, VmEntry, VmState};
 use crate::scheduler::demand::ArrivalRate;
 use crate::scheduler::maintenance::WaveRun;
-use crate::scheduler::needs::{NeedKind, PoolNeed, give, is_scarce, without_late_work};
+use crate::scheduler::needs::{NeedKind, PoolNeed, give, is_scarce};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
 /// Time between two looks at the VM list while something is under way, in milliseconds.
@@ -93,8 +93,6 @@
     pub arrivals: BTreeMap<Arc<str>, ArrivalRate>,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveRun>,
-    /// Pools that start nothing that is late, by the last plan.
-    pub(crate) without_late_work: BTreeSet<Arc<str>>,
     by_worker: HashMap<Arc<str>, Arc<str>>,
     asked_ms: Option<u64>,
     planned_ms: u64,
@@ -158,13 +156,9 @@
         if is_fresh {
             let needs = self.pool_needs(now);
             self.note_pools(&needs, now);
-            self.fleet.without_late_work = without_late_work(&needs);
             self.plan_waves(is_scarce(&needs), now);
             self.plan_pools(needs, now);
             self.evict_services(now);
-        } else {
-            // Without a list no VM can change pools: nothing is gained by waiting.
-            self.fleet.without_late_work.clear();
         }
         self.reserve_workers();
     }
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -1,6 +1,6 @@
 //! How many VMs each pool needs, now and soon.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::jobs::model::ResourceVector;
@@ -175,16 +175,6 @@
     }
 }
 
-/// Pools that start nothing that is late, since they have not the VMs for their work in time.
-///
-/// The load that this answers: a queue asks more than its pool holds. Late jobs that are started in
-/// every gap keep its room for a task's run time, the jobs that come meanwhile wait for it and become
-/// late too, and so on through the burst. A late job is worth a tenth of one in time.
-pub(crate) fn without_late_work(needs: &BTreeMap<Arc<str>, PoolNeed>) -> BTreeSet<Arc<str>> {
-    let is_short = |need: &PoolNeed| need.needed > need.usable;
-    needs.iter().filter(|(_, need)| is_short(need)).map(|(pool, _)| pool.clone()).collect()
-}
-
 /// Whether work waits for VMs.
 pub(crate) fn is_scarce(needs: &BTreeMap<Arc<str>, PoolNeed>) -> bool {
     needs.values().any(|need| need.short(NeedKind::Now) > 0)
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -28,16 +28,6 @@
     Overdue,
 }
 
-impl RankTier {
-    /// Whether the objective can't be met any more.
-    pub fn is_late(self) -> bool {
-        match self {
-            RankTier::Service | RankTier::InTime => false,
-            RankTier::Late | RankTier::Overdue => true,
-        }
-    }
-}
-
 /// Place in the order; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
