One catch-up read serves all callers; the leader tells at once what it has

Every look at a job that an entry does not know read the log for itself, 60 of them a second over a link of 10 Mbit/s, each from the same place. Now one read serves all that asked before it began, and what it brings is not read again by the follower; nor is what the leader itself has appended.

Cause 2: from second 11 to 16 the log took 240 ms an append. Now the leader answers at once that it has a batch, and that answer's body ends when the log has it: a leader that is not reached is passed over as before, one that waits for a slow log is waited for, and is given up when another one leads.

What the book has is passed over now, and the VMs of a wave are only ever added.

Tests: tests/catch_up.rs; the first of them fails with a read for each caller, the last two fail on the code before (an old record was folded again).

--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -95,7 +95,10 @@
                 self.jobs.remove(job).is_some()
             }
             JobRecord::Wave(number, done) => {
-                self.waves.insert(*number, done.clone());
+                // VMs are only ever added. A record that is read again after a newer one must not take
+                // any away: they would be maintained twice.
+                let known = Arc::make_mut(self.waves.entry(*number).or_default());
+                known.extend(done.iter().cloned());
                 true
             }
         }
--- /dev/null
+++ b/src/jobs/catch_up.rs
@@ -0,0 +1,72 @@
+//! Brings the job book up to date for callers that ask about a job that this entry does not know.
+//!
+//! The load that this answers: an entry is behind the log, as its link is slow or its process weak,
+//! and dozens of callers a second ask for jobs that other entries have accepted. Each of them reading
+//! the log for itself would fetch the same records again and again, and put the entry further behind.
+//! One read serves all callers that came before it began.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Mutex;
+use tokio::time::{Instant, timeout};
+
+use crate::jobs::follower::{TailStep, fold_step};
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{JobLog, LogTopic, ReadOutcome};
+
+/// Time to read the newest records before a caller is told that the log is away.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Reads the job log to its end on demand.
+pub struct CatchUpReader<L> {
+    node: Arc<JobNode>,
+    log: L,
+    /// When the latest read that came to the log's end began.
+    begun: Mutex<Option<Instant>>,
+}
+
+impl<L: JobLog> CatchUpReader<L> {
+    /// A reader that folds into this entry's book.
+    pub fn new(node: Arc<JobNode>, log: L) -> CatchUpReader<L> {
+        CatchUpReader { node, log, begun: Mutex::new(None) }
+    }
+
+    /// Waits until the book has all that was on the log when this was called; false if the log can't
+    /// be read now.
+    pub async fn catch_up(&self) -> bool {
+        let asked = Instant::now();
+        timeout(PATIENCE, self.read_since(asked)).await.unwrap_or(false)
+    }
+
+    async fn read_since(&self, asked: Instant) -> bool {
+        let mut newest = self.begun.lock().await;
+        if newest.is_some_and(|begun| begun >= asked) {
+            return true;
+        }
+        let begun = Instant::now();
+        let is_read = self.read_to_end().await;
+        if is_read {
+            *newest = Some(begun);
+        }
+        is_read
+    }
+
+    async fn read_to_end(&self) -> bool {
+        loop {
+            let position = self.node.book_end();
+            match self.log.read(LogTopic::Jobs, position, Duration::ZERO).await {
+                ReadOutcome::Read(batch) => {
+                    let is_end = batch.next >= batch.end || batch.records.is_empty();
+                    fold_step(&self.node, TailStep::Records(batch.records), batch.next);
+                    if is_end {
+                        return true;
+                    }
+                }
+                ReadOutcome::Expired { .. } | ReadOutcome::Refused | ReadOutcome::Unknown => {
+                    return false;
+                }
+            }
+        }
+    }
+}
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::jobs::follower::{TailReader, TailStep};
+use crate::jobs::follower::{TailReader, TailStep, fold_step};
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
@@ -22,7 +22,7 @@
     AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RunCall, StartCall,
     VmClient, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
 };
-use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
 use crate::scheduler::commit::CommitBatch;
 use crate::scheduler::exits::RenewPlan;
@@ -225,15 +225,14 @@
     async fn read_through(&self, end: u64) {
         let mut tail = TailReader::at(LogTopic::Jobs, self.node.book_end());
         while self.node.book_end() < end {
-            match tail.next(&self.parts.log, Duration::ZERO).await {
-                TailStep::Snapshot(records) | TailStep::Records(records) => {
-                    crate::jobs::follower::fold_raw(&self.node, &records);
-                    self.node.set_book_end(tail.position());
-                    if records.is_empty() && tail.position() < end {
-                        sleep(REPEAT_PAUSE).await;
-                    }
-                }
-                TailStep::Failed => sleep(REPEAT_PAUSE).await,
+            let step = tail.next(&self.parts.log, Duration::ZERO).await;
+            let has_news = match &step {
+                TailStep::Snapshot(records) | TailStep::Records(records) => !records.is_empty(),
+                TailStep::Failed => false,
+            };
+            fold_step(&self.node, step, tail.position());
+            if !has_news && self.node.book_end() < end {
+                sleep(REPEAT_PAUSE).await;
             }
         }
     }
@@ -544,16 +543,15 @@
     async fn commit_batch(&self, batch: &CommitBatch) -> bool {
         let sequence = *self.sequence();
         if batch.records.is_empty() {
-            self.committed(batch, &[]);
+            self.committed(batch);
             return true;
         }
         loop {
             match self.append(batch.records.clone(), sequence).await {
-                AppendOutcome::Done { offset, .. } => {
+                AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
-                    let folded: Vec<(u64, JobRecord)> =
-                        (offset..).zip(batch.folded.iter().cloned()).collect();
-                    self.committed(batch, &folded);
+                    self.node.fold_own(&batch.folded, offset, end);
+                    self.committed(batch);
                     return true;
                 }
                 AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return false,
@@ -565,13 +563,7 @@
         }
     }
 
-    fn committed(&self, batch: &CommitBatch, folded: &[(u64, JobRecord)]) {
-        {
-            let mut book = self.node.book();
-            for (offset, record) in folded {
-                book.fold(record, *offset);
-            }
-        }
+    fn committed(&self, batch: &CommitBatch) {
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| scheduler.committed(batch, now));
         self.node.relayed(&batch.relayed);
--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use slog::{Logger, info};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::error::ResultCode;
-use crate::jobs::follower::fold_raw;
+use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
 use crate::jobs::node::JobNode;
-use crate::jobs::ports::{JobLog, LogTopic, ReadOutcome};
+use crate::jobs::ports::JobLog;
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::QueueSpec;
 use crate::jobs::submitter::{SubmitHandle, SubmitOutcome};
@@ -20,8 +20,6 @@
 /// Longest wait for the log before a caller is told that the outcome is not known: by then another
 /// entry is the better choice, and the caller has time left for it.
 const SUBMIT_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Time to read the newest records before a job is said not to exist.
-const CATCH_UP_PATIENCE: Duration = Duration::from_millis(800);
 /// When a caller that was refused for an outage may come back.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 
@@ -45,8 +43,9 @@
 pub struct JobDesk<L> {
     /// Shared state.
     pub node: Arc<JobNode>,
-    /// The log.
-    pub log: L,
+    /// Reads the log for jobs that this entry does not know; another may have accepted them a moment
+    /// ago.
+    pub reader: Arc<CatchUpReader<L>>,
     /// Puts records on the log.
     pub submitter: SubmitHandle,
 }
@@ -111,7 +110,7 @@
         if let Some(state) = self.state(job) {
             return DeskReply::State(state);
         }
-        match self.catch_up().await {
+        match self.reader.catch_up().await {
             true => self.state(job).map_or_else(no_such_job, DeskReply::State),
             false => outage(),
         }
@@ -120,7 +119,7 @@
     /// Cancels a job.
     pub async fn cancel(&self, queue: &QueueSpec, job: JobId, patience: Duration) -> DeskReply {
         let logger = self.node.logger.clone();
-        if self.state(job).is_none() && !self.catch_up().await {
+        if self.state(job).is_none() && !self.reader.catch_up().await {
             return outage();
         }
         match self.state(job) {
@@ -150,29 +149,6 @@
     fn state(&self, job: JobId) -> Option<JobState> {
         self.node.book().get(job).and_then(|entry| entry.state())
     }
-
-    /// Reads the newest records of the job log; false if that can't be done now. Another entry may
-    /// have accepted the job a moment ago.
-    async fn catch_up(&self) -> bool {
-        let reading = async {
-            let mut position = self.node.book_end();
-            loop {
-                match self.log.read(LogTopic::Jobs, position, Duration::ZERO).await {
-                    ReadOutcome::Read(batch) => {
-                        fold_raw(&self.node, &batch.records);
-                        position = position.max(batch.next);
-                        if position >= batch.end || batch.records.is_empty() {
-                            return true;
-                        }
-                    }
-                    ReadOutcome::Expired { .. } | ReadOutcome::Refused | ReadOutcome::Unknown => {
-                        return false;
-                    }
-                }
-            }
-        };
-        timeout(CATCH_UP_PATIENCE, reading).await.unwrap_or(false)
-    }
 }
 
 fn deadline(queue: &QueueSpec, patience: Duration) -> Instant {
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -14,6 +14,7 @@
 use crate::control::{LoopSupervisor, SupervisedLoop, SupervisorCall};
 use crate::decide::leadership::{HolderId, LeadershipView, claim_delay_ms};
 use crate::error::{CodeResult, ResultCode, coded};
+use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::conductor::ConductorParts;
 use crate::jobs::desk::JobDesk;
 use crate::jobs::follower::{JobFollower, OperatorDecoder, OperatorFollower, TailReader};
@@ -107,7 +108,8 @@
         let log = ports.leader.log.clone();
         let relay = RelayClient::new(ports.transport);
         let submitter = submitter::spawn(node.clone(), log.clone(), relay, life);
-        let desk = JobDesk { node: node.clone(), log, submitter };
+        let reader = Arc::new(CatchUpReader::new(node.clone(), log));
+        let desk = JobDesk { node: node.clone(), reader, submitter };
         let connections = Arc::new(CallerConnections::open());
         let accepting = vec![
             tokio::spawn(accept_callers(callers, desk, ports.callers.clone(), connections.clone())),
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -72,6 +72,13 @@
         self.position.unwrap_or(0)
     }
 
+    /// Goes on from a later offset: what lies before was read another way.
+    pub fn skip_to(&mut self, position: u64) {
+        if let Some(own) = &mut self.position {
+            *own = position.max(*own);
+        }
+    }
+
     /// Reads on.
     pub async fn next<L: JobLog>(&mut self, log: &L, wait: Duration) -> TailStep {
         let Some(position) = self.position else { return self.snapshot(log).await };
@@ -125,16 +132,16 @@
     const NAME: &'static str = "job follower";
 
     async fn step(&mut self) -> Duration {
+        // What callers made this entry read, and what it has appended itself.
+        self.tail.skip_to(self.node.book_end());
         let step = self.tail.next(&self.log, READ_WAIT).await;
-        let is_whole = matches!(step, TailStep::Snapshot(_));
-        let records = match step {
-            TailStep::Snapshot(records) | TailStep::Records(records) => records,
+        let is_empty = match &step {
+            TailStep::Snapshot(records) | TailStep::Records(records) => records.is_empty(),
             TailStep::Failed => return FAILED_PAUSE,
         };
         self.node.touch();
-        let is_empty = records.is_empty();
-        fold_raw(&self.node, &records);
-        self.node.set_book_end(self.tail.position());
+        let is_whole = matches!(step, TailStep::Snapshot(_));
+        fold_step(&self.node, step, self.tail.position());
         if is_whole {
             self.node.set_loaded();
         }
@@ -142,20 +149,27 @@
     }
 }
 
-/// Folds raw records of the job log; what can't be read is skipped with a line.
-pub fn fold_raw(node: &JobNode, records: &[(u64, KeyedRecord)]) {
-    let mut folded = Vec::with_capacity(records.len());
+/// Folds what a step along the job log has brought, up to `position`.
+pub fn fold_step(node: &JobNode, step: TailStep, position: u64) {
+    match step {
+        TailStep::Snapshot(records) => node.fold_newest(&decode(node, &records), position),
+        TailStep::Records(records) => node.fold_read(decode(node, &records), position),
+        TailStep::Failed => {}
+    }
+}
+
+/// Reads records of the job log; what can't be read is skipped with a line.
+fn decode(node: &JobNode, records: &[(u64, KeyedRecord)]) -> Vec<(u64, JobRecord)> {
+    let mut decoded = Vec::with_capacity(records.len());
     for (offset, record) in records {
         match JobRecord::decode(&record.key, &record.value) {
-            Some(record) => folded.push((*offset, record)),
+            Some(record) => decoded.push((*offset, record)),
             None if record.value.is_empty() => {}
             None => warn!(node.logger, "a record of the job log can't be read";
                 "key" => &record.key, "offset" => offset),
         }
     }
-    if !folded.is_empty() {
-        node.fold(&folded);
-    }
+    decoded
 }
 
 /// Follows what operators write.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! ([`conductor`]). What the outside looks like is behind the traits of [`ports`].
 
 pub mod book;
+pub mod catch_up;
 pub mod conductor;
 pub mod desk;
 pub mod entry;
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -106,7 +106,43 @@
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Folds records of the job log, and tells the leader if it runs here.
+    /// Folds the newest record of each key, as they were when the log ended at `end` or later.
+    pub fn fold_newest(&self, records: &[(u64, JobRecord)], end: u64) {
+        self.fold(records);
+        self.book_end.fetch_max(end, Ordering::AcqRel);
+    }
+
+    /// Folds what was read from an offset that the book had reached up to `next`.
+    ///
+    /// Reads overlap: of two that began at the same offset, the one that is answered later may have
+    /// seen less. What the book has already is passed over; folded again, an old record would undo a
+    /// newer one, such as the dropping of a job, which would then run once more.
+    pub fn fold_read(&self, records: Vec<(u64, JobRecord)>, next: u64) {
+        let mut book = self.book();
+        let end = self.book_end();
+        let new: Vec<(u64, JobRecord)> =
+            records.into_iter().filter(|(offset, _)| *offset >= end).collect();
+        for (offset, record) in &new {
+            book.fold(record, *offset);
+        }
+        self.book_end.fetch_max(next, Ordering::AcqRel);
+        drop(book);
+        self.tell_scheduler(&new);
+    }
+
+    /// Folds what this entry has appended at `offset`; the scheduler knows it.
+    pub fn fold_own(&self, records: &[JobRecord], offset: u64, end: u64) {
+        let mut book = self.book();
+        for (offset, record) in (offset..).zip(records) {
+            book.fold(record, offset);
+        }
+        // Nothing of others lies between: the follower need not read it back.
+        if offset == self.book_end() {
+            self.book_end.fetch_max(end, Ordering::AcqRel);
+        }
+    }
+
+    /// Folds records of callers that are on the log, wherever that is.
     pub fn fold(&self, records: &[(u64, JobRecord)]) {
         {
             let mut book = self.book();
@@ -114,6 +150,10 @@
                 book.fold(record, *offset);
             }
         }
+        self.tell_scheduler(records);
+    }
+
+    fn tell_scheduler(&self, records: &[(u64, JobRecord)]) {
         let now = self.now();
         self.with_scheduler(|scheduler| {
             for (_, record) in records {
@@ -123,11 +163,6 @@
         self.wake.notify_one();
     }
 
-    /// The book tells everything before this offset.
-    pub fn set_book_end(&self, end: u64) {
-        self.book_end.fetch_max(end, Ordering::AcqRel);
-    }
-
     /// The book holds the newest record of each key: this entry may lead.
     pub fn set_loaded(&self) {
         self.is_loaded.store(true, Ordering::Release);
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -5,22 +5,26 @@
 //! the metrics.
 
 use std::convert::Infallible;
+use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 use crate::jobs::node::JobNode;
@@ -33,8 +37,14 @@
 const METRICS_PATH: &str = "/metrics";
 /// Largest batch, in bytes: what an entry puts into one, and its last record.
 const BATCH_BYTES_MAX: usize = 1 << 20;
-/// Time for the leader to store a batch: two appends of a slow log.
-const STORE_PATIENCE: Duration = Duration::from_millis(900);
+/// Time for the leader to answer that it has a batch: it does so at once, or is not reached.
+const TAKEN_PATIENCE: Duration = Duration::from_millis(900);
+/// Time for the leader to store a batch that it has. Where that takes long it is the log that is slow,
+/// and an append of this entry's own would stand in line behind all others'. With one of every entry in
+/// it the line grows longer than callers wait, so that nothing is accepted until the log is fast again.
+const STORE_PATIENCE: Duration = Duration::from_millis(2_500);
+/// Time between two looks at who leads.
+const LEADER_GAP: Duration = Duration::from_millis(100);
 /// Time for which a leader that did not answer is passed over, in milliseconds: about the time until
 /// its successor is known.
 const PASS_OVER_MS: u64 = 1_000;
@@ -76,6 +86,7 @@
     /// Has the leader store records, which may be this entry.
     pub async fn store(&self, node: &JobNode, records: Vec<JobRecord>) -> RelayOutcome {
         if let Some(stored) = node.relay(records.clone()) {
+            // Another append of this entry would only stand in line behind the leader's.
             return match timeout(STORE_PATIENCE, stored).await {
                 Ok(Ok(())) => RelayOutcome::Stored,
                 Ok(Err(_)) | Err(_) => RelayOutcome::Unknown,
@@ -111,7 +122,12 @@
             headers: HeaderMap::new(),
             body: Bytes::from(body),
         };
-        match self.transport.exchange(leader, call, STORE_PATIENCE).await {
+        let exchange = self.transport.exchange_long(leader, call, TAKEN_PATIENCE, STORE_PATIENCE);
+        let answer = tokio::select! {
+            answer = exchange => answer,
+            () = succeeded(node, leader) => Err(ExchangeFailure::NoAnswer),
+        };
+        match answer {
             Ok(answer) if answer.status == StatusCode::OK => RelayOutcome::Stored,
             Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => RelayOutcome::NotSent,
             Err(ExchangeFailure::NotSent) => {
@@ -123,6 +139,14 @@
     }
 }
 
+/// Ends when `leader` does not lead any more: one that has lost power says nothing, and what waits for
+/// it could be stored by its successor.
+async fn succeeded(node: &JobNode, leader: SocketAddr) {
+    while node.leader() == Some(leader) {
+        sleep(LEADER_GAP).await;
+    }
+}
+
 /// Serves other entries and whoever collects metrics.
 pub async fn accept(listener: TcpListener, node: Arc<JobNode>) {
     loop {
@@ -153,12 +177,56 @@
     drop(connection.await);
 }
 
-async fn answer(node: &JobNode, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// An answer's body: whole, or ended once the log has what was relayed.
+enum RelayBody {
+    Whole(Full<Bytes>),
+    Stored(oneshot::Receiver<()>),
+}
+
+/// The leadership has ended: the append may have been made.
+#[derive(Debug)]
+struct LeadershipEnded;
+
+impl fmt::Display for LeadershipEnded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the leadership has ended")
+    }
+}
+
+impl std::error::Error for LeadershipEnded {}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = LeadershipEnded;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, LeadershipEnded>>> {
+        match &mut *self {
+            RelayBody::Whole(body) => {
+                Pin::new(body).poll_frame(context).map_err(|never| match never {})
+            }
+            RelayBody::Stored(stored) => match Pin::new(stored).poll(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Ok(())) => Poll::Ready(None),
+                // Broken off, so that the other side does not take the batch for stored.
+                Poll::Ready(Err(_)) => Poll::Ready(Some(Err(LeadershipEnded))),
+            },
+        }
+    }
+}
+
+async fn answer(node: &JobNode, request: Request<Incoming>) -> Response<RelayBody> {
     match request.uri().path() {
-        RELAY_PATH => status(store(node, request).await),
+        RELAY_PATH => match store(node, request).await {
+            Ok(stored) => Response::new(RelayBody::Stored(stored)),
+            Err(code) => status(code),
+        },
         METRICS_PATH => {
             node.measure();
-            let mut response = Response::new(Full::new(Bytes::from(node.metrics.text())));
+            let text = Full::new(Bytes::from(node.metrics.text()));
+            let mut response = Response::new(RelayBody::Whole(text));
             let kind = HeaderValue::from_static("text/plain; version=1.0.0");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             response
@@ -167,20 +235,18 @@
     }
 }
 
-async fn store(node: &JobNode, request: Request<Incoming>) -> StatusCode {
-    let Ok(body) = Limited::new(request.into_body(), BATCH_BYTES_MAX).collect().await else {
-        return StatusCode::PAYLOAD_TOO_LARGE;
-    };
+/// Takes a batch; the receiver hears when the log has it.
+async fn store(
+    node: &JobNode,
+    request: Request<Incoming>,
+) -> Result<oneshot::Receiver<()>, StatusCode> {
+    let body = Limited::new(request.into_body(), BATCH_BYTES_MAX).collect().await;
+    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
     let Some(records) = decode(&body.to_bytes()) else {
         warn!(node.logger, "an entry's batch can't be read");
-        return StatusCode::BAD_REQUEST;
+        return Err(StatusCode::BAD_REQUEST);
     };
-    let Some(stored) = node.relay(records) else { return StatusCode::MISDIRECTED_REQUEST };
-    match stored.await {
-        Ok(()) => StatusCode::OK,
-        // The leadership has ended; the append may have been made.
-        Err(_) => StatusCode::GATEWAY_TIMEOUT,
-    }
+    node.relay(records).ok_or(StatusCode::MISDIRECTED_REQUEST)
 }
 
 /// Reads a batch; nothing if it is malformed.
@@ -196,8 +262,8 @@
         .collect()
 }
 
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::new()));
+fn status(status: StatusCode) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Whole(Full::default()));
     *response.status_mut() = status;
     response
 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -84,24 +85,45 @@
         address: SocketAddr,
         call: HttpCall,
         patience: Duration,
+    ) -> Result<HttpAnswer, ExchangeFailure> {
+        self.exchange_long(address, call, patience, patience).await
+    }
+
+    /// The same with a shorter time for the answer's head: it proves that the peer lives and has the
+    /// request, while the body may take as long as the work.
+    ///
+    /// # Errors
+    /// As those of [`HttpTransport::exchange`].
+    pub async fn exchange_long(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        head: Duration,
+        whole: Duration,
     ) -> Result<HttpAnswer, ExchangeFailure> {
         let started = Instant::now();
         let sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, patience).await?,
+            None => connect(address, head).await?,
+        };
+        let answered = async {
+            let left = head.saturating_sub(started.elapsed());
+            let sent = timeout(left, send(sender, address, call)).await;
+            let (response, sender) = sent.map_err(|_| ExchangeFailure::NoAnswer)??;
+            let left = whole.saturating_sub(started.elapsed());
+            let read = timeout(left, read_answer(response, sender)).await;
+            read.map_err(|_| ExchangeFailure::NoAnswer)?
         };
-        let left = patience.saturating_sub(started.elapsed());
-        match timeout(left, send(sender, address, call)).await {
-            Ok(Ok((answer, sender))) => {
+        match answered.await {
+            Ok((answer, sender)) => {
                 self.keep(address, sender);
                 Ok(answer)
             }
-            Ok(Err(failure)) => Err(failure),
-            Err(_) => {
+            Err(failure) => {
                 // The others may have gone silent together with this one; each would cost a
                 // whole time limit before it shows.
                 self.lock().remove(&address);
-                Err(ExchangeFailure::NoAnswer)
+                Err(failure)
             }
         }
     }
@@ -155,7 +177,7 @@
     mut sender: SendRequest<Full<Bytes>>,
     address: SocketAddr,
     call: HttpCall,
-) -> Result<(HttpAnswer, SendRequest<Full<Bytes>>), ExchangeFailure> {
+) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), ExchangeFailure> {
     let no_answer = |_| ExchangeFailure::NoAnswer;
     let mut request = Request::builder()
         .method(call.method)
@@ -167,6 +189,13 @@
     request.headers_mut().insert(http::header::HOST, host.map_err(|_| ExchangeFailure::NotSent)?);
     sender.ready().await.map_err(no_answer)?;
     let response = sender.send_request(request).await.map_err(no_answer)?;
+    Ok((response, sender))
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    mut sender: SendRequest<Full<Bytes>>,
+) -> Result<(HttpAnswer, SendRequest<Full<Bytes>>), ExchangeFailure> {
     let status = response.status();
     let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
     let body = body.map_err(|_| ExchangeFailure::NoAnswer)?.to_bytes();
--- /dev/null
+++ b/tests/catch_up.rs
@@ -0,0 +1,144 @@
+//! Callers ask for jobs that their entry has not read yet.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::follower::{TailStep, fold_step};
+use ibisweir::jobs::model::JobId;
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::{JobRecord, KeyedRecord};
+use support::stage::{job, job_id, site_settings, step, submission};
+use tokio::time::sleep;
+
+/// Time that a read takes over the slow link.
+const READ_TIME: Duration = Duration::from_millis(200);
+
+/// A log behind a slow link, with one record from the start and one that comes with each read.
+#[derive(Clone, Default)]
+struct SlowLog {
+    reads: Arc<AtomicUsize>,
+    is_away: bool,
+}
+
+fn submitted(id: u64) -> KeyedRecord {
+    JobRecord::Submitted(job_id(id), Arc::new(submission(job(vec![step(1)]))))
+        .encode()
+        .expect("a submission is encoded")
+}
+
+impl JobLog for SlowLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        sleep(READ_TIME).await;
+        if self.is_away {
+            return ReadOutcome::Unknown;
+        }
+        let records = vec![(from, submitted(from))];
+        ReadOutcome::Read(LogBatch { end: from + 1, next: from + 1, records })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+fn node() -> Arc<JobNode> {
+    let logger = ibisweir::logging::silent();
+    Arc::new(JobNode::new(site_settings(), Arc::default(), logger))
+}
+
+/// Fifty callers of a weak entry ask at once for jobs that it does not know. All get their answer
+/// from one read or two of the log. With a read each, the link would carry the same records fifty
+/// times, every caller be told that the log is away, and the entry fall further behind.
+#[tokio::test(start_paused = true)]
+async fn callers_that_ask_together_share_one_read_of_the_log() {
+    let log = SlowLog::default();
+    let reader = Arc::new(CatchUpReader::new(node(), log.clone()));
+    let asked: Vec<_> = (0..50)
+        .map(|_| {
+            let reader = reader.clone();
+            tokio::spawn(async move { reader.catch_up().await })
+        })
+        .collect();
+    for answer in asked {
+        assert!(answer.await.expect("no panic"));
+    }
+    assert!(log.reads.load(Ordering::Relaxed) <= 2);
+}
+
+/// A caller asks while a read is under way that began before it. The job may have been accepted since
+/// that read began, so it is told that there is no such job only after another read.
+#[tokio::test(start_paused = true)]
+async fn a_read_that_began_before_the_question_does_not_answer_it() {
+    let log = SlowLog::default();
+    let reader = Arc::new(CatchUpReader::new(node(), log.clone()));
+    let first = {
+        let reader = reader.clone();
+        tokio::spawn(async move { reader.catch_up().await })
+    };
+    sleep(READ_TIME / 2).await;
+    assert!(reader.catch_up().await);
+    assert!(first.await.expect("no panic"));
+    assert_eq!(log.reads.load(Ordering::Relaxed), 2);
+}
+
+/// The log can't be read: every caller is told so within its time, also those that wait for others.
+#[tokio::test(start_paused = true)]
+async fn callers_are_told_in_time_that_the_log_is_away() {
+    let log = SlowLog { is_away: true, ..SlowLog::default() };
+    let reader = Arc::new(CatchUpReader::new(node(), log));
+    let asked: Vec<_> = (0..50)
+        .map(|_| {
+            let reader = reader.clone();
+            tokio::spawn(async move { reader.catch_up().await })
+        })
+        .collect();
+    let begun = tokio::time::Instant::now();
+    for answer in asked {
+        assert!(!answer.await.expect("no panic"));
+    }
+    assert!(begun.elapsed() <= Duration::from_secs(1));
+}
+
+fn is_known(node: &JobNode, id: JobId) -> bool {
+    node.book().get(id).is_some()
+}
+
+/// Two reads begin at the same place. The one that is answered first tells of a job and that it was
+/// dropped since; the other, answered later, has seen only the job. Taken in again the job would be
+/// one that has not begun, and the next leader would run it once more.
+#[test]
+fn a_read_that_is_answered_late_brings_no_dropped_job_back() {
+    let node = node();
+    let dropped = JobRecord::drops(job_id(7)).pop().expect("the submission's key");
+    let whole = vec![(0, submitted(7)), (1, dropped)];
+    let part = vec![(0, submitted(7))];
+    fold_step(&node, TailStep::Records(whole), 2);
+    fold_step(&node, TailStep::Records(part), 1);
+    assert!(!is_known(&node, job_id(7)));
+    assert_eq!(node.book_end(), 2);
+}
+
+/// The VMs of a wave that were maintained are read twice, the older record after the newer. All stay
+/// maintained: a leader that took some for due would take them down again.
+#[test]
+fn maintained_vms_are_never_forgotten() {
+    let node = node();
+    let done = |names: &[&str]| {
+        let names = names.iter().map(|name| Arc::from(*name)).collect();
+        JobRecord::Wave(1, Arc::new(names))
+    };
+    node.fold(&[(5, done(&["a", "b", "c"])), (3, done(&["a"]))]);
+    assert_eq!(node.book().maintained(1).len(), 3);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -14,7 +14,8 @@
 };
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{
-    CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, VmEntry, VmState, WorkerEntry,
+    CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, SiteSettings, VmEntry, VmState,
+    WorkerEntry,
 };
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::runs::RunCommand;
@@ -38,6 +39,25 @@
     }
 }
 
+/// Settings of an entry that binds nothing.
+pub fn site_settings() -> SiteSettings {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    SiteSettings {
+        node: "front-1".into(),
+        centre: "regina-a".into(),
+        callers: nowhere,
+        ready: nowhere,
+        peer: nowhere,
+        processor: 250,
+        link: 1_000,
+        log: nowhere,
+        vms: None,
+        permits: None,
+        record_bytes_max: 262_144,
+        bounds: bounds(),
+    }
+}
+
 /// One queue on one pool, and a standby pool.
 pub fn config() -> SiteConfig {
     let pool =
