A fault soak of the real programs, against a stand-in of the users' platform

`ibisweir-standin soak`: four entries as processes, nine VMs with workers, a log with writers, epochs, conditions, newest records and a short history, and a VM service, over loopback, by the platform's published protocol. From outside, drawn by the seed, in series and overlapping: SIGKILL, SIGTERM (also twice, also with SIGHUP), SIGSTOP; links to the log, the VM service and the workers that are delayed, reset, cut one way or both, silenced; a log that is down, silent, slow, loses answers of what it does, or does it late; workers that crash or carry commands out late; configurations and waves meanwhile. Callers keep their connections. Checked: no task twice at a time or again after its end was acknowledged, none that nobody asked for, none of a job that everybody refused, `completed` only when all is done, no accepted job unknown, every job and wave ends, nothing cancelled runs on, one holder a fencing token, exit status 0 on SIGTERM.

Not injected: clocks (a process's clock can't be changed from outside without preloading, which the users rule out) and disks (there are none).

Found while building it, in the soak itself: an empty append uses a number of its writer's (the stand-in's log did not count it, and every leader was shut out at its first commit); ports that were free a moment ago were taken by another soak's connections, so each entry has an address of its own; a soak that was ended by a signal left its entries running.

One caller's host can be named in a call of the shared HTTP client.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -53,7 +53,7 @@
     pub method: Method,
     /// Path and query.
     pub path: String,
-    /// Extra headers.
+    /// Extra headers; the host is the peer's address where they name none.
     pub headers: HeaderMap,
     /// Body; empty for none.
     pub body: Bytes,
@@ -186,7 +186,8 @@
         .map_err(|_| ExchangeFailure::NotSent)?;
     *request.headers_mut() = call.headers;
     let host = http::HeaderValue::from_str(&address.to_string());
-    request.headers_mut().insert(http::header::HOST, host.map_err(|_| ExchangeFailure::NotSent)?);
+    let host = host.map_err(|_| ExchangeFailure::NotSent)?;
+    request.headers_mut().entry(http::header::HOST).or_insert(host);
     sender.ready().await.map_err(no_answer)?;
     let response = sender.send_request(request).await.map_err(no_answer)?;
     Ok((response, sender))
--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -1,9 +1,10 @@
 //! Turns arguments into a task and runs it.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
-use getopts::Options;
+use getopts::{Matches, Options};
 use http::Method;
 use ibisweir::error::{CodeResult, ResultCode, coded, explain};
 use ibisweir::name::VmName;
@@ -13,6 +14,7 @@
 use ibisweir_standin::platform::{PlatformHandle, WorkerLine};
 use ibisweir_standin::quickstart;
 use ibisweir_standin::site::LOOPBACK;
+use ibisweir_standin::soak::{self, SoakPlan};
 use ibisweir_standin::worker::{WorkerHandle, WorkerShape};
 
 const USAGE: &str = "\
@@ -25,6 +27,7 @@
   measure path [NAME]   experiments on the request path, beside baselines
   measure fleet         experiments on planning and intent, beside baselines and lower bounds
   measure capacity      state, messages, processor time and memory of control, by size
+  soak                  entries as processes under drawn faults, for jobs; promises checked
   platform              a platform as a process of its own
   worker VM             a worker as a process of its own
   document SHAPE        print a document: regie, halvorsen, or WORKERSxPOOLSxCENTRES
@@ -55,6 +58,8 @@
     MeasureCapacity,
     /// Experiments on planning and intent.
     MeasureFleet,
+    /// Entries under faults.
+    Soak(SoakPlan),
     /// A platform.
     Platform {
         /// Where it listens.
@@ -76,6 +81,11 @@
     options.optopt("", "listen", "address to listen at [127.0.0.1:0]", "ADDRESS");
     options.optopt("", "platform", "platform to register with", "ADDRESS");
     options.optopt("", "base-port", "first port of a document's workers [9000]", "PORT");
+    options.optopt("", "seed", "first seed of a soak [1]", "NUMBER");
+    options.optopt("", "runs", "seeds of a soak, one after the other [1]", "COUNT");
+    options.optopt("", "seconds", "time of a soak under faults, for each seed [10]", "SECONDS");
+    options.optopt("", "daemon", "program of a soak's entries [ibisweird beside this one]", "PATH");
+    options.optopt("", "logs", "directory for the logs of a soak that fails", "PATH");
     options.optflag("h", "help", "show this help");
     options
 }
@@ -105,6 +115,7 @@
         ["measure", "path", only] if measure::path::NAMES.contains(only) => {
             Invocation::Run(Task::MeasurePath { only: Some((*only).to_owned()) })
         }
+        ["soak"] => soak(&matches),
         ["platform"] => Invocation::Run(Task::Platform { listen }),
         ["worker", vm] => Invocation::Run(Task::Worker { vm: VmName::from(*vm), listen, platform }),
         ["document", shape] => document(shape, matches.opt_str("base-port").as_deref()),
@@ -112,6 +123,29 @@
     }
 }
 
+fn soak(matches: &Matches) -> Invocation {
+    let number = |flag: &str, default: u64| match matches.opt_str(flag) {
+        None => Ok(default),
+        Some(text) => text.parse().map_err(|_| format!("--{flag}: {text:?} is no number\n")),
+    };
+    let numbers = (number("seed", 1), number("runs", 1), number("seconds", 10));
+    let (seed, runs, seconds) = match numbers {
+        (Ok(seed), Ok(runs), Ok(seconds)) => (seed, runs, seconds),
+        (Err(text), ..) | (_, Err(text), _) | (_, _, Err(text)) => {
+            return Invocation::Refuse(text);
+        }
+    };
+    let beside = std::env::current_exe().unwrap_or_default().with_file_name("ibisweird");
+    let directory = std::env::temp_dir().join(format!("ibisweir-soak-{}", std::process::id()));
+    Invocation::Run(Task::Soak(SoakPlan {
+        daemon: matches.opt_str("daemon").map_or(beside, PathBuf::from),
+        seed,
+        runs,
+        length: Duration::from_secs(seconds),
+        directory: matches.opt_str("logs").map_or(directory, PathBuf::from),
+    }))
+}
+
 fn document(shape: &str, base_port: Option<&str>) -> Invocation {
     let Some(fleet) = fleet(shape) else {
         return Invocation::Refuse(format!("{shape:?} is no shape\n"));
@@ -148,6 +182,7 @@
         Task::MeasurePath { only } => measure::path::run(only.as_deref()).await,
         Task::MeasureFleet => measure::fleet::run().await,
         Task::MeasureCapacity => measure::capacity::run().await,
+        Task::Soak(plan) => soak::run(&plan).await,
         Task::Platform { listen } => platform(listen).await,
         Task::Worker { vm, listen, platform } => worker(vm, listen, platform).await,
     };
--- /dev/null
+++ b/standin/src/jobs/http.rs
@@ -0,0 +1,101 @@
+//! A small HTTP server for the stand-ins.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// A request, read whole.
+#[derive(Debug)]
+pub struct AskedCall {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Pairs of the query.
+    pub query: HashMap<String, String>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl AskedCall {
+    /// A number of the query.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.query.get(name)?.parse().ok()
+    }
+
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// A header as text, empty if it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// An answer; none for a request that is left unanswered.
+pub type GivenAnswer = Option<Response<Full<Bytes>>>;
+
+/// An answer with a JSON body.
+pub fn json(status: u16, body: &Value) -> GivenAnswer {
+    raw(status, Bytes::from(body.to_string()))
+}
+
+/// An answer with any body.
+pub fn raw(status: u16, body: Bytes) -> GivenAnswer {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = StatusCode::from_u16(status).ok()?;
+    Some(response)
+}
+
+/// Serves requests until it is dropped.
+pub async fn serve<F, R>(listener: TcpListener, answer: F)
+where
+    F: Fn(AskedCall) -> R + Send + Sync + 'static,
+    R: Future<Output = GivenAnswer> + Send + 'static,
+{
+    let answer = Arc::new(answer);
+    // The connections end with the server.
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let answer = answer.clone();
+        while connections.try_join_next().is_some() {}
+        connections.spawn(async move {
+            let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
+                let answer = answer.clone();
+                async move {
+                    let (head, body) = request.into_parts();
+                    let body = body.collect().await.map(|body| body.to_bytes());
+                    let query = head.uri.query().unwrap_or("");
+                    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+                    let call = AskedCall {
+                        method: head.method,
+                        path: head.uri.path().to_owned(),
+                        query: pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect(),
+                        headers: head.headers,
+                        body: body.unwrap_or_default(),
+                    };
+                    match answer(call).await {
+                        Some(response) => Ok::<_, Infallible>(response),
+                        None => std::future::pending().await,
+                    }
+                }
+            });
+            // A client that breaks off is its own business.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/jobs/ledger.rs
@@ -0,0 +1,127 @@
+//! What callers and workers have seen, and the promises that it must keep.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ibisweir::jobs::model::{JobId, TaskKey};
+
+/// How a caller's submission ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmissionEnd {
+    /// Accepted.
+    Accepted,
+    /// Every try was refused for sure.
+    Refused,
+    /// Not known.
+    Unknown,
+}
+
+/// A job as its caller knows it.
+#[derive(Clone, Debug)]
+pub struct CallerJob {
+    /// Text for its tasks.
+    pub payload: String,
+    /// Tasks of each step.
+    pub steps: Vec<u32>,
+    /// How the submission ended; nothing while it is under way.
+    pub end: Option<SubmissionEnd>,
+    /// Whether a cancellation was sent.
+    pub is_cancelled: bool,
+    /// Whether its tasks last until it is cancelled.
+    pub lasts: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TaskLedger {
+    /// Lives of workers on which a run is alive, with its number.
+    live: BTreeSet<(String, u32)>,
+    is_done: bool,
+    is_done_acknowledged: bool,
+    starts: u32,
+}
+
+/// All that was seen, checked as it is written.
+#[derive(Debug, Default)]
+pub struct JobLedger {
+    /// Jobs by id.
+    pub jobs: BTreeMap<JobId, CallerJob>,
+    /// Promises that were broken.
+    pub faults: Vec<String>,
+    /// Starts carried out.
+    pub starts: u64,
+    tasks: BTreeMap<TaskKey, TaskLedger>,
+    /// Who has used which fencing token, by VM.
+    holders: BTreeMap<(String, u64), String>,
+}
+
+impl JobLedger {
+    /// A worker begins a run. `is_late` says that it does so long after it was asked.
+    pub fn started(&mut self, task: TaskKey, run: u32, life: &str, payload: &str, is_late: bool) {
+        self.starts += 1;
+        match self.jobs.get(&task.job) {
+            None => self.faults.push(format!("{task} starts, and nobody handed its job in")),
+            Some(job) if job.payload != payload => {
+                self.faults.push(format!("{task} starts with another text"));
+            }
+            Some(_) => {}
+        }
+        let ledger = self.tasks.entry(task).or_default();
+        ledger.starts += 1;
+        if !is_late && !ledger.live.is_empty() {
+            self.faults.push(format!(
+                "{task} run {run} starts on {life} while it runs on {:?}",
+                ledger.live
+            ));
+        }
+        if !is_late && ledger.is_done_acknowledged {
+            self.faults.push(format!("{task} run {run} starts on {life} after its end was noted"));
+        }
+        ledger.live.insert((life.to_owned(), run));
+    }
+
+    /// A run is over.
+    pub fn ended(&mut self, task: TaskKey, run: u32, life: &str, is_done: bool) {
+        let ledger = self.tasks.entry(task).or_default();
+        ledger.live.remove(&(life.to_owned(), run));
+        ledger.is_done |= is_done;
+    }
+
+    /// The end of a run that was done has been acknowledged.
+    pub fn acknowledged(&mut self, task: TaskKey) {
+        let ledger = self.tasks.entry(task).or_default();
+        ledger.is_done_acknowledged |= ledger.is_done;
+    }
+
+    /// A caller is told that a job is completed.
+    pub fn shown_completed(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        for (step, count) in job.steps.iter().enumerate() {
+            for index in 0..*count {
+                let step = u16::try_from(step).unwrap_or(u16::MAX);
+                let task = TaskKey { job: id, occurrence: 0, step, index };
+                if !self.tasks.get(&task).is_some_and(|ledger| ledger.is_done) {
+                    self.faults.push(format!("{id} is shown as completed, and {task} is not done"));
+                }
+            }
+        }
+    }
+
+    /// A VM takes a command.
+    pub fn commanded(&mut self, vm: &str, token: u64, holder: &str) {
+        let known = self.holders.entry((vm.to_owned(), token)).or_insert_with(|| holder.to_owned());
+        if known != holder {
+            self.faults.push(format!("{vm} is commanded by {known} and {holder} with one token"));
+        }
+    }
+
+    /// Starts of a job's tasks.
+    pub fn starts_of(&self, id: JobId) -> u32 {
+        let own = self.tasks.iter().filter(|(task, _)| task.job == id);
+        own.map(|(_, ledger)| ledger.starts).sum()
+    }
+
+    /// Runs of a job that are alive.
+    pub fn live_of(&self, id: JobId) -> usize {
+        let own = self.tasks.iter().filter(|(task, _)| task.job == id);
+        own.map(|(_, ledger)| ledger.live.len()).sum()
+    }
+}
--- /dev/null
+++ b/standin/src/jobs/site.rs
@@ -0,0 +1,211 @@
+//! The platform as a whole: its log, its VMs, what operators write, and the settings of an entry.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::Method;
+use serde_json::{Value, json as value};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
+use crate::jobs::ledger::JobLedger;
+use crate::jobs::log::LogStandin;
+use crate::jobs::proxy::FaultProxy;
+use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin, capacity};
+
+/// Time between two reports of a worker.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Pools that have queues.
+pub const POOLS: [&str; 2] = ["tours", "residence"];
+/// Pool whose VMs are off.
+const STANDBY: &str = "helpers";
+/// Host that callers name.
+pub const CALLER_HOST: &str = "site.example";
+/// Attempts that a task has.
+pub const ATTEMPTS: u32 = 3;
+
+/// A VM behind the link that reaches its worker.
+#[derive(Debug)]
+pub struct LinkedVm {
+    /// The VM.
+    pub vm: VmStandin,
+    /// The link of all entries to it.
+    pub link: FaultProxy,
+}
+
+#[derive(Debug)]
+struct SiteShared {
+    log: LogStandin,
+    vms: Vec<LinkedVm>,
+    ledger: Arc<Mutex<JobLedger>>,
+    /// Waves that were asked for.
+    waves: Mutex<Vec<u64>>,
+}
+
+/// A running platform; stops when dropped.
+#[derive(Debug)]
+pub struct JobPlatform {
+    /// Where the VM service listens.
+    pub vm_service: SocketAddr,
+    shared: Arc<SiteShared>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for JobPlatform {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl JobPlatform {
+    /// Starts a platform with this many VMs, spread over the pools and the standby pool.
+    pub async fn open(vms: usize) -> std::io::Result<JobPlatform> {
+        let ledger = Arc::new(Mutex::new(JobLedger::default()));
+        let log = LogStandin::open().await?;
+        let mut linked = Vec::new();
+        for number in 0..vms {
+            let pool = [POOLS[0], POOLS[1], STANDBY][number % 3];
+            let (name, rack) = (format!("vm-{number}"), format!("r{}", number / 4));
+            let vm = VmStandin::open(name, rack, pool, ledger.clone()).await?;
+            let link = FaultProxy::open(vm.address).await?;
+            linked.push(LinkedVm { vm, link });
+        }
+        let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
+        let vm_service = listener.local_addr()?;
+        let shared = Arc::new(SiteShared { log, vms: linked, ledger, waves: Mutex::default() });
+        let (serving, reporting) = (shared.clone(), shared.clone());
+        let server = tokio::spawn(serve(listener, move |call| {
+            let shared = serving.clone();
+            async move { shared.answer(&call) }
+        }));
+        let reports = tokio::spawn(async move { reporting.report_workers().await });
+        let platform = JobPlatform { vm_service, shared, tasks: vec![server, reports] };
+        platform.configure(1);
+        Ok(platform)
+    }
+
+    /// Its log.
+    pub fn log(&self) -> &LogStandin {
+        &self.shared.log
+    }
+
+    /// Its VMs.
+    pub fn vms(&self) -> &[LinkedVm] {
+        &self.shared.vms
+    }
+
+    /// What was seen.
+    pub fn ledger(&self) -> MutexGuard<'_, JobLedger> {
+        self.shared.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, version: u64) {
+        let service = |name: &str| value!({ "name": name, "admission-check": true, "standby": name == STANDBY });
+        let routes: Vec<Value> = POOLS.iter().map(|pool| route(pool)).collect();
+        let services: Vec<Value> =
+            POOLS.iter().chain([&STANDBY]).map(|name| service(name)).collect();
+        let config = value!({ "version": version, "routes": routes, "services": services });
+        self.shared.log.put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Asks for the maintenance of every VM.
+    pub fn begin_wave(&self, number: u64) {
+        let vms: Vec<&str> = self.vms().iter().map(|linked| linked.vm.name.as_str()).collect();
+        let wave = value!({ "wave": number, "machines": vms, "within-s": 20, "cap": 2 });
+        self.shared.waves.lock().unwrap_or_else(PoisonError::into_inner).push(number);
+        self.shared.log.put("keyed.op", &format!("wave/{number}"), wave.to_string().as_bytes());
+    }
+
+    /// Whether every wave that was asked for is said to be complete.
+    pub fn waves_are_complete(&self) -> bool {
+        let waves = self.shared.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        waves.iter().all(|number| {
+            let told = self.shared.log.newest("keyed.status", &format!("wave/{number}"));
+            told.is_some_and(|body| String::from_utf8_lossy(&body).contains("completed"))
+        })
+    }
+
+    /// The settings file of an entry that reaches log and VM service by these addresses.
+    pub fn settings(
+        &self,
+        name: &str,
+        [callers, ready, peer]: [SocketAddr; 3],
+        log: SocketAddr,
+        vm_service: SocketAddr,
+    ) -> String {
+        value!({
+            "node": name, "zone": "dc-a", "ip": peer.ip(), "port-range": [peer.port(), peer.port()],
+            "listen": { "front": callers, "ready": ready },
+            "orders": "call",
+            "platform": { "addr": log, "form": "log" },
+            "cloud": { "addr": vm_service },
+            "bounds": {
+                "max-hold-ms": LEASE_MAX_MS, "stop-ms": millis(STOP_TIME), "status_s": 120,
+                "grace-s": 6, "maint-s": AWAY_TIME.as_secs_f64(),
+            },
+        })
+        .to_string()
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(0)
+}
+
+fn route(pool: &str) -> Value {
+    value!({
+        "name": pool, "host": CALLER_HOST, "path-prefix": format!("/{pool}/"),
+        "service": pool, "timeout-ms": 3_000, "slo-ms": 600, "stretch": 1.6,
+        "attempts": ATTEMPTS,
+    })
+}
+
+impl SiteShared {
+    fn answer(&self, call: &AskedCall) -> GivenAnswer {
+        if call.method == Method::GET {
+            let rows: Vec<Value> = self.vms.iter().map(|linked| linked.vm.row()).collect();
+            return json(200, &value!({ "machines": rows }));
+        }
+        let body = call.json();
+        let name = body["machine"].as_str().unwrap_or("");
+        let Some(linked) = self.vms.iter().find(|linked| linked.vm.name == name) else {
+            return json(400, &value!({}));
+        };
+        let token = call.header("fencing-token").parse().unwrap_or(0);
+        let answer = linked.vm.command(body["pool"].as_str(), body["wave"].as_u64(), token);
+        if answer.as_ref().is_some_and(|answer| answer.status() == 200) {
+            let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+            ledger.commanded(name, token, call.header("lease-holder"));
+        }
+        answer
+    }
+
+    /// Keeps the workers' entries on the log as they are.
+    async fn report_workers(&self) {
+        let mut told: Vec<Option<(String, String)>> = vec![None; self.vms.len()];
+        loop {
+            for (linked, told) in self.vms.iter().zip(&mut told) {
+                let life = linked.vm.life();
+                if life == *told {
+                    continue;
+                }
+                if let Some((id, _)) = told.take() {
+                    self.log.put("keyed.servers", &id, b"");
+                }
+                if let Some((id, pool)) = &life {
+                    let entry = value!({
+                        "service": pool, "addr": linked.link.address, "zone": "dc-a",
+                        "state": "ready", "capacity": capacity(), "labels": ["a", linked.vm.rack],
+                    });
+                    self.log.put("keyed.servers", id, entry.to_string().as_bytes());
+                }
+                *told = life;
+            }
+            sleep(HEARTBEAT).await;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/jobs/worker.rs
@@ -0,0 +1,443 @@
+//! VMs and the workers on them: runs under leases and fencing tokens, ends that are listed until they
+//! are acknowledged, and VMs that change pools and are maintained.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::Method;
+use ibisweir::jobs::model::TaskKey;
+use rand::Rng;
+use serde_json::{Value, json as value};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
+use crate::jobs::ledger::JobLedger;
+
+/// Longest lease, in milliseconds.
+pub const LEASE_MAX_MS: u64 = 3_000;
+/// Time that a stop takes.
+pub const STOP_TIME: Duration = Duration::from_millis(100);
+/// Time for which a VM is away when it changes pools or is maintained.
+pub const AWAY_TIME: Duration = Duration::from_millis(400);
+/// Processor of a VM, in thousandths of a core.
+pub const VM_CPU: u64 = 8_000;
+/// Time between two looks at what ends.
+const BEAT: Duration = Duration::from_millis(10);
+/// Longest time after which a command that was not answered is carried out, in milliseconds.
+const LATE_MS: u64 = 2_500;
+
+/// What a task does, as its text tells: `work=MS`, `cpu=THOUSANDTHS`, `lasts`, `fails`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TaskText {
+    /// Run time in milliseconds.
+    pub work_ms: u64,
+    /// Processor that it takes.
+    pub cpu: u64,
+    /// Whether it runs until it is stopped.
+    pub lasts: bool,
+    /// Whether it ends in failure.
+    pub fails: bool,
+}
+
+impl TaskText {
+    /// Reads the text; what it does not name is zero.
+    pub fn parse(text: &str) -> TaskText {
+        let number = |name: &str| {
+            let word = text.split(' ').find_map(|word| word.strip_prefix(name));
+            word.and_then(|word| word.parse().ok()).unwrap_or(0)
+        };
+        TaskText {
+            work_ms: number("work="),
+            cpu: number("cpu="),
+            lasts: text.split(' ').any(|word| word == "lasts"),
+            fails: text.split(' ').any(|word| word == "fails"),
+        }
+    }
+}
+
+/// What a VM's worker does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerFaults {
+    /// Nothing is answered.
+    pub is_silent: bool,
+    /// Commands in a hundred that are not answered and carried out later.
+    pub late_percent: u32,
+}
+
+#[derive(Clone, Debug)]
+struct LiveTask {
+    text: TaskText,
+    begun: Instant,
+    stop: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct VmState {
+    pool: String,
+    /// Id of the worker's life; none while the VM is away.
+    life: Option<String>,
+    lives: u32,
+    back: Option<Instant>,
+    is_maintained: bool,
+    wave: u64,
+    token: u64,
+    fence: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<(TaskKey, u32), LiveTask>,
+    refused: HashMap<TaskKey, u32>,
+    ended: Vec<(u64, TaskKey, u32, &'static str)>,
+    next_end: u64,
+    faults: WorkerFaults,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct VmStandin {
+    /// Its name.
+    pub name: String,
+    /// Its rack.
+    pub rack: String,
+    /// Where its worker listens.
+    pub address: SocketAddr,
+    shared: Arc<VmShared>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct VmShared {
+    state: Mutex<VmState>,
+    ended: Notify,
+    ledger: Arc<Mutex<JobLedger>>,
+    started: Instant,
+}
+
+impl Drop for VmStandin {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl VmStandin {
+    /// Starts a VM with a worker in this pool.
+    pub async fn open(
+        name: String,
+        rack: String,
+        pool: &str,
+        ledger: Arc<Mutex<JobLedger>>,
+    ) -> std::io::Result<VmStandin> {
+        let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
+        let address = listener.local_addr()?;
+        let mut state = VmState { pool: pool.to_owned(), ..VmState::default() };
+        state.begin_life(&name);
+        let shared = Arc::new(VmShared {
+            state: Mutex::new(state),
+            ended: Notify::new(),
+            ledger,
+            started: Instant::now(),
+        });
+        let (serving, beating, vm) = (shared.clone(), shared.clone(), name.clone());
+        let server = tokio::spawn(serve(listener, move |call| answer(serving.clone(), call)));
+        let beat = tokio::spawn(async move {
+            loop {
+                sleep(BEAT).await;
+                beating.beat(&vm);
+            }
+        });
+        Ok(VmStandin { name, rack, address, shared, tasks: vec![server, beat] })
+    }
+
+    /// Id of the worker's life and its pool; nothing while the VM is away.
+    pub fn life(&self) -> Option<(String, String)> {
+        let state = self.shared.lock();
+        Some((state.life.clone()?, state.pool.clone()))
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut WorkerFaults)) {
+        change(&mut self.shared.lock().faults);
+    }
+
+    /// The worker loses all that it runs and comes back with another life.
+    pub fn crash(&self) {
+        let mut state = self.shared.lock();
+        self.shared.end_life(&mut state);
+        state.back = Some(Instant::now() + AWAY_TIME);
+    }
+
+    /// A row of the VM list.
+    pub fn row(&self) -> Value {
+        let state = self.shared.lock();
+        let word = match (&state.life, state.is_maintained) {
+            (Some(_), _) => "up",
+            (None, true) => "upkeep",
+            (None, false) => "moving",
+        };
+        value!({
+            "machine": self.name, "pool": state.pool, "state": word, "zone": "dc-a",
+            "labels": ["a", self.rack], "capacity": capacity(), "id": state.life,
+        })
+    }
+
+    /// Moves the VM to a pool, or maintains it for a wave.
+    pub fn command(&self, pool: Option<&str>, wave: Option<u64>, token: u64) -> GivenAnswer {
+        let mut state = self.shared.lock();
+        if token < state.token {
+            return json(409, &value!({ "reason": "fence" }));
+        }
+        state.token = token;
+        let is_done = pool.is_some_and(|pool| pool == state.pool)
+            || wave.is_some_and(|wave| wave == state.wave);
+        if is_done {
+            return json(200, &value!({}));
+        }
+        if state.life.is_none() {
+            return json(409, &value!({ "reason": "busy" }));
+        }
+        self.shared.end_life(&mut state);
+        state.back = Some(Instant::now() + AWAY_TIME);
+        state.is_maintained = wave.is_some();
+        if let Some(pool) = pool {
+            state.pool = pool.to_owned();
+        }
+        state.wave = wave.unwrap_or(state.wave);
+        json(200, &value!({}))
+    }
+}
+
+/// What a worker or VM says of its size.
+pub fn capacity() -> Value {
+    value!({ "cpu": VM_CPU, "mem-mb": 32_000 })
+}
+
+impl VmState {
+    fn begin_life(&mut self, name: &str) {
+        self.lives += 1;
+        self.life = Some(format!("{name}-{}", self.lives));
+        self.back = None;
+        self.is_maintained = false;
+        (self.fence, self.next_end, self.lease_until_ms) = (0, 0, 0);
+        self.ended.clear();
+        self.refused.clear();
+    }
+
+    fn used(&self) -> u64 {
+        self.running.values().map(|task| task.text.cpu).sum()
+    }
+
+    fn end(&mut self, key: (TaskKey, u32), how: &'static str) {
+        self.running.remove(&key);
+        self.refuse(key.0, key.1);
+        self.next_end += 1;
+        self.ended.push((self.next_end, key.0, key.1, how));
+    }
+
+    fn refuse(&mut self, task: TaskKey, run: u32) {
+        let highest = self.refused.entry(task).or_default();
+        *highest = run.max(*highest);
+    }
+}
+
+impl VmShared {
+    fn lock(&self) -> MutexGuard<'_, VmState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, JobLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(0)
+    }
+
+    fn end_life(&self, state: &mut VmState) {
+        let life = state.life.take().unwrap_or_default();
+        for (task, run) in std::mem::take(&mut state.running).into_keys() {
+            self.ledger().ended(task, run, &life, false);
+        }
+        self.ended.notify_waiters();
+    }
+
+    /// Ends what is due, and brings the VM back.
+    fn beat(&self, name: &str) {
+        let now = Instant::now();
+        let clock = self.clock_ms();
+        let mut state = self.lock();
+        if state.back.is_some_and(|back| now >= back) {
+            state.begin_life(name);
+        }
+        let Some(life) = state.life.clone() else { return };
+        let is_lapsed = clock >= state.lease_until_ms;
+        let mut over = Vec::new();
+        for (key, task) in &state.running {
+            let is_through = task.begun.elapsed() >= Duration::from_millis(task.text.work_ms);
+            let how = match task.stop {
+                _ if is_lapsed => "lapsed",
+                Some(at) if now >= at => "stopped",
+                Some(_) => continue,
+                None if task.text.lasts || !is_through => continue,
+                None if task.text.fails => "failed",
+                None => "done",
+            };
+            over.push((*key, how));
+        }
+        for (key, how) in &over {
+            state.end(*key, how);
+            self.ledger().ended(key.0, key.1, &life, *how == "done");
+        }
+        if !over.is_empty() {
+            self.ended.notify_waiters();
+        }
+    }
+
+    fn refusal(&self, reason: &str) -> GivenAnswer {
+        json(409, &value!({ "clock-ms": self.clock_ms(), "reason": reason }))
+    }
+
+    fn carry_out(&self, call: &AskedCall, is_late: bool) -> GivenAnswer {
+        let body = call.json();
+        let mut state = self.lock();
+        let Some(life) = state.life.clone() else { return json(503, &value!({})) };
+        if call.header("expect-instance") != life {
+            return json(421, &value!({ "clock-ms": self.clock_ms() }));
+        }
+        let fence = body["fence"].as_u64().unwrap_or(0);
+        if fence < state.fence {
+            return self.refusal("fence");
+        }
+        state.fence = fence;
+        let run = u32::try_from(body["run"].as_u64().unwrap_or(0)).unwrap_or(0);
+        let task = body["task"].as_str().and_then(TaskKey::parse);
+        match (call.path.as_str(), task) {
+            ("/run-start", Some(task)) => {
+                self.start(&mut state, &life, (task, run), &body, is_late)
+            }
+            ("/run-stop", Some(task)) => {
+                if let Some(live) = state.running.get_mut(&(task, run)) {
+                    live.stop.get_or_insert(Instant::now() + STOP_TIME);
+                }
+                state.refuse(task, run);
+                json(200, &value!({ "clock-ms": self.clock_ms() }))
+            }
+            ("/pace", Some(_)) => json(200, &value!({ "clock-ms": self.clock_ms() })),
+            _ => json(400, &value!({})),
+        }
+    }
+
+    fn start(
+        &self,
+        state: &mut VmState,
+        life: &str,
+        key: (TaskKey, u32),
+        body: &Value,
+        is_late: bool,
+    ) -> GivenAnswer {
+        let clock = self.clock_ms();
+        let until = body["until-ms"].as_u64().unwrap_or(0).min(clock + LEASE_MAX_MS);
+        if until <= clock {
+            return self.refusal("late");
+        }
+        state.lease_until_ms = state.lease_until_ms.max(until);
+        if state.running.contains_key(&key) {
+            return json(200, &value!({ "clock-ms": clock }));
+        }
+        if state.refused.get(&key.0).is_some_and(|highest| key.1 <= *highest) {
+            return self.refusal("old");
+        }
+        let payload = body["spec"].as_str().unwrap_or("");
+        let text = TaskText::parse(payload);
+        if state.used() + text.cpu > VM_CPU {
+            return self.refusal("room");
+        }
+        state.running.insert(key, LiveTask { text, begun: Instant::now(), stop: None });
+        self.ledger().started(key.0, key.1, life, payload, is_late);
+        json(200, &value!({ "clock-ms": clock }))
+    }
+
+    async fn hold(&self, call: &AskedCall) -> GivenAnswer {
+        let body = call.json();
+        let seen = body["last-seen"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.lock();
+            let Some(life) = state.life.clone() else { return json(503, &value!({})) };
+            if call.header("expect-instance") != life {
+                return json(421, &value!({ "clock-ms": self.clock_ms() }));
+            }
+            let fence = body["fence"].as_u64().unwrap_or(0);
+            if fence < state.fence {
+                return self.refusal("fence");
+            }
+            state.fence = fence;
+            let clock = self.clock_ms();
+            let until = body["until-ms"].as_u64().unwrap_or(0).min(clock + LEASE_MAX_MS);
+            state.lease_until_ms = state.lease_until_ms.max(until);
+            for (number, task, _, how) in &state.ended {
+                if *number <= seen && *how == "done" {
+                    self.ledger().acknowledged(*task);
+                }
+            }
+            state.ended.retain(|(number, ..)| *number > seen);
+        }
+        let wait = Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
+        let has_ended = async {
+            loop {
+                let ended = self.ended.notified();
+                if !self.lock().ended.is_empty() {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        // Either ends the wait.
+        let _ = timeout(wait, has_ended).await;
+        let state = self.lock();
+        if state.life.as_deref() != Some(call.header("expect-instance")) {
+            return None;
+        }
+        let percent = |task: &LiveTask| match task.text.lasts {
+            true => 100,
+            false => {
+                let done = task.begun.elapsed().as_millis() * 100;
+                u64::try_from(done).unwrap_or(0) / task.text.work_ms.max(1)
+            }
+        };
+        let running: Vec<Value> = state
+            .running
+            .iter()
+            .map(|((task, run), live)| value!([task.to_string(), run, "", percent(live).min(100)]))
+            .collect();
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| value!([number, task.to_string(), run, how, ""]))
+            .collect();
+        json(200, &value!({ "clock-ms": self.clock_ms(), "running": running, "ended": ended }))
+    }
+}
+
+async fn answer(shared: Arc<VmShared>, call: AskedCall) -> GivenAnswer {
+    let faults = shared.lock().faults;
+    if faults.is_silent {
+        return None;
+    }
+    if call.method != Method::POST {
+        return json(404, &value!({}));
+    }
+    if call.path == "/hold" {
+        return shared.hold(&call).await;
+    }
+    if rand::rng().random_range(0..100) >= faults.late_percent {
+        return shared.carry_out(&call, false);
+    }
+    let late = Duration::from_millis(rand::rng().random_range(0..LATE_MS));
+    tokio::spawn(async move {
+        sleep(late).await;
+        drop(shared.carry_out(&call, true));
+    });
+    None
+}
--- /dev/null
+++ b/standin/src/soak/callers.rs
@@ -0,0 +1,229 @@
+//! Callers: they hand jobs in through any entry, try again elsewhere, look, and cancel.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method};
+use ibisweir::jobs::model::JobId;
+use ibisweir::transport::{ExchangeFailure, HttpCall, HttpTransport};
+use rand::Rng;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::jobs::ledger::{CallerJob, SubmissionEnd};
+use crate::jobs::site::{CALLER_HOST, JobPlatform, POOLS};
+use crate::soak::entry::EntryProcess;
+
+/// Time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Tries of one submission.
+const TRIES: usize = 4;
+/// Longest pause of a caller between two things, in milliseconds.
+const PAUSE_MS: u64 = 250;
+/// Looks at a job before its caller turns to the next one.
+const LOOKS: usize = 4;
+
+/// What a caller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// 2xx.
+    Done,
+    /// Certainly not done.
+    Refused,
+    /// The job does not exist.
+    Gone,
+    /// Anything else.
+    Unknown,
+}
+
+/// The callers of a site. Their connections are kept open, also over the stop of an entry.
+#[derive(Debug)]
+pub struct CallerGroup {
+    platform: Arc<JobPlatform>,
+    entries: Vec<Arc<EntryProcess>>,
+    is_over: AtomicBool,
+}
+
+impl CallerGroup {
+    /// Callers that reach all these entries.
+    pub fn new(platform: Arc<JobPlatform>, entries: Vec<Arc<EntryProcess>>) -> CallerGroup {
+        CallerGroup { platform, entries, is_over: AtomicBool::new(false) }
+    }
+
+    /// Lets each caller finish what it is at.
+    pub fn stop(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    /// One caller, until it is stopped.
+    pub async fn call(self: Arc<Self>, mut random: StdRng) {
+        let transport = HttpTransport::open();
+        while !self.is_over.load(Ordering::Relaxed) {
+            let id = self.submit(&transport, &mut random).await;
+            for _ in 0..LOOKS {
+                sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
+                self.look(&transport, id, &mut random).await;
+            }
+            if random.random_bool(0.15) {
+                self.cancel(&transport, id, &mut random).await;
+            }
+        }
+    }
+
+    async fn submit(&self, transport: &HttpTransport, random: &mut StdRng) -> JobId {
+        let id = loop {
+            if let Some(id) = JobId::parse(&format!("{:016x}", random.random::<u64>())) {
+                break id;
+            }
+        };
+        let (job, body) = draw_job(random);
+        self.platform.ledger().jobs.insert(id, job);
+        let mut end = SubmissionEnd::Refused;
+        for _ in 0..TRIES {
+            match self.send(transport, Method::POST, id, body.to_string(), random).await.0 {
+                Told::Done => {
+                    end = SubmissionEnd::Accepted;
+                    break;
+                }
+                Told::Refused => {}
+                Told::Gone | Told::Unknown => end = SubmissionEnd::Unknown,
+            }
+            sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
+        }
+        if let Some(job) = self.platform.ledger().jobs.get_mut(&id) {
+            job.end = Some(end);
+        }
+        id
+    }
+
+    async fn look(&self, transport: &HttpTransport, id: JobId, random: &mut StdRng) -> String {
+        let (told, body) = self.send(transport, Method::GET, id, String::new(), random).await;
+        let mut ledger = self.platform.ledger();
+        let is_accepted =
+            ledger.jobs.get(&id).is_some_and(|job| job.end == Some(SubmissionEnd::Accepted));
+        if told == Told::Gone && is_accepted {
+            ledger.faults.push(format!("{id} was accepted and is said not to exist"));
+        }
+        let state = body["state"].as_str().unwrap_or("").to_owned();
+        if state == "completed" {
+            ledger.shown_completed(id);
+        }
+        state
+    }
+
+    async fn cancel(&self, transport: &HttpTransport, id: JobId, random: &mut StdRng) {
+        if let Some(job) = self.platform.ledger().jobs.get_mut(&id) {
+            job.is_cancelled = true;
+        }
+        for _ in 0..TRIES {
+            let told = self.send(transport, Method::DELETE, id, String::new(), random).await.0;
+            if matches!(told, Told::Done | Told::Gone) {
+                return;
+            }
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+
+    async fn send(
+        &self,
+        transport: &HttpTransport,
+        method: Method,
+        id: JobId,
+        body: String,
+        random: &mut StdRng,
+    ) -> (Told, Value) {
+        let entry = &self.entries[random.random_range(0..self.entries.len())];
+        // The id tells the queue, for every call about the job.
+        let pool =
+            POOLS[usize::from(id.to_string().ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']))];
+        let mut headers = HeaderMap::new();
+        headers.insert("deadline-ms", HeaderValue::from_static("3000"));
+        headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
+        let path = format!("/{pool}/{id}");
+        let call = HttpCall { method, path, headers, body: Bytes::from(body) };
+        match transport.exchange(entry.callers, call, PATIENCE).await {
+            Ok(answer) => {
+                let told = match answer.status.as_u16() {
+                    200..=299 => Told::Done,
+                    410 => Told::Gone,
+                    404 | 429 | 503 => Told::Refused,
+                    _ => Told::Unknown,
+                };
+                (told, serde_json::from_slice(&answer.body).unwrap_or_default())
+            }
+            Err(ExchangeFailure::NotSent) => (Told::Refused, Value::Null),
+            Err(ExchangeFailure::NoAnswer) => (Told::Unknown, Value::Null),
+        }
+    }
+
+    /// Cancels all jobs whose tasks last, and those whose cancellation has not been confirmed.
+    pub async fn cancel_lasting(&self) {
+        let transport = HttpTransport::open();
+        let mut random = rand::SeedableRng::seed_from_u64(0);
+        let ids: Vec<JobId> = {
+            let ledger = self.platform.ledger();
+            let wanted = ledger.jobs.iter().filter(|(_, job)| job.lasts || job.is_cancelled);
+            wanted.map(|(id, _)| *id).collect()
+        };
+        for id in ids {
+            self.cancel(&transport, id, &mut random).await;
+        }
+    }
+
+    /// Accepted jobs that are not over, and their state.
+    pub async fn open_jobs(&self) -> Vec<(JobId, String)> {
+        let transport = HttpTransport::open();
+        let mut random = rand::SeedableRng::seed_from_u64(0);
+        let ids: Vec<(JobId, bool)> = {
+            let ledger = self.platform.ledger();
+            let accepted = |end: Option<SubmissionEnd>| end == Some(SubmissionEnd::Accepted);
+            let own = ledger.jobs.iter().filter(|(_, job)| accepted(job.end));
+            own.map(|(id, job)| (*id, job.is_cancelled)).collect()
+        };
+        let mut open = Vec::new();
+        for (id, is_cancelled) in ids {
+            let state = self.look(&transport, id, &mut random).await;
+            let is_over = matches!(state.as_str(), "completed" | "failed" | "cancelled");
+            if !is_over {
+                open.push((id, state));
+                if is_cancelled {
+                    self.cancel(&transport, id, &mut random).await;
+                }
+            }
+        }
+        open
+    }
+}
+
+/// A job of one or two steps; now and then one that lasts, and one that always fails.
+fn draw_job(random: &mut StdRng) -> (CallerJob, Value) {
+    let lasts = random.random_bool(0.08);
+    let fails = !lasts && random.random_bool(0.06);
+    let (work, cpu) = (random.random_range(30..400), random.random_range(500..3_000));
+    let mut payload = format!("work={work} cpu={cpu}");
+    if lasts {
+        payload.push_str(" lasts");
+    }
+    if fails {
+        payload.push_str(" fails");
+    }
+    let count = if lasts { 1 } else { random.random_range(1..3) };
+    let steps: Vec<u32> = (0..count).map(|_| random.random_range(1..5)).collect();
+    let bodies: Vec<Value> = steps
+        .iter()
+        .enumerate()
+        .map(|(position, tasks)| {
+            let after: Vec<usize> = (0..position).collect();
+            json!({
+                "count": tasks, "cpu": cpu, "mem-mb": 256, "est-ms": work, "after": after,
+                "long-running": lasts, "may-miss": u32::from(lasts),
+            })
+        })
+        .collect();
+    let body = json!({ "spec": payload, "steps": bodies });
+    (CallerJob { payload, steps, end: None, is_cancelled: false, lasts }, body)
+}
--- /dev/null
+++ b/standin/src/soak/mod.rs
@@ -0,0 +1,209 @@
+//! A soak: entries as processes of their own against the stand-in platform, with faults from outside
+//! that come in series and overlap, and the callers' and workers' view checked all the while.
+//!
+//! A seed draws faults and jobs. What it can't draw is how the processes interleave: a seed that failed
+//! once may pass the next time, so the logs of a run that fails are kept.
+
+mod callers;
+mod entry;
+mod faults;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibisweir::error::{CodeResult, ResultCode, coded};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::jobs::ledger::SubmissionEnd;
+use crate::jobs::site::JobPlatform;
+use crate::soak::callers::CallerGroup;
+use crate::soak::entry::EntryProcess;
+
+/// Entries of a site.
+const ENTRIES: u8 = 4;
+/// VMs of a site.
+const VMS: usize = 9;
+/// Callers at a time.
+const CALLERS: usize = 8;
+/// Time for everything to settle once the faults are over; only a hang reaches it.
+const SETTLE_TIME: Duration = Duration::from_secs(90);
+/// Time between two looks at whether it has.
+const SETTLE_GAP: Duration = Duration::from_millis(200);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// Program of the entries.
+    pub daemon: PathBuf,
+    /// First seed.
+    pub seed: u64,
+    /// Seeds, one after the other.
+    pub runs: u64,
+    /// Time under faults, for each seed.
+    pub length: Duration,
+    /// Directory of the logs; those of runs that pass are removed.
+    pub directory: PathBuf,
+}
+
+/// What one run showed.
+#[derive(Debug, Default)]
+struct SoakReport {
+    accepted: usize,
+    refused: usize,
+    unknown: usize,
+    starts: u64,
+    faults: usize,
+    broken: Vec<String>,
+}
+
+/// Runs every seed; false if a promise was broken or the soak was interrupted.
+///
+/// # Errors
+/// `BindFailed` if a stand-in or an entry can't be started.
+pub async fn run(plan: &SoakPlan) -> CodeResult<bool> {
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return run_seeds(plan).await };
+    // Entries are killed when they are dropped; a soak that just died would leave them running.
+    tokio::select! {
+        outcome = run_seeds(plan) => outcome,
+        _ = terminate.recv() => Ok(false),
+        _ = interrupt.recv() => Ok(false),
+    }
+}
+
+async fn run_seeds(plan: &SoakPlan) -> CodeResult<bool> {
+    let mut failed = Vec::new();
+    for seed in plan.seed..plan.seed + plan.runs {
+        let begun = Instant::now();
+        let report =
+            one_run(plan, seed).await.map_err(|error| coded(ResultCode::BindFailed, error))?;
+        println!(
+            "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts, {} faults, {} s: {}",
+            report.accepted,
+            report.refused,
+            report.unknown,
+            report.starts,
+            report.faults,
+            begun.elapsed().as_secs(),
+            if report.broken.is_empty() { "all promises kept" } else { "BROKEN" },
+        );
+        for line in report.broken.iter().take(10) {
+            println!("  {line}");
+        }
+        if !report.broken.is_empty() {
+            failed.push(seed);
+        }
+    }
+    println!("{} seeds, {} with a broken promise {failed:?}", plan.runs, failed.len());
+    Ok(failed.is_empty())
+}
+
+async fn one_run(plan: &SoakPlan, seed: u64) -> std::io::Result<SoakReport> {
+    let directory = plan.directory.join(format!("seed-{seed}"));
+    std::fs::create_dir_all(&directory)?;
+    let platform = Arc::new(JobPlatform::open(VMS).await?);
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES {
+        let entry = EntryProcess::start(number, &plan.daemon, &directory, &platform).await?;
+        entries.push(Arc::new(entry));
+    }
+    let mut report = SoakReport::default();
+    if !settle(|| entries.iter().all(|entry| entry.was_ready()), &entries).await {
+        report.broken.push("not every entry was ready before the faults began".to_owned());
+    }
+    let callers = Arc::new(CallerGroup::new(platform.clone(), entries.clone()));
+    let mut tasks = JoinSet::new();
+    for number in 0..CALLERS {
+        let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
+        tasks.spawn(callers.clone().call(random));
+    }
+    let random = StdRng::seed_from_u64(seed);
+    report.faults = faults::inject(random, plan.length, &platform, &entries).await;
+    callers.stop();
+    while tasks.join_next().await.is_some() {}
+    check_end(&platform, &entries, &callers, &mut report).await;
+    for entry in &entries {
+        if !entry.stop().await {
+            report.broken.push(format!("{} did not end with 0 when it was stopped", entry.name));
+        }
+    }
+    report.broken.append(&mut platform.ledger().faults);
+    if report.broken.is_empty() {
+        // A directory that can't be removed is only left over.
+        let _ = std::fs::remove_dir_all(&directory);
+    }
+    Ok(report)
+}
+
+/// Waits until something holds, looking after entries that have ended; false if it never does.
+async fn settle(holds: impl Fn() -> bool, entries: &[Arc<EntryProcess>]) -> bool {
+    let waiting = async {
+        while !holds() {
+            for entry in entries {
+                entry.look_after().await;
+            }
+            sleep(SETTLE_GAP).await;
+        }
+    };
+    timeout(SETTLE_TIME, waiting).await.is_ok()
+}
+
+/// After the faults: what was accepted ends, what was cancelled or refused does not run.
+async fn check_end(
+    platform: &Arc<JobPlatform>,
+    entries: &[Arc<EntryProcess>],
+    callers: &Arc<CallerGroup>,
+    report: &mut SoakReport,
+) {
+    callers.cancel_lasting().await;
+    let is_ready = || entries.iter().all(|entry| entry.is_ready_now());
+    if !settle(is_ready, entries).await {
+        report.broken.push("not every entry came back after the faults".to_owned());
+    }
+    let begun = Instant::now();
+    loop {
+        let open = callers.open_jobs().await;
+        if open.is_empty() {
+            break;
+        }
+        if begun.elapsed() > SETTLE_TIME {
+            let lines = open.iter().map(|(id, state)| format!("{id} is still {state}"));
+            report.broken.extend(lines);
+            break;
+        }
+        sleep(SETTLE_GAP).await;
+    }
+    let has_stopped = || {
+        let ledger = platform.ledger();
+        ledger
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_cancelled)
+            .all(|(id, _)| ledger.live_of(*id) == 0)
+    };
+    if !settle(has_stopped, entries).await {
+        report.broken.push("tasks of cancelled jobs run on".to_owned());
+    }
+    if !settle(|| platform.waves_are_complete(), entries).await {
+        report.broken.push("a maintenance wave was never said to be complete".to_owned());
+    }
+    let ledger = platform.ledger();
+    for (id, job) in &ledger.jobs {
+        match job.end {
+            Some(SubmissionEnd::Accepted) => report.accepted += 1,
+            Some(SubmissionEnd::Refused) => {
+                report.refused += 1;
+                if ledger.starts_of(*id) > 0 {
+                    report.broken.push(format!("{id} was refused by everybody, and ran"));
+                }
+            }
+            Some(SubmissionEnd::Unknown) | None => report.unknown += 1,
+        }
+    }
+    report.starts = ledger.starts;
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -127,6 +127,11 @@
     assert!(status.expect("kill runs").success(), "the process takes {name}");
 }
 
+/// Runs the stand-in to its end.
+pub fn run_standin(arguments: &[&str]) -> ToolRun {
+    finish(Command::new(standin_program()).args(arguments))
+}
+
 fn standin_program() -> PathBuf {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_ibisweird"));
     let program = daemon.with_file_name("ibisweir-standin");
@@ -161,10 +166,11 @@
 
 /// Runs `ibisweirctl`.
 pub fn run_tool(arguments: &[&str]) -> ToolRun {
-    let output = Command::new(env!("CARGO_BIN_EXE_ibisweirctl"))
-        .args(arguments)
-        .output()
-        .expect("the tool runs");
+    finish(Command::new(env!("CARGO_BIN_EXE_ibisweirctl")).args(arguments))
+}
+
+fn finish(command: &mut Command) -> ToolRun {
+    let output = command.output().expect("the program runs");
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     ToolRun { status: output.status.code(), out: text(&output.stdout), err: text(&output.stderr) }
 }
