Statuses of waves reach the log in order; callers with little time are served

The two appends ran side by side; "running" was stored last and stood for good. An append whose answer is lost and that is carried out seconds later can do the same. Now a wave that is complete is not told to run, and statuses are appended one after the other, under numbers of the leader's own. Ruled out: the VMs (all nine were maintained and the leader knew it).

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -24,6 +24,7 @@
 };
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
+use crate::jobs::wave_teller::WaveTeller;
 use crate::scheduler::commit::CommitBatch;
 use crate::scheduler::exits::RenewPlan;
 use crate::scheduler::runs::{RunCommand, refusal_word};
@@ -89,6 +90,8 @@
         V: VmClient,
         P: PermitClient,
     {
+        let (teller, statuses) =
+            WaveTeller::open(parts.log.clone(), parts.wave_encoder, node.logger.clone(), term);
         let run = LeaderRun {
             node,
             parts,
@@ -96,8 +99,9 @@
             sequence: Mutex::new(0),
             lanes: Mutex::new(HashMap::new()),
             commit_wake: Notify::new(),
+            statuses,
         };
-        let main = tokio::spawn(Arc::new(run).lead(predecessor_ms)).abort_handle();
+        let main = tokio::spawn(Arc::new(run).lead(teller, predecessor_ms)).abort_handle();
         Conductor { main }
     }
 
@@ -134,6 +138,7 @@
     sequence: Mutex<u64>,
     lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
     commit_wake: Notify,
+    statuses: mpsc::UnboundedSender<(u64, bool)>,
 }
 
 impl<L, W, V, P> LeaderRun<L, W, V, P>
@@ -143,7 +148,7 @@
     V: VmClient,
     P: PermitClient,
 {
-    async fn lead(self: Arc<Self>, predecessor_ms: Option<u64>) {
+    async fn lead(self: Arc<Self>, teller: WaveTeller<L>, predecessor_ms: Option<u64>) {
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
         let Some((tail, workers)) = self.first_workers().await else { return };
@@ -162,6 +167,7 @@
         // All tasks end with this one.
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().commit());
+        tasks.spawn(teller.run());
         tasks.spawn(self.clone().follow_workers(tail));
         self.drive(&mut tasks).await;
         self.node.set_scheduler(None);
@@ -356,7 +362,8 @@
                 });
             }
             SchedulerAction::TellWave(number, is_completed) => {
-                tasks.spawn(self.clone().tell_wave(number, is_completed));
+                // The teller ends only once a later leader tells instead.
+                let _ = self.statuses.send((number, is_completed));
             }
             SchedulerAction::AskPermits(step, workers) => {
                 let run = self.clone();
@@ -501,27 +508,6 @@
         self.node.wake.notify_one();
     }
 
-    /// Tells operators of a wave, until the log has it.
-    async fn tell_wave(self: Arc<Self>, number: u64, is_completed: bool) {
-        let Some(record) = (self.parts.wave_encoder)(number, is_completed) else { return };
-        info!(self.node.logger, "wave status"; "wave" => number, "completed" => is_completed);
-        let call = AppendCall {
-            topic: LogTopic::Status,
-            records: vec![record],
-            expected_end: None,
-            stamp: None,
-        };
-        loop {
-            let outcome = self.parts.log.append(&call, APPEND_PATIENCE).await;
-            if matches!(outcome, AppendOutcome::Done { .. }) {
-                return;
-            }
-            warn!(self.node.logger, "a wave's status is not on the log yet";
-                "wave" => number, "outcome" => ?outcome);
-            sleep(REPEAT_PAUSE).await;
-        }
-    }
-
     /// Commits what the scheduler has decided, one append at a time.
     async fn commit(self: Arc<Self>) {
         loop {
--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -156,7 +156,10 @@
         0 => SUBMIT_PATIENCE,
         timeout => SUBMIT_PATIENCE.min(Duration::from_millis(timeout)),
     };
-    Instant::now() + own.min(patience.saturating_sub(ANSWER_MARGIN))
+    // A caller with less time than the margin still gets half of it: an append takes a few milliseconds
+    // as a rule, and an outcome that is not known is worth nothing to it.
+    let margin = ANSWER_MARGIN.min(patience / 2);
+    Instant::now() + own.min(patience - margin)
 }
 
 fn reply(outcome: SubmitOutcome) -> DeskReply {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -20,3 +20,4 @@
 pub mod relay;
 pub mod site;
 pub mod submitter;
+pub mod wave_teller;
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -76,9 +76,7 @@
 
     fn plan_wave(&mut self, number: u64, is_scarce: bool, now: u64) {
         let Some(run) = self.fleet.waves.get_mut(&number) else { return };
-        if !std::mem::replace(&mut run.is_told, true) {
-            self.actions.push(SchedulerAction::TellWave(number, false));
-        }
+        let is_told = std::mem::replace(&mut run.is_told, true);
         let left: Vec<Arc<str>> = run
             .wave
             .vms
@@ -91,6 +89,9 @@
             self.actions.push(SchedulerAction::TellWave(number, true));
             return;
         }
+        if !is_told {
+            self.actions.push(SchedulerAction::TellWave(number, false));
+        }
         let deadline = run.since_ms + run.wave.within_ms;
         let parallel_max = run.wave.parallel_max.max(1);
         let planned = self.planned(number);
--- /dev/null
+++ b/tests/desk.rs
@@ -0,0 +1,61 @@
+//! What callers are told of their submissions, by the time that they have.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::desk::{DeskReply, JobDesk};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::relay::RelayClient;
+use ibisweir::jobs::submitter;
+use ibisweir::transport::HttpTransport;
+use support::stage::{POOL, QUEUE, job, job_id, queue, site_settings, step};
+use tokio::time::sleep;
+
+/// Time of an append.
+const APPEND_TIME: Duration = Duration::from_millis(20);
+
+/// A log that takes every append.
+#[derive(Clone)]
+struct WellLog;
+
+impl JobLog for WellLog {
+    async fn append(&self, call: &AppendCall, _: Duration) -> AppendOutcome {
+        sleep(APPEND_TIME).await;
+        AppendOutcome::Done { offset: 0, end: call.records.len() as u64 }
+    }
+
+    async fn read(&self, _: LogTopic, _: u64, _: Duration) -> ReadOutcome {
+        ReadOutcome::Read(LogBatch::default())
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+fn desk() -> JobDesk<WellLog> {
+    let logger = ibisweir::logging::silent();
+    let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
+    node.touch();
+    let relay = RelayClient::new(HttpTransport::open());
+    let submitter = submitter::spawn(node.clone(), WellLog, relay, 1);
+    let reader = Arc::new(CatchUpReader::new(node.clone(), WellLog));
+    JobDesk { node, reader, submitter }
+}
+
+/// A caller tries again with a tenth of a second left, and the log takes a fiftieth. It is told that
+/// its job is stored. Before, all of its time was kept for the way back: it was told at once that the
+/// outcome is not known, and the job was stored a moment later.
+#[tokio::test(start_paused = true)]
+async fn a_caller_with_little_time_left_is_served_in_it() {
+    let queue = queue(QUEUE, POOL);
+    let patience = Duration::from_millis(100);
+    let reply = desk().submit(&queue, job_id(1), job(vec![step(1)]), patience).await;
+    assert_eq!(reply, DeskReply::Stored);
+}
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -172,6 +172,26 @@
     assert_eq!(stage.vm_commands.len(), 2);
 }
 
+/// A new leader finds a wave with nothing left to do. Operators have been told that it is complete, and
+/// are not told once more that it runs.
+#[test]
+fn a_successor_tells_nobody_that_a_complete_wave_runs() {
+    let pool = workers(2);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 2), BTreeSet::new(), stage.now);
+    stage.advance(1_000);
+    assert_eq!(stage.told.last(), Some(&(1, true)));
+
+    let done = stage.book.maintained(1);
+    stage.take_over(2, config());
+    stage.told.clear();
+    stage.scheduler.take_vms(vms(&pool, 0), stage.now, stage.now);
+    stage.scheduler.take_wave(wave(&pool, 2), done, stage.now);
+    stage.advance(300);
+    assert_eq!(stage.told, vec![(1, true)]);
+}
+
 /// Callers of a service find two of its tasks away where one may be. Its leader stops the first task
 /// to empty a VM and hands over; until the stop is through, the worker still lists the task at work.
 /// The successor must not take that for a task that stays, and stop a second one.
--- /dev/null
+++ b/tests/wave_teller.rs
@@ -0,0 +1,57 @@
+//! Operators are told of waves in order, whatever the log answers.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::jobs::wave_teller::WaveTeller;
+
+/// A log that gives no answer to the first append, and keeps what it was sent.
+#[derive(Clone, Default)]
+struct LossyLog {
+    sent: Arc<Mutex<Vec<(u64, Vec<u8>)>>>,
+}
+
+impl JobLog for LossyLog {
+    async fn append(&self, call: &AppendCall, _: Duration) -> AppendOutcome {
+        let mut sent = self.sent.lock().expect("no panic before");
+        let stamp = call.stamp.as_ref().expect("a number makes a repeat harmless");
+        assert_eq!(stamp.epoch, 7);
+        sent.push((stamp.sequence, call.records[0].value.clone()));
+        match sent.len() {
+            1 => AppendOutcome::Unknown,
+            _ => AppendOutcome::Done { offset: 0, end: 1 },
+        }
+    }
+
+    async fn read(&self, _: LogTopic, _: u64, _: Duration) -> ReadOutcome {
+        ReadOutcome::Read(LogBatch::default())
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+fn encode(number: u64, is_completed: bool) -> Option<KeyedRecord> {
+    Some(KeyedRecord { key: number.to_string(), value: vec![u8::from(is_completed)] })
+}
+
+/// The log gives no answer to the first status of a wave, which is complete a moment later. The first
+/// is repeated under its number before the second is sent under the next: sent at once, the second
+/// could be stored first, and operators would see the wave run for good.
+#[tokio::test(start_paused = true)]
+async fn a_status_is_sent_once_the_one_before_is_on_the_log() {
+    let log = LossyLog::default();
+    let logger = ibisweir::logging::silent();
+    let (teller, statuses) = WaveTeller::open(log.clone(), encode, logger, 7);
+    statuses.send((1, false)).expect("the teller listens");
+    statuses.send((1, true)).expect("the teller listens");
+    drop(statuses);
+    teller.run().await;
+    let sent = log.sent.lock().expect("no panic before");
+    assert_eq!(*sent, vec![(0, vec![0]), (0, vec![0]), (1, vec![1])]);
+}
