--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -143,9 +143,10 @@
 /// Waits until something holds, looking after entries that have ended; false if it never does.
 async fn settle(holds: impl Fn() -> bool, entries: &[Arc<EntryProcess>]) -> bool {
     let waiting = async {
-        while !holds() {
-            for entry in entries {
-                entry.look_after().await;
+        loop {
+            look_after_all(entries).await;
+            if holds() {
+                return;
             }
             sleep(SETTLE_GAP).await;
         }
@@ -153,6 +154,13 @@
     timeout(SETTLE_TIME, waiting).await.is_ok()
 }
 
+/// Starts those again that a signal has ended.
+async fn look_after_all(entries: &[Arc<EntryProcess>]) {
+    for entry in entries {
+        entry.look_after().await;
+    }
+}
+
 /// After the faults: what was accepted ends, what was cancelled or refused does not run.
 async fn check_end(
     platform: &Arc<JobPlatform>,
@@ -167,6 +175,7 @@
     }
     let begun = Instant::now();
     loop {
+        look_after_all(entries).await;
         let open = callers.open_jobs().await;
         if open.is_empty() {
             break;
