--- a/src/bin/ibisweirctl/app.rs
+++ b/src/bin/ibisweirctl/app.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use getopts::{Matches, Options};
+use ibisweir::jobs::model::JobId;
 use ibisweir::settings::variable;
 
 const USAGE: &str = "\
@@ -18,6 +19,8 @@
   diff REVISION [REV2]  differences between a revision and another, or the one in force
   history               publishes and what became of each
   status                who has which revision in force, pools, VMs, waves, budgets
+  jobs                  entries of the job side, who leads, queues, pools, waves, doubted workers
+  job ID                one job: its state, and the runs that may be alive
   keys NAME...          make a test authority and keys for entries, in --out
 
 Examples:
@@ -26,6 +29,8 @@
   ibisweirctl show --platform 10.0.0.5:7000 > edited.json      # note the revision on standard error
   ibisweirctl publish edited.json --base 17 --platform 10.0.0.5:7000
   ibisweirctl status --admin 10.0.1.1:8081,10.0.1.2:8081
+  ibisweirctl jobs --entry 10.1.0.9:7060,10.2.0.23:7060
+  ibisweirctl job 5c0e7a21d94b36f8 --entry 10.1.0.9:7060
   ibisweirctl keys --out keys gb-entry-1 gb-entry-2
 
 Options:
@@ -33,7 +38,7 @@
 
 const STATUSES: &str = "
 Exit status: 0 done, 1 the document has faults, 2 faulty command line, 3 another document won,
-4 the outcome is not known, 5 the platform or a daemon can't be reached or read.
+4 the outcome is not known, 5 the platform or a daemon can't be reached or read, 6 no entry knows the job.
 ";
 
 /// What the command line asks for.
@@ -102,6 +107,18 @@
         /// Admin addresses.
         admins: Vec<SocketAddr>,
     },
+    /// Print how entries of the job side are.
+    Jobs {
+        /// Addresses that entries use among themselves.
+        entries: Vec<SocketAddr>,
+    },
+    /// Print one job.
+    Job {
+        /// Its id.
+        id: JobId,
+        /// Addresses that entries use among themselves; the first that knows the job tells.
+        entries: Vec<SocketAddr>,
+    },
     /// Make keys.
     Keys {
         /// Directory.
@@ -127,6 +144,7 @@
     options.optopt("", "platform", "address of the platform's log, IP:port", "ADDRESS");
     options.optopt("", "base", "revision the document was edited from, or 'current'", "REVISION");
     options.optopt("", "admin", "admin addresses of entries, IP:port,IP:port", "ADDRESSES");
+    options.optopt("", "entry", "peer addresses of entries of the job side", "ADDRESSES");
     options.optopt("", "out", "directory for keys", "DIR");
     options.optopt("", "by", "who publishes [the user's name]", "NAME");
     options.optopt("", "patience", "longest wait for the platform, in ms [10000]", "MS");
@@ -196,7 +214,13 @@
             platform: platform(matches)?,
         }),
         ["history"] => Ok(Command::History { platform: platform(matches)? }),
-        ["status"] => Ok(Command::Status { admins: admins(matches)? }),
+        ["status"] => Ok(Command::Status { admins: addresses(matches, "admin")? }),
+        ["jobs"] => Ok(Command::Jobs { entries: addresses(matches, "entry")? }),
+        ["job", id] => Ok(Command::Job {
+            id: JobId::parse(id)
+                .ok_or_else(|| format!("{id:?} is not 16 hexadecimal digits in lower case"))?,
+            entries: addresses(matches, "entry")?,
+        }),
         ["keys", names @ ..] if !names.is_empty() => Ok(Command::Keys {
             out: matches.opt_str("out").ok_or("keys needs --out DIR")?,
             names: names.iter().map(|name| (*name).to_owned()).collect(),
@@ -214,9 +238,10 @@
     text.parse().map_err(|_| format!("--platform: {text:?} is not IP:port"))
 }
 
-fn admins(matches: &Matches) -> Result<Vec<SocketAddr>, String> {
-    let text = setting(matches, "admin").ok_or("give --admin or IBISWEIR_ADMIN")?;
-    let parse = |part: &str| part.parse().map_err(|_| format!("--admin: {part:?} is not IP:port"));
+fn addresses(matches: &Matches, flag: &str) -> Result<Vec<SocketAddr>, String> {
+    let text =
+        setting(matches, flag).ok_or_else(|| format!("give --{flag} or {}", variable(flag)))?;
+    let parse = |part: &str| part.parse().map_err(|_| format!("--{flag}: {part:?} is not IP:port"));
     text.split(',').map(parse).collect()
 }
 
--- a/src/bin/ibisweirctl/command.rs
+++ b/src/bin/ibisweirctl/command.rs
@@ -15,17 +15,20 @@
 use ibisweir::platform::{HttpPlatform, exchange};
 use ibisweir::publisher::IntentPublisher;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
 use crate::app::{Base, Command, CommandConfig};
+use crate::jobs;
 
 const FAULTY: u8 = 1;
 const LOST: u8 = 3;
 const UNKNOWN: u8 = 4;
 const AWAY: u8 = 5;
+const NO_JOB: u8 = 6;
 
 /// Why a command failed.
-enum Failure {
+pub(crate) enum Failure {
     Faults(Vec<DocumentFault>),
     Code(Report<ResultCode>),
 }
@@ -45,6 +48,8 @@
         Command::Diff { before, after, platform } => diff(config, *before, *after, *platform).await,
         Command::History { platform } => history(config, *platform).await,
         Command::Status { admins } => status(config, admins).await,
+        Command::Jobs { entries } => jobs::show_entries(config, entries).await,
+        Command::Job { id, entries } => jobs::show_job(config, *id, entries).await,
         Command::Keys { out, names } => keys(out, names),
     };
     match outcome {
@@ -60,11 +65,12 @@
     }
 }
 
-fn exit_status(code: ResultCode) -> u8 {
+pub(crate) fn exit_status(code: ResultCode) -> u8 {
     match code.number() {
         400..500 => FAULTY,
         701 => LOST,
         702 => UNKNOWN,
+        122 => NO_JOB,
         _ => AWAY,
     }
 }
@@ -80,7 +86,7 @@
     println!("{} faults", faults.len());
 }
 
-fn print_json<T: Serialize>(value: &T) {
+pub(crate) fn print_json<T: Serialize>(value: &T) {
     // Our own types hold no map with keys that JSON can't write.
     println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
@@ -248,13 +254,26 @@
 }
 
 async fn report(admin: SocketAddr, config: &CommandConfig) -> CodeResult<StatusReport> {
-    let answer = timeout(config.patience, exchange(admin, Method::GET, "/status", Vec::new()));
+    let told = ask(admin, "/status", config).await?;
+    told.ok_or_else(|| coded(ResultCode::DaemonNonsense, StatusCode::NOT_FOUND))
+}
+
+/// Asks a daemon; nothing if it does not know what was asked for.
+pub(crate) async fn ask<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    config: &CommandConfig,
+) -> CodeResult<Option<T>> {
+    let answer = timeout(config.patience, exchange(address, Method::GET, path, Vec::new()));
     let (status, body) =
         answer.await.map_err(|_| coded(ResultCode::PeerAway, "no answer in time"))??;
-    if status != StatusCode::OK {
-        return Err(coded(ResultCode::DaemonNonsense, status));
+    match status {
+        StatusCode::OK => serde_json::from_slice(&body)
+            .map(Some)
+            .map_err(|error| coded(ResultCode::DaemonNonsense, error)),
+        StatusCode::NOT_FOUND => Ok(None),
+        _ => Err(coded(ResultCode::DaemonNonsense, status)),
     }
-    serde_json::from_slice(&body).map_err(|error| coded(ResultCode::DaemonNonsense, error))
 }
 
 fn print_status(reports: &[StatusReport]) {
--- a/src/bin/ibisweirctl/main.rs
+++ b/src/bin/ibisweirctl/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod command;
+mod jobs;
 
 use std::process::ExitCode;
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -19,5 +19,6 @@
 pub mod record;
 pub mod relay;
 pub mod site;
+pub mod status;
 pub mod submitter;
 pub mod wave_teller;
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -27,14 +27,20 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::jobs::model::JobId;
 use crate::jobs::node::JobNode;
 use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::status;
 use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
 
 /// Path of a batch of records.
 const RELAY_PATH: &str = "/relay";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// Path of the status of an entry, for operators.
+pub const STATUS_PATH: &str = "/status";
+/// Start of the path of a job's status; its id follows.
+pub const JOB_PATH: &str = "/job/";
 /// Largest batch, in bytes: what an entry puts into one, and its last record.
 const BATCH_BYTES_MAX: usize = 1 << 20;
 /// Time for the leader to answer that it has a batch: it does so at once, or is not reached.
@@ -221,20 +227,32 @@
     match request.uri().path() {
         RELAY_PATH => match store(node, request).await {
             Ok(stored) => Response::new(RelayBody::Stored(stored)),
-            Err(code) => status(code),
+            Err(code) => bare(code),
         },
         METRICS_PATH => {
             node.measure();
-            let text = Full::new(Bytes::from(node.metrics.text()));
-            let mut response = Response::new(RelayBody::Whole(text));
-            let kind = HeaderValue::from_static("text/plain; version=1.0.0");
-            response.headers_mut().insert(CONTENT_TYPE, kind);
-            response
+            whole("text/plain; version=1.0.0", node.metrics.text().into_bytes())
         }
-        _ => status(StatusCode::NOT_FOUND),
+        STATUS_PATH => json(&status::entry_status(node)),
+        path => path
+            .strip_prefix(JOB_PATH)
+            .and_then(JobId::parse)
+            .and_then(|id| status::job_status(node, id))
+            .map_or_else(|| bare(StatusCode::NOT_FOUND), |job| json(&job)),
     }
 }
 
+fn json<T: Serialize>(value: &T) -> Response<RelayBody> {
+    // Our own types hold no map with keys that JSON can't write.
+    whole("application/json", serde_json::to_vec(value).unwrap_or_default())
+}
+
+fn whole(kind: &'static str, body: Vec<u8>) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Whole(Full::new(Bytes::from(body))));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
 /// Takes a batch; the receiver hears when the log has it.
 async fn store(
     node: &JobNode,
@@ -262,7 +280,7 @@
         .collect()
 }
 
-fn status(status: StatusCode) -> Response<RelayBody> {
+fn bare(status: StatusCode) -> Response<RelayBody> {
     let mut response = Response::new(RelayBody::Whole(Full::default()));
     *response.status_mut() = status;
     response
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod maintenance;
 pub mod needs;
+pub mod overview;
 pub mod rank;
 pub mod runs;
 pub mod throttle;
--- /dev/null
+++ b/src/scheduler/overview.rs
@@ -0,0 +1,135 @@
+//! What a leader believes, in figures for operators.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::scheduler::Scheduler;
+use crate::scheduler::rank::{RankTier, rank};
+
+/// One pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolOverview {
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Runs that may be alive.
+    pub runs: usize,
+    /// Processor booked, in thousandths of that of its workers.
+    pub booked_permille: u64,
+    /// Jobs that are not over.
+    pub jobs: usize,
+    /// Jobs of these that have missed their objective, or are bound to.
+    pub late: usize,
+}
+
+/// One maintenance wave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveOverview {
+    /// Its number.
+    pub number: u64,
+    /// VMs that it names.
+    pub vms: usize,
+    /// VMs whose maintenance has begun or is over.
+    pub done: usize,
+    /// Whether operators were told that it is complete.
+    pub is_completed: bool,
+}
+
+/// A worker that gets no new work, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoubtedWorker {
+    /// Its id.
+    pub worker: Arc<str>,
+    /// Its pool.
+    pub pool: Arc<str>,
+    /// Why.
+    pub reason: String,
+    /// Runs that may be alive on it.
+    pub runs: usize,
+}
+
+/// What a leader believes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderOverview {
+    /// Its term.
+    pub term: u64,
+    /// Pools by name.
+    pub pools: BTreeMap<Arc<str>, PoolOverview>,
+    /// Waves by number.
+    pub waves: Vec<WaveOverview>,
+    /// Workers that get no new work.
+    pub doubted: Vec<DoubtedWorker>,
+    /// Commands to VMs that are not through.
+    pub vm_commands: usize,
+}
+
+impl Scheduler {
+    /// Figures for operators.
+    pub fn overview(&self, now: u64) -> LeaderOverview {
+        let waves = self.fleet.waves.values().map(|run| WaveOverview {
+            number: run.wave.number,
+            vms: run.wave.vms.len(),
+            done: run.done.len(),
+            is_completed: run.is_completed,
+        });
+        LeaderOverview {
+            term: self.term,
+            pools: self.pool_overviews(now),
+            waves: waves.collect(),
+            doubted: self.doubted_workers(now),
+            vm_commands: self.fleet.intents.len(),
+        }
+    }
+
+    fn pool_overviews(&self, now: u64) -> BTreeMap<Arc<str>, PoolOverview> {
+        let mut pools: BTreeMap<Arc<str>, PoolOverview> = BTreeMap::new();
+        let mut sizes: BTreeMap<Arc<str>, (u64, u64)> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            let pool = pools.entry(worker.entry.service.clone()).or_default();
+            pool.workers += 1;
+            pool.runs += worker.runs.len();
+            let (used, all) = sizes.entry(worker.entry.service.clone()).or_default();
+            *used += worker.used().cpu;
+            *all += worker.entry.capacity.cpu;
+        }
+        for (name, (used, all)) in sizes {
+            pools.entry(name).or_default().booked_permille = used * 1_000 / all.max(1);
+        }
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let pool = pools.entry(self.service_of(job)).or_default();
+            pool.jobs += 1;
+            let Some(queue) = self.queue_of(job) else { continue };
+            let is_late = job.occurrences.iter().any(|(occurrence, run)| {
+                let due = self.due_ms(job, *occurrence, now);
+                matches!(rank(job, queue, run, due, now).tier, RankTier::Late | RankTier::Overdue)
+            });
+            pool.late += usize::from(is_late);
+        }
+        pools
+    }
+
+    fn doubted_workers(&self, now: u64) -> Vec<DoubtedWorker> {
+        let mut doubted = Vec::new();
+        for (id, worker) in &self.workers {
+            let reason = if worker.silent_since_ms.is_some() {
+                "does not answer"
+            } else if !worker.is_listed {
+                "not listed"
+            } else if worker.entry.is_draining {
+                "draining"
+            } else if worker.is_suspended(now) {
+                "fails what it starts"
+            } else {
+                continue;
+            };
+            doubted.push(DoubtedWorker {
+                worker: id.clone(),
+                pool: worker.entry.service.clone(),
+                reason: reason.to_owned(),
+                runs: worker.runs.len(),
+            });
+        }
+        doubted
+    }
+}
--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -32,6 +32,8 @@
     pub name: String,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Where other entries and operators reach it.
+    pub peer: SocketAddr,
     /// Its link to the log.
     pub log_link: FaultProxy,
     /// Its link to the VM service.
@@ -61,6 +63,9 @@
 
 impl EntryProcess {
     /// Starts an entry that reaches the platform over links of its own.
+    ///
+    /// # Errors
+    /// If a file, an address or the program can't be had.
     pub async fn start(
         number: u8,
         daemon: &Path,
@@ -76,6 +81,7 @@
         std::fs::write(&settings, text)?;
         let entry = EntryProcess {
             callers: addresses[0],
+            peer: addresses[2],
             log_link,
             vm_link,
             ready: addresses[1],
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -5,7 +5,7 @@
 //! once may pass the next time, so the logs of a run that fails are kept.
 
 mod callers;
-mod entry;
+pub mod entry;
 mod faults;
 
 use std::path::PathBuf;
