A failed request is explained by its lines: three kinds, as tests

tests/job_path.rs takes the id of a job that was refused, one whose outcome was unknown and one that failed, finds the lines that name it in the log of an entry as a process, and the cause in them: the code and the log's age; the wait for the log and what became of the job; each run, its worker and its end.

--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -41,7 +41,8 @@
     ready: SocketAddr,
     daemon: PathBuf,
     settings: PathBuf,
-    output: PathBuf,
+    /// File that has what it wrote.
+    pub output: PathBuf,
     child: Mutex<Option<Child>>,
     is_ready: AtomicBool,
     was_ready: AtomicBool,
--- a/tests/job_path.rs
+++ b/tests/job_path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use ibisweir::jobs::model::JobId;
 use ibisweir::transport::{HttpAnswer, HttpCall, HttpTransport};
 use ibisweir_standin::jobs::ledger::CallerJob;
-use ibisweir_standin::jobs::site::{CALLER_HOST, JobPlatform, POOLS};
+use ibisweir_standin::jobs::site::{ATTEMPTS, CALLER_HOST, JobPlatform, POOLS};
 use ibisweir_standin::soak::entry::EntryProcess;
 use serde_json::{Value, json};
 use support::PATIENCE;
@@ -20,6 +20,53 @@
 
 const ID: &str = "00c0ffee00c0ffee";
 
+/// A platform with one entry that is ready, and the directory of the entry's files.
+struct SmallSite {
+    platform: JobPlatform,
+    entry: EntryProcess,
+    directory: PathBuf,
+}
+
+impl SmallSite {
+    async fn open(number: u8) -> SmallSite {
+        let name = format!("ibisweir-jobs-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("a directory for the entry's files");
+        let platform = JobPlatform::open(6).await.expect("the platform opens");
+        let daemon = Path::new(env!("CARGO_BIN_EXE_ibisweird"));
+        let entry = EntryProcess::start(number, daemon, &directory, &platform).await;
+        let entry = entry.expect("the entry starts");
+        until_ready(&entry).await;
+        SmallSite { platform, entry, directory }
+    }
+
+    /// Lines of the entry's log that name a job.
+    fn lines(&self, id: &str) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.entry.output).expect("the entry's log");
+        let own = text.lines().filter(|line| line.contains(id));
+        own.map(|line| serde_json::from_str(line).expect("a JSON line")).collect()
+    }
+
+    async fn close(self) {
+        assert!(self.entry.stop().await, "the entry ends with 0");
+        // A directory that can't be removed is only left over.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Waits until a job's lines have one with this message for which `holds`.
+async fn line_with(site: &SmallSite, message: &str, holds: impl Fn(&Value) -> bool) -> Value {
+    let begun = Instant::now();
+    loop {
+        let lines = site.lines(ID);
+        if let Some(line) = lines.iter().find(|line| line["msg"] == message && holds(line)) {
+            return line.clone();
+        }
+        assert!(begun.elapsed() < PATIENCE, "no such line: {message}, in {lines:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 async fn call(entry: &EntryProcess, method: Method, id: &str, body: &str) -> HttpAnswer {
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
@@ -29,6 +76,10 @@
     answer.expect("the entry answers")
 }
 
+fn code(answer: &HttpAnswer) -> Value {
+    serde_json::from_slice::<Value>(&answer.body).expect("a JSON answer")["code"].clone()
+}
+
 async fn until_ready(entry: &EntryProcess) {
     let begun = Instant::now();
     while !entry.is_ready_now() {
@@ -50,13 +101,8 @@
 /// Hands a job of two steps in, waits until it is shown as completed, and asks the tool about it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_runs_to_its_end_and_operators_can_see_it() {
-    let directory = std::env::temp_dir().join(format!("ibisweir-job-path-{}", std::process::id()));
-    std::fs::create_dir_all(&directory).expect("a directory for the entry's files");
-    let platform = JobPlatform::open(6).await.expect("the platform opens");
-    let daemon = Path::new(env!("CARGO_BIN_EXE_ibisweird"));
-    let entry = EntryProcess::start(0, daemon, &directory, &platform).await.expect("it starts");
-    until_ready(&entry).await;
-
+    let site = SmallSite::open(0).await;
+    let (platform, entry) = (&site.platform, &site.entry);
     let payload = "work=50 cpu=1000";
     let job = CallerJob {
         payload: payload.to_owned(),
@@ -71,14 +117,14 @@
         { "count": 2, "cpu": 1000, "mem-mb": 128, "est-ms": 50, "after": [0] },
     ] });
     let begun = Instant::now();
-    while call(&entry, Method::POST, ID, &body.to_string()).await.status != 200 {
+    while call(entry, Method::POST, ID, &body.to_string()).await.status != 200 {
         assert!(begun.elapsed() < PATIENCE, "the job is never accepted");
         sleep(Duration::from_millis(50)).await;
     }
     let state = |answer: &HttpAnswer| -> Value {
         serde_json::from_slice::<Value>(&answer.body).expect("a JSON answer")["state"].clone()
     };
-    while state(&call(&entry, Method::GET, ID, "").await) != "completed" {
+    while state(&call(entry, Method::GET, ID, "").await) != "completed" {
         assert!(begun.elapsed() < PATIENCE, "the job is never completed");
         sleep(Duration::from_millis(20)).await;
     }
@@ -98,34 +144,80 @@
     assert_eq!(run.status, Some(6), "{run:?}");
     assert!(run.err.contains("122"), "{run:?}");
 
-    assert!(entry.stop().await, "it ends with 0");
-    // A directory that can't be removed is only left over.
-    let _ = std::fs::remove_dir_all(&directory);
+    site.close().await;
 }
 
 /// Requests that make no sense get their numbered answer, and the entry goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_submissions_get_a_numbered_answer() {
-    let directory = std::env::temp_dir().join(format!("ibisweir-bad-job-{}", std::process::id()));
-    std::fs::create_dir_all(&directory).expect("a directory for the entry's files");
-    let platform = JobPlatform::open(3).await.expect("the platform opens");
-    let daemon = Path::new(env!("CARGO_BIN_EXE_ibisweird"));
-    let entry = EntryProcess::start(1, daemon, &directory, &platform).await.expect("it starts");
-    until_ready(&entry).await;
-    let code = |answer: &HttpAnswer| -> Value {
-        serde_json::from_slice::<Value>(&answer.body).expect("a JSON answer")["code"].clone()
-    };
+    let site = SmallSite::open(1).await;
+    let entry = &site.entry;
     let cycle = json!({ "spec": "", "steps": [{ "count": 1, "cpu": 1, "after": [0] }] });
     let bodies = ["", "no json", "[]", r#"{"steps":[]}"#, r#"{"steps":[{"count":0}]}"#];
     for body in bodies.iter().map(|body| (*body).to_owned()).chain([cycle.to_string()]) {
-        let answer = call(&entry, Method::POST, ID, &body).await;
+        let answer = call(entry, Method::POST, ID, &body).await;
         assert_eq!((answer.status.as_u16(), code(&answer)), (400, json!(123)), "{body}");
     }
-    let answer = call(&entry, Method::POST, "no-id", "{}").await;
+    let answer = call(entry, Method::POST, "no-id", "{}").await;
     assert_eq!(answer.status, 400);
-    let answer = call(&entry, Method::GET, ID, "").await;
+    let answer = call(entry, Method::GET, ID, "").await;
     assert_eq!((answer.status.as_u16(), code(&answer)), (410, json!(122)));
-    assert!(entry.stop().await, "it ends with 0");
-    // A directory that can't be removed is only left over.
-    let _ = std::fs::remove_dir_all(&directory);
+    site.close().await;
+}
+
+fn small_job(payload: &str) -> String {
+    let steps = json!([{ "count": 1, "cpu": 1000, "mem-mb": 128, "est-ms": 50 }]);
+    json!({ "spec": payload, "steps": steps }).to_string()
+}
+
+/// A caller is refused. Its job's id leads to the lines that tell why: the log had not answered this
+/// entry for over a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_is_explained_by_its_lines() {
+    let site = SmallSite::open(2).await;
+    site.platform.log().set_faults(|faults| (faults.is_down, faults.is_silent) = (true, true));
+    let begun = Instant::now();
+    let answer = loop {
+        let answer = call(&site.entry, Method::POST, ID, &small_job("work=50")).await;
+        if answer.status == 503 {
+            break answer;
+        }
+        assert!(begun.elapsed() < PATIENCE, "it is never refused");
+    };
+    assert_eq!(code(&answer), json!(124));
+    let line = line_with(&site, "not served", |line| line["code"] == 124).await;
+    assert!(line["log_age_ms"].as_u64().is_some_and(|age| age > 1_000), "{line}");
+    site.platform.log().set_faults(|faults| *faults = Default::default());
+    site.close().await;
+}
+
+/// A caller is told that the outcome is not known. Its job's lines tell how long this entry waited for
+/// the log, and, once the log is back, that the job was stored and what became of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_outcome_is_explained_by_its_lines() {
+    let site = SmallSite::open(3).await;
+    site.platform.log().set_faults(|faults| faults.lost_percent = 100);
+    let answer = call(&site.entry, Method::POST, ID, &small_job("work=50")).await;
+    assert_eq!((answer.status.as_u16(), code(&answer)), (504, json!(203)));
+    let line = line_with(&site, "submission", |line| line["outcome"] == "Unknown").await;
+    assert!(line["took_ms"].as_u64().is_some_and(|took| took > 1_000), "{line}");
+    site.platform.log().set_faults(|faults| *faults = Default::default());
+    line_with(&site, "job state", |line| line["state"] == "Completed").await;
+    site.close().await;
+}
+
+/// A job is accepted and fails. Its lines tell each run, where it was and how it ended, as often as
+/// the queue allows, and then the state.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_job_is_explained_by_its_lines() {
+    let site = SmallSite::open(4).await;
+    let answer = call(&site.entry, Method::POST, ID, &small_job("work=50 fails")).await;
+    assert_eq!(answer.status, 200);
+    line_with(&site, "job state", |line| line["state"] == "Failed").await;
+    let lines = site.lines(ID);
+    let ends = lines.iter().filter(|line| line["msg"] == "ended" && line["how"] == "failed");
+    let workers: Vec<&Value> = ends.map(|line| &line["worker"]).collect();
+    assert_eq!(workers.len(), usize::try_from(ATTEMPTS).expect("small"));
+    assert!(workers.iter().all(|worker| worker.is_string()));
+    site.close().await;
 }
--- a/tests/wave_teller.rs
+++ b/tests/wave_teller.rs
@@ -9,10 +9,13 @@
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::jobs::wave_teller::WaveTeller;
 
+/// Number and value of each record that was sent.
+type SentRecords = Vec<(u64, Vec<u8>)>;
+
 /// A log that gives no answer to the first append, and keeps what it was sent.
 #[derive(Clone, Default)]
 struct LossyLog {
-    sent: Arc<Mutex<Vec<(u64, Vec<u8>)>>>,
+    sent: Arc<Mutex<SentRecords>>,
 }
 
 impl JobLog for LossyLog {
