Waits for the log's answers follow those it gives

Cause: where a third of the log's answers are lost, each append without an answer was waited for 0.7 s (a renewal of the leadership 0.6 s), as long as a slow log may take, and every start stood behind it.

Change: the wait is smoothed answer time and four deviations, doubled after each call without an answer, between 150 ms and what it was (the rule of RFC 6298). Repeats carry their number, so the log does them once. Ruled out: a short fixed wait (a log of 240 ms an answer would be called three times for each append).

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -18,6 +18,7 @@
 use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
 use crate::jobs::notes;
+use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{
     AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RunCall, StartCall,
     VmClient, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
@@ -39,7 +40,7 @@
 /// Pause between two appends: exits of a burst come a few milliseconds apart, and each append is paid
 /// for. Short against the shortest task.
 const COMMIT_GAP: Duration = Duration::from_millis(8);
-/// Time for an append to be answered before it is repeated.
+/// Longest time for an append to be answered before it is repeated.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
 /// Pause before an append is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
@@ -97,6 +98,7 @@
             parts,
             term,
             sequence: Mutex::new(0),
+            patience: Mutex::new(PatienceGauge::new(APPEND_PATIENCE)),
             lanes: Mutex::new(HashMap::new()),
             commit_wake: Notify::new(),
             statuses,
@@ -136,6 +138,7 @@
     parts: ConductorParts<L, W, V, P>,
     term: u64,
     sequence: Mutex<u64>,
+    patience: Mutex<PatienceGauge>,
     lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
     commit_wake: Notify,
     statuses: mpsc::UnboundedSender<(u64, bool)>,
@@ -214,13 +217,19 @@
         self.sequence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn patience(&self) -> MutexGuard<'_, PatienceGauge> {
+        self.patience.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn append(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendOutcome {
         let stamp = WriterStamp { writer: WRITER.into(), epoch: self.term, sequence };
         let call =
             AppendCall { topic: LogTopic::Jobs, records, expected_end: None, stamp: Some(stamp) };
         let begun = Instant::now();
-        let outcome = self.parts.log.append(&call, APPEND_PATIENCE).await;
+        let patience = self.patience().patience();
+        let outcome = self.parts.log.append(&call, patience).await;
         self.node.metrics.append_seconds.observe(begun.elapsed().as_secs_f64());
+        self.patience().learn(outcome, begun.elapsed());
         if matches!(outcome, AppendOutcome::Done { .. }) {
             self.node.touch();
         }
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -18,9 +18,10 @@
 use crate::jobs::conductor::ConductorParts;
 use crate::jobs::desk::JobDesk;
 use crate::jobs::follower::{JobFollower, OperatorDecoder, OperatorFollower, TailReader};
-use crate::jobs::leadership::LeadershipLoop;
+use crate::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
 use crate::jobs::metrics::JobMetrics;
 use crate::jobs::node::JobNode;
+use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{JobLog, LogTopic, PermitClient, VmClient, WorkerClient};
 use crate::jobs::relay::{self, RelayClient};
 use crate::jobs::site::SiteSettings;
@@ -236,6 +237,7 @@
             view: LeadershipView::default(),
             conductor: None,
             is_in_doubt: false,
+            patience: PatienceGauge::new(APPEND_PATIENCE),
         }),
     ]
 }
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::control::ControlLoop;
 use crate::decide::leadership::{
@@ -12,13 +12,14 @@
 };
 use crate::jobs::conductor::{Conductor, ConductorParts};
 use crate::jobs::node::JobNode;
+use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{
     AppendCall, AppendOutcome, JobLog, LogTopic, PermitClient, ReadOutcome, VmClient, WorkerClient,
 };
 use crate::jobs::record::KeyedRecord;
 
-/// Time for an append to be answered; a slow log takes 300 ms.
-const APPEND_PATIENCE: Duration = Duration::from_millis(600);
+/// Longest time for an append to be answered; a slow log takes 300 ms.
+pub const APPEND_PATIENCE: Duration = Duration::from_millis(600);
 /// Pause after a read or an append that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest and longest wait of one read.
@@ -39,6 +40,8 @@
     pub conductor: Option<Conductor>,
     /// Whether a claim or renewal had no answer: it may be done yet.
     pub is_in_doubt: bool,
+    /// How long to wait for an append.
+    pub patience: PatienceGauge,
 }
 
 impl<L, W, V, P> ControlLoop for LeadershipLoop<L, W, V, P>
@@ -134,7 +137,7 @@
         }
     }
 
-    async fn append(&self, act: LeadershipAct) -> AppendOutcome {
+    async fn append(&mut self, act: LeadershipAct) -> AppendOutcome {
         let record = self.record(act);
         let Ok(value) = postcard::to_stdvec(&record) else { return AppendOutcome::Refused };
         let call = AppendCall {
@@ -143,7 +146,10 @@
             expected_end: Some(self.view.end),
             stamp: None,
         };
-        self.parts.log.append(&call, APPEND_PATIENCE).await
+        let begun = Instant::now();
+        let outcome = self.parts.log.append(&call, self.patience.patience()).await;
+        self.patience.learn(outcome, begun.elapsed());
+        outcome
     }
 
     async fn claim(&mut self) -> Duration {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod node;
 pub mod notes;
+pub mod patience;
 pub mod ports;
 pub mod record;
 pub mod relay;
--- /dev/null
+++ b/src/jobs/patience.rs
@@ -0,0 +1,71 @@
+//! How long to wait for an answer of the log before the call is repeated.
+//!
+//! The load that this answers: the log answers within milliseconds, and a part of its answers is lost.
+//! Waited for as long as a slow log may take, each lost answer would hold up every start behind it for
+//! that time. So the wait follows the answers, as a retransmission timeout does (RFC 6298): smoothed
+//! time and four times its deviation, doubled after each call without an answer, so that a log that
+//! turns slow is not called again and again. Repeats are idempotent.
+
+use std::time::Duration;
+
+use crate::jobs::ports::AppendOutcome;
+
+/// Shortest wait: a process on a part of a core is late by tens of milliseconds itself.
+const PATIENCE_MIN: Duration = Duration::from_millis(150);
+/// Parts of the smoothed time and of its deviation that one answer counts, as in RFC 6298.
+const TIME_PART: u32 = 8;
+const DEVIATION_PART: u32 = 4;
+
+/// Learns from answers how long to wait for the next one.
+#[derive(Clone, Debug)]
+pub struct PatienceGauge {
+    longest: Duration,
+    smoothed: Option<(Duration, Duration)>,
+    doublings: u32,
+}
+
+impl PatienceGauge {
+    /// One that waits `longest` until it has seen an answer, and never longer.
+    pub fn new(longest: Duration) -> PatienceGauge {
+        PatienceGauge { longest, smoothed: None, doublings: 0 }
+    }
+
+    /// Time to wait for the next answer.
+    pub fn patience(&self) -> Duration {
+        let Some((time, deviation)) = self.smoothed else { return self.longest };
+        let wait = (time + deviation * 4).max(PATIENCE_MIN);
+        wait.saturating_mul(1 << self.doublings.min(8)).min(self.longest)
+    }
+
+    /// Takes in what became of an append after this time.
+    pub fn learn(&mut self, outcome: AppendOutcome, after: Duration) {
+        match outcome {
+            AppendOutcome::Unknown => self.timed_out(),
+            // It may not have reached the log at all.
+            AppendOutcome::Refused => {}
+            AppendOutcome::Done { .. }
+            | AppendOutcome::EndMoved { .. }
+            | AppendOutcome::Fenced
+            | AppendOutcome::OutOfSequence => self.answered(after),
+        }
+    }
+
+    /// An answer came after this time.
+    pub fn answered(&mut self, after: Duration) {
+        self.doublings = 0;
+        self.smoothed = Some(match self.smoothed {
+            None => (after, after / 2),
+            Some((time, deviation)) => {
+                let off = after.abs_diff(time);
+                let part = DEVIATION_PART;
+                let deviation = (deviation * (part - 1) + off) / part;
+                ((time * (TIME_PART - 1) + after) / TIME_PART, deviation)
+            }
+        });
+    }
+
+    /// No answer came in time.
+    pub fn timed_out(&mut self) {
+        self.doublings = self.doublings.saturating_add(1);
+    }
+}
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::jobs::node::JobNode;
+use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::jobs::relay::{RelayClient, RelayOutcome};
@@ -27,7 +28,7 @@
 const BATCH_BYTES_MAX: usize = 256 << 10;
 /// Submissions that may wait; beyond, callers are refused at once.
 const QUEUE_MAX: usize = 2_048;
-/// Time for an append to be answered before it is repeated: a slow log takes 300 ms.
+/// Longest time for an append to be answered before it is repeated: a slow log takes 300 ms.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
 /// Pause before an append is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(60);
@@ -83,6 +84,7 @@
     writer: Arc<str>,
     epoch: u64,
     sequence: u64,
+    patience: PatienceGauge,
 }
 
 /// Starts the submitter's task.
@@ -90,7 +92,9 @@
     let (sender, requests) = mpsc::channel(QUEUE_MAX);
     // A restarted process has forgotten its numbers: it is another writer.
     let writer = format!("{}-{life:x}", node.settings.node).into();
-    let submitter = Submitter { node, log, requests, relay, writer, epoch: 1, sequence: 0 };
+    let patience = PatienceGauge::new(APPEND_PATIENCE);
+    let submitter =
+        Submitter { node, log, requests, relay, writer, epoch: 1, sequence: 0, patience };
     tokio::spawn(submitter.run());
     SubmitHandle { requests: sender }
 }
@@ -131,7 +135,10 @@
         let begun = Instant::now();
         let mut is_in_doubt = is_relayed;
         loop {
-            match self.log.append(&call, APPEND_PATIENCE).await {
+            let sent = Instant::now();
+            let outcome = self.log.append(&call, self.patience.patience()).await;
+            self.patience.learn(outcome, sent.elapsed());
+            match outcome {
                 AppendOutcome::Done { offset, .. } => {
                     self.sequence += 1;
                     self.node.touch();
