An entry leads by a claim whose answer was lost

Change: a claim without an answer is remembered with when the leader before was last seen. Where the entry reads it as the newest, it renews, and begins only if the stream still ended with its claim. So it is confirmed by an append that was sent after the claim was read, as any leader is, and one that was overtaken meanwhile never begins.

Tests, which fail without the look at the pending claim: an_entry_leads_by_a_claim_whose_answer_was_lost and a_claim_that_was_overtaken_is_not_taken_up.

--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -238,6 +238,7 @@
             conductor: None,
             is_in_doubt: false,
             patience: PatienceGauge::new(APPEND_PATIENCE),
+            pending: None,
         }),
     ]
 }
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -42,6 +42,15 @@
     pub is_in_doubt: bool,
     /// How long to wait for an append.
     pub patience: PatienceGauge,
+    /// A claim of ours that had no answer.
+    pub pending: Option<PendingClaim>,
+}
+
+/// A claim that may be on the stream, or may be yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PendingClaim {
+    /// When the leader before was last seen, in milliseconds.
+    pub predecessor_ms: Option<u64>,
 }
 
 impl<L, W, V, P> ControlLoop for LeadershipLoop<L, W, V, P>
@@ -69,6 +78,11 @@
         if self.node.is_stopping() {
             return WAIT_MAX;
         }
+        if let Some(pending) = self.pending
+            && self.view.is_held_by(&self.own)
+        {
+            return self.take_up(pending).await;
+        }
         let now = self.node.now();
         let is_closed = self.node.leader_is_closed();
         let claim_in = self.view.claim_in_ms(&self.own, is_closed, now);
@@ -159,13 +173,7 @@
                 let now = self.node.now();
                 let record = self.record(LeadershipAct::Claim);
                 self.view.fold(self.view.end, &record, now);
-                self.node.set_leader(None);
-                info!(self.node.logger, "leading"; "term" => self.view.term);
-                self.node.metrics.takeovers.inc();
-                let term = self.view.term;
-                let parts = self.parts.clone();
-                self.conductor =
-                    Some(Conductor::spawn(self.node.clone(), parts, term, predecessor_ms));
+                self.begin(predecessor_ms);
                 Duration::from_millis(RENEWAL_MS)
             }
             // Somebody was faster; what was appended tells who.
@@ -176,10 +184,10 @@
                     FAILED_PAUSE
                 }
             }
-            // A claim that is done later is found by reading on; it has no conductor, and is
-            // followed by a claim of somebody who has one.
+            // A claim that is done all the same is found by reading on.
             AppendOutcome::Unknown => {
                 self.is_in_doubt = true;
+                self.pending = Some(PendingClaim { predecessor_ms });
                 FAILED_PAUSE
             }
             _ => {
@@ -189,6 +197,38 @@
         }
     }
 
+    /// The newest claim is ours, and its answer was lost. Left alone it would keep everybody from
+    /// leading until its silence is noticed.
+    ///
+    /// It may have been read by others long ago, and one of them may be claiming by now. So a renewal
+    /// comes first: only if the stream still ends with ours do we begin.
+    async fn take_up(&mut self, pending: PendingClaim) -> Duration {
+        match self.append(LeadershipAct::Renew).await {
+            AppendOutcome::Done { end, .. } => {
+                self.view.end = end;
+                self.begin(pending.predecessor_ms);
+                Duration::from_millis(RENEWAL_MS)
+            }
+            AppendOutcome::EndMoved { .. } | AppendOutcome::Unknown => {
+                match self.read(Duration::ZERO).await {
+                    true => Duration::ZERO,
+                    false => FAILED_PAUSE,
+                }
+            }
+            _ => FAILED_PAUSE,
+        }
+    }
+
+    fn begin(&mut self, predecessor_ms: Option<u64>) {
+        self.pending = None;
+        self.is_in_doubt = false;
+        self.node.set_leader(None);
+        info!(self.node.logger, "leading"; "term" => self.view.term);
+        self.node.metrics.takeovers.inc();
+        let (node, parts) = (self.node.clone(), self.parts.clone());
+        self.conductor = Some(Conductor::spawn(node, parts, self.view.term, predecessor_ms));
+    }
+
     async fn lead(&mut self) -> Duration {
         let is_over = self.conductor.as_ref().is_none_or(Conductor::is_over);
         if is_over {
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,211 @@
+//! An entry claims the leadership, and the log gives no answer.
+
+mod support;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ibisweir::control::ControlLoop;
+use ibisweir::decide::leadership::{HolderId, LeadershipAct, LeadershipRecord, LeadershipView};
+use ibisweir::jobs::conductor::ConductorParts;
+use ibisweir::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
+use ibisweir::jobs::model::StepKey;
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::patience::PatienceGauge;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, CommandOutcome, JobLog, LogBatch, LogTopic, NewestPage,
+    PermitClient, PermitGrant, ReadOutcome, RenewCall, RunCall, StartCall, VmClient, VmCommand,
+    VmOutcome, VmStamp, WorkerClient, WorkerReport, WorkerTarget,
+};
+use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::jobs::site::VmEntry;
+use support::stage::{config, site_settings};
+use tokio::time::{Instant, sleep};
+
+/// A leadership stream that stores the first append and loses its answer.
+#[derive(Clone, Default)]
+struct LossyLog {
+    records: Arc<Mutex<Vec<Vec<u8>>>>,
+    /// Whether another entry claims just before the second append.
+    has_rival: bool,
+}
+
+impl LossyLog {
+    fn records(&self) -> MutexGuard<'_, Vec<Vec<u8>>> {
+        self.records.lock().expect("no panic before")
+    }
+
+    /// Stores a record if the stream ends where the call says; where it ended before.
+    fn store(&self, call: &AppendCall) -> Result<u64, u64> {
+        let mut records = self.records();
+        if self.has_rival && records.len() == 1 {
+            records.push(rival());
+        }
+        let end = records.len() as u64;
+        if call.expected_end != Some(end) {
+            return Err(end);
+        }
+        records.push(call.records[0].value.clone());
+        Ok(end)
+    }
+
+    fn claims(&self) -> usize {
+        let is_claim = |value: &&Vec<u8>| {
+            let record: LeadershipRecord = postcard::from_bytes(value).expect("our own record");
+            record.act == LeadershipAct::Claim
+        };
+        self.records().iter().filter(is_claim).count()
+    }
+}
+
+fn rival() -> Vec<u8> {
+    let record = LeadershipRecord {
+        act: LeadershipAct::Claim,
+        holder: "front-9".into(),
+        life: 9,
+        address: "127.0.0.9:9".parse().expect("an address"),
+    };
+    postcard::to_stdvec(&record).expect("a record is encoded")
+}
+
+impl JobLog for LossyLog {
+    async fn append(&self, call: &AppendCall, patience: Duration) -> AppendOutcome {
+        if call.topic != LogTopic::Leadership {
+            return AppendOutcome::Refused;
+        }
+        let end = match self.store(call) {
+            Ok(end) => end,
+            Err(end) => return AppendOutcome::EndMoved { end },
+        };
+        if end == 0 {
+            sleep(patience).await;
+            return AppendOutcome::Unknown;
+        }
+        AppendOutcome::Done { offset: end, end: end + 1 }
+    }
+
+    async fn read(&self, topic: LogTopic, from: u64, wait: Duration) -> ReadOutcome {
+        let position = usize::try_from(from).expect("a small stream");
+        if topic != LogTopic::Leadership || self.records().len() <= position {
+            sleep(wait).await;
+        }
+        let values = match topic {
+            LogTopic::Leadership => self.records().get(position..).unwrap_or(&[]).to_vec(),
+            _ => Vec::new(),
+        };
+        let next = from + values.len() as u64;
+        let record = |value| KeyedRecord { key: String::new(), value };
+        let records = (from..).zip(values.into_iter().map(record)).collect();
+        ReadOutcome::Read(LogBatch { end: next, next, records })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+/// Workers, VMs and a policy service that nobody reaches.
+#[derive(Clone)]
+struct Nobody;
+
+impl WorkerClient for Nobody {
+    async fn renew(
+        &self,
+        _: &WorkerTarget,
+        _: &RenewCall,
+        _: Duration,
+    ) -> CommandOutcome<WorkerReport> {
+        CommandOutcome::Unknown
+    }
+
+    async fn start(&self, _: &WorkerTarget, _: &StartCall, _: Duration) -> CommandOutcome<u64> {
+        CommandOutcome::Unknown
+    }
+
+    async fn stop(&self, _: &WorkerTarget, _: &RunCall, _: Duration) -> CommandOutcome<u64> {
+        CommandOutcome::Unknown
+    }
+
+    async fn throttle(
+        &self,
+        _: &WorkerTarget,
+        _: &RunCall,
+        _: u32,
+        _: Duration,
+    ) -> CommandOutcome<u64> {
+        CommandOutcome::Unknown
+    }
+}
+
+impl VmClient for Nobody {
+    async fn list(&self) -> Option<Vec<VmEntry>> {
+        None
+    }
+
+    async fn command(&self, _: &VmCommand, _: &VmStamp) -> VmOutcome {
+        VmOutcome::Refused
+    }
+}
+
+impl PermitClient for Nobody {
+    async fn ask(&self, _: &StepKey, _: &[Arc<str>]) -> Option<PermitGrant> {
+        None
+    }
+}
+
+fn leadership(log: LossyLog) -> LeadershipLoop<LossyLog, Nobody, Nobody, Nobody> {
+    let logger = ibisweir::logging::silent();
+    let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
+    node.set_config(config());
+    node.set_loaded();
+    let parts = ConductorParts {
+        log,
+        workers: Nobody,
+        vms: Nobody,
+        permits: Nobody,
+        worker_decoder: |_| None,
+        wave_encoder: |_, _| None,
+    };
+    LeadershipLoop {
+        node,
+        parts,
+        own: HolderId { name: "front-1".into(), life: 1, delay_ms: 0 },
+        view: LeadershipView::default(),
+        conductor: None,
+        is_in_doubt: false,
+        patience: PatienceGauge::new(APPEND_PATIENCE),
+        pending: None,
+    }
+}
+
+/// The log stores a claim and loses the answer. The entry reads its own claim and begins to lead at
+/// once. Before, it took nobody for the leader, all others took it for that, and no job was placed
+/// until the silence of a leader that was none had been noticed.
+#[tokio::test(start_paused = true)]
+async fn an_entry_leads_by_a_claim_whose_answer_was_lost() {
+    let log = LossyLog::default();
+    let mut leadership = leadership(log.clone());
+    let begun = Instant::now();
+    while leadership.conductor.is_none() {
+        let pause = leadership.step().await;
+        sleep(pause).await;
+        assert!(begun.elapsed() < Duration::from_secs(10), "it never leads");
+    }
+    assert!(begun.elapsed() < Duration::from_millis(1_300), "{:?}", begun.elapsed());
+    assert_eq!(log.claims(), 1);
+}
+
+/// The same, and another entry has claimed by the time that the first claim is read: the first entry
+/// must not begin, since its term is over.
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_was_overtaken_is_not_taken_up() {
+    let log = LossyLog { has_rival: true, ..LossyLog::default() };
+    let mut leadership = leadership(log);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(1_500) {
+        let pause = leadership.step().await;
+        sleep(pause.max(Duration::from_millis(1))).await;
+        assert!(leadership.conductor.is_none(), "it leads after {:?}", begun.elapsed());
+    }
+    assert_eq!(leadership.view.term, 2);
+}
