Commands to VMs that are given up are reset; successors wait them out

Cause: on sites whose VM service does not check fencing tokens, a command of an old leader was carried out after its successor's.

Change: connections to the VM service are reset when a command is given up or the process ends, which drops what has not arrived. Commands are sent only within 800 ms of the last confirmation, checked again once the connection is open, and given up after 600 ms; so they are over before others may claim after a silence. A successor that may claim sooner waits for that, where tokens are not checked. A leader that stops resigns once its commands are answered.

Tests that fail without it: a_command_that_is_given_up_is_reset, a_command_is_not_sent_once_the_leadership_is_over, a_successor_waits_out_commands_to_vms_that_nobody_fences, vms_are_commanded_only_while_no_successor_can_have_begun.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -68,6 +68,26 @@
     pub delay_ms: u64,
 }
 
+/// What a new leader knows of the end of the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PredecessorEnd {
+    /// Nothing: it may only be cut off.
+    Unknown,
+    /// It resigned, with no command to a VM under way.
+    Resigned,
+    /// It was an earlier process of the same entry, which ended before this one began.
+    Restarted,
+}
+
+/// The leader before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderTrace {
+    /// When it was last seen, in milliseconds.
+    pub seen_ms: u64,
+    /// How it ended.
+    pub end: PredecessorEnd,
+}
+
 /// What a process knows of the stream.
 #[derive(Clone, Debug, Default)]
 pub struct LeadershipView {
@@ -131,10 +151,7 @@
         let Some(seen) = self.seen_ms else {
             return Some((contact + own.delay_ms).saturating_sub(now));
         };
-        // An earlier life of this process: it has ended, or this one would not run.
-        let was_own =
-            self.holder.as_ref().is_some_and(|(name, life)| *name == own.name && *life != own.life);
-        if was_own {
+        if self.was_earlier_life(own) {
             return Some(0);
         }
         let quiet_since = seen.max(contact);
@@ -145,6 +162,21 @@
         Some((quiet_since + silence + own.delay_ms).saturating_sub(now))
     }
 
+    /// Whether an earlier life of this process leads: it has ended, or this one would not run.
+    fn was_earlier_life(&self, own: &HolderId) -> bool {
+        self.holder.as_ref().is_some_and(|(name, life)| *name == own.name && *life != own.life)
+    }
+
+    /// What `own` knows of the leader before it; nothing if it saw none.
+    pub fn predecessor(&self, own: &HolderId) -> Option<LeaderTrace> {
+        let end = match (self.has_resigned, self.was_earlier_life(own)) {
+            (true, _) => PredecessorEnd::Resigned,
+            (false, true) => PredecessorEnd::Restarted,
+            (false, false) => PredecessorEnd::Unknown,
+        };
+        self.seen_ms.map(|seen_ms| LeaderTrace { seen_ms, end })
+    }
+
     /// Whether this process made the newest claim.
     pub fn is_held_by(&self, own: &HolderId) -> bool {
         !self.has_resigned
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -5,6 +5,7 @@
 //! log. All end together when the leadership does.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::decide::leadership::LeaderTrace;
 use crate::jobs::follower::{TailReader, TailStep, fold_step};
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
@@ -75,6 +77,7 @@
 /// A running leader.
 pub struct Conductor {
     main: AbortHandle,
+    vm_commands: Arc<AtomicUsize>,
 }
 
 impl Conductor {
@@ -83,7 +86,7 @@
         node: Arc<JobNode>,
         parts: ConductorParts<L, W, V, P>,
         term: u64,
-        predecessor_ms: Option<u64>,
+        predecessor: Option<LeaderTrace>,
     ) -> Conductor
     where
         L: JobLog,
@@ -102,9 +105,16 @@
             lanes: Mutex::new(HashMap::new()),
             commit_wake: Notify::new(),
             statuses,
+            vm_commands: Arc::default(),
         };
-        let main = tokio::spawn(Arc::new(run).lead(teller, predecessor_ms)).abort_handle();
-        Conductor { main }
+        let vm_commands = run.vm_commands.clone();
+        let main = tokio::spawn(Arc::new(run).lead(teller, predecessor)).abort_handle();
+        Conductor { main, vm_commands }
+    }
+
+    /// Whether a command to a VM is waiting for its answer; no new one is sent while the entry stops.
+    pub fn is_commanding_vms(&self) -> bool {
+        self.vm_commands.load(Ordering::Relaxed) > 0
     }
 
     /// Whether it has ended by itself: somebody with a higher term was seen.
@@ -142,6 +152,8 @@
     lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
     commit_wake: Notify,
     statuses: mpsc::UnboundedSender<(u64, bool)>,
+    /// Commands to VMs that were not answered yet.
+    vm_commands: Arc<AtomicUsize>,
 }
 
 impl<L, W, V, P> LeaderRun<L, W, V, P>
@@ -151,7 +163,7 @@
     V: VmClient,
     P: PermitClient,
 {
-    async fn lead(self: Arc<Self>, teller: WaveTeller<L>, predecessor_ms: Option<u64>) {
+    async fn lead(self: Arc<Self>, teller: WaveTeller<L>, predecessor: Option<LeaderTrace>) {
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
         let Some((tail, workers)) = self.first_workers().await else { return };
@@ -160,7 +172,7 @@
             term: self.term,
             bounds: self.node.settings.bounds,
             config,
-            predecessor_ms,
+            predecessor,
             now: self.node.now(),
             wall_ms: self.node.clock.wall_ms(),
         };
@@ -362,7 +374,11 @@
                 let run = self.clone();
                 tasks.spawn(async move {
                     let holder = run.node.settings.node.clone();
-                    let outcome = run.parts.vms.command(&command, &VmStamp { holder, fence }).await;
+                    let may_send = || run.may_command_vms();
+                    let stamp = VmStamp { holder, fence };
+                    run.vm_commands.fetch_add(1, Ordering::Relaxed);
+                    let outcome = run.parts.vms.command(&command, &stamp, may_send).await;
+                    run.vm_commands.fetch_sub(1, Ordering::Relaxed);
                     let now = run.node.now();
                     run.node.with_scheduler(|scheduler| {
                         scheduler.vm_commanded(&command, outcome, now);
@@ -504,6 +520,12 @@
         self.lanes().remove(&id);
     }
 
+    fn may_command_vms(&self) -> bool {
+        let now = self.node.now();
+        let may = self.node.with_scheduler(|scheduler| scheduler.may_command_vms(now));
+        may.unwrap_or(false) && !self.node.is_stopping()
+    }
+
     async fn list_vms(self: Arc<Self>) {
         let asked_ms = self.node.now();
         let Some(vms) = self.parts.vms.list().await else {
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -8,7 +8,7 @@
 
 use crate::control::ControlLoop;
 use crate::decide::leadership::{
-    HolderId, LeadershipAct, LeadershipRecord, LeadershipView, RENEWAL_MS,
+    HolderId, LeaderTrace, LeadershipAct, LeadershipRecord, LeadershipView, RENEWAL_MS,
 };
 use crate::jobs::conductor::{Conductor, ConductorParts};
 use crate::jobs::node::JobNode;
@@ -49,8 +49,8 @@
 /// A claim that may be on the stream, or may be yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PendingClaim {
-    /// When the leader before was last seen, in milliseconds.
-    pub predecessor_ms: Option<u64>,
+    /// The leader before.
+    pub predecessor: Option<LeaderTrace>,
 }
 
 impl<L, W, V, P> ControlLoop for LeadershipLoop<L, W, V, P>
@@ -167,13 +167,13 @@
     }
 
     async fn claim(&mut self) -> Duration {
-        let predecessor_ms = self.view.seen_ms;
+        let predecessor = self.view.predecessor(&self.own);
         match self.append(LeadershipAct::Claim).await {
             AppendOutcome::Done { .. } => {
                 let now = self.node.now();
                 let record = self.record(LeadershipAct::Claim);
                 self.view.fold(self.view.end, &record, now);
-                self.begin(predecessor_ms);
+                self.begin(predecessor);
                 Duration::from_millis(RENEWAL_MS)
             }
             // Somebody was faster; what was appended tells who.
@@ -187,7 +187,7 @@
             // A claim that is done all the same is found by reading on.
             AppendOutcome::Unknown => {
                 self.is_in_doubt = true;
-                self.pending = Some(PendingClaim { predecessor_ms });
+                self.pending = Some(PendingClaim { predecessor });
                 FAILED_PAUSE
             }
             _ => {
@@ -206,7 +206,7 @@
         match self.append(LeadershipAct::Renew).await {
             AppendOutcome::Done { end, .. } => {
                 self.view.end = end;
-                self.begin(pending.predecessor_ms);
+                self.begin(pending.predecessor);
                 Duration::from_millis(RENEWAL_MS)
             }
             AppendOutcome::EndMoved { .. } | AppendOutcome::Unknown => {
@@ -219,14 +219,14 @@
         }
     }
 
-    fn begin(&mut self, predecessor_ms: Option<u64>) {
+    fn begin(&mut self, predecessor: Option<LeaderTrace>) {
         self.pending = None;
         self.is_in_doubt = false;
         self.node.set_leader(None);
         info!(self.node.logger, "leading"; "term" => self.view.term);
         self.node.metrics.takeovers.inc();
         let (node, parts) = (self.node.clone(), self.parts.clone());
-        self.conductor = Some(Conductor::spawn(node, parts, self.view.term, predecessor_ms));
+        self.conductor = Some(Conductor::spawn(node, parts, self.view.term, predecessor));
     }
 
     async fn lead(&mut self) -> Duration {
@@ -236,6 +236,10 @@
             return Duration::ZERO;
         }
         if self.node.is_stopping() {
+            // A successor commands the same VMs as soon as it has read the resignation.
+            if self.conductor.as_ref().is_some_and(Conductor::is_commanding_vms) {
+                return WAIT_MIN;
+            }
             // Nothing may be commanded once the resignation can be read.
             self.step_down("stopping");
             let outcome = self.append(LeadershipAct::Resign).await;
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -353,16 +353,22 @@
     Unknown,
 }
 
+/// Time for a command to a VM to be answered, in milliseconds; a slow service takes 50 times its usual
+/// few milliseconds. A successor counts on it: see [`crate::scheduler::VM_COMMAND_LIFE_MS`].
+pub const VM_PATIENCE_MS: u64 = 600;
+
 /// The platform's VMs.
 pub trait VmClient: Clone + Send + Sync + 'static {
     /// The whole list; nothing if any page of it can't be had.
     fn list(&self) -> impl Future<Output = Option<Vec<VmEntry>>> + Send;
 
-    /// Commands a VM.
+    /// Commands a VM, if `may_send` still holds when the connection is open. Without an answer within
+    /// [`VM_PATIENCE_MS`] nothing of it is under way any more.
     fn command(
         &self,
         command: &VmCommand,
         stamp: &VmStamp,
+        may_send: impl Fn() -> bool + Send,
     ) -> impl Future<Output = VmOutcome> + Send;
 }
 
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -202,6 +202,8 @@
     pub remote_factor: f64,
     /// Time that a VM takes to be maintained, in milliseconds.
     pub maintain_ms: u64,
+    /// Whether the VM service refuses fencing tokens lower than one that it has seen.
+    pub are_vms_fenced: bool,
 }
 
 /// Where a process runs and what it talks to.
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -200,7 +200,7 @@
 
     fn advance_intent(&mut self, name: &Arc<str>, now: u64) {
         let fence = self.fence();
-        let is_confirmed = self.is_confirmed(now);
+        let may_command = self.may_command_vms(now);
         let listed_ms = self.fleet.listed_ms.unwrap_or(0);
         let Some(vm) = self.fleet.vms.get(name).cloned() else {
             self.fleet.intents.remove(name);
@@ -219,7 +219,7 @@
             }
             IntentPhase::Draining if !is_empty => {}
             IntentPhase::Draining | IntentPhase::Sent => {
-                if now < intent.retry_ms || !is_confirmed {
+                if now < intent.retry_ms || !may_command {
                     return;
                 }
                 let is_first = intent.phase == IntentPhase::Draining;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -28,9 +28,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::leadership::{LeaderTrace, PredecessorEnd};
 use crate::jobs::book::{BookedJob, JobBook};
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
-use crate::jobs::ports::{PermitGrant, RunCall, VmCommand, WorkerTarget};
+use crate::jobs::ports::{PermitGrant, RunCall, VM_PATIENCE_MS, VmCommand, WorkerTarget};
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry};
 use crate::scheduler::commit::CommitQueue;
@@ -44,6 +45,13 @@
 /// started, in milliseconds. A successor waits it out before it takes runs on workers that it can't
 /// reach for dead; three renewals of the leadership fit in.
 pub const CONFIRMATION_MS: u64 = 1_600;
+/// Time without a confirmation after which no VM is commanded, in milliseconds: a renewal, and a slow
+/// log's answer to it. With the life of a command it ends before others may claim, so that no takeover
+/// after a silence has to wait for it.
+pub const VM_CONFIRMATION_MS: u64 = 800;
+/// Time after its last confirmation at which no command of a leader to a VM can be carried out any more,
+/// in milliseconds.
+pub const VM_COMMAND_LIFE_MS: u64 = VM_CONFIRMATION_MS + VM_PATIENCE_MS;
 /// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
 const LEASE_SLACK_MS: u64 = 200;
 
@@ -55,14 +63,24 @@
     pub bounds: SiteBounds,
     /// Configuration in force.
     pub config: Arc<SiteConfig>,
-    /// When the leader before was last seen, in milliseconds of the steady clock.
-    pub predecessor_ms: Option<u64>,
+    /// The leader before, as last seen.
+    pub predecessor: Option<LeaderTrace>,
     /// Now, in milliseconds of the steady clock.
     pub now: u64,
     /// Now, in milliseconds since the epoch.
     pub wall_ms: u64,
 }
 
+/// When the last command of a leader to a VM has been carried out or never will, in milliseconds.
+fn vm_bound_ms(leader: LeaderTrace) -> u64 {
+    match leader.end {
+        PredecessorEnd::Unknown => leader.seen_ms + VM_COMMAND_LIFE_MS,
+        PredecessorEnd::Resigned => 0,
+        // Our clock began after it had ended; the service may still be at work on what it had sent.
+        PredecessorEnd::Restarted => VM_PATIENCE_MS,
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug)]
 pub enum SchedulerAction {
@@ -189,6 +207,7 @@
     /// Last definition of queues that the configuration no longer has but jobs still name.
     retired: HashMap<Arc<str>, QueueSpec>,
     foreign_bound_ms: u64,
+    vm_bound_ms: u64,
     confirmed_ms: u64,
     is_deposed: bool,
     jobs: HashMap<JobId, JobRun>,
@@ -209,16 +228,23 @@
 impl Scheduler {
     /// Takes over from the log: every run that it tells of may be alive.
     pub fn open(start: SchedulerStart, book: &JobBook) -> Scheduler {
-        let SchedulerStart { term, bounds, config, predecessor_ms, now, wall_ms } = start;
+        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms } = start;
         // The leader before extends no lease later than this long after it was last confirmed.
         let lease_ms = bounds.lease_max_ms * 100 / 98 + 100;
-        let foreign_bound_ms = predecessor_ms.map_or(0, |seen| seen + CONFIRMATION_MS + lease_ms);
+        let foreign_bound_ms =
+            predecessor.map_or(0, |leader| leader.seen_ms + CONFIRMATION_MS + lease_ms);
+        // A VM service that checks no tokens would carry its commands out after ours.
+        let vm_bound_ms = match bounds.are_vms_fenced {
+            true => 0,
+            false => predecessor.map_or(0, vm_bound_ms),
+        };
         let mut scheduler = Scheduler {
             term,
             bounds,
             config,
             retired: HashMap::new(),
             foreign_bound_ms,
+            vm_bound_ms,
             confirmed_ms: now,
             is_deposed: false,
             jobs: HashMap::new(),
@@ -292,6 +318,12 @@
         now < self.confirmed_ms + CONFIRMATION_MS
     }
 
+    /// Whether VMs may be commanded: no successor can have begun to, and no command of the leader before
+    /// is under way any more.
+    pub fn may_command_vms(&self, now: u64) -> bool {
+        !self.is_deposed && now >= self.vm_bound_ms && now < self.confirmed_ms + VM_CONFIRMATION_MS
+    }
+
     fn lease_ms(&self) -> u64 {
         self.bounds.lease_max_ms.saturating_sub(LEASE_SLACK_MS)
     }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -64,10 +64,21 @@
     since: Instant,
 }
 
+/// What becomes of the bytes of a connection that is given up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AbandonPolicy {
+    /// The system goes on delivering them.
+    #[default]
+    Deliver,
+    /// They are dropped, by a reset.
+    Reset,
+}
+
 /// Connections to any number of peers.
 #[derive(Clone, Default)]
 pub struct HttpTransport {
     idle: Arc<Mutex<HashMap<SocketAddr, VecDeque<IdleConnection>>>>,
+    abandon: AbandonPolicy,
 }
 
 impl HttpTransport {
@@ -76,6 +87,14 @@
         HttpTransport::default()
     }
 
+    /// A transport whose requests are dropped when they are given up or the process ends.
+    ///
+    /// Bytes behind a cut are sent again until it heals. A command that was given up would then be
+    /// carried out seconds later, over those of a successor.
+    pub fn open_resetting() -> Self {
+        HttpTransport { abandon: AbandonPolicy::Reset, ..HttpTransport::default() }
+    }
+
     /// One request and its whole answer, within `patience`.
     ///
     /// # Errors
@@ -100,12 +119,31 @@
         call: HttpCall,
         head: Duration,
         whole: Duration,
+    ) -> Result<HttpAnswer, ExchangeFailure> {
+        self.exchange_while(address, call, head, whole, || true).await
+    }
+
+    /// The same, sent only if `may_send` still holds when the connection is open: that can take as long
+    /// as the VM was frozen meanwhile.
+    ///
+    /// # Errors
+    /// As those of [`HttpTransport::exchange`]; `NotSent` if it does not hold any more.
+    pub async fn exchange_while(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        head: Duration,
+        whole: Duration,
+        may_send: impl Fn() -> bool + Send,
     ) -> Result<HttpAnswer, ExchangeFailure> {
         let started = Instant::now();
         let sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, head).await?,
+            None => connect(address, head, self.abandon).await?,
         };
+        if !may_send() {
+            return Err(ExchangeFailure::NotSent);
+        }
         let answered = async {
             let left = head.saturating_sub(started.elapsed());
             let sent = timeout(left, send(sender, address, call)).await;
@@ -160,14 +198,25 @@
 async fn connect(
     address: SocketAddr,
     patience: Duration,
+    abandon: AbandonPolicy,
 ) -> Result<SendRequest<Full<Bytes>>, ExchangeFailure> {
+    let not_sent = |_| ExchangeFailure::NotSent;
     let opened = async {
-        let stream = TcpStream::connect(address).await.map_err(|_| ExchangeFailure::NotSent)?;
-        stream.set_nodelay(true).map_err(|_| ExchangeFailure::NotSent)?;
+        let stream = TcpStream::connect(address).await.map_err(not_sent)?;
+        stream.set_nodelay(true).map_err(not_sent)?;
+        if abandon == AbandonPolicy::Reset {
+            stream.set_zero_linger().map_err(not_sent)?;
+        }
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ExchangeFailure::NotSent)?;
         // The driver ends with the connection; its error shows at the sender as well.
-        tokio::spawn(async move { drop(connection.await) });
+        match abandon {
+            AbandonPolicy::Deliver => tokio::spawn(async move { drop(connection.await) }),
+            // An orderly end first would promise the peer that all of it is on its way.
+            AbandonPolicy::Reset => {
+                tokio::spawn(async move { drop(connection.without_shutdown().await) })
+            }
+        };
         Ok(sender)
     };
     timeout(CONNECT_TIMEOUT.min(patience), opened).await.map_err(|_| ExchangeFailure::NotSent)?
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -142,7 +142,7 @@
         None
     }
 
-    async fn command(&self, _: &VmCommand, _: &VmStamp) -> VmOutcome {
+    async fn command(&self, _: &VmCommand, _: &VmStamp, _: impl Fn() -> bool + Send) -> VmOutcome {
         VmOutcome::Refused
     }
 }
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -124,10 +124,10 @@
 #[tokio::test]
 async fn a_command_to_a_vm_carries_holder_and_token() {
     let (address, served) = answer_once("409 Conflict", r#"{"reason":"fence"}"#).await;
-    let vms = PlatformVms::new(Some(address), HttpTransport::open());
+    let vms = PlatformVms::new(Some(address));
     let command = VmCommand::Maintain { vm: "m-1".into(), wave: 3 };
     let stamp = VmStamp { holder: "front-1".into(), fence: 4_096 };
-    assert_eq!(vms.command(&command, &stamp).await, VmOutcome::Fenced);
+    assert_eq!(vms.command(&command, &stamp, || true).await, VmOutcome::Fenced);
     let seen = served.await.expect("served");
     assert!(
         seen.contains("lease-holder: front-1") && seen.contains("fencing-token: 4096"),
@@ -147,3 +147,46 @@
     assert_eq!(outcome, AppendOutcome::Unknown);
     drop(listener);
 }
+
+/// A leader is cut off after it has sent a command to a VM, and gives it up. Its system would deliver
+/// the command once the cut heals, seconds after the successor's own; a service that checks no tokens
+/// would carry it out. Given up, it is reset, which drops what has not arrived.
+#[tokio::test]
+async fn a_command_that_is_given_up_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let silent = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        let mut chunk = [0; 4_096];
+        loop {
+            match stream.read(&mut chunk).await {
+                Ok(0) => return None,
+                Ok(_) => {}
+                Err(error) => return Some(error.kind()),
+            }
+        }
+    });
+    let vms = PlatformVms::new(Some(address));
+    let command = VmCommand::Maintain { vm: "m-1".into(), wave: 4 };
+    let stamp = VmStamp { holder: "e1".into(), fence: 77 };
+    assert_eq!(vms.command(&command, &stamp, || true).await, VmOutcome::Unknown);
+    let end = silent.await.expect("served");
+    assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
+}
+
+/// A leader's VM is frozen while it opens a connection for a command. When it wakes, the connection is
+/// there, its time as leader is over, and the command must not be sent any more.
+#[tokio::test]
+async fn a_command_is_not_sent_once_the_leadership_is_over() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let vms = PlatformVms::new(Some(address));
+    let command = VmCommand::Maintain { vm: "m-1".into(), wave: 4 };
+    let stamp = VmStamp { holder: "e1".into(), fence: 77 };
+    assert_eq!(vms.command(&command, &stamp, || false).await, VmOutcome::Refused);
+    let (mut stream, _) = listener.accept().await.expect("it was connected");
+    let mut seen = Vec::new();
+    // How the connection ends is not what matters here.
+    let _ = stream.read_to_end(&mut seen).await;
+    assert!(seen.is_empty(), "{seen:?}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -27,7 +27,7 @@
         term: 1,
         bounds: bounds(),
         config: Arc::new(config()),
-        predecessor_ms: None,
+        predecessor: None,
         now: leader.now(),
         wall_ms: leader.clock.wall_ms(),
     };
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -5,11 +5,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use ibisweir::decide::leadership::PredecessorEnd;
 use ibisweir::jobs::model::{ExitKind, JobId, JobState, StepSpec};
 use ibisweir::jobs::ports::VmCommand;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{MaintenanceWave, PoolSpec, SiteConfig, VmEntry, WorkerEntry};
 use ibisweir::scheduler::demand::ArrivalRate;
+use ibisweir::scheduler::{VM_COMMAND_LIFE_MS, VM_CONFIRMATION_MS};
 use support::stage::{
     POOL, STANDBY, Stage, config, job, job_id, queue, service_step, step, submission, task, vm,
     worker,
@@ -334,3 +336,44 @@
     };
     stage.vm_commands.iter().filter_map(vm).collect()
 }
+
+/// A leader was cut off with a command to a VM on its way, and another takes over. Where the VM service
+/// checks no tokens, it would carry out both in any order, and the VM would end where nobody has it: the
+/// successor's first command waits until nothing of the old leader's is under way.
+#[test]
+fn a_successor_waits_out_commands_to_vms_that_nobody_fences() {
+    let is_held = |are_vms_fenced, end| {
+        let pool = workers(1);
+        let mut stage = Stage::open(config(), pool.clone());
+        stage.bounds.are_vms_fenced = are_vms_fenced;
+        stage.predecessor_end = end;
+        stage.submit(1, job(vec![step(40)]));
+        stage.take_over(2, config());
+        stage.scheduler.take_vms(vms(&pool, 20), stage.now, stage.now);
+        stage.advance(VM_COMMAND_LIFE_MS - 100);
+        let is_held = stage.vm_commands.is_empty();
+        stage.scheduler.take_vms(vms(&pool, 20), stage.now, stage.now);
+        stage.advance(200);
+        assert!(assigned_to(&stage, POOL) > 0);
+        is_held
+    };
+    assert!(is_held(false, PredecessorEnd::Unknown));
+    assert!(!is_held(true, PredecessorEnd::Unknown), "the service refuses the old token");
+    assert!(!is_held(false, PredecessorEnd::Resigned), "it had none under way");
+}
+
+/// A leader that has not been confirmed for a while may have a successor soon: it commands no VM any
+/// more, long before its leases end.
+#[test]
+fn vms_are_commanded_only_while_no_successor_can_have_begun() {
+    let pool = workers(1);
+    let mut stage = Stage::open(config(), pool.clone());
+    stage.scheduler.take_vms(vms(&pool, 20), stage.now, stage.now);
+    stage.advance_unconfirmed(VM_CONFIRMATION_MS);
+    stage.submit(1, job(vec![step(40)]));
+    stage.advance_unconfirmed(400);
+    assert!(stage.vm_commands.is_empty(), "{:?}", stage.vm_commands);
+    stage.scheduler.take_vms(vms(&pool, 20), stage.now, stage.now);
+    stage.advance(400);
+    assert!(assigned_to(&stage, POOL) > 0);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd};
 use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::model::{
     ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepKey, StepSpec, TaskKey,
@@ -36,6 +37,7 @@
         grace_ms: 6_000,
         remote_factor: 3.0,
         maintain_ms: 2_000,
+        are_vms_fenced: true,
     }
 }
 
@@ -193,6 +195,10 @@
     pub log_is_up: bool,
     /// Whether the VM service answers `Done` to commands.
     pub vm_outcome: VmOutcome,
+    /// Promised times of the site, from the next leader on.
+    pub bounds: SiteBounds,
+    /// What the next leader knows of the end of the one before.
+    pub predecessor_end: PredecessorEnd,
     /// Now.
     pub now: u64,
     entries: Vec<WorkerEntry>,
@@ -208,7 +214,7 @@
     /// A leader of term 1 with these workers, all under its token.
     pub fn open(config: SiteConfig, entries: Vec<WorkerEntry>) -> Stage {
         let mut stage = Stage {
-            scheduler: leader(1, None, config, &JobBook::default(), START_MS),
+            scheduler: leader(1, None, bounds(), config, &JobBook::default(), START_MS),
             book: JobBook::default(),
             end: 0,
             workers: BTreeMap::new(),
@@ -225,6 +231,8 @@
             lane: Vec::new(),
             log_is_up: true,
             vm_outcome: VmOutcome::Done,
+            bounds: bounds(),
+            predecessor_end: PredecessorEnd::Unknown,
             now: START_MS,
             entries,
             crashes: 0,
@@ -236,7 +244,8 @@
 
     /// Another entry takes over from the log; the old leader says no more.
     pub fn take_over(&mut self, term: u64, config: SiteConfig) {
-        self.scheduler = leader(term, Some(self.now), config, &self.book, self.now);
+        let before = LeaderTrace { seen_ms: self.now, end: self.predecessor_end };
+        self.scheduler = leader(term, Some(before), self.bounds, config, &self.book, self.now);
         self.list_workers();
         self.pump();
     }
@@ -579,16 +588,17 @@
 
 fn leader(
     term: u64,
-    predecessor_ms: Option<u64>,
+    predecessor: Option<LeaderTrace>,
+    bounds: SiteBounds,
     config: SiteConfig,
     book: &JobBook,
     now: u64,
 ) -> Scheduler {
     let start = SchedulerStart {
         term,
-        bounds: bounds(),
+        bounds,
         config: Arc::new(config),
-        predecessor_ms,
+        predecessor,
         now,
         wall_ms: WALL_OFFSET_MS + now,
     };
