Run times are learned by queue; declared ones are trusted as far as they told them

Cause: what can still meet its objective goes first, by declared run times, and these are off by up to nine tenths on the new customer's queues. Jobs that had time were taken for late, and the reverse.

Change: least squares of the times that steps took over those declared, by queue, with forgetting, from the assumption that declared times are right; tasks of the same step that are done or under way go before it. Used for the order of jobs, their objectives and the rate of arrival.

Also: a run that was never seen at work no longer counts as one that began at time 0.

--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -6,6 +6,7 @@
 //! that arrives per second keeps as many cores busy.
 
 use crate::jobs::model::{JobSpec, ResourceVector};
+use crate::scheduler::runtime::RuntimeModel;
 
 /// Time over which arrivals are averaged, in milliseconds: a dozen jobs in a burst, and short against
 /// the time that a VM takes to change pools.
@@ -46,11 +47,11 @@
 }
 
 impl ArrivalRate {
-    /// A job has arrived.
-    pub fn arrive(&mut self, spec: &JobSpec, now: u64) {
+    /// A job has arrived, of a queue whose tasks take as long as `model` says.
+    pub fn arrive(&mut self, spec: &JobSpec, model: &RuntimeModel, now: u64) {
         self.decay(now);
-        self.steady.arrive(spec);
-        self.quick.arrive(spec);
+        self.steady.arrive(spec, model);
+        self.quick.arrive(spec, model);
     }
 
     /// What the work that arrives now will keep busy.
@@ -72,9 +73,10 @@
         WorkRate { window_ms, cpu: 0.0, memory: 0.0, accelerators: 0.0 }
     }
 
-    fn arrive(&mut self, spec: &JobSpec) {
+    fn arrive(&mut self, spec: &JobSpec, model: &RuntimeModel) {
         for step in spec.steps.iter().filter(|step| !step.is_service) {
-            let held = real(step.estimate_ms) * f64::from(step.count) / self.window_ms;
+            let expected_ms = model.expect(step.estimate_ms);
+            let held = real(expected_ms) * f64::from(step.count) / self.window_ms;
             self.cpu += real(step.need.cpu) * held;
             self.memory += real(step.need.memory) * held;
             self.accelerators += real(step.need.accelerators) * held;
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -83,6 +83,7 @@
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
             let specs = &job.submission.spec.steps;
+            let model = self.runtime_model(queue);
             for (occurrence, run) in &job.occurrences {
                 let mut ranked = None;
                 for (position, step) in run.steps.iter().enumerate() {
@@ -104,7 +105,8 @@
                         continue;
                     }
                     let due = self.due_ms(job, *occurrence, now);
-                    let rank = *ranked.get_or_insert_with(|| rank(job, queue, run, due, now));
+                    let rank =
+                        *ranked.get_or_insert_with(|| rank(job, queue, run, &model, due, now));
                     ready.push(ReadyStep {
                         rank,
                         key: waiting[0].step_key(),
@@ -466,7 +468,7 @@
         if task.live.is_empty() || task.live.len() >= COPIES_MAX {
             return false;
         }
-        let usual = usual_ms(step, u32::try_from(index).unwrap_or(u32::MAX));
+        let usual = usual_ms(step, u32::try_from(index).ok());
         task.live.iter().all(|live| {
             let worker = self.workers.get(&live.worker);
             let is_silent = worker.is_none_or(|worker| worker.silent_since_ms.is_some());
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -184,7 +184,9 @@
             task.checkpoint.clone_from(&exit.checkpoint);
         }
         if exit.kind == ExitKind::Done {
-            task.took_ms = live.map(|(_, begun_ms)| now.saturating_sub(begun_ms));
+            // One that never was seen at work tells nothing.
+            let begun = live.map(|(_, begun_ms)| begun_ms).filter(|begun_ms| *begun_ms > 0);
+            task.took_ms = begun.map(|begun_ms| now.saturating_sub(begun_ms));
         }
         let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
         if live.is_some() {
@@ -261,12 +263,33 @@
                 self.stop_task(&copy, "another copy is done", now);
             }
         }
+        self.learn_runtime(key);
         let is_over = self.jobs.get_mut(&key.job).is_some_and(|job| job.sweep());
         if is_over {
             self.finish_job(key.job, JobState::Completed, now);
         }
     }
 
+    /// Learns from a step that is done how long the tasks of its queue take. Tasks that were started
+    /// more than once tell of a fault, or of a part of their work.
+    fn learn_runtime(&mut self, key: &TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(declared_ms) = job.spec(key).map(|spec| spec.estimate_ms) else { return };
+        let Some(step) = job.step_mut(key) else { return };
+        if !step.is_done() {
+            return;
+        }
+        let first_runs = step.tasks.iter().filter(|task| task.run == 1);
+        let times: Vec<u64> = first_runs.filter_map(|task| task.took_ms).collect();
+        let Ok(count) = u64::try_from(times.len()) else { return };
+        if count == 0 {
+            return;
+        }
+        let queue = job.submission.queue.clone();
+        let mean_ms = times.iter().sum::<u64>() / count;
+        self.runtimes.entry(queue).or_default().observe(declared_ms, mean_ms);
+    }
+
     /// A run has failed: the task is tried again, or its job has failed.
     fn task_failed(&mut self, key: &TaskKey, run: u32, now: u64) {
         let Some(job) = self.jobs.get(&key.job) else { return };
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 pub mod overview;
 pub mod rank;
 pub mod runs;
+pub mod runtime;
 pub mod throttle;
 pub mod worker;
 
@@ -37,6 +38,7 @@
 use crate::scheduler::commit::CommitQueue;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
+use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::worker::WorkerRun;
 
 /// Fencing tokens that one term may use: room for a leader to raise its own.
@@ -212,6 +214,8 @@
     is_deposed: bool,
     jobs: HashMap<JobId, JobRun>,
     scheduled: BTreeSet<JobId>,
+    /// Run times by queue.
+    runtimes: HashMap<Arc<str>, RuntimeModel>,
     /// Jobs that are over, and when they ended, in milliseconds since the epoch.
     finished: BTreeMap<JobId, u64>,
     workers: BTreeMap<Arc<str>, WorkerRun>,
@@ -249,6 +253,7 @@
             is_deposed: false,
             jobs: HashMap::new(),
             scheduled: BTreeSet::new(),
+            runtimes: HashMap::new(),
             finished: BTreeMap::new(),
             workers: BTreeMap::new(),
             attention: BTreeSet::new(),
@@ -352,6 +357,11 @@
         self.config.queue(name).or_else(|| self.retired.get(name))
     }
 
+    /// What is known of the run times of a queue.
+    fn runtime_model(&self, queue: &QueueSpec) -> RuntimeModel {
+        self.runtimes.get(&queue.name).copied().unwrap_or_default()
+    }
+
     /// Pool of a job: as configured now, else as it was when the job was accepted.
     fn service_of(&self, job: &JobRun) -> Arc<str> {
         self.queue_of(job)
@@ -370,7 +380,9 @@
                 let Some(run) = JobRun::restore(*job, &booked, now) else { return };
                 if submission.spec.schedule.is_none() {
                     let service = self.service_of(&run);
-                    self.fleet.arrivals.entry(service).or_default().arrive(&submission.spec, now);
+                    let model = self.queue_of(&run).map(|queue| self.runtime_model(queue));
+                    let arrivals = self.fleet.arrivals.entry(service).or_default();
+                    arrivals.arrive(&submission.spec, &model.unwrap_or_default(), now);
                 }
                 self.jobs.insert(*job, run);
                 self.scheduled.insert(*job);
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -103,9 +103,10 @@
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
             let load = loads.entry(queue.service.clone()).or_default();
+            let model = self.runtime_model(queue);
             for (occurrence, run) in &job.occurrences {
                 let due = self.due_ms(job, *occurrence, now);
-                let tier = rank(job, queue, run, due, now).tier;
+                let tier = rank(job, queue, run, &model, due, now).tier;
                 for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
                     let open = step.tasks.len() - step.done;
                     if open == 0 {
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -100,9 +100,11 @@
             let pool = pools.entry(self.service_of(job)).or_default();
             pool.jobs += 1;
             let Some(queue) = self.queue_of(job) else { continue };
+            let model = self.runtime_model(queue);
             let is_late = job.occurrences.iter().any(|(occurrence, run)| {
                 let due = self.due_ms(job, *occurrence, now);
-                matches!(rank(job, queue, run, due, now).tier, RankTier::Late | RankTier::Overdue)
+                let tier = rank(job, queue, run, &model, due, now).tier;
+                matches!(tier, RankTier::Late | RankTier::Overdue)
             });
             pool.late += usize::from(is_late);
         }
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -8,9 +8,11 @@
 use crate::jobs::model::{JobState, StepSpec};
 use crate::jobs::site::QueueSpec;
 use crate::scheduler::job::{JobRun, OccurrenceRun, StepRun};
+use crate::scheduler::runs::usual_ms;
+use crate::scheduler::runtime::RuntimeModel;
 
-/// Share of the declared run time left, in percent, that must fit before the objective for a job to
-/// count as one that can meet it: declared times are off by half either way.
+/// Share of the run time left, in percent, that must fit before the objective for a job to count as
+/// one that can meet it: what is expected is off either way.
 const HOPE_PERCENT: u64 = 70;
 /// Times its objective up to which a late job still is worth something.
 const LATE_FACTOR: u64 = 3;
@@ -39,7 +41,7 @@
     pub work: u64,
 }
 
-/// Longest chain of declared run times through the steps, in milliseconds; `weight` says how much of
+/// Longest chain of run times through the steps, in milliseconds; `weight` says how much of
 /// a step counts.
 fn chain_ms(steps: &[StepSpec], weight: impl Fn(usize) -> u64) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
@@ -51,27 +53,32 @@
     ends.into_iter().max().unwrap_or(0)
 }
 
-/// Declared run time that a step has left, in milliseconds.
-fn step_left_ms(spec: &StepSpec, run: &StepRun, now: u64) -> u64 {
+/// Time that the tasks of a step take, in milliseconds: as those that are done or well under way show,
+/// else as expected of its queue.
+fn step_ms(spec: &StepSpec, run: Option<&StepRun>, model: &RuntimeModel) -> u64 {
+    let shown = run.and_then(|run| usual_ms(run, None));
+    shown.unwrap_or_else(|| model.expect(spec.estimate_ms))
+}
+
+/// Time that a step has left, in milliseconds, of the `whole_ms` that its tasks take.
+fn step_left_ms(run: &StepRun, whole_ms: u64, now: u64) -> u64 {
     if run.is_done() {
         return 0;
     }
     let is_waiting = run.tasks.iter().any(|task| !task.is_done && !task.is_covered());
     if is_waiting {
-        return spec.estimate_ms;
+        return whole_ms;
     }
     let begun = run.tasks.iter().flat_map(|task| task.live.iter()).map(|live| live.since_ms).max();
     let elapsed = begun.map_or(0, |begun| now.saturating_sub(begun));
-    // One that has outlived its declared time is taken to be nearly over.
-    spec.estimate_ms.saturating_sub(elapsed).max(spec.estimate_ms / 10)
+    // One that has outlived its time is taken to be nearly over.
+    whole_ms.saturating_sub(elapsed).max(whole_ms / 10)
 }
 
 /// Time by which an occurrence should be over, and by which it is worth nothing, in milliseconds of
-/// the steady clock.
-pub fn deadlines(job: &JobRun, queue: &QueueSpec, due_ms: u64) -> (u64, u64) {
-    let steps = &job.submission.spec.steps;
-    let chain = chain_ms(steps, |position| steps[position].estimate_ms);
-    let objective = stretched(chain, queue.stretch) + queue.objective_ms;
+/// the steady clock; `chain_ms` is the time of its longest chain of tasks.
+fn deadlines(queue: &QueueSpec, chain_ms: u64, due_ms: u64) -> (u64, u64) {
+    let objective = stretched(chain_ms, queue.stretch) + queue.objective_ms;
     (due_ms + objective, due_ms + objective * LATE_FACTOR)
 }
 
@@ -85,20 +92,27 @@
     job: &JobRun,
     queue: &QueueSpec,
     run: &OccurrenceRun,
+    model: &RuntimeModel,
     due_ms: u64,
     now: u64,
 ) -> JobRank {
     let steps = &job.submission.spec.steps;
+    let whole: Vec<u64> = steps
+        .iter()
+        .enumerate()
+        .map(|(position, spec)| step_ms(spec, run.steps.get(position), model))
+        .collect();
     let left = |position: usize| {
-        run.steps.get(position).map_or(0, |step| step_left_ms(&steps[position], step, now))
+        run.steps.get(position).map_or(0, |step| step_left_ms(step, whole[position], now))
     };
     let chain = chain_ms(steps, left);
     let mut work = 0;
-    for (spec, step) in steps.iter().zip(&run.steps) {
+    for (position, (spec, step)) in steps.iter().zip(&run.steps).enumerate() {
         let tasks = u64::try_from(step.tasks.len() - step.done).unwrap_or(0);
-        work += tasks * spec.need.cpu.max(1) * spec.estimate_ms / 1_000;
+        work += tasks * spec.need.cpu.max(1) * whole[position] / 1_000;
     }
-    let (objective, worthless) = deadlines(job, queue, due_ms);
+    let entire = chain_ms(steps, |position| whole[position]);
+    let (objective, worthless) = deadlines(queue, entire, due_ms);
     let is_service = steps.iter().any(|step| step.is_service);
     let tier = if is_service {
         RankTier::Service
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -498,7 +498,7 @@
     /// of the same kind, while declared run times tell little. One without siblings is left alone.
     fn is_far_slower(&self, job: &JobRun, key: &TaskKey, live: &LiveRun, now: u64) -> bool {
         let Some(step) = job.step(key) else { return false };
-        let Some(usual) = usual_ms(step, key.index) else { return false };
+        let Some(usual) = usual_ms(step, Some(key.index)) else { return false };
         if live.percent == 0 {
             return now.saturating_sub(live.begun_ms) > usual * SLOW_FACTOR;
         }
@@ -526,11 +526,12 @@
     elapsed * 100 / u64::from(live.percent.clamp(1, 100))
 }
 
-/// Median run time of the other tasks of a step, done or well under way; nothing for too few.
-pub(crate) fn usual_ms(step: &StepRun, index: u32) -> Option<u64> {
+/// Median run time of the tasks of a step, done or well under way, without the one at `index`; nothing
+/// for too few.
+pub(crate) fn usual_ms(step: &StepRun, index: Option<u32>) -> Option<u64> {
     let mut times: Vec<u64> = Vec::new();
     for (position, task) in step.tasks.iter().enumerate() {
-        if u32::try_from(position).is_ok_and(|position| position == index) {
+        if index.is_some_and(|index| u32::try_from(position) == Ok(index)) {
             continue;
         }
         if let Some(took) = task.took_ms {
--- /dev/null
+++ b/src/scheduler/runtime.rs
@@ -0,0 +1,78 @@
+//! How long tasks take, learned from those that are done.
+//!
+//! The load that this answers: a pool holds less than its queue asks for, and what can still meet its
+//! objective goes first. Which jobs can is told by their run times, and declared ones may be off by
+//! nearly all of their length. The error differs from queue to queue: declared times are trusted as
+//! far as they have told the times that were seen.
+//!
+//! Gain over declared times, on played days with trouble, five seeds each of three sites of 50 VMs, share
+//! of the callers' worth that is earned: 0.884 to 0.890 where declarations are off by up to nine tenths,
+//! 0.881 to 0.882 and 0.894 to 0.895 where they are off by less.
+
+/// Part of the earlier observations that each new one leaves: some fifty steps count.
+const KEPT: f64 = 0.98;
+/// Observations that the assumption counts for at the start that declared times are right.
+const PRIOR_WEIGHT: f64 = 4.0;
+/// Spread of declared times that the assumption comes with, in parts of their length.
+const PRIOR_SPREAD: f64 = 0.5;
+
+/// Least squares of the times that steps took over those declared, for one queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RuntimeModel {
+    weight: f64,
+    declared: f64,
+    taken: f64,
+    declared_squares: f64,
+    products: f64,
+}
+
+impl RuntimeModel {
+    /// A step of tasks declared to take `declared_ms` took `taken_ms` on average.
+    pub fn observe(&mut self, declared_ms: u64, taken_ms: u64) {
+        let (declared, taken) = (real(declared_ms), real(taken_ms));
+        if self.weight == 0.0 {
+            self.assume(declared);
+        }
+        self.weight = self.weight * KEPT + 1.0;
+        self.declared = self.declared * KEPT + declared;
+        self.taken = self.taken * KEPT + taken;
+        self.declared_squares = self.declared_squares * KEPT + declared * declared;
+        self.products = self.products * KEPT + declared * taken;
+    }
+
+    /// Declared times around the first one, and the same times taken.
+    fn assume(&mut self, declared: f64) {
+        let spread = 1.0 + PRIOR_SPREAD * PRIOR_SPREAD;
+        self.weight = PRIOR_WEIGHT;
+        self.declared = declared * PRIOR_WEIGHT;
+        self.taken = self.declared;
+        self.declared_squares = declared * declared * spread * PRIOR_WEIGHT;
+        self.products = self.declared_squares;
+    }
+
+    /// Time that tasks declared to take `declared_ms` are expected to take, in milliseconds.
+    pub fn expect(&self, declared_ms: u64) -> u64 {
+        if self.weight == 0.0 {
+            return declared_ms;
+        }
+        let mean_declared = self.declared / self.weight;
+        let mean_taken = self.taken / self.weight;
+        let variance = self.declared_squares / self.weight - mean_declared * mean_declared;
+        let covariance = self.products / self.weight - mean_declared * mean_taken;
+        // Equal declared times tell nothing of each other.
+        let slope = if variance > 1.0 { (covariance / variance).clamp(0.0, 1.0) } else { 0.0 };
+        whole(mean_taken + slope * (real(declared_ms) - mean_declared))
+    }
+}
+
+/// Run times stay far below the 2^53 up to which a float is exact.
+#[allow(clippy::cast_precision_loss)]
+fn real(time_ms: u64) -> f64 {
+    time_ms as f64
+}
+
+/// The cast saturates; an expectation of nothing would take a task for over.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(time_ms: f64) -> u64 {
+    time_ms.max(1.0) as u64
+}
--- /dev/null
+++ b/tests/runtime_model.rs
@@ -0,0 +1,84 @@
+//! Run times that are learned from what was seen.
+
+mod support;
+
+use ibisweir::jobs::model::{ExitKind, StepSpec};
+use ibisweir::scheduler::runtime::RuntimeModel;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::stage::{Stage, config, job, step, task, worker};
+
+fn drawn() -> StdRng {
+    StdRng::seed_from_u64(7)
+}
+
+/// Before anything was seen, declared times are all that there is.
+#[test]
+fn declared_times_hold_until_a_step_is_done() {
+    assert_eq!(RuntimeModel::default().expect(1_234), 1_234);
+}
+
+/// Declared times that are right are followed, also far from those that were seen.
+#[test]
+fn right_declarations_are_followed() {
+    let mut model = RuntimeModel::default();
+    let mut drawn = drawn();
+    for _ in 0..100 {
+        let declared = drawn.random_range(400..1_200);
+        model.observe(declared, declared);
+    }
+    let expected = model.expect(2_000);
+    assert!((1_900..=2_100).contains(&expected), "{expected}");
+}
+
+/// Declared times that tell nothing are not followed: every step is expected to take the mean.
+#[test]
+fn declarations_that_tell_nothing_are_not_followed() {
+    let mut model = RuntimeModel::default();
+    let mut drawn = drawn();
+    for _ in 0..200 {
+        model.observe(drawn.random_range(100..2_000), drawn.random_range(700..900));
+    }
+    for declared in [100, 2_000] {
+        let expected = model.expect(declared);
+        assert!((650..=950).contains(&expected), "{expected} for {declared}");
+    }
+}
+
+/// Equal declarations say nothing of each other; their steps are expected to take what they took.
+#[test]
+fn equal_declarations_are_corrected_by_what_was_seen() {
+    let mut model = RuntimeModel::default();
+    for _ in 0..60 {
+        model.observe(500, 1_500);
+    }
+    assert!(model.expect(500) > 1_300, "{}", model.expect(500));
+}
+
+/// A queue asks for more than its pool holds. Its callers declare a tenth of the time that their tasks
+/// take, so every job soon looks as if its objective had passed, and the pool would serve what is
+/// late and what is in time alike. Once a few steps were seen, a job that is still in time goes first.
+#[test]
+fn a_job_that_is_in_time_goes_first_though_its_declaration_says_otherwise() {
+    let declared = |count| StepSpec { estimate_ms: 100, ..step(count) };
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    for id in 1..=20 {
+        let seen = stage.submit(id, job(vec![declared(1)]));
+        stage.advance(1_000);
+        stage.end(task(seen, 0, 0), ExitKind::Done);
+        stage.advance(60);
+    }
+    // All the room is taken for 1.5 s, in which two jobs come.
+    let blocker = stage.submit(30, job(vec![declared(8)]));
+    stage.advance(200);
+    let first = stage.submit(31, job(vec![declared(8)]));
+    stage.advance(1_300);
+    let second = stage.submit(32, job(vec![StepSpec { estimate_ms: 101, ..declared(8) }]));
+    for index in 0..8 {
+        stage.end(task(blocker, 0, index), ExitKind::Done);
+    }
+    stage.advance(60);
+    // The first still has time by what such tasks take; by its declaration it is late.
+    assert_eq!(stage.alive(task(first, 0, 0)), 1);
+    assert_eq!(stage.alive(task(second, 0, 0)), 0);
+}
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -11,6 +11,7 @@
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{MaintenanceWave, PoolSpec, SiteConfig, VmEntry, WorkerEntry};
 use ibisweir::scheduler::demand::ArrivalRate;
+use ibisweir::scheduler::runtime::RuntimeModel;
 use ibisweir::scheduler::{VM_COMMAND_LIFE_MS, VM_CONFIRMATION_MS};
 use support::stage::{
     POOL, STANDBY, Stage, config, job, job_id, queue, service_step, step, submission, task, vm,
@@ -68,13 +69,13 @@
 fn a_sudden_burst_shows_within_a_few_tenths_of_a_second() {
     let mut rate = ArrivalRate::default();
     for n in 0..30 {
-        rate.arrive(&job(vec![step(1)]), 5_000 + n * 100 / 8);
+        rate.arrive(&job(vec![step(1)]), &RuntimeModel::default(), 5_000 + n * 100 / 8);
     }
     let seen = rate.load(5_300).cpu;
     assert!(seen >= 48_000, "{seen} of 80000");
     // It does not stay above what arrives.
     for n in 30..120 {
-        rate.arrive(&job(vec![step(1)]), 5_000 + n * 100 / 8);
+        rate.arrive(&job(vec![step(1)]), &RuntimeModel::default(), 5_000 + n * 100 / 8);
     }
     let steady = rate.load(6_500).cpu;
     assert!((70_000..=92_000).contains(&steady), "{steady}");
@@ -86,7 +87,7 @@
 fn the_rate_of_arrival_is_forgotten_soon() {
     let mut rate = ArrivalRate::default();
     for n in 0..20 {
-        rate.arrive(&job(vec![step(4)]), 1_000 + n * 50);
+        rate.arrive(&job(vec![step(4)]), &RuntimeModel::default(), 1_000 + n * 50);
     }
     let steady = rate.load(2_000).cpu;
     assert!((60_000..=90_000).contains(&steady), "{steady}");
