A task that stays away holds no wave up; waves at the same time hurry together

Read over: the first VM of a pool waited for budgets to let all its services go at once, so a service task that never comes to work would have kept a wave from ever emptying a VM there, where each task's budget counts alone. Only VMs of the wave count as being emptied, and a wave that is planned after another no longer forgets the pools of the first.

--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -77,6 +77,7 @@
             .filter(|run| !run.is_completed)
             .map(|run| run.wave.number)
             .collect();
+        self.fleet.hurried.clear();
         for number in numbers {
             self.plan_wave(number, is_scarce, now);
         }
@@ -94,7 +95,6 @@
             .collect();
         if left.is_empty() {
             run.is_completed = true;
-            self.fleet.hurried.clear();
             self.actions.push(SchedulerAction::TellWave(number, true));
             return;
         }
@@ -141,7 +141,7 @@
         candidates: &[(EmptyingCost, u64, Arc<str>)],
         now: u64,
     ) {
-        let mut emptied = self.emptied_by_pool();
+        let mut emptied = self.emptied_by_pool(number);
         for (_, _, vm) in candidates.iter().filter(|(cost, ..)| *cost == EmptyingCost::Evict) {
             let Some(pool) = self.fleet.vms.get(vm).map(|vm| vm.pool.clone()) else { continue };
             let most = match self.fleet.hurried.contains(&pool) {
@@ -149,7 +149,8 @@
                 false => 1,
             };
             let count = emptied.entry(pool).or_insert(0);
-            if *count < most && self.budgets_allow(vm) {
+            // One VM waits for its budgets where it is: a task that stays away must not hold the wave up.
+            if *count < most && (*count == 0 || self.budgets_allow(vm)) {
                 *count += 1;
                 self.intend(VmCommand::Maintain { vm: vm.clone(), wave: number }, now);
             }
@@ -162,14 +163,13 @@
     fn find_hurried(&mut self, deadline: u64, now: u64) {
         let left_ms = deadline.saturating_sub(now) * PLANNED_PERCENT / 100;
         let each_ms = self.bounds.stop_ms + RESTART_MS;
+        let is_late = |pool: &Arc<str>| {
+            let hosts = u64::try_from(self.due_hosts(pool)).unwrap_or(u64::MAX);
+            hosts.saturating_mul(each_ms) > left_ms
+        };
         let pools = self.config.pools.iter().filter(|pool| !pool.is_standby);
-        self.fleet.hurried = pools
-            .map(|pool| pool.name.clone())
-            .filter(|pool| {
-                let hosts = u64::try_from(self.due_hosts(pool)).unwrap_or(u64::MAX);
-                hosts.saturating_mul(each_ms) > left_ms
-            })
-            .collect();
+        let late: Vec<Arc<str>> = pools.map(|pool| pool.name.clone()).filter(is_late).collect();
+        self.fleet.hurried.extend(late);
     }
 
     /// VMs of a pool that have services and are still to be maintained.
@@ -182,11 +182,11 @@
             .count()
     }
 
-    /// VMs of each pool that are being emptied.
-    fn emptied_by_pool(&self) -> BTreeMap<Arc<str>, usize> {
+    /// VMs of each pool that are being emptied for a wave.
+    fn emptied_by_pool(&self, number: u64) -> BTreeMap<Arc<str>, usize> {
         let mut emptied = BTreeMap::new();
         for (vm, intent) in &self.fleet.intents {
-            if intent.phase != IntentPhase::Draining {
+            if intent.phase != IntentPhase::Draining || !intent.is_for_wave(number) {
                 continue;
             }
             if let Some(vm) = self.fleet.vms.get(vm) {
