--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod process;
 pub mod stage;
+pub mod stage_worker;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/tests/support/stage_worker.rs
@@ -0,0 +1,105 @@
+//! A worker on the stage: what it runs, what it lists, and what it refuses.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ibisweir::jobs::model::{ExitKind, TaskKey};
+use ibisweir::jobs::ports::{RunningTask, StartCall, TaskExit, WorkerReport};
+
+/// What a worker on the stage holds.
+#[derive(Clone, Debug, Default)]
+pub struct StageWorker {
+    /// Runs, with their progress in percent.
+    pub running: BTreeMap<(TaskKey, u32), u32>,
+    /// Exits that were not acknowledged.
+    pub exits: Vec<TaskExit>,
+    /// Runs that were told to stop or have ended; they never start again.
+    pub refused: BTreeSet<(TaskKey, u32)>,
+    /// Whether it leaves calls unanswered.
+    pub is_silent: bool,
+    /// Whether its reports are from before anything was started.
+    pub is_stale: bool,
+    /// Whether starts go unanswered, to be carried out when the test says so.
+    pub is_late: bool,
+    /// Whether it says that it has no room for any start.
+    pub is_full: bool,
+    /// Time that a stop takes, in milliseconds; until then the run is listed as running.
+    pub stop_ms: u64,
+    /// Runs that were told to stop and have not ended, and when they will.
+    pub ending: BTreeMap<(TaskKey, u32), u64>,
+    /// Starts that went unanswered.
+    pub late: Vec<StartCall>,
+    /// End of the leases of all that runs.
+    pub lease_until_ms: u64,
+    /// Highest fencing token seen.
+    pub fence: u64,
+    next_exit: u64,
+}
+
+impl StageWorker {
+    pub(super) fn begin(&mut self, call: &StartCall, now: u64) -> bool {
+        let key = (call.task, call.run);
+        if call.fence < self.fence || call.lease_until_ms <= now {
+            return false;
+        }
+        self.fence = call.fence;
+        self.lease_until_ms = self.lease_until_ms.max(call.lease_until_ms);
+        if self.refused.contains(&key) || self.running.contains_key(&key) {
+            return false;
+        }
+        self.running.insert(key, 0);
+        true
+    }
+
+    /// Kills what runs once its lease is over.
+    pub(super) fn expire(&mut self, now: u64) {
+        if now < self.lease_until_ms {
+            return;
+        }
+        let lapsed: Vec<(TaskKey, u32)> = self.running.keys().copied().collect();
+        for (task, run) in lapsed {
+            self.exit(task, run, ExitKind::Lapsed);
+        }
+    }
+
+    pub(super) fn stop(&mut self, task: TaskKey, run: u32, now: u64) {
+        if self.running.contains_key(&(task, run)) {
+            if self.stop_ms > 0 {
+                self.ending.entry((task, run)).or_insert(now + self.stop_ms);
+                return;
+            }
+            self.exit(task, run, ExitKind::Stopped);
+        }
+        self.refused.insert((task, run));
+    }
+
+    /// Ends the runs whose stop has taken its time.
+    pub(super) fn finish_stops(&mut self, now: u64) {
+        let is_over = |(_, end): &(&(TaskKey, u32), &u64)| now >= **end;
+        let over: Vec<(TaskKey, u32)> =
+            self.ending.iter().filter(is_over).map(|(key, _)| *key).collect();
+        for (task, run) in over {
+            self.ending.remove(&(task, run));
+            self.exit(task, run, ExitKind::Stopped);
+        }
+    }
+
+    /// Ends a run.
+    pub fn exit(&mut self, task: TaskKey, run: u32, kind: ExitKind) {
+        self.running.remove(&(task, run));
+        self.refused.insert((task, run));
+        self.next_exit += 1;
+        let number = self.next_exit;
+        self.exits.push(TaskExit { number, task, run, kind, checkpoint: String::new() });
+    }
+
+    pub(super) fn report(&self, now: u64, gauges: &BTreeMap<TaskKey, u64>) -> WorkerReport {
+        let running = self.running.iter().map(|((task, run), percent)| RunningTask {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: *percent,
+            gauge: gauges.get(task).copied(),
+        });
+        WorkerReport { clock_ms: now, running: running.collect(), exits: self.exits.clone() }
+    }
+}
