--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use ibisweir::decide::leadership::{
-    CLOSED_SILENCE_MS, HolderId, LeadershipAct, LeadershipRecord, LeadershipView, SILENCE_MS,
-    claim_delay_ms,
+    CLOSED_SILENCE_MS, HolderId, LeaderTrace, LeadershipAct, LeadershipRecord, LeadershipView,
+    PredecessorEnd, SILENCE_MS, claim_delay_ms,
 };
 
 fn holder(name: &str, life: u64) -> HolderId {
@@ -97,3 +97,20 @@
     assert!(!view.is_held_by(&holder("a", 1)));
     assert_eq!(view.term, 1);
 }
+
+/// A new leader must know whether a command of the one before may still be under way. Only a
+/// resignation, or the end of its own earlier process, says that none will follow; a silence says
+/// nothing, and a leader that was never seen leaves nothing to wait for.
+#[test]
+fn only_a_resignation_or_a_restart_shows_that_the_leader_before_has_ended() {
+    let view = led_by_a();
+    let seen = |end| Some(LeaderTrace { seen_ms: 1_000, end });
+    assert_eq!(view.predecessor(&holder("b", 2)), seen(PredecessorEnd::Unknown));
+    assert_eq!(view.predecessor(&holder("a", 2)), seen(PredecessorEnd::Restarted));
+    assert_eq!(LeadershipView::default().predecessor(&holder("b", 2)), None);
+
+    let mut resigned = led_by_a();
+    resigned.fold(5, &record(LeadershipAct::Resign, "a", 1), 2_000);
+    let trace = LeaderTrace { seen_ms: 2_000, end: PredecessorEnd::Resigned };
+    assert_eq!(resigned.predecessor(&holder("b", 2)), Some(trace));
+}
