An answer to a repeated VM command says nothing of a worker that came after its first try

Cause: where the VM service answers seconds late, a command is given up after 600 ms and repeated. Each repeat noted the worker that the newest list shows on the VM as the one that the command ends. The first try had been carried out: that worker was the new one, with tasks at work. Its "done" made them "worker is gone", and they started again elsewhere while the first runs went on (traced earlier by log: first try 22.427 s unanswered, ten tasks started on the new worker from 23.42 s, the third try answered at 23.651 s, all ten started again at 23.66 s).

Ruled out: the reset of commands that are given up, and idle VMs leaving by halves: they only move VMs sooner and more often.

Change: an intent keeps the worker of its first send. The VM list, asked for after that, settles a move that was carried out. A VM that crashed meanwhile and has work again is emptied before the command is repeated.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -64,7 +64,8 @@
     pub since_ms: u64,
     /// Earliest time to send it (again), in milliseconds.
     pub retry_ms: u64,
-    /// Worker that ran on the VM when it was sent; empty for none.
+    /// Worker that ran on the VM when it was first sent; empty for none. A later one can be the life
+    /// that the command itself has brought, if an answer was lost.
     pub worker: Arc<str>,
     /// Whether a try had no answer, so that it may be carried out any time.
     pub is_in_doubt: bool,
@@ -200,10 +201,35 @@
     fn advance_intents(&mut self, now: u64) {
         let names: Vec<Arc<str>> = self.fleet.intents.keys().cloned().collect();
         for name in names {
+            self.settle_by_list(&name, now);
             self.advance_intent(&name, now);
         }
     }
 
+    /// Looks whether the VM list, asked for after a command was sent, shows what became of it.
+    ///
+    /// Where the VM service takes seconds to answer, the VM is at work in its new pool before any answer
+    /// has come. And a VM that crashed meanwhile may have work again: the command is held back until it
+    /// is empty, as for the first time.
+    fn settle_by_list(&mut self, name: &Arc<str>, now: u64) {
+        let listed_ms = self.fleet.listed_ms.unwrap_or(0);
+        let Some(vm) = self.fleet.vms.get(name) else { return };
+        let Some(intent) = self.fleet.intents.get_mut(name) else { return };
+        if intent.phase != IntentPhase::Sent || listed_ms <= intent.since_ms {
+            return;
+        }
+        if intent.is_for_pool(&vm.pool) {
+            intent.phase = IntentPhase::Accepted;
+            let worker = intent.worker.clone();
+            self.worker_over(&worker, "its VM has moved", now);
+            return;
+        }
+        let is_other_life = !vm.worker.is_empty() && vm.worker != intent.worker;
+        if is_other_life && matches!(intent.command, VmCommand::Assign { .. }) {
+            intent.phase = IntentPhase::Draining;
+        }
+    }
+
     fn advance_intent(&mut self, name: &Arc<str>, now: u64) {
         let fence = self.fence();
         let may_command = self.may_command_vms(now);
@@ -236,8 +262,11 @@
                     }
                 }
                 let Some(intent) = self.fleet.intents.get_mut(name) else { return };
-                intent.phase = IntentPhase::Sent;
-                intent.worker = vm.worker.clone();
+                if is_first {
+                    intent.phase = IntentPhase::Sent;
+                    intent.since_ms = now;
+                    intent.worker = vm.worker.clone();
+                }
                 // No answer by then counts as one that is lost.
                 intent.retry_ms = now + COMMAND_FORGET_MS;
                 let command = intent.command.clone();
