An end that was heard of too late is never acknowledged

Cause: the leader can't reach a worker until every lease that it can have has run out, and starts its tasks elsewhere. The first runs had ended as done meanwhile, with nothing left there to lapse.

Change: runs that are given up unseen are remembered; an end (done, or failed) of a run whose task was started again is not acknowledged, nor any after it on that worker, whose VM is moved once it is empty for another life. A successor sees the same by the run numbers on the log.

Not covered: a takeover between the restart and the late answer, with the job out of memory by then.

--- /dev/null
+++ b/src/scheduler/abandoned.rs
@@ -0,0 +1,104 @@
+//! Runs that were given up unseen, and exits that must not be acknowledged because of them.
+//!
+//! The load that this answers: a worker can't be reached until every lease that it can have has run
+//! out, and its tasks are started elsewhere. When it answers again, it lists how the first runs have
+//! ended: some were done, or had failed, while nobody could hear of it. Callers of a task that is not
+//! idempotent see it run once as long as the first end never counts. An acknowledgement makes it
+//! count, and acknowledgements are cumulative: so none reaches that exit in this life of the worker.
+//! The worker takes nothing new, and its VM is moved once it is empty, which ends that life.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::jobs::model::{ExitKind, JobId, TaskKey};
+use crate::jobs::ports::{TaskExit, VmCommand};
+use crate::jobs::site::VmState;
+use crate::scheduler::job::RunPhase;
+use crate::scheduler::{Scheduler, SchedulerNote};
+
+/// Runs that were given up, by worker. A run stays as long as its job can be asked for.
+#[derive(Debug, Default)]
+pub(crate) struct AbandonedRuns {
+    by_worker: BTreeMap<Arc<str>, BTreeSet<(TaskKey, u32)>>,
+}
+
+impl AbandonedRuns {
+    /// A run is taken for over, though its worker was not heard of.
+    pub(crate) fn insert(&mut self, worker: &Arc<str>, task: TaskKey, run: u32) {
+        self.by_worker.entry(worker.clone()).or_default().insert((task, run));
+    }
+
+    fn contains(&self, worker: &str, task: TaskKey, run: u32) -> bool {
+        self.by_worker.get(worker).is_some_and(|runs| runs.contains(&(task, run)))
+    }
+
+    /// The life of a worker is over: it lists nothing any more.
+    pub(crate) fn forget_worker(&mut self, worker: &str) {
+        self.by_worker.remove(worker);
+    }
+
+    /// A job is over for so long that it can't be asked for.
+    pub(crate) fn forget_job(&mut self, job: JobId) {
+        self.by_worker.retain(|_, runs| {
+            runs.retain(|(task, _)| task.job != job);
+            !runs.is_empty()
+        });
+    }
+}
+
+impl Scheduler {
+    /// Whether the exit of a run that was given up may never be acknowledged, as its task was started
+    /// again. For a job that is not in memory any more, only the given up runs tell.
+    pub(crate) fn must_withhold(&self, id: &str, exit: &TaskExit) -> bool {
+        if !matches!(exit.kind, ExitKind::Done | ExitKind::Failed) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&exit.task.job) else {
+            return self.abandoned.contains(id, exit.task, exit.run);
+        };
+        let is_free = job.spec(&exit.task).is_none_or(|spec| spec.is_service || spec.allows_copies);
+        let Some(task) = job.task(&exit.task).filter(|_| !is_free) else { return false };
+        if task.live.iter().any(|live| live.run == exit.run) {
+            return false;
+        }
+        let later: Vec<RunPhase> =
+            task.live.iter().filter(|live| live.run > exit.run).map(|live| live.phase).collect();
+        // One that was only planned is taken back when this end counts.
+        let is_only_planned = !later.is_empty() && later.iter().all(|p| *p == RunPhase::Planned);
+        task.run > exit.run && !is_only_planned
+    }
+
+    /// Keeps this exit and all after it from being acknowledged.
+    pub(crate) fn withhold(&mut self, id: &Arc<str>, number: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.withhold(number) {
+            return;
+        }
+        let runs = worker.runs.len();
+        let change = "lists an end that may not count";
+        self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
+    }
+
+    /// Moves the VMs of such workers once they are empty: their next life can be acknowledged.
+    pub(crate) fn renew_withheld_lives(&mut self, now: u64) {
+        let withheld: Vec<Arc<str>> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_withheld() && worker.silent_since_ms.is_none())
+            .filter_map(|(id, _)| self.fleet.vm_of(id))
+            .filter(|vm| vm.state == VmState::Up && !self.fleet.intents.contains_key(&vm.vm))
+            .map(|vm| vm.vm.clone())
+            .collect();
+        for vm in withheld {
+            let Some(pool) = self.other_pool(&vm) else { return };
+            self.intend(VmCommand::Assign { vm, pool }, now);
+        }
+    }
+
+    /// The pool that a VM goes to for a new life: one whose VMs are off if there is one.
+    fn other_pool(&self, vm: &str) -> Option<Arc<str>> {
+        let own = self.fleet.vms.get(vm).map(|vm| vm.pool.clone())?;
+        let others = self.config.pools.iter().filter(|pool| pool.name != own);
+        others.max_by_key(|pool| pool.is_standby).map(|pool| pool.name.clone())
+    }
+}
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -19,6 +19,8 @@
 /// Least time between two renewals of a worker, in milliseconds: exits that come together are then
 /// taken together, for one call and one append.
 const RENEW_GAP_MS: u64 = 40;
+/// The same for a worker whose exits can't be acknowledged: each report lists them all again, at once.
+const WITHHELD_GAP_MS: u64 = 400;
 /// Time between two tries to reach a worker that doesn't answer, in milliseconds.
 const SILENT_GAP_MS: u64 = 150;
 /// Time that exits may wait for the log before the leases are renewed all the same, in
@@ -58,7 +60,7 @@
             return RenewPlan::Wait(Duration::from_millis(worker.renew_ms - now));
         }
         let is_silent = worker.silent_since_ms.is_some();
-        let has_untold = worker.exits_logged > worker.exits_told;
+        let has_untold = worker.exits_tellable() > worker.exits_told;
         if worker.is_fenced && !is_silent && worker.runs.is_empty() && !has_untold {
             return RenewPlan::Wait(Duration::from_secs(60));
         }
@@ -72,12 +74,15 @@
         // elsewhere.
         let extends = is_confirmed && !is_silent && !worker.runs.is_empty();
         let lease_until_ms = if extends { worker.lease_until(lease_ms, now) } else { None };
-        let wait = match worker.is_fenced && !is_silent && !waits_for_log && !worker.runs.is_empty()
-        {
-            true => RENEW_WAIT,
-            false => Duration::ZERO,
-        };
-        let call = RenewCall { fence, exits_through: worker.exits_logged, lease_until_ms, wait };
+        // An exit that is listed already would end the wait at once.
+        let waits = worker.is_fenced
+            && !is_silent
+            && !waits_for_log
+            && !worker.runs.is_empty()
+            && !worker.is_withheld();
+        let wait = if waits { RENEW_WAIT } else { Duration::ZERO };
+        let call =
+            RenewCall { fence, exits_through: worker.exits_tellable(), lease_until_ms, wait };
         RenewPlan::Call(worker.target(), call, RENEW_PATIENCE)
     }
 
@@ -137,7 +142,11 @@
         worker.exits_told = worker.exits_told.max(call.exits_through);
         let has_more = !report.exits.is_empty() || !report.running.is_empty();
         // The first report under our token gave no lease yet.
-        let gap_ms = if was_fenced && !was_silent { RENEW_GAP_MS } else { 0 };
+        let gap_ms = match was_fenced && !was_silent {
+            true if worker.is_withheld() => WITHHELD_GAP_MS,
+            true => RENEW_GAP_MS,
+            false => 0,
+        };
         worker.renew_ms = now + if has_more { gap_ms } else { 0 };
         if !was_fenced || was_silent {
             self.needs_dispatch = true;
@@ -171,6 +180,10 @@
         let how = exit_word(exit.kind);
         let (task, run) = (exit.task, exit.run);
         self.note(SchedulerNote::Ended { task, run, worker: id.clone(), how });
+        if self.must_withhold(id, exit) {
+            self.withhold(id, exit.number);
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&exit.task.job) else { return };
         let Some(spec) = job.spec(&exit.task).cloned() else { return };
         let is_over = job.state.is_final();
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -164,6 +164,7 @@
             let needs = self.pool_needs(now);
             self.note_pools(&needs, now);
             self.plan_waves(is_scarce(&needs), now);
+            self.renew_withheld_lives(now);
             self.plan_pools(needs, now);
             self.evict_services(now);
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 //! * A task is started again only when its earlier run is known to be over: it is listed as ended,
 //!   the life of its worker is over, or every lease that the worker can have has run out.
 
+pub(crate) mod abandoned;
 pub mod commit;
 pub mod demand;
 pub mod dispatch;
@@ -35,6 +36,7 @@
 use crate::jobs::ports::{PermitGrant, RunCall, VM_PATIENCE_MS, VmCommand, WorkerTarget};
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry};
+use crate::scheduler::abandoned::AbandonedRuns;
 use crate::scheduler::commit::CommitQueue;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
@@ -220,6 +222,7 @@
     finished: BTreeMap<JobId, u64>,
     workers: BTreeMap<Arc<str>, WorkerRun>,
     attention: BTreeSet<(TaskKey, u32)>,
+    abandoned: AbandonedRuns,
     permits: HashMap<StepKey, StepPermits>,
     commits: CommitQueue,
     fleet: FleetState,
@@ -257,6 +260,7 @@
             finished: BTreeMap::new(),
             workers: BTreeMap::new(),
             attention: BTreeSet::new(),
+            abandoned: AbandonedRuns::default(),
             permits: HashMap::new(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -62,6 +62,7 @@
                 let is_usable = worker.silent_since_ms.is_none()
                     && !worker.entry.is_draining
                     && !worker.is_reserved
+                    && !worker.is_withheld()
                     && worker.is_fenced;
                 if !is_usable {
                     continue;
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -369,6 +369,7 @@
 
     /// The life of a worker is over: nothing runs there any more.
     pub(crate) fn worker_over(&mut self, id: &Arc<str>, change: &'static str, now: u64) {
+        self.abandoned.forget_worker(id);
         let Some(worker) = self.workers.remove(id) else { return };
         let runs = worker.runs.len();
         self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
@@ -400,6 +401,7 @@
             let change = "leases have run out";
             self.note(SchedulerNote::Worker { worker: id.clone(), change, runs: runs.len() });
             for (key, run) in runs {
+                self.abandoned.insert(&id, key, run);
                 self.run_over(&id, &key, run, "lease has run out", now);
             }
             if !self.workers.get(&id).is_some_and(|worker| worker.is_listed) {
@@ -515,6 +517,7 @@
             self.finished.iter().filter(|(_, ended)| is_old(**ended)).map(|(id, _)| *id).collect();
         for id in old {
             self.finished.remove(&id);
+            self.abandoned.forget_job(id);
             self.commits.drop_job(id);
         }
     }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -63,6 +63,8 @@
     pub exits_logged: u64,
     /// Exits up to this number were acknowledged to the worker.
     pub exits_told: u64,
+    /// First exit that must never be acknowledged.
+    withheld_from: Option<u64>,
     /// When its last report was received, in milliseconds.
     pub report_ms: u64,
     /// Earliest time of the next renewal, in milliseconds.
@@ -99,6 +101,7 @@
             exits_seen: 0,
             exits_logged: 0,
             exits_told: 0,
+            withheld_from: None,
             report_ms: 0,
             renew_ms: 0,
             full_until_ms: 0,
@@ -163,6 +166,24 @@
         self.entry.capacity.less(&self.used)
     }
 
+    /// Exits up to this number may be acknowledged: the log has them, and all of them may count.
+    pub fn exits_tellable(&self) -> u64 {
+        let bound = self.withheld_from.map_or(u64::MAX, |first| first.saturating_sub(1));
+        self.exits_logged.min(bound)
+    }
+
+    /// Keeps this exit and all after it from being acknowledged; returns whether none was before.
+    pub fn withhold(&mut self, number: u64) -> bool {
+        let is_new = self.withheld_from.is_none();
+        self.withheld_from = Some(self.withheld_from.map_or(number, |first| first.min(number)));
+        is_new
+    }
+
+    /// Whether it lists an exit that must never be acknowledged.
+    pub fn is_withheld(&self) -> bool {
+        self.withheld_from.is_some()
+    }
+
     /// Whether starts may be sent to it at all.
     pub fn takes_starts(&self, now: u64) -> bool {
         self.is_fenced
@@ -170,6 +191,7 @@
             && self.silent_since_ms.is_none()
             && !self.entry.is_draining
             && !self.is_reserved
+            && !self.is_withheld()
             && now >= self.suspended_until_ms
             && now >= self.full_until_ms
             && (!self.is_on_trial || self.runs.is_empty())
--- /dev/null
+++ b/tests/scheduler_silence.rs
@@ -0,0 +1,114 @@
+//! Workers that can't be reached until their leases have run out, and what they list afterwards.
+
+mod support;
+
+use ibisweir::jobs::model::{ExitKind, JobId, JobState};
+use ibisweir::jobs::ports::VmCommand;
+use support::stage::{POOL, STANDBY, Stage, config, job, step, task, vm, worker};
+
+/// Longer than every lease that a worker can have.
+const LEASES_MS: u64 = 6_400;
+
+/// A task on a worker that falls silent and ends it with `kind`; its leases run out, and the task starts
+/// again on another worker, if `has_other`.
+fn given_up(kind: ExitKind, has_other: bool) -> (Stage, JobId) {
+    let pool = match has_other {
+        true => vec![worker("w0", "r0"), worker("w1", "r1")],
+        false => vec![worker("w0", "r0")],
+    };
+    let mut stage = Stage::open(config(), pool.clone());
+    let vms = pool.iter().map(|worker| vm(worker, POOL)).collect();
+    stage.scheduler.take_vms(vms, stage.now, stage.now);
+    let id = stage.submit(1, job(vec![step(1)]));
+    assert_eq!(&*stage.place(task(id, 0, 0)), "w0");
+    let w0 = stage.workers.get_mut("w0").expect("known");
+    w0.is_silent = true;
+    w0.exit(task(id, 0, 0), 1, kind);
+    stage.advance(LEASES_MS);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1 + usize::from(has_other));
+    (stage, id)
+}
+
+fn answer_again(stage: &mut Stage) {
+    stage.workers.get_mut("w0").expect("known").is_silent = false;
+    stage.advance(1_000);
+}
+
+/// Whether the worker was told that it may forget all its exits.
+fn has_forgotten(stage: &Stage) -> bool {
+    stage.workers["w0"].exits.is_empty()
+}
+
+/// A worker can't be reached and its task is done there, which nobody hears. The leases run out, and the
+/// task starts on another worker. Then the first answers again and lists the end. The caller's task has run
+/// once as long as that end never counts: it is not acknowledged, and the second run completes the job.
+#[test]
+fn an_end_that_was_heard_of_too_late_is_never_acknowledged() {
+    let (mut stage, id) = given_up(ExitKind::Done, true);
+    answer_again(&mut stage);
+    assert!(!has_forgotten(&stage));
+    assert_eq!(stage.state(id), Some(JobState::Running));
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.advance(2_000);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+    assert!(!has_forgotten(&stage));
+    assert_eq!(stage.starts(task(id, 0, 0)), 2);
+}
+
+/// The same with a run that failed: acknowledged, it would count as one attempt more than the task may
+/// have had when it was started again.
+#[test]
+fn a_failure_that_was_heard_of_too_late_is_never_acknowledged() {
+    let (mut stage, id) = given_up(ExitKind::Failed, true);
+    answer_again(&mut stage);
+    assert!(!has_forgotten(&stage));
+    assert_eq!(stage.state(id), Some(JobState::Running));
+}
+
+/// The same, but the worker answers when the job is over and out of memory: the end still may not count.
+#[test]
+fn an_end_is_not_acknowledged_after_its_job_is_over_either() {
+    let (mut stage, id) = given_up(ExitKind::Done, true);
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.advance(1_000);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+    answer_again(&mut stage);
+    assert!(!has_forgotten(&stage));
+}
+
+/// The same, but another leader has taken over meanwhile: the log shows it that a later run was started.
+#[test]
+fn a_successor_does_not_acknowledge_it_either() {
+    let (mut stage, id) = given_up(ExitKind::Done, true);
+    stage.take_over(2, config());
+    answer_again(&mut stage);
+    assert!(!has_forgotten(&stage));
+    assert_eq!(stage.starts(task(id, 0, 0)), 2);
+}
+
+/// The task was not started again, for want of a worker. Then the end counts: the job is completed, and the
+/// task does not run a second time.
+#[test]
+fn an_end_counts_if_its_task_was_not_started_again() {
+    let (mut stage, id) = given_up(ExitKind::Done, false);
+    answer_again(&mut stage);
+    assert!(has_forgotten(&stage));
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+}
+
+/// A worker whose ends can't be acknowledged lists them all again in each report, and its list is bounded.
+/// It takes no new work, and its VM is moved to begin another life.
+#[test]
+fn a_worker_that_can_not_be_acknowledged_begins_another_life() {
+    let (mut stage, _) = given_up(ExitKind::Done, true);
+    let vms = [worker("w0", "r0"), worker("w1", "r1")];
+    stage.scheduler.take_vms(vms.iter().map(|w| vm(w, POOL)).collect(), stage.now, stage.now);
+    answer_again(&mut stage);
+    let other = stage.submit(2, job(vec![step(7)]));
+    stage.advance(200);
+    let is_on_w1 = |index| &*stage.place(task(other, 0, index)) == "w1";
+    assert!((0..7).all(is_on_w1));
+    let moved = VmCommand::Assign { vm: "m-w0".into(), pool: STANDBY.into() };
+    assert!(stage.vm_commands.contains(&moved), "{:?}", stage.vm_commands);
+}
