The VM list rests for eight times what it took; records and reports are fewer while answers stand in line

At 371 VMs a list is some 69 KB (185 bytes a VM, reckoned), four times a second.

Change: the list is asked for again after eight times the time that it took, 1.5 s at most. Commits and renewals with exits wait longer while answers stand in line, so that a job's changes share a record and exits a report. A log line twice a second tells how starts wait.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -46,9 +46,13 @@
 const LATE_PATIENCE: Duration = Duration::from_secs(4);
 /// Such answers of one worker that are waited for at a time.
 const LATE_READS_MAX: usize = 2;
+/// Time between two log lines about commands that wait, in milliseconds.
+const FLOW_GAP_MS: u64 = 500;
 /// Pause between two appends: exits of a burst come a few milliseconds apart, and each append is paid
 /// for. Short against the shortest task.
 const COMMIT_GAP: Duration = Duration::from_millis(8);
+/// Most that this pause grows by while answers wait in a line of ours.
+const COMMIT_GAP_MAX: Duration = Duration::from_millis(120);
 /// Longest time for an append to be answered before it is repeated.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
 /// Pause before an append is repeated.
@@ -333,13 +337,28 @@
         }
     }
 
+    /// Tells how commands get through.
+    fn tell_flow(&self) {
+        let census = self.flow.census();
+        let window = i64::try_from(census.window).unwrap_or(i64::MAX);
+        self.node.metrics.command_window.set(window);
+        if census.waiting > 0 {
+            info!(self.node.logger, "starts wait to be sent"; "window" => census.window,
+                "under_way" => census.under_way, "waiting" => census.waiting,
+                "line_ms" => census.line_ms, "ended" => census.ended);
+        }
+    }
+
     async fn drive(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
+        let mut told_ms = 0;
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
             let pace = self.flow.pace(now);
-            let window = i64::try_from(self.flow.window()).unwrap_or(i64::MAX);
-            self.node.metrics.command_window.set(window);
+            if now >= told_ms + FLOW_GAP_MS {
+                told_ms = now;
+                self.tell_flow();
+            }
             let turn = self.node.with_scheduler(|scheduler| {
                 scheduler.set_pace(pace);
                 scheduler.tick(now, wall_ms);
@@ -615,7 +634,9 @@
                 self.node.wake.notify_one();
                 return;
             }
-            sleep(COMMIT_GAP).await;
+            // Changes of a job share a record: on a choked link a third of what goes out are records.
+            let line = Duration::from_millis(self.flow.census().line_ms);
+            sleep(COMMIT_GAP + line.min(COMMIT_GAP_MAX)).await;
         }
     }
 
--- a/src/jobs/flow.rs
+++ b/src/jobs/flow.rs
@@ -22,6 +22,21 @@
 /// Time over which the rate of answers is counted, in milliseconds.
 const RATE_MS: u64 = 400;
 
+/// Where commands stand, for log lines and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowCensus {
+    /// Commands that may be under way.
+    pub window: usize,
+    /// Commands that are.
+    pub under_way: usize,
+    /// Commands that wait.
+    pub waiting: usize,
+    /// Time that answers wait in a line of ours, in milliseconds.
+    pub line_ms: u64,
+    /// Commands that ended in the last whole span of 400 ms.
+    pub ended: u64,
+}
+
 /// How fast commands get through.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FlowPace {
@@ -90,9 +105,16 @@
         }
     }
 
-    /// Commands that may be under way, for metrics.
-    pub fn window(&self) -> usize {
-        self.state().window.size()
+    /// Where commands stand.
+    pub fn census(&self) -> FlowCensus {
+        let state = self.state();
+        FlowCensus {
+            window: state.window.size(),
+            under_way: state.under_way,
+            waiting: state.waiting,
+            line_ms: state.window.line_ms(),
+            ended: state.rate,
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, FlowState> {
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -23,6 +23,8 @@
 /// Least time between two renewals of a worker, in milliseconds: exits that come together are then
 /// taken together, for one call and one append.
 const RENEW_GAP_MS: u64 = 40;
+/// Most that this time grows by while answers wait in a line of ours, in milliseconds.
+const LINE_GAP_MAX_MS: u64 = 200;
 /// The same for a worker whose exits can't be acknowledged: each report lists them all again, at once.
 const WITHHELD_GAP_MS: u64 = 400;
 /// Time between two tries to reach a worker that doesn't answer, in milliseconds.
@@ -179,7 +181,8 @@
         // The first report under our token gave no lease yet.
         let gap_ms = match was_fenced && !was_silent {
             true if worker.is_withheld() => WITHHELD_GAP_MS,
-            true => RENEW_GAP_MS,
+            // More exits then share a report, and a report is the larger part of what comes in.
+            true => RENEW_GAP_MS + self.pace.line_ms.min(LINE_GAP_MAX_MS),
             false => 0,
         };
         worker.renew_ms = now + if has_more { gap_ms } else { 0 };
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -19,6 +19,11 @@
 const LIST_BUSY_MS: u64 = 250;
 /// Time between two looks while nothing is, in milliseconds.
 const LIST_QUIET_MS: u64 = 2_000;
+/// Times that it took to get the list for which it is not asked for again: a list of 370 VMs is 70 KB, and
+/// four a second would take all of a link of 2 Mbit/s.
+const LIST_REST: u64 = 8;
+/// Longest such rest, in milliseconds: a list must not get too old to act on.
+const LIST_REST_MAX_MS: u64 = 1_500;
 /// Age from which the VM list is not acted on, in milliseconds.
 const LIST_AGE_MAX_MS: u64 = 3_000;
 /// Time between two plans of the pools, in milliseconds.
@@ -102,13 +107,17 @@
     pub hurried: BTreeSet<Arc<str>>,
     by_worker: HashMap<Arc<str>, Arc<str>>,
     asked_ms: Option<u64>,
+    /// Earliest time at which the list is asked for again, in milliseconds.
+    list_rest_ms: u64,
     planned_ms: u64,
     noted_ms: u64,
 }
 
 impl FleetState {
     /// Takes a list that was asked for at `asked_ms`.
-    pub fn take_list(&mut self, vms: Vec<VmEntry>, asked_ms: u64) {
+    pub fn take_list(&mut self, vms: Vec<VmEntry>, asked_ms: u64, now: u64) {
+        let took_ms = now.saturating_sub(asked_ms);
+        self.list_rest_ms = now + (took_ms * LIST_REST).min(LIST_REST_MAX_MS);
         self.by_worker.clear();
         self.vms.clear();
         for vm in vms {
@@ -176,7 +185,8 @@
             || !self.fleet.intents.is_empty()
             || self.fleet.waves.values().any(|wave| !wave.is_completed);
         let gap = if is_busy { LIST_BUSY_MS } else { LIST_QUIET_MS };
-        if self.fleet.asked_ms.is_none_or(|asked| now >= asked + gap) {
+        let is_due = self.fleet.asked_ms.is_none_or(|asked| now >= asked + gap);
+        if is_due && now >= self.fleet.list_rest_ms {
             self.fleet.asked_ms = Some(now);
             self.fleet.wants_list = false;
             self.actions.push(SchedulerAction::ListVms);
--- a/tests/scheduler_behind.rs
+++ b/tests/scheduler_behind.rs
@@ -164,3 +164,34 @@
     stage.advance(2_000);
     assert_eq!(stage.starts(task(id, 0, 1)), 1, "it was stopped beside one that is away");
 }
+
+/// The VM list is long, and takes a third of a second on a narrow link. Asked for as often as on a wide one, it
+/// would leave no room for starts: after each it rests for a multiple of that time, and is asked for again
+/// before it is too old to act on.
+#[test]
+fn a_list_that_takes_long_is_asked_for_less_often() {
+    let asked_in_3_s = |took_ms| {
+        let pool = workers(4);
+        let mut stage = Stage::open(config(), pool.clone());
+        let listed: Vec<_> = pool.iter().map(|worker| vm(worker, POOL)).collect();
+        let due = pool.iter().map(|worker| vm(worker, POOL).vm).collect();
+        let wave = MaintenanceWave { number: 1, vms: due, within_ms: 60_000, parallel_max: 0 };
+        stage.submit(1, job(vec![service_step(4)]));
+        stage.scheduler.take_wave(wave, BTreeSet::new(), stage.now);
+        let mut seen = 0;
+        let end = stage.now + 3_000;
+        while stage.now < end {
+            stage.advance(20);
+            if stage.lists_asked > seen {
+                seen = stage.lists_asked;
+                let asked_ms = stage.now;
+                stage.advance(took_ms);
+                stage.scheduler.take_vms(listed.clone(), asked_ms, stage.now);
+            }
+        }
+        seen
+    };
+    let (fast, slow) = (asked_in_3_s(0), asked_in_3_s(300));
+    assert!(fast >= 8, "{fast}");
+    assert!((1..=4).contains(&slow), "{slow}");
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -148,6 +148,8 @@
     pub started_late: BTreeSet<(TaskKey, u32)>,
     /// Commands to VMs.
     pub vm_commands: Vec<VmCommand>,
+    /// Times that the VM list was asked for.
+    pub lists_asked: usize,
     /// Waves told to operators.
     pub told: Vec<(u64, bool)>,
     /// Steps and workers for which permits were asked.
@@ -193,6 +195,7 @@
             started: Vec::new(),
             started_late: BTreeSet::new(),
             vm_commands: Vec::new(),
+            lists_asked: 0,
             told: Vec::new(),
             permits_asked: Vec::new(),
             permits_used: Vec::new(),
@@ -385,10 +388,13 @@
             SchedulerAction::TellWave(number, is_completed) => {
                 self.told.push((number, is_completed));
             }
-            SchedulerAction::Watch(_)
-            | SchedulerAction::Wake(_)
-            | SchedulerAction::ListVms
-            | SchedulerAction::Note(_) => return false,
+            SchedulerAction::ListVms => {
+                self.lists_asked += 1;
+                return false;
+            }
+            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) | SchedulerAction::Note(_) => {
+                return false;
+            }
         }
         true
     }
