--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,6 +4,7 @@
 //! That is what lets the tests drive it through any order of failures.
 
 pub mod estimate;
+pub mod executor;
 pub mod fleet;
 pub mod health;
 pub mod intent;
--- /dev/null
+++ b/src/decide/executor.rs
@@ -0,0 +1,128 @@
+//! Which entry carries out a start for the leader.
+//!
+//! The load that this answers: a start carries its job's text, a kilobyte and more, and a burst asks for
+//! hundreds a second. That is more than a narrow link of the leader's carries; the other entries have
+//! links of their own, and the text from their copy of the log. The leader sends them who is to start
+//! what, some eighty bytes a start, in batches.
+//!
+//! Entries offer themselves again and again; one that has gone quiet, or has let a batch go unanswered,
+//! is passed over. The entry with the least under way comes first: a slow one keeps its starts under way
+//! for longer, and so gets fewer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Age from which an offer counts no more, in milliseconds: two offers may be lost.
+const OFFER_AGE_MAX_MS: u64 = 4_000;
+/// Starts that one entry may have under way: at 2 Mbit/s it sends out that many in a quarter of a second.
+const UNDER_WAY_MAX: usize = 48;
+/// Time for which an entry is passed over after a batch without an answer, in milliseconds.
+const PASS_OVER_MS: u64 = 1_500;
+
+/// An entry that can carry out starts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecutorOffer {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Drawn at the start of its process.
+    pub life: u64,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// Its steady clock when the offer was sent, in milliseconds.
+    pub clock_ms: u64,
+}
+
+/// By what an executor tells that a batch was sent to this life of it, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecutorStamp {
+    /// Life of its process.
+    pub life: u64,
+    /// When the batch was sent by the executor's own steady clock, in milliseconds; rather too early than
+    /// too late, by the time that the offer was on its way.
+    pub sent_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct KnownExecutor {
+    offer: ExecutorOffer,
+    heard_ms: u64,
+    under_way: usize,
+    passed_over_until_ms: u64,
+}
+
+/// Entries that have offered to carry out starts.
+#[derive(Clone, Debug, Default)]
+pub struct ExecutorTable {
+    known: BTreeMap<SocketAddr, KnownExecutor>,
+}
+
+impl ExecutorTable {
+    /// Takes an offer.
+    pub fn heard(&mut self, offer: ExecutorOffer, now: u64) {
+        let address = offer.address;
+        self.known
+            .retain(|_, known| now < known.heard_ms + OFFER_AGE_MAX_MS || known.under_way > 0);
+        let known = self.known.entry(address).or_insert_with(|| KnownExecutor {
+            offer: offer.clone(),
+            heard_ms: now,
+            under_way: 0,
+            passed_over_until_ms: 0,
+        });
+        // Another life was not there when the one before it failed.
+        if known.offer.life != offer.life {
+            known.passed_over_until_ms = 0;
+        }
+        known.offer = offer;
+        known.heard_ms = now;
+    }
+
+    /// Whether some entry can take a start.
+    pub fn has_room(&self, now: u64) -> bool {
+        self.known.values().any(|known| known.has_room(now))
+    }
+
+    /// The entry for starts on workers of a data centre: one beside them if there is one with room.
+    pub fn pick(&self, centre: &str, now: u64) -> Option<SocketAddr> {
+        self.known
+            .iter()
+            .filter(|(_, known)| known.has_room(now))
+            .min_by_key(|(_, known)| (&*known.offer.centre != centre, known.under_way))
+            .map(|(address, _)| *address)
+    }
+
+    /// A batch of `count` starts goes to an entry; by what it tells when that was.
+    pub fn begin(&mut self, address: SocketAddr, count: usize, now: u64) -> Option<ExecutorStamp> {
+        let known = self.known.get_mut(&address)?;
+        known.under_way += count;
+        let since = now.saturating_sub(known.heard_ms);
+        Some(ExecutorStamp { life: known.offer.life, sent_ms: known.offer.clock_ms + since })
+    }
+
+    /// A batch was answered, or not.
+    pub fn end(&mut self, address: SocketAddr, count: usize, is_answered: bool, now: u64) {
+        let Some(known) = self.known.get_mut(&address) else { return };
+        known.under_way = known.under_way.saturating_sub(count);
+        if !is_answered {
+            known.passed_over_until_ms = now + PASS_OVER_MS;
+        }
+    }
+
+    /// Entries that take starts now, and starts that are under way through any.
+    pub fn census(&self, now: u64) -> (usize, usize) {
+        let taking = self.known.values().filter(|known| known.is_heard(now)).count();
+        (taking, self.known.values().map(|known| known.under_way).sum())
+    }
+}
+
+impl KnownExecutor {
+    fn is_heard(&self, now: u64) -> bool {
+        now < self.heard_ms + OFFER_AGE_MAX_MS && now >= self.passed_over_until_ms
+    }
+
+    fn has_room(&self, now: u64) -> bool {
+        self.is_heard(now) && self.under_way < UNDER_WAY_MAX
+    }
+}
--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -107,3 +107,43 @@
         self.size_milli = (self.size_milli + step).min(SIZE_MAX * MILLI);
     }
 }
+
+/// Time for which bytes that were not spent may be spent at once, in milliseconds.
+const BUDGET_SPAN_MS: u64 = 300;
+/// Bytes in a millisecond at 1 Mbit/s.
+const BYTES_PER_MS: u64 = 125;
+
+/// Bytes that may be sent, by a rate: a token bucket.
+#[derive(Clone, Debug)]
+pub struct ByteBudget {
+    bytes_per_ms: u64,
+    left: u64,
+    owed: u64,
+    filled_ms: u64,
+}
+
+impl ByteBudget {
+    /// A budget of so many Mbit/s; under one of these, none at all.
+    pub fn open(mbits: u64) -> ByteBudget {
+        let bytes_per_ms = mbits * BYTES_PER_MS;
+        ByteBudget { bytes_per_ms, left: 0, owed: 0, filled_ms: 0 }
+    }
+
+    /// Whether anything is left.
+    pub fn has_room(&mut self, now: u64) -> bool {
+        let since = now.saturating_sub(self.filled_ms).min(BUDGET_SPAN_MS);
+        self.filled_ms = now;
+        let filled = self.bytes_per_ms * since;
+        let paid = filled.min(self.owed);
+        self.owed -= paid;
+        self.left = (self.left + filled - paid).min(self.bytes_per_ms * BUDGET_SPAN_MS);
+        self.left > 0
+    }
+
+    /// Spends bytes, also beyond what is left: that is made up for first.
+    pub fn charge(&mut self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.owed += bytes.saturating_sub(self.left);
+        self.left = self.left.saturating_sub(bytes);
+    }
+}
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -15,7 +15,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::decide::leadership::LeaderTrace;
-use crate::jobs::flow::CommandFlow;
+use crate::decide::window::ByteBudget;
+use crate::jobs::delegate::{StartDelegate, StartOrder};
+use crate::jobs::flow::{CommandFlow, FlowPermit};
 use crate::jobs::follower::{TailReader, TailStep, fold_step};
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
@@ -25,13 +27,14 @@
 use crate::jobs::ports::{
     AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RenewCall, RunCall,
     StartCall, VmClient, VmStamp, WorkerClient, WorkerReport, WorkerTarget, WriterStamp,
+    start_word,
 };
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
 use crate::jobs::wave_teller::WaveTeller;
 use crate::scheduler::commit::CommitBatch;
 use crate::scheduler::exits::RenewPlan;
-use crate::scheduler::runs::{RunCommand, refusal_word};
+use crate::scheduler::runs::RunCommand;
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerCensus, SchedulerStart};
 
 /// Longest time between two ticks of the scheduler.
@@ -48,6 +51,11 @@
 const LATE_READS_MAX: usize = 2;
 /// Time between two log lines about commands that wait, in milliseconds.
 const FLOW_GAP_MS: u64 = 500;
+/// Part of our link that starts may take while other entries can carry them out: renewals and the log need
+/// the rest.
+const DIRECT_LINK_PART: u64 = 8;
+/// Bytes of a start beside its job's text, on the wire.
+const START_BYTES: usize = 400;
 /// Pause between two appends: exits of a burst come a few milliseconds apart, and each append is paid
 /// for. Short against the shortest task.
 const COMMIT_GAP: Duration = Duration::from_millis(8);
@@ -107,8 +115,12 @@
     {
         let (teller, statuses) =
             WaveTeller::open(parts.log.clone(), parts.wave_encoder, node.logger.clone(), term);
+        let (delegate, orders) = StartDelegate::open(node.clone());
+        let direct_bytes = Mutex::new(ByteBudget::open(node.settings.link / DIRECT_LINK_PART));
         let run = LeaderRun {
             node,
+            direct_bytes,
+            orders,
             parts,
             term,
             sequence: Mutex::new(0),
@@ -120,7 +132,7 @@
             vm_commands: Arc::default(),
         };
         let vm_commands = run.vm_commands.clone();
-        let main = tokio::spawn(Arc::new(run).lead(teller, predecessor)).abort_handle();
+        let main = tokio::spawn(Arc::new(run).lead(teller, delegate, predecessor)).abort_handle();
         Conductor { main, vm_commands }
     }
 
@@ -148,6 +160,12 @@
     Throttle(RunCall, u32),
 }
 
+/// Which way a start goes.
+enum StartRoute<'a> {
+    Direct(FlowPermit<'a>),
+    Delegated,
+}
+
 /// What a worker's tasks are reached by.
 #[derive(Clone)]
 struct WorkerLane {
@@ -163,6 +181,10 @@
     patience: Mutex<PatienceGauge>,
     lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
     flow: CommandFlow,
+    /// Bytes of starts that we send ourselves while there are executors.
+    direct_bytes: Mutex<ByteBudget>,
+    /// Starts for executors.
+    orders: mpsc::UnboundedSender<StartOrder>,
     commit_wake: Notify,
     statuses: mpsc::UnboundedSender<(u64, bool)>,
     /// Commands to VMs that were not answered yet.
@@ -176,7 +198,12 @@
     V: VmClient,
     P: PermitClient,
 {
-    async fn lead(self: Arc<Self>, teller: WaveTeller<L>, predecessor: Option<LeaderTrace>) {
+    async fn lead(
+        self: Arc<Self>,
+        teller: WaveTeller<L>,
+        delegate: StartDelegate,
+        predecessor: Option<LeaderTrace>,
+    ) {
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
         let Some((tail, workers)) = self.first_workers().await else { return };
@@ -196,6 +223,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().commit());
         tasks.spawn(teller.run());
+        tasks.spawn(delegate.run());
         tasks.spawn(self.clone().follow_workers(tail));
         self.drive(&mut tasks).await;
         self.node.set_scheduler(None);
@@ -491,37 +519,65 @@
         }
     }
 
-    /// Sends what a run needs: a stop at once, a start when there is room for it and if it is still
-    /// wanted then.
+    /// Sends what a run needs: a stop at once; a start when there is room for it, here or at an executor, and
+    /// if it is still wanted then.
     async fn send_run(&self, target: &WorkerTarget, task: &TaskKey, run: u32) {
         let command = || {
             let now = self.node.now();
             self.node.with_scheduler(|scheduler| scheduler.command(task, run, now)).flatten()
         };
         let is_start = self.node.with_scheduler(|scheduler| scheduler.is_starting(task, run));
-        let permit = match is_start {
-            Some(true) => Some(self.flow.enter(|| self.node.now()).await),
+        let route = match is_start {
+            Some(true) => Some(self.start_route().await),
             Some(false) => None,
             None => return,
         };
-        match command() {
-            Some(RunCommand::Start(call)) => {
+        match (command(), route) {
+            (Some(RunCommand::Start(call)), Some(StartRoute::Direct(permit))) => {
+                self.direct_bytes().charge(call.payload.len() + START_BYTES);
                 self.send_start(target, &call).await;
-                if let Some(permit) = permit {
-                    permit.end(self.node.now());
-                }
+                permit.end(self.node.now());
+            }
+            (Some(RunCommand::Start(call)), Some(StartRoute::Delegated)) => {
+                self.delegate(target, call);
             }
-            Some(RunCommand::Stop(call)) => {
-                drop(permit);
+            (Some(RunCommand::Stop(call)), route) => {
+                drop(route);
                 self.send_stop(target, &call).await;
             }
-            None => {}
+            // A run that was not to be started a moment ago never is again.
+            (Some(RunCommand::Start(_)), None) | (None, _) => {}
         }
     }
 
+    /// Which way the next start goes: from here while our link and the window have room to spare, else
+    /// through an executor; without one it waits for the window.
+    async fn start_route(&self) -> StartRoute<'_> {
+        let now = self.node.now();
+        if !self.node.executors().has_room(now) {
+            return StartRoute::Direct(self.flow.enter(|| self.node.now()).await);
+        }
+        let has_bytes = self.direct_bytes().has_room(now);
+        match self.flow.try_enter().filter(|_| has_bytes) {
+            Some(permit) => StartRoute::Direct(permit),
+            None => StartRoute::Delegated,
+        }
+    }
+
+    fn delegate(&self, target: &WorkerTarget, call: StartCall) {
+        let centre = self.node.with_scheduler(|scheduler| scheduler.centre_of(&target.id));
+        let centre = centre.flatten().unwrap_or_default();
+        // It runs as long as this leadership.
+        let _ = self.orders.send(StartOrder { target: target.clone(), centre, call });
+    }
+
+    fn direct_bytes(&self) -> MutexGuard<'_, ByteBudget> {
+        self.direct_bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn send_start(&self, target: &WorkerTarget, call: &StartCall) {
         let outcome = self.parts.workers.start(target, call, COMMAND_PATIENCE).await;
-        self.count_start(&outcome);
+        count(&self.node.metrics.starts, start_word(&outcome));
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| {
             scheduler.started(&target.id, &call.task, call.run, &outcome, now);
@@ -536,15 +592,6 @@
         });
     }
 
-    fn count_start(&self, outcome: &CommandOutcome<u64>) {
-        let reason = match outcome {
-            CommandOutcome::Done(_) => "done",
-            CommandOutcome::Refused(refusal, _) => refusal_word(*refusal),
-            CommandOutcome::Unknown => "no_answer",
-        };
-        count(&self.node.metrics.starts, reason);
-    }
-
     /// Renews a worker's leases until its life is over.
     async fn renew(self: Arc<Self>, id: Arc<str>, wake: Arc<Notify>) {
         // Answers that are read on after their time end with this task.
--- /dev/null
+++ b/src/jobs/delegate.rs
@@ -0,0 +1,327 @@
+//! Starts that other entries carry out for the leader.
+//!
+//! The leader sends batches of starts without the jobs' text; the executor takes that from its copy of the
+//! log, calls the workers, and answers with what became of each. Every other call to a worker stays with
+//! the leader, and so does every decision.
+//!
+//! What an executor does late is no more than a start that its worker carries out late: the worker takes a
+//! run once, refuses it after a stop, after its lease and under a newer leader's token, and the leader
+//! repeats the same run until it knows. A batch that was on its way for longer than the leader waits for it
+//! is not begun at all: the executor tells its age by its own clock, which the leader has from its offers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::control::ControlLoop;
+use crate::decide::executor::{ExecutorOffer, ExecutorStamp};
+use crate::jobs::metrics::count;
+use crate::jobs::model::TaskKey;
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{
+    CommandOutcome, CommandRefusal, StartCall, WorkerClient, WorkerTarget, start_word,
+};
+use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
+
+/// Path of an offer.
+pub const OFFER_PATH: &str = "/executor";
+/// Path of a batch of starts.
+pub const STARTS_PATH: &str = "/starts";
+/// Largest batch, in bytes.
+pub const STARTS_BYTES_MAX: usize = 256 << 10;
+/// Time between two offers.
+const OFFER_GAP: Duration = Duration::from_millis(1_200);
+/// Time for the leader to take one.
+const OFFER_PATIENCE: Duration = Duration::from_millis(600);
+/// Time in which starts gather to a batch: a commit releases many at once, and each batch costs 0.3 KB.
+const GATHER: Duration = Duration::from_millis(6);
+/// Starts in one batch: the answer waits for the slowest.
+const BATCH_MAX: usize = 16;
+/// Time for a worker to answer a start of an executor.
+const START_PATIENCE: Duration = Duration::from_millis(450);
+/// Time for a batch to be answered.
+const BATCH_PATIENCE: Duration = Duration::from_millis(900);
+/// Age from which a batch is not begun, in milliseconds: the leader has given it up and may have sent its
+/// starts another way.
+const STALE_MS: u64 = 1_200;
+
+/// One start without its job's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DelegatedStart {
+    /// Worker.
+    pub worker: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Task.
+    pub task: TaskKey,
+    /// Run number.
+    pub run: u32,
+    /// End of its lease on the worker's clock, in milliseconds.
+    pub lease_until_ms: u64,
+    /// Leader's fencing token.
+    pub fence: u64,
+    /// Checkpoint to resume from; empty for none.
+    pub checkpoint: String,
+    /// Placement permit, if the queue needs one.
+    pub permit: Option<Arc<str>>,
+}
+
+/// A batch of starts for one executor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartBatch {
+    /// For which life of it, and when it was sent.
+    pub stamp: ExecutorStamp,
+    /// Starts.
+    pub starts: Vec<DelegatedStart>,
+}
+
+/// What became of one start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DelegatedOutcome {
+    /// Begun, now or before; the worker's clock.
+    Done(u64),
+    /// Refused by the worker.
+    Refused(CommandRefusal, Option<u64>),
+    /// No answer: it may have been done, or may be done yet.
+    Unknown,
+    /// The executor has not sent it.
+    NotSent,
+}
+
+/// A start to be handed to an executor.
+#[derive(Clone, Debug)]
+pub struct StartOrder {
+    /// Worker.
+    pub target: WorkerTarget,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// The start.
+    pub call: StartCall,
+}
+
+/// Hands the leader's starts to executors.
+pub struct StartDelegate {
+    node: Arc<JobNode>,
+    transport: HttpTransport,
+    orders: mpsc::UnboundedReceiver<StartOrder>,
+}
+
+impl StartDelegate {
+    /// One that is to be run, and where it takes its orders.
+    pub fn open(node: Arc<JobNode>) -> (StartDelegate, mpsc::UnboundedSender<StartOrder>) {
+        let (sender, orders) = mpsc::unbounded_channel();
+        (StartDelegate { node, transport: HttpTransport::open(), orders }, sender)
+    }
+
+    /// Hands orders on until nobody can give any more. Batches under way end with it.
+    pub async fn run(mut self) {
+        let mut batches = JoinSet::new();
+        while let Some(first) = self.orders.recv().await {
+            sleep(GATHER).await;
+            let mut orders = vec![first];
+            while let Ok(order) = self.orders.try_recv() {
+                orders.push(order);
+            }
+            orders.sort_by(|one, other| one.centre.cmp(&other.centre));
+            for group in orders.chunk_by(|one, other| one.centre == other.centre) {
+                for chunk in group.chunks(BATCH_MAX) {
+                    self.hand_on(chunk.to_vec(), &mut batches);
+                }
+            }
+            while batches.try_join_next().is_some() {}
+        }
+    }
+
+    fn hand_on(&self, orders: Vec<StartOrder>, batches: &mut JoinSet<()>) {
+        let now = self.node.now();
+        let picked = {
+            let mut executors = self.node.executors();
+            let address = orders.first().and_then(|order| executors.pick(&order.centre, now));
+            address.and_then(|address| {
+                let stamp = executors.begin(address, orders.len(), now)?;
+                Some((address, stamp))
+            })
+        };
+        let Some((address, stamp)) = picked else {
+            tell(&self.node, &orders, &vec![DelegatedOutcome::NotSent; orders.len()]);
+            return;
+        };
+        let (node, transport) = (self.node.clone(), self.transport.clone());
+        batches.spawn(async move {
+            let outcomes = exchange(&node, &transport, address, stamp, &orders).await;
+            tell(&node, &orders, &outcomes);
+        });
+    }
+}
+
+/// Sends a batch and reads what became of its starts.
+async fn exchange(
+    node: &JobNode,
+    transport: &HttpTransport,
+    address: SocketAddr,
+    stamp: ExecutorStamp,
+    orders: &[StartOrder],
+) -> Vec<DelegatedOutcome> {
+    let starts = orders.iter().map(delegated).collect();
+    let body = postcard::to_stdvec(&StartBatch { stamp, starts }).unwrap_or_default();
+    let call = post(STARTS_PATH, body);
+    let answer = transport.exchange(address, call, BATCH_PATIENCE).await;
+    let outcomes = match &answer {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            let outcomes: Option<Vec<DelegatedOutcome>> = postcard::from_bytes(&answer.body).ok();
+            outcomes.filter(|outcomes| outcomes.len() == orders.len())
+        }
+        Ok(_) | Err(ExchangeFailure::NotSent) => {
+            Some(vec![DelegatedOutcome::NotSent; orders.len()])
+        }
+        Err(ExchangeFailure::NoAnswer) => None,
+    };
+    let is_well = answer.is_ok_and(|answer| answer.status == StatusCode::OK) && outcomes.is_some();
+    node.executors().end(address, orders.len(), is_well, node.now());
+    if !is_well {
+        info!(node.logger, "an executor has not answered"; "executor" => %address,
+            "starts" => orders.len(), "may_be_sent" => outcomes.is_none());
+    }
+    outcomes.unwrap_or_else(|| vec![DelegatedOutcome::Unknown; orders.len()])
+}
+
+fn delegated(order: &StartOrder) -> DelegatedStart {
+    DelegatedStart {
+        worker: order.target.id.clone(),
+        address: order.target.address,
+        task: order.call.task,
+        run: order.call.run,
+        lease_until_ms: order.call.lease_until_ms,
+        fence: order.call.fence,
+        checkpoint: order.call.checkpoint.clone(),
+        permit: order.call.permit.clone(),
+    }
+}
+
+/// Tells the scheduler what became of starts.
+fn tell(node: &JobNode, orders: &[StartOrder], outcomes: &[DelegatedOutcome]) {
+    let now = node.now();
+    for (order, outcome) in orders.iter().zip(outcomes) {
+        let (task, run, worker) = (&order.call.task, order.call.run, &order.target.id);
+        let outcome = match *outcome {
+            DelegatedOutcome::Done(clock_ms) => CommandOutcome::Done(clock_ms),
+            DelegatedOutcome::Refused(refusal, clock) => CommandOutcome::Refused(refusal, clock),
+            DelegatedOutcome::Unknown => CommandOutcome::Unknown,
+            DelegatedOutcome::NotSent => {
+                count(&node.metrics.starts, "not_delegated");
+                node.with_scheduler(|scheduler| scheduler.start_not_sent(task, run, now));
+                continue;
+            }
+        };
+        count(&node.metrics.starts, start_word(&outcome));
+        node.with_scheduler(|scheduler| scheduler.started(worker, task, run, &outcome, now));
+    }
+    node.wake.notify_one();
+}
+
+/// Carries out a batch of the leader's; nothing if it can't be read. A part of it that this entry knows no
+/// text for yet is left to the leader.
+pub async fn carry_out<W: WorkerClient>(
+    node: &JobNode,
+    workers: &W,
+    body: &[u8],
+) -> Option<Vec<DelegatedOutcome>> {
+    let batch: StartBatch = postcard::from_bytes(body).ok()?;
+    let is_ours = batch.stamp.life == node.life;
+    let is_late = node.now() > batch.stamp.sent_ms + STALE_MS;
+    if !is_ours || is_late || node.is_stopping() {
+        warn!(node.logger, "a batch of starts is not begun"; "starts" => batch.starts.len(),
+            "is_late" => is_late, "is_of_another_life" => !is_ours);
+        return Some(vec![DelegatedOutcome::NotSent; batch.starts.len()]);
+    }
+    let mut outcomes = vec![DelegatedOutcome::NotSent; batch.starts.len()];
+    let mut calls = JoinSet::new();
+    for (position, start) in batch.starts.into_iter().enumerate() {
+        let Some(payload) = payload(node, &start.task) else { continue };
+        let (target, call) = start_call(start, payload);
+        let workers = workers.clone();
+        calls.spawn(async move { (position, workers.start(&target, &call, START_PATIENCE).await) });
+    }
+    node.metrics.delegated.inc_by(u64::try_from(calls.len()).unwrap_or(0));
+    while let Some(ended) = calls.join_next().await {
+        // A call that panicked may have been sent.
+        let Ok((position, outcome)) = ended else { return None };
+        outcomes[position] = match outcome {
+            CommandOutcome::Done(clock_ms) => DelegatedOutcome::Done(clock_ms),
+            CommandOutcome::Refused(refusal, clock) => DelegatedOutcome::Refused(refusal, clock),
+            CommandOutcome::Unknown => DelegatedOutcome::Unknown,
+        };
+    }
+    Some(outcomes)
+}
+
+/// Text of a task's job, if the book has it.
+fn payload(node: &JobNode, task: &TaskKey) -> Option<Arc<str>> {
+    let book = node.book();
+    let submission = book.get(task.job)?.submission.as_ref()?;
+    Some(submission.spec.payload.as_str().into())
+}
+
+fn start_call(start: DelegatedStart, payload: Arc<str>) -> (WorkerTarget, StartCall) {
+    let target = WorkerTarget { id: start.worker, address: start.address };
+    let call = StartCall {
+        task: start.task,
+        run: start.run,
+        payload,
+        lease_until_ms: start.lease_until_ms,
+        fence: start.fence,
+        checkpoint: start.checkpoint,
+        permit: start.permit,
+    };
+    (target, call)
+}
+
+fn post(path: &str, body: Vec<u8>) -> HttpCall {
+    let (path, headers) = (path.to_owned(), HeaderMap::new());
+    HttpCall { method: Method::POST, path, headers, body: Bytes::from(body) }
+}
+
+/// Offers this entry to the leader.
+pub struct OfferLoop {
+    /// Shared state.
+    pub node: Arc<JobNode>,
+    /// Reaches other entries.
+    pub transport: HttpTransport,
+}
+
+impl ControlLoop for OfferLoop {
+    const NAME: &'static str = "offer";
+
+    async fn step(&mut self) -> Duration {
+        if let Some(leader) = self.node.leader().filter(|_| self.node.is_ready()) {
+            let offer = ExecutorOffer {
+                address: self.node.settings.peer,
+                life: self.node.life,
+                centre: self.node.settings.centre.clone(),
+                clock_ms: self.node.now(),
+            };
+            let body = postcard::to_stdvec(&offer).unwrap_or_default();
+            // The next offer follows anyhow; who leads is found out elsewhere.
+            let _ = self.transport.exchange(leader, post(OFFER_PATH, body), OFFER_PATIENCE).await;
+        }
+        OFFER_GAP
+    }
+}
+
+/// Takes another entry's offer; false if it can't be read or this entry does not lead.
+pub fn take_offer(node: &JobNode, body: &[u8]) -> bool {
+    let Ok(offer) = postcard::from_bytes::<ExecutorOffer>(body) else { return false };
+    let leads = node.with_scheduler(|scheduler| !scheduler.is_deposed()).unwrap_or(false);
+    if leads {
+        node.executors().heard(offer, node.now());
+    }
+    leads
+}
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -16,6 +16,7 @@
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::conductor::ConductorParts;
+use crate::jobs::delegate::OfferLoop;
 use crate::jobs::desk::JobDesk;
 use crate::jobs::follower::{JobFollower, OperatorDecoder, OperatorFollower, TailReader};
 use crate::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
@@ -102,11 +103,12 @@
         let address = callers
             .local_addr()
             .map_err(|error| coded(ResultCode::BindFailed, error.to_string()))?;
-        let life: u64 = rand::random();
-        info!(logger, "starting"; "callers" => %address, "life" => format!("{life:x}"),
-            "log" => %settings.log);
         let node = Arc::new(JobNode::new(settings, Arc::new(JobMetrics::default()), logger));
+        let life = node.life;
+        info!(node.logger, "starting"; "callers" => %address, "life" => format!("{life:x}"),
+            "log" => %node.settings.log);
         let log = ports.leader.log.clone();
+        let offers = ports.transport.clone();
         let relay = RelayClient::new(ports.transport);
         let submitter = submitter::spawn(node.clone(), log.clone(), relay, life);
         let reader = Arc::new(CatchUpReader::new(node.clone(), log));
@@ -115,9 +117,9 @@
         let accepting = vec![
             tokio::spawn(accept_callers(callers, desk, ports.callers.clone(), connections.clone())),
             tokio::spawn(accept_probes(ready, node.clone(), ports.callers)),
-            tokio::spawn(relay::accept(peers, node.clone())),
+            tokio::spawn(relay::accept(peers, node.clone(), ports.leader.workers.clone())),
         ];
-        let loops = loops(&node, &ports.leader, ports.operator_decoder, life);
+        let loops = loops(&node, &ports.leader, ports.operator_decoder, offers);
         let supervisor = LoopSupervisor::spawn(node.logger.clone(), loops)
             .await
             .map_err(|error| coded(ResultCode::BindFailed, error))?;
@@ -207,7 +209,7 @@
     node: &Arc<JobNode>,
     parts: &ConductorParts<L, W, V, P>,
     decoder: OperatorDecoder,
-    life: u64,
+    transport: HttpTransport,
 ) -> Vec<SupervisedLoop>
 where
     L: JobLog,
@@ -218,6 +220,7 @@
     let jobs = (node.clone(), parts.log.clone());
     let operator = (node.clone(), parts.log.clone());
     let leadership = (node.clone(), parts.clone());
+    let offers = node.clone();
     vec![
         SupervisedLoop::new(move || JobFollower {
             node: jobs.0.clone(),
@@ -233,12 +236,16 @@
         SupervisedLoop::new(move || LeadershipLoop {
             node: leadership.0.clone(),
             parts: leadership.1.clone(),
-            own: holder(&leadership.0.settings, life),
+            own: holder(&leadership.0.settings, leadership.0.life),
             view: LeadershipView::default(),
             conductor: None,
             is_in_doubt: false,
             patience: PatienceGauge::new(APPEND_PATIENCE),
             pending: None,
         }),
+        SupervisedLoop::new(move || OfferLoop {
+            node: offers.clone(),
+            transport: transport.clone(),
+        }),
     ]
 }
--- a/src/jobs/flow.rs
+++ b/src/jobs/flow.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Takes room, if there is any and nobody waits for it.
+    pub fn try_enter(&self) -> Option<FlowPermit<'_>> {
+        let mut state = self.state();
+        if state.waiting > 0 || state.under_way >= state.window.size() {
+            return None;
+        }
+        state.under_way += 1;
+        Some(FlowPermit { flow: self, begun: Instant::now() })
+    }
+
     /// How fast commands get through now.
     pub fn pace(&self, now: u64) -> FlowPace {
         let state = self.state();
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -33,6 +33,10 @@
     pub late_answers: Counter,
     /// Commands to workers that may be under way, where this entry leads.
     pub command_window: Gauge,
+    /// Starts that this entry carried out for the leader.
+    pub delegated: Counter,
+    /// Entries that take starts, where this entry leads.
+    pub executors: Gauge,
     /// Calls to the VM service that failed, by kind.
     pub vm_calls: Reasons,
     /// Time of an append to the log, in seconds.
@@ -66,6 +70,8 @@
             renewals: Counter::default(),
             late_answers: Counter::default(),
             command_window: Gauge::default(),
+            delegated: Counter::default(),
+            executors: Gauge::default(),
             vm_calls: Family::default(),
             append_seconds: seconds(),
             takeovers: Counter::default(),
@@ -95,6 +101,10 @@
         registry.register("late_answers", help, self.late_answers.clone());
         let help = "commands to workers that may be under way, at the leader";
         registry.register("command_window", help, self.command_window.clone());
+        let help = "starts that this entry carried out for the leader";
+        registry.register("delegated_starts", help, self.delegated.clone());
+        let help = "entries that take starts, at the leader";
+        registry.register("executors", help, self.executors.clone());
         registry.register("vm_calls", "failed calls to the VM service", self.vm_calls.clone());
         let help = "time of an append to the log, in seconds";
         registry.register("append_seconds", help, self.append_seconds.clone());
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::ProcessClock;
+use crate::decide::executor::ExecutorTable;
 use crate::jobs::book::JobBook;
 use crate::jobs::metrics::JobMetrics;
 use crate::jobs::record::JobRecord;
@@ -39,6 +40,9 @@
     pub logger: Logger,
     /// Wakes the leader's loop.
     pub wake: Notify,
+    /// Drawn at the start of the process.
+    pub life: u64,
+    executors: Mutex<ExecutorTable>,
     config: ArcSwapOption<SiteConfig>,
     book: Mutex<JobBook>,
     book_end: AtomicU64,
@@ -63,6 +67,8 @@
             metrics,
             logger,
             wake: Notify::new(),
+            life: rand::random(),
+            executors: Mutex::default(),
             config: ArcSwapOption::empty(),
             book: Mutex::new(JobBook::default()),
             book_end: AtomicU64::new(0),
@@ -101,6 +107,11 @@
         is_newer
     }
 
+    /// Entries that carry out starts for this one while it leads.
+    pub fn executors(&self) -> MutexGuard<'_, ExecutorTable> {
+        self.executors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The job book.
     pub fn book(&self) -> MutexGuard<'_, JobBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
@@ -321,5 +332,6 @@
         metrics.open_jobs.set(size(census.jobs));
         metrics.live_runs.set(size(census.runs));
         metrics.silent_workers.set(size(census.silent));
+        metrics.executors.set(size(self.executors().census(self.now()).0));
     }
 }
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::jobs::model::{ExitKind, StepKey, TaskKey};
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::VmEntry;
@@ -202,7 +204,7 @@
 }
 
 /// Why a worker has not done what it was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CommandRefusal {
     /// Another sender has used a higher fencing token.
     Fenced,
@@ -233,6 +235,29 @@
     Unknown,
 }
 
+/// The word for what became of a start, in metrics.
+pub fn start_word(outcome: &CommandOutcome<u64>) -> &'static str {
+    match outcome {
+        CommandOutcome::Done(_) => "done",
+        CommandOutcome::Refused(refusal, _) => refusal_word(*refusal),
+        CommandOutcome::Unknown => "no_answer",
+    }
+}
+
+/// The word for a refusal in logs and metrics.
+pub fn refusal_word(refusal: CommandRefusal) -> &'static str {
+    match refusal {
+        CommandRefusal::Fenced => "fenced",
+        CommandRefusal::OldRun => "old_run",
+        CommandRefusal::LateLease => "late_lease",
+        CommandRefusal::NoRoom => "no_room",
+        CommandRefusal::Permit => "permit",
+        CommandRefusal::Unhealthy => "unhealthy",
+        CommandRefusal::WrongLife => "wrong_life",
+        CommandRefusal::Malformed => "malformed",
+    }
+}
+
 /// Starts a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartCall {
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -27,8 +27,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::jobs::delegate::{self, OFFER_PATH, STARTS_BYTES_MAX, STARTS_PATH};
 use crate::jobs::model::JobId;
 use crate::jobs::node::JobNode;
+use crate::jobs::ports::WorkerClient;
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::jobs::status;
 use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
@@ -154,11 +156,11 @@
 }
 
 /// Serves other entries and whoever collects metrics.
-pub async fn accept(listener: TcpListener, node: Arc<JobNode>) {
+pub async fn accept<W: WorkerClient>(listener: TcpListener, node: Arc<JobNode>, workers: W) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, node.clone()));
+                tokio::spawn(serve(stream, node.clone(), workers.clone()));
             }
             Err(error) => {
                 warn!(node.logger, "an entry's connection can't be accepted"; "error" => %error);
@@ -168,12 +170,12 @@
     }
 }
 
-async fn serve(stream: TcpStream, node: Arc<JobNode>) {
+async fn serve<W: WorkerClient>(stream: TcpStream, node: Arc<JobNode>, workers: W) {
     // Answers are small; a socket that refuses the option still works.
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(answer(&node, request).await) }
+        let (node, workers) = (node.clone(), workers.clone());
+        async move { Ok::<_, Infallible>(answer(&node, &workers, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -223,8 +225,21 @@
     }
 }
 
-async fn answer(node: &JobNode, request: Request<Incoming>) -> Response<RelayBody> {
+async fn answer<W: WorkerClient>(
+    node: &JobNode,
+    workers: &W,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
     match request.uri().path() {
+        OFFER_PATH => match body(request, STARTS_BYTES_MAX).await {
+            Ok(body) if delegate::take_offer(node, &body) => bare(StatusCode::OK),
+            Ok(_) => bare(StatusCode::MISDIRECTED_REQUEST),
+            Err(code) => bare(code),
+        },
+        STARTS_PATH => match body(request, STARTS_BYTES_MAX).await {
+            Ok(body) => carry_out(node, workers, &body).await,
+            Err(code) => bare(code),
+        },
         RELAY_PATH => match store(node, request).await {
             Ok(stored) => Response::new(RelayBody::Stored(stored)),
             Err(code) => bare(code),
@@ -242,6 +257,28 @@
     }
 }
 
+/// Carries out a batch of the leader's starts.
+async fn carry_out<W: WorkerClient>(
+    node: &JobNode,
+    workers: &W,
+    body: &[u8],
+) -> Response<RelayBody> {
+    let outcomes = delegate::carry_out(node, workers, body).await;
+    match outcomes.and_then(|outcomes| postcard::to_stdvec(&outcomes).ok()) {
+        Some(outcomes) => whole("application/octet-stream", outcomes),
+        None => {
+            warn!(node.logger, "a batch of starts can't be carried out");
+            bare(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+/// The body of a request, if it is not too large.
+async fn body(request: Request<Incoming>, bytes_max: usize) -> Result<Bytes, StatusCode> {
+    let body = Limited::new(request.into_body(), bytes_max).collect().await;
+    body.map(|body| body.to_bytes()).map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)
+}
+
 fn json<T: Serialize>(value: &T) -> Response<RelayBody> {
     // Our own types hold no map with keys that JSON can't write.
     whole("application/json", serde_json::to_vec(value).unwrap_or_default())
@@ -258,9 +295,8 @@
     node: &JobNode,
     request: Request<Incoming>,
 ) -> Result<oneshot::Receiver<()>, StatusCode> {
-    let body = Limited::new(request.into_body(), BATCH_BYTES_MAX).collect().await;
-    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
-    let Some(records) = decode(&body.to_bytes()) else {
+    let body = body(request, BATCH_BYTES_MAX).await?;
+    let Some(records) = decode(&body) else {
         warn!(node.logger, "an entry's batch can't be read");
         return Err(StatusCode::BAD_REQUEST);
     };
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -309,6 +309,11 @@
         self.scheduled.insert(id);
     }
 
+    /// Data centre of a worker.
+    pub fn centre_of(&self, worker: &str) -> Option<Arc<str>> {
+        self.workers.get(worker).map(|worker| worker.entry.centre.clone())
+    }
+
     /// Term of this leader.
     pub fn term(&self) -> u64 {
         self.term
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{JobState, TaskKey};
-use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall};
+use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall, refusal_word};
 use crate::jobs::site::VmState;
 use crate::scheduler::job::{JobRun, LiveRun, RunPhase, StepRun};
 use crate::scheduler::worker::{BookedRun, WorkerRun};
@@ -226,6 +226,15 @@
         task.map(|task| task.checkpoint.clone()).unwrap_or_default()
     }
 
+    /// A start was not sent, as nobody could carry it out: it is due at once.
+    pub fn start_not_sent(&mut self, key: &TaskKey, run: u32, now: u64) {
+        if let Some(live) = self.live_mut(key, run)
+            && live.phase == RunPhase::Starting
+        {
+            live.retry_ms = now;
+        }
+    }
+
     /// A start was answered, or not.
     pub fn started(
         &mut self,
@@ -576,17 +585,3 @@
         is_service: spec.is_service,
     })
 }
-
-/// The word for a refusal in logs and metrics.
-pub fn refusal_word(refusal: CommandRefusal) -> &'static str {
-    match refusal {
-        CommandRefusal::Fenced => "fenced",
-        CommandRefusal::OldRun => "old_run",
-        CommandRefusal::LateLease => "late_lease",
-        CommandRefusal::NoRoom => "no_room",
-        CommandRefusal::Permit => "permit",
-        CommandRefusal::Unhealthy => "unhealthy",
-        CommandRefusal::WrongLife => "wrong_life",
-        CommandRefusal::Malformed => "malformed",
-    }
-}
--- /dev/null
+++ b/tests/delegate.rs
@@ -0,0 +1,268 @@
+//! A leader has other entries carry out its starts, over real connections.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibisweir::decide::executor::{ExecutorOffer, ExecutorStamp};
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::delegate::{
+    DelegatedOutcome, DelegatedStart, StartBatch, StartDelegate, StartOrder, carry_out,
+};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    CommandOutcome, CommandRefusal, RenewCall, RunCall, StartCall, WorkerClient, WorkerReport,
+    WorkerTarget,
+};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::relay;
+use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
+use support::PATIENCE;
+use support::stage::{
+    WALL_OFFSET_MS, bounds, config, job, job_id, site_settings, step, submission, task, worker,
+};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+/// Workers that note what they are told to start.
+#[derive(Clone, Default)]
+struct NotedWorkers {
+    starts: Arc<Mutex<Vec<StartCall>>>,
+    is_refusing: bool,
+    is_silent: bool,
+}
+
+impl NotedWorkers {
+    fn count(&self) -> usize {
+        self.starts.lock().expect("no test thread panics").len()
+    }
+}
+
+impl WorkerClient for NotedWorkers {
+    async fn renew(
+        &self,
+        _: &WorkerTarget,
+        _: &RenewCall,
+        _: Duration,
+    ) -> CommandOutcome<WorkerReport> {
+        CommandOutcome::Unknown
+    }
+
+    async fn start(&self, _: &WorkerTarget, call: &StartCall, _: Duration) -> CommandOutcome<u64> {
+        self.starts.lock().expect("no test thread panics").push(call.clone());
+        match (self.is_silent, self.is_refusing) {
+            (true, _) => CommandOutcome::Unknown,
+            (false, true) => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
+            (false, false) => CommandOutcome::Done(40),
+        }
+    }
+
+    async fn stop(&self, _: &WorkerTarget, _: &RunCall, _: Duration) -> CommandOutcome<u64> {
+        CommandOutcome::Unknown
+    }
+
+    async fn throttle(
+        &self,
+        _: &WorkerTarget,
+        _: &RunCall,
+        _: u32,
+        _: Duration,
+    ) -> CommandOutcome<u64> {
+        CommandOutcome::Unknown
+    }
+}
+
+fn node() -> Arc<JobNode> {
+    Arc::new(JobNode::new(site_settings(), Arc::default(), ibisweir::logging::silent()))
+}
+
+/// An entry that has read job 1 from the log.
+fn executor() -> Arc<JobNode> {
+    let node = node();
+    let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(4)]))));
+    node.fold(&[(0, record)]);
+    node
+}
+
+fn start(job: u64, index: u32) -> DelegatedStart {
+    DelegatedStart {
+        worker: "w0".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        task: task(job_id(job), 0, index),
+        run: 1,
+        lease_until_ms: 9_000,
+        fence: 1_024,
+        checkpoint: String::new(),
+        permit: None,
+    }
+}
+
+/// Ahead of every clock here, so that a busy machine makes nothing late, in milliseconds.
+const AHEAD_MS: u64 = 3_600_000;
+
+fn batch(node: &JobNode, starts: Vec<DelegatedStart>) -> Vec<u8> {
+    let stamp = ExecutorStamp { life: node.life, sent_ms: node.now() + AHEAD_MS };
+    postcard::to_stdvec(&StartBatch { stamp, starts }).expect("plain values")
+}
+
+/// The executor takes the job's text from its own copy of the log.
+#[tokio::test]
+async fn an_executor_starts_with_the_text_of_its_own_book() {
+    let (node, workers) = (executor(), NotedWorkers::default());
+    let body = batch(&node, vec![start(1, 0), start(1, 1)]);
+    let outcomes = carry_out(&node, &workers, &body).await;
+    assert_eq!(outcomes, Some(vec![DelegatedOutcome::Done(40); 2]));
+    let starts = workers.starts.lock().expect("no test thread panics");
+    assert!(starts.iter().all(|call| &*call.payload == "text" && call.fence == 1_024));
+}
+
+/// An executor is behind the log and does not know the job yet. It says that it has sent nothing, so that the leader
+/// sends the start at once another way; the other starts of the batch go out.
+#[tokio::test]
+async fn what_an_executor_does_not_know_is_left_to_the_leader() {
+    let (node, workers) = (executor(), NotedWorkers::default());
+    let body = batch(&node, vec![start(2, 0), start(1, 0)]);
+    let outcomes = carry_out(&node, &workers, &body).await;
+    assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent, DelegatedOutcome::Done(40)]));
+    assert_eq!(workers.count(), 1);
+}
+
+/// A batch was held up on its way, behind a cut or while the executor's VM stood still. The leader has given it up
+/// and sent its starts another way; carried out now, a start could come after its job was cancelled. And one that
+/// was meant for the process before this one is as old. Neither is begun.
+#[tokio::test]
+async fn a_batch_that_comes_late_is_not_begun() {
+    let (node, workers) = (executor(), NotedWorkers::default());
+    let starts = vec![start(1, 0)];
+    let late = ExecutorStamp { life: node.life, sent_ms: node.now() };
+    let foreign = ExecutorStamp { life: node.life ^ 1, sent_ms: node.now() + AHEAD_MS };
+    sleep(Duration::from_millis(1_300)).await;
+    for stamp in [late, foreign] {
+        let batch = StartBatch { stamp, starts: starts.clone() };
+        let body = postcard::to_stdvec(&batch).expect("plain values");
+        let outcomes = carry_out(&node, &workers, &body).await;
+        assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent]));
+    }
+    assert_eq!(workers.count(), 0);
+}
+
+/// A leader with one placed task whose start is due, and the order for it.
+fn leader() -> (Arc<JobNode>, StartOrder) {
+    let leader = node();
+    let now = leader.now();
+    let start = SchedulerStart {
+        term: 1,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        now,
+        wall_ms: WALL_OFFSET_MS + now,
+    };
+    let mut scheduler = Scheduler::open(start, &JobBook::default());
+    scheduler.workers_listed(vec![worker("w0", "r0")], now);
+    let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
+    scheduler.take_record(&record, now);
+    let fence = scheduler.fence();
+    let renewal = RenewCall { fence, exits_through: 0, lease_until_ms: None, wait: Duration::ZERO };
+    let report = WorkerReport { clock_ms: 30, ..WorkerReport::default() };
+    scheduler.renewed(&"w0".into(), &renewal, CommandOutcome::Done(report), now, now);
+    scheduler.tick(now, WALL_OFFSET_MS + now);
+    let batch = scheduler.take_commit().expect("a run was placed");
+    scheduler.committed(&batch, now);
+    scheduler.tick(now, WALL_OFFSET_MS + now);
+    let sent = scheduler.take_actions().into_iter().find_map(|action| match action {
+        SchedulerAction::Send(target, task, run) => Some((target, task, run)),
+        _ => None,
+    });
+    let (target, task, run) = sent.expect("its start is due");
+    let command = scheduler.command(&task, run, now).expect("a start");
+    let ibisweir::scheduler::runs::RunCommand::Start(call) = command else { panic!("{command:?}") };
+    leader.set_scheduler(Some(scheduler));
+    (leader, StartOrder { target, centre: "regina-a".into(), call })
+}
+
+/// Whether the leader's scheduler still holds the start to be sent.
+fn is_due(leader: &JobNode, order: &StartOrder) -> bool {
+    let starting = |scheduler: &mut Scheduler| scheduler.is_starting(&order.call.task, 1);
+    leader.with_scheduler(starting).expect("it leads")
+}
+
+/// Runs a delegate with one order, and the executor that it reaches, until `is_over`.
+async fn hand_on(
+    leader: &Arc<JobNode>,
+    order: &StartOrder,
+    workers: Option<NotedWorkers>,
+    is_over: impl Fn() -> bool,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let executor = executor();
+    let offer = ExecutorOffer {
+        address,
+        life: executor.life,
+        centre: "regina-a".into(),
+        clock_ms: executor.now() + AHEAD_MS,
+    };
+    leader.executors().heard(offer, leader.now());
+    match workers {
+        Some(workers) => drop(tokio::spawn(relay::accept(listener, executor, workers))),
+        None => drop(listener),
+    }
+    let (delegate, orders) = StartDelegate::open(leader.clone());
+    tokio::spawn(delegate.run());
+    let over = async {
+        // A busy machine can miss the time of a batch; the leader repeats the same run then.
+        for look in 0_u32.. {
+            if is_over() {
+                return;
+            }
+            if look % 400 == 0 {
+                orders.send(order.clone()).expect("it runs");
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, over).await.expect("it is told what became of the start");
+}
+
+/// The leader hears through the executor that a run has begun.
+#[tokio::test]
+async fn the_leader_hears_what_became_of_a_start() {
+    let (leader, order) = leader();
+    let workers = NotedWorkers::default();
+    hand_on(&leader, &order, Some(workers.clone()), || !is_due(&leader, &order)).await;
+    assert!(workers.count() >= 1);
+}
+
+/// A refusal reaches the leader as if the worker had told it: the run is taken off the books.
+#[tokio::test]
+async fn a_refusal_reaches_the_leader() {
+    let (leader, order) = leader();
+    let workers = NotedWorkers { is_refusing: true, ..NotedWorkers::default() };
+    hand_on(&leader, &order, Some(workers), || !is_due(&leader, &order)).await;
+    let runs = leader.with_scheduler(|scheduler| scheduler.census().runs);
+    assert_eq!(runs, Some(0));
+}
+
+/// The executor is gone and its port is closed: nothing was sent. The start is due again at once, and that
+/// executor is passed over.
+#[tokio::test]
+async fn a_start_that_reached_no_executor_is_due_at_once() {
+    let (leader, order) = leader();
+    hand_on(&leader, &order, None, || !leader.executors().has_room(leader.now())).await;
+    assert!(is_due(&leader, &order));
+}
+
+/// The worker does not answer the executor: the start may be carried out yet, and stays in doubt. The same run is
+/// sent again, and no other one is started.
+#[tokio::test]
+async fn a_start_without_an_answer_stays_in_doubt() {
+    let (leader, order) = leader();
+    let workers = NotedWorkers { is_silent: true, ..NotedWorkers::default() };
+    let is_told = || leader.metrics.text().contains("no_answer");
+    hand_on(&leader, &order, Some(workers), is_told).await;
+    assert!(is_due(&leader, &order));
+    assert_eq!(leader.with_scheduler(|scheduler| scheduler.census().runs), Some(1));
+}
--- /dev/null
+++ b/tests/executor_table.rs
@@ -0,0 +1,84 @@
+//! Which entry carries out a start.
+
+use std::net::SocketAddr;
+
+use ibisweir::decide::executor::{ExecutorOffer, ExecutorTable};
+use ibisweir::decide::window::ByteBudget;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn offer(port: u16, centre: &str) -> ExecutorOffer {
+    ExecutorOffer { address: address(port), life: 7, centre: centre.into(), clock_ms: 50_000 }
+}
+
+/// A worker's start goes to an entry of its own data centre, and to another one only if none there has room.
+#[test]
+fn an_entry_beside_the_worker_comes_first() {
+    let mut table = ExecutorTable::default();
+    table.heard(offer(1, "a"), 1_000);
+    table.heard(offer(2, "b"), 1_000);
+    assert_eq!(table.pick("b", 1_000), Some(address(2)));
+    assert!(table.begin(address(2), 1_000, 1_000).is_some());
+    assert_eq!(table.pick("b", 1_000), Some(address(1)));
+}
+
+/// A slow entry keeps its starts under way, and gets fewer: the next go to the one that has answered.
+#[test]
+fn a_slow_entry_gets_fewer_starts() {
+    let mut table = ExecutorTable::default();
+    table.heard(offer(1, "a"), 1_000);
+    table.heard(offer(2, "a"), 1_000);
+    let mut given = [0, 0];
+    for _ in 0..20 {
+        let picked = table.pick("a", 1_000).expect("room");
+        assert!(table.begin(picked, 4, 1_000).is_some());
+        given[usize::from(picked.port() - 1)] += 1;
+        if picked.port() == 2 {
+            table.end(picked, 4, true, 1_000);
+        }
+    }
+    assert!(given[1] >= 15, "{given:?}");
+}
+
+/// An entry that lost power offers itself no more, and its last batch had no answer. Starts must not wait for it:
+/// it is passed over at once, and forgotten once its last offer is old.
+#[test]
+fn an_entry_that_does_not_answer_is_passed_over() {
+    let mut table = ExecutorTable::default();
+    table.heard(offer(1, "a"), 1_000);
+    assert!(table.begin(address(1), 4, 1_100).is_some());
+    table.end(address(1), 4, false, 2_000);
+    assert_eq!(table.pick("a", 2_000), None);
+    assert!(!table.has_room(2_000));
+    // Another life of it offers itself and is taken at once.
+    table.heard(ExecutorOffer { life: 8, ..offer(1, "a") }, 2_100);
+    assert_eq!(table.pick("a", 2_100), Some(address(1)));
+    assert_eq!(table.pick("a", 9_000), None, "its last offer is old");
+}
+
+/// An executor tells by its own clock how old a batch is: the leader adds to the clock that the offer showed the
+/// time since.
+#[test]
+fn a_batch_carries_the_executors_own_time() {
+    let mut table = ExecutorTable::default();
+    table.heard(offer(1, "a"), 1_000);
+    let stamp = table.begin(address(1), 1, 1_700).expect("known");
+    assert_eq!((stamp.life, stamp.sent_ms), (7, 50_700));
+}
+
+/// A budget of 1 Mbit/s lets 125 KB a second through, also where each single send is larger than what is left.
+#[test]
+fn a_budget_holds_over_time() {
+    let mut budget = ByteBudget::open(1);
+    let mut sent = 0;
+    for now in 1_000..6_000 {
+        if budget.has_room(now) {
+            budget.charge(20_000);
+            sent += 20_000;
+        }
+    }
+    assert!((600_000..=700_000).contains(&sent), "{sent}");
+    assert!(!ByteBudget::open(0).has_room(10_000));
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -9,6 +9,7 @@
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay::{self, RelayClient, RelayOutcome};
+use ibisweir::platform_adapter::worker::PlatformWorkers;
 use ibisweir::scheduler::{Scheduler, SchedulerStart};
 use ibisweir::transport::HttpTransport;
 use support::stage::{bounds, config, job, job_id, site_settings, step, submission};
@@ -34,7 +35,11 @@
     leader.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
-    tokio::spawn(relay::accept(listener, leader.clone()));
+    tokio::spawn(relay::accept(
+        listener,
+        leader.clone(),
+        PlatformWorkers::new(HttpTransport::open()),
+    ));
     let entry = node();
     entry.set_leader(Some(address));
     let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
