Specs of jobs that are over leave the log; an entry that is behind it counts nothing; dead workers close no window

Change: an entry counts only while it came to the log's end within 1.6 s, and says 126 BehindLog otherwise, also for looks, where the log is well. The leader takes the spec of a job off the log once it is over and nothing of it runs.

--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -16,8 +16,9 @@
 const LINE_US: u64 = 80_000;
 /// Part of the smoothed delay that one answer counts, as in RFC 6298.
 const DELAY_PART: u64 = 8;
-/// Commands that may be under way at the start, and least; each worker has one at a time.
-const SIZE_START: u64 = 32;
+/// Commands that may be under way at the start, and least; each worker has one at a time. A window that
+/// begins narrow would hold a burst back on any link until it has opened.
+const SIZE_START: u64 = 128;
 const SIZE_MIN: u64 = 4;
 /// Most commands under way: more than there are workers at any size that the project is made for.
 const SIZE_MAX: u64 = 2_048;
@@ -27,6 +28,9 @@
 const CUT_PERCENT: u64 = 75;
 /// Time for which the shortest delay counts, in milliseconds: workers and ways change.
 const BASE_AGE_MS: u64 = 20_000;
+/// Ends of commands by which it is told whether those without an answer are the rule: they are where the line
+/// is longer than any command is waited for. A dead rack's are not, and would close the window for all others.
+const ENDS_KEPT: u32 = 16;
 /// Unit of the window's size: it grows by parts of a command.
 const MILLI: u64 = 1_000;
 
@@ -40,6 +44,8 @@
     next_base_us: u64,
     base_since_ms: u64,
     cut_ms: u64,
+    /// Last ends, a bit each: set for one without an answer.
+    unanswered: u16,
 }
 
 impl Default for CommandWindow {
@@ -52,6 +58,7 @@
             next_base_us: u64::MAX,
             base_since_ms: 0,
             cut_ms: 0,
+            unanswered: 0,
         }
     }
 }
@@ -69,7 +76,11 @@
 
     /// A command was answered after `delay_us` microseconds, or given up after that time. `is_full` tells
     /// whether others wait for it: a window that is not used says nothing about what would fit.
-    pub fn ended(&mut self, delay_us: u64, is_full: bool, now: u64) {
+    pub fn ended(&mut self, delay_us: u64, is_answered: bool, is_full: bool, now: u64) {
+        self.unanswered = self.unanswered << 1 | u16::from(!is_answered);
+        if !is_answered && self.unanswered.count_ones() * 2 <= ENDS_KEPT {
+            return;
+        }
         self.learn(delay_us, now);
         if self.smoothed_us.saturating_sub(self.base_us) > LINE_US {
             self.cut(now);
--- a/src/error.rs
+++ b/src/error.rs
@@ -98,6 +98,8 @@
     BadJob = 123, 400, "the job is malformed";
     /// The log can't be written or read now; nothing was done.
     LogAway = 124, 503, "the log can't be reached; nothing was done";
+    /// What this entry has read of the log is too old to answer from.
+    BehindLog = 126, 503, "this entry is behind the log; nothing was done";
     /// A path or method that no call has.
     UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -75,7 +75,9 @@
                 // The first submission counts: a caller's retry reaches another entry with the
                 // same job, and what has been scheduled must not change under it.
                 let is_new = entry.submission.is_none();
-                entry.submission.get_or_insert_with(|| submission.clone());
+                if is_new || submission.has_no_spec() {
+                    entry.submission = Some(submission.clone());
+                }
                 is_new
             }),
             JobRecord::Cancelled(job) => {
--- a/src/jobs/catch_up.rs
+++ b/src/jobs/catch_up.rs
@@ -60,6 +60,7 @@
                     let is_end = batch.next >= batch.end || batch.records.is_empty();
                     fold_step(&self.node, TailStep::Records(batch.records), batch.next);
                     if is_end {
+                        self.node.set_current();
                         return true;
                     }
                 }
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -535,8 +535,8 @@
         match (command(), route) {
             (Some(RunCommand::Start(call)), Some(StartRoute::Direct(permit))) => {
                 self.direct_bytes().charge(call.payload.len() + START_BYTES);
-                self.send_start(target, &call).await;
-                permit.end(self.node.now());
+                let is_answered = self.send_start(target, &call).await;
+                permit.end(is_answered, self.node.now());
             }
             (Some(RunCommand::Start(call)), Some(StartRoute::Delegated)) => {
                 self.delegate(target, call);
@@ -575,13 +575,15 @@
         self.direct_bytes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn send_start(&self, target: &WorkerTarget, call: &StartCall) {
+    /// Sends a start; returns whether it was answered.
+    async fn send_start(&self, target: &WorkerTarget, call: &StartCall) -> bool {
         let outcome = self.parts.workers.start(target, call, COMMAND_PATIENCE).await;
         count(&self.node.metrics.starts, start_word(&outcome));
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| {
             scheduler.started(&target.id, &call.task, call.run, &outcome, now);
         });
+        outcome != CommandOutcome::Unknown
     }
 
     async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -112,7 +112,7 @@
         }
         match self.reader.catch_up().await {
             true => self.state(job).map_or_else(no_such_job, DeskReply::State),
-            false => outage(),
+            false => self.not_read(),
         }
     }
 
@@ -120,7 +120,7 @@
     pub async fn cancel(&self, queue: &QueueSpec, job: JobId, patience: Duration) -> DeskReply {
         let logger = self.node.logger.clone();
         if self.state(job).is_none() && !self.reader.catch_up().await {
-            return outage();
+            return self.not_read();
         }
         match self.state(job) {
             None => {
@@ -139,9 +139,20 @@
 
     /// Counts the jobs of a queue that wait for their first task.
     pub fn count(&self, queue: &QueueSpec) -> DeskReply {
+        if !self.node.is_current() {
+            return self.not_read();
+        }
         DeskReply::Waiting(self.node.book().waiting(&queue.name))
     }
 
+    /// Why the log could not be read to its end: it is away, or this entry is behind.
+    fn not_read(&self) -> DeskReply {
+        if self.node.is_log_away() {
+            return outage();
+        }
+        DeskReply::Refused(ResultCode::BehindLog, Some(OUTAGE_RETRY))
+    }
+
     fn is_known(&self, job: JobId) -> bool {
         self.state(job).is_some()
     }
--- a/src/jobs/flow.rs
+++ b/src/jobs/flow.rs
@@ -131,11 +131,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn learn(&self, delay: Duration, now: u64) {
+    fn learn(&self, delay: Duration, is_answered: bool, now: u64) {
         let mut state = self.state();
         let is_full = state.waiting > 0;
         let delay_us = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
-        state.window.ended(delay_us, is_full, now);
+        state.window.ended(delay_us, is_answered, is_full, now);
         if now >= state.span_ms + RATE_MS {
             state.rate = if now < state.span_ms + 2 * RATE_MS { state.counted } else { 0 };
             state.counted = 0;
@@ -147,8 +147,8 @@
 
 impl FlowPermit<'_> {
     /// Takes in that the command was answered or given up.
-    pub fn end(self, now: u64) {
-        self.flow.learn(self.begun.elapsed(), now);
+    pub fn end(self, is_answered: bool, now: u64) {
+        self.flow.learn(self.begun.elapsed(), is_answered, now);
     }
 }
 
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -53,18 +53,19 @@
 pub struct TailReader {
     topic: LogTopic,
     position: Option<u64>,
+    is_at_end: bool,
     partial: PartialSnapshot,
 }
 
 impl TailReader {
     /// A reader that begins with a snapshot.
     pub fn new(topic: LogTopic) -> TailReader {
-        TailReader { topic, position: None, partial: PartialSnapshot::default() }
+        TailReader { topic, position: None, is_at_end: false, partial: PartialSnapshot::default() }
     }
 
     /// A reader that goes on from an offset.
     pub fn at(topic: LogTopic, position: u64) -> TailReader {
-        TailReader { topic, position: Some(position), partial: PartialSnapshot::default() }
+        TailReader { position: Some(position), ..TailReader::new(topic) }
     }
 
     /// Everything before this offset was read.
@@ -72,6 +73,11 @@
         self.position.unwrap_or(0)
     }
 
+    /// Whether the last read came to the log's end.
+    pub fn is_at_end(&self) -> bool {
+        self.is_at_end
+    }
+
     /// Goes on from a later offset: what lies before was read another way.
     pub fn skip_to(&mut self, position: u64) {
         if let Some(own) = &mut self.position {
@@ -81,10 +87,12 @@
 
     /// Reads on.
     pub async fn next<L: JobLog>(&mut self, log: &L, wait: Duration) -> TailStep {
+        self.is_at_end = false;
         let Some(position) = self.position else { return self.snapshot(log).await };
         match log.read(self.topic, position, wait).await {
             ReadOutcome::Read(batch) => {
                 self.position = Some(position.max(batch.next));
+                self.is_at_end = batch.next >= batch.end;
                 TailStep::Records(batch.records)
             }
             ReadOutcome::Expired { .. } => {
@@ -142,6 +150,9 @@
         self.node.touch();
         let is_whole = matches!(step, TailStep::Snapshot(_));
         fold_step(&self.node, step, self.tail.position());
+        if self.tail.is_at_end() {
+            self.node.set_current();
+        }
         if is_whole {
             self.node.set_loaded();
         }
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -314,10 +314,23 @@
     pub service: Arc<str>,
     /// When an entry accepted it, in milliseconds since the epoch by that entry's clock.
     pub accepted_ms: u64,
-    /// What it is.
+    /// What it is; empty once the job is over.
     pub spec: JobSpec,
 }
 
+impl JobSubmission {
+    /// The same without its text and steps, for a job that is over.
+    pub fn without_spec(&self) -> JobSubmission {
+        let spec = JobSpec { payload: String::new(), steps: Vec::new(), schedule: None };
+        JobSubmission { spec, ..self.clone() }
+    }
+
+    /// Whether it is what is kept of a job that is over: no caller's job has no step.
+    pub fn has_no_spec(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+}
+
 /// How a run of a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ExitKind {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -24,6 +24,9 @@
 /// Silence after which the log counts as away, in milliseconds: the followers' reads are answered at
 /// least every 700 ms, a slow log's 300 ms later.
 const AWAY_AGE_MS: u64 = 1_200;
+/// Age from which the book is not counted from, in milliseconds: callers are promised a count that is 2 s old
+/// at most, and the followers come to the log's end every 900 ms where they keep up.
+const CURRENT_AGE_MS: u64 = 1_600;
 /// Time for which it counts that the leader's address was found closed, in milliseconds: longer than
 /// the silence after which it is acted on.
 const CLOSED_AGE_MAX_MS: u64 = 2_000;
@@ -55,6 +58,7 @@
     next_token: AtomicU64,
     contact_ms: AtomicU64,
     stored_ms: AtomicU64,
+    current_ms: AtomicU64,
     is_stopping: AtomicBool,
 }
 
@@ -81,6 +85,7 @@
             next_token: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
             stored_ms: AtomicU64::new(0),
+            current_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
         }
     }
@@ -288,6 +293,18 @@
         }
     }
 
+    /// The book has all that the log had when it was last read.
+    pub fn set_current(&self) {
+        self.current_ms.store(self.now().max(1), Ordering::Release);
+    }
+
+    /// Whether the book tells what the log held a moment ago. One that is being read after a restart, or is
+    /// further behind with each read, would tell callers of a tenth of the jobs that wait.
+    pub fn is_current(&self) -> bool {
+        let current = self.current_ms.load(Ordering::Acquire);
+        current > 0 && self.now() < current + CURRENT_AGE_MS
+    }
+
     /// A record of a caller has reached the log, by whatever way.
     pub fn stored(&self) {
         self.stored_ms.store(self.now().max(1), Ordering::Relaxed);
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use crate::jobs::model::{JobId, TaskKey};
+use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::scheduler::Scheduler;
 use crate::scheduler::job::RunPhase;
@@ -13,6 +13,8 @@
 const COMMIT_BYTES_MAX: usize = 512 << 10;
 /// Jobs dropped in one commit, of three small records each.
 const DROPS_MAX: usize = 500;
+/// Jobs whose specs are taken off the log in one commit.
+const OVER_MAX: usize = 500;
 
 /// Records for one append, and what it releases.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +36,8 @@
     starts: Vec<(TaskKey, u32)>,
     exits: BTreeMap<Arc<str>, u64>,
     drops: Vec<JobId>,
+    /// Jobs that are over and quiet, without their specs.
+    over: Vec<(JobId, Arc<JobSubmission>)>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
     relayed: VecDeque<(u64, Vec<JobRecord>)>,
 }
@@ -74,6 +78,7 @@
         self.jobs.is_empty()
             && self.exits.is_empty()
             && self.drops.is_empty()
+            && self.over.is_empty()
             && self.waves.is_empty()
             && self.relayed.is_empty()
     }
@@ -120,6 +125,10 @@
             batch.records.extend(JobRecord::drops(job));
             batch.folded.push(JobRecord::Dropped(job));
         }
+        let over = self.commits.over.len().min(OVER_MAX);
+        for (job, submission) in self.commits.over.drain(..over) {
+            push(&mut batch, JobRecord::Submitted(job, submission));
+        }
         while let Some((number, done)) = self.commits.waves.pop_first() {
             push(&mut batch, JobRecord::Wave(number, Arc::new(done)));
         }
@@ -166,10 +175,19 @@
     }
 
     /// Drops jobs that are over and quiet from memory; the log has their last state.
+    ///
+    /// Their specs are taken off the log as well. They are nine tenths of what it keeps of a job: an entry
+    /// that restarts on a link of 2 Mbit/s would read for ten seconds and more what nobody needs.
     fn forget_finished(&mut self) {
         let dirty = &self.commits.jobs;
+        let over = &mut self.commits.over;
         self.jobs.retain(|id, job| {
-            !job.state.is_final() || dirty.contains(id) || !job.live_tasks().is_empty()
+            let is_kept =
+                !job.state.is_final() || dirty.contains(id) || !job.live_tasks().is_empty();
+            if !is_kept && !job.submission.has_no_spec() {
+                over.push((*id, Arc::new(job.submission.without_spec())));
+            }
+            is_kept
         });
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -407,7 +407,8 @@
         match record {
             JobRecord::Submitted(job, submission) => {
                 // Repeats of a submission come seconds late, also after the job is over.
-                if self.jobs.contains_key(job) || self.finished.contains_key(job) {
+                let is_known = self.jobs.contains_key(job) || self.finished.contains_key(job);
+                if is_known || submission.has_no_spec() {
                     return;
                 }
                 let booked = BookedJob::submitted(submission.clone());
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibisweir::error::ResultCode;
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::desk::{DeskReply, JobDesk};
 use ibisweir::jobs::node::JobNode;
@@ -59,3 +60,25 @@
     let reply = desk().submit(&queue, job_id(1), job(vec![step(1)]), patience).await;
     assert_eq!(reply, DeskReply::Stored);
 }
+
+/// An entry has restarted and is reading what the log holds; the log itself is well. A caller counts a queue there:
+/// it is told that this entry is behind and when to come back, not the tenth that was read so far. Once the
+/// entry has come to the log's end it counts.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_behind_the_log_counts_nothing() {
+    let (desk, queue) = (desk(), queue(QUEUE, POOL));
+    // A busy machine can make the log's last answer old between two lines; then the log counts as away.
+    let is_behind = |reply| matches!(reply, DeskReply::Refused(ResultCode::BehindLog, Some(_)));
+    let has_told = (0..100).any(|_| {
+        desk.node.touch();
+        let reply = desk.count(&queue);
+        assert!(!matches!(reply, DeskReply::Waiting(_)), "{reply:?}");
+        is_behind(reply)
+    });
+    assert!(has_told);
+    let has_counted = (0..100).any(|_| {
+        desk.node.set_current();
+        desk.count(&queue) == DeskReply::Waiting(0)
+    });
+    assert!(has_counted);
+}
