Executors by processor; a line of 150 ms; a renewal without an answer in time leaves no connection in use

Change: the window takes 150 ms for a line; a batch goes to the entry that will be through first by its processor. And a renewal that is listened to beyond its time drops the worker's idle connections at once, as one that failed did.

Tests: tests/executor_table.rs; tests/platform_calls.rs, which hangs without the drop (bounded since).

--- a/src/decide/executor.rs
+++ b/src/decide/executor.rs
@@ -6,8 +6,8 @@
 //! what, some eighty bytes a start, in batches.
 //!
 //! Entries offer themselves again and again; one that has gone quiet, or has let a batch go unanswered,
-//! is passed over. The entry with the least under way comes first: a slow one keeps its starts under way
-//! for longer, and so gets fewer.
+//! is passed over. The entry with the least under way for its processor comes first: a slow one keeps its
+//! starts under way for longer, and so gets fewer.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +15,8 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Starts in one batch: its answer waits for the slowest.
+pub const BATCH_MAX: usize = 16;
 /// Age from which an offer counts no more, in milliseconds: two offers may be lost.
 const OFFER_AGE_MAX_MS: u64 = 4_000;
 /// Starts that one entry may have under way: at 2 Mbit/s it sends out that many in a quarter of a second.
@@ -31,6 +33,8 @@
     pub life: u64,
     /// Its data centre.
     pub centre: Arc<str>,
+    /// Its processor, in thousandths of a core.
+    pub processor: u64,
     /// Its steady clock when the offer was sent, in milliseconds.
     pub clock_ms: u64,
 }
@@ -84,12 +88,13 @@
         self.known.values().any(|known| known.has_room(now))
     }
 
-    /// The entry for starts on workers of a data centre: one beside them if there is one with room.
+    /// The entry for starts on workers of a data centre: one that will soon be through, and beside them if it
+    /// makes no difference.
     pub fn pick(&self, centre: &str, now: u64) -> Option<SocketAddr> {
         self.known
             .iter()
             .filter(|(_, known)| known.has_room(now))
-            .min_by_key(|(_, known)| (&*known.offer.centre != centre, known.under_way))
+            .min_by_key(|(_, known)| (known.load(), &*known.offer.centre != centre))
             .map(|(address, _)| *address)
     }
 
@@ -118,6 +123,13 @@
 }
 
 impl KnownExecutor {
+    /// Batches under way and the next one, against its processor: a start takes a millisecond or two of a core,
+    /// which on an eighth of one is a tenth of a second for a batch.
+    fn load(&self) -> u64 {
+        let batches = u64::try_from(self.under_way / BATCH_MAX + 1).unwrap_or(u64::MAX);
+        batches * 1_000 / self.offer.processor.max(1)
+    }
+
     fn is_heard(&self, now: u64) -> bool {
         now < self.heard_ms + OFFER_AGE_MAX_MS && now >= self.passed_over_until_ms
     }
--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -11,9 +11,9 @@
 //! has cost a time limit by then.
 
 /// Delay beyond the shortest one from which answers are taken to wait in a line, in microseconds: longer
-/// than a process on an eighth of a core is late by itself, short against the 450 ms for which a command
+/// than a busy process on half a core or less is late by itself, a third of the 450 ms for which a command
 /// is waited for.
-const LINE_US: u64 = 80_000;
+const LINE_US: u64 = 150_000;
 /// Part of the smoothed delay that one answer counts, as in RFC 6298.
 const DELAY_PART: u64 = 8;
 /// Commands that may be under way at the start, and least; each worker has one at a time. A window that
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -44,10 +44,6 @@
 const TICK_GAP: Duration = Duration::from_millis(6);
 /// Time for a start or stop to be answered.
 const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
-/// Time for which the answer to a renewal is read on after it was given up. A worker counts the exits
-/// that it has listed as known, whether anybody has read them; on a link that is choked they arrive
-/// seconds later, and a task whose end is on its way must not be started again.
-const LATE_PATIENCE: Duration = Duration::from_secs(4);
 /// Such answers of one worker that are waited for at a time.
 const LATE_READS_MAX: usize = 2;
 /// Time between two log lines about commands that wait, in milliseconds.
@@ -612,7 +608,7 @@
                     let sent_ms = self.node.now();
                     let workers = self.parts.workers.clone();
                     let mut answer =
-                        Box::pin(async move { workers.renew(&target, &call, LATE_PATIENCE).await });
+                        Box::pin(async move { workers.renew(&target, &call, patience).await });
                     let outcome = timeout(patience + call.wait, &mut answer).await;
                     self.node.metrics.renewals.inc();
                     let is_late = outcome.is_err();
--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -22,7 +22,7 @@
 use tokio::time::sleep;
 
 use crate::control::ControlLoop;
-use crate::decide::executor::{ExecutorOffer, ExecutorStamp};
+use crate::decide::executor::{BATCH_MAX, ExecutorOffer, ExecutorStamp};
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
@@ -43,8 +43,6 @@
 const OFFER_PATIENCE: Duration = Duration::from_millis(600);
 /// Time in which starts gather to a batch: a commit releases many at once, and each batch costs 0.3 KB.
 const GATHER: Duration = Duration::from_millis(6);
-/// Starts in one batch: the answer waits for the slowest.
-const BATCH_MAX: usize = 16;
 /// Time for a worker to answer a start of an executor.
 const START_PATIENCE: Duration = Duration::from_millis(450);
 /// Time for a batch to be answered.
@@ -306,6 +304,7 @@
                 address: self.node.settings.peer,
                 life: self.node.life,
                 centre: self.node.settings.centre.clone(),
+                processor: self.node.settings.processor,
                 clock_ms: self.node.now(),
             };
             let body = postcard::to_stdvec(&offer).unwrap_or_default();
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -288,9 +288,16 @@
     pub fence: u64,
 }
 
+/// Time for which the answer to a renewal is read on after it was given up. A worker counts the exits
+/// that it has listed as known, whether anybody has read them; on a link that is choked they arrive
+/// seconds later, and a task whose end is on its way must not be started again.
+pub const LATE_ANSWER: Duration = Duration::from_secs(4);
+
 /// The workers.
 pub trait WorkerClient: Clone + Send + Sync + 'static {
-    /// Renews leases and asks what runs.
+    /// Renews leases and asks what runs. After `patience` beyond the wait that was asked for the worker counts
+    /// as silent, and no other call may rest on what was open to it; the answer is still taken when it comes
+    /// within [`LATE_ANSWER`] more.
     fn renew(
         &self,
         target: &WorkerTarget,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -160,12 +160,17 @@
             Err(failure) => {
                 // The others may have gone silent together with this one; each would cost a
                 // whole time limit before it shows.
-                self.lock().remove(&address);
+                self.forget_idle(address);
                 Err(failure)
             }
         }
     }
 
+    /// Uses no connection to a peer again that is idle now.
+    pub fn forget_idle(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -203,6 +203,7 @@
         address,
         life: executor.life,
         centre: "regina-a".into(),
+        processor: 250,
         clock_ms: executor.now() + AHEAD_MS,
     };
     leader.executors().heard(offer, leader.now());
--- a/tests/executor_table.rs
+++ b/tests/executor_table.rs
@@ -10,7 +10,29 @@
 }
 
 fn offer(port: u16, centre: &str) -> ExecutorOffer {
-    ExecutorOffer { address: address(port), life: 7, centre: centre.into(), clock_ms: 50_000 }
+    ExecutorOffer {
+        address: address(port),
+        life: 7,
+        centre: centre.into(),
+        processor: 250,
+        clock_ms: 50_000,
+    }
+}
+
+/// A batch takes an entry on an eighth of a core a tenth of a second. One on half a core gets four before that.
+#[test]
+fn the_entry_that_will_be_through_first_comes_first() {
+    let mut table = ExecutorTable::default();
+    table.heard(ExecutorOffer { processor: 120, ..offer(1, "a") }, 1_000);
+    table.heard(ExecutorOffer { processor: 500, ..offer(2, "b") }, 1_000);
+    for _ in 0..2 {
+        assert_eq!(table.pick("a", 1_000), Some(address(2)));
+        assert!(table.begin(address(2), 16, 1_000).is_some());
+    }
+    table.end(address(2), 32, true, 1_000);
+    assert!(table.begin(address(2), 47, 1_000).is_some());
+    assert!(table.begin(address(2), 1, 1_000).is_some(), "it is full now");
+    assert_eq!(table.pick("a", 1_000), Some(address(1)));
 }
 
 /// A worker's start goes to an entry of its own data centre, and to another one only if none there has room.
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 
 /// Answers one request with `status` and `body`; gives back what it was sent, in lower case.
 async fn answer_once(status: &str, body: &str) -> (SocketAddr, JoinHandle<String>) {
@@ -190,3 +191,45 @@
     let _ = stream.read_to_end(&mut seen).await;
     assert!(seen.is_empty(), "{seen:?}");
 }
+
+/// Connections to a worker have gone silent without a reset. A renewal on one of them has no answer in its time: the
+/// others, which are as dead, are not used for the next call, though the first is listened to for a while longer.
+#[tokio::test]
+async fn a_renewal_without_an_answer_in_time_leaves_no_connection_in_use() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let workers = PlatformWorkers::new(HttpTransport::open());
+    let target = WorkerTarget { id: "w".into(), address };
+    let call = RenewCall { fence: 1, exits_through: 0, lease_until_ms: None, wait: Duration::ZERO };
+    let (first, second) = (workers.clone(), workers.clone());
+    let (one, two) = (target.clone(), target.clone());
+    // Two calls at a time leave two connections, of which each answers once.
+    let calls = tokio::spawn(async move {
+        tokio::join!(first.renew(&one, &call, PATIENCE), second.renew(&two, &call, PATIENCE))
+    });
+    let mut open = Vec::new();
+    for _ in 0..2 {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        let mut chunk = [0; 4_096];
+        let _ = stream.read(&mut chunk).await.expect("readable");
+        open.push(stream);
+    }
+    for stream in &mut open {
+        let body = r#"{"clock-ms":7}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(answer.as_bytes()).await.expect("writable");
+    }
+    let outcomes = calls.await.expect("answered");
+    assert!(matches!(outcomes.0, CommandOutcome::Done(_)), "{:?}", outcomes.0);
+    let (third, target_now) = (workers.clone(), target.clone());
+    let silent =
+        tokio::spawn(
+            async move { third.renew(&target_now, &call, Duration::from_millis(50)).await },
+        );
+    sleep(Duration::from_millis(400)).await;
+    let next = tokio::spawn(async move { workers.renew(&target, &call, PATIENCE).await });
+    // The next call comes on a connection of its own.
+    let accepted = timeout(PATIENCE, listener.accept()).await.expect("a new connection");
+    let (stream, _) = accepted.expect("a caller");
+    drop((stream, silent, next));
+}
