--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -91,6 +91,7 @@
             service: queue.service.clone(),
             accepted_ms: self.node.clock.wall_ms(),
             spec,
+            tasks_kept: 0,
         };
         let record = JobRecord::Submitted(job, Arc::new(submission));
         let bytes = record.encode().map_or(usize::MAX, |keyed| keyed.value.len());
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -316,13 +316,20 @@
     pub accepted_ms: u64,
     /// What it is; empty once the job is over.
     pub spec: JobSpec,
+    /// Tasks of a job that is over, for operators; 0 while the spec tells.
+    pub tasks_kept: usize,
 }
 
 impl JobSubmission {
     /// The same without its text and steps, for a job that is over.
     pub fn without_spec(&self) -> JobSubmission {
         let spec = JobSpec { payload: String::new(), steps: Vec::new(), schedule: None };
-        JobSubmission { spec, ..self.clone() }
+        JobSubmission { spec, tasks_kept: self.tasks(), ..self.clone() }
+    }
+
+    /// Tasks of one occurrence, also of a job that is over.
+    pub fn tasks(&self) -> usize {
+        if self.has_no_spec() { self.tasks_kept } else { self.spec.tasks() }
     }
 
     /// Whether it is what is kept of a job that is over: no caller's job has no step.
--- a/src/jobs/status.rs
+++ b/src/jobs/status.rs
@@ -114,7 +114,7 @@
         accepted_ms: submission.accepted_ms,
         ended_ms: progress.map_or(0, |told| told.ended_ms),
         term: progress.map_or(0, |told| told.term),
-        tasks: submission.spec.tasks(),
+        tasks: submission.tasks(),
         steps_done: progress.map_or(0, |told| told.steps_done.len()),
         failures,
         runs: live_runs(id, job),
--- a/tests/snapshots.rs
+++ b/tests/snapshots.rs
@@ -35,7 +35,9 @@
     }
     let entry = book.get(job_id(1)).expect("known");
     assert_eq!(entry.state(), Some(JobState::Completed));
-    assert!(entry.submission.as_ref().expect("kept").has_no_spec());
+    let submission = entry.submission.as_ref().expect("kept");
+    assert!(submission.has_no_spec());
+    assert_eq!(submission.tasks(), 1, "operators are still shown how many tasks it had");
 }
 
 /// A leader takes over from such a log. The job is over: nothing of it runs, also when a caller's repeat of the
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -536,5 +536,6 @@
         service: POOL.into(),
         accepted_ms: WALL_OFFSET_MS + START_MS,
         spec,
+        tasks_kept: 0,
     }
 }
