A busy process is no line: its own delay puts off no commit and no renewal

Commits and renewals with exits wait longer while answers stand in line; the busy leader's own delay, some tens of milliseconds, counted as such a line. And a line was never forgotten once executors had all starts.

Change: 60 ms of delay count as the process's own; a line that no answer tells of for 2 s is over.

Tests: tests/command_flow.rs, two.

--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -14,6 +14,12 @@
 /// than a busy process on half a core or less is late by itself, a third of the 450 ms for which a command
 /// is waited for.
 const LINE_US: u64 = 150_000;
+/// Delay beyond the shortest one that a busy process shows without any line, in microseconds: it is no reason to
+/// make commits and renewals fewer, which every step of a job waits for.
+const OWN_US: u64 = 60_000;
+/// Time after which the last answers say nothing of the line any more, in milliseconds: while other entries
+/// carry out all starts there are none.
+const LINE_AGE_MS: u64 = 2_000;
 /// Part of the smoothed delay that one answer counts, as in RFC 6298.
 const DELAY_PART: u64 = 8;
 /// Commands that may be under way at the start, and least; each worker has one at a time. A window that
@@ -44,6 +50,7 @@
     next_base_us: u64,
     base_since_ms: u64,
     cut_ms: u64,
+    learnt_ms: u64,
     /// Last ends, a bit each: set for one without an answer.
     unanswered: u16,
 }
@@ -58,6 +65,7 @@
             next_base_us: u64::MAX,
             base_since_ms: 0,
             cut_ms: 0,
+            learnt_ms: 0,
             unanswered: 0,
         }
     }
@@ -69,9 +77,13 @@
         usize::try_from(self.size_milli / MILLI).unwrap_or(usize::MAX)
     }
 
-    /// Time that answers wait in a line of ours, in milliseconds: the smoothed delay less the shortest.
-    pub fn line_ms(&self) -> u64 {
-        self.smoothed_us.saturating_sub(self.base_us) / 1_000
+    /// Time that answers wait in a line of ours, in milliseconds: the smoothed delay less the shortest, and less
+    /// what the process is late by itself.
+    pub fn line_ms(&self, now: u64) -> u64 {
+        if now >= self.learnt_ms + LINE_AGE_MS {
+            return 0;
+        }
+        self.smoothed_us.saturating_sub(self.base_us).saturating_sub(OWN_US) / 1_000
     }
 
     /// A command was answered after `delay_us` microseconds, or given up after that time. `is_full` tells
@@ -90,6 +102,7 @@
     }
 
     fn learn(&mut self, delay_us: u64, now: u64) {
+        self.learnt_ms = now;
         if now >= self.base_since_ms + BASE_AGE_MS {
             self.base_us = self.next_base_us;
             self.next_base_us = u64::MAX;
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -364,7 +364,7 @@
 
     /// Tells how commands get through.
     fn tell_flow(&self) {
-        let census = self.flow.census();
+        let census = self.flow.census(self.node.now());
         let window = i64::try_from(census.window).unwrap_or(i64::MAX);
         self.node.metrics.command_window.set(window);
         if census.waiting > 0 {
@@ -685,7 +685,7 @@
                 return;
             }
             // Changes of a job share a record: on a choked link a third of what goes out are records.
-            let line = Duration::from_millis(self.flow.census().line_ms);
+            let line = Duration::from_millis(self.flow.census(self.node.now()).line_ms);
             sleep(COMMIT_GAP + line.min(COMMIT_GAP_MAX)).await;
         }
     }
--- a/src/jobs/flow.rs
+++ b/src/jobs/flow.rs
@@ -111,18 +111,18 @@
         let a_line = (state.rate * LINE_MS / RATE_MS).max(LINE_MIN);
         FlowPace {
             starts_max: is_full.then(|| usize::try_from(a_line).unwrap_or(usize::MAX)),
-            line_ms: state.window.line_ms(),
+            line_ms: state.window.line_ms(now),
         }
     }
 
     /// Where commands stand.
-    pub fn census(&self) -> FlowCensus {
+    pub fn census(&self, now: u64) -> FlowCensus {
         let state = self.state();
         FlowCensus {
             window: state.window.size(),
             under_way: state.under_way,
             waiting: state.waiting,
-            line_ms: state.window.line_ms(),
+            line_ms: state.window.line_ms(now),
             ended: state.rate,
         }
     }
--- a/tests/command_flow.rs
+++ b/tests/command_flow.rs
@@ -58,6 +58,35 @@
     assert!(window.size() * 4 < before, "{}", window.size());
 }
 
+/// A busy leader answers its own timers some tens of milliseconds late. That is no line: commits and renewals, which
+/// every step of a job waits for, must not be put off for it. A line of a fifth of a second is one.
+#[test]
+fn a_busy_process_is_no_line() {
+    let mut window = CommandWindow::default();
+    window.ended(4_000, true, false, 1_000);
+    for n in 0..100 {
+        window.ended(50_000, true, false, 1_000 + n);
+    }
+    assert_eq!(window.line_ms(1_100), 0);
+    for n in 0..100 {
+        window.ended(200_000, true, false, 1_100 + n);
+    }
+    assert!((80..=200).contains(&window.line_ms(1_200)), "{}", window.line_ms(1_200));
+}
+
+/// The line was long when other entries took over all starts. No answer tells since how it is: what was put off
+/// because of it must not stay so.
+#[test]
+fn a_line_that_nothing_tells_of_is_forgotten() {
+    let mut window = CommandWindow::default();
+    window.ended(4_000, true, false, 1_000);
+    for n in 0..100 {
+        window.ended(300_000, true, false, 1_000 + n);
+    }
+    assert!(window.line_ms(1_100) > 0);
+    assert_eq!(window.line_ms(4_000), 0);
+}
+
 /// A link that has carried 5,000 starts a second carries 250 from one moment to the next, in a burst. Each start
 /// is answered when all before it have gone through. Sent all at once the last would be answered after 8 s,
 /// long after it was given up; held back, none waits on the link for longer than it is waited for, once what
