Lanes of their own module; stops do not wait behind starts

Cause, found by reading: a worker's stops stood behind its starts, each waited for by 450 ms, or for the window: with a window of four and a hundred workers' starts in line, eleven seconds (reckoned). A cancelled job's tasks would run on for longer than their time.

Change: conductor.rs (723 lines) gives its lanes to src/jobs/lanes.rs, and a lane has a queue for starts beside one for the rest. The tests' silent workers, nodes and leaders, which stood three and four times, are in tests/support/outside.rs once.

Tests: tests/lanes.rs; with one queue the first stop comes after 450 ms and the test fails.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -1,10 +1,8 @@
 //! Runs the scheduler against the outside while this entry leads.
 //!
-//! One task drives the scheduler and hands out what it decides; each worker has a lane for its
-//! commands, one at a time and in order, and a task that renews its leases; one task commits to the
-//! log. All end together when the leadership does.
+//! One task drives the scheduler and hands out what it decides, to the workers by their lanes
+//! (`lanes.rs`); one task commits to the log. All end together when the leadership does.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,44 +13,30 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::decide::leadership::LeaderTrace;
-use crate::decide::window::ByteBudget;
-use crate::jobs::delegate::{StartDelegate, StartOrder};
-use crate::jobs::flow::{CommandFlow, FlowPermit};
+use crate::jobs::delegate::StartDelegate;
 use crate::jobs::follower::{TailReader, TailStep, fold_step};
+use crate::jobs::lanes::{LaneCommand, WorkerLanes};
 use crate::jobs::metrics::count;
-use crate::jobs::model::TaskKey;
 use crate::jobs::node::JobNode;
 use crate::jobs::notes;
 use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{
-    AppendCall, AppendOutcome, CommandOutcome, JobLog, LogTopic, PermitClient, RenewCall, RunCall,
-    StartCall, VmClient, VmStamp, WorkerClient, WorkerReport, WorkerTarget, WriterStamp,
-    start_word,
+    AppendCall, AppendOutcome, JobLog, LogTopic, PermitClient, VmClient, VmStamp, WorkerClient,
+    WriterStamp,
 };
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
 use crate::jobs::wave_teller::WaveTeller;
 use crate::scheduler::commit::CommitBatch;
-use crate::scheduler::exits::RenewPlan;
 use crate::scheduler::fleet::list_rest_ms;
-use crate::scheduler::runs::RunCommand;
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerCensus, SchedulerStart};
 
 /// Longest time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
 /// Pause between two ticks, in which facts gather: jobs and exits come in bursts.
 const TICK_GAP: Duration = Duration::from_millis(6);
-/// Time for a start or stop to be answered.
-const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
-/// Such answers of one worker that are waited for at a time.
-const LATE_READS_MAX: usize = 2;
 /// Time between two log lines about commands that wait, in milliseconds.
 const FLOW_GAP_MS: u64 = 500;
-/// Part of our link that starts may take while other entries can carry them out: renewals and the log need
-/// the rest.
-const DIRECT_LINK_PART: u64 = 8;
-/// Bytes of a start beside its job's text, on the wire.
-const START_BYTES: usize = 400;
 /// Pause between two appends: exits of a burst come a few milliseconds apart, and each append is paid
 /// for. Short against the shortest task.
 const COMMIT_GAP: Duration = Duration::from_millis(8);
@@ -112,18 +96,14 @@
     {
         let (teller, statuses) =
             WaveTeller::open(parts.log.clone(), parts.wave_encoder, node.logger.clone(), term);
-        let (delegate, orders) = StartDelegate::open(node.clone());
-        let direct_bytes = Mutex::new(ByteBudget::open(node.settings.link / DIRECT_LINK_PART));
+        let (lanes, delegate) = WorkerLanes::open(node.clone(), parts.workers.clone());
         let run = LeaderRun {
             node,
-            direct_bytes,
-            orders,
             parts,
             term,
             sequence: Mutex::new(0),
             patience: Mutex::new(PatienceGauge::new(APPEND_PATIENCE)),
-            lanes: Mutex::new(HashMap::new()),
-            flow: CommandFlow::default(),
+            lanes,
             commit_wake: Notify::new(),
             statuses,
             vm_commands: Arc::default(),
@@ -149,39 +129,13 @@
     }
 }
 
-/// A command in a worker's lane.
-enum LaneCommand {
-    /// What this run needs when its turn has come.
-    Run(TaskKey, u32),
-    Stop(RunCall),
-    Throttle(RunCall, u32),
-}
-
-/// Which way a start goes.
-enum StartRoute<'a> {
-    Direct(FlowPermit<'a>),
-    Delegated,
-}
-
-/// What a worker's tasks are reached by.
-#[derive(Clone)]
-struct WorkerLane {
-    wake: Arc<Notify>,
-    commands: mpsc::UnboundedSender<LaneCommand>,
-}
-
 struct LeaderRun<L, W, V, P> {
     node: Arc<JobNode>,
     parts: ConductorParts<L, W, V, P>,
     term: u64,
     sequence: Mutex<u64>,
     patience: Mutex<PatienceGauge>,
-    lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
-    flow: CommandFlow,
-    /// Bytes of starts that we send ourselves while there are executors.
-    direct_bytes: Mutex<ByteBudget>,
-    /// Starts for executors.
-    orders: mpsc::UnboundedSender<StartOrder>,
+    lanes: Arc<WorkerLanes<W>>,
     commit_wake: Notify,
     statuses: mpsc::UnboundedSender<(u64, bool)>,
     /// Commands to VMs that were not answered yet.
@@ -364,7 +318,7 @@
 
     /// Tells how commands get through.
     fn tell_flow(&self) {
-        let census = self.flow.census(self.node.now());
+        let census = self.lanes.flow().census(self.node.now());
         let window = i64::try_from(census.window).unwrap_or(i64::MAX);
         self.node.metrics.command_window.set(window);
         if census.waiting > 0 {
@@ -379,7 +333,7 @@
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
-            let pace = self.flow.pace(now);
+            let pace = self.lanes.flow().pace(now);
             if now >= told_ms + FLOW_GAP_MS {
                 told_ms = now;
                 self.tell_flow();
@@ -408,22 +362,16 @@
     fn carry_out(self: &Arc<Self>, action: SchedulerAction, tasks: &mut JoinSet<()>) {
         match action {
             SchedulerAction::Send(target, task, run) => {
-                self.send(&target, LaneCommand::Run(task, run), tasks);
+                self.lanes.send(&target, LaneCommand::Run(task, run), tasks);
             }
             SchedulerAction::Stop(target, call) => {
-                self.send(&target, LaneCommand::Stop(call), tasks);
+                self.lanes.send(&target, LaneCommand::Stop(call), tasks);
             }
             SchedulerAction::Throttle(target, call, percent) => {
-                self.send(&target, LaneCommand::Throttle(call, percent), tasks);
-            }
-            SchedulerAction::Watch(target) => {
-                self.lane(&target, tasks).wake.notify_one();
-            }
-            SchedulerAction::Wake(worker) => {
-                if let Some(lane) = self.lanes().get(&worker) {
-                    lane.wake.notify_one();
-                }
+                self.lanes.send(&target, LaneCommand::Throttle(call, percent), tasks);
             }
+            SchedulerAction::Watch(target) => self.lanes.watch(&target, tasks),
+            SchedulerAction::Wake(worker) => self.lanes.wake(&worker),
             SchedulerAction::ListVms => {
                 tasks.spawn(self.clone().list_vms());
             }
@@ -463,191 +411,6 @@
         }
     }
 
-    fn lanes(&self) -> MutexGuard<'_, HashMap<Arc<str>, WorkerLane>> {
-        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// The lane of a worker; its tasks are started with it.
-    fn lane(self: &Arc<Self>, target: &WorkerTarget, tasks: &mut JoinSet<()>) -> WorkerLane {
-        let mut lanes = self.lanes();
-        if let Some(lane) = lanes.get(&target.id) {
-            return lane.clone();
-        }
-        let (commands, receiver) = mpsc::unbounded_channel();
-        let lane = WorkerLane { wake: Arc::new(Notify::new()), commands };
-        lanes.insert(target.id.clone(), lane.clone());
-        tasks.spawn(self.clone().renew(target.id.clone(), lane.wake.clone()));
-        tasks.spawn(self.clone().command(target.clone(), receiver));
-        lane
-    }
-
-    fn send(
-        self: &Arc<Self>,
-        target: &WorkerTarget,
-        command: LaneCommand,
-        tasks: &mut JoinSet<()>,
-    ) {
-        // The lane ends only with its worker, whose runs are then over.
-        let _ = self.lane(target, tasks).commands.send(command);
-    }
-
-    /// Sends a worker's commands one after the other.
-    async fn command(
-        self: Arc<Self>,
-        target: WorkerTarget,
-        mut commands: mpsc::UnboundedReceiver<LaneCommand>,
-    ) {
-        while let Some(command) = commands.recv().await {
-            self.send_command(&target, command).await;
-            self.node.wake.notify_one();
-        }
-    }
-
-    async fn send_command(&self, target: &WorkerTarget, command: LaneCommand) {
-        match command {
-            LaneCommand::Run(task, run) => self.send_run(target, &task, run).await,
-            LaneCommand::Stop(call) => self.send_stop(target, &call).await,
-            LaneCommand::Throttle(call, percent) => {
-                let workers = &self.parts.workers;
-                let outcome = workers.throttle(target, &call, percent, COMMAND_PATIENCE).await;
-                let is_done = matches!(outcome, CommandOutcome::Done(_));
-                self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
-            }
-        }
-    }
-
-    /// Sends what a run needs: a stop at once; a start when there is room for it, here or at an executor, and
-    /// if it is still wanted then.
-    async fn send_run(&self, target: &WorkerTarget, task: &TaskKey, run: u32) {
-        let command = || {
-            let now = self.node.now();
-            self.node.with_scheduler(|scheduler| scheduler.command(task, run, now)).flatten()
-        };
-        let is_start = self.node.with_scheduler(|scheduler| scheduler.is_starting(task, run));
-        let route = match is_start {
-            Some(true) => Some(self.start_route().await),
-            Some(false) => None,
-            None => return,
-        };
-        match (command(), route) {
-            (Some(RunCommand::Start(call)), Some(StartRoute::Direct(permit))) => {
-                self.direct_bytes().charge(call.payload.len() + START_BYTES);
-                let is_answered = self.send_start(target, &call).await;
-                permit.end(is_answered, self.node.now());
-            }
-            (Some(RunCommand::Start(call)), Some(StartRoute::Delegated)) => {
-                self.delegate(target, call);
-            }
-            (Some(RunCommand::Stop(call)), route) => {
-                drop(route);
-                self.send_stop(target, &call).await;
-            }
-            // A run that was not to be started a moment ago never is again.
-            (Some(RunCommand::Start(_)), None) | (None, _) => {}
-        }
-    }
-
-    /// Which way the next start goes: from here while our link and the window have room to spare, else
-    /// through an executor; without one it waits for the window.
-    async fn start_route(&self) -> StartRoute<'_> {
-        let now = self.node.now();
-        if !self.node.executors().has_room(now) {
-            return StartRoute::Direct(self.flow.enter(|| self.node.now()).await);
-        }
-        let has_bytes = self.direct_bytes().has_room(now);
-        match self.flow.try_enter().filter(|_| has_bytes) {
-            Some(permit) => StartRoute::Direct(permit),
-            None => StartRoute::Delegated,
-        }
-    }
-
-    fn delegate(&self, target: &WorkerTarget, call: StartCall) {
-        let centre = self.node.with_scheduler(|scheduler| scheduler.centre_of(&target.id));
-        let centre = centre.flatten().unwrap_or_default();
-        // It runs as long as this leadership.
-        let _ = self.orders.send(StartOrder { target: target.clone(), centre, call });
-    }
-
-    fn direct_bytes(&self) -> MutexGuard<'_, ByteBudget> {
-        self.direct_bytes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Sends a start; returns whether it was answered.
-    async fn send_start(&self, target: &WorkerTarget, call: &StartCall) -> bool {
-        let outcome = self.parts.workers.start(target, call, COMMAND_PATIENCE).await;
-        count(&self.node.metrics.starts, start_word(&outcome));
-        let now = self.node.now();
-        self.node.with_scheduler(|scheduler| {
-            scheduler.started(&target.id, &call.task, call.run, &outcome, now);
-        });
-        outcome != CommandOutcome::Unknown
-    }
-
-    async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
-        let outcome = self.parts.workers.stop(target, call, COMMAND_PATIENCE).await;
-        let now = self.node.now();
-        self.node.with_scheduler(|scheduler| {
-            scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
-        });
-    }
-
-    /// Renews a worker's leases until its life is over.
-    async fn renew(self: Arc<Self>, id: Arc<str>, wake: Arc<Notify>) {
-        // Answers that are read on after their time end with this task.
-        let mut late = JoinSet::new();
-        loop {
-            let now = self.node.now();
-            let plan = self.node.with_scheduler(|scheduler| scheduler.renew_plan(&id, now));
-            match plan {
-                None | Some(RenewPlan::Leave) => break,
-                Some(RenewPlan::Wait(wait)) => {
-                    // Either ends the wait.
-                    let _ = timeout(wait, wake.notified()).await;
-                }
-                Some(RenewPlan::Call(target, call, patience)) => {
-                    let sent_ms = self.node.now();
-                    let workers = self.parts.workers.clone();
-                    let mut answer =
-                        Box::pin(async move { workers.renew(&target, &call, patience).await });
-                    let outcome = timeout(patience + call.wait, &mut answer).await;
-                    self.node.metrics.renewals.inc();
-                    let is_late = outcome.is_err();
-                    let outcome = outcome.unwrap_or(CommandOutcome::Unknown);
-                    let now = self.node.now();
-                    self.node.with_scheduler(|scheduler| {
-                        scheduler.renewed(&id, &call, outcome, sent_ms, now);
-                    });
-                    self.node.wake.notify_one();
-                    while late.try_join_next().is_some() {}
-                    if is_late && late.len() < LATE_READS_MAX {
-                        let (run, id) = (self.clone(), id.clone());
-                        late.spawn(async move {
-                            run.read_late(&id, &call, answer.await, sent_ms);
-                        });
-                    }
-                }
-            }
-        }
-        self.lanes().remove(&id);
-    }
-
-    /// Takes in an answer that came after its time.
-    fn read_late(
-        &self,
-        id: &Arc<str>,
-        call: &RenewCall,
-        outcome: CommandOutcome<WorkerReport>,
-        sent_ms: u64,
-    ) {
-        let CommandOutcome::Done(report) = outcome else { return };
-        self.node.metrics.late_answers.inc();
-        let now = self.node.now();
-        self.node.with_scheduler(|scheduler| {
-            scheduler.answered_late(id, call, report, sent_ms, now);
-        });
-        self.node.wake.notify_one();
-    }
-
     fn may_command_vms(&self) -> bool {
         let now = self.node.now();
         let may = self.node.with_scheduler(|scheduler| scheduler.may_command_vms(now));
@@ -685,7 +448,7 @@
                 return;
             }
             // Changes of a job share a record: on a choked link a third of what goes out are records.
-            let line = Duration::from_millis(self.flow.census(self.node.now()).line_ms);
+            let line = Duration::from_millis(self.lanes.flow().census(self.node.now()).line_ms);
             sleep(COMMIT_GAP + line.min(COMMIT_GAP_MAX)).await;
         }
     }
--- /dev/null
+++ b/src/jobs/lanes.rs
@@ -0,0 +1,314 @@
+//! The way of commands and renewals to each worker.
+//!
+//! A worker has three tasks: one renews its leases, one sends its stops and throttles, one its starts, each one
+//! after the other. Starts may wait for the window or for a worker that does not answer; a stop behind them would
+//! come too late for the job that was cancelled. A stop may overtake the start of its run: the worker refuses a run
+//! that it was told to stop.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, mpsc};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::decide::window::ByteBudget;
+use crate::jobs::delegate::{StartDelegate, StartOrder};
+use crate::jobs::flow::{CommandFlow, FlowPermit};
+use crate::jobs::metrics::count;
+use crate::jobs::model::TaskKey;
+use crate::jobs::node::JobNode;
+use crate::jobs::ports::{
+    CommandOutcome, RenewCall, RunCall, StartCall, WorkerClient, WorkerReport, WorkerTarget,
+    start_word,
+};
+use crate::scheduler::exits::RenewPlan;
+use crate::scheduler::runs::RunCommand;
+
+/// Time for a start or stop to be answered.
+const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
+/// Answers of one worker that are read on at a time after they were given up.
+const LATE_READS_MAX: usize = 2;
+/// Part of our link that starts may take while other entries can carry them out: renewals and the log need
+/// the rest.
+const DIRECT_LINK_PART: u64 = 8;
+/// Bytes of a start beside its job's text, on the wire.
+const START_BYTES: usize = 400;
+
+/// A command in a worker's lane.
+#[derive(Clone, Copy, Debug)]
+pub enum LaneCommand {
+    /// What this run needs when its turn has come.
+    Run(TaskKey, u32),
+    /// Stop a run that is on no book.
+    Stop(RunCall),
+    /// Let a run work at a share of its speed, in percent.
+    Throttle(RunCall, u32),
+}
+
+/// Which way a start goes.
+enum StartRoute<'a> {
+    Direct(FlowPermit<'a>),
+    Delegated,
+}
+
+/// What a worker's tasks are reached by.
+#[derive(Clone)]
+struct WorkerLane {
+    wake: Arc<Notify>,
+    commands: mpsc::UnboundedSender<LaneCommand>,
+    starts: mpsc::UnboundedSender<(TaskKey, u32)>,
+}
+
+/// The lanes of all workers.
+pub struct WorkerLanes<W> {
+    node: Arc<JobNode>,
+    workers: W,
+    lanes: Mutex<HashMap<Arc<str>, WorkerLane>>,
+    flow: CommandFlow,
+    /// Bytes of starts that we send ourselves while there are executors.
+    direct_bytes: Mutex<ByteBudget>,
+    /// Starts for executors.
+    orders: mpsc::UnboundedSender<StartOrder>,
+}
+
+impl<W: WorkerClient> WorkerLanes<W> {
+    /// No lane yet, and what hands starts to executors, to be run beside them.
+    pub fn open(node: Arc<JobNode>, workers: W) -> (Arc<WorkerLanes<W>>, StartDelegate) {
+        let (delegate, orders) = StartDelegate::open(node.clone());
+        let direct_bytes = Mutex::new(ByteBudget::open(node.settings.link / DIRECT_LINK_PART));
+        let lanes = WorkerLanes {
+            node,
+            workers,
+            lanes: Mutex::new(HashMap::new()),
+            flow: CommandFlow::default(),
+            direct_bytes,
+            orders,
+        };
+        (Arc::new(lanes), delegate)
+    }
+
+    /// How commands get through.
+    pub fn flow(&self) -> &CommandFlow {
+        &self.flow
+    }
+
+    /// Keeps renewing the leases of a worker, in `tasks`.
+    pub fn watch(self: &Arc<Self>, target: &WorkerTarget, tasks: &mut JoinSet<()>) {
+        self.lane(target, tasks).wake.notify_one();
+    }
+
+    /// Renews the leases of a worker at once.
+    pub fn wake(&self, worker: &str) {
+        if let Some(lane) = self.lock().get(worker) {
+            lane.wake.notify_one();
+        }
+    }
+
+    /// Hands a command to the lane of a worker, whose tasks are in `tasks`.
+    pub fn send(
+        self: &Arc<Self>,
+        target: &WorkerTarget,
+        command: LaneCommand,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let lane = self.lane(target, tasks);
+        // The lane ends only with its worker, whose runs are then over.
+        let _ = match command {
+            LaneCommand::Run(task, run) if self.is_starting(&task, run) => {
+                lane.starts.send((task, run)).is_ok()
+            }
+            command => lane.commands.send(command).is_ok(),
+        };
+    }
+
+    fn is_starting(&self, task: &TaskKey, run: u32) -> bool {
+        let is_starting = self.node.with_scheduler(|scheduler| scheduler.is_starting(task, run));
+        is_starting.unwrap_or(false)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, WorkerLane>> {
+        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The lane of a worker; its tasks are started with it.
+    fn lane(self: &Arc<Self>, target: &WorkerTarget, tasks: &mut JoinSet<()>) -> WorkerLane {
+        let mut lanes = self.lock();
+        if let Some(lane) = lanes.get(&target.id) {
+            return lane.clone();
+        }
+        let (commands, other) = mpsc::unbounded_channel();
+        let (starts, starting) = mpsc::unbounded_channel();
+        let lane = WorkerLane { wake: Arc::new(Notify::new()), commands, starts };
+        lanes.insert(target.id.clone(), lane.clone());
+        tasks.spawn(self.clone().renew(target.id.clone(), lane.wake.clone()));
+        tasks.spawn(self.clone().send_commands(target.clone(), other));
+        tasks.spawn(self.clone().send_starts(target.clone(), starting));
+        lane
+    }
+
+    /// Sends a worker's stops and throttles one after the other.
+    async fn send_commands(
+        self: Arc<Self>,
+        target: WorkerTarget,
+        mut commands: mpsc::UnboundedReceiver<LaneCommand>,
+    ) {
+        while let Some(command) = commands.recv().await {
+            match command {
+                LaneCommand::Run(task, run) => {
+                    if let Some(RunCommand::Stop(call)) = self.command(&task, run) {
+                        self.send_stop(&target, &call).await;
+                    }
+                }
+                LaneCommand::Stop(call) => self.send_stop(&target, &call).await,
+                LaneCommand::Throttle(call, percent) => {
+                    let outcome =
+                        self.workers.throttle(&target, &call, percent, COMMAND_PATIENCE).await;
+                    let is_done = matches!(outcome, CommandOutcome::Done(_));
+                    self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
+                }
+            }
+            self.node.wake.notify_one();
+        }
+    }
+
+    /// Sends a worker's starts one after the other, here or through an executor.
+    async fn send_starts(
+        self: Arc<Self>,
+        target: WorkerTarget,
+        mut starts: mpsc::UnboundedReceiver<(TaskKey, u32)>,
+    ) {
+        while let Some((task, run)) = starts.recv().await {
+            if self.is_starting(&task, run) {
+                self.send_run(&target, &task, run).await;
+                self.node.wake.notify_one();
+            }
+        }
+    }
+
+    /// What a run needs now.
+    fn command(&self, task: &TaskKey, run: u32) -> Option<RunCommand> {
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| scheduler.command(task, run, now)).flatten()
+    }
+
+    /// Sends a start when there is room for it, if it is still wanted then.
+    async fn send_run(&self, target: &WorkerTarget, task: &TaskKey, run: u32) {
+        let route = self.start_route().await;
+        match (self.command(task, run), route) {
+            (Some(RunCommand::Start(call)), StartRoute::Direct(permit)) => {
+                self.direct_bytes().charge(call.payload.len() + START_BYTES);
+                let is_answered = self.send_start(target, &call).await;
+                permit.end(is_answered, self.node.now());
+            }
+            (Some(RunCommand::Start(call)), StartRoute::Delegated) => self.delegate(target, call),
+            (Some(RunCommand::Stop(call)), route) => {
+                drop(route);
+                self.send_stop(target, &call).await;
+            }
+            (None, _) => {}
+        }
+    }
+
+    /// Which way the next start goes: from here while our link and the window have room to spare, else
+    /// through an executor; without one it waits for the window.
+    async fn start_route(&self) -> StartRoute<'_> {
+        let now = self.node.now();
+        if !self.node.executors().has_room(now) {
+            return StartRoute::Direct(self.flow.enter(|| self.node.now()).await);
+        }
+        let has_bytes = self.direct_bytes().has_room(now);
+        match self.flow.try_enter().filter(|_| has_bytes) {
+            Some(permit) => StartRoute::Direct(permit),
+            None => StartRoute::Delegated,
+        }
+    }
+
+    fn delegate(&self, target: &WorkerTarget, call: StartCall) {
+        let centre = self.node.with_scheduler(|scheduler| scheduler.centre_of(&target.id));
+        let centre = centre.flatten().unwrap_or_default();
+        // It runs as long as this leadership.
+        let _ = self.orders.send(StartOrder { target: target.clone(), centre, call });
+    }
+
+    fn direct_bytes(&self) -> MutexGuard<'_, ByteBudget> {
+        self.direct_bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a start; returns whether it was answered.
+    async fn send_start(&self, target: &WorkerTarget, call: &StartCall) -> bool {
+        let outcome = self.workers.start(target, call, COMMAND_PATIENCE).await;
+        count(&self.node.metrics.starts, start_word(&outcome));
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| {
+            scheduler.started(&target.id, &call.task, call.run, &outcome, now);
+        });
+        outcome != CommandOutcome::Unknown
+    }
+
+    async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
+        let outcome = self.workers.stop(target, call, COMMAND_PATIENCE).await;
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| {
+            scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
+        });
+    }
+
+    /// Renews a worker's leases until its life is over.
+    async fn renew(self: Arc<Self>, id: Arc<str>, wake: Arc<Notify>) {
+        // Answers that are read on after their time end with this task.
+        let mut late = JoinSet::new();
+        loop {
+            let now = self.node.now();
+            let plan = self.node.with_scheduler(|scheduler| scheduler.renew_plan(&id, now));
+            match plan {
+                None | Some(RenewPlan::Leave) => break,
+                Some(RenewPlan::Wait(wait)) => {
+                    // Either ends the wait.
+                    let _ = timeout(wait, wake.notified()).await;
+                }
+                Some(RenewPlan::Call(target, call, patience)) => {
+                    let sent_ms = self.node.now();
+                    let workers = self.workers.clone();
+                    let mut answer =
+                        Box::pin(async move { workers.renew(&target, &call, patience).await });
+                    let outcome = timeout(patience + call.wait, &mut answer).await;
+                    self.node.metrics.renewals.inc();
+                    let is_late = outcome.is_err();
+                    let outcome = outcome.unwrap_or(CommandOutcome::Unknown);
+                    let now = self.node.now();
+                    self.node.with_scheduler(|scheduler| {
+                        scheduler.renewed(&id, &call, outcome, sent_ms, now);
+                    });
+                    self.node.wake.notify_one();
+                    while late.try_join_next().is_some() {}
+                    if is_late && late.len() < LATE_READS_MAX {
+                        let (lanes, id) = (self.clone(), id.clone());
+                        late.spawn(async move {
+                            lanes.read_late(&id, &call, answer.await, sent_ms);
+                        });
+                    }
+                }
+            }
+        }
+        self.lock().remove(&id);
+    }
+
+    /// Takes in an answer that came after its time.
+    fn read_late(
+        &self,
+        id: &Arc<str>,
+        call: &RenewCall,
+        outcome: CommandOutcome<WorkerReport>,
+        sent_ms: u64,
+    ) {
+        let CommandOutcome::Done(report) = outcome else { return };
+        self.node.metrics.late_answers.inc();
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| {
+            scheduler.answered_late(id, call, report, sent_ms, now);
+        });
+        self.node.wake.notify_one();
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod flow;
 pub mod follower;
+pub mod lanes;
 pub mod leadership;
 pub mod metrics;
 pub mod model;
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -13,12 +13,12 @@
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::patience::PatienceGauge;
 use ibisweir::jobs::ports::{
-    AppendCall, AppendOutcome, CommandOutcome, JobLog, LogBatch, LogTopic, NewestPage,
-    PermitClient, PermitGrant, ReadOutcome, RenewCall, RunCall, StartCall, VmClient, VmCommand,
-    VmOutcome, VmStamp, WorkerClient, WorkerReport, WorkerTarget,
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, PermitClient, PermitGrant,
+    ReadOutcome, VmClient, VmCommand, VmOutcome, VmStamp,
 };
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::jobs::site::VmEntry;
+use support::outside::{AnswerMode, NotedWorkers};
 use support::stage::{config, site_settings};
 use tokio::time::{Instant, sleep};
 
@@ -104,39 +104,10 @@
     }
 }
 
-/// Workers, VMs and a policy service that nobody reaches.
+/// VMs and a policy service that nobody reaches.
 #[derive(Clone)]
 struct Nobody;
 
-impl WorkerClient for Nobody {
-    async fn renew(
-        &self,
-        _: &WorkerTarget,
-        _: &RenewCall,
-        _: Duration,
-    ) -> CommandOutcome<WorkerReport> {
-        CommandOutcome::Unknown
-    }
-
-    async fn start(&self, _: &WorkerTarget, _: &StartCall, _: Duration) -> CommandOutcome<u64> {
-        CommandOutcome::Unknown
-    }
-
-    async fn stop(&self, _: &WorkerTarget, _: &RunCall, _: Duration) -> CommandOutcome<u64> {
-        CommandOutcome::Unknown
-    }
-
-    async fn throttle(
-        &self,
-        _: &WorkerTarget,
-        _: &RunCall,
-        _: u32,
-        _: Duration,
-    ) -> CommandOutcome<u64> {
-        CommandOutcome::Unknown
-    }
-}
-
 impl VmClient for Nobody {
     async fn list(&self) -> Option<Vec<VmEntry>> {
         None
@@ -153,14 +124,14 @@
     }
 }
 
-fn leadership(log: LossyLog) -> LeadershipLoop<LossyLog, Nobody, Nobody, Nobody> {
+fn leadership(log: LossyLog) -> LeadershipLoop<LossyLog, NotedWorkers, Nobody, Nobody> {
     let logger = ibisweir::logging::silent();
     let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
     node.set_config(config());
     node.set_loaded();
     let parts = ConductorParts {
         log,
-        workers: Nobody,
+        workers: NotedWorkers::new(AnswerMode::Silent),
         vms: Nobody,
         permits: Nobody,
         worker_decoder: |_| None,
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -3,84 +3,28 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use ibisweir::decide::executor::{ExecutorOffer, ExecutorStamp};
-use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::delegate::{
     DelegatedOutcome, DelegatedStart, StartBatch, StartDelegate, StartOrder, carry_out,
 };
 use ibisweir::jobs::node::JobNode;
-use ibisweir::jobs::ports::{
-    CommandOutcome, CommandRefusal, RenewCall, RunCall, StartCall, WorkerClient, WorkerReport,
-    WorkerTarget,
-};
+use ibisweir::jobs::ports::{CommandOutcome, RenewCall, WorkerReport};
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay;
-use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
+use ibisweir::scheduler::runs::RunCommand;
+use ibisweir::scheduler::{Scheduler, SchedulerAction};
 use support::PATIENCE;
-use support::stage::{
-    WALL_OFFSET_MS, bounds, config, job, job_id, site_settings, step, submission, task, worker,
-};
+use support::outside::{AnswerMode, NotedWorkers, lead, silent_node};
+use support::stage::{WALL_OFFSET_MS, job, job_id, step, submission, task, worker};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-/// Workers that note what they are told to start.
-#[derive(Clone, Default)]
-struct NotedWorkers {
-    starts: Arc<Mutex<Vec<StartCall>>>,
-    is_refusing: bool,
-    is_silent: bool,
-}
-
-impl NotedWorkers {
-    fn count(&self) -> usize {
-        self.starts.lock().expect("no test thread panics").len()
-    }
-}
-
-impl WorkerClient for NotedWorkers {
-    async fn renew(
-        &self,
-        _: &WorkerTarget,
-        _: &RenewCall,
-        _: Duration,
-    ) -> CommandOutcome<WorkerReport> {
-        CommandOutcome::Unknown
-    }
-
-    async fn start(&self, _: &WorkerTarget, call: &StartCall, _: Duration) -> CommandOutcome<u64> {
-        self.starts.lock().expect("no test thread panics").push(call.clone());
-        match (self.is_silent, self.is_refusing) {
-            (true, _) => CommandOutcome::Unknown,
-            (false, true) => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
-            (false, false) => CommandOutcome::Done(40),
-        }
-    }
-
-    async fn stop(&self, _: &WorkerTarget, _: &RunCall, _: Duration) -> CommandOutcome<u64> {
-        CommandOutcome::Unknown
-    }
-
-    async fn throttle(
-        &self,
-        _: &WorkerTarget,
-        _: &RunCall,
-        _: u32,
-        _: Duration,
-    ) -> CommandOutcome<u64> {
-        CommandOutcome::Unknown
-    }
-}
-
-fn node() -> Arc<JobNode> {
-    Arc::new(JobNode::new(site_settings(), Arc::default(), ibisweir::logging::silent()))
-}
-
 /// An entry that has read job 1 from the log.
 fn executor() -> Arc<JobNode> {
-    let node = node();
+    let node = silent_node();
     let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(4)]))));
     node.fold(&[(0, record)]);
     node
@@ -114,7 +58,7 @@
     let body = batch(&node, vec![start(1, 0), start(1, 1)]);
     let outcomes = carry_out(&node, &workers, &body).await;
     assert_eq!(outcomes, Some(vec![DelegatedOutcome::Done(40); 2]));
-    let starts = workers.starts.lock().expect("no test thread panics");
+    let starts = workers.starts();
     assert!(starts.iter().all(|call| &*call.payload == "text" && call.fence == 1_024));
 }
 
@@ -126,7 +70,7 @@
     let body = batch(&node, vec![start(2, 0), start(1, 0)]);
     let outcomes = carry_out(&node, &workers, &body).await;
     assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent, DelegatedOutcome::Done(40)]));
-    assert_eq!(workers.count(), 1);
+    assert_eq!(workers.starts().len(), 1);
 }
 
 /// A batch was held up on its way, behind a cut or while the executor's VM stood still. The leader has given it up
@@ -145,22 +89,20 @@
         let outcomes = carry_out(&node, &workers, &body).await;
         assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent]));
     }
-    assert_eq!(workers.count(), 0);
+    assert_eq!(workers.starts().len(), 0);
 }
 
 /// A leader with one placed task whose start is due, and the order for it.
 fn leader() -> (Arc<JobNode>, StartOrder) {
-    let leader = node();
+    let leader = silent_node();
+    lead(&leader);
     let now = leader.now();
-    let start = SchedulerStart {
-        term: 1,
-        bounds: bounds(),
-        config: Arc::new(config()),
-        predecessor: None,
-        now,
-        wall_ms: WALL_OFFSET_MS + now,
-    };
-    let mut scheduler = Scheduler::open(start, &JobBook::default());
+    let order = leader.with_scheduler(|scheduler| first_start(scheduler, now));
+    (leader, order.expect("it leads"))
+}
+
+/// Places one task on one worker, to the point where its start is due.
+fn first_start(scheduler: &mut Scheduler, now: u64) -> StartOrder {
     scheduler.workers_listed(vec![worker("w0", "r0")], now);
     let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
     scheduler.take_record(&record, now);
@@ -178,9 +120,8 @@
     });
     let (target, task, run) = sent.expect("its start is due");
     let command = scheduler.command(&task, run, now).expect("a start");
-    let ibisweir::scheduler::runs::RunCommand::Start(call) = command else { panic!("{command:?}") };
-    leader.set_scheduler(Some(scheduler));
-    (leader, StartOrder { target, centre: "regina-a".into(), call })
+    let RunCommand::Start(call) = command else { panic!("{command:?}") };
+    StartOrder { target, centre: "regina-a".into(), call }
 }
 
 /// Whether the leader's scheduler still holds the start to be sent.
@@ -234,14 +175,14 @@
     let (leader, order) = leader();
     let workers = NotedWorkers::default();
     hand_on(&leader, &order, Some(workers.clone()), || !is_due(&leader, &order)).await;
-    assert!(workers.count() >= 1);
+    assert!(workers.starts().len() >= 1);
 }
 
 /// A refusal reaches the leader as if the worker had told it: the run is taken off the books.
 #[tokio::test]
 async fn a_refusal_reaches_the_leader() {
     let (leader, order) = leader();
-    let workers = NotedWorkers { is_refusing: true, ..NotedWorkers::default() };
+    let workers = NotedWorkers::new(AnswerMode::NoRoom);
     hand_on(&leader, &order, Some(workers), || !is_due(&leader, &order)).await;
     let runs = leader.with_scheduler(|scheduler| scheduler.census().runs);
     assert_eq!(runs, Some(0));
@@ -252,8 +193,17 @@
 #[tokio::test]
 async fn a_start_that_reached_no_executor_is_due_at_once() {
     let (leader, order) = leader();
-    hand_on(&leader, &order, None, || !leader.executors().has_room(leader.now())).await;
-    assert!(is_due(&leader, &order));
+    let is_told = || leader.metrics.text().contains("not_delegated");
+    hand_on(&leader, &order, None, is_told).await;
+    assert!(!leader.executors().has_room(leader.now()));
+    let now = leader.now();
+    let actions = leader.with_scheduler(|scheduler| {
+        scheduler.confirm(now);
+        scheduler.tick(now, WALL_OFFSET_MS + now);
+        scheduler.take_actions()
+    });
+    let is_send = |action: &SchedulerAction| matches!(action, SchedulerAction::Send(..));
+    assert!(actions.expect("it leads").iter().any(is_send));
 }
 
 /// The worker does not answer the executor: the start may be carried out yet, and stays in doubt. The same run is
@@ -261,7 +211,7 @@
 #[tokio::test]
 async fn a_start_without_an_answer_stays_in_doubt() {
     let (leader, order) = leader();
-    let workers = NotedWorkers { is_silent: true, ..NotedWorkers::default() };
+    let workers = NotedWorkers::new(AnswerMode::Silent);
     let is_told = || leader.metrics.text().contains("no_answer");
     hand_on(&leader, &order, Some(workers), is_told).await;
     assert!(is_due(&leader, &order));
--- /dev/null
+++ b/tests/lanes.rs
@@ -0,0 +1,150 @@
+//! Commands to workers: stops before starts, starts by the way that has room, answers read on.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibisweir::decide::executor::ExecutorOffer;
+use ibisweir::jobs::lanes::{LaneCommand, WorkerLanes};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{CommandOutcome, RenewCall, WorkerReport};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::SiteSettings;
+use ibisweir::scheduler::SchedulerAction;
+use support::outside::{AnswerMode, NotedWorkers, lead, node_with};
+use support::stage::{WALL_OFFSET_MS, job, job_id, site_settings, step, submission, worker};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// A leader with lanes, on one worker of eight cores.
+struct LaneStage {
+    node: Arc<JobNode>,
+    lanes: Arc<WorkerLanes<NotedWorkers>>,
+    workers: NotedWorkers,
+    tasks: JoinSet<()>,
+}
+
+impl LaneStage {
+    fn open(settings: SiteSettings, mode: AnswerMode) -> LaneStage {
+        let (node, workers) = (node_with(settings), NotedWorkers::new(mode));
+        lead(&node);
+        let (lanes, delegate) = WorkerLanes::open(node.clone(), workers.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(delegate.run());
+        let now = node.now();
+        let report = WorkerReport { clock_ms: 30, ..WorkerReport::default() };
+        node.with_scheduler(|scheduler| {
+            scheduler.workers_listed(vec![worker("w0", "r0")], now);
+            let renewal = RenewCall {
+                fence: scheduler.fence(),
+                exits_through: 0,
+                lease_until_ms: None,
+                wait: Duration::ZERO,
+            };
+            scheduler.renewed(&"w0".into(), &renewal, CommandOutcome::Done(report), now, now);
+        });
+        LaneStage { node, lanes, workers, tasks }
+    }
+
+    /// Tells the scheduler of a record, stores what it decides, and hands its commands to the lanes.
+    fn take(&mut self, record: &JobRecord) {
+        let now = self.node.now();
+        let actions = self.node.with_scheduler(|scheduler| {
+            scheduler.confirm(now);
+            scheduler.take_record(record, now);
+            scheduler.tick(now, WALL_OFFSET_MS + now);
+            while let Some(batch) = scheduler.take_commit() {
+                scheduler.committed(&batch, now);
+            }
+            scheduler.tick(now, WALL_OFFSET_MS + now);
+            scheduler.take_actions()
+        });
+        for action in actions.expect("it leads") {
+            match action {
+                SchedulerAction::Send(target, task, run) => {
+                    self.lanes.send(&target, LaneCommand::Run(task, run), &mut self.tasks);
+                }
+                SchedulerAction::Watch(target) => self.lanes.watch(&target, &mut self.tasks),
+                _ => {}
+            }
+        }
+    }
+
+    fn submit(&mut self, tasks: u32) {
+        let submission = submission(job(vec![step(tasks)]));
+        self.take(&JobRecord::Submitted(job_id(1), Arc::new(submission)));
+    }
+}
+
+fn narrow() -> SiteSettings {
+    SiteSettings { link: 2, ..site_settings() }
+}
+
+/// An entry that offers to carry out starts, and is gone.
+fn offer() -> ExecutorOffer {
+    ExecutorOffer {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        life: 7,
+        centre: "regina-a".into(),
+        processor: 250,
+        clock_ms: 0,
+    }
+}
+
+/// A worker answers nothing, and eight starts to it stand one behind the other, each waited for by half a second. The
+/// caller cancels the job. The stops must not stand behind those starts: each start that is carried out late would
+/// run on for seconds after the cancellation was acknowledged.
+#[tokio::test(start_paused = true)]
+async fn stops_do_not_wait_behind_starts() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Silent);
+    stage.submit(8);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(stage.workers.starts().len(), 1, "the others wait");
+    stage.take(&JobRecord::Cancelled(job_id(1)));
+    sleep(Duration::from_millis(100)).await;
+    assert!(!stage.workers.stops().is_empty(), "the first stop is on its way");
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(stage.workers.starts().len(), 1, "none is started after the cancellation");
+}
+
+/// A leader on a narrow link, with another entry that can carry out starts: none is sent from here.
+#[tokio::test(start_paused = true)]
+async fn starts_go_through_others_on_a_narrow_link() {
+    let mut stage = LaneStage::open(narrow(), AnswerMode::Done);
+    stage.node.executors().heard(offer(), stage.node.now());
+    stage.submit(1);
+    sleep(Duration::from_millis(50)).await;
+    assert!(stage.workers.starts().is_empty());
+}
+
+/// The same without another entry: the starts go from here, however narrow the link.
+#[tokio::test(start_paused = true)]
+async fn starts_go_from_here_where_there_is_nobody_else() {
+    let mut stage = LaneStage::open(narrow(), AnswerMode::Done);
+    stage.submit(4);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(stage.workers.starts().len(), 4);
+}
+
+/// The same with another entry, on a wide link that has room.
+#[tokio::test(start_paused = true)]
+async fn starts_go_from_here_on_a_wide_link() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Done);
+    stage.node.executors().heard(offer(), stage.node.now());
+    // The budget for starts of our own fills by and by.
+    sleep(Duration::from_millis(300)).await;
+    stage.submit(4);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(stage.workers.starts().len(), 4);
+}
+
+/// The answers to renewals come a second after their time. They are read all the same, and show that we are behind.
+#[tokio::test(start_paused = true)]
+async fn answers_after_their_time_are_read() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::LateRenewals);
+    stage.submit(1);
+    sleep(Duration::from_secs(4)).await;
+    assert!(stage.node.metrics.late_answers.get() >= 1);
+}
--- a/tests/own_appends.rs
+++ b/tests/own_appends.rs
@@ -4,27 +4,18 @@
 
 use std::sync::Arc;
 
-use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::record::JobRecord;
-use ibisweir::scheduler::{Scheduler, SchedulerStart};
-use support::stage::{bounds, config, job, job_id, site_settings, step, submission};
+use support::outside::{lead, silent_node};
+use support::stage::{job, job_id, step, submission};
 
 fn record(id: u64) -> JobRecord {
     JobRecord::Submitted(job_id(id), Arc::new(submission(job(vec![step(1)]))))
 }
 
-fn leader() -> JobNode {
-    let node = JobNode::new(site_settings(), Arc::default(), ibisweir::logging::silent());
-    let start = SchedulerStart {
-        term: 1,
-        bounds: bounds(),
-        config: Arc::new(config()),
-        predecessor: None,
-        now: node.now(),
-        wall_ms: node.clock.wall_ms(),
-    };
-    node.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
+fn leader() -> Arc<JobNode> {
+    let node = silent_node();
+    lead(&node);
     node
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,42 +5,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay::{self, RelayClient, RelayOutcome};
-use ibisweir::platform_adapter::worker::PlatformWorkers;
-use ibisweir::scheduler::{Scheduler, SchedulerStart};
+use ibisweir::scheduler::Scheduler;
 use ibisweir::transport::HttpTransport;
-use support::stage::{bounds, config, job, job_id, site_settings, step, submission};
+use support::outside::{NotedWorkers, lead, silent_node};
+use support::stage::{job, job_id, step, submission};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-fn node() -> Arc<JobNode> {
-    Arc::new(JobNode::new(site_settings(), Arc::default(), ibisweir::logging::silent()))
-}
-
 /// A leader whose commits the test makes, and an entry that hands it a batch.
 async fn hand_over() -> (Arc<JobNode>, JoinHandle<RelayOutcome>) {
-    let leader = node();
-    let start = SchedulerStart {
-        term: 1,
-        bounds: bounds(),
-        config: Arc::new(config()),
-        predecessor: None,
-        now: leader.now(),
-        wall_ms: leader.clock.wall_ms(),
-    };
-    leader.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
+    let leader = silent_node();
+    lead(&leader);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
-    tokio::spawn(relay::accept(
-        listener,
-        leader.clone(),
-        PlatformWorkers::new(HttpTransport::open()),
-    ));
-    let entry = node();
+    tokio::spawn(relay::accept(listener, leader.clone(), NotedWorkers::default()));
+    let entry = silent_node();
     entry.set_leader(Some(address));
     let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
     let handed = tokio::spawn(async move {
--- a/tests/scheduler_behind.rs
+++ b/tests/scheduler_behind.rs
@@ -77,6 +77,22 @@
     assert_eq!(stage.starts(first), 1);
 }
 
+/// An answer arrives three seconds late and shows the worker's clock as it was then. Leases reckoned from it would
+/// end three seconds early, and all that runs there with them.
+#[test]
+fn a_late_answer_shortens_no_lease() {
+    let mut stage = Stage::open(config(), workers(1));
+    stage.submit(1, job(vec![step(1)]));
+    stage.advance(4_000);
+    let before = stage.leases.iter().copied().max().expect("it was renewed");
+    stage.leases.clear();
+    answer_late(&mut stage, "w0");
+    stage.workers.get_mut("w0").expect("known").is_silent = false;
+    stage.advance(1_000);
+    let first = stage.leases.first().copied().expect("it was renewed");
+    assert!(first >= before, "{first} after {before}");
+}
+
 /// Two workers of many answer late since they are slow themselves. A third one that is silent is not
 /// excused by them: its tasks start elsewhere once its leases are over.
 #[test]
--- a/tests/scheduler_silence.rs
+++ b/tests/scheduler_silence.rs
@@ -112,3 +112,15 @@
     let moved = VmCommand::Assign { vm: "m-w0".into(), pool: STANDBY.into() };
     assert!(stage.vm_commands.contains(&moved), "{:?}", stage.vm_commands);
 }
+
+/// The same where its VM can't be moved now, as the VM list is old. It still takes no new work, though it has room:
+/// what would end there could never be acknowledged.
+#[test]
+fn a_worker_that_can_not_be_acknowledged_takes_no_new_work() {
+    let (mut stage, _) = given_up(ExitKind::Done, true);
+    answer_again(&mut stage);
+    let other = stage.submit(2, job(vec![step(15)]));
+    stage.advance(200);
+    assert_eq!((0..15).filter(|index| stage.alive(task(other, 0, *index)) > 0).count(), 7);
+    assert!(stage.workers["w0"].running.is_empty());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests share: a small HTTP client, waits, and processes.
 #![allow(dead_code, reason = "each test file uses its own part of this module")]
 
+pub mod outside;
 pub mod process;
 pub mod stage;
 pub mod stage_worker;
--- /dev/null
+++ b/tests/support/outside.rs
@@ -0,0 +1,140 @@
+//! Nodes without loops, and workers that note what they are told.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    CommandOutcome, CommandRefusal, RenewCall, RunCall, StartCall, WorkerClient, WorkerReport,
+    WorkerTarget,
+};
+use ibisweir::jobs::site::SiteSettings;
+use ibisweir::scheduler::{Scheduler, SchedulerStart};
+use tokio::time::sleep;
+
+use super::stage::{bounds, config, site_settings};
+
+/// An entry that binds nothing and follows nothing.
+pub fn silent_node() -> Arc<JobNode> {
+    node_with(site_settings())
+}
+
+/// The same with these settings.
+pub fn node_with(settings: SiteSettings) -> Arc<JobNode> {
+    Arc::new(JobNode::new(settings, Arc::default(), ibisweir::logging::silent()))
+}
+
+/// Makes an entry the leader of term 1, with no job.
+pub fn lead(node: &JobNode) {
+    let start = SchedulerStart {
+        term: 1,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        now: node.now(),
+        wall_ms: node.clock.wall_ms(),
+    };
+    node.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
+}
+
+/// What workers answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerMode {
+    /// All is done at once.
+    #[default]
+    Done,
+    /// Starts are refused for want of room.
+    NoRoom,
+    /// Nothing is answered.
+    Silent,
+    /// Renewals are answered a second after their time.
+    LateRenewals,
+}
+
+/// Workers that note what they are told.
+#[derive(Clone, Debug, Default)]
+pub struct NotedWorkers {
+    /// What they answer.
+    pub mode: AnswerMode,
+    starts: Arc<Mutex<Vec<StartCall>>>,
+    stops: Arc<Mutex<Vec<RunCall>>>,
+}
+
+impl NotedWorkers {
+    /// Workers that answer so.
+    pub fn new(mode: AnswerMode) -> NotedWorkers {
+        NotedWorkers { mode, ..NotedWorkers::default() }
+    }
+
+    /// Starts that were sent.
+    pub fn starts(&self) -> MutexGuard<'_, Vec<StartCall>> {
+        self.starts.lock().expect("no test thread panics")
+    }
+
+    /// Stops that were sent.
+    pub fn stops(&self) -> MutexGuard<'_, Vec<RunCall>> {
+        self.stops.lock().expect("no test thread panics")
+    }
+
+    async fn answer(&self, patience: Duration) -> CommandOutcome<u64> {
+        match self.mode {
+            AnswerMode::Done | AnswerMode::NoRoom | AnswerMode::LateRenewals => {
+                CommandOutcome::Done(40)
+            }
+            AnswerMode::Silent => {
+                sleep(patience).await;
+                CommandOutcome::Unknown
+            }
+        }
+    }
+}
+
+impl WorkerClient for NotedWorkers {
+    async fn renew(
+        &self,
+        _: &WorkerTarget,
+        call: &RenewCall,
+        patience: Duration,
+    ) -> CommandOutcome<WorkerReport> {
+        if self.mode == AnswerMode::LateRenewals {
+            sleep(patience + call.wait + Duration::from_secs(1)).await;
+            return CommandOutcome::Done(WorkerReport { clock_ms: 40, ..Default::default() });
+        }
+        sleep(patience + call.wait).await;
+        CommandOutcome::Unknown
+    }
+
+    async fn start(
+        &self,
+        _: &WorkerTarget,
+        call: &StartCall,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        self.starts().push(call.clone());
+        match self.mode {
+            AnswerMode::NoRoom => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
+            _ => self.answer(patience).await,
+        }
+    }
+
+    async fn stop(
+        &self,
+        _: &WorkerTarget,
+        call: &RunCall,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        self.stops().push(*call);
+        self.answer(patience).await
+    }
+
+    async fn throttle(
+        &self,
+        _: &WorkerTarget,
+        _: &RunCall,
+        _: u32,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        self.answer(patience).await
+    }
+}
