How long a run had been at work when its worker was lost: in the log, and counted

Cause: the leader's lines tell that a run is over with its worker, not whether it had just begun or had worked for a while. So they can't tell a task that crashes what starts it from one that merely was there, nor from a worker that was taken for dead while it worked.

Change: each run keeps the span for which its worker told of it, by the worker's own clock, as answers can be late. The ended lines of lost runs have at_work_ms; ibisweir_job_lost_runs counts them as start not answered, just begun or at work. No decision changes.

--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -25,6 +25,8 @@
     pub starts: Reasons,
     /// Ends of runs, by kind.
     pub exits: Reasons,
+    /// Runs that were lost with their workers, by how long they had been at work.
+    pub lost_runs: Reasons,
     /// Stops, by reason.
     pub stops: Reasons,
     /// Lease renewals.
@@ -66,6 +68,7 @@
             reply_seconds: seconds(),
             starts: Family::default(),
             exits: Family::default(),
+            lost_runs: Family::default(),
             stops: Family::default(),
             renewals: Counter::default(),
             late_answers: Counter::default(),
@@ -95,6 +98,8 @@
         registry.register("reply_seconds", help, self.reply_seconds.clone());
         registry.register("starts", "starts, by what became of them", self.starts.clone());
         registry.register("exits", "ends of runs, by kind", self.exits.clone());
+        let help = "runs that were lost with their workers, by how long they had been at work";
+        registry.register("lost_runs", help, self.lost_runs.clone());
         registry.register("stops", "stops, by reason", self.stops.clone());
         registry.register("renewals", "lease renewals", self.renewals.clone());
         let help = "renewals that were answered after they had been given up";
--- a/src/jobs/notes.rs
+++ b/src/jobs/notes.rs
@@ -6,6 +6,10 @@
 use crate::jobs::node::JobNode;
 use crate::scheduler::SchedulerNote;
 
+/// Time at work up to which a run counts as just begun, in milliseconds: what crashes a worker as it starts
+/// is told of for less.
+const JUST_BEGUN_MS: u64 = 200;
+
 /// Writes a decision down.
 pub fn write(node: &JobNode, note: &SchedulerNote) {
     let logger = &node.logger;
@@ -19,6 +23,12 @@
             info!(logger, "ended"; "job" => %task.job, "task" => %task, "run" => run,
                 "worker" => &**worker, "how" => how);
         }
+        SchedulerNote::Lost { task, run, worker, how, at_work_ms } => {
+            count(&node.metrics.exits, how);
+            count(&node.metrics.lost_runs, lost_word(*at_work_ms));
+            info!(logger, "ended"; "job" => %task.job, "task" => %task, "run" => run,
+                "worker" => &**worker, "how" => how, "at_work_ms" => at_work_ms);
+        }
         SchedulerNote::StartRefused { task, run, worker, reason } => {
             info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
                 "worker" => &**worker, "reason" => reason);
@@ -43,3 +53,12 @@
         }
     }
 }
+
+/// The class of a run that ended with its worker, for metrics.
+fn lost_word(at_work_ms: Option<u64>) -> &'static str {
+    match at_work_ms {
+        None => "start not answered",
+        Some(at_work_ms) if at_work_ms < JUST_BEGUN_MS => "just begun",
+        Some(_) => "at work",
+    }
+}
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -194,10 +194,19 @@
         }
         let is_full = report.exits.len() >= REPORT_EXITS_MAX;
         self.take_exits(id, &report.exits, now);
+        self.see_runs(id, &report);
         self.take_running(id, &report.running, sent_ms, is_full, now);
         self.adjust_throttles(id, &report.running, now);
     }
 
+    /// Takes in until when, by the worker's clock, the runs that it lists were at work.
+    fn see_runs(&mut self, id: &Arc<str>, report: &WorkerReport) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        for told in &report.running {
+            worker.see_run(&(told.task, told.run), report.clock_ms);
+        }
+    }
+
     fn take_exits(&mut self, id: &Arc<str>, exits: &[TaskExit], now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
         let seen = worker.exits_seen;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -141,6 +141,19 @@
         /// How.
         how: &'static str,
     },
+    /// A run is over with its worker, or taken for over as nothing was heard of it.
+    Lost {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// How it is known.
+        how: &'static str,
+        /// Time for which the worker told of it, in milliseconds; nothing if it never did.
+        at_work_ms: Option<u64>,
+    },
     /// A start was refused.
     StartRefused {
         /// Task.
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -6,7 +6,7 @@
 use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall, refusal_word};
 use crate::jobs::site::VmState;
 use crate::scheduler::job::{JobRun, LiveRun, RunPhase, StepRun};
-use crate::scheduler::worker::{BookedRun, WorkerRun};
+use crate::scheduler::worker::{BookedRun, WorkSpan, WorkerRun};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
 /// Time between two looks at how runs get on, in milliseconds.
@@ -275,6 +275,9 @@
             live.begun_ms = now;
             live.progress_ms = now;
             self.actions.push(SchedulerAction::Wake(id.clone()));
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.see_run(&(*key, run), clock_ms);
+            }
         }
     }
 
@@ -392,15 +395,25 @@
         let Some(worker) = self.workers.remove(id) else { return };
         let runs = worker.runs.len();
         self.note(SchedulerNote::Worker { worker: id.clone(), change, runs });
-        for (key, run) in worker.runs.keys() {
-            self.run_over(id, key, *run, "worker is gone", now);
+        for ((key, run), booked) in &worker.runs {
+            self.run_lost(id, key, *run, booked.span, "worker is gone", now);
         }
         self.needs_dispatch = true;
         self.fleet.wants_list = true;
     }
 
-    fn run_over(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, how: &'static str, now: u64) {
-        self.note(SchedulerNote::Ended { task: *key, run, worker: id.clone(), how });
+    /// A run is over with its worker, or taken for over.
+    fn run_lost(
+        &mut self,
+        id: &Arc<str>,
+        key: &TaskKey,
+        run: u32,
+        span: WorkSpan,
+        how: &'static str,
+        now: u64,
+    ) {
+        let at_work_ms = span.length_ms();
+        self.note(SchedulerNote::Lost { task: *key, run, worker: id.clone(), how, at_work_ms });
         self.remove_run(key, run, now);
     }
 
@@ -422,12 +435,13 @@
             .collect();
         for id in expired {
             let Some(worker) = self.workers.get(&id) else { continue };
-            let runs: Vec<(TaskKey, u32)> = worker.runs.keys().copied().collect();
+            let runs: Vec<((TaskKey, u32), BookedRun)> =
+                worker.runs.iter().map(|(key, booked)| (*key, *booked)).collect();
             let change = "leases have run out";
             self.note(SchedulerNote::Worker { worker: id.clone(), change, runs: runs.len() });
-            for (key, run) in runs {
+            for ((key, run), booked) in runs {
                 self.abandoned.insert(&id, key, run);
-                self.run_over(&id, &key, run, "lease has run out", now);
+                self.run_lost(&id, &key, run, booked.span, "lease has run out", now);
             }
             if !self.workers.get(&id).is_some_and(|worker| worker.is_listed) {
                 self.workers.remove(&id);
@@ -581,6 +595,7 @@
 fn booked(spec: Option<&crate::jobs::model::StepSpec>) -> Option<BookedRun> {
     spec.map(|spec| BookedRun {
         need: spec.booked(),
+        span: WorkSpan::default(),
         is_best_effort: spec.is_best_effort,
         is_service: spec.is_service,
     })
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -29,11 +29,33 @@
     received_ms: u64,
 }
 
+/// How long a run has been seen at work, by its worker's clock: answers can be late, that clock is not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkSpan {
+    begun_ms: Option<u64>,
+    seen_ms: u64,
+}
+
+impl WorkSpan {
+    /// The worker has told at this time of its clock that the run is there.
+    pub fn see(&mut self, clock_ms: u64) {
+        let begun = *self.begun_ms.get_or_insert(clock_ms);
+        self.seen_ms = self.seen_ms.max(clock_ms).max(begun);
+    }
+
+    /// Time from the first to the last word of it, in milliseconds; nothing if there was none.
+    pub fn length_ms(&self) -> Option<u64> {
+        self.begun_ms.map(|begun| self.seen_ms - begun)
+    }
+}
+
 /// A run on a worker and what it books there.
 #[derive(Clone, Copy, Debug)]
 pub struct BookedRun {
     /// What it takes.
     pub need: ResourceVector,
+    /// How long it has been seen at work.
+    pub span: WorkSpan,
     /// Whether it takes processor time only where others leave it.
     pub is_best_effort: bool,
     /// Whether it lasts until it is cancelled.
@@ -149,6 +171,13 @@
         }
     }
 
+    /// The worker has told at this time of its clock that a run is there.
+    pub fn see_run(&mut self, key: &(TaskKey, u32), clock_ms: u64) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.span.see(clock_ms);
+        }
+    }
+
     /// Takes a run off the book; returns whether it was there.
     pub fn release(&mut self, key: &(TaskKey, u32), now: u64) -> bool {
         let Some(run) = self.runs.remove(key) else { return false };
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -20,7 +20,7 @@
 };
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::runs::RunCommand;
-use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
+use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerNote, SchedulerStart};
 
 pub use super::stage_worker::StageWorker;
 
@@ -148,6 +148,8 @@
     pub started_late: BTreeSet<(TaskKey, u32)>,
     /// Commands to VMs.
     pub vm_commands: Vec<VmCommand>,
+    /// Decisions that were logged.
+    pub notes: Vec<SchedulerNote>,
     /// Times that the VM list was asked for.
     pub lists_asked: usize,
     /// Waves told to operators.
@@ -195,6 +197,7 @@
             started: Vec::new(),
             started_late: BTreeSet::new(),
             vm_commands: Vec::new(),
+            notes: Vec::new(),
             lists_asked: 0,
             told: Vec::new(),
             permits_asked: Vec::new(),
@@ -392,9 +395,11 @@
                 self.lists_asked += 1;
                 return false;
             }
-            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) | SchedulerAction::Note(_) => {
+            SchedulerAction::Note(note) => {
+                self.notes.push(note);
                 return false;
             }
+            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) => return false,
         }
         true
     }
