--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -177,10 +177,29 @@
     pub predecessor_end: PredecessorEnd,
     /// Now.
     pub now: u64,
+    /// Tasks that crash each worker that starts them.
+    pub crashers: BTreeSet<TaskKey>,
+    /// Time from such a start to the crash, in milliseconds.
+    pub crash_after_ms: u64,
+    /// Workers that were lost, in order.
+    pub lost: Vec<Arc<str>>,
     entries: Vec<WorkerEntry>,
     crashes: u32,
+    /// Workers that are going to crash, or that have and whose next lives are not listed yet.
+    doomed: Vec<DoomedWorker>,
 }
 
+/// A worker under a task that crashes it.
+struct DoomedWorker {
+    id: Arc<str>,
+    crash_ms: u64,
+    /// When the VM list shows its next life.
+    reborn_ms: u64,
+}
+
+/// Time from a crash to the next life, in milliseconds: silence is noticed after 0.2 s.
+const REBIRTH_MS: u64 = 300;
+
 /// Start of the stage's time: a new leader with no predecessor needs no bound.
 pub const START_MS: u64 = 100_000;
 /// Wall clock at the stage's time 0, in milliseconds since the epoch.
@@ -212,8 +231,12 @@
             bounds: bounds(),
             predecessor_end: PredecessorEnd::Unknown,
             now: START_MS,
+            crashers: BTreeSet::new(),
+            crash_after_ms: 10,
+            lost: Vec::new(),
             entries,
             crashes: 0,
+            doomed: Vec::new(),
         };
         stage.list_workers();
         stage.pump();
@@ -257,6 +280,7 @@
         let end = self.now + ms;
         while self.now < end {
             self.now = (self.now + 20).min(end);
+            self.crash_doomed();
             self.expire_leases();
             self.scheduler.confirm(self.now);
             self.pump();
@@ -276,6 +300,7 @@
     /// A worker loses all that it runs, and its VM comes back with another life.
     pub fn crash(&mut self, id: &str) {
         self.workers.remove(id);
+        self.lost.push(id.into());
         self.crashes += 1;
         let position = self.entries.iter().position(|entry| &*entry.id == id);
         let entry = &mut self.entries[position.expect("the worker is known")];
@@ -286,6 +311,34 @@
         self.pump();
     }
 
+    /// Lets workers crash under the tasks that do that, and brings the next lives.
+    fn crash_doomed(&mut self) {
+        let now = self.now;
+        let (over, doomed): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.doomed).into_iter().partition(|doom| doom.reborn_ms <= now);
+        for doom in &doomed {
+            if doom.crash_ms <= now {
+                let worker = self.workers.get_mut(&doom.id).expect("it is doomed once");
+                worker.is_silent = true;
+                worker.running.clear();
+            }
+        }
+        self.doomed = doomed;
+        for doom in over {
+            self.crash(&doom.id);
+        }
+    }
+
+    /// Whether a start dooms its worker.
+    fn doom(&mut self, id: &Arc<str>, task: &TaskKey) {
+        if !self.crashers.contains(task) || self.doomed.iter().any(|doom| doom.id == *id) {
+            return;
+        }
+        let crash_ms = self.now + self.crash_after_ms;
+        let reborn_ms = crash_ms + REBIRTH_MS;
+        self.doomed.push(DoomedWorker { id: id.clone(), crash_ms, reborn_ms });
+    }
+
     fn expire_leases(&mut self) {
         for worker in self.workers.values_mut() {
             worker.finish_stops(self.now);
@@ -452,6 +505,7 @@
         }
         if worker.begin(call, self.now) {
             self.started.push((call.task, call.run, id.clone()));
+            self.doom(id, &call.task);
         }
         CommandOutcome::Done(self.now)
     }
