Tests that fail: starts are sent into rooms that have shrunk

What is placed fits the room as it was when it was placed. Starts that wait in their lanes, or that are repeated as they had no answer, are sent whatever the worker has said of itself since; and if the part of the log that keeps what workers say can't be read, the leader goes on with what it read last. Workers that guard nothing are brought over.

--- /dev/null
+++ b/tests/scheduler_room.rs
@@ -0,0 +1,132 @@
+//! Rooms that shrink and grow while tasks run: what fits is what the worker said last.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{ExitKind, ResourceVector, TaskKey};
+use ibisweir::jobs::site::{SiteConfig, WorkerEntry};
+use support::stage::{Stage, config, job, step, task, worker};
+
+/// Pools whose workers start whatever they are told to.
+fn unguarded() -> SiteConfig {
+    let mut config = config();
+    config.pools.iter_mut().for_each(|pool| pool.is_guarded = false);
+    config
+}
+
+/// A worker that says that it has so many cores.
+fn with_cores(entry: &WorkerEntry, cores: u64) -> WorkerEntry {
+    let capacity = ResourceVector { cpu: cores * 1_000, ..entry.capacity };
+    WorkerEntry { capacity, ..entry.clone() }
+}
+
+/// Processor of what runs on a worker, in cores; each task takes one.
+fn cores_used(stage: &Stage, id: &str) -> usize {
+    stage.workers[id].running.len()
+}
+
+/// A worker's room shrinks below what runs there. Nothing that runs is stopped, and nothing is started until
+/// enough has ended; when the room grows again, what waited starts at once.
+#[test]
+fn a_room_that_shrinks_below_what_runs_takes_nothing_until_it_fits() {
+    let w1 = worker("w1", "r1");
+    let mut stage = Stage::open(unguarded(), vec![w1.clone()]);
+    let first = stage.submit(1, job(vec![step(6)]));
+    stage.advance(100);
+    stage.report(with_cores(&w1, 4));
+    let second = stage.submit(2, job(vec![step(2)]));
+    stage.advance(200);
+    assert_eq!(cores_used(&stage, "w1"), 6);
+
+    (0..2).for_each(|index| stage.end(task(first, 0, index), ExitKind::Done));
+    stage.advance(100);
+    assert_eq!(cores_used(&stage, "w1"), 4, "full at its new size");
+    stage.end(task(first, 0, 2), ExitKind::Done);
+    stage.advance(100);
+    assert_eq!(cores_used(&stage, "w1"), 4);
+    stage.report(w1);
+    stage.advance(100);
+    assert_eq!(stage.alive(task(second, 0, 0)) + stage.alive(task(second, 0, 1)), 2);
+}
+
+/// Starts wait to be sent when the worker says that it has less room. Sent all the same, they would bring a
+/// worker that guards nothing over its room: callers' tasks there would starve each other. They go elsewhere.
+#[test]
+fn starts_that_wait_for_a_room_that_shrinks_go_elsewhere() {
+    let (w1, w2) = (worker("w1", "r1"), worker("w2", "r2"));
+    let mut stage = Stage::open(unguarded(), vec![w1.clone(), w2]);
+    stage.lane_is_slow = true;
+    let id = stage.submit(1, job(vec![step(8)]));
+    let full = stage.scheduled_on("w1").max(stage.scheduled_on("w2"));
+    assert_eq!(full, 8, "all go to one worker");
+    let place: Arc<str> = if stage.scheduled_on("w1") == 8 { "w1".into() } else { "w2".into() };
+    stage.report(with_cores(&worker(&place, "r1"), 3));
+    stage.empty_lanes();
+    stage.lane_is_slow = false;
+    stage.advance(2_000);
+
+    assert!(cores_used(&stage, &place) <= 3, "{} cores", cores_used(&stage, &place));
+    let alive = |index| stage.alive(task(id, 0, index));
+    assert!((0..8).all(|index| alive(index) == 1), "each runs once");
+}
+
+/// Starts had no answer, and the worker says that it has less room before they are sent again. Sent again, they
+/// bring it over its room. They are stopped there for good, and run elsewhere, once.
+#[test]
+fn starts_in_doubt_are_not_repeated_into_a_room_that_shrank() {
+    let (w1, w2) = (worker("w1", "r1"), worker("w2", "r2"));
+    let mut stage = Stage::open(unguarded(), vec![w1, w2]);
+    for name in ["w1", "w2"] {
+        stage.workers.get_mut(name).expect("known").is_late = true;
+    }
+    let id = stage.submit(1, job(vec![step(4)]));
+    let place: Arc<str> = if stage.scheduled_on("w1") > 0 { "w1".into() } else { "w2".into() };
+    stage.report(with_cores(&worker(&place, "r1"), 1));
+    for name in ["w1", "w2"] {
+        stage.workers.get_mut(name).expect("known").is_late = false;
+    }
+    stage.advance(3_000);
+    stage.deliver_late(&place);
+    stage.advance(3_000);
+
+    let begun = stage.started.iter().filter(|(.., worker)| *worker == place).count();
+    assert!(begun <= 1, "{begun} starts");
+    let alive = |index| stage.alive(task(id, 0, index));
+    assert!((0..4).all(|index| alive(index) == 1), "each runs once");
+}
+
+/// The leader is confirmed, but what the workers say of themselves has not been read for seconds: the part of
+/// the log that keeps it is away. A room may have shrunk meanwhile. Workers that guard nothing get no start until
+/// it is read again; those that refuse what does not fit go on.
+#[test]
+fn rooms_that_nobody_has_read_for_seconds_take_no_start_without_a_guard() {
+    for (config, is_guarded) in [(unguarded(), false), (config(), true)] {
+        let mut stage = Stage::open(config, vec![worker("w1", "r1")]);
+        stage.reads_workers = false;
+        stage.advance(5_000);
+        let id = stage.submit(1, job(vec![step(1)]));
+        stage.advance(500);
+        assert_eq!(stage.starts(task(id, 0, 0)) > 0, is_guarded);
+        stage.reads_workers = true;
+        stage.advance(500);
+        assert_eq!(stage.starts(task(id, 0, 0)), 1);
+    }
+}
+
+/// What is being stopped still takes room until its end is listed, also in a room that shrank meanwhile.
+#[test]
+fn what_is_being_stopped_counts_in_a_room_that_shrank() {
+    let w1 = worker("w1", "r1");
+    let mut stage = Stage::open(unguarded(), vec![w1.clone()]);
+    stage.workers.get_mut("w1").expect("known").stop_ms = 300;
+    let first = stage.submit(1, job(vec![step(4)]));
+    stage.advance(100);
+    stage.append(&ibisweir::jobs::record::JobRecord::Cancelled(first));
+    stage.report(with_cores(&w1, 4));
+    let second: TaskKey = task(stage.submit(2, job(vec![step(1)])), 0, 0);
+    stage.advance(200);
+    assert_eq!(stage.starts(second), 0);
+    stage.advance(500);
+    assert_eq!(stage.starts(second), 1);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -169,6 +169,8 @@
     /// Whether commands wait in their lanes until the test empties them.
     pub lane_is_slow: bool,
     lane: Vec<(Arc<str>, TaskKey, u32)>,
+    /// Whether what workers say of themselves is read.
+    pub reads_workers: bool,
     /// Whether the log takes appends.
     pub log_is_up: bool,
     /// Whether the VM service answers `Done` to commands.
@@ -229,6 +231,7 @@
             throttles: Vec::new(),
             lane_is_slow: false,
             lane: Vec::new(),
+            reads_workers: true,
             log_is_up: true,
             vm_outcome: VmOutcome::Done,
             bounds: bounds(),
@@ -256,6 +259,20 @@
         self.pump();
     }
 
+    /// A worker says something new of itself.
+    pub fn report(&mut self, entry: WorkerEntry) {
+        let known = self.entries.iter_mut().find(|known| known.id == entry.id);
+        *known.expect("the worker is known") = entry.clone();
+        self.scheduler.worker_seen(entry, self.now);
+        self.pump();
+    }
+
+    /// Runs that are planned for a worker or on it.
+    pub fn scheduled_on(&self, id: &str) -> usize {
+        let is_placed = |note: &&SchedulerNote| matches!(note, SchedulerNote::Placed { worker, .. } if **worker == *id);
+        self.notes.iter().filter(is_placed).count()
+    }
+
     fn list_workers(&mut self) {
         for entry in &self.entries {
             self.workers.entry(entry.id.clone()).or_default();
