A test that fails: two failures in a row give up a job that has nothing to do with them

The trace: a worker crashed at 10.7 s with 15 runs; one of them was tried on probation at 11.88 s, and at 12.0 s a second failure took its new worker and another one. The first was known at 12.37 s, the other at 12.59 s; the verdict came at 12.52 s. So it was given before the news that would have cleared the task, after two losses, of which the second had followed 122 ms after the start; crashes that a start causes were seen within 10 ms.

--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -301,3 +301,32 @@
     work(&mut stage, 5_000);
     assert!(are_completed(&stage, &many) && are_completed(&stage, &[rest]));
 }
+
+/// Two workers crash; a second later two more, one of them just as it starts, on probation, a task that the
+/// first ones took along. The caller's job has nothing to do with either: given up for it, it would be lost. The
+/// news of the other worker comes a quarter of a second after that of its own ("does not answer" at 12.37 s and
+/// 12.59 s in the log of such a case, "given up" at 12.52 s).
+#[test]
+fn failures_that_follow_each_other_take_no_job_along() {
+    for second_ms in [0, 260] {
+        let pool = (1..=6).map(|n| worker(&format!("w{n}"), &format!("r{}", n % 3)));
+        let mut stage = Stage::open(config(), pool.collect());
+        let many: Vec<JobId> = (1..=4).map(|n| stage.submit(n, job(vec![step(4)]))).collect();
+        let key = task(many[0], 0, 0);
+        let first = stage.place(key);
+        stage.crash(&first);
+        stage.advance(20);
+        let second = stage.place(key);
+        assert_ne!(first, second);
+        let other = stage.workers.iter().find(|(id, w)| **id != second && !w.running.is_empty());
+        let other = other.expect("another that is at work").0.clone();
+        for id in [&second, &other] {
+            stage.workers.get_mut(id).expect("known").is_silent = true;
+        }
+        stage.crash(&second);
+        stage.advance(second_ms);
+        stage.crash(&other);
+        work(&mut stage, 10_000);
+        assert!(are_completed(&stage, &many), "second news after {second_ms} ms");
+    }
+}
