A verdict waits for the news of other workers, and takes three losses at the start

Cause: a task was named after two losses, at the moment of the second, when its news was there and that of the worker that went with it was not. And what counts as just starting was a tenth of a second, ten times what such crashes take.

Change: a task is named by three losses at its start (one that it shares, two on probation), and the verdict waits 0.8 s: if a worker of its pool or rack, or two of any, went within a second of it with no suspect on them, nobody is named. While it waits the task does not start; when it is convicted, what else ran on its worker is cleared of that loss. Just starting is under 30 ms at work, which a report confirms at once, so a probation is over sooner too.

--- /dev/null
+++ b/src/scheduler/blame.rs
@@ -0,0 +1,170 @@
+//! Counts lost workers against the tasks that ran there, and gives up those that crash them; see
+//! [`crate::scheduler::losses`] for what speaks for and against a task.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::{JobId, JobState, TaskKey};
+use crate::jobs::record::LossCount;
+use crate::scheduler::job::RunPhase;
+use crate::scheduler::losses::{
+    ExposedRun, LOSSES_AT_START_MAX, LOSSES_MAX, PendingVerdict, VERDICT_MS,
+};
+use crate::scheduler::worker::{BookedRun, WorkerRun};
+use crate::scheduler::{Scheduler, SchedulerNote};
+
+impl Scheduler {
+    /// Counts lost workers against what they ran. Before the runs are taken off the books: one record tells
+    /// both.
+    ///
+    /// What is learned of together is weighed together: the first worker of a rack must not be judged as if
+    /// the others had not gone.
+    pub(crate) fn blame_runs(&mut self, lost: &[WorkerRun], now: u64) {
+        let mut cases = Vec::with_capacity(lost.len());
+        for worker in lost {
+            let exposed = self.exposed_runs(worker);
+            let is_steady = !self.losses.is_unsteady(worker.entry.address, now);
+            let named = if is_steady { self.named_task(&exposed) } else { None };
+            cases.push((worker, exposed, named));
+        }
+        for (worker, exposed, _) in &cases {
+            self.losses.insert(&worker.entry, exposed, now);
+        }
+        for (worker, exposed, named) in cases {
+            self.count_losses(&exposed, now);
+            if let Some(task) = named {
+                self.defer_verdict(task, worker, &exposed, now);
+            }
+        }
+    }
+
+    /// Counts a worker that stays silent until its leases have run out. It may only be cut off, so it
+    /// names nobody; the runs that were counted, and whether at their start.
+    pub(crate) fn blame_silent(
+        &mut self,
+        worker: &WorkerRun,
+        now: u64,
+    ) -> BTreeMap<(TaskKey, u32), bool> {
+        let exposed = self.exposed_runs(worker);
+        self.count_losses(&exposed, now);
+        let counted = exposed.iter().filter(|run| !run.is_clear());
+        counted.map(|run| ((run.task, run.run), run.is_at_start())).collect()
+    }
+
+    /// The worker answers in the same life: it was not lost.
+    pub(crate) fn forgive_runs(&mut self, id: &str) {
+        for ((task, _), is_at_start) in self.abandoned.take_counted(id) {
+            self.take_back_loss(&task, is_at_start);
+        }
+    }
+
+    /// Gives the verdicts that have waited for the news of other workers.
+    pub(crate) fn give_verdicts(&mut self, now: u64) {
+        while let Some(verdict) = self.losses.due_verdict(now) {
+            if self.losses.is_larger_failure(&verdict) {
+                continue;
+            }
+            for (task, is_at_start) in &verdict.bystanders {
+                self.take_back_loss(task, *is_at_start);
+            }
+            self.give_up(&verdict.task, "it was tried on probation", now);
+        }
+    }
+
+    /// Runs whose start may have reached the worker.
+    fn exposed_runs(&self, worker: &WorkerRun) -> Vec<ExposedRun> {
+        let expose = |((task, run), booked): (&(TaskKey, u32), &BookedRun)| {
+            let lives = &self.jobs.get(&task.job)?.task(task)?.live;
+            let phase = lives.iter().find(|live| live.run == *run)?.phase;
+            let is_unknown = phase == RunPhase::Inherited;
+            let run = ExposedRun { task: *task, run: *run, booked: *booked, is_unknown };
+            (phase != RunPhase::Planned).then_some(run)
+        };
+        worker.runs.iter().filter_map(expose).collect()
+    }
+
+    /// The task that must have crashed its worker, if nothing else did: only its job was just starting there,
+    /// and it has lost as many workers so before.
+    fn named_task(&self, exposed: &[ExposedRun]) -> Option<TaskKey> {
+        let starting: Vec<&ExposedRun> = exposed.iter().filter(|run| run.is_starting()).collect();
+        let job = starting.first()?.task.job;
+        if starting.iter().any(|run| run.task.job != job) {
+            return None;
+        }
+        let is_named = |run: &&&ExposedRun| {
+            run.is_at_start() && self.loss_count(&run.task).at_start + 1 >= LOSSES_AT_START_MAX
+        };
+        starting.iter().find(is_named).map(|run| run.task)
+    }
+
+    fn count_losses(&mut self, exposed: &[ExposedRun], now: u64) {
+        for run in exposed.iter().filter(|run| !run.is_clear()) {
+            let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
+            let Some(task) = job.task_mut(&run.task) else { continue };
+            task.losses.add(run.is_at_start());
+            let is_over = task.losses.all >= LOSSES_MAX;
+            self.commits.mark(run.task.job);
+            if is_over {
+                self.give_up(&run.task, "it has lost too many workers", now);
+            }
+        }
+    }
+
+    fn take_back_loss(&mut self, key: &TaskKey, is_at_start: bool) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        task.losses.take_back(is_at_start);
+        self.commits.mark(key.job);
+    }
+
+    /// Holds the task back until its verdict.
+    fn defer_verdict(
+        &mut self,
+        key: TaskKey,
+        worker: &WorkerRun,
+        exposed: &[ExposedRun],
+        now: u64,
+    ) {
+        let task = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key));
+        if let Some(task) = task {
+            task.not_before_ms = now + VERDICT_MS;
+        }
+        let others = exposed.iter().filter(|run| run.task.job != key.job && !run.is_clear());
+        let bystanders = others.map(|run| (run.task, run.is_at_start())).collect();
+        let entry = worker.entry.clone();
+        self.losses.defer(PendingVerdict { task: key, lost_ms: now, entry, bystanders });
+    }
+
+    /// Gives up the job of a task that crashes its workers; callers are told at once that it has failed.
+    fn give_up(&mut self, key: &TaskKey, reason: &'static str, now: u64) {
+        let is_open = self.jobs.get(&key.job).is_some_and(|job| !job.state.is_final());
+        if !is_open {
+            return;
+        }
+        let lost = self.loss_count(key).all;
+        self.losses.explain(key.job);
+        self.note(SchedulerNote::GivenUp { task: *key, lost, reason });
+        self.finish_job(key.job, JobState::Failed, now);
+    }
+
+    /// Workers lost under a task.
+    pub(crate) fn loss_count(&self, key: &TaskKey) -> LossCount {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.map(|task| task.losses).unwrap_or_default()
+    }
+
+    /// Job of a task that must be tried on probation.
+    pub(crate) fn suspect(&self, key: &TaskKey) -> Option<JobId> {
+        (self.loss_count(key).probation_ms() > 0).then_some(key.job)
+    }
+
+    /// Whether one more worker of a pool may be put at risk by a suspect: half of them stay for the rest.
+    pub(crate) fn has_probation_room(&self, service: &Arc<str>, now: u64) -> bool {
+        let (mut all, mut at_risk) = (0, 0);
+        for worker in self.workers.values().filter(|worker| worker.entry.service == *service) {
+            all += usize::from(worker.is_open(now));
+            at_risk += usize::from(worker.has_probation());
+        }
+        at_risk * 2 < all.max(1)
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 //!   the life of its worker is over, or every lease that the worker can have has run out.
 
 pub(crate) mod abandoned;
+mod blame;
 pub mod commit;
 pub mod demand;
 pub mod dispatch;
@@ -560,6 +561,7 @@
         self.wall_ms = wall_ms;
         self.begin_due(wall_ms);
         self.expire_silent(now);
+        self.give_verdicts(now);
         if now >= self.next_sweep_ms {
             self.next_sweep_ms = now + runs::SWEEP_MS;
             if !self.is_behind(now) {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -269,6 +269,11 @@
         self.runs.values().any(|run| run.probation_ms > 0 && run.span.length_ms().is_none())
     }
 
+    /// Whether a suspect is just starting there.
+    pub fn has_starting_suspect(&self) -> bool {
+        self.runs.values().any(|run| run.probation_ms > 0 && !run.has_worked(PROOF_MS))
+    }
+
     /// Whether a suspect is on probation there.
     pub fn has_probation(&self) -> bool {
         self.runs.values().any(BookedRun::is_on_probation)
