A start that was never sent makes no suspect

The trace: a task was placed on three workers, 11.35 to 12.49 s; none of them ever answered anything of it (at_work_ms null), the second and the third carried nothing else and had died with the first. The probation held the start back until the worker had answered, as it should, and then counted the worker's loss against the start that it had not sent.

Change: only runs whose start was handed out are exposed to the loss of their worker. The test fails without it (the job is given up after one start) and passes with it.

--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -71,14 +71,20 @@
         }
     }
 
-    /// Runs whose start may have reached the worker.
+    /// Runs whose start may have reached the worker. One that waits to be sent, as the worker did not answer
+    /// before it, tells that it was gone already.
     fn exposed_runs(&self, worker: &WorkerRun) -> Vec<ExposedRun> {
         let expose = |((task, run), booked): (&(TaskKey, u32), &BookedRun)| {
             let lives = &self.jobs.get(&task.job)?.task(task)?.live;
-            let phase = lives.iter().find(|live| live.run == *run)?.phase;
-            let is_unknown = phase == RunPhase::Inherited;
+            let live = lives.iter().find(|live| live.run == *run)?;
+            let is_waiting = match live.phase {
+                RunPhase::Planned => true,
+                RunPhase::Starting => !live.is_sent,
+                RunPhase::Running | RunPhase::Inherited | RunPhase::Stopping => false,
+            };
+            let is_unknown = live.phase == RunPhase::Inherited;
             let run = ExposedRun { task: *task, run: *run, booked: *booked, is_unknown };
-            (phase != RunPhase::Planned).then_some(run)
+            (!is_waiting).then_some(run)
         };
         worker.runs.iter().filter_map(expose).collect()
     }
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -330,3 +330,26 @@
         assert!(are_completed(&stage, &many), "second news after {second_ms} ms");
     }
 }
+
+/// Several workers die at once, two of them idle, which nobody notices. A task that was on the first is tried on
+/// the second and then on the third: neither answers, so its start is never sent. They were lost under nothing,
+/// and the caller's job is served by the fourth.
+#[test]
+fn workers_that_die_before_the_start_is_sent_count_for_nothing() {
+    let mut stage = four_workers();
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let first = stage.place(key);
+    let idle: Vec<Arc<str>> = stage.workers.keys().filter(|id| **id != first).cloned().collect();
+    for id in &idle {
+        stage.workers.get_mut(id).expect("known").is_silent = true;
+    }
+    stage.crash(&first);
+    for id in &idle {
+        stage.advance(100);
+        stage.crash(id);
+    }
+    work(&mut stage, 5_000);
+    assert_eq!(stage.starts(key), 2, "the one that was lost and the one that is done");
+    assert!(are_completed(&stage, &[id]));
+}
