The stand-in plays tasks that crash their workers and rooms that shrink; the soak draws both

Workers of the stand-in crash within 10 ms of the first task of such a job and answer nothing until their next life, as any that crash now; rooms shrink and grow and are told in the workers' reports; one pool guards nothing. The ledger breaks on a third start after three crashes, on a job that is shown as failed with nothing wrong, and on a start that brings an unguarded worker over the largest room of the last 3.3 s. Which jobs crash is told by their ids, and rooms have a seed of their own, so that earlier seeds draw the faults and jobs that they drew.

--- a/standin/src/jobs/ledger.rs
+++ b/standin/src/jobs/ledger.rs
@@ -28,8 +28,15 @@
     pub is_cancelled: bool,
     /// Whether its tasks last until it is cancelled.
     pub lasts: bool,
+    /// Whether it may be shown as failed: its tasks fail, or crash their workers.
+    pub may_fail: bool,
 }
 
+/// Workers that may crash under a task before its starts are counted, and starts from there on that are too
+/// many.
+const CRASHES_FREE: u32 = 3;
+const STARTS_TOO_MANY: u32 = 3;
+
 #[derive(Clone, Debug, Default)]
 struct TaskLedger {
     /// Lives of workers on which a run is alive, with its number.
@@ -37,6 +44,9 @@
     is_done: bool,
     is_done_acknowledged: bool,
     starts: u32,
+    /// Workers that it has crashed, and starts since that was too many.
+    crashes: u32,
+    starts_since: u32,
 }
 
 /// All that was seen, checked as it is written.
@@ -66,6 +76,11 @@
         }
         let ledger = self.tasks.entry(task).or_default();
         ledger.starts += 1;
+        ledger.starts_since += u32::from(!is_late && ledger.crashes >= CRASHES_FREE);
+        if ledger.starts_since == STARTS_TOO_MANY {
+            self.faults
+                .push(format!("{task} has crashed three workers, and starts three times more"));
+        }
         if !is_late && !ledger.live.is_empty() {
             self.faults.push(format!(
                 "{task} run {run} starts on {life} while it runs on {:?}",
@@ -78,6 +93,25 @@
         ledger.live.insert((life.to_owned(), run));
     }
 
+    /// A task has crashed its worker.
+    pub fn crashed(&mut self, task: TaskKey) {
+        self.tasks.entry(task).or_default().crashes += 1;
+    }
+
+    /// A start brings what runs on a worker without a guard to so much, of a room of so much.
+    pub fn filled(&mut self, task: TaskKey, life: &str, wanted: u64, room: u64) {
+        if wanted > room {
+            self.faults.push(format!("{task} brings {life} to {wanted} of {room}"));
+        }
+    }
+
+    /// A caller is told that a job has failed.
+    pub fn shown_failed(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| !job.may_fail) {
+            self.faults.push(format!("{id} is shown as failed, and nothing was wrong with it"));
+        }
+    }
+
     /// A run is over.
     pub fn ended(&mut self, task: TaskKey, run: u32, life: &str, is_done: bool) {
         let ledger = self.tasks.entry(task).or_default();
--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -14,12 +14,14 @@
 use crate::jobs::ledger::JobLedger;
 use crate::jobs::log::LogStandin;
 use crate::jobs::proxy::FaultProxy;
-use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin, capacity};
+use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin};
 
 /// Time between two reports of a worker.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Pools that have queues.
 pub const POOLS: [&str; 2] = ["tours", "residence"];
+/// Pool whose workers start whatever they are told to.
+pub const UNGUARDED: &str = POOLS[1];
 /// Pool whose VMs are off.
 const STANDBY: &str = "helpers";
 /// Host that callers name.
@@ -104,7 +106,10 @@
 
     /// Puts a configuration in force.
     pub fn configure(&self, version: u64) {
-        let service = |name: &str| value!({ "name": name, "admission-check": true, "standby": name == STANDBY });
+        let service = |name: &str| {
+            value!({ "name": name, "admission-check": name != UNGUARDED,
+            "standby": name == STANDBY })
+        };
         let routes: Vec<Value> = POOLS.iter().map(|pool| route(pool)).collect();
         let services: Vec<Value> =
             POOLS.iter().chain([&STANDBY]).map(|name| service(name)).collect();
@@ -186,20 +191,22 @@
 
     /// Keeps the workers' entries on the log as they are.
     async fn report_workers(&self) {
-        let mut told: Vec<Option<(String, String)>> = vec![None; self.vms.len()];
+        let mut told: Vec<Option<(String, String, Value)>> = vec![None; self.vms.len()];
         loop {
             for (linked, told) in self.vms.iter().zip(&mut told) {
-                let life = linked.vm.life();
+                let capacity = linked.vm.capacity();
+                let life = linked.vm.life().map(|(id, pool)| (id, pool, capacity));
                 if life == *told {
                     continue;
                 }
-                if let Some((id, _)) = told.take() {
+                let is_same = |old: &String| life.as_ref().is_some_and(|(id, ..)| id == old);
+                if let Some((id, ..)) = told.take().filter(|(id, ..)| !is_same(id)) {
                     self.log.put("keyed.servers", &id, b"");
                 }
-                if let Some((id, pool)) = &life {
+                if let Some((id, pool, capacity)) = &life {
                     let entry = value!({
                         "service": pool, "addr": linked.link.address, "zone": "dc-a",
-                        "state": "ready", "capacity": capacity(), "labels": ["a", linked.vm.rack],
+                        "state": "ready", "capacity": capacity, "labels": ["a", linked.vm.rack],
                     });
                     self.log.put("keyed.servers", id, entry.to_string().as_bytes());
                 }
--- a/standin/src/jobs/worker.rs
+++ b/standin/src/jobs/worker.rs
@@ -17,6 +17,7 @@
 
 use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
 use crate::jobs::ledger::JobLedger;
+use crate::jobs::site::UNGUARDED;
 
 /// Longest lease, in milliseconds.
 pub const LEASE_MAX_MS: u64 = 3_000;
@@ -31,7 +32,13 @@
 /// Longest time after which a command that was not answered is carried out, in milliseconds.
 const LATE_MS: u64 = 2_500;
 
-/// What a task does, as its text tells: `work=MS`, `cpu=THOUSANDTHS`, `lasts`, `fails`.
+/// Longest time from a start to the crash that it causes, in milliseconds.
+const CRASH_MS: u64 = 10;
+/// Time for which a room that has shrunk still counts as it was: a heartbeat, and the time in which everybody
+/// must have read it.
+const ROOM_GRACE: Duration = Duration::from_millis(3_300);
+
+/// What a task does, as its text tells: `work=MS`, `cpu=THOUSANDTHS`, `lasts`, `fails`, `crashes`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TaskText {
     /// Run time in milliseconds.
@@ -42,6 +49,8 @@
     pub lasts: bool,
     /// Whether it ends in failure.
     pub fails: bool,
+    /// Whether the first task of its job crashes each worker that starts it.
+    pub crashes: bool,
 }
 
 impl TaskText {
@@ -56,6 +65,7 @@
             cpu: number("cpu="),
             lasts: text.split(' ').any(|word| word == "lasts"),
             fails: text.split(' ').any(|word| word == "fails"),
+            crashes: text.split(' ').any(|word| word == "crashes"),
         }
     }
 }
@@ -94,6 +104,14 @@
     life: Option<String>,
     lives: u32,
     back: Option<Instant>,
+    /// When its worker crashes, and the task that does it.
+    doom: Option<(Instant, TaskKey)>,
+    /// Whether its worker has crashed: nothing is answered until the next life.
+    is_dark: bool,
+    /// Processor of the worker, in thousandths of a core; it may shrink and grow.
+    room: u64,
+    /// Larger rooms that it had not long ago, and until when each counts.
+    rooms_before: Vec<(u64, Instant)>,
     is_maintained: bool,
     wave: u64,
     token: u64,
@@ -143,7 +161,7 @@
     ) -> std::io::Result<VmStandin> {
         let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
         let address = listener.local_addr()?;
-        let mut state = VmState { pool: pool.to_owned(), ..VmState::default() };
+        let mut state = VmState { pool: pool.to_owned(), room: VM_CPU, ..VmState::default() };
         state.begin_life(&name);
         let shared = Arc::new(VmShared {
             state: Mutex::new(state),
@@ -175,9 +193,20 @@
 
     /// The worker loses all that it runs and comes back with another life.
     pub fn crash(&self) {
+        self.shared.crash(&mut self.shared.lock());
+    }
+
+    /// Gives the worker this room, in thousandths of a core.
+    pub fn set_room(&self, room: u64) {
         let mut state = self.shared.lock();
-        self.shared.end_life(&mut state);
-        state.back = Some(Instant::now() + AWAY_TIME);
+        let before = (state.room, Instant::now() + ROOM_GRACE);
+        state.rooms_before.push(before);
+        state.room = room;
+    }
+
+    /// What its worker says of its size.
+    pub fn capacity(&self) -> Value {
+        capacity(self.shared.lock().room)
     }
 
     /// A row of the VM list.
@@ -190,7 +219,7 @@
         };
         value!({
             "machine": self.name, "pool": state.pool, "state": word, "zone": "dc-a",
-            "labels": ["a", self.rack], "capacity": capacity(), "id": state.life,
+            "labels": ["a", self.rack], "capacity": capacity(state.room), "id": state.life,
         })
     }
 
@@ -220,9 +249,8 @@
     }
 }
 
-/// What a worker or VM says of its size.
-pub fn capacity() -> Value {
-    value!({ "cpu": VM_CPU, "mem-mb": 32_000 })
+fn capacity(room: u64) -> Value {
+    value!({ "cpu": room, "mem-mb": 32_000 })
 }
 
 impl VmState {
@@ -230,12 +258,20 @@
         self.lives += 1;
         self.life = Some(format!("{name}-{}", self.lives));
         self.back = None;
+        (self.doom, self.is_dark) = (None, false);
         self.is_maintained = false;
         (self.fence, self.next_end, self.lease_until_ms) = (0, 0, 0);
         self.ended.clear();
         self.refused.clear();
     }
 
+    /// The largest room that counts now.
+    fn room_due(&mut self) -> u64 {
+        let now = Instant::now();
+        self.rooms_before.retain(|(_, until)| now < *until);
+        self.rooms_before.iter().map(|(room, _)| *room).fold(self.room, u64::max)
+    }
+
     fn used(&self) -> u64 {
         self.running.values().map(|task| task.text.cpu).sum()
     }
@@ -274,11 +310,22 @@
         self.ended.notify_waiters();
     }
 
+    /// The worker is gone without a word; its VM brings another life.
+    fn crash(&self, state: &mut VmState) {
+        self.end_life(state);
+        state.is_dark = true;
+        state.back = Some(Instant::now() + AWAY_TIME);
+    }
+
     /// Ends what is due, and brings the VM back.
     fn beat(&self, name: &str) {
         let now = Instant::now();
         let clock = self.clock_ms();
         let mut state = self.lock();
+        if let Some((_, task)) = state.doom.take_if(|(at, _)| now >= *at) {
+            self.ledger().crashed(task);
+            self.crash(&mut state);
+        }
         if state.back.is_some_and(|back| now >= back) {
             state.begin_life(name);
         }
@@ -384,9 +431,17 @@
         }
         let payload = body["spec"].as_str().unwrap_or("");
         let text = TaskText::parse(payload);
-        if state.used() + text.cpu > VM_CPU {
+        let wanted = state.used() + text.cpu;
+        if state.pool == UNGUARDED {
+            let room = state.room_due();
+            self.ledger().filled(key.0, life, wanted, room);
+        } else if wanted > state.room {
             return self.refusal("room");
         }
+        if text.crashes && (key.0.step, key.0.index) == (0, 0) {
+            let wait = Duration::from_millis(rand::rng().random_range(0..CRASH_MS));
+            state.doom.get_or_insert((Instant::now() + wait, key.0));
+        }
         state.running.insert(key, LiveTask { text, begun: Instant::now(), stop: None });
         self.ledger().started(key.0, key.1, life, payload, is_late);
         json(200, &value!({ "clock-ms": clock }))
@@ -448,8 +503,11 @@
 }
 
 async fn answer(shared: Arc<VmShared>, call: AskedCall) -> GivenAnswer {
-    let faults = shared.lock().faults;
-    if faults.is_silent {
+    let (faults, is_dark) = {
+        let state = shared.lock();
+        (state.faults, state.is_dark)
+    };
+    if faults.is_silent || is_dark {
         return None;
     }
     if call.method != Method::POST {
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -27,6 +27,9 @@
 /// Looks at a job before its caller turns to the next one.
 const LOOKS: usize = 4;
 
+/// End of the ids of jobs whose first task crashes its workers: one of 32 in either pool.
+const CRASHING: [&str; 8] = ["00", "21", "42", "63", "84", "a5", "c6", "e7"];
+
 /// What a caller is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Told {
@@ -80,7 +83,7 @@
                 break id;
             }
         };
-        let (job, body) = draw_job(random);
+        let (job, body) = draw_job(id, random);
         self.platform.ledger().jobs.insert(id, job);
         let mut end = SubmissionEnd::Refused;
         for _ in 0..TRIES {
@@ -109,8 +112,10 @@
             ledger.faults.push(format!("{id} was accepted and is said not to exist"));
         }
         let state = body["state"].as_str().unwrap_or("").to_owned();
-        if state == "completed" {
-            ledger.shown_completed(id);
+        match state.as_str() {
+            "completed" => ledger.shown_completed(id),
+            "failed" => ledger.shown_failed(id),
+            _ => {}
         }
         state
     }
@@ -199,8 +204,9 @@
     }
 }
 
-/// A job of one or two steps; now and then one that lasts, and one that always fails.
-fn draw_job(random: &mut StdRng) -> (CallerJob, Value) {
+/// A job of one or two steps; now and then one that lasts, one that always fails, and, by its id, one whose first
+/// task crashes its workers.
+fn draw_job(id: JobId, random: &mut StdRng) -> (CallerJob, Value) {
     let lasts = random.random_bool(0.08);
     let fails = !lasts && random.random_bool(0.06);
     let (work, cpu) = (random.random_range(30..400), random.random_range(500..3_000));
@@ -211,6 +217,11 @@
     if fails {
         payload.push_str(" fails");
     }
+    let crashes = CRASHING.iter().any(|end| id.to_string().ends_with(end));
+    if crashes {
+        payload.push_str(" crashes");
+    }
+    let may_fail = fails || crashes;
     let count = if lasts { 1 } else { random.random_range(1..3) };
     let steps: Vec<u32> = (0..count).map(|_| random.random_range(1..5)).collect();
     let bodies: Vec<Value> = steps
@@ -225,5 +236,5 @@
         })
         .collect();
     let body = json!({ "spec": payload, "steps": bodies });
-    (CallerJob { payload, steps, end: None, is_cancelled: false, lasts }, body)
+    (CallerJob { payload, steps, end: None, is_cancelled: false, lasts, may_fail }, body)
 }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -10,12 +10,17 @@
 
 use crate::jobs::proxy::LinkFault;
 use crate::jobs::site::JobPlatform;
+use crate::jobs::worker::VM_CPU;
 use crate::soak::entry::EntryProcess;
 
 /// Longest pause between two faults, in milliseconds.
 const GAP_MS: u64 = 900;
 /// Longest time that a fault lasts, in milliseconds.
 const LENGTH_MS: u64 = 2_500;
+/// Longest pause between two rooms that shrink, and longest time that one stays small, in milliseconds: longer than
+/// the time that everybody has to take it in.
+const ROOM_GAP_MS: u64 = 1_500;
+const ROOM_MS: u64 = 7_000;
 /// Kinds of faults that are drawn from.
 const KINDS: u32 = 17;
 
@@ -55,6 +60,25 @@
     count
 }
 
+/// Lets rooms shrink and grow for `length`, drawn by a seed of their own.
+pub async fn resize(mut random: StdRng, length: Duration, platform: Arc<JobPlatform>) {
+    let begun = Instant::now();
+    let mut under_way = JoinSet::new();
+    while begun.elapsed() < length {
+        sleep(Duration::from_millis(random.random_range(100..ROOM_GAP_MS))).await;
+        let vm = random.random_range(0..platform.vms().len());
+        let room = VM_CPU * random.random_range(1..8) / 8;
+        let lasting = Duration::from_millis(random.random_range(200..ROOM_MS));
+        let platform = platform.clone();
+        under_way.spawn(async move {
+            platform.vms()[vm].vm.set_room(room);
+            sleep(lasting).await;
+            platform.vms()[vm].vm.set_room(VM_CPU);
+        });
+    }
+    while under_way.join_next().await.is_some() {}
+}
+
 /// One fault, from its beginning to its end.
 async fn fault(
     kind: u32,
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -35,6 +35,9 @@
 /// Time between two looks at whether it has.
 const SETTLE_GAP: Duration = Duration::from_millis(200);
 
+/// Rooms are drawn by a seed of their own, so that a seed draws the same faults as before there were any.
+const ROOM_SEED: u64 = 0x726f_6f6d;
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct SoakPlan {
@@ -122,6 +125,8 @@
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
         tasks.spawn(callers.clone().call(random));
     }
+    let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
+    tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
     let random = StdRng::seed_from_u64(seed);
     report.faults = faults::inject(random, plan.length, &platform, &entries).await;
     callers.stop();
--- a/tests/job_path.rs
+++ b/tests/job_path.rs
@@ -110,6 +110,7 @@
         end: None,
         is_cancelled: false,
         lasts: false,
+        may_fail: false,
     };
     platform.ledger().jobs.insert(JobId::parse(ID).expect("an id"), job);
     let body = json!({ "spec": payload, "steps": [
