Moves of a slow task are counted over changes of leaders: the same cause, elsewhere

Cause: a task that is slow or stalled is moved at most twice, as beyond that it is the task and not its worker. On the stage a task that is slow everywhere is started 5 times over four changes of leaders, with its work thrown away each time; 3 are the aim.

Change: the count stands on the log beside that of lost workers (TaskSetbacks).

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -43,8 +43,8 @@
     pub tasks: Vec<TaskProgress>,
     /// Workers that the tasks name.
     pub workers: Vec<Arc<str>>,
-    /// Tasks under which workers were lost. Last, as records from before it was kept end here.
-    pub losses: Vec<TaskLosses>,
+    /// Tasks that were set back. Last, as records from before it was kept end here.
+    pub setbacks: Vec<TaskSetbacks>,
 }
 
 /// Workers that were lost under a task.
@@ -56,17 +56,19 @@
     pub at_start: u32,
 }
 
-/// The same, with the task's place in its job.
+/// What bounds how often a task is started anew, beside its failures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskLosses {
+pub struct TaskSetbacks {
     /// Occurrence of the job.
     pub occurrence: u32,
     /// Step.
     pub step: u16,
     /// Index in the step.
     pub index: u32,
-    /// How many.
-    pub count: LossCount,
+    /// Workers that were lost under it.
+    pub losses: LossCount,
+    /// Times that it was moved for being slow or stalled.
+    pub moves: u32,
 }
 
 /// How far a task is.
@@ -154,11 +156,11 @@
     }
 }
 
-/// Reads a job's progress, also as it was written before losses were kept: then their list is missing at the
+/// Reads a job's progress, also as it was written before setbacks were kept: then their list is missing at the
 /// end, and a process of this version that takes over would know nothing of jobs that run.
 fn decode_progress(value: &[u8]) -> Option<JobProgress> {
-    const NO_LOSSES: u8 = 0;
+    const NO_SETBACKS: u8 = 0;
     postcard::from_bytes(value)
-        .or_else(|_| postcard::from_bytes(&[value, &[NO_LOSSES]].concat()))
+        .or_else(|_| postcard::from_bytes(&[value, &[NO_SETBACKS]].concat()))
         .ok()
 }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::book::BookedJob;
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
-use crate::jobs::record::{JobProgress, LossCount, TaskLosses, TaskProgress};
+use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskSetbacks};
 
 /// Where a run is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -227,7 +227,7 @@
         for told in &progress.tasks {
             self.apply_task(told, &progress.workers);
         }
-        for told in &progress.losses {
+        for told in &progress.setbacks {
             let key = TaskKey {
                 job: self.id,
                 occurrence: told.occurrence,
@@ -235,7 +235,8 @@
                 index: told.index,
             };
             if let Some(task) = self.task_mut(&key) {
-                task.losses = told.count;
+                task.losses = told.losses;
+                task.moves = told.moves;
             }
         }
     }
@@ -291,7 +292,7 @@
             steps_done: Vec::new(),
             tasks: Vec::new(),
             workers: Vec::new(),
-            losses: Vec::new(),
+            setbacks: Vec::new(),
         };
         progress.occurrences_done =
             self.occurrences.keys().next().copied().unwrap_or(self.next_occurrence);
@@ -388,8 +389,9 @@
             continue;
         }
         let index = u32::try_from(index).unwrap_or(u32::MAX);
-        if task.losses.all > 0 && !task.is_done {
-            progress.losses.push(TaskLosses { occurrence, step, index, count: task.losses });
+        let (losses, moves) = (task.losses, task.moves);
+        if losses.all + moves > 0 && !task.is_done {
+            progress.setbacks.push(TaskSetbacks { occurrence, step, index, losses, moves });
         }
         let live = task
             .live
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -86,9 +86,9 @@
 /// What the log tells of the workers lost under a task.
 fn told_losses(stage: &Stage, key: TaskKey) -> LossCount {
     let progress = stage.book.get(key.job).and_then(|job| job.progress.clone());
-    let losses = progress.map(|progress| progress.losses.clone()).unwrap_or_default();
-    let told = losses.iter().find(|told| (told.step, told.index) == (key.step, key.index));
-    told.map(|told| told.count).unwrap_or_default()
+    let setbacks = progress.map(|progress| progress.setbacks.clone()).unwrap_or_default();
+    let told = setbacks.iter().find(|told| (told.step, told.index) == (key.step, key.index));
+    told.map(|told| told.losses).unwrap_or_default()
 }
 
 /// A job whose first task crashes its workers, handed in to a stage that it may take down.
--- a/tests/scheduler_runs.rs
+++ b/tests/scheduler_runs.rs
@@ -165,3 +165,24 @@
     stage.scheduler.vm_commanded(&command, VmOutcome::Fenced, stage.now);
     assert!(stage.scheduler.is_deposed());
 }
+
+/// The same task under leaders that change: each that began the count anew would move it twice more, and throw
+/// its work away each time. The count is on the log with the run.
+#[test]
+fn moves_of_a_slow_task_are_counted_over_changes_of_leaders() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let id = stage.submit(1, job(vec![step(4)]));
+    let large = task(id, 0, 3);
+    stage.advance(1_000);
+    for index in 0..3 {
+        stage.end(task(id, 0, index), ExitKind::Done);
+    }
+    for term in 2..6 {
+        stage.take_over(term, config());
+        for _ in 0..100 {
+            stage.progress(large, 2, 100);
+        }
+    }
+    assert!(stage.starts(large) <= 3, "{} starts", stage.starts(large));
+    assert_eq!(stage.alive(large), 1);
+}
