A leader that is behind blames no start; soaks of any size; permits and starts in hand

Cause: for how long a task was at work is known from its worker's reports. To a leader whose answers come late, what was at work for long looks as if it were just starting; three such losses would give an innocent job up.

Change: while answers of several workers come late, losses count only towards the bound that holds for every reason. The test fails without it (1 at its start where 0 are known).

--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -22,7 +22,7 @@
     pub(crate) fn blame_runs(&mut self, lost: &[WorkerRun], now: u64) {
         let mut cases = Vec::with_capacity(lost.len());
         for worker in lost {
-            let exposed = self.exposed_runs(worker);
+            let exposed = self.exposed_runs(worker, now);
             let is_steady = !self.losses.is_unsteady(worker.entry.address, now);
             let named = if is_steady { self.named_task(&exposed) } else { None };
             cases.push((worker, exposed, named));
@@ -45,7 +45,7 @@
         worker: &WorkerRun,
         now: u64,
     ) -> BTreeMap<(TaskKey, u32), bool> {
-        let exposed = self.exposed_runs(worker);
+        let exposed = self.exposed_runs(worker, now);
         self.count_losses(&exposed, now);
         let counted = exposed.iter().filter(|run| !run.is_clear());
         counted.map(|run| ((run.task, run.run), run.is_at_start())).collect()
@@ -73,7 +73,8 @@
 
     /// Runs whose start may have reached the worker. One that waits to be sent, as the worker did not answer
     /// before it, tells that it was gone already.
-    fn exposed_runs(&self, worker: &WorkerRun) -> Vec<ExposedRun> {
+    fn exposed_runs(&self, worker: &WorkerRun, now: u64) -> Vec<ExposedRun> {
+        let is_behind = self.is_behind(now);
         let expose = |((task, run), booked): (&(TaskKey, u32), &BookedRun)| {
             let lives = &self.jobs.get(&task.job)?.task(task)?.live;
             let live = lives.iter().find(|live| live.run == *run)?;
@@ -82,7 +83,7 @@
                 RunPhase::Starting => !live.is_sent,
                 RunPhase::Running | RunPhase::Inherited | RunPhase::Stopping => false,
             };
-            let is_unknown = live.phase == RunPhase::Inherited;
+            let is_unknown = is_behind || live.phase == RunPhase::Inherited;
             let run = ExposedRun { task: *task, run: *run, booked: *booked, is_unknown };
             (!is_waiting).then_some(run)
         };
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -117,8 +117,8 @@
     pub run: u32,
     /// What was booked for it.
     pub booked: BookedRun,
-    /// Started by an earlier leader, and not told of by its worker since: for how long it was at work is not
-    /// known.
+    /// Started by an earlier leader, and not told of by its worker since; or we are behind ourselves. For how
+    /// long it was at work is not known.
     pub is_unknown: bool,
 }
 
--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -84,6 +84,7 @@
     options.optopt("", "seed", "first seed of a soak [1]", "NUMBER");
     options.optopt("", "runs", "seeds of a soak, one after the other [1]", "COUNT");
     options.optopt("", "seconds", "time of a soak under faults, for each seed [10]", "SECONDS");
+    options.optopt("", "entries", "entries of a soak, a process each, 180 at most [4]", "COUNT");
     options.optopt("", "daemon", "program of a soak's entries [ibisweird beside this one]", "PATH");
     options.optopt("", "logs", "directory for the logs of a soak that fails", "PATH");
     options.optflag("h", "help", "show this help");
@@ -128,13 +129,21 @@
         None => Ok(default),
         Some(text) => text.parse().map_err(|_| format!("--{flag}: {text:?} is no number\n")),
     };
-    let numbers = (number("seed", 1), number("runs", 1), number("seconds", 10));
-    let (seed, runs, seconds) = match numbers {
-        (Ok(seed), Ok(runs), Ok(seconds)) => (seed, runs, seconds),
-        (Err(text), ..) | (_, Err(text), _) | (_, _, Err(text)) => {
-            return Invocation::Refuse(text);
+    let numbers = ["seed", "runs", "seconds", "entries"].map(|flag| {
+        let default = if flag == "entries" { u64::from(soak::ENTRIES) } else { 1 };
+        number(flag, if flag == "seconds" { 10 } else { default })
+    });
+    let [seed, runs, seconds, entries] = match numbers {
+        [Ok(seed), Ok(runs), Ok(seconds), Ok(entries)] => [seed, runs, seconds, entries],
+        numbers => {
+            let texts: String = numbers.into_iter().filter_map(Result::err).collect();
+            return Invocation::Refuse(texts);
         }
     };
+    let entries = match u8::try_from(entries) {
+        Ok(entries) if (1..=soak::ENTRIES_MAX).contains(&entries) => entries,
+        _ => return Invocation::Refuse("--entries: 1 to 180\n".to_owned()),
+    };
     let beside = std::env::current_exe().unwrap_or_default().with_file_name("ibisweird");
     let directory = std::env::temp_dir().join(format!("ibisweir-soak-{}", std::process::id()));
     Invocation::Run(Task::Soak(SoakPlan {
@@ -142,6 +151,7 @@
         seed,
         runs,
         length: Duration::from_secs(seconds),
+        entries,
         directory: matches.opt_str("logs").map_or(directory, PathBuf::from),
     }))
 }
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -25,7 +25,9 @@
 use crate::soak::entry::EntryProcess;
 
 /// Entries of a site.
-const ENTRIES: u8 = 4;
+pub const ENTRIES: u8 = 4;
+/// Most entries: each has an address of its own, and a few hundred processes are the limit.
+pub const ENTRIES_MAX: u8 = 180;
 /// VMs of a site.
 const VMS: usize = 9;
 /// Callers at a time.
@@ -49,6 +51,8 @@
     pub runs: u64,
     /// Time under faults, for each seed.
     pub length: Duration,
+    /// Entries, a process each.
+    pub entries: u8,
     /// Directory of the logs; those of runs that pass are removed.
     pub directory: PathBuf,
 }
@@ -111,7 +115,7 @@
     std::fs::create_dir_all(&directory)?;
     let platform = Arc::new(JobPlatform::open(VMS).await?);
     let mut entries = Vec::new();
-    for number in 0..ENTRIES {
+    for number in 0..plan.entries {
         let entry = EntryProcess::start(number, &plan.daemon, &directory, &platform).await?;
         entries.push(Arc::new(entry));
     }
--- a/tests/scheduler_behind.rs
+++ b/tests/scheduler_behind.rs
@@ -212,3 +212,29 @@
     assert!((3..=5).contains(&narrow), "{narrow}");
     assert!(list_rest_ms(10_000, 1) < 2_000, "it must not get too old");
 }
+
+/// A leader that is behind learns of lost workers before the answers that would show for how long their tasks had
+/// been at work. Taken for starts that crashed them, three such losses would give up a caller's job that has
+/// nothing to do with it: they count, and only towards the bound that holds for every reason.
+#[test]
+fn a_leader_that_is_behind_blames_no_start() {
+    let mut stage = Stage::open(config(), workers(5));
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for losses in 1..=3 {
+        let place = stage.place(key);
+        let others: Vec<_> = stage.workers.keys().filter(|id| **id != place).cloned().collect();
+        others.iter().for_each(|other| answer_late(&mut stage, other));
+        stage.crash(&place);
+        for other in others {
+            stage.workers.get_mut(&other).expect("known").is_silent = false;
+        }
+        while stage.place(key) == place {
+            stage.advance(20);
+        }
+        let progress = stage.book.get(id).and_then(|job| job.progress.clone()).expect("on the log");
+        let told = progress.setbacks[0].losses;
+        assert_eq!((told.all, told.at_start), (losses, 0));
+    }
+    assert_eq!(stage.state(id), Some(JobState::Running));
+}
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use ibisweir::jobs::model::{ExitKind, JobId, JobSpec, JobState, StepSpec, TaskKey};
-use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal};
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, PermitGrant};
 use ibisweir::jobs::record::{JobRecord, LossCount};
+use ibisweir::jobs::site::PermitPolicy;
 use ibisweir::scheduler::SchedulerNote;
 use support::stage::{Stage, config, job, job_id, service_step, step, submission, task, worker};
 
@@ -353,3 +354,40 @@
     assert_eq!(stage.starts(key), 2, "the one that was lost and the one that is done");
     assert!(are_completed(&stage, &[id]));
 }
+
+/// The queue's policy allows the step on two workers of four only. The bound is the same.
+#[test]
+fn a_task_with_permits_has_the_same_bound() {
+    let mut config = config();
+    config.queues[0].permits = Some(PermitPolicy { call_ms: 5, worker_ms: 1, valid_ms: 60_000 });
+    let pool = (1..=4).map(|n| worker(&format!("w{n}"), &format!("r{}", n % 2))).collect();
+    let mut stage = Stage::open(config, pool);
+    let bad = submit_bad(&mut stage, 1, job(vec![step(1)]));
+    for _ in 0..100 {
+        stage.advance(500);
+        for (step, workers) in std::mem::take(&mut stage.permits_asked) {
+            let allowed = workers.iter().take(2).map(|id| (id.clone(), "permit".into())).collect();
+            let grant = PermitGrant { allowed, valid_ms: 1_000 };
+            stage.scheduler.take_permits(step, Some(grant), stage.now);
+        }
+    }
+    assert_eq!(stage.state(bad), Some(JobState::Failed));
+    assert!(stage.lost.len() <= BOUND, "{} workers were lost", stage.lost.len());
+}
+
+/// The next start waits in its lane, or in another entry's hands, when the last loss is learned of and the job is
+/// given up. It must not go out any more.
+#[test]
+fn a_start_in_hand_does_not_go_out_once_its_job_is_given_up() {
+    let mut stage = four_workers();
+    let bad = submit_bad(&mut stage, 1, job(vec![step(2)]));
+    let other = task(bad, 0, 1);
+    while stage.state(bad) != Some(JobState::Failed) {
+        stage.lane_is_slow = stage.lost.len() == WORKERS_LOST_MAX;
+        stage.advance(100);
+    }
+    let starts = (stage.starts(task(bad, 0, 0)), stage.starts(other));
+    stage.empty_lanes();
+    stage.advance(2_000);
+    assert_eq!((stage.starts(task(bad, 0, 0)), stage.starts(other)), starts);
+}
