A start that no executor could take was not sent: it makes no suspect; two names that say what they ask

Found by reading the change: starts were marked as sent when they were handed out, also those that came back as not sent. The test fails without it (one loss is counted where none is known). may_start_now and has_waiting_suspect in place of names that told of an answer and not of the question.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -91,7 +91,7 @@
             && !worker.runs.is_empty()
             && !worker.is_withheld();
         let wait = match waits {
-            true if worker.is_wanted_alive() => Duration::ZERO,
+            true if worker.has_waiting_suspect() => Duration::ZERO,
             true if worker.has_starting_suspect() => renew_wait.min(PROBATION_WAIT),
             true => renew_wait,
             false => Duration::ZERO,
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -161,7 +161,7 @@
             if worker.silent_since_ms.is_some() || !worker.is_listed {
                 continue;
             }
-            if phase == RunPhase::Starting && !worker.is_proven_for(&(key, run), since_ms) {
+            if phase == RunPhase::Starting && !worker.may_start_now(&(key, run), since_ms) {
                 self.actions.push(SchedulerAction::Wake(id));
                 continue;
             }
@@ -238,6 +238,7 @@
             && live.phase == RunPhase::Starting
         {
             live.retry_ms = now;
+            live.is_sent = live.is_in_doubt;
         }
     }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -267,13 +267,13 @@
     /// Whether a start may go out that waits since `since_ms`: a suspect's only once the worker has answered
     /// since. A worker that is idle is not asked for long; if it had died meanwhile, the suspect would be
     /// blamed for it.
-    pub fn is_proven_for(&self, key: &(TaskKey, u32), since_ms: u64) -> bool {
+    pub fn may_start_now(&self, key: &(TaskKey, u32), since_ms: u64) -> bool {
         let is_suspect = self.runs.get(key).is_some_and(|run| run.probation_ms > 0);
         !is_suspect || self.report_ms >= since_ms
     }
 
     /// Whether a suspect waits to be started there until the worker has answered.
-    pub fn is_wanted_alive(&self) -> bool {
+    pub fn has_waiting_suspect(&self) -> bool {
         self.runs.values().any(|run| run.probation_ms > 0 && run.span.length_ms().is_none())
     }
 
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -391,3 +391,22 @@
     stage.advance(2_000);
     assert_eq!((stage.starts(task(bad, 0, 0)), stage.starts(other)), starts);
 }
+
+/// No executor could take a start, and the worker that it was for is lost before it is sent another way. It was
+/// lost under nothing.
+#[test]
+fn a_start_that_nobody_could_take_counts_for_nothing() {
+    let mut stage = four_workers();
+    stage.lane_is_slow = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    assert!(stage.scheduler.command(&key, 1, stage.now).is_some());
+    stage.scheduler.start_not_sent(&key, 1, stage.now);
+    let places = ["w1", "w2", "w3", "w4"];
+    let place = places.iter().find(|place| stage.scheduled_on(place) > 0).expect("it is placed");
+    stage.crash(place);
+    assert_eq!(told_losses(&stage, key), LossCount::default());
+    stage.lane_is_slow = false;
+    work(&mut stage, 3_000);
+    assert!(are_completed(&stage, &[id]));
+}
