Safeguards taken out one by one: three more tests, and the claim that each had one put right

Taken out one at a time on, five of nine safeguards left tests/scheduler_losses.rs green: larger failures, flapping VMs, nothing beside a probation, an answer before the start, keeping apart. Three tests more fail without the first three. The last two are said to be unproved; so is the count of lapsed leases, whose removal did not compile and was not run. A check more stands in the test of starts that were not sent. No product code is changed.

--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -350,6 +350,7 @@
         stage.advance(100);
         stage.crash(id);
     }
+    assert_eq!(told_losses(&stage, key), LossCount { all: 1, at_start: 1 });
     work(&mut stage, 5_000);
     assert_eq!(stage.starts(key), 2, "the one that was lost and the one that is done");
     assert!(are_completed(&stage, &[id]));
@@ -410,3 +411,61 @@
     work(&mut stage, 3_000);
     assert!(are_completed(&stage, &[id]));
 }
+
+/// Lets time pass until a task is started anew.
+fn until_restarted(stage: &mut Stage, key: TaskKey, starts: usize) {
+    for _ in 0..200 {
+        if stage.starts(key) > starts {
+            return;
+        }
+        stage.advance(20);
+    }
+}
+
+/// A task has lost two workers at its start. The third goes together with another one of the pool, which was at
+/// work: the failure is larger than the task, and its caller's job must be served.
+#[test]
+fn a_third_loss_that_strikes_another_worker_too_names_nobody() {
+    let pool = (1..=6).map(|n| worker(&format!("w{n}"), &format!("r{n}"))).collect();
+    let mut stage = Stage::open(config(), pool);
+    let rest = stage.submit(2, job(vec![StepSpec { per_worker_max: 1, ..step(6) }]));
+    stage.advance(100);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for starts in 1..=2 {
+        stage.crash(&stage.place(key));
+        until_restarted(&mut stage, key, starts);
+    }
+    let third = stage.place(key);
+    let other = stage.workers.keys().find(|id| **id != third && !id.contains('-')).cloned();
+    stage.crash_all(&[&third, &other.expect("one that was never lost")]);
+    work(&mut stage, 5_000);
+    assert!(are_completed(&stage, &[id, rest]));
+}
+
+/// The only VM of a pool goes down and up by turns, three times just as a task starts. The VM is no witness: the
+/// caller's job must be served.
+#[test]
+fn a_vm_that_goes_down_and_up_names_nobody() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for starts in 1..=3 {
+        stage.crash(&stage.place(key));
+        until_restarted(&mut stage, key, starts);
+    }
+    work(&mut stage, 5_000);
+    assert!(are_completed(&stage, &[id]));
+}
+
+/// A suspect has just begun on a worker. Another caller's task is not put beside it, though that worker is the
+/// fuller one: if it goes, only the suspect goes with it.
+#[test]
+fn nothing_starts_beside_a_suspect_on_probation() {
+    let mut stage = four_workers();
+    let suspect = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    stage.crash(&stage.place(suspect));
+    until_restarted(&mut stage, suspect, 1);
+    let other = task(stage.submit(2, job(vec![step(1)])), 0, 0);
+    assert_ne!(stage.place(other), stage.place(suspect));
+}
