A convicted task's neighbours are cleared of each worker that it took along, not only of the last

When such a task was named, its neighbours were cleared of its last crash alone, so those that had stood beside it before kept those losses and reached the bound for every reason. Ruled out: a higher bound (the users' rule allows two starts after three crashes), and counting no loss that came with others (a crash of its own that meets one of those would then not count). Change: a recent loss keeps whom it was counted against. A verdict clears the tasks that had been at work there; those that were just starting themselves stay counted but for the last loss, as two such tasks may have met.

--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -33,7 +33,7 @@
         for (worker, exposed, named) in cases {
             self.count_losses(&exposed, now);
             if let Some(task) = named {
-                self.defer_verdict(task, worker, &exposed, now);
+                self.defer_verdict(task, worker, now);
             }
         }
     }
@@ -64,10 +64,8 @@
             if self.losses.is_larger_failure(&verdict) {
                 continue;
             }
-            for (task, is_at_start) in &verdict.bystanders {
-                self.take_back_loss(task, *is_at_start);
-            }
-            self.give_up(&verdict.task, "it was tried on probation", now);
+            let convicted = Some(&*verdict.entry.id);
+            self.give_up(&verdict.task, convicted, "it was tried on probation", now);
         }
     }
 
@@ -112,7 +110,7 @@
             let is_over = task.losses.all >= LOSSES_MAX;
             self.commits.mark(run.task.job);
             if is_over {
-                self.give_up(&run.task, "it has lost too many workers", now);
+                self.give_up(&run.task, None, "it has lost too many workers", now);
             }
         }
     }
@@ -125,31 +123,27 @@
     }
 
     /// Holds the task back until its verdict.
-    fn defer_verdict(
-        &mut self,
-        key: TaskKey,
-        worker: &WorkerRun,
-        exposed: &[ExposedRun],
-        now: u64,
-    ) {
+    fn defer_verdict(&mut self, key: TaskKey, worker: &WorkerRun, now: u64) {
         let task = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key));
         if let Some(task) = task {
             task.not_before_ms = now + VERDICT_MS;
         }
-        let others = exposed.iter().filter(|run| run.task.job != key.job && !run.is_clear());
-        let bystanders = others.map(|run| (run.task, run.is_at_start())).collect();
-        let entry = worker.entry.clone();
-        self.losses.defer(PendingVerdict { task: key, lost_ms: now, entry, bystanders });
+        self.losses.defer(PendingVerdict { task: key, lost_ms: now, entry: worker.entry.clone() });
     }
 
     /// Gives up the job of a task that crashes its workers; callers are told at once that it has failed.
-    fn give_up(&mut self, key: &TaskKey, reason: &'static str, now: u64) {
+    ///
+    /// What it took along is cleared of each worker that was lost so. Left counted, the same few neighbours
+    /// of such tasks would reach the bound for every reason, and be given up without fault.
+    fn give_up(&mut self, key: &TaskKey, convicted: Option<&str>, reason: &'static str, now: u64) {
         let is_open = self.jobs.get(&key.job).is_some_and(|job| !job.state.is_final());
         if !is_open {
             return;
         }
         let lost = self.loss_count(key).all;
-        self.losses.explain(key.job);
+        for cleared in self.losses.explain(key.job, convicted) {
+            self.take_back_loss(&cleared.task, cleared.is_at_start);
+        }
         self.note(SchedulerNote::GivenUp { task: *key, lost, reason });
         self.finish_job(key.job, JobState::Failed, now);
     }
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -139,6 +139,17 @@
     }
 }
 
+/// A task that a lost worker was counted against.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CountedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// Whether it was counted as lost at the task's start.
+    pub is_at_start: bool,
+    /// Whether the task itself may have crashed the worker by starting.
+    is_starting: bool,
+}
+
 /// A worker that was lost lately.
 #[derive(Clone, Debug)]
 struct RecentLoss {
@@ -146,6 +157,8 @@
     entry: WorkerEntry,
     /// Jobs that were just starting there.
     starting: Vec<JobId>,
+    /// Whom it was counted against.
+    counted: Vec<CountedRun>,
     /// Whether one of them was on probation, and so is likely to be the cause.
     had_suspect: bool,
     /// Whether the VM had lost another one not long before.
@@ -172,8 +185,6 @@
     pub lost_ms: u64,
     /// The worker.
     pub entry: WorkerEntry,
-    /// What else ran there, and whether it was counted as at its start.
-    pub bystanders: Vec<(TaskKey, bool)>,
 }
 
 /// Workers that were lost lately, and what is still to be decided about them.
@@ -190,10 +201,16 @@
         let starting = exposed.iter().filter(|run| run.is_starting());
         let mut jobs: Vec<JobId> = starting.map(|run| run.task.job).collect();
         jobs.dedup();
+        let counted = exposed.iter().filter(|run| !run.is_clear()).map(|run| CountedRun {
+            task: run.task,
+            is_at_start: run.is_at_start(),
+            is_starting: run.is_starting(),
+        });
         let loss = RecentLoss {
             at_ms: now,
             entry: entry.clone(),
             starting: jobs,
+            counted: counted.collect(),
             had_suspect: exposed.iter().any(|run| run.booked.is_on_probation()),
             was_unsteady: self.is_unsteady(entry.address, now),
         };
@@ -216,9 +233,23 @@
         external.len() >= STRUCK_MIN || external.iter().any(|loss| loss.is_near(&verdict.entry))
     }
 
-    /// A job is known to crash its workers: what was lost while it was starting tells of no VM.
-    pub fn explain(&mut self, job: JobId) {
-        self.recent.retain(|loss| !loss.starting.contains(&job));
+    /// A job is known to crash its workers: what was lost while it was starting tells of no VM, and of none
+    /// of the tasks that it took along; those are returned.
+    ///
+    /// A task that was just starting there itself stays counted, but for the loss of `convicted`, the worker
+    /// on which nothing else can have been the cause: two tasks that crash their workers may have met.
+    pub fn explain(&mut self, job: JobId, convicted: Option<&str>) -> Vec<CountedRun> {
+        let (explained, open): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.recent)
+            .into_iter()
+            .partition(|loss| loss.starting.contains(&job));
+        self.recent = open;
+        let mut cleared = Vec::new();
+        for loss in explained {
+            let is_convicted = convicted == Some(&*loss.entry.id);
+            let others = loss.counted.into_iter().filter(|run| run.task.job != job);
+            cleared.extend(others.filter(|run| is_convicted || !run.is_starting));
+        }
+        cleared
     }
 
     /// A verdict is to be given later.
