--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 //! Nothing below this module does I/O, waits, locks or reads a clock: the time is an argument.
 //! That is what lets the tests drive it through any order of failures.
 
+pub mod access;
 pub mod estimate;
 pub mod executor;
 pub mod fleet;
--- a/src/decide/executor.rs
+++ b/src/decide/executor.rs
@@ -115,6 +115,20 @@
         }
     }
 
+    /// Addresses of some entries that were heard lately, of as many data centres as there are.
+    pub fn some(&self, count: usize, now: u64) -> Vec<SocketAddr> {
+        let mut heard: Vec<&KnownExecutor> =
+            self.known.values().filter(|known| known.is_heard(now)).collect();
+        // By the position in its data centre: the first of each, then the second.
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        heard.sort_by_cached_key(|known| {
+            let position = seen.entry(&known.offer.centre).or_default();
+            *position += 1;
+            *position
+        });
+        heard.iter().take(count).map(|known| known.offer.address).collect()
+    }
+
     /// Entries that take starts now, and starts that are under way through any.
     pub fn census(&self, now: u64) -> (usize, usize) {
         let taking = self.known.values().filter(|known| known.is_heard(now)).count();
--- a/src/error.rs
+++ b/src/error.rs
@@ -100,6 +100,14 @@
     LogAway = 124, 503, "the log can't be reached; nothing was done";
     /// What this entry has read of the log is too old to answer from.
     BehindLog = 126, 503, "this entry is behind the log; nothing was done";
+    /// The request shows no key, or more than one, or something else.
+    NoApiKey = 127, 401, "the request carries no key that can be read";
+    /// No organisation of the configuration has this key.
+    UnknownApiKey = 128, 401, "no organisation has this key";
+    /// The configuration that this entry has read is too old to honour keys by.
+    KeyUnconfirmed = 129, 503, "the key can't be confirmed now; nothing was done";
+    /// A job of another organisation has this id.
+    JobIdTaken = 130, 409, "this job id can't be used";
     /// A path or method that no call has.
     UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -6,12 +6,14 @@
 use slog::{Logger, info};
 use tokio::time::Instant;
 
+use crate::decide::access::{AccessRefusal, CallerAccess, PresentedKey, admit};
 use crate::error::ResultCode;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::JobLog;
 use crate::jobs::record::JobRecord;
+use crate::jobs::relay::{KnownJob, RelayClient};
 use crate::jobs::site::QueueSpec;
 use crate::jobs::submitter::{SubmitHandle, SubmitOutcome};
 
@@ -48,6 +50,8 @@
     pub reader: Arc<CatchUpReader<L>>,
     /// Puts records on the log.
     pub submitter: SubmitHandle,
+    /// Reaches the leader, whose book tells of jobs where the log is silent here.
+    pub relay: RelayClient,
 }
 
 impl<L: JobLog> JobDesk<L> {
@@ -65,10 +69,37 @@
         queue.cloned().ok_or_else(|| refused(ResultCode::UnknownService, None))
     }
 
+    /// Lets a caller in by the key that it shows.
+    ///
+    /// # Errors
+    /// `NoApiKey` or `UnknownApiKey`; `KeyUnconfirmed` while this entry can't tell whether its configuration is
+    /// the newest: another entry may.
+    pub fn admit(&self, queue: &QueueSpec, key: PresentedKey) -> Result<CallerAccess, DeskReply> {
+        let needs_key = self.node.config().is_some_and(|config| config.access.is_some());
+        if queue.is_open || !needs_key {
+            return Ok(CallerAccess::default());
+        }
+        let config = self.node.honoured_config();
+        let admitted = admit(config.as_ref().and_then(|config| config.access.as_ref()), key);
+        admitted.map_err(|refusal| self.not_admitted(refusal))
+    }
+
+    fn not_admitted(&self, refusal: AccessRefusal) -> DeskReply {
+        let (code, wait) = match refusal {
+            AccessRefusal::NoKey => (ResultCode::NoApiKey, None),
+            AccessRefusal::UnknownKey => (ResultCode::UnknownApiKey, None),
+            AccessRefusal::Unconfirmed => (ResultCode::KeyUnconfirmed, Some(OUTAGE_RETRY)),
+        };
+        info!(self.node.logger, "a caller is not let in"; "code" => code.number(),
+            "name" => code.name(), "view_age_ms" => self.node.config_age_ms());
+        DeskReply::Refused(code, wait)
+    }
+
     /// Stores a job; the same id again is the same job.
     pub async fn submit(
         &self,
         queue: &QueueSpec,
+        caller: &CallerAccess,
         job: JobId,
         spec: JobSpec,
         patience: Duration,
@@ -79,9 +110,9 @@
                 "code" => ResultCode::BadJob.number());
             return DeskReply::Refused(ResultCode::BadJob, None);
         }
-        if self.is_known(job) {
+        if let Some(known) = KnownJob::find(&self.node, job) {
             info!(logger, "job known already"; "job" => %job);
-            return DeskReply::Stored;
+            return stored_for(caller, Some(&known));
         }
         if self.node.is_log_away() {
             return outage();
@@ -92,6 +123,7 @@
             accepted_ms: self.node.clock.wall_ms(),
             spec,
             tasks_kept: 0,
+            organisation: caller.organisation.clone(),
         };
         let record = JobRecord::Submitted(job, Arc::new(submission));
         let bytes = record.encode().map_or(usize::MAX, |keyed| keyed.value.len());
@@ -103,33 +135,69 @@
         let begun = Instant::now();
         let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
         note(&logger, "submission", job, outcome, begun);
-        reply(outcome)
+        match outcome {
+            SubmitOutcome::Stored => stored_for(caller, KnownJob::find(&self.node, job).as_ref()),
+            outcome => reply(outcome),
+        }
     }
 
     /// Tells a job's state.
-    pub async fn look(&self, job: JobId) -> DeskReply {
-        if let Some(state) = self.state(job) {
-            return DeskReply::State(state);
+    pub async fn look(&self, caller: &CallerAccess, job: JobId) -> DeskReply {
+        match self.find(caller, job).await {
+            Ok(known) => known.map_or_else(no_such_job, |known| DeskReply::State(known.state)),
+            Err(reply) => reply,
+        }
+    }
+
+    /// A job that the caller may see; one of another organisation is none to it.
+    async fn find(&self, caller: &CallerAccess, job: JobId) -> Result<Option<KnownJob>, DeskReply> {
+        let known = self.known(job).await?;
+        let is_hidden = |known: &KnownJob| !caller.may_see(known.organisation.as_ref());
+        if known.as_ref().is_some_and(is_hidden) {
+            info!(self.node.logger, "a job of another organisation is not told"; "job" => %job);
+            return Ok(None);
+        }
+        Ok(known)
+    }
+
+    /// A job by this entry's book; while the log turns this entry alone away its book stands still, and the
+    /// leader's is asked.
+    async fn known(&self, job: JobId) -> Result<Option<KnownJob>, DeskReply> {
+        let own = KnownJob::find(&self.node, job);
+        if own.as_ref().is_some_and(|own| own.state.is_final()) {
+            return Ok(own);
+        }
+        if self.node.is_turned_away()
+            && let Some(told) = self.relay.look(&self.node, job).await
+        {
+            return Ok(told);
+        }
+        if own.is_some() {
+            return Ok(own);
         }
         match self.reader.catch_up().await {
-            true => self.state(job).map_or_else(no_such_job, DeskReply::State),
-            false => self.not_read(),
+            true => Ok(KnownJob::find(&self.node, job)),
+            false => Err(self.not_read()),
         }
     }
 
     /// Cancels a job.
-    pub async fn cancel(&self, queue: &QueueSpec, job: JobId, patience: Duration) -> DeskReply {
+    pub async fn cancel(
+        &self,
+        queue: &QueueSpec,
+        caller: &CallerAccess,
+        job: JobId,
+        patience: Duration,
+    ) -> DeskReply {
         let logger = self.node.logger.clone();
-        if self.state(job).is_none() && !self.reader.catch_up().await {
-            return self.not_read();
-        }
-        match self.state(job) {
-            None => {
+        match self.find(caller, job).await {
+            Err(reply) => return reply,
+            Ok(None) => {
                 info!(logger, "no such job to cancel"; "job" => %job);
                 return no_such_job();
             }
-            Some(state) if state.is_final() => return DeskReply::Stored,
-            Some(_) => {}
+            Ok(Some(known)) if known.state.is_final() => return DeskReply::Stored,
+            Ok(Some(_)) => {}
         }
         let begun = Instant::now();
         let record = JobRecord::Cancelled(job);
@@ -153,14 +221,6 @@
         }
         DeskReply::Refused(ResultCode::BehindLog, Some(OUTAGE_RETRY))
     }
-
-    fn is_known(&self, job: JobId) -> bool {
-        self.state(job).is_some()
-    }
-
-    fn state(&self, job: JobId) -> Option<JobState> {
-        self.node.book().get(job).and_then(|entry| entry.state())
-    }
 }
 
 fn deadline(queue: &QueueSpec, patience: Duration) -> Instant {
@@ -174,6 +234,15 @@
     Instant::now() + own.min(patience - margin)
 }
 
+/// The job of this id is stored; a caller of another organisation than its own has not handed it in, and nothing
+/// of what it asked for will run.
+fn stored_for(caller: &CallerAccess, known: Option<&KnownJob>) -> DeskReply {
+    match known.is_none_or(|known| caller.may_see(known.organisation.as_ref())) {
+        true => DeskReply::Stored,
+        false => DeskReply::Refused(ResultCode::JobIdTaken, None),
+    }
+}
+
 fn reply(outcome: SubmitOutcome) -> DeskReply {
     match outcome {
         SubmitOutcome::Stored => DeskReply::Stored,
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -16,6 +16,7 @@
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::conductor::ConductorParts;
+use crate::jobs::confirm::ViewLoop;
 use crate::jobs::delegate::OfferLoop;
 use crate::jobs::desk::JobDesk;
 use crate::jobs::follower::{JobFollower, OperatorDecoder, OperatorFollower, TailReader};
@@ -110,9 +111,9 @@
         let log = ports.leader.log.clone();
         let offers = ports.transport.clone();
         let relay = RelayClient::new(ports.transport);
-        let submitter = submitter::spawn(node.clone(), log.clone(), relay, life);
+        let submitter = submitter::spawn(node.clone(), log.clone(), relay.clone(), life);
         let reader = Arc::new(CatchUpReader::new(node.clone(), log));
-        let desk = JobDesk { node: node.clone(), reader, submitter };
+        let desk = JobDesk { node: node.clone(), reader, submitter, relay };
         let connections = Arc::new(CallerConnections::open());
         let accepting = vec![
             tokio::spawn(accept_callers(callers, desk, ports.callers.clone(), connections.clone())),
@@ -221,6 +222,7 @@
     let operator = (node.clone(), parts.log.clone());
     let leadership = (node.clone(), parts.clone());
     let offers = node.clone();
+    let views = (node.clone(), transport.clone());
     vec![
         SupervisedLoop::new(move || JobFollower {
             node: jobs.0.clone(),
@@ -232,6 +234,7 @@
             log: operator.1.clone(),
             tail: TailReader::new(LogTopic::Operator),
             decoder,
+            is_in_the_dark: false,
         }),
         SupervisedLoop::new(move || LeadershipLoop {
             node: leadership.0.clone(),
@@ -247,5 +250,11 @@
             node: offers.clone(),
             transport: transport.clone(),
         }),
+        SupervisedLoop::new(move || ViewLoop {
+            node: views.0.clone(),
+            transport: views.1.clone(),
+            turn: 0,
+            met_ms: None,
+        }),
     ]
 }
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -25,6 +25,8 @@
 const FOLLOW_GAP: Duration = Duration::from_millis(180);
 /// Time between two looks whether a leader's own appends still show all that is written.
 const SOLE_PAUSE: Duration = Duration::from_millis(100);
+/// Part of the time for which a reading counts that the wait of one may take: one in so many.
+const READ_PART: u64 = 5;
 /// Least time between two reads of what operators wrote.
 const OPERATOR_GAP: Duration = Duration::from_millis(50);
 
@@ -198,34 +200,68 @@
     pub tail: TailReader,
     /// Reads a record.
     pub decoder: OperatorDecoder,
+    /// Whether the newest configuration could not be read: the one in force may honour keys that it revokes.
+    pub is_in_the_dark: bool,
 }
 
 impl<L: JobLog> ControlLoop for OperatorFollower<L> {
     const NAME: &'static str = "operator follower";
 
     async fn step(&mut self) -> Duration {
-        let records = match self.tail.next(&self.log, READ_WAIT).await {
-            TailStep::Snapshot(records) | TailStep::Records(records) => records,
+        // By the start of the reading: what operators wrote while its answer was on its way may be missing.
+        let began_ms = self.node.now();
+        let wait = self.read_wait(began_ms);
+        let (records, is_read_on) = match self.tail.next(&self.log, wait).await {
+            TailStep::Snapshot(records) => (records, false),
+            TailStep::Records(records) => (records, true),
             TailStep::Failed => return FAILED_PAUSE,
         };
         self.node.touch();
         for (offset, record) in &records {
             self.take(*offset, record);
         }
-        if records.is_empty() { Duration::ZERO } else { OPERATOR_GAP }
+        // Pages of a snapshot are read one after the other: only what is read on from there is whole.
+        let is_shown = is_read_on && self.tail.is_at_end() && !self.is_in_the_dark;
+        if is_shown {
+            self.node.config_shown(began_ms);
+        }
+        match (records.is_empty(), is_shown) {
+            (true, true) => Duration::ZERO,
+            // The next reading would not wait for news either.
+            (true, false) => FAILED_PAUSE,
+            (false, _) => OPERATOR_GAP,
+        }
     }
 }
 
 impl<L: JobLog> OperatorFollower<L> {
-    fn take(&self, offset: u64, record: &KeyedRecord) {
+    /// Wait for news in one reading. An entry whose last reading is old asks without one: until the answer it
+    /// honours no key, or soon will not. Else a reading must be over long before the one before it is too old.
+    fn read_wait(&self, now: u64) -> Duration {
+        let rule = &self.node.settings.bounds.revocation;
+        if !rule.is_strict {
+            return READ_WAIT;
+        }
+        let part = Duration::from_millis(rule.bound_ms / READ_PART);
+        let is_old = self.node.shown_ms().is_none_or(|shown| now > shown + rule.bound_ms / 2);
+        if is_old { Duration::ZERO } else { READ_WAIT.min(part) }
+    }
+
+    fn take(&mut self, offset: u64, record: &KeyedRecord) {
         match (self.decoder)(record) {
             Some(OperatorRecord::Config(config)) => {
+                self.is_in_the_dark = false;
                 let (version, queues) = (config.version, config.queues.len());
                 if self.node.set_config(config) {
                     info!(self.node.logger, "configuration in force";
                         "version" => version, "queues" => queues, "offset" => offset);
                 }
             }
+            Some(OperatorRecord::UnreadableConfig) => {
+                self.is_in_the_dark = true;
+                warn!(self.node.logger, "a configuration can't be read: no key is confirmed by it";
+                    "offset" => offset, "bytes" => record.value.len());
+            }
             Some(OperatorRecord::Wave(wave)) => {
                 info!(self.node.logger, "maintenance wave"; "wave" => wave.number,
                     "vms" => wave.vms.len(), "parallel" => wave.parallel_max,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 pub mod book;
 pub mod catch_up;
 pub mod conductor;
+pub mod confirm;
 pub mod delegate;
 pub mod desk;
 pub mod entry;
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -319,6 +319,8 @@
     pub spec: JobSpec,
     /// Tasks of a job that is over, for operators; 0 while the spec tells.
     pub tasks_kept: usize,
+    /// Organisation of the caller; none for a queue that is open to all.
+    pub organisation: Option<Arc<str>>,
 }
 
 impl JobSubmission {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use slog::Logger;
 use tokio::sync::{Notify, oneshot};
 
@@ -30,6 +30,8 @@
 /// Time for which an append of our own shows that nobody else writes, in milliseconds: what others append
 /// meanwhile shows at the next one, as that does not follow on what the book has.
 const OWN_AGE_MS: u64 = 600;
+/// Time for which it counts that another entry was found to read the log, in milliseconds: two questions.
+const TURNED_AWAY_AGE_MS: u64 = 1_500;
 /// Time for which it counts that the leader's address was found closed, in milliseconds: longer than
 /// the silence after which it is acted on.
 const CLOSED_AGE_MAX_MS: u64 = 2_000;
@@ -50,6 +52,12 @@
     pub life: u64,
     executors: Mutex<ExecutorTable>,
     config: ArcSwapOption<SiteConfig>,
+    /// When the newest reading began that showed the configuration in force to be the newest, plus one; 0 for
+    /// none.
+    shown_ms: AtomicU64,
+    /// Other entries that can be asked how old their reading is.
+    peers: ArcSwap<Vec<SocketAddr>>,
+    turned_away_ms: AtomicU64,
     book: Mutex<JobBook>,
     book_end: AtomicU64,
     /// Appends of our own beyond the book's end, by their offset, and their ends.
@@ -80,6 +88,9 @@
             life: rand::random(),
             executors: Mutex::default(),
             config: ArcSwapOption::empty(),
+            shown_ms: AtomicU64::new(0),
+            peers: ArcSwap::default(),
+            turned_away_ms: AtomicU64::new(0),
             book: Mutex::new(JobBook::default()),
             book_end: AtomicU64::new(0),
             own_ranges: Mutex::default(),
@@ -120,6 +131,47 @@
         is_newer
     }
 
+    /// A reading that began at `began_ms` has come to the end of what operators wrote, and all of it is in
+    /// force here.
+    pub fn config_shown(&self, began_ms: u64) {
+        self.shown_ms.fetch_max(began_ms + 1, Ordering::AcqRel);
+    }
+
+    /// When the newest such reading began, in milliseconds.
+    pub fn shown_ms(&self) -> Option<u64> {
+        self.shown_ms.load(Ordering::Acquire).checked_sub(1)
+    }
+
+    /// Age of the newest such reading, in milliseconds.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        let shown = self.shown_ms()?;
+        Some(self.now().saturating_sub(shown))
+    }
+
+    /// The configuration by which keys may be honoured now; nothing if none may be.
+    ///
+    /// The reading is looked at first: what it has shown was in force before it counted, so the configuration
+    /// that is loaded after it is as new or newer.
+    pub fn honoured_config(&self) -> Option<Arc<SiteConfig>> {
+        let shown = self.shown_ms();
+        let rule = &self.settings.bounds.revocation;
+        if !rule.honours(shown, self.now()) {
+            return None;
+        }
+        self.config()
+    }
+
+    /// Other entries that can be asked how old their reading is.
+    pub fn peers(&self) -> Arc<Vec<SocketAddr>> {
+        self.peers.load_full()
+    }
+
+    /// Takes the addresses of other entries.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        let own = self.settings.peer;
+        self.peers.store(Arc::new(peers.into_iter().filter(|peer| *peer != own).collect()));
+    }
+
     /// Entries that carry out starts for this one while it leads.
     pub fn executors(&self) -> MutexGuard<'_, ExecutorTable> {
         self.executors.lock().unwrap_or_else(PoisonError::into_inner)
@@ -357,6 +409,22 @@
         self.now() > last + AWAY_AGE_MS
     }
 
+    /// Whether this entry's own calls to the log go unanswered.
+    pub fn is_log_silent(&self) -> bool {
+        self.now() > self.contact_ms.load(Ordering::Acquire) + AWAY_AGE_MS
+    }
+
+    /// Another entry reads the log, and this one can't.
+    pub fn turned_away(&self) {
+        self.turned_away_ms.store(self.now().max(1), Ordering::Relaxed);
+    }
+
+    /// Whether the log is silent here, and others were found a moment ago to read it.
+    pub fn is_turned_away(&self) -> bool {
+        let told = self.turned_away_ms.load(Ordering::Relaxed);
+        told > 0 && self.now() < told + TURNED_AWAY_AGE_MS && self.is_log_silent()
+    }
+
     /// Stops being ready.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Release);
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -27,8 +27,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::jobs::confirm::{self, QUESTION_BYTES_MAX, VIEW_PATH};
 use crate::jobs::delegate::{self, OFFER_PATH, STARTS_BYTES_MAX, STARTS_PATH};
-use crate::jobs::model::JobId;
+use crate::jobs::model::{JobId, JobState};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::WorkerClient;
 use crate::jobs::record::{JobRecord, KeyedRecord};
@@ -43,6 +44,10 @@
 pub const STATUS_PATH: &str = "/status";
 /// Start of the path of a job's status; its id follows.
 pub const JOB_PATH: &str = "/job/";
+/// Start of the path by which an entry looks a job up in the leader's book; its id follows.
+const LOOK_PATH: &str = "/look/";
+/// Time for that.
+const LOOK_PATIENCE: Duration = Duration::from_millis(600);
 /// Largest batch, in bytes: what an entry puts into one, and its last record.
 const BATCH_BYTES_MAX: usize = 1 << 20;
 /// Time for the leader to answer that it has a batch: it does so at once, or is not reached.
@@ -72,6 +77,25 @@
     Unknown,
 }
 
+/// What a caller may be told of a job, and whose it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownJob {
+    /// Its state.
+    pub state: JobState,
+    /// Organisation that it belongs to.
+    pub organisation: Option<Arc<str>>,
+}
+
+impl KnownJob {
+    /// A job by this entry's own book.
+    pub fn find(node: &JobNode, id: JobId) -> Option<KnownJob> {
+        let book = node.book();
+        let job = book.get(id)?;
+        let organisation = job.submission.as_ref()?.organisation.clone();
+        Some(KnownJob { state: job.state()?, organisation })
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 struct RelayBatch {
     /// Key and value of each record.
@@ -113,6 +137,21 @@
         outcome
     }
 
+    /// Looks a job up in the leader's book; nothing if the leader can't tell.
+    pub async fn look(&self, node: &JobNode, id: JobId) -> Option<Option<KnownJob>> {
+        let call = HttpCall {
+            method: Method::GET,
+            path: format!("{LOOK_PATH}{id}"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let answer = self.transport.exchange(node.leader()?, call, LOOK_PATIENCE).await.ok()?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        postcard::from_bytes(&answer.body).ok()
+    }
+
     async fn send(
         &self,
         node: &JobNode,
@@ -244,11 +283,17 @@
             Ok(stored) => Response::new(RelayBody::Stored(stored)),
             Err(code) => bare(code),
         },
+        VIEW_PATH => match body(request, QUESTION_BYTES_MAX).await {
+            Ok(body) => confirm::answer(node, &body)
+                .map_or_else(|| bare(StatusCode::BAD_REQUEST), |answer| binary(answer)),
+            Err(code) => bare(code),
+        },
         METRICS_PATH => {
             node.measure();
             whole("text/plain; version=1.0.0", node.metrics.text().into_bytes())
         }
         STATUS_PATH => json(&status::entry_status(node)),
+        path if path.starts_with(LOOK_PATH) => look(node, &path[LOOK_PATH.len()..]),
         path => path
             .strip_prefix(JOB_PATH)
             .and_then(JobId::parse)
@@ -265,7 +310,7 @@
 ) -> Response<RelayBody> {
     let outcomes = delegate::carry_out(node, workers, body).await;
     match outcomes.and_then(|outcomes| postcard::to_stdvec(&outcomes).ok()) {
-        Some(outcomes) => whole("application/octet-stream", outcomes),
+        Some(outcomes) => binary(outcomes),
         None => {
             warn!(node.logger, "a batch of starts can't be carried out");
             bare(StatusCode::BAD_REQUEST)
@@ -273,6 +318,17 @@
     }
 }
 
+/// Looks a job up for another entry. Only a leader's book is known to have all that was accepted.
+fn look(node: &JobNode, id: &str) -> Response<RelayBody> {
+    let Some(id) = JobId::parse(id) else { return bare(StatusCode::BAD_REQUEST) };
+    let leads = node.with_scheduler(|scheduler| !scheduler.is_deposed()).unwrap_or(false);
+    if !leads || node.is_log_silent() {
+        return bare(StatusCode::MISDIRECTED_REQUEST);
+    }
+    postcard::to_stdvec(&KnownJob::find(node, id))
+        .map_or_else(|_| bare(StatusCode::INTERNAL_SERVER_ERROR), binary)
+}
+
 /// The body of a request, if it is not too large.
 async fn body(request: Request<Incoming>, bytes_max: usize) -> Result<Bytes, StatusCode> {
     let body = Limited::new(request.into_body(), bytes_max).collect().await;
@@ -284,6 +340,10 @@
     whole("application/json", serde_json::to_vec(value).unwrap_or_default())
 }
 
+fn binary(body: Vec<u8>) -> Response<RelayBody> {
+    whole("application/octet-stream", body)
+}
+
 fn whole(kind: &'static str, body: Vec<u8>) -> Response<RelayBody> {
     let mut response = Response::new(RelayBody::Whole(Full::new(Bytes::from(body))));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
+use crate::decide::access::{AccessBook, RevocationRule};
 use crate::jobs::model::ResourceVector;
 
 /// Placement policy of a queue that asks for permits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitPolicy {
     /// Time that the policy service takes for a call, in milliseconds.
     pub call_ms: u64,
@@ -17,7 +20,7 @@
 }
 
 /// One queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueueSpec {
     /// Its name.
     pub name: Arc<str>,
@@ -39,10 +42,12 @@
     pub attempts: u32,
     /// Permits that starts need, if any.
     pub permits: Option<PermitPolicy>,
+    /// Whether callers need no key.
+    pub is_open: bool,
 }
 
 /// One pool.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolSpec {
     /// Its name.
     pub name: Arc<str>,
@@ -53,7 +58,7 @@
 }
 
 /// Sizes and times for callers' requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head, in bytes.
     pub head_bytes: usize,
@@ -72,7 +77,7 @@
 }
 
 /// The whole configuration of a site.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SiteConfig {
     /// Version; only rises.
     pub version: u64,
@@ -82,6 +87,8 @@
     pub pools: Vec<PoolSpec>,
     /// Bounds for callers' requests.
     pub limits: CallerLimits,
+    /// Organisations and their keys; none where the site knows no organisations, and callers need no key.
+    pub access: Option<AccessBook>,
 }
 
 impl SiteConfig {
@@ -183,6 +190,8 @@
 pub enum OperatorRecord {
     /// The whole configuration.
     Config(SiteConfig),
+    /// A configuration that can't be read: what it changes is not known.
+    UnreadableConfig,
     /// A maintenance wave.
     Wave(MaintenanceWave),
 }
@@ -204,6 +213,8 @@
     pub maintain_ms: u64,
     /// Whether the VM service refuses fencing tokens lower than one that it has seen.
     pub are_vms_fenced: bool,
+    /// How soon a revoked key must be refused.
+    pub revocation: RevocationRule,
 }
 
 /// Where a process runs and what it talks to.
--- /dev/null
+++ b/tests/access.rs
@@ -0,0 +1,371 @@
+//! Callers with keys: who is let in, what they may see, and until when a key counts.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibisweir::control::ControlLoop;
+use ibisweir::decide::access::{
+    AccessBook, CallerAccess, KeyDigest, OrganisationSpec, PresentedKey, RevocationRule,
+};
+use ibisweir::error::ResultCode;
+use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::confirm::{self, ViewAnswer, ViewQuestion};
+use ibisweir::jobs::desk::{DeskReply, JobDesk};
+use ibisweir::jobs::follower::{OperatorFollower, TailReader};
+use ibisweir::jobs::model::{JobState, ResourceVector};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::jobs::relay::RelayClient;
+use ibisweir::jobs::site::{OperatorRecord, QueueSpec, SiteConfig};
+use ibisweir::jobs::submitter;
+use ibisweir::transport::HttpTransport;
+use support::outside::silent_node;
+use support::stage::{POOL, QUEUE, config, job, job_id, queue, step};
+use tokio::time::{advance, sleep};
+
+/// Time for which a reading counts, by the settings of the stage, and a bit.
+const BOUND: Duration = Duration::from_millis(5_000);
+const PATIENCE: Duration = Duration::from_secs(3);
+
+fn organisation(name: &str, keys: &[&str]) -> OrganisationSpec {
+    OrganisationSpec {
+        name: name.into(),
+        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+        weight: 10.0,
+        cap: ResourceVector::default(),
+    }
+}
+
+/// A configuration of this version with two organisations and these keys.
+fn keyed_config(version: u64, east: &[&str], west: &[&str]) -> SiteConfig {
+    let organisations = vec![organisation("east", east), organisation("west", west)];
+    SiteConfig { version, access: Some(AccessBook::from(organisations)), ..config() }
+}
+
+fn key(text: &str) -> PresentedKey {
+    PresentedKey::Given(KeyDigest::of(text))
+}
+
+/// What a log answers to one read of what operators wrote, and how long it takes.
+#[derive(Clone, Debug)]
+enum Told {
+    /// These versions, up to the end of the stream or not.
+    Versions(Vec<u64>, bool),
+    /// A configuration that can't be read.
+    Nonsense,
+    Nothing,
+}
+
+/// A log that answers reads as it is told, and takes every append.
+#[derive(Clone, Default)]
+struct ToldLog {
+    answers: Arc<Mutex<VecDeque<(Duration, Told)>>>,
+}
+
+impl ToldLog {
+    fn tell(&self, delay_ms: u64, told: Told) {
+        let answer = (Duration::from_millis(delay_ms), told);
+        self.answers.lock().expect("no panic").push_back(answer);
+    }
+}
+
+/// Records whose one byte is the version; 0 is one that can't be read.
+fn record(version: u64) -> KeyedRecord {
+    KeyedRecord { key: "config".to_owned(), value: vec![u8::try_from(version).expect("small")] }
+}
+
+fn decode(record: &KeyedRecord) -> Option<OperatorRecord> {
+    match record.value.first() {
+        None | Some(0) => Some(OperatorRecord::UnreadableConfig),
+        // The key "taken" is taken away by version 2.
+        Some(1) => Some(OperatorRecord::Config(keyed_config(1, &["taken", "key"], &["spare"]))),
+        Some(version) => {
+            Some(OperatorRecord::Config(keyed_config(u64::from(*version), &["key"], &["spare"])))
+        }
+    }
+}
+
+impl JobLog for ToldLog {
+    async fn append(&self, call: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Done { offset: 0, end: call.records.len() as u64 }
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, wait: Duration) -> ReadOutcome {
+        let next = self.answers.lock().expect("no panic").pop_front();
+        let Some((delay, told)) = next else {
+            sleep(wait).await;
+            return ReadOutcome::Unknown;
+        };
+        sleep(delay).await;
+        let (records, is_whole) = match told {
+            Told::Versions(versions, is_whole) => {
+                (versions.into_iter().map(record).collect::<Vec<_>>(), is_whole)
+            }
+            Told::Nonsense => (vec![record(0)], true),
+            Told::Nothing => return ReadOutcome::Unknown,
+        };
+        let next = from + records.len() as u64;
+        let end = if is_whole { next } else { next + 1 };
+        ReadOutcome::Read(LogBatch { end, next, records: (from..).zip(records).collect() })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        let records = vec![(0, record(1))];
+        Some(NewestPage { records, has_more: false, end: 1 })
+    }
+}
+
+struct Entry {
+    desk: JobDesk<ToldLog>,
+    follower: OperatorFollower<ToldLog>,
+    log: ToldLog,
+}
+
+impl Entry {
+    fn open() -> Entry {
+        let (node, log) = (silent_node(), ToldLog::default());
+        let relay = RelayClient::new(HttpTransport::open());
+        let submitter = submitter::spawn(node.clone(), log.clone(), relay.clone(), 1);
+        let reader = Arc::new(CatchUpReader::new(node.clone(), log.clone()));
+        let follower = OperatorFollower {
+            node: node.clone(),
+            log: log.clone(),
+            tail: TailReader::new(LogTopic::Operator),
+            decoder: decode,
+            is_in_the_dark: false,
+        };
+        Entry { desk: JobDesk { node, reader, submitter, relay }, follower, log }
+    }
+
+    fn node(&self) -> &Arc<JobNode> {
+        &self.desk.node
+    }
+
+    /// One that has read the first configuration and shown it to be the newest.
+    async fn confirmed() -> Entry {
+        let mut entry = Entry::open();
+        entry.follower.step().await;
+        entry.read(0, Told::Versions(Vec::new(), true)).await;
+        entry
+    }
+
+    async fn read(&mut self, delay_ms: u64, told: Told) {
+        self.log.tell(delay_ms, told);
+        self.follower.step().await;
+    }
+
+    fn admit(&self, key: PresentedKey) -> Result<CallerAccess, DeskReply> {
+        self.desk.admit(&keyed_queue(), key)
+    }
+
+    fn code(&self, key: PresentedKey) -> Option<ResultCode> {
+        match self.admit(key) {
+            Ok(_) => None,
+            Err(DeskReply::Refused(code, _)) => Some(code),
+            Err(reply) => panic!("{reply:?}"),
+        }
+    }
+}
+
+fn keyed_queue() -> QueueSpec {
+    queue(QUEUE, POOL)
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_are_let_in_by_their_keys() {
+    let entry = Entry::confirmed().await;
+    let east = CallerAccess { organisation: Some("east".into()) };
+    assert_eq!(entry.admit(key("key")), Ok(east));
+    assert_eq!(entry.code(key("guess")), Some(ResultCode::UnknownApiKey));
+    assert_eq!(entry.code(PresentedKey::Missing), Some(ResultCode::NoApiKey));
+    assert_eq!(entry.code(PresentedKey::Malformed), Some(ResultCode::NoApiKey));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_open_queue_and_a_site_without_organisations_need_no_key() {
+    let entry = Entry::confirmed().await;
+    let open = QueueSpec { is_open: true, ..keyed_queue() };
+    assert_eq!(entry.desk.admit(&open, key("guess")), Ok(CallerAccess::default()));
+    let site = Entry::open();
+    site.node().set_config(config());
+    assert_eq!(site.admit(PresentedKey::Missing), Ok(CallerAccess::default()));
+}
+
+/// A key is taken away and the entry reads it: from then on its callers get 401, at once.
+#[tokio::test(start_paused = true)]
+async fn a_revoked_key_is_refused_once_the_revocation_was_read() {
+    let mut entry = Entry::confirmed().await;
+    assert_eq!(entry.code(key("taken")), None);
+    entry.read(10, Told::Versions(vec![2], true)).await;
+    assert_eq!(entry.code(key("taken")), Some(ResultCode::UnknownApiKey));
+    assert_eq!(entry.code(key("key")), None);
+    // An older page of the history changes nothing back.
+    entry.read(10, Told::Versions(vec![1], true)).await;
+    assert_eq!(entry.code(key("taken")), Some(ResultCode::UnknownApiKey));
+}
+
+/// An entry can't read what operators wrote any more. Its callers are served on for as long as no key that
+/// it knows can have been taken away too long ago; then every key gets 503 with a time to come back, as nobody
+/// there can tell whether it still counts, and unknown ones are not called unknown.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_can_not_read_honours_no_key_for_longer_than_the_bound() {
+    let mut entry = Entry::confirmed().await;
+    let lost = entry.node().now();
+    while entry.node().now() < lost + 4_000 {
+        entry.read(100, Told::Nothing).await;
+    }
+    assert_eq!(entry.code(key("taken")), None);
+    advance(BOUND).await;
+    assert_eq!(entry.code(key("taken")), Some(ResultCode::KeyUnconfirmed));
+    assert_eq!(entry.code(key("guess")), Some(ResultCode::KeyUnconfirmed));
+    let told = entry.admit(key("taken"));
+    assert!(matches!(told, Err(DeskReply::Refused(_, Some(_)))), "{told:?}");
+    entry.read(10, Told::Versions(Vec::new(), true)).await;
+    assert_eq!(entry.code(key("taken")), None);
+}
+
+/// The answer to a reading is on its way for 4.5 s, in which the key is taken away. A second after it came the
+/// key must not count any more: the reading is 5.5 s old, however new its answer is.
+#[tokio::test(start_paused = true)]
+async fn a_reading_counts_from_its_start() {
+    let mut entry = Entry::open();
+    entry.follower.step().await;
+    entry.read(4_500, Told::Versions(Vec::new(), true)).await;
+    assert_eq!(entry.code(key("taken")), None);
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(entry.code(key("taken")), Some(ResultCode::KeyUnconfirmed));
+}
+
+/// A process has just started. The pages that it has read of the newest records are no reading of the end: its
+/// first page can be older than a revocation. It honours keys only after it has read on from there.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_entry_honours_no_key_before_it_has_read_on() {
+    let mut entry = Entry::open();
+    entry.follower.step().await;
+    assert!(entry.node().config().is_some());
+    assert_eq!(entry.code(key("key")), Some(ResultCode::KeyUnconfirmed));
+    entry.read(0, Told::Versions(Vec::new(), true)).await;
+    assert_eq!(entry.code(key("key")), None);
+}
+
+/// The history is long: an answer ends before the end of what operators wrote. It shows nothing.
+#[tokio::test(start_paused = true)]
+async fn a_reading_that_stops_short_of_the_end_confirms_nothing() {
+    let mut entry = Entry::confirmed().await;
+    advance(BOUND).await;
+    entry.read(10, Told::Versions(Vec::new(), false)).await;
+    assert_eq!(entry.code(key("key")), Some(ResultCode::KeyUnconfirmed));
+}
+
+/// The newest configuration can't be read. What it takes away is not known, so that the keys of the one before
+/// count no longer than if nothing had been read, and count again with the next good one.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_can_not_be_read_confirms_no_key() {
+    let mut entry = Entry::confirmed().await;
+    entry.read(10, Told::Nonsense).await;
+    let begun = entry.node().now();
+    while entry.node().now() < begun + 6_000 {
+        entry.read(50, Told::Versions(Vec::new(), true)).await;
+    }
+    assert_eq!(entry.code(key("key")), Some(ResultCode::KeyUnconfirmed));
+    entry.read(10, Told::Versions(vec![3], true)).await;
+    assert_eq!(entry.code(key("key")), None);
+}
+
+/// Readings of an entry that honours no key don't wait for news, and still there is a pause between them: a log
+/// that has just come back is not asked a thousand times a second by each of its readers.
+#[tokio::test(start_paused = true)]
+async fn an_entry_without_a_counting_reading_does_not_storm_the_log() {
+    let mut entry = Entry::confirmed().await;
+    entry.read(0, Told::Nonsense).await;
+    for _ in 0..20 {
+        entry.log.tell(0, Told::Versions(Vec::new(), true));
+        assert!(entry.follower.step().await >= Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn keys_count_for_no_longer_than_the_bound_and_always_where_it_is_not_strict() {
+    let rule = RevocationRule { is_strict: true, bound_ms: 5_000 };
+    assert!(rule.honours(Some(1_000), 5_000));
+    assert!(!rule.honours(Some(1_000), 6_000));
+    assert!(!rule.honours(None, 0));
+    let rule = RevocationRule { is_strict: false, ..rule };
+    assert!(rule.honours(None, 1_000_000));
+}
+
+/// The log turns an entry away. Another one that reads it tells that its reading began 300 ms ago; the question
+/// was on its way for 200 ms, which count as well. The entry serves on by that reading, and no longer than by one
+/// of its own.
+#[tokio::test(start_paused = true)]
+async fn another_entrys_reading_counts_from_before_the_question() {
+    let entry = Entry::confirmed().await;
+    advance(BOUND).await;
+    assert_eq!(entry.code(key("key")), Some(ResultCode::KeyUnconfirmed));
+    let asked_ms = entry.node().now();
+    advance(Duration::from_millis(200)).await;
+    let answer = ViewAnswer { age_ms: Some(300), ..ViewAnswer::default() };
+    confirm::take(entry.node(), answer, asked_ms);
+    assert_eq!(entry.node().shown_ms(), Some(asked_ms - 300));
+    assert_eq!(entry.code(key("key")), None);
+    advance(BOUND - Duration::from_millis(500)).await;
+    assert_eq!(entry.code(key("key")), Some(ResultCode::KeyUnconfirmed));
+}
+
+/// The one that is asked has read a newer configuration: it comes with the answer, and what it takes away is
+/// refused from that moment on.
+#[tokio::test(start_paused = true)]
+async fn a_newer_configuration_comes_with_the_answer() {
+    let (entry, mut other) = (Entry::confirmed().await, Entry::confirmed().await);
+    other.read(10, Told::Versions(vec![2], true)).await;
+    let question = postcard::to_stdvec(&ViewQuestion { version: 1 }).expect("encoded");
+    let asked_ms = entry.node().now();
+    let body = confirm::answer(other.node(), &question).expect("an answer");
+    let text = String::from_utf8_lossy(&body);
+    assert!(!text.contains("taken") && !text.contains("spare"), "keys must not be sent");
+    confirm::take(entry.node(), postcard::from_bytes(&body).expect("decoded"), asked_ms);
+    assert_eq!(entry.node().config().map(|config| config.version), Some(2));
+    assert_eq!(entry.code(key("taken")), Some(ResultCode::UnknownApiKey));
+    assert!(confirm::answer(other.node(), b"\xff\xff\xff").is_none());
+}
+
+/// An organisation's caller asks for, cancels and submits over another one's job. It learns nothing of it and
+/// changes nothing; the owner's other callers may do all of it, and keys that come and go change no owner.
+#[tokio::test(start_paused = true)]
+async fn nobody_reaches_into_another_organisations_jobs() {
+    let entry = Entry::confirmed().await;
+    let (desk, queue) = (&entry.desk, keyed_queue());
+    let east = entry.admit(key("taken")).expect("let in");
+    let west = entry.admit(key("spare")).expect("let in");
+    let spec = || job(vec![step(1)]);
+    entry.node().touch();
+    let (id, gone) = (job_id(1), DeskReply::Refused(ResultCode::UnknownJob, None));
+    assert_eq!(desk.submit(&queue, &east, id, spec(), PATIENCE).await, DeskReply::Stored);
+    assert_eq!(desk.look(&west, id).await, gone);
+    assert_eq!(desk.look(&CallerAccess::default(), id).await, gone);
+    assert_eq!(desk.cancel(&queue, &west, id, PATIENCE).await, gone);
+    let taken = DeskReply::Refused(ResultCode::JobIdTaken, None);
+    assert_eq!(desk.submit(&queue, &west, id, spec(), PATIENCE).await, taken);
+    entry.node().set_config(keyed_config(2, &["key"], &["spare"]));
+    let east = entry.admit(key("key")).expect("let in");
+    assert_eq!(desk.look(&east, id).await, DeskReply::State(JobState::Queued));
+    assert_eq!(desk.cancel(&queue, &east, id, PATIENCE).await, DeskReply::Stored);
+    // A job of a queue that is open to all belongs to nobody.
+    let open = CallerAccess::default();
+    assert_eq!(desk.submit(&queue, &open, job_id(2), spec(), PATIENCE).await, DeskReply::Stored);
+    assert_eq!(desk.look(&west, job_id(2)).await, DeskReply::State(JobState::Queued));
+}
+
+#[test]
+fn a_digest_tells_nothing_in_a_log_line() {
+    assert_eq!(format!("{:?}", KeyDigest::of("secret")), "KeyDigest");
+    let book = AccessBook::from(vec![organisation("east", &["secret"])]);
+    assert!(!format!("{book:?}").contains("secret"));
+    assert!(book.owner(&KeyDigest::of("secret")).is_some());
+}
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibisweir::decide::access::CallerAccess;
 use ibisweir::error::ResultCode;
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::desk::{DeskReply, JobDesk};
@@ -45,9 +46,9 @@
     let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
     node.touch();
     let relay = RelayClient::new(HttpTransport::open());
-    let submitter = submitter::spawn(node.clone(), WellLog, relay, 1);
+    let submitter = submitter::spawn(node.clone(), WellLog, relay.clone(), 1);
     let reader = Arc::new(CatchUpReader::new(node.clone(), WellLog));
-    JobDesk { node, reader, submitter }
+    JobDesk { node, reader, submitter, relay }
 }
 
 /// A caller tries again with a tenth of a second left, and the log takes a fiftieth. It is told that
@@ -57,7 +58,8 @@
 async fn a_caller_with_little_time_left_is_served_in_it() {
     let queue = queue(QUEUE, POOL);
     let patience = Duration::from_millis(100);
-    let reply = desk().submit(&queue, job_id(1), job(vec![step(1)]), patience).await;
+    let caller = CallerAccess::default();
+    let reply = desk().submit(&queue, &caller, job_id(1), job(vec![step(1)]), patience).await;
     assert_eq!(reply, DeskReply::Stored);
 }
 
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ibisweir::decide::access::RevocationRule;
 use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd};
 use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::model::{
@@ -40,6 +41,7 @@
         remote_factor: 3.0,
         maintain_ms: 2_000,
         are_vms_fenced: true,
+        revocation: RevocationRule { is_strict: true, bound_ms: 5_000 },
     }
 }
 
@@ -71,6 +73,7 @@
         queues: vec![queue(QUEUE, POOL)],
         pools: vec![pool(POOL, false), pool(STANDBY, true)],
         limits: CallerLimits::default(),
+        access: None,
     }
 }
 
@@ -87,6 +90,7 @@
         priority: 0,
         attempts: 3,
         permits: None,
+        is_open: false,
     }
 }
 
@@ -632,5 +636,6 @@
         accepted_ms: WALL_OFFSET_MS + START_MS,
         spec,
         tasks_kept: 0,
+        organisation: None,
     }
 }
--- /dev/null
+++ b/tests/view_model.rs
@@ -0,0 +1,249 @@
+//! A model of entries that honour keys by readings of a log: each seed draws one history of readings, pages,
+//! questions between entries, pauses, restarts, cuts and clocks that run apart, and a key that is taken away.
+//!
+//! Checked in each: a request whose last byte was sent later than the bound after the revocation was
+//! acknowledged is never served, on any entry. The times at which readings count are the model's own; whether
+//! they honour a key is decided by the product's rule.
+//!
+//! The rule needs each of its parts: with one of them left out the model finds a history that breaks it.
+
+use std::collections::HashSet;
+
+use ibisweir::decide::access::RevocationRule;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const RULE: RevocationRule = RevocationRule { is_strict: true, bound_ms: 5_000 };
+/// Histories of the whole rule in CI; by hand `IBISWEIR_TEST_RUNS` draws more.
+const RUNS: u64 = 600;
+/// Histories in which a part that is left out must show.
+const RUNS_WITHOUT: u64 = 2_000;
+/// Length of a history, in milliseconds.
+const LENGTH_MS: u64 = 40_000;
+const ENTRIES: usize = 3;
+
+/// A part of the rule that is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Without {
+    Nothing,
+    /// Readings count from when their answer comes.
+    StartOfReading,
+    /// A restarted process counts its pages of the newest records as a reading, from the last one.
+    Restart,
+    /// The key is looked at when the head has come, and not again when the body has.
+    SecondLook,
+    /// Another entry's age counts from when its answer comes.
+    StartOfQuestion,
+}
+
+/// What an entry has under way.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// A reading of the log: what it shows, and when its answer comes.
+    Log { began: u64, is_revoked: bool },
+    /// Pages of the newest records: whether the one with the configuration had the revocation, when the last began.
+    Pages { last_began: u64, is_revoked: bool },
+    /// A question to another entry: when it was sent, and what was answered.
+    Question { sent: u64, told: Option<(u64, bool)> },
+}
+
+/// An entry; its times are its own clock's.
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Rate of its clock, in thousandths.
+    rate: u64,
+    /// It stands still until then, by true time.
+    paused_until: u64,
+    shown: Option<u64>,
+    /// Whether the configuration in force lacks the key.
+    is_revoked: bool,
+    reading: Option<(u64, Reading)>,
+    is_restarting: bool,
+    /// A request whose head was let in, and when its last byte is sent.
+    request: Option<u64>,
+}
+
+impl Entry {
+    fn clock(&self, now: u64) -> u64 {
+        now * self.rate / 1_000
+    }
+
+    fn honours(&self, now: u64) -> bool {
+        !self.is_revoked && RULE.honours(self.shown, self.clock(now))
+    }
+}
+
+struct Model {
+    random: StdRng,
+    without: Without,
+    entries: Vec<Entry>,
+    revoked_at: u64,
+    /// A request that was served too late.
+    broken: Option<String>,
+}
+
+impl Model {
+    fn open(seed: u64, without: Without) -> Model {
+        let mut random = StdRng::seed_from_u64(seed);
+        let entries = (0..ENTRIES).map(|_| Entry {
+            rate: random.random_range(980..=1_020),
+            paused_until: 0,
+            shown: None,
+            is_revoked: false,
+            reading: None,
+            is_restarting: true,
+            request: None,
+        });
+        let entries = entries.collect();
+        let revoked_at = random.random_range(5_000..25_000);
+        Model { random, without, entries, revoked_at, broken: None }
+    }
+
+    fn run(mut self) -> Option<String> {
+        let mut now = 0;
+        while now < LENGTH_MS && self.broken.is_none() {
+            now += self.random.random_range(1..60);
+            for position in 0..ENTRIES {
+                self.step(position, now);
+            }
+        }
+        self.broken
+    }
+
+    fn step(&mut self, position: usize, now: u64) {
+        if now < self.entries[position].paused_until {
+            return;
+        }
+        match self.random.random_range(0..400) {
+            0 => self.entries[position].paused_until = now + self.random.random_range(100..9_000),
+            1 => self.restart(position),
+            _ => {}
+        }
+        if now < self.entries[position].paused_until {
+            return;
+        }
+        match self.entries[position].reading {
+            Some((due, reading)) if now >= due => self.take(position, reading, now),
+            Some(_) => {}
+            None => self.begin(position, now),
+        }
+        self.call(position, now);
+    }
+
+    /// A process that starts anew knows the configuration only from what it reads.
+    fn restart(&mut self, position: usize) {
+        let entry = &mut self.entries[position];
+        (entry.shown, entry.reading, entry.request) = (None, None, None);
+        entry.is_revoked = false;
+        entry.is_restarting = true;
+    }
+
+    /// A reading is evaluated by the log at some time between its start and its answer.
+    fn begin(&mut self, position: usize, now: u64) {
+        let (to_log, back) = (self.delay(), self.delay());
+        let evaluated = now + to_log;
+        let clock = self.entries[position].clock(now);
+        let reading = if self.entries[position].is_restarting {
+            let pages = self.random.random_range(0..6_000);
+            let is_revoked = evaluated >= self.revoked_at;
+            let last_began = self.entries[position].clock(now + pages);
+            (now + pages + back, Reading::Pages { last_began, is_revoked })
+        } else if self.random.random_range(0..3) == 0 {
+            self.ask(position, now, evaluated, back)
+        } else {
+            let is_revoked = evaluated >= self.revoked_at;
+            (evaluated + back, Reading::Log { began: clock, is_revoked })
+        };
+        self.entries[position].reading = Some(reading);
+    }
+
+    /// Another entry answers by what it has shown when the question reaches it.
+    fn ask(&mut self, position: usize, now: u64, reached: u64, back: u64) -> (u64, Reading) {
+        let other = (position + self.random.random_range(1..ENTRIES)) % ENTRIES;
+        let other = &self.entries[other];
+        let is_there = reached >= other.paused_until && !other.is_restarting;
+        let clock = other.clock(reached);
+        // What it has shown by now is no newer than what it will have shown when the question comes.
+        let told = other.shown.filter(|_| is_there);
+        let told = told.map(|shown| (clock.saturating_sub(shown), other.is_revoked));
+        (reached + back, Reading::Question { sent: self.entries[position].clock(now), told })
+    }
+
+    fn delay(&mut self) -> u64 {
+        match self.random.random_range(0..10) {
+            0 => self.random.random_range(0..6_000),
+            1..4 => self.random.random_range(0..800),
+            _ => self.random.random_range(0..20),
+        }
+    }
+
+    fn take(&mut self, position: usize, reading: Reading, now: u64) {
+        let without = self.without;
+        let entry = &mut self.entries[position];
+        entry.reading = None;
+        let answered = entry.clock(now);
+        let (shown, is_revoked) = match reading {
+            Reading::Log { began, is_revoked } => {
+                let shown = if without == Without::StartOfReading { answered } else { began };
+                (Some(shown), is_revoked)
+            }
+            Reading::Pages { last_began, is_revoked } => {
+                entry.is_restarting = false;
+                ((without == Without::Restart).then_some(last_began), is_revoked)
+            }
+            Reading::Question { sent, told } => {
+                let Some((age, is_revoked)) = told else { return };
+                let from = if without == Without::StartOfQuestion { answered } else { sent };
+                (from.checked_sub(age), is_revoked)
+            }
+        };
+        // The configuration first, and never back to an older one.
+        entry.is_revoked |= is_revoked;
+        entry.shown = entry.shown.max(shown);
+    }
+
+    /// A caller with the key sends a request: its head, and after a while its last byte.
+    fn call(&mut self, position: usize, now: u64) {
+        let last_byte = now + self.delay();
+        let honours = self.entries[position].honours(now);
+        let entry = &mut self.entries[position];
+        let Some(sent) = entry.request else {
+            entry.request = honours.then_some(last_byte);
+            return;
+        };
+        if now < sent {
+            return;
+        }
+        entry.request = None;
+        let is_served = self.without == Without::SecondLook || honours;
+        if is_served && sent > self.revoked_at + RULE.bound_ms {
+            let late = sent - self.revoked_at;
+            self.broken = Some(format!("served {late} ms after the revocation: {entry:?}"));
+        }
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// The first of so many histories that breaks the rule.
+fn broken(without: Without, runs: u64) -> Option<(u64, String)> {
+    let first = number("IBISWEIR_TEST_SEED", 1);
+    let mut seeds = first..first + number("IBISWEIR_TEST_RUNS", runs);
+    seeds.find_map(|seed| Some((seed, Model::open(seed, without).run()?)))
+}
+
+#[test]
+fn no_entry_serves_a_key_for_longer_than_the_bound_after_it_was_taken_away() {
+    assert_eq!(broken(Without::Nothing, RUNS), None);
+}
+
+#[test]
+fn each_part_of_the_rule_is_needed() {
+    let parts =
+        [Without::StartOfReading, Without::Restart, Without::SecondLook, Without::StartOfQuestion];
+    let found: HashSet<Without> =
+        parts.into_iter().filter(|part| broken(*part, RUNS_WITHOUT).is_some()).collect();
+    assert_eq!(found, HashSet::from(parts), "the model does not see a fault");
+}
