--- a/src/bin/ibisweirctl/jobs.rs
+++ b/src/bin/ibisweirctl/jobs.rs
@@ -78,6 +78,23 @@
             pool.late
         );
     }
+    if !overview.organisations.is_empty() {
+        println!("\nORGANISATION         SHARE/S  RUNS  CORES  OF CAP  WAITING  BEYOND SHARE");
+    }
+    for (name, organisation) in &overview.organisations {
+        let cap = match organisation.cap.cpu {
+            0 => "none".to_owned(),
+            cap => (cap / 1_000).to_string(),
+        };
+        println!(
+            "{name:<20} {:>7} {:>5} {:>6} {cap:>7} {:>8} {:>13}",
+            organisation.weight,
+            organisation.runs,
+            organisation.used.cpu / 1_000,
+            organisation.waiting,
+            organisation.beyond_share
+        );
+    }
     println!("\nWAVE   DONE  OF    STATE");
     for wave in &overview.waves {
         let state = if wave.is_completed { "completed" } else { "running" };
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -378,6 +378,7 @@
             }
             SchedulerAction::Watch(target) => self.lanes.watch(&target, tasks),
             SchedulerAction::Wake(worker) => self.lanes.wake(&worker),
+            SchedulerAction::Forget(worker) => self.lanes.forget(&worker),
             SchedulerAction::ListVms => {
                 tasks.spawn(self.clone().list_vms());
             }
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Notify, mpsc};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 
 use crate::decide::window::ByteBudget;
@@ -59,6 +59,7 @@
     wake: Arc<Notify>,
     commands: mpsc::UnboundedSender<LaneCommand>,
     starts: mpsc::UnboundedSender<(TaskKey, u32)>,
+    renewing: AbortHandle,
 }
 
 /// The lanes of all workers.
@@ -106,6 +107,14 @@
         }
     }
 
+    /// Drops the renewal of a worker's life that is under way, and whatever waits for it. The next life of the
+    /// same worker would take it for its own, and forget exits by numbers of the one before.
+    pub fn forget(&self, worker: &str) {
+        if let Some(lane) = self.lock().remove(worker) {
+            lane.renewing.abort();
+        }
+    }
+
     /// Hands a command to the lane of a worker, whose tasks are in `tasks`.
     pub fn send(
         self: &Arc<Self>,
@@ -140,9 +149,10 @@
         }
         let (commands, other) = mpsc::unbounded_channel();
         let (starts, starting) = mpsc::unbounded_channel();
-        let lane = WorkerLane { wake: Arc::new(Notify::new()), commands, starts };
+        let wake = Arc::new(Notify::new());
+        let renewing = tasks.spawn(self.clone().renew(target.id.clone(), wake.clone()));
+        let lane = WorkerLane { wake, commands, starts, renewing };
         lanes.insert(target.id.clone(), lane.clone());
-        tasks.spawn(self.clone().renew(target.id.clone(), lane.wake.clone()));
         tasks.spawn(self.clone().send_commands(target.clone(), other));
         tasks.spawn(self.clone().send_starts(target.clone(), starting));
         lane
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -12,6 +13,20 @@
 use crate::metrics::ReasonLabel;
 
 type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
+type Organisations = Family<OrganisationLabel, Gauge>;
+
+/// Organisations that have a series of their own; what there is of others is under one name, so that operators'
+/// configurations can't fill a monitoring system.
+const ORGANISATIONS_MAX: usize = 64;
+/// The name of the others' series.
+const OTHERS: &str = "others";
+
+/// Label of a metric that is split by organisation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrganisationLabel {
+    /// Its name.
+    pub organisation: String,
+}
 
 /// Every metric of the job side of one entry.
 #[derive(Debug)]
@@ -59,6 +74,12 @@
     pub live_runs: Gauge,
     /// Workers that don't answer, where this entry leads.
     pub silent_workers: Gauge,
+    /// Age of the reading by which keys are honoured, in milliseconds.
+    pub config_age_ms: Gauge,
+    /// Runs that may be alive by organisation, where this entry leads.
+    pub organisation_runs: Organisations,
+    /// Jobs of which no task has started by organisation, where this entry leads.
+    pub organisation_waiting: Organisations,
 }
 
 impl Default for JobMetrics {
@@ -87,6 +108,9 @@
             open_jobs: Gauge::default(),
             live_runs: Gauge::default(),
             silent_workers: Gauge::default(),
+            config_age_ms: Gauge::default(),
+            organisation_runs: Family::default(),
+            organisation_waiting: Family::default(),
         };
         metrics.register();
         metrics
@@ -129,6 +153,25 @@
         registry.register("live_runs", help, self.live_runs.clone());
         let help = "workers that don't answer, at the leader";
         registry.register("silent_workers", help, self.silent_workers.clone());
+        let help = "age of the reading by which keys are honoured, in ms";
+        registry.register("config_age_ms", help, self.config_age_ms.clone());
+        let help = "runs that may be alive by organisation, at the leader";
+        registry.register("organisation_runs", help, self.organisation_runs.clone());
+        let help = "jobs of which no task has started by organisation, at the leader";
+        registry.register("organisation_waiting", help, self.organisation_waiting.clone());
+    }
+
+    /// Sets what organisations have running and waiting, by name: runs, and jobs that wait.
+    pub fn set_organisations<'a>(&self, counts: impl Iterator<Item = (&'a str, usize, usize)>) {
+        self.organisation_runs.clear();
+        self.organisation_waiting.clear();
+        for (position, (name, runs, waiting)) in counts.enumerate() {
+            let name = if position < ORGANISATIONS_MAX { name } else { OTHERS };
+            let label = OrganisationLabel { organisation: name.to_owned() };
+            let size = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+            self.organisation_runs.get_or_create(&label).inc_by(size(runs));
+            self.organisation_waiting.get_or_create(&label).inc_by(size(waiting));
+        }
     }
 
     /// Prometheus text.
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -456,5 +456,10 @@
         metrics.live_runs.set(size(census.runs));
         metrics.silent_workers.set(size(census.silent));
         metrics.executors.set(size(self.executors().census(self.now()).0));
+        metrics.config_age_ms.set(self.config_age_ms().map_or(-1, gauge));
+        let organisations = self.with_scheduler(|scheduler| scheduler.organisation_overviews());
+        let organisations = organisations.unwrap_or_default();
+        let counts = organisations.iter().map(|(name, one)| (&**name, one.runs, one.waiting));
+        metrics.set_organisations(counts);
     }
 }
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -197,6 +197,8 @@
 pub struct WorkerReport {
     /// Its steady clock, in milliseconds.
     pub clock_ms: u64,
+    /// When the life that reports began, in milliseconds since the epoch, where workers tell.
+    pub born_ms: Option<u64>,
     /// What runs.
     pub running: Vec<RunningTask>,
     /// What has ended and was not forgotten yet.
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -112,10 +112,27 @@
     }
 }
 
+/// Id of one life of a worker: its name, and when it was born in milliseconds since the epoch, where workers may
+/// start again under their name and tell.
+pub fn life_id(name: &str, born_ms: Option<u64>) -> Arc<str> {
+    match born_ms {
+        Some(born) => format!("{name}{LIFE_MARK}{born}").into(),
+        None => name.into(),
+    }
+}
+
+/// Name of the worker whose life this is, as the platform knows it.
+pub fn life_name(id: &str) -> &str {
+    id.rsplit_once(LIFE_MARK).map_or(id, |(name, _)| name)
+}
+
+/// Between the name and the birth; no name has it.
+const LIFE_MARK: char = '@';
+
 /// One life of a worker as it reports itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerEntry {
-    /// Id of this life.
+    /// Id of this life; see [`life_id`].
     pub id: Arc<str>,
     /// Pool that it serves.
     pub service: Arc<str>,
--- a/src/jobs/status.rs
+++ b/src/jobs/status.rs
@@ -22,7 +22,7 @@
 }
 
 /// One entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EntryStatus {
     /// Its name.
     pub entry: Arc<str>,
@@ -32,6 +32,10 @@
     pub is_ready: bool,
     /// Version of the configuration in force; nothing before one was read.
     pub config: Option<u64>,
+    /// Time since the start of the newest reading that showed the configuration to be the newest, in milliseconds:
+    /// by its age keys are honoured or not.
+    #[serde(default)]
+    pub config_age_ms: Option<u64>,
     /// Time since the log last answered, in milliseconds; nothing if it never did.
     pub log_age_ms: Option<u64>,
     /// Where it takes the leader to be, if that is another entry.
@@ -93,6 +97,7 @@
         centre: node.settings.centre.clone(),
         is_ready: node.is_ready(),
         config: config.as_ref().map(|config| config.version),
+        config_age_ms: node.config_age_ms(),
         log_age_ms: node.log_age_ms(),
         leader: node.leader(),
         queues: queues.collect(),
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -158,7 +158,8 @@
     fn place_tasks(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
         let Some(permitted) = self.permitted(step, now) else { return true };
         for key in &step.waiting {
-            if !self.has_start_room() {
+            // Its organisation's other tasks wait as well, and nobody else's.
+            if !self.has_start_room() || !self.has_cap_room(key, &spec.need) {
                 return true;
             }
             let waited = self.waited_ms(key, now);
@@ -205,6 +206,13 @@
         true
     }
 
+    /// Whether the cap of a task's organisation leaves room for so much more.
+    fn has_cap_room(&self, key: &TaskKey, need: &ResourceVector) -> bool {
+        let organisation =
+            self.jobs.get(&key.job).and_then(|job| job.submission.organisation.as_ref());
+        self.organisations.has_room(organisation, need)
+    }
+
     fn next_run(&self, key: &TaskKey) -> u32 {
         self.jobs.get(&key.job).and_then(|job| job.task(key)).map_or(1, |task| task.run + 1)
     }
@@ -363,6 +371,10 @@
         if !is_whole {
             return true;
         }
+        let members = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
+        if !self.has_cap_room(&step.waiting[0], &spec.need.times(members)) {
+            return true;
+        }
         let Some(permitted) = self.permitted(step, now) else { return true };
         let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
         if suspect.is_some() && !self.has_probation_room(&step.service, now) {
@@ -538,7 +550,7 @@
             let Some(service) = self.jobs.get(&key.job).map(|job| self.service_of(job)) else {
                 continue;
             };
-            if !self.knows_rooms(&service, now) {
+            if !self.knows_rooms(&service, now) || !self.has_cap_room(&key, &spec.need) {
                 continue;
             }
             let (beside, racks) = self.neighbours(&key.step_key());
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -60,7 +60,7 @@
             return RenewPlan::Leave;
         }
         let (fence, lease_ms, is_confirmed) =
-            (self.fence(), self.lease_ms(), self.is_confirmed(now));
+            (self.fence_of(id), self.lease_ms(), self.is_confirmed(now));
         let (renew_wait, patience) = (self.renew_wait(), self.renew_patience());
         let Some(worker) = self.workers.get_mut(id) else { return RenewPlan::Leave };
         if !worker.is_listed && worker.runs.is_empty() {
@@ -142,7 +142,7 @@
     ) {
         match outcome {
             CommandOutcome::Done(report) => self.take_report(id, call, report, sent_ms, now),
-            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.is_deposed = true,
+            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.outranked(id),
             CommandOutcome::Refused(CommandRefusal::WrongLife, _) => {
                 self.worker_over(id, LifeEnd::OtherLife, now);
             }
@@ -176,12 +176,17 @@
         sent_ms: u64,
         now: u64,
     ) {
+        if !self.is_answer_of(id, report.born_ms, now) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let was_silent = worker.silent_since_ms.take().is_some();
         let was_fenced = std::mem::replace(&mut worker.is_fenced, true);
         if !was_fenced {
             worker.fenced_ms = now;
+            self.end_other_lives(id, now);
         }
+        let Some(worker) = self.workers.get_mut(id) else { return };
         worker.sample_clock(report.clock_ms, now);
         worker.report_ms = now;
         worker.exits_told = worker.exits_told.max(call.exits_through);
@@ -469,6 +474,7 @@
             task.checkpoint.clone_from(&told.checkpoint);
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
+        live.is_listed = true;
         let is_confirmed = match live.phase {
             RunPhase::Starting => true,
             RunPhase::Inherited => is_settled,
@@ -527,7 +533,7 @@
     /// Something runs that the books know nothing of: the books were right when it was taken off
     /// them, so it must not go on.
     fn stop_stray(&mut self, id: &Arc<str>, key: &TaskKey, run: u32) {
-        let fence = self.fence();
+        let fence = self.fence_of(id);
         let Some(worker) = self.workers.get(id) else { return };
         let call = crate::jobs::ports::RunCall { task: *key, run, fence };
         let reason = "not on the books";
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -14,6 +14,7 @@
 use crate::scheduler::losses::LifeEnd;
 use crate::scheduler::maintenance::WaveRun;
 use crate::scheduler::needs::{NeedKind, PoolNeed, give, is_scarce};
+use crate::scheduler::rebirth::LifeBook;
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
 /// Time between two looks at the VM list while something is under way, in milliseconds.
@@ -123,11 +124,12 @@
 }
 
 impl FleetState {
-    /// Takes a list that was asked for at `asked_ms`.
-    pub fn take_list(&mut self, vms: Vec<VmEntry>, asked_ms: u64) {
+    /// Takes a list that was asked for at `asked_ms`; the workers that it names are those of `lives`.
+    pub(crate) fn take_list(&mut self, vms: Vec<VmEntry>, lives: &LifeBook, asked_ms: u64) {
         self.by_worker.clear();
         self.vms.clear();
-        for vm in vms {
+        for mut vm in vms {
+            vm.worker = lives.newest(&vm.worker).clone();
             if !vm.worker.is_empty() {
                 self.by_worker.insert(vm.worker.clone(), vm.vm.clone());
             }
@@ -136,6 +138,20 @@
         self.listed_ms = Some(asked_ms);
     }
 
+    /// A worker has begun anew under its name: the list names it as before.
+    pub(crate) fn rename_worker(&mut self, before: &str, id: &Arc<str>) {
+        let Some(name) = self.by_worker.remove(before) else { return };
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.worker = id.clone();
+        }
+        if let Some(intent) = self.intents.get_mut(&name)
+            && intent.phase == IntentPhase::Draining
+        {
+            intent.worker = id.clone();
+        }
+        self.by_worker.insert(id.clone(), name);
+    }
+
     /// Takes a wave; one that is known keeps its progress.
     pub fn take_wave(&mut self, wave: MaintenanceWave, done: BTreeSet<Arc<str>>, now: u64) {
         let known = self.waves.entry(wave.number).or_insert_with(|| WaveRun::new(wave, now));
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -45,6 +45,8 @@
     pub answered_ms: Option<u64>,
     /// Whether a start was handed out to be sent.
     pub is_sent: bool,
+    /// Whether its worker has listed it as running.
+    pub is_listed: bool,
     /// Whether a start had no answer: it may be carried out seconds later.
     pub is_in_doubt: bool,
     /// Share of its speed that it may use, in percent.
@@ -67,6 +69,7 @@
             begun_ms: 0,
             answered_ms: None,
             is_sent: false,
+            is_listed: false,
             is_in_doubt: false,
             throttle: 100,
             throttled_ms: 0,
@@ -191,6 +194,8 @@
     pub occurrences: BTreeMap<u32, OccurrenceRun>,
     /// Occurrences from here on have not begun.
     pub next_occurrence: u32,
+    /// Whether it came beyond its organisation's share.
+    pub is_beyond_share: bool,
 }
 
 impl JobRun {
@@ -205,6 +210,7 @@
             ended_wall_ms: 0,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
+            is_beyond_share: false,
         };
         if let Some(progress) = &job.progress {
             run.apply(progress);
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -83,6 +83,8 @@
 pub enum LifeEnd {
     /// Another life answers at its address.
     OtherLife,
+    /// It has begun anew under its name.
+    Reborn,
     /// Its VM shows another life, or none.
     NotOnVm,
     /// Its VM is in another pool.
@@ -96,6 +98,7 @@
     pub fn word(self) -> &'static str {
         match self {
             LifeEnd::OtherLife => "another life answers",
+            LifeEnd::Reborn => "it has begun anew",
             LifeEnd::NotOnVm => "its VM no longer runs it",
             LifeEnd::Moved => "its VM has moved",
             LifeEnd::Commanded => "its VM was commanded",
@@ -104,7 +107,7 @@
 
     /// Whether nobody wanted it.
     pub fn is_loss(self) -> bool {
-        matches!(self, LifeEnd::OtherLife | LifeEnd::NotOnVm)
+        matches!(self, LifeEnd::OtherLife | LifeEnd::Reborn | LifeEnd::NotOnVm)
     }
 }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -22,11 +22,14 @@
 pub mod losses;
 pub mod maintenance;
 pub mod needs;
+mod organisation;
 pub mod overview;
 pub mod rank;
+mod rebirth;
 mod room;
 pub mod runs;
 pub mod runtime;
+mod share;
 pub mod throttle;
 pub mod worker;
 
@@ -36,16 +39,21 @@
 use crate::decide::leadership::{LeaderTrace, PredecessorEnd};
 use crate::jobs::book::{BookedJob, JobBook};
 use crate::jobs::flow::FlowPace;
-use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
+use crate::jobs::model::{JobId, JobState, JobSubmission, StepKey, TaskKey};
 use crate::jobs::ports::{PermitGrant, RunCall, VM_PATIENCE_MS, VmCommand, WorkerTarget};
 use crate::jobs::record::JobRecord;
-use crate::jobs::site::{MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry};
+use crate::jobs::site::{
+    MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry, life_name,
+};
 use crate::scheduler::abandoned::AbandonedRuns;
 use crate::scheduler::commit::CommitQueue;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::losses::LossWatch;
+use crate::scheduler::organisation::OrganisationLedger;
+use crate::scheduler::rebirth::LifeBook;
 use crate::scheduler::runtime::RuntimeModel;
+use crate::scheduler::share::ShareBook;
 use crate::scheduler::worker::WorkerRun;
 
 /// Fencing tokens that one term may use: room for a leader to raise its own.
@@ -108,6 +116,8 @@
     Watch(WorkerTarget),
     /// Renew at once.
     Wake(Arc<str>),
+    /// Drop every call to a worker's life that is under way: the next one goes by the same name.
+    Forget(Arc<str>),
     /// Fetch the list of VMs.
     ListVms,
     /// Command a VM, with this fencing token.
@@ -256,6 +266,9 @@
     attention: BTreeSet<(TaskKey, u32)>,
     abandoned: AbandonedRuns,
     losses: LossWatch,
+    lives: LifeBook,
+    organisations: OrganisationLedger,
+    shares: ShareBook,
     /// When what workers say of themselves was last read through, in milliseconds.
     rooms_ms: u64,
     permits: HashMap<StepKey, StepPermits>,
@@ -300,6 +313,9 @@
             attention: BTreeSet::new(),
             abandoned: AbandonedRuns::default(),
             losses: LossWatch::default(),
+            lives: LifeBook::default(),
+            organisations: OrganisationLedger::default(),
+            shares: ShareBook::default(),
             rooms_ms: now,
             permits: HashMap::new(),
             commits: CommitQueue::default(),
@@ -311,6 +327,7 @@
             next_sweep_ms: now,
             wall_ms,
         };
+        scheduler.organisations.configure(&scheduler.config);
         for (id, job) in book.iter() {
             scheduler.restore(*id, job, now, wall_ms);
         }
@@ -412,6 +429,7 @@
         for queue in &self.config.queues {
             self.retired.insert(queue.name.clone(), queue.clone());
         }
+        self.organisations.configure(&config);
         self.config = config;
         self.needs_dispatch = true;
     }
@@ -443,7 +461,8 @@
                     return;
                 }
                 let booked = BookedJob::submitted(submission.clone());
-                let Some(run) = JobRun::restore(*job, &booked, now) else { return };
+                let Some(mut run) = JobRun::restore(*job, &booked, now) else { return };
+                run.is_beyond_share = !self.is_within_share(submission, now);
                 if submission.spec.schedule.is_none() {
                     let service = self.service_of(&run);
                     let model = self.queue_of(&run).map(|queue| self.runtime_model(queue));
@@ -459,6 +478,13 @@
         }
     }
 
+    /// Whether a job that arrives is within its organisation's share.
+    fn is_within_share(&mut self, submission: &JobSubmission, now: u64) -> bool {
+        let Some(organisation) = &submission.organisation else { return true };
+        let weight = self.organisations.weight(organisation);
+        self.shares.arrive(organisation, weight, now)
+    }
+
     fn cancel(&mut self, id: JobId, now: u64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.state.is_final() {
@@ -475,6 +501,9 @@
 
     /// A worker reports itself, for the first time or with something new.
     pub fn worker_seen(&mut self, entry: WorkerEntry, now: u64) {
+        if !self.begin_life(&entry, now) {
+            return;
+        }
         let id = entry.id.clone();
         self.needs_dispatch = true;
         let Some(worker) = self.workers.get_mut(&id) else {
@@ -503,8 +532,14 @@
         }
     }
 
-    /// A worker's entry is gone. It may run on behind a cut, so its runs are not over yet.
-    pub fn worker_unlisted(&mut self, id: &Arc<str>, now: u64) {
+    /// The entry of a worker of this name is gone.
+    pub fn worker_unlisted(&mut self, name: &Arc<str>, now: u64) {
+        let id = self.lives.newest(name).clone();
+        self.life_unlisted(&id, now);
+    }
+
+    /// A life's entry is gone. It may run on behind a cut, so its runs are not over yet.
+    fn life_unlisted(&mut self, id: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.is_listed = false;
         worker.silent_since_ms.get_or_insert(now);
@@ -519,11 +554,12 @@
 
     /// Every worker that is listed now; the others' entries are gone.
     pub fn workers_listed(&mut self, entries: Vec<WorkerEntry>, now: u64) {
-        let listed: BTreeSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let gone: Vec<Arc<str>> =
-            self.workers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        // Those that are listed under another life are dealt with when that is taken in.
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| life_name(&entry.id)).collect();
+        let is_gone = |id: &&Arc<str>| !listed.contains(life_name(id));
+        let gone: Vec<Arc<str>> = self.workers.keys().filter(is_gone).cloned().collect();
         for id in gone {
-            self.worker_unlisted(&id, now);
+            self.life_unlisted(&id, now);
         }
         for entry in entries {
             self.worker_seen(entry, now);
@@ -532,7 +568,7 @@
 
     /// The VM list, as it was when it was asked for at `asked_ms`.
     pub fn take_vms(&mut self, vms: Vec<VmEntry>, asked_ms: u64, now: u64) {
-        self.fleet.take_list(vms, asked_ms);
+        self.fleet.take_list(vms, &self.lives, asked_ms);
         self.bury_workers(asked_ms, now);
         self.needs_dispatch = true;
     }
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -6,6 +6,7 @@
 use crate::jobs::model::ResourceVector;
 use crate::jobs::site::VmState;
 use crate::scheduler::Scheduler;
+use crate::scheduler::organisation::CapBudget;
 use crate::scheduler::rank::{RankTier, rank};
 
 /// Share of a VM that can be filled on average, in percent: tasks come in sizes that leave gaps.
@@ -107,6 +108,7 @@
 
     fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, PoolLoad> {
         let mut loads: BTreeMap<Arc<str>, PoolLoad> = BTreeMap::new();
+        let mut caps = CapBudget::default();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
             let load = loads.entry(queue.service.clone()).or_default();
@@ -120,13 +122,17 @@
                         continue;
                     }
                     let booked: usize = step.tasks.iter().map(|task| task.live.len()).sum();
+                    // VMs for what a cap holds back would stand idle.
+                    let organisation = job.submission.organisation.as_ref();
                     let waiting = open.saturating_sub(booked);
+                    let waiting = caps.take(&self.organisations, organisation, &spec.need, waiting);
                     let is_begun = spec.after.iter().all(|before| {
                         run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
                     });
-                    // What is late already is worth little: it takes what is there.
+                    // What is late already is worth little, and what comes beyond a share must cost the
+                    // others nothing: both take what is there.
                     let counted = match (tier, is_begun) {
-                        (RankTier::Late | RankTier::Overdue, _) => 0,
+                        (RankTier::Beyond | RankTier::Late | RankTier::Overdue, _) => 0,
                         (_, true) => waiting * 100,
                         (_, false) => waiting * usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
                     };
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::access::OrganisationSpec;
+use crate::jobs::model::{JobState, ResourceVector};
 use crate::scheduler::Scheduler;
 use crate::scheduler::rank::{RankTier, rank};
 
@@ -23,6 +25,23 @@
     pub late: usize,
 }
 
+/// One organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OrganisationOverview {
+    /// Its share, in jobs a second; 0 for none.
+    pub weight: f64,
+    /// Most that it may have running; 0 of a resource for no limit.
+    pub cap: ResourceVector,
+    /// What is booked for its runs.
+    pub used: ResourceVector,
+    /// Runs that may be alive.
+    pub runs: usize,
+    /// Jobs of which no task has started.
+    pub waiting: usize,
+    /// Jobs that are not over and came beyond its share.
+    pub beyond_share: usize,
+}
+
 /// One maintenance wave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveOverview {
@@ -50,12 +69,15 @@
 }
 
 /// What a leader believes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaderOverview {
     /// Its term.
     pub term: u64,
     /// Pools by name.
     pub pools: BTreeMap<Arc<str>, PoolOverview>,
+    /// Organisations by name.
+    #[serde(default)]
+    pub organisations: BTreeMap<Arc<str>, OrganisationOverview>,
     /// Waves by number.
     pub waves: Vec<WaveOverview>,
     /// Workers that get no new work.
@@ -76,6 +98,7 @@
         LeaderOverview {
             term: self.term,
             pools: self.pool_overviews(now),
+            organisations: self.organisation_overviews(),
             waves: waves.collect(),
             doubted: self.doubted_workers(now),
             vm_commands: self.fleet.intents.len(),
@@ -111,6 +134,29 @@
         pools
     }
 
+    /// Organisations that are known, and what they have running and waiting.
+    pub(crate) fn organisation_overviews(&self) -> BTreeMap<Arc<str>, OrganisationOverview> {
+        let overview = |spec: &OrganisationSpec| {
+            let usage = self.organisations.usage(&spec.name);
+            let known = OrganisationOverview {
+                weight: spec.weight,
+                cap: spec.cap,
+                used: usage.used,
+                runs: usage.runs,
+                ..OrganisationOverview::default()
+            };
+            (spec.name.clone(), known)
+        };
+        let mut organisations: BTreeMap<_, _> = self.organisations.specs().map(overview).collect();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let Some(name) = &job.submission.organisation else { continue };
+            let organisation = organisations.entry(name.clone()).or_default();
+            organisation.waiting += usize::from(job.state == JobState::Queued);
+            organisation.beyond_share += usize::from(job.is_beyond_share);
+        }
+        organisations
+    }
+
     fn doubted_workers(&self, now: u64) -> Vec<DoubtedWorker> {
         let mut doubted = Vec::new();
         for (id, worker) in &self.workers {
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -24,6 +24,8 @@
     Service,
     /// Can meet the objective.
     InTime,
+    /// Could, and came beyond its organisation's share.
+    Beyond,
     /// Late, and still worth something.
     Late,
     /// Far too late.
@@ -117,7 +119,7 @@
     let tier = if is_service {
         RankTier::Service
     } else if now + chain * HOPE_PERCENT / 100 <= objective {
-        RankTier::InTime
+        if job.is_beyond_share { RankTier::Beyond } else { RankTier::InTime }
     } else if now + chain <= worthless {
         RankTier::Late
     } else {
--- /dev/null
+++ b/src/scheduler/rebirth.rs
@@ -0,0 +1,171 @@
+//! Workers that come back under their name: another life, which holds and knows nothing of the one before.
+//!
+//! A call names the worker that it is meant for, and the next life takes that name as its own. So what was sent
+//! to the life before may be carried out by the next one: a start that had no answer yet runs there seconds later,
+//! and its task, taken for lost and started elsewhere, would run twice. Three things keep that out:
+//!
+//! * A life is known by its name and the time of its birth (`life_id`), and everything is booked by it: numbers
+//!   of exits, clocks, leases and losses of one life are never held against another.
+//! * Runs that the life before has listed are over with it. Those that may still be on their way go over to the
+//!   next life, and are over only when that one does not list them.
+//! * The next life is called with a higher fencing token from the first call on. What was sent before is refused
+//!   by it from then on, so what it does not list then never comes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::jobs::model::TaskKey;
+use crate::jobs::site::{WorkerEntry, life_id, life_name};
+use crate::scheduler::job::{LiveRun, RunPhase};
+use crate::scheduler::losses::LifeEnd;
+use crate::scheduler::worker::{BookedRun, WorkerRun};
+use crate::scheduler::{FENCES_PER_TERM, Scheduler, SchedulerAction, SchedulerNote};
+
+/// The newest life that is known of each worker, and those before it.
+#[derive(Debug, Default)]
+pub(crate) struct LifeBook {
+    newest: BTreeMap<Arc<str>, Arc<str>>,
+    over: BTreeSet<Arc<str>>,
+}
+
+impl LifeBook {
+    /// The newest life of a worker; its name where none is known.
+    pub fn newest<'a>(&'a self, name: &'a Arc<str>) -> &'a Arc<str> {
+        self.newest.get(name).unwrap_or(name)
+    }
+
+    /// Takes a life; the one before it, if that was another.
+    fn begin(&mut self, id: &Arc<str>) -> Option<Arc<str>> {
+        let before = self.newest.insert(life_name(id).into(), id.clone());
+        let before = before.filter(|before| before != id)?;
+        self.over.insert(before.clone());
+        Some(before)
+    }
+
+    /// Whether a later life has been seen.
+    pub fn is_over(&self, id: &str) -> bool {
+        self.over.contains(id)
+    }
+}
+
+/// Whether a start may be carried out yet, or may have been by the next life: it was sent, and not every try of
+/// it is known to have reached the life that lists it.
+fn may_still_come(live: &LiveRun) -> bool {
+    match live.phase {
+        RunPhase::Planned => false,
+        RunPhase::Inherited => true,
+        RunPhase::Starting | RunPhase::Running | RunPhase::Stopping => {
+            live.is_sent && (live.is_in_doubt || !live.is_listed)
+        }
+    }
+}
+
+impl Scheduler {
+    /// Takes note of a life that a worker's entry tells of; false if a later one is known, so that the entry is
+    /// out of date.
+    pub(crate) fn begin_life(&mut self, entry: &WorkerEntry, now: u64) -> bool {
+        if self.lives.is_over(&entry.id) {
+            return false;
+        }
+        if let Some(before) = self.lives.begin(&entry.id) {
+            self.reborn(&before, entry.clone(), now);
+        }
+        true
+    }
+
+    /// A worker has answered under a life that began at `born_ms`; false if that is another than the one it was
+    /// asked as, so that the answer tells nothing of that one.
+    pub(crate) fn is_answer_of(&mut self, id: &Arc<str>, born_ms: Option<u64>, now: u64) -> bool {
+        let Some(born_ms) = born_ms else { return true };
+        let Some(worker) = self.workers.get(id) else { return true };
+        let answering = life_id(life_name(id), Some(born_ms));
+        if answering == *id || life_name(id) == &**id {
+            return true;
+        }
+        if !self.lives.is_over(&answering) {
+            let entry = WorkerEntry { id: answering, ..worker.entry.clone() };
+            self.begin_life(&entry, now);
+        }
+        false
+    }
+
+    /// The first answer of a life under our token: others of the same worker, of which only the log told, are
+    /// over.
+    pub(crate) fn end_other_lives(&mut self, id: &Arc<str>, now: u64) {
+        let name = life_name(id);
+        let is_other = |other: &&Arc<str>| *other != id && life_name(other) == name;
+        let others: Vec<Arc<str>> = self.workers.keys().filter(is_other).cloned().collect();
+        let Some(entry) = self.workers.get(id).map(|worker| worker.entry.clone()) else { return };
+        for other in others {
+            self.lives.over.insert(other.clone());
+            self.reborn(&other, entry.clone(), now);
+        }
+    }
+
+    /// The life `before` is over, and the same worker lives on as `entry` tells.
+    fn reborn(&mut self, before: &Arc<str>, entry: WorkerEntry, now: u64) {
+        let id = entry.id.clone();
+        let Some(old) = self.workers.remove(before) else { return };
+        let runs = old.runs.len();
+        let change = LifeEnd::Reborn.word();
+        self.note(SchedulerNote::Worker { worker: before.clone(), change, runs });
+        self.abandoned.forget_worker(before);
+        self.actions.push(SchedulerAction::Forget(before.clone()));
+        if old.draining_since_ms.is_none() {
+            self.blame_runs(std::slice::from_ref(&old), now);
+        }
+        self.fleet.rename_worker(before, &id);
+        let carried: Vec<((TaskKey, u32), BookedRun)> = old
+            .runs
+            .iter()
+            .filter(|(key, _)| self.is_carried(key))
+            .map(|(k, r)| (*k, *r))
+            .collect();
+        // Whatever comes of those can have a lease that was asked for until now.
+        let lease_ms = self.lease_ms() * 100 / 98 + self.bounds.stop_ms;
+        let bound = self.foreign_bound_ms.max(now + lease_ms);
+        let fence_step = (old.fence_step + 1).min(FENCES_PER_TERM - 1);
+        let next =
+            self.workers.entry(id.clone()).or_insert_with(|| WorkerRun::new(entry, bound, now));
+        next.fence_step = next.fence_step.max(fence_step);
+        let target = next.target();
+        for ((key, run), booked) in &old.runs {
+            if !carried.iter().any(|(carried, _)| carried == &(*key, *run)) {
+                self.run_lost(before, key, *run, booked.span, "its worker began anew", now);
+            }
+        }
+        for ((key, run), booked) in carried {
+            self.carry_over(&id, key, run, booked, now);
+        }
+        self.actions.push(SchedulerAction::Watch(target));
+        self.needs_dispatch = true;
+        self.fleet.wants_list = true;
+    }
+
+    fn is_carried(&self, (key, run): &(TaskKey, u32)) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        let live = task.and_then(|task| task.live.iter().find(|live| live.run == *run));
+        live.is_some_and(may_still_come)
+    }
+
+    /// Books a run on the next life, which may have it: the report that it gives under the new token tells.
+    fn carry_over(&mut self, id: &Arc<str>, key: TaskKey, run: u32, booked: BookedRun, now: u64) {
+        self.attention.remove(&(key, run));
+        let task = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key));
+        let live = task.and_then(|task| task.live.iter_mut().find(|live| live.run == run));
+        let Some(live) = live else { return };
+        live.worker = id.clone();
+        live.enter(RunPhase::Inherited, now);
+        live.is_listed = false;
+        self.commits.mark(key.job);
+        if let Some(worker) = self.workers.get_mut(id) {
+            let span = Default::default();
+            worker.book((key, run), BookedRun { span, ..booked });
+        }
+    }
+
+    /// Fencing token of calls to a worker: higher for each life of it that was seen to follow another.
+    pub(crate) fn fence_of(&self, id: &str) -> u64 {
+        self.fence() + self.workers.get(id).map_or(0, |worker| worker.fence_step)
+    }
+}
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -59,7 +59,10 @@
         let runs: Vec<(Arc<str>, u32)> =
             task.live.iter().map(|live| (live.worker.clone(), live.run)).collect();
         let bound = self.foreign_bound_ms;
+        let organisation = job.submission.organisation.clone();
+        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
         for (worker, run) in runs {
+            self.organisations.book(organisation.as_ref(), &need);
             let entry = self
                 .workers
                 .entry(worker.clone())
@@ -80,6 +83,8 @@
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
+        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
+        self.organisations.book(job.submission.organisation.as_ref(), &need);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.book((*key, run), booked);
         }
@@ -96,6 +101,8 @@
         let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
         let live = task.live.remove(position);
         task.waiting_since_ms = now;
+        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
+        self.organisations.release(job.submission.organisation.as_ref(), &need);
         self.commits.mark(key.job);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.release(&(*key, run), now);
@@ -190,10 +197,11 @@
         if self.is_deposed || !self.is_confirmed(now) {
             return None;
         }
-        let (fence, lease_ms) = (self.fence(), self.lease_ms());
+        let lease_ms = self.lease_ms();
+        let id = self.live_mut(key, run)?.worker.clone();
+        let fence = self.fence_of(&id);
         let live = self.live_mut(key, run)?;
         let phase = live.phase;
-        let id = live.worker.clone();
         live.retry_ms = now + COMMAND_RETRY_MS;
         match phase {
             RunPhase::Starting => {}
@@ -300,7 +308,7 @@
         self.note(SchedulerNote::StartRefused { task: *key, run, worker: id.clone(), reason });
         match refusal {
             CommandRefusal::Fenced => {
-                self.is_deposed = true;
+                self.outranked(id);
                 return;
             }
             CommandRefusal::WrongLife => {
@@ -380,7 +388,7 @@
                     live.answered_ms.get_or_insert(now);
                 }
             }
-            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.is_deposed = true,
+            CommandOutcome::Refused(CommandRefusal::Fenced, _) => self.outranked(worker),
             CommandOutcome::Refused(CommandRefusal::WrongLife, _) => {
                 self.worker_over(worker, LifeEnd::OtherLife, now);
             }
@@ -388,6 +396,12 @@
         }
     }
 
+    /// A worker refuses our token: a higher term was seen there. One that began anew meanwhile refuses what was
+    /// sent to its life before, which tells of no other leader.
+    pub(crate) fn outranked(&mut self, id: &str) {
+        self.is_deposed |= self.workers.contains_key(id);
+    }
+
     fn live_mut(&mut self, key: &TaskKey, run: u32) -> Option<&mut LiveRun> {
         self.task_mut(key)?.live.iter_mut().find(|live| live.run == run)
     }
@@ -426,7 +440,7 @@
     }
 
     /// A run is over with its worker, or taken for over.
-    fn run_lost(
+    pub(crate) fn run_lost(
         &mut self,
         id: &Arc<str>,
         key: &TaskKey,
--- a/src/scheduler/throttle.rs
+++ b/src/scheduler/throttle.rs
@@ -59,7 +59,7 @@
         worst: u64,
         now: u64,
     ) {
-        let fence = self.fence();
+        let fence = self.fence_of(&target.id);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(state) = job.task_mut(&task) else { return };
         let Some(live) = state.live.iter_mut().find(|live| live.run == run) else { return };
--- a/standin/src/jobs/ledger.rs
+++ b/standin/src/jobs/ledger.rs
@@ -4,6 +4,9 @@
 
 use ibisweir::jobs::model::{JobId, TaskKey};
 
+use crate::jobs::organisation::{CAP_CPU, most_running};
+use crate::jobs::worker::TaskText;
+
 /// How a caller's submission ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmissionEnd {
@@ -28,6 +31,8 @@
     pub is_cancelled: bool,
     /// Whether its tasks last until it is cancelled.
     pub lasts: bool,
+    /// Organisation that it belongs to.
+    pub organisation: Option<usize>,
     /// Whether it may be shown as failed: its tasks fail, or crash their workers.
     pub may_fail: bool,
 }
@@ -91,6 +96,23 @@
             self.faults.push(format!("{task} run {run} starts on {life} after its end was noted"));
         }
         ledger.live.insert((life.to_owned(), run));
+        self.check_cap(task);
+    }
+
+    /// A start must not bring what its organisation has running over its cap and one task.
+    fn check_cap(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(organisation) = job.organisation else { return };
+        let cpu = TaskText::parse(&job.payload).cpu;
+        let owned = |id: &JobId| self.jobs.get(id).filter(|j| j.organisation == Some(organisation));
+        let running = self.tasks.iter().filter(|(_, ledger)| !ledger.live.is_empty());
+        let used: u64 = running
+            .filter_map(|(key, ledger)| Some((owned(&key.job)?, ledger.live.len() as u64)))
+            .map(|(job, live)| TaskText::parse(&job.payload).cpu * live)
+            .sum();
+        if used > most_running(cpu) {
+            self.faults.push(format!("{task} brings its organisation to {used} of {CAP_CPU}"));
+        }
     }
 
     /// A task has crashed its worker.
--- a/standin/src/jobs/mod.rs
+++ b/standin/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod ledger;
 pub mod log;
+pub mod organisation;
 pub mod proxy;
 pub mod site;
 pub mod worker;
--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -13,8 +13,9 @@
 use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
 use crate::jobs::ledger::JobLedger;
 use crate::jobs::log::LogStandin;
+use crate::jobs::organisation::{KeyRegister, REVOKE_MS};
 use crate::jobs::proxy::FaultProxy;
-use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin};
+use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin, WorkerLife};
 
 /// Time between two reports of a worker.
 const HEARTBEAT: Duration = Duration::from_millis(300);
@@ -22,6 +23,8 @@
 pub const POOLS: [&str; 2] = ["tours", "residence"];
 /// Pool whose workers start whatever they are told to.
 pub const UNGUARDED: &str = POOLS[1];
+/// Pool whose queue needs no key.
+pub const OPEN: &str = POOLS[0];
 /// Pool whose VMs are off.
 const STANDBY: &str = "helpers";
 /// Host that callers name.
@@ -45,6 +48,8 @@
     ledger: Arc<Mutex<JobLedger>>,
     /// Waves that were asked for.
     waves: Mutex<Vec<u64>>,
+    /// Version of the newest configuration, and the keys in it.
+    config: Mutex<(u64, KeyRegister)>,
 }
 
 /// A running platform; stops when dropped.
@@ -77,7 +82,13 @@
         }
         let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
         let vm_service = listener.local_addr()?;
-        let shared = Arc::new(SiteShared { log, vms: linked, ledger, waves: Mutex::default() });
+        let shared = Arc::new(SiteShared {
+            log,
+            vms: linked,
+            ledger,
+            waves: Mutex::default(),
+            config: Mutex::default(),
+        });
         let (serving, reporting) = (shared.clone(), shared.clone());
         let server = tokio::spawn(serve(listener, move |call| {
             let shared = serving.clone();
@@ -85,7 +96,7 @@
         }));
         let reports = tokio::spawn(async move { reporting.report_workers().await });
         let platform = JobPlatform { vm_service, shared, tasks: vec![server, reports] };
-        platform.configure(1);
+        platform.configure();
         Ok(platform)
     }
 
@@ -104,8 +115,31 @@
         self.shared.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Puts a configuration in force.
-    pub fn configure(&self, version: u64) {
+    /// Puts a configuration in force that differs by its version.
+    pub fn configure(&self) {
+        self.change_keys(|_| ());
+    }
+
+    /// Gives out one more key of an organisation.
+    pub fn issue_key(&self, organisation: usize) -> String {
+        self.change_keys(|keys| keys.issue(organisation))
+    }
+
+    /// Takes a key away; the log has it when this returns.
+    pub fn revoke_key(&self, key: &str) {
+        self.change_keys(|keys| keys.revoke(key));
+    }
+
+    /// Puts a configuration in force with other keys.
+    fn change_keys<T>(&self, change: impl FnOnce(&mut KeyRegister) -> T) -> T {
+        let mut config = self.shared.config.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = change(&mut config.1);
+        config.0 += 1;
+        self.write_config(config.0, &config.1);
+        changed
+    }
+
+    fn write_config(&self, version: u64, keys: &KeyRegister) {
         let service = |name: &str| {
             value!({ "name": name, "admission-check": name != UNGUARDED,
             "standby": name == STANDBY })
@@ -113,7 +147,9 @@
         let routes: Vec<Value> = POOLS.iter().map(|pool| route(pool)).collect();
         let services: Vec<Value> =
             POOLS.iter().chain([&STANDBY]).map(|name| service(name)).collect();
-        let config = value!({ "version": version, "routes": routes, "services": services });
+        let config = value!({
+            "version": version, "routes": routes, "services": services, "tenants": keys.tenants(),
+        });
         self.shared.log.put("keyed.op", "config", config.to_string().as_bytes());
     }
 
@@ -151,6 +187,7 @@
             "bounds": {
                 "max-hold-ms": LEASE_MAX_MS, "stop-ms": millis(STOP_TIME), "status_s": 120,
                 "grace-s": 6, "maint-s": AWAY_TIME.as_secs_f64(),
+                "strict-revoke": true, "revoke-ms": REVOKE_MS,
             },
         })
         .to_string()
@@ -165,7 +202,7 @@
     value!({
         "name": pool, "host": CALLER_HOST, "path-prefix": format!("/{pool}/"),
         "service": pool, "timeout-ms": 3_000, "slo-ms": 600, "stretch": 1.6,
-        "attempts": ATTEMPTS,
+        "attempts": ATTEMPTS, "public": pool == OPEN,
     })
 }
 
@@ -191,24 +228,25 @@
 
     /// Keeps the workers' entries on the log as they are.
     async fn report_workers(&self) {
-        let mut told: Vec<Option<(String, String, Value)>> = vec![None; self.vms.len()];
+        let mut told: Vec<Option<(WorkerLife, Value)>> = vec![None; self.vms.len()];
         loop {
             for (linked, told) in self.vms.iter().zip(&mut told) {
                 let capacity = linked.vm.capacity();
-                let life = linked.vm.life().map(|(id, pool)| (id, pool, capacity));
+                let life = linked.vm.life().map(|life| (life, capacity));
                 if life == *told {
                     continue;
                 }
-                let is_same = |old: &String| life.as_ref().is_some_and(|(id, ..)| id == old);
-                if let Some((id, ..)) = told.take().filter(|(id, ..)| !is_same(id)) {
-                    self.log.put("keyed.servers", &id, b"");
+                let is_same = |old: &WorkerLife| life.as_ref().is_some_and(|(l, _)| l.id == old.id);
+                if let Some((old, _)) = told.take().filter(|(old, _)| !is_same(old)) {
+                    self.log.put("keyed.servers", &old.id, b"");
                 }
-                if let Some((id, pool, capacity)) = &life {
+                if let Some((life, capacity)) = &life {
                     let entry = value!({
-                        "service": pool, "addr": linked.link.address, "zone": "dc-a",
+                        "service": life.pool, "addr": linked.link.address, "zone": "dc-a",
                         "state": "ready", "capacity": capacity, "labels": ["a", linked.vm.rack],
+                        "born": life.born_ms,
                     });
-                    self.log.put("keyed.servers", id, entry.to_string().as_bytes());
+                    self.log.put("keyed.servers", &life.id, entry.to_string().as_bytes());
                 }
                 *told = life;
             }
--- a/standin/src/jobs/worker.rs
+++ b/standin/src/jobs/worker.rs
@@ -25,6 +25,8 @@
 pub const STOP_TIME: Duration = Duration::from_millis(100);
 /// Time for which a VM is away when it changes pools or is maintained.
 pub const AWAY_TIME: Duration = Duration::from_millis(400);
+/// Time from a crash until the worker has begun anew under its id: shorter than silence takes to be noticed.
+const REBIRTH_TIME: Duration = Duration::from_millis(60);
 /// Processor of a VM, in thousandths of a core.
 pub const VM_CPU: u64 = 8_000;
 /// Time between two looks at what ends.
@@ -70,6 +72,17 @@
     }
 }
 
+/// One life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLife {
+    /// Id of the worker, which its next life may have as well.
+    pub id: String,
+    /// Its pool.
+    pub pool: String,
+    /// When it began, in milliseconds since the epoch.
+    pub born_ms: u64,
+}
+
 /// What a VM's worker does wrong.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerFaults {
@@ -103,6 +116,9 @@
     /// Id of the worker's life; none while the VM is away.
     life: Option<String>,
     lives: u32,
+    born_ms: u64,
+    /// The id that the next life has as well.
+    kept_id: Option<String>,
     back: Option<Instant>,
     /// When its worker crashes, and the task that does it.
     doom: Option<(Instant, TaskKey)>,
@@ -180,10 +196,11 @@
         Ok(VmStandin { name, rack, address, shared, tasks: vec![server, beat] })
     }
 
-    /// Id of the worker's life and its pool; nothing while the VM is away.
-    pub fn life(&self) -> Option<(String, String)> {
+    /// The worker's life; nothing while the VM is away.
+    pub fn life(&self) -> Option<WorkerLife> {
         let state = self.shared.lock();
-        Some((state.life.clone()?, state.pool.clone()))
+        let (id, pool) = (state.life.clone()?, state.pool.clone());
+        Some(WorkerLife { id, pool, born_ms: state.born_ms })
     }
 
     /// Switches faults.
@@ -196,6 +213,15 @@
         self.shared.crash(&mut self.shared.lock());
     }
 
+    /// The worker loses all that it runs and begins anew under its id, after a moment.
+    pub fn crash_and_begin_anew(&self) {
+        let mut state = self.shared.lock();
+        let id = state.life.clone();
+        self.shared.crash(&mut state);
+        state.kept_id = id;
+        state.back = Some(Instant::now() + REBIRTH_TIME);
+    }
+
     /// Gives the worker this room, in thousandths of a core.
     pub fn set_room(&self, room: u64) {
         let mut state = self.shared.lock();
@@ -256,7 +282,9 @@
 impl VmState {
     fn begin_life(&mut self, name: &str) {
         self.lives += 1;
-        self.life = Some(format!("{name}-{}", self.lives));
+        let id = self.kept_id.take();
+        self.life = Some(id.unwrap_or_else(|| format!("{name}-{}", self.lives)));
+        self.born_ms = self.born_ms.max(ibisweir::clock::system_ms()) + 1;
         self.back = None;
         (self.doom, self.is_dark) = (None, false);
         self.is_maintained = false;
@@ -272,6 +300,11 @@
         self.rooms_before.iter().map(|(room, _)| *room).fold(self.room, u64::max)
     }
 
+    /// By what the ledger knows the present life.
+    fn mark(&self) -> String {
+        format!("{}@{}", self.life.as_deref().unwrap_or(""), self.born_ms)
+    }
+
     fn used(&self) -> u64 {
         self.running.values().map(|task| task.text.cpu).sum()
     }
@@ -303,7 +336,8 @@
     }
 
     fn end_life(&self, state: &mut VmState) {
-        let life = state.life.take().unwrap_or_default();
+        let life = state.mark();
+        state.life = None;
         for (task, run) in std::mem::take(&mut state.running).into_keys() {
             self.ledger().ended(task, run, &life, false);
         }
@@ -329,7 +363,10 @@
         if state.back.is_some_and(|back| now >= back) {
             state.begin_life(name);
         }
-        let Some(life) = state.life.clone() else { return };
+        if state.life.is_none() {
+            return;
+        }
+        let life = state.mark();
         let is_lapsed = clock >= state.lease_until_ms;
         let mut over = Vec::new();
         for (key, task) in &state.running {
@@ -373,7 +410,7 @@
             return Err(CallRefusal::Fenced);
         }
         state.fence = fence;
-        Ok(life)
+        Ok(state.mark())
     }
 
     fn refuse_call(&self, refusal: CallRefusal) -> GivenAnswer {
@@ -465,6 +502,7 @@
             }
             state.ended.retain(|(number, ..)| *number > seen);
         }
+        let asked = self.lock().mark();
         let wait = Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
         let has_ended = async {
             loop {
@@ -478,7 +516,7 @@
         // Either ends the wait.
         let _ = timeout(wait, has_ended).await;
         let state = self.lock();
-        if state.life.as_deref() != Some(call.header("expect-instance")) {
+        if state.mark() != asked {
             return None;
         }
         let percent = |task: &LiveTask| match task.text.lasts {
@@ -498,7 +536,13 @@
             .iter()
             .map(|(number, task, run, how)| value!([number, task.to_string(), run, how, ""]))
             .collect();
-        json(200, &value!({ "clock-ms": self.clock_ms(), "running": running, "ended": ended }))
+        json(
+            200,
+            &value!({
+                "clock-ms": self.clock_ms(), "born": state.born_ms, "running": running,
+                "ended": ended,
+            }),
+        )
     }
 }
 
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -5,17 +5,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HOST;
+use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderValue, Method};
 use ibisweir::jobs::model::JobId;
 use ibisweir::transport::{ExchangeFailure, HttpCall, HttpTransport};
 use rand::Rng;
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::jobs::ledger::{CallerJob, SubmissionEnd};
-use crate::jobs::site::{CALLER_HOST, JobPlatform, POOLS};
+use crate::jobs::organisation::{ORGANISATIONS, REVOKE_MS, lasting_key};
+use crate::jobs::site::{CALLER_HOST, JobPlatform, OPEN, POOLS};
 use crate::soak::entry::EntryProcess;
 
 /// Time that a caller waits for an answer.
@@ -24,6 +25,10 @@
 const TRIES: usize = 4;
 /// Longest pause of a caller between two things, in milliseconds.
 const PAUSE_MS: u64 = 250;
+/// Longest pause between two calls with a key that was taken away, in milliseconds.
+const KEY_GAP_MS: u64 = 120;
+/// Pool whose queue needs a key.
+const KEYED: &str = POOLS[1];
 /// Looks at a job before its caller turns to the next one.
 const LOOKS: usize = 4;
 
@@ -143,13 +148,9 @@
     ) -> (Told, Value) {
         let entry = &self.entries[random.random_range(0..self.entries.len())];
         // The id tells the queue, for every call about the job.
-        let pool =
-            POOLS[usize::from(id.to_string().ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']))];
-        let mut headers = HeaderMap::new();
-        headers.insert("deadline-ms", HeaderValue::from_static("3000"));
-        headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
-        let path = format!("/{pool}/{id}");
-        let call = HttpCall { method, path, headers, body: Bytes::from(body) };
+        let pool = if organisation_of(id).is_some() { KEYED } else { OPEN };
+        let key = organisation_of(id).map(|number| lasting_key(ORGANISATIONS[number]));
+        let call = keyed_call(method, format!("/{pool}/{id}"), key.as_deref(), Bytes::from(body));
         match transport.exchange(entry.callers, call, PATIENCE).await {
             Ok(answer) => {
                 let told = match answer.status.as_u16() {
@@ -165,6 +166,32 @@
         }
     }
 
+    /// Gives a key out, takes it away after `lasting`, and goes on with it on every entry for longer than it may be
+    /// served anywhere.
+    pub async fn outlast_key(&self, organisation: usize, lasting: Duration, seed: u64) {
+        let transport = HttpTransport::open();
+        let mut random: StdRng = rand::SeedableRng::seed_from_u64(seed);
+        let key = self.platform.issue_key(organisation);
+        sleep(lasting).await;
+        self.platform.revoke_key(&key);
+        let revoked = Instant::now();
+        let bound = Duration::from_millis(REVOKE_MS);
+        while revoked.elapsed() < bound * 3 {
+            let entry = &self.entries[random.random_range(0..self.entries.len())];
+            let late = revoked.elapsed().checked_sub(bound);
+            let path = format!("/{KEYED}/");
+            let call = keyed_call(Method::GET, path, Some(&key), Bytes::new());
+            let answer = transport.exchange(entry.callers, call, PATIENCE).await;
+            let is_served = answer.is_ok_and(|answer| answer.status.is_success());
+            if let Some(late) = late.filter(|_| is_served) {
+                let fault = format!("{} serves a key {late:?} after it may", entry.name);
+                self.platform.ledger().faults.push(fault);
+                return;
+            }
+            sleep(Duration::from_millis(random.random_range(5..KEY_GAP_MS))).await;
+        }
+    }
+
     /// Cancels all jobs whose tasks last, and those whose cancellation has not been confirmed.
     pub async fn cancel_lasting(&self) {
         let transport = HttpTransport::open();
@@ -204,6 +231,25 @@
     }
 }
 
+/// Organisation of a job by its id; none on the queue that is open to all.
+fn organisation_of(id: JobId) -> Option<usize> {
+    let id = id.to_string();
+    let is_keyed = id.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']);
+    is_keyed.then(|| usize::from(id.starts_with(['0', '1', '2', '3', '4', '5', '6', '7'])))
+}
+
+/// A call of a caller with a key, or without one.
+fn keyed_call(method: Method, path: String, key: Option<&str>, body: Bytes) -> HttpCall {
+    let mut headers = HeaderMap::new();
+    headers.insert("deadline-ms", HeaderValue::from_static("3000"));
+    headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
+    let shown = key.and_then(|key| HeaderValue::from_str(&format!("Token {key}")).ok());
+    if let Some(shown) = shown {
+        headers.insert(AUTHORIZATION, shown);
+    }
+    HttpCall { method, path, headers, body }
+}
+
 /// A job of one or two steps; now and then one that lasts, one that always fails, and, by its id, one whose first
 /// task crashes its workers.
 fn draw_job(id: JobId, random: &mut StdRng) -> (CallerJob, Value) {
@@ -236,5 +282,16 @@
         })
         .collect();
     let body = json!({ "spec": payload, "steps": bodies });
-    (CallerJob { payload, steps, end: None, is_cancelled: false, lasts, may_fail }, body)
+    (
+        CallerJob {
+            payload,
+            steps,
+            end: None,
+            is_cancelled: false,
+            lasts,
+            may_fail,
+            organisation: organisation_of(id),
+        },
+        body,
+    )
 }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -8,9 +8,11 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
+use crate::jobs::organisation::ORGANISATIONS;
 use crate::jobs::proxy::LinkFault;
 use crate::jobs::site::JobPlatform;
 use crate::jobs::worker::VM_CPU;
+use crate::soak::callers::CallerGroup;
 use crate::soak::entry::EntryProcess;
 
 /// Longest pause between two faults, in milliseconds.
@@ -21,6 +23,9 @@
 /// the time that everybody has to take it in.
 const ROOM_GAP_MS: u64 = 1_500;
 const ROOM_MS: u64 = 7_000;
+/// Longest pause between two workers that begin anew, and between two keys that are taken away, in milliseconds.
+const REBIRTH_GAP_MS: u64 = 2_500;
+const REVOKE_GAP_MS: u64 = 1_500;
 /// Kinds of faults that are drawn from.
 const KINDS: u32 = 17;
 
@@ -79,6 +84,31 @@
     while under_way.join_next().await.is_some() {}
 }
 
+/// Lets workers begin anew under their ids for `length`, drawn by a seed of its own.
+pub async fn rebear(mut random: StdRng, length: Duration, platform: Arc<JobPlatform>) {
+    let begun = Instant::now();
+    while begun.elapsed() < length {
+        sleep(Duration::from_millis(random.random_range(300..REBIRTH_GAP_MS))).await;
+        let vm = random.random_range(0..platform.vms().len());
+        platform.vms()[vm].vm.crash_and_begin_anew();
+    }
+}
+
+/// Gives keys out and takes them away for `length`, drawn by a seed of its own; callers go on with each key on
+/// every entry, and none may be served once its time is over.
+pub async fn revoke(mut random: StdRng, length: Duration, callers: Arc<CallerGroup>) {
+    let begun = Instant::now();
+    let mut under_way = JoinSet::new();
+    while begun.elapsed() < length {
+        let organisation = random.random_range(0..ORGANISATIONS.len());
+        let lasting = Duration::from_millis(random.random_range(100..LENGTH_MS));
+        let (callers, seed) = (callers.clone(), random.random());
+        under_way.spawn(async move { callers.outlast_key(organisation, lasting, seed).await });
+        sleep(Duration::from_millis(random.random_range(300..REVOKE_GAP_MS))).await;
+    }
+    while under_way.join_next().await.is_some() {}
+}
+
 /// One fault, from its beginning to its end.
 async fn fault(
     kind: u32,
@@ -145,7 +175,7 @@
         _ => {
             // The operators change things meanwhile.
             let number = u64::try_from(number).unwrap_or(0);
-            platform.configure(1 + number);
+            platform.configure();
             platform.begin_wave(number);
             on_link(&entry.vm_link, LinkFault::CutForth, lasting).await;
         }
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -39,6 +39,9 @@
 
 /// Rooms are drawn by a seed of their own, so that a seed draws the same faults as before there were any.
 const ROOM_SEED: u64 = 0x726f_6f6d;
+/// The same for workers that begin anew, and for keys that are taken away.
+const REBIRTH_SEED: u64 = 0x626f_726e;
+const KEY_SEED: u64 = 0x6b65_7973;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -131,6 +134,10 @@
     }
     let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
     tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
+    let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
+    tasks.spawn(faults::rebear(births, plan.length, platform.clone()));
+    let keys = StdRng::seed_from_u64(seed ^ KEY_SEED);
+    tasks.spawn(faults::revoke(keys, plan.length, callers.clone()));
     let random = StdRng::seed_from_u64(seed);
     report.faults = faults::inject(random, plan.length, &platform, &entries).await;
     callers.stop();
--- a/tests/job_path.rs
+++ b/tests/job_path.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::HOST;
+use http::header::{AUTHORIZATION, HOST};
 use http::{HeaderMap, HeaderValue, Method};
 use ibisweir::jobs::model::JobId;
 use ibisweir::transport::{HttpAnswer, HttpCall, HttpTransport};
 use ibisweir_standin::jobs::ledger::CallerJob;
+use ibisweir_standin::jobs::organisation::{ORGANISATIONS, lasting_key};
 use ibisweir_standin::jobs::site::{ATTEMPTS, CALLER_HOST, JobPlatform, POOLS};
 use ibisweir_standin::soak::entry::EntryProcess;
 use serde_json::{Value, json};
@@ -111,6 +112,7 @@
         is_cancelled: false,
         lasts: false,
         may_fail: false,
+        organisation: None,
     };
     platform.ledger().jobs.insert(JobId::parse(ID).expect("an id"), job);
     let body = json!({ "spec": payload, "steps": [
@@ -148,6 +150,78 @@
     site.close().await;
 }
 
+async fn keyed_call(
+    entry: &EntryProcess,
+    method: Method,
+    id: &str,
+    keys: &[&str],
+    body: &str,
+) -> HttpAnswer {
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
+    for key in keys {
+        headers.append(AUTHORIZATION, HeaderValue::from_str(key).expect("a header"));
+    }
+    let path = format!("/{}/{id}", POOLS[1]);
+    let call = HttpCall { method, path, headers, body: Bytes::from(body.to_owned()) };
+    let answer = HttpTransport::open().exchange(entry.callers, call, PATIENCE).await;
+    answer.expect("the entry answers")
+}
+
+/// Callers of a queue with keys: without one, with one that nobody has, with two and with words that are no key each
+/// gets a numbered answer, and nothing is stored. With its key a caller hands its job in, while one of another
+/// organisation is told that there is no such job. The key is taken away and is refused from then on; the job,
+/// which was accepted, ends. Operators see the organisations, and the log no key.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_keys_are_served_and_told_apart() {
+    let site = SmallSite::open(5).await;
+    let entry = &site.entry;
+    let east = format!("Token {}", lasting_key(ORGANISATIONS[0]));
+    let west = format!("Token {}", lasting_key(ORGANISATIONS[1]));
+    let passing = format!("Token {}", site.platform.issue_key(0));
+    let body = small_job("work=50");
+    let begun = Instant::now();
+    while keyed_call(entry, Method::POST, ID, &[&passing], &body).await.status != 200 {
+        assert!(begun.elapsed() < PATIENCE, "the job is never accepted");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let long = format!("Token {}", "k".repeat(65_000));
+    let bad: [(&[&str], u16); 7] = [
+        (&[], 127),
+        (&["Token"], 127),
+        (&["Token "], 127),
+        (&["Bearer x"], 127),
+        (&[&east, &west], 127),
+        (&["Token two words"], 127),
+        (&["Token nobody"], 128),
+    ];
+    for (keys, number) in bad {
+        let other = "00c0ffee00c0ffe0";
+        let answer = keyed_call(entry, Method::POST, other, keys, &body).await;
+        assert_eq!((answer.status.as_u16(), code(&answer)), (401, json!(number)), "{keys:?}");
+        let answer = keyed_call(entry, Method::GET, other, &[&east], "").await;
+        assert_eq!((answer.status.as_u16(), code(&answer)), (410, json!(122)), "{keys:?}");
+    }
+    let answer = keyed_call(entry, Method::GET, ID, &[&long], "").await;
+    assert!(matches!(answer.status.as_u16(), 401 | 431), "{}", answer.status);
+    for method in [Method::GET, Method::DELETE] {
+        let answer = keyed_call(entry, method, ID, &[&west], "").await;
+        assert_eq!((answer.status.as_u16(), code(&answer)), (410, json!(122)));
+    }
+    site.platform.revoke_key(&passing["Token ".len()..]);
+    while keyed_call(entry, Method::GET, ID, &[&passing], "").await.status != 401 {
+        assert!(begun.elapsed() < PATIENCE, "the key is never refused");
+    }
+    line_with(&site, "job state", |line| line["state"] == "Completed").await;
+    assert_eq!(keyed_call(entry, Method::GET, ID, &[&east], "").await.status, 200);
+    let run = tool(&["jobs", "--entry", &entry.peer.to_string()]).await;
+    assert!(run.out.contains("ORGANISATION") && run.out.contains("west"), "{run:?}");
+    let log = std::fs::read_to_string(&entry.output).expect("the entry's log");
+    assert!(!log.contains("passing-key") && !log.contains("lasting-key"), "a key is logged");
+    assert!(log.contains("a caller is not let in"));
+    site.close().await;
+}
+
 /// Requests that make no sense get their numbered answer, and the entry goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_submissions_get_a_numbered_answer() {
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -98,6 +98,7 @@
     ] {
         count(family, "reason");
     }
+    jobs.set_organisations([("name", 1, 1)].into_iter());
     let coded: BTreeSet<String> = metrics
         .text()
         .lines()
--- /dev/null
+++ b/tests/scheduler_rebirth.rs
@@ -0,0 +1,283 @@
+//! Workers that begin anew under the name that they had.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{ExitKind, JobState};
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, RenewCall, TaskExit, WorkerReport};
+use ibisweir::jobs::site::WorkerEntry;
+use support::stage::{Stage, config, job, service_step, step, task, worker};
+
+const FIRST: &str = "w1@0";
+
+fn one_worker() -> Stage {
+    Stage::open_born(config(), vec![worker("w1", "r1")])
+}
+
+fn two_workers() -> Stage {
+    Stage::open_born(config(), vec![worker("w1", "r1"), worker("w2", "r2")])
+}
+
+fn call() -> RenewCall {
+    RenewCall { fence: 1, exits_through: 0, lease_until_ms: None, wait: Default::default() }
+}
+
+/// A worker crashes and is back under its name before anybody noticed: nothing shows it but the time of its birth.
+/// Its tasks are lost with the life before, start once more and are done. Taken for the same worker, it would
+/// number its exits from one again, below those already taken in, and the jobs would never end.
+#[test]
+fn the_exits_of_the_next_life_count_from_its_first() {
+    let mut stage = one_worker();
+    for id in 1..=3 {
+        let done = stage.submit(id, job(vec![step(1)]));
+        stage.end(task(done, 0, 0), ExitKind::Done);
+        stage.advance(100);
+        assert_eq!(stage.state(done), Some(JobState::Completed));
+    }
+    let id = stage.submit(4, job(vec![step(1)]));
+    let next = stage.begin_anew(FIRST);
+    stage.advance(1_000);
+    assert_eq!(stage.place(task(id, 0, 0)), next);
+    assert_eq!(stage.starts(task(id, 0, 0)), 2);
+    stage.end(task(id, 0, 0), ExitKind::Done);
+    stage.advance(100);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// The worker's entry tells of the next life before any call shows it.
+#[test]
+fn a_rebirth_is_learned_from_the_workers_entry_too() {
+    let mut stage = one_worker();
+    let id = stage.submit(1, job(vec![step(2)]));
+    let next = stage.begin_anew(FIRST);
+    let entry = stage.entry(&next);
+    stage.scheduler.worker_seen(entry, stage.now);
+    stage.advance(1_000);
+    assert_eq!(stage.alive(task(id, 0, 0)) + stage.alive(task(id, 0, 1)), 2);
+    assert_eq!(stage.place(task(id, 0, 1)), next);
+}
+
+/// A start has no answer, and its worker begins anew. The start comes to the next life, which takes it, as it was
+/// meant for that name. Meanwhile the task must not run elsewhere; once the next life has answered under a higher
+/// token, late starts are refused there and the task goes on.
+#[test]
+fn a_start_in_doubt_may_reach_the_next_life() {
+    let mut stage = two_workers();
+    for worker in stage.workers.values_mut() {
+        worker.is_late = true;
+    }
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let late = stage.workers.iter().find(|(_, worker)| !worker.late.is_empty());
+    let place = late.expect("the start is under way").0.clone();
+    let next = stage.begin_anew(&place);
+    stage.deliver_late(&next);
+    assert_eq!(stage.alive(key), 1);
+    stage.advance(2_000);
+    assert_eq!(stage.alive(key), 1, "it runs twice");
+    assert_eq!(stage.starts(key), 1);
+    stage.end_run(key, 1, &next, ExitKind::Done);
+    stage.advance(200);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// The same, and the start comes late: after the next life has shown that it has nothing. Its token was raised with
+/// the first call, so that the start of before is refused, and the second run is the only one.
+#[test]
+fn a_start_that_comes_after_the_next_life_was_heard_is_refused_there() {
+    let mut stage = one_worker();
+    stage.workers.get_mut(FIRST).expect("known").is_late = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let next = stage.begin_anew(FIRST);
+    stage.advance(1_000);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1));
+    stage.deliver_late(&next);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1), "the late start was taken");
+}
+
+/// A start was answered by the next life, in the moment between its birth and the first word of it: the answer to
+/// a start does not tell who gave it. It runs there, and must be found there, not started once more.
+#[test]
+fn a_start_that_the_next_life_answered_is_not_lost_with_the_one_before() {
+    let mut stage = one_worker();
+    let busy = stage.submit(1, job(vec![step(8)]));
+    stage.advance(100);
+    let next = stage.begin_anew(FIRST);
+    // No renewal comes through until the start has been answered.
+    stage.workers.get_mut(&next).expect("known").is_stale = true;
+    for index in 0..8 {
+        let exit = TaskExit {
+            number: u64::from(index) + 1,
+            task: task(busy, 0, index),
+            run: 1,
+            kind: ExitKind::Done,
+            checkpoint: String::new(),
+        };
+        let report = WorkerReport {
+            clock_ms: stage.now,
+            born_ms: Some(0),
+            exits: vec![exit],
+            ..WorkerReport::default()
+        };
+        let outcome = CommandOutcome::Done(report);
+        stage.scheduler.renewed(&FIRST.into(), &call(), outcome, stage.now, stage.now);
+    }
+    let id = stage.submit(2, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1));
+    stage.workers.get_mut(&next).expect("known").is_stale = false;
+    stage.advance(1_000);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1), "started once more");
+    stage.end_run(key, 1, &next, ExitKind::Done);
+    stage.advance(200);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// An answer of the life before comes after the next one was seen, with an end that was listed but never taken in.
+/// It tells nothing of the next life, whose ends have the same numbers.
+#[test]
+fn a_late_list_of_the_life_before_is_ignored() {
+    let mut stage = one_worker();
+    let id = stage.submit(1, job(vec![step(2)]));
+    let next = stage.begin_anew(FIRST);
+    stage.advance(500);
+    let exits = vec![TaskExit {
+        number: 1,
+        task: task(id, 0, 0),
+        run: 1,
+        kind: ExitKind::Failed,
+        checkpoint: String::new(),
+    }];
+    let late = WorkerReport { clock_ms: 1, born_ms: Some(0), exits, ..WorkerReport::default() };
+    let outcome = CommandOutcome::Done(late);
+    stage.scheduler.renewed(&next, &call(), outcome, stage.now, stage.now);
+    stage.scheduler.worker_seen(worker("w1", "r1").born(0), stage.now);
+    stage.pump();
+    stage.advance(500);
+    for index in 0..2 {
+        stage.end_run(task(id, 0, index), 2, &next, ExitKind::Done);
+    }
+    stage.advance(100);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+    assert_eq!((stage.starts(task(id, 0, 0)), stage.starts(task(id, 0, 1))), (2, 2));
+}
+
+trait Born {
+    fn born(self, born_ms: u64) -> WorkerEntry;
+}
+
+impl Born for WorkerEntry {
+    fn born(self, born_ms: u64) -> WorkerEntry {
+        let id = ibisweir::jobs::site::life_id(&self.id, Some(born_ms));
+        WorkerEntry { id, ..self }
+    }
+}
+
+/// A new leader sees a worker for the first time in its second life; the log tells of a run on the first. The run is
+/// over, and that is known from the first answer: its task starts at once, not after the longest lease.
+#[test]
+fn a_new_leader_meets_a_worker_in_its_next_life() {
+    let mut stage = one_worker();
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let next = stage.begin_anew(FIRST);
+    stage.take_over(2, config());
+    stage.advance(500);
+    assert_eq!((stage.starts(key), stage.alive(key)), (2, 1));
+    assert_eq!(stage.place(key), next);
+}
+
+/// The same with a start of the old leader in doubt, which the next life has taken: it is found there.
+#[test]
+fn a_new_leader_finds_what_the_next_life_took() {
+    let mut stage = one_worker();
+    stage.workers.get_mut(FIRST).expect("known").is_late = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let next = stage.begin_anew(FIRST);
+    stage.deliver_late(&next);
+    stage.take_over(2, config());
+    stage.advance(1_000);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1));
+}
+
+/// What was sent to the life before is refused by the next one's higher token. That tells of no other leader.
+#[test]
+fn a_refusal_of_what_was_meant_for_the_life_before_deposes_nobody() {
+    let mut stage = one_worker();
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.begin_anew(FIRST);
+    stage.advance(500);
+    let refused = CommandOutcome::Refused(CommandRefusal::Fenced, None);
+    let first: Arc<str> = FIRST.into();
+    stage.scheduler.started(&first, &task(id, 0, 0), 1, &refused, stage.now);
+    let refused = CommandOutcome::Refused(CommandRefusal::Fenced, None);
+    stage.scheduler.renewed(&first, &call(), refused, stage.now, stage.now);
+    assert!(!stage.scheduler.is_deposed());
+}
+
+/// A worker crashes behind a cut and starts again there. While it can't be reached its tasks wait as if it ran them;
+/// when the cut heals its first answer shows the next life, and they start again.
+#[test]
+fn a_worker_that_began_anew_behind_a_cut_loses_and_doubles_nothing() {
+    let mut stage = two_workers();
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let place = stage.place(key);
+    stage.workers.get_mut(&place).expect("known").is_silent = true;
+    stage.advance(600);
+    let next = stage.begin_anew(&place);
+    stage.workers.get_mut(&next).expect("known").is_silent = true;
+    stage.advance(600);
+    assert_eq!(stage.starts(key), 1);
+    stage.workers.get_mut(&next).expect("known").is_silent = false;
+    stage.advance(600);
+    assert_eq!((stage.starts(key), stage.alive(key)), (2, 1));
+}
+
+/// A task crashes each worker that starts it, and each is back under its name at once. The losses count by lives:
+/// the job is given up after as many as where each life has a name of its own.
+#[test]
+fn losses_are_counted_by_lives() {
+    let entries = (0..4).map(|n| worker(&format!("w{n}"), &format!("r{n}"))).collect();
+    let mut stage = Stage::open_born(config(), entries);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for _ in 0..8 {
+        if stage.state(id).is_some_and(|state| state.is_final()) {
+            break;
+        }
+        if stage.alive(key) > 0 {
+            let place = stage.place(key);
+            let next = stage.begin_anew(&place);
+            let entry = stage.entry(&next);
+            stage.scheduler.worker_seen(entry, stage.now);
+            stage.pump();
+        }
+        stage.advance(1_200);
+    }
+    assert_eq!(stage.state(id), Some(JobState::Failed));
+    assert!(stage.starts(key) <= 5, "{} workers", stage.starts(key));
+}
+
+/// Service tasks are back at work after each of many rebirths, one run each.
+#[test]
+fn services_come_back_after_each_rebirth() {
+    let mut stage = two_workers();
+    let id = stage.submit(1, job(vec![service_step(2)]));
+    for round in 0..6 {
+        let keys: Vec<Arc<str>> = stage.workers.keys().cloned().collect();
+        stage.begin_anew(&keys[round % 2]);
+        // Long at work, so that the losses tell of nothing.
+        for _ in 0..6 {
+            for worker in stage.workers.values_mut() {
+                worker.running.values_mut().for_each(|percent| *percent = 100);
+            }
+            stage.advance(1_000);
+        }
+        assert_eq!(stage.alive(task(id, 0, 0)), 1, "round {round}");
+        assert_eq!(stage.alive(task(id, 0, 1)), 1, "round {round}");
+    }
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -17,7 +17,7 @@
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{
     CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, SiteSettings, VmEntry, VmState,
-    WorkerEntry,
+    WorkerEntry, life_id, life_name,
 };
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::runs::RunCommand;
@@ -196,6 +196,8 @@
     /// Workers that were lost, in order.
     pub lost: Vec<Arc<str>>,
     entries: Vec<WorkerEntry>,
+    /// Lives that were over before their workers began anew under the same name.
+    earlier_lives: Vec<Arc<str>>,
     crashes: u32,
     /// Workers that are going to crash, or that have and whose next lives are not listed yet.
     doomed: Vec<DoomedWorker>,
@@ -215,6 +217,12 @@
 pub const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
 impl Stage {
+    /// One whose workers tell when they were born.
+    pub fn open_born(config: SiteConfig, entries: Vec<WorkerEntry>) -> Stage {
+        let born = |entry: WorkerEntry| WorkerEntry { id: life_id(&entry.id, Some(0)), ..entry };
+        Stage::open(config, entries.into_iter().map(born).collect())
+    }
+
     /// A leader of term 1 with these workers, all under its token.
     pub fn open(config: SiteConfig, entries: Vec<WorkerEntry>) -> Stage {
         let mut stage = Stage {
@@ -247,6 +255,7 @@
             answers_before_crash: true,
             lost: Vec::new(),
             entries,
+            earlier_lives: Vec::new(),
             crashes: 0,
             doomed: Vec::new(),
         };
@@ -331,6 +340,33 @@
         self.crash_all(&[id]);
     }
 
+    /// A worker begins anew under its name: it runs and knows nothing, but for the starts that went unanswered,
+    /// which may yet come. Nobody is told.
+    pub fn begin_anew(&mut self, id: &str) -> Arc<str> {
+        let before = self.workers.remove(id).expect("the worker is known");
+        self.crashes += 1;
+        let next = life_id(life_name(id), Some(u64::from(self.crashes)));
+        let late = before.late.clone();
+        self.workers.insert(next.clone(), StageWorker { late, ..StageWorker::default() });
+        let entry = self.entries.iter_mut().find(|entry| &*entry.id == id);
+        entry.expect("the worker is known").id = next.clone();
+        self.earlier_lives.push(id.into());
+        next
+    }
+
+    /// The entries of all workers as they are now.
+    pub fn entry(&self, id: &str) -> WorkerEntry {
+        let entry = self.entries.iter().find(|entry| &*entry.id == id);
+        entry.expect("the worker is known").clone()
+    }
+
+    /// The worker that a call to this life reaches: the present life of the same name.
+    fn reach(&mut self, id: &str) -> Option<&mut StageWorker> {
+        let is_same = |other: &&Arc<str>| life_name(other) == life_name(id);
+        let present = self.workers.keys().find(is_same).cloned()?;
+        self.workers.get_mut(&present)
+    }
+
     /// Several workers at once, as when a rack loses power.
     pub fn crash_all(&mut self, ids: &[&str]) {
         for id in ids {
@@ -489,7 +525,9 @@
                 self.notes.push(note);
                 return false;
             }
-            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) => return false,
+            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) | SchedulerAction::Forget(_) => {
+                return false;
+            }
         }
         true
     }
@@ -515,10 +553,11 @@
     }
 
     fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
-        let outcome = match self.workers.get_mut(id) {
+        let now = self.now;
+        let outcome = match self.reach(id) {
             Some(worker) if !worker.is_silent => {
-                worker.stop(call.task, call.run, self.now);
-                CommandOutcome::Done(self.now)
+                worker.stop(call.task, call.run, now);
+                CommandOutcome::Done(now)
             }
             _ => CommandOutcome::Unknown,
         };
@@ -526,7 +565,8 @@
     }
 
     fn start(&mut self, id: &Arc<str>, call: &StartCall) -> CommandOutcome<u64> {
-        let Some(worker) = self.workers.get_mut(id) else { return CommandOutcome::Unknown };
+        let now = self.now;
+        let Some(worker) = self.reach(id) else { return CommandOutcome::Unknown };
         if worker.is_silent {
             return CommandOutcome::Unknown;
         }
@@ -535,12 +575,12 @@
             return CommandOutcome::Unknown;
         }
         if worker.is_full {
-            return CommandOutcome::Refused(CommandRefusal::NoRoom, Some(self.now));
+            return CommandOutcome::Refused(CommandRefusal::NoRoom, Some(now));
         }
         if worker.refused.contains(&(call.task, call.run)) {
-            return CommandOutcome::Refused(CommandRefusal::OldRun, Some(self.now));
+            return CommandOutcome::Refused(CommandRefusal::OldRun, Some(now));
         }
-        if worker.begin(call, self.now) {
+        if worker.begin(call, now) {
             self.started.push((call.task, call.run, id.clone()));
             self.doom(id, &call.task);
         }
@@ -563,7 +603,8 @@
     }
 
     fn renew_all(&mut self) -> bool {
-        let ids: Vec<Arc<str>> = self.workers.keys().cloned().collect();
+        let earlier = self.earlier_lives.iter();
+        let ids: Vec<Arc<str>> = self.workers.keys().chain(earlier).cloned().collect();
         let mut has_called = false;
         for id in ids {
             if let RenewPlan::Call(_, call, _) = self.scheduler.renew_plan(&id, self.now) {
@@ -575,8 +616,11 @@
     }
 
     fn renew(&mut self, id: &Arc<str>, call: &RenewCall) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
         self.leases.extend(call.lease_until_ms);
+        let (now, gauges) = (self.now, self.gauges.clone());
+        let is_same = |other: &&Arc<str>| life_name(other) == life_name(id);
+        let Some(present) = self.workers.keys().find(is_same).cloned() else { return };
+        let Some(worker) = self.workers.get_mut(&present) else { return };
         if !worker.is_silent {
             worker.fence = worker.fence.max(call.fence);
             worker.lease_until_ms = worker.lease_until_ms.max(call.lease_until_ms.unwrap_or(0));
@@ -584,12 +628,13 @@
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
         } else if worker.is_stale {
-            CommandOutcome::Done(WorkerReport { clock_ms: self.now, ..WorkerReport::default() })
+            CommandOutcome::Done(WorkerReport { clock_ms: now, ..WorkerReport::default() })
         } else {
             worker.exits.retain(|exit| exit.number > call.exits_through);
-            CommandOutcome::Done(worker.report(self.now, &self.gauges))
+            let born_ms = present.rsplit_once('@').and_then(|(_, born)| born.parse().ok());
+            CommandOutcome::Done(WorkerReport { born_ms, ..worker.report(now, &gauges) })
         };
-        let sent_ms = if worker.is_stale { START_MS } else { self.now };
+        let sent_ms = if worker.is_stale { START_MS } else { now };
         self.scheduler.renewed(id, call, outcome, sent_ms, self.now);
     }
 }
--- a/tests/support/stage_worker.rs
+++ b/tests/support/stage_worker.rs
@@ -32,7 +32,8 @@
     pub lease_until_ms: u64,
     /// Highest fencing token seen.
     pub fence: u64,
-    next_exit: u64,
+    /// Exits listed so far.
+    pub next_exit: u64,
 }
 
 impl StageWorker {
@@ -100,6 +101,11 @@
             percent: *percent,
             gauge: gauges.get(task).copied(),
         });
-        WorkerReport { clock_ms: now, running: running.collect(), exits: self.exits.clone() }
+        WorkerReport {
+            clock_ms: now,
+            running: running.collect(),
+            exits: self.exits.clone(),
+            ..WorkerReport::default()
+        }
     }
 }
