VMs without workers make room in a wave as soon as they are back

Cause: a command to a VM counted as over when the list showed another worker on it. A VM that is off has none, before its maintenance and after it, so its command held a place of the wave until it was forgotten, 10 s later. Ruled out: the VM service (it answered), budgets of services (their VMs were ready and waited). Change: an empty VM that the list, asked for after the command had begun, shows up again is back. Test: vms_without_workers_make_room_in_a_wave_as_soon_as_they_are_back, red before.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -281,9 +281,11 @@
         let Some(intent) = self.fleet.intents.get_mut(name) else { return };
         match intent.phase {
             IntentPhase::Accepted => {
+                // A VM that is off has no worker by which it could be told that it was down; the list was
+                // asked for after the command had begun, and would show it so.
                 let is_back = vm.state == VmState::Up
                     && listed_ms > intent.since_ms
-                    && vm.worker != intent.worker;
+                    && (vm.worker != intent.worker || vm.worker.is_empty());
                 if is_back || now > intent.since_ms + COMMAND_FORGET_MS {
                     self.fleet.intents.remove(name);
                 }
--- a/tests/scheduler_fleet.rs
+++ b/tests/scheduler_fleet.rs
@@ -9,7 +9,7 @@
 use ibisweir::jobs::model::{ExitKind, JobId, JobState, StepSpec};
 use ibisweir::jobs::ports::VmCommand;
 use ibisweir::jobs::record::JobRecord;
-use ibisweir::jobs::site::{MaintenanceWave, PoolSpec, SiteConfig, VmEntry, WorkerEntry};
+use ibisweir::jobs::site::{MaintenanceWave, PoolSpec, SiteConfig, VmEntry, VmState, WorkerEntry};
 use ibisweir::scheduler::demand::ArrivalRate;
 use ibisweir::scheduler::runtime::RuntimeModel;
 use ibisweir::scheduler::{VM_COMMAND_LIFE_MS, VM_CONFIRMATION_MS};
@@ -130,6 +130,33 @@
     assert_eq!(stage.told, vec![(1, false)]);
 }
 
+/// VMs that are off have no worker, before their maintenance and after it. The list shows the first two up again: the
+/// next two follow at once. Waited for as if a worker had to come, they hold the places of the whole wave until their
+/// commands are forgotten, and the last VMs, with what callers have running on them, are late.
+#[test]
+fn vms_without_workers_make_room_in_a_wave_as_soon_as_they_are_back() {
+    let pool = workers(1);
+    let mut stage = Stage::open(config(), pool.clone());
+    let list = vms(&pool, 4);
+    stage.scheduler.take_vms(list.clone(), stage.now, stage.now);
+    let due = MaintenanceWave {
+        vms: list.iter().filter(|vm| &*vm.pool == STANDBY).map(|vm| vm.vm.clone()).collect(),
+        ..wave(&pool, 2)
+    };
+    stage.scheduler.take_wave(due, BTreeSet::new(), stage.now);
+    stage.advance(200);
+    assert_eq!(maintained(&stage).len(), 2);
+    let mut down = list.clone();
+    let is_begun = |vm: &VmEntry| maintained(&stage).contains(&vm.vm);
+    down.iter_mut().filter(|vm| is_begun(vm)).for_each(|vm| vm.state = VmState::Maintained);
+    stage.scheduler.take_vms(down, stage.now, stage.now);
+    stage.advance(500);
+    assert_eq!(maintained(&stage).len(), 2, "they are still down");
+    stage.scheduler.take_vms(list, stage.now, stage.now);
+    stage.advance(500);
+    assert_eq!(maintained(&stage).len(), 4);
+}
+
 /// One VM of a wave may be down at a time, and one is. Another has just been emptied of its services:
 /// it waits until the first is back.
 #[test]
