Cheaper decisions: pools that are full are not looked through, copies are sought ten times a second

Cause: each placement ranked all that waits, also where no worker of the pool had room for it; searched all workers of all pools for each task; counted a step's runs by worker and rack where nothing goes by them; and sought tasks that need a copy, with a sorted list of run times for each live one.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -1,10 +1,10 @@
 //! Places tasks that are ready on workers with room.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::jobs::model::{JobId, ResourceVector, StepKey, StepSpec, TaskKey};
-use crate::scheduler::job::{RunPhase, StepRun};
+use crate::scheduler::job::{LiveRun, RunPhase, StepRun};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
 use crate::scheduler::runs::{heading_for_ms, usual_ms};
 use crate::scheduler::worker::WorkerRun;
@@ -51,7 +51,8 @@
 impl Scheduler {
     /// Places what is ready, best rank first.
     pub(crate) fn dispatch(&mut self, now: u64) {
-        let mut ready = self.ready_steps(now);
+        let rooms = self.largest_rooms(now);
+        let mut ready = self.ready_steps(&rooms, now);
         ready.sort_by_key(|step| (step.rank, step.key));
         // Once a pool has refused the smallest request, the others behind it need no look.
         let mut full: BTreeMap<Arc<str>, ResourceVector> = BTreeMap::new();
@@ -59,26 +60,29 @@
             if !self.has_start_room() {
                 break;
             }
-            let Some(spec) = self.step_spec(&step.key) else { continue };
+            let submission = self.jobs.get(&step.key.job).map(|job| job.submission.clone());
+            let Some(submission) = submission else { continue };
+            let spec = &submission.spec.steps[usize::from(step.key.step)];
             if !self.knows_rooms(&step.service, now) {
                 continue;
             }
             let booked = spec.booked();
             let is_hopeless = full.get(&step.service).is_some_and(|least| booked.holds(least));
-            let is_urgent = step.rank.tier == RankTier::Service && !spec.is_best_effort;
-            if is_hopeless && !is_urgent {
+            if is_hopeless && !is_urgent(spec) {
                 continue;
             }
             let is_placed = if spec.is_gang {
-                self.place_gang(&step, &spec, now)
+                self.place_gang(&step, spec, now)
             } else {
-                self.place_tasks(&step, &spec, now)
+                self.place_tasks(&step, spec, now)
             };
-            if !is_placed && is_plain(&spec) {
+            if !is_placed && is_plain(spec) {
                 full.insert(step.service.clone(), booked);
             }
         }
-        self.place_copies(now);
+        if std::mem::take(&mut self.looks_for_copies) {
+            self.place_copies(now);
+        }
         self.is_held_back = !self.has_start_room();
     }
 
@@ -100,15 +104,36 @@
         job.submission.spec.steps.get(usize::from(key.step)).cloned()
     }
 
-    fn ready_steps(&self, now: u64) -> Vec<ReadyStep> {
+    /// Of each resource the most that any one worker of a pool has left: what does not fit into that fits
+    /// nowhere. In a burst it spares the look at all that waits in line.
+    fn largest_rooms(&self, now: u64) -> HashMap<Arc<str>, ResourceVector> {
+        let mut rooms: HashMap<Arc<str>, ResourceVector> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_open(now)) {
+            let free = worker.free();
+            match rooms.get_mut(&worker.entry.service) {
+                Some(room) => *room = room.most(&free),
+                None => {
+                    rooms.insert(worker.entry.service.clone(), free);
+                }
+            }
+        }
+        rooms
+    }
+
+    /// Steps with tasks that wait and may find a place.
+    fn ready_steps(&self, rooms: &HashMap<Arc<str>, ResourceVector>, now: u64) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
             let specs = &job.submission.spec.steps;
             let model = self.runtime_model(queue);
+            let room = rooms.get(&queue.service).copied().unwrap_or_default();
             for (occurrence, run) in &job.occurrences {
                 let mut ranked = None;
                 for (position, step) in run.steps.iter().enumerate() {
+                    if !is_urgent(&specs[position]) && !room.holds(&specs[position].booked()) {
+                        continue;
+                    }
                     let is_open = |before: &u16| {
                         run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
                     };
@@ -157,6 +182,7 @@
     /// Places the waiting tasks of a step; false if one found no room.
     fn place_tasks(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
         let Some(permitted) = self.permitted(step, now) else { return true };
+        let (mut beside, mut racks) = self.neighbours_of(spec, &step.key);
         for key in &step.waiting {
             // Its organisation's other tasks wait as well, and nobody else's.
             if !self.has_start_room() || !self.has_cap_room(key, &spec.need) {
@@ -168,7 +194,6 @@
             if suspect.is_some() && !self.has_probation_room(&step.service, now) {
                 continue;
             }
-            let (beside, racks) = self.neighbours(&step.key);
             let mut avoided = self.avoided(key);
             let is_lasting = spec.is_service && !spec.is_best_effort;
             if is_lasting && self.fleet.hurried.contains(&step.service) {
@@ -202,6 +227,10 @@
             };
             let run = self.next_run(key);
             self.plan_run(key, run, &worker, now);
+            if let Some(host) = self.workers.get(&worker) {
+                *racks.entry(host.entry.rack().into()).or_insert(0) += 1;
+            }
+            *beside.entry(worker).or_insert(0) += 1;
         }
         true
     }
@@ -234,6 +263,18 @@
         workers.map(|(id, _)| id.clone()).filter(|id| self.fleet.is_due(id)).collect()
     }
 
+    /// The same, where the step's places go by them.
+    fn neighbours_of(
+        &self,
+        spec: &StepSpec,
+        key: &StepKey,
+    ) -> (BTreeMap<Arc<str>, u32>, BTreeMap<Arc<str>, u32>) {
+        match spec.per_worker_max > 0 || spec.is_best_effort {
+            true => self.neighbours(key),
+            false => (BTreeMap::new(), BTreeMap::new()),
+        }
+    }
+
     /// Runs of a step by worker and by rack.
     fn neighbours(&self, key: &StepKey) -> (BTreeMap<Arc<str>, u32>, BTreeMap<Arc<str>, u32>) {
         let (mut beside, mut racks) = (BTreeMap::new(), BTreeMap::new());
@@ -287,12 +328,14 @@
         now: u64,
     ) -> Option<Arc<str>> {
         let remote_ms = remote_cost_ms(query.spec, self.bounds.remote_factor);
+        let booked = query.spec.booked();
+        // The cheapest question first: in a burst few workers have room.
         self.workers
             .iter()
+            .filter(|(_, worker)| worker.free().holds(&booked))
             .filter(|(_, worker)| &*worker.entry.service == service)
             .filter(|(_, worker)| worker.takes(query.suspect, now))
             .filter(|(id, worker)| is_allowed(id, worker, query))
-            .filter(|(_, worker)| worker.free().holds(&query.spec.booked()))
             .filter(|(_, worker)| {
                 // Away from its data it takes longer than a short wait for room beside it.
                 is_near(worker, query.spec) || waited_ms >= remote_ms
@@ -575,6 +618,10 @@
         }
     }
 
+    fn is_silent(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_none_or(|worker| worker.silent_since_ms.is_some())
+    }
+
     /// Whether every run of a task is on a silent worker, or takes far longer than its siblings do.
     fn wants_copy(&self, step: &StepRun, index: usize, now: u64) -> bool {
         let Some(task) = step.tasks.get(index) else { return false };
@@ -582,10 +629,15 @@
         if task.live.is_empty() || task.live.len() >= COPIES_MAX || task.losses.all > 0 {
             return false;
         }
+        let is_young = |live: &LiveRun| {
+            now.saturating_sub(live.since_ms) <= COPY_SLACK_MS && !self.is_silent(&live.worker)
+        };
+        if task.live.iter().any(is_young) {
+            return false;
+        }
         let usual = usual_ms(step, u32::try_from(index).ok());
         task.live.iter().all(|live| {
-            let worker = self.workers.get(&live.worker);
-            let is_silent = worker.is_none_or(|worker| worker.silent_since_ms.is_some());
+            let is_silent = self.is_silent(&live.worker);
             let elapsed = now.saturating_sub(live.since_ms);
             let is_late = usual.is_some_and(|usual| {
                 live.phase == RunPhase::Running
@@ -597,6 +649,11 @@
     }
 }
 
+/// Whether a step's tasks displace others where there is no room.
+fn is_urgent(spec: &StepSpec) -> bool {
+    spec.is_service && !spec.is_best_effort
+}
+
 /// Whether a step asks for nothing but room, so that its refusal tells of the whole pool.
 fn is_plain(spec: &StepSpec) -> bool {
     spec.required_label.is_none()
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -277,6 +277,8 @@
     pace: FlowPace,
     actions: Vec<SchedulerAction>,
     needs_dispatch: bool,
+    /// Whether the next placement looks for tasks that need a copy: every tenth of a second is soon enough.
+    looks_for_copies: bool,
     /// Whether tasks with room wait only for starts before them to go out.
     is_held_back: bool,
     next_sweep_ms: u64,
@@ -323,6 +325,7 @@
             pace: FlowPace::default(),
             actions: Vec::new(),
             needs_dispatch: true,
+            looks_for_copies: false,
             is_held_back: false,
             next_sweep_ms: now,
             wall_ms,
@@ -605,6 +608,7 @@
             }
             self.stop_broken_gangs(now);
             self.drop_over_jobs(wall_ms);
+            self.looks_for_copies = true;
             self.needs_dispatch = true;
         }
         self.plan_fleet(now);
--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -26,6 +26,8 @@
   quickstart            a whole site in one process, a load, a maintenance wave, a report
   measure path [NAME]   experiments on the request path, beside baselines
   measure fleet         experiments on planning and intent, beside baselines and lower bounds
+  measure decisions     processor time of a leader's decisions, by workers and jobs
+  measure leader        processor time of a whole leader for each start
   measure capacity      state, messages, processor time and memory of control, by size
   soak                  entries as processes under drawn faults, for jobs; promises checked
   platform              a platform as a process of its own
@@ -54,7 +56,11 @@
         /// The only one to run.
         only: Option<String>,
     },
-    /// Slopes for the capacity page.
+    /// Processor time of a leader's decisions.
+    MeasureDecisions,
+    /// Processor time of a whole leader.
+    MeasureLeader,
+    /// State, messages, processor time and memory of control.
     MeasureCapacity,
     /// Experiments on planning and intent.
     MeasureFleet,
@@ -111,6 +117,8 @@
     match words.as_slice() {
         ["quickstart"] => Invocation::Run(Task::Quickstart),
         ["measure", "fleet"] => Invocation::Run(Task::MeasureFleet),
+        ["measure", "decisions"] => Invocation::Run(Task::MeasureDecisions),
+        ["measure", "leader"] => Invocation::Run(Task::MeasureLeader),
         ["measure", "capacity"] => Invocation::Run(Task::MeasureCapacity),
         ["measure", "path"] => Invocation::Run(Task::MeasurePath { only: None }),
         ["measure", "path", only] if measure::path::NAMES.contains(only) => {
@@ -144,10 +152,9 @@
         Ok(entries) if (1..=soak::ENTRIES_MAX).contains(&entries) => entries,
         _ => return Invocation::Refuse("--entries: 1 to 180\n".to_owned()),
     };
-    let beside = std::env::current_exe().unwrap_or_default().with_file_name("ibisweird");
     let directory = std::env::temp_dir().join(format!("ibisweir-soak-{}", std::process::id()));
     Invocation::Run(Task::Soak(SoakPlan {
-        daemon: matches.opt_str("daemon").map_or(beside, PathBuf::from),
+        daemon: matches.opt_str("daemon").map_or_else(daemon_beside, PathBuf::from),
         seed,
         runs,
         length: Duration::from_secs(seconds),
@@ -191,6 +198,8 @@
         Task::Quickstart => quickstart::run().await,
         Task::MeasurePath { only } => measure::path::run(only.as_deref()).await,
         Task::MeasureFleet => measure::fleet::run().await,
+        Task::MeasureDecisions => measure::decisions::run(),
+        Task::MeasureLeader => measure::leader::run(&daemon_beside()).await,
         Task::MeasureCapacity => measure::capacity::run().await,
         Task::Soak(plan) => soak::run(&plan).await,
         Task::Platform { listen } => platform(listen).await,
@@ -219,3 +228,8 @@
     println!("worker {}", worker.address);
     std::future::pending().await
 }
+
+/// The daemon's program, beside this one.
+fn daemon_beside() -> PathBuf {
+    std::env::current_exe().unwrap_or_default().with_file_name("ibisweird")
+}
--- a/standin/src/measure.rs
+++ b/standin/src/measure.rs
@@ -2,7 +2,9 @@
 
 pub mod capacity;
 pub mod crash;
+pub mod decisions;
 pub mod fleet;
+pub mod leader;
 pub mod path;
 pub mod publish;
 
--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -112,10 +112,14 @@
         Ok(())
     }
 
+    /// Id of the process, while it runs.
+    pub async fn process_id(&self) -> Option<u32> {
+        self.child.lock().await.as_ref().and_then(Child::id)
+    }
+
     /// Sends a signal to the process, by its id.
     pub async fn signal(&self, name: &str) {
-        let id = self.child.lock().await.as_ref().and_then(Child::id);
-        if let Some(id) = id {
+        if let Some(id) = self.process_id().await {
             // One that has ended meanwhile takes no signal.
             let _ = Command::new("kill").args([name, &id.to_string()]).status().await;
         }
