--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -284,8 +284,9 @@
             Err(code) => bare(code),
         },
         VIEW_PATH => match body(request, QUESTION_BYTES_MAX).await {
-            Ok(body) => confirm::answer(node, &body)
-                .map_or_else(|| bare(StatusCode::BAD_REQUEST), |answer| binary(answer)),
+            Ok(body) => {
+                confirm::answer(node, &body).map_or_else(|| bare(StatusCode::BAD_REQUEST), binary)
+            }
             Err(code) => bare(code),
         },
         METRICS_PATH => {
--- /dev/null
+++ b/src/scheduler/copies.rs
@@ -0,0 +1,95 @@
+//! Second runs of tasks that allow copies: where the first takes far longer than its siblings, or its worker is silent.
+
+use crate::scheduler::Scheduler;
+use crate::scheduler::dispatch::PlaceQuery;
+use crate::scheduler::job::{LiveRun, RunPhase, StepRun};
+use crate::scheduler::judge::{heading_for_ms, usual_ms};
+
+/// Copies of a task that may run at once.
+const COPIES_MAX: usize = 2;
+/// Time beyond its declared run time after which a task that allows copies gets one, in
+/// milliseconds: the notice of its end takes a while.
+const COPY_SLACK_MS: u64 = 400;
+
+impl Scheduler {
+    /// Gives tasks that allow copies and take too long, or whose worker is silent, a second run.
+    pub(crate) fn place_copies(&mut self, now: u64) {
+        if !self.has_start_room() {
+            return;
+        }
+        let mut late = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for (occurrence, run) in &job.occurrences {
+                for (position, step) in run.steps.iter().enumerate() {
+                    let spec = &job.submission.spec.steps[position];
+                    if !spec.allows_copies || spec.is_gang || spec.is_service || step.is_done() {
+                        continue;
+                    }
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        if !task.is_done && self.wants_copy(step, index, now) {
+                            late.push(job.key(*occurrence, position, index));
+                        }
+                    }
+                }
+            }
+        }
+        for key in late {
+            let Some(spec) = self.step_spec(&key.step_key()) else { continue };
+            let Some(service) = self.jobs.get(&key.job).map(|job| self.service_of(job)) else {
+                continue;
+            };
+            if !self.knows_rooms(&service, now) || !self.has_cap_room(&key, &spec.need) {
+                continue;
+            }
+            let (beside, racks) = self.neighbours(&key.step_key());
+            let mut avoided = self.avoided(&key);
+            let live = self.jobs.get(&key.job).and_then(|job| job.task(&key));
+            avoided.extend(live.into_iter().flat_map(|task| {
+                task.live.iter().map(|live| live.worker.clone()).collect::<Vec<_>>()
+            }));
+            let query = PlaceQuery {
+                spec: &spec,
+                beside: &beside,
+                racks: &racks,
+                avoided: &avoided,
+                permitted: None,
+                rack: None,
+                suspect: None,
+            };
+            if let Some(worker) = self.find_worker(&service, &query, u64::MAX, now) {
+                let run = self.next_run(&key);
+                self.plan_run(&key, run, &worker, now);
+            }
+        }
+    }
+
+    fn is_silent(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_none_or(|worker| worker.silent_since_ms.is_some())
+    }
+
+    /// Whether every run of a task is on a silent worker, or takes far longer than its siblings do.
+    fn wants_copy(&self, step: &StepRun, index: usize, now: u64) -> bool {
+        let Some(task) = step.tasks.get(index) else { return false };
+        // A copy of what may crash its worker would cost two.
+        if task.live.is_empty() || task.live.len() >= COPIES_MAX || task.losses.all > 0 {
+            return false;
+        }
+        let is_young = |live: &LiveRun| {
+            now.saturating_sub(live.since_ms) <= COPY_SLACK_MS && !self.is_silent(&live.worker)
+        };
+        if task.live.iter().any(is_young) {
+            return false;
+        }
+        let usual = usual_ms(step, u32::try_from(index).ok());
+        task.live.iter().all(|live| {
+            let is_silent = self.is_silent(&live.worker);
+            let elapsed = now.saturating_sub(live.since_ms);
+            let is_late = usual.is_some_and(|usual| {
+                live.phase == RunPhase::Running
+                    && elapsed > usual * 3 / 2 + COPY_SLACK_MS
+                    && heading_for_ms(live) > elapsed + usual
+            });
+            is_silent || is_late
+        })
+    }
+}
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{JobId, ResourceVector, StepKey, StepSpec, TaskKey};
-use crate::scheduler::job::{LiveRun, RunPhase, StepRun};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
-use crate::scheduler::runs::{heading_for_ms, usual_ms};
 use crate::scheduler::worker::WorkerRun;
 use crate::scheduler::{Scheduler, SchedulerAction};
 
@@ -16,36 +14,31 @@
 const PERMIT_RETRY_MS: u64 = 4_000;
 /// Permits are not used in the last part of their life, in milliseconds: a start takes a while.
 const PERMIT_SLACK_MS: u64 = 300;
-/// Copies of a task that may run at once.
-const COPIES_MAX: usize = 2;
-/// Time beyond its declared run time after which a task that allows copies gets one, in
-/// milliseconds: the notice of its end takes a while.
-const COPY_SLACK_MS: u64 = 400;
 
 /// A step with tasks to place.
 #[derive(Clone, Debug)]
-struct ReadyStep {
-    rank: JobRank,
-    key: StepKey,
-    service: Arc<str>,
-    waiting: Vec<TaskKey>,
+pub(crate) struct ReadyStep {
+    pub rank: JobRank,
+    pub key: StepKey,
+    pub service: Arc<str>,
+    pub waiting: Vec<TaskKey>,
 }
 
 /// What a task asks of a worker beside room.
-struct PlaceQuery<'a> {
-    spec: &'a StepSpec,
+pub(crate) struct PlaceQuery<'a> {
+    pub spec: &'a StepSpec,
     /// Runs of the step by worker.
-    beside: &'a BTreeMap<Arc<str>, u32>,
+    pub beside: &'a BTreeMap<Arc<str>, u32>,
     /// Runs of the step by rack.
-    racks: &'a BTreeMap<Arc<str>, u32>,
+    pub racks: &'a BTreeMap<Arc<str>, u32>,
     /// Workers on which the task failed.
-    avoided: &'a [Arc<str>],
+    pub avoided: &'a [Arc<str>],
     /// Workers that may run the step; none for all.
-    permitted: Option<Vec<Arc<str>>>,
+    pub permitted: Option<Vec<Arc<str>>>,
     /// Rack that it must be on.
-    rack: Option<&'a str>,
+    pub rack: Option<&'a str>,
     /// Its job, if it must be tried on probation.
-    suspect: Option<JobId>,
+    pub suspect: Option<JobId>,
 }
 
 impl Scheduler {
@@ -95,11 +88,11 @@
 
     /// Whether one more start could be sent soon. What is placed before that keeps room from tasks that
     /// are more urgent by then, and its lease from the first moment on.
-    fn has_start_room(&self) -> bool {
+    pub(crate) fn has_start_room(&self) -> bool {
         self.pace.starts_max.is_none_or(|most| self.open_starts() < most)
     }
 
-    fn step_spec(&self, key: &StepKey) -> Option<StepSpec> {
+    pub(crate) fn step_spec(&self, key: &StepKey) -> Option<StepSpec> {
         let job = self.jobs.get(&key.job)?;
         job.submission.spec.steps.get(usize::from(key.step)).cloned()
     }
@@ -236,23 +229,23 @@
     }
 
     /// Whether the cap of a task's organisation leaves room for so much more.
-    fn has_cap_room(&self, key: &TaskKey, need: &ResourceVector) -> bool {
+    pub(crate) fn has_cap_room(&self, key: &TaskKey, need: &ResourceVector) -> bool {
         let organisation =
             self.jobs.get(&key.job).and_then(|job| job.submission.organisation.as_ref());
         self.organisations.has_room(organisation, need)
     }
 
-    fn next_run(&self, key: &TaskKey) -> u32 {
+    pub(crate) fn next_run(&self, key: &TaskKey) -> u32 {
         self.jobs.get(&key.job).and_then(|job| job.task(key)).map_or(1, |task| task.run + 1)
     }
 
-    fn waited_ms(&self, key: &TaskKey, now: u64) -> u64 {
+    pub(crate) fn waited_ms(&self, key: &TaskKey, now: u64) -> u64 {
         let Some(job) = self.jobs.get(&key.job) else { return 0 };
         let since = job.task(key).map_or(0, |task| task.waiting_since_ms).max(job.arrived_ms);
         now.saturating_sub(since)
     }
 
-    fn avoided(&self, key: &TaskKey) -> Vec<Arc<str>> {
+    pub(crate) fn avoided(&self, key: &TaskKey) -> Vec<Arc<str>> {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         task.map(|task| task.failed_on.clone()).unwrap_or_default()
     }
@@ -276,7 +269,10 @@
     }
 
     /// Runs of a step by worker and by rack.
-    fn neighbours(&self, key: &StepKey) -> (BTreeMap<Arc<str>, u32>, BTreeMap<Arc<str>, u32>) {
+    pub(crate) fn neighbours(
+        &self,
+        key: &StepKey,
+    ) -> (BTreeMap<Arc<str>, u32>, BTreeMap<Arc<str>, u32>) {
         let (mut beside, mut racks) = (BTreeMap::new(), BTreeMap::new());
         let Some(job) = self.jobs.get(&key.job) else { return (beside, racks) };
         let Some(run) = job.occurrences.get(&key.occurrence) else { return (beside, racks) };
@@ -292,7 +288,11 @@
 
     /// Workers that may run a step: all if its queue needs no permits (`Some(None)`), nothing while
     /// the permits are being asked for.
-    fn permitted(&mut self, step: &ReadyStep, now: u64) -> Option<Option<Vec<Arc<str>>>> {
+    pub(crate) fn permitted(
+        &mut self,
+        step: &ReadyStep,
+        now: u64,
+    ) -> Option<Option<Vec<Arc<str>>>> {
         let policy = self.jobs.get(&step.key.job).and_then(|job| self.queue_of(job)?.permits);
         if policy.is_none() {
             return Some(None);
@@ -320,7 +320,7 @@
     }
 
     /// The worker that fits best, if any does.
-    fn find_worker(
+    pub(crate) fn find_worker(
         &self,
         service: &str,
         query: &PlaceQuery<'_>,
@@ -408,102 +408,6 @@
         (is_far, hosts_none, due, fullest)
     }
 
-    /// Places all members of a gang or none; false if there is no room.
-    fn place_gang(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
-        let is_whole = step.waiting.len() == usize::try_from(spec.count).unwrap_or(0);
-        if !is_whole {
-            return true;
-        }
-        let members = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
-        if !self.has_cap_room(&step.waiting[0], &spec.need.times(members)) {
-            return true;
-        }
-        let Some(permitted) = self.permitted(step, now) else { return true };
-        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
-        if suspect.is_some() && !self.has_probation_room(&step.service, now) {
-            return true;
-        }
-        let waited = self.waited_ms(&step.waiting[0], now);
-        let racks = if spec.wants_one_rack { self.racks(&step.service) } else { Vec::new() };
-        let mut plan = racks
-            .iter()
-            .find_map(|rack| self.gang_plan(step, spec, permitted.clone(), Some(rack), now));
-        let remote_ms = remote_cost_ms(spec, self.bounds.remote_factor);
-        if plan.is_none() && (!spec.wants_one_rack || waited >= remote_ms) {
-            plan = self.gang_plan(step, spec, permitted, None, now);
-        }
-        let Some(plan) = plan else { return false };
-        let run = step.waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
-        for (key, worker) in step.waiting.iter().zip(plan) {
-            self.plan_run(key, run, &worker, now);
-        }
-        true
-    }
-
-    fn racks(&self, service: &str) -> Vec<String> {
-        let workers = self.workers.values().filter(|worker| &*worker.entry.service == service);
-        let mut racks: Vec<String> = workers.map(|worker| worker.entry.rack().to_owned()).collect();
-        racks.sort();
-        racks.dedup();
-        racks
-    }
-
-    /// A worker for each member, on a scratch copy of what is free.
-    fn gang_plan(
-        &self,
-        step: &ReadyStep,
-        spec: &StepSpec,
-        permitted: Option<Vec<Arc<str>>>,
-        rack: Option<&str>,
-        now: u64,
-    ) -> Option<Vec<Arc<str>>> {
-        let (mut beside, racks) = (BTreeMap::new(), BTreeMap::new());
-        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
-        let mut free: BTreeMap<&Arc<str>, ResourceVector> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.entry.service == step.service && worker.takes(suspect, now)
-            })
-            .map(|(id, worker)| (id, worker.free()))
-            .collect();
-        let mut plan = Vec::with_capacity(step.waiting.len());
-        for _ in &step.waiting {
-            let query = PlaceQuery {
-                spec,
-                beside: &beside,
-                racks: &racks,
-                avoided: &[],
-                permitted: permitted.clone(),
-                rack,
-                suspect,
-            };
-            let chosen = free
-                .iter()
-                .filter(|(id, room)| {
-                    room.holds(&spec.booked())
-                        && self
-                            .workers
-                            .get(**id)
-                            .is_some_and(|worker| is_allowed(id, worker, &query))
-                })
-                .min_by_key(|(id, room)| {
-                    let worker = &self.workers[**id];
-                    let is_unsteady =
-                        suspect.is_some() && self.losses.is_unsteady(worker.entry.address, now);
-                    let share = room.share_of(&worker.entry.capacity);
-                    (!is_near(worker, spec), is_unsteady, share)
-                })
-                .map(|(id, _)| (*id).clone())?;
-            if let Some(room) = free.get_mut(&chosen) {
-                *room = room.less(&spec.booked());
-            }
-            *beside.entry(chosen.clone()).or_insert(0) += 1;
-            plan.push(chosen);
-        }
-        Some(plan)
-    }
-
     /// Stops tasks that may be displaced so that a service task finds room; false if none would help.
     fn make_room(
         &mut self,
@@ -566,87 +470,6 @@
         }
         (room.holds(&spec.booked()) && !victims.is_empty()).then_some((total, victims))
     }
-
-    /// Gives tasks that allow copies and take too long, or whose worker is silent, a second run.
-    fn place_copies(&mut self, now: u64) {
-        if !self.has_start_room() {
-            return;
-        }
-        let mut late = Vec::new();
-        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            for (occurrence, run) in &job.occurrences {
-                for (position, step) in run.steps.iter().enumerate() {
-                    let spec = &job.submission.spec.steps[position];
-                    if !spec.allows_copies || spec.is_gang || spec.is_service || step.is_done() {
-                        continue;
-                    }
-                    for (index, task) in step.tasks.iter().enumerate() {
-                        if !task.is_done && self.wants_copy(step, index, now) {
-                            late.push(job.key(*occurrence, position, index));
-                        }
-                    }
-                }
-            }
-        }
-        for key in late {
-            let Some(spec) = self.step_spec(&key.step_key()) else { continue };
-            let Some(service) = self.jobs.get(&key.job).map(|job| self.service_of(job)) else {
-                continue;
-            };
-            if !self.knows_rooms(&service, now) || !self.has_cap_room(&key, &spec.need) {
-                continue;
-            }
-            let (beside, racks) = self.neighbours(&key.step_key());
-            let mut avoided = self.avoided(&key);
-            let live = self.jobs.get(&key.job).and_then(|job| job.task(&key));
-            avoided.extend(live.into_iter().flat_map(|task| {
-                task.live.iter().map(|live| live.worker.clone()).collect::<Vec<_>>()
-            }));
-            let query = PlaceQuery {
-                spec: &spec,
-                beside: &beside,
-                racks: &racks,
-                avoided: &avoided,
-                permitted: None,
-                rack: None,
-                suspect: None,
-            };
-            if let Some(worker) = self.find_worker(&service, &query, u64::MAX, now) {
-                let run = self.next_run(&key);
-                self.plan_run(&key, run, &worker, now);
-            }
-        }
-    }
-
-    fn is_silent(&self, worker: &str) -> bool {
-        self.workers.get(worker).is_none_or(|worker| worker.silent_since_ms.is_some())
-    }
-
-    /// Whether every run of a task is on a silent worker, or takes far longer than its siblings do.
-    fn wants_copy(&self, step: &StepRun, index: usize, now: u64) -> bool {
-        let Some(task) = step.tasks.get(index) else { return false };
-        // A copy of what may crash its worker would cost two.
-        if task.live.is_empty() || task.live.len() >= COPIES_MAX || task.losses.all > 0 {
-            return false;
-        }
-        let is_young = |live: &LiveRun| {
-            now.saturating_sub(live.since_ms) <= COPY_SLACK_MS && !self.is_silent(&live.worker)
-        };
-        if task.live.iter().any(is_young) {
-            return false;
-        }
-        let usual = usual_ms(step, u32::try_from(index).ok());
-        task.live.iter().all(|live| {
-            let is_silent = self.is_silent(&live.worker);
-            let elapsed = now.saturating_sub(live.since_ms);
-            let is_late = usual.is_some_and(|usual| {
-                live.phase == RunPhase::Running
-                    && elapsed > usual * 3 / 2 + COPY_SLACK_MS
-                    && heading_for_ms(live) > elapsed + usual
-            });
-            is_silent || is_late
-        })
-    }
 }
 
 /// Whether a step's tasks displace others where there is no room.
@@ -663,17 +486,17 @@
         && !spec.is_best_effort
 }
 
-fn is_near(worker: &WorkerRun, spec: &StepSpec) -> bool {
+pub(crate) fn is_near(worker: &WorkerRun, spec: &StepSpec) -> bool {
     spec.data_rack.as_deref().is_none_or(|rack| worker.entry.rack() == rack)
 }
 
 /// What a task loses away from its data, in milliseconds.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
-fn remote_cost_ms(spec: &StepSpec, factor: f64) -> u64 {
+pub(crate) fn remote_cost_ms(spec: &StepSpec, factor: f64) -> u64 {
     (spec.estimate_ms as f64 * (factor - 1.0).max(0.0)) as u64
 }
 
-fn is_allowed(id: &Arc<str>, worker: &WorkerRun, query: &PlaceQuery<'_>) -> bool {
+pub(crate) fn is_allowed(id: &Arc<str>, worker: &WorkerRun, query: &PlaceQuery<'_>) -> bool {
     let spec = query.spec;
     let has_label = spec
         .required_label
--- /dev/null
+++ b/src/scheduler/gang.rs
@@ -0,0 +1,106 @@
+//! Gangs: all their tasks are placed, or none.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::{ResourceVector, StepSpec};
+use crate::scheduler::Scheduler;
+use crate::scheduler::dispatch::{PlaceQuery, ReadyStep, is_allowed, is_near, remote_cost_ms};
+
+impl Scheduler {
+    /// Places all members of a gang or none; false if there is no room.
+    pub(crate) fn place_gang(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
+        let is_whole = step.waiting.len() == usize::try_from(spec.count).unwrap_or(0);
+        if !is_whole {
+            return true;
+        }
+        let members = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
+        if !self.has_cap_room(&step.waiting[0], &spec.need.times(members)) {
+            return true;
+        }
+        let Some(permitted) = self.permitted(step, now) else { return true };
+        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
+        if suspect.is_some() && !self.has_probation_room(&step.service, now) {
+            return true;
+        }
+        let waited = self.waited_ms(&step.waiting[0], now);
+        let racks = if spec.wants_one_rack { self.racks(&step.service) } else { Vec::new() };
+        let mut plan = racks
+            .iter()
+            .find_map(|rack| self.gang_plan(step, spec, permitted.clone(), Some(rack), now));
+        let remote_ms = remote_cost_ms(spec, self.bounds.remote_factor);
+        if plan.is_none() && (!spec.wants_one_rack || waited >= remote_ms) {
+            plan = self.gang_plan(step, spec, permitted, None, now);
+        }
+        let Some(plan) = plan else { return false };
+        let run = step.waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
+        for (key, worker) in step.waiting.iter().zip(plan) {
+            self.plan_run(key, run, &worker, now);
+        }
+        true
+    }
+
+    fn racks(&self, service: &str) -> Vec<String> {
+        let workers = self.workers.values().filter(|worker| &*worker.entry.service == service);
+        let mut racks: Vec<String> = workers.map(|worker| worker.entry.rack().to_owned()).collect();
+        racks.sort();
+        racks.dedup();
+        racks
+    }
+
+    /// A worker for each member, on a scratch copy of what is free.
+    fn gang_plan(
+        &self,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        permitted: Option<Vec<Arc<str>>>,
+        rack: Option<&str>,
+        now: u64,
+    ) -> Option<Vec<Arc<str>>> {
+        let (mut beside, racks) = (BTreeMap::new(), BTreeMap::new());
+        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
+        let mut free: BTreeMap<&Arc<str>, ResourceVector> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.entry.service == step.service && worker.takes(suspect, now)
+            })
+            .map(|(id, worker)| (id, worker.free()))
+            .collect();
+        let mut plan = Vec::with_capacity(step.waiting.len());
+        for _ in &step.waiting {
+            let query = PlaceQuery {
+                spec,
+                beside: &beside,
+                racks: &racks,
+                avoided: &[],
+                permitted: permitted.clone(),
+                rack,
+                suspect,
+            };
+            let chosen = free
+                .iter()
+                .filter(|(id, room)| {
+                    room.holds(&spec.booked())
+                        && self
+                            .workers
+                            .get(**id)
+                            .is_some_and(|worker| is_allowed(id, worker, &query))
+                })
+                .min_by_key(|(id, room)| {
+                    let worker = &self.workers[**id];
+                    let is_unsteady =
+                        suspect.is_some() && self.losses.is_unsteady(worker.entry.address, now);
+                    let share = room.share_of(&worker.entry.capacity);
+                    (!is_near(worker, spec), is_unsteady, share)
+                })
+                .map(|(id, _)| (*id).clone())?;
+            if let Some(room) = free.get_mut(&chosen) {
+                *room = room.less(&spec.booked());
+            }
+            *beside.entry(chosen.clone()).or_insert(0) += 1;
+            plan.push(chosen);
+        }
+        Some(plan)
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,13 +12,17 @@
 //!   the life of its worker is over, or every lease that the worker can have has run out.
 
 pub(crate) mod abandoned;
+pub mod action;
 mod blame;
 pub mod commit;
+mod copies;
 pub mod demand;
 pub mod dispatch;
 pub mod exits;
 pub mod fleet;
+mod gang;
 pub mod job;
+pub mod judge;
 pub mod losses;
 pub mod maintenance;
 pub mod needs;
@@ -40,12 +44,13 @@
 use crate::jobs::book::{BookedJob, JobBook};
 use crate::jobs::flow::FlowPace;
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepKey, TaskKey};
-use crate::jobs::ports::{PermitGrant, RunCall, VM_PATIENCE_MS, VmCommand, WorkerTarget};
+use crate::jobs::ports::{PermitGrant, VM_PATIENCE_MS, WorkerTarget};
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{
     MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry, life_name,
 };
 use crate::scheduler::abandoned::AbandonedRuns;
+pub use crate::scheduler::action::{SchedulerAction, SchedulerNote};
 use crate::scheduler::commit::CommitQueue;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
@@ -103,140 +108,6 @@
     }
 }
 
-/// What is to be done.
-#[derive(Clone, Debug)]
-pub enum SchedulerAction {
-    /// Send the command that a run needs; see [`Scheduler::command`].
-    Send(WorkerTarget, TaskKey, u32),
-    /// Stop a run that is on no book.
-    Stop(WorkerTarget, RunCall),
-    /// Let a run work at a share of its speed, in percent.
-    Throttle(WorkerTarget, RunCall, u32),
-    /// Keep renewing the leases of a worker.
-    Watch(WorkerTarget),
-    /// Renew at once.
-    Wake(Arc<str>),
-    /// Drop every call to a worker's life that is under way: the next one goes by the same name.
-    Forget(Arc<str>),
-    /// Fetch the list of VMs.
-    ListVms,
-    /// Command a VM, with this fencing token.
-    CommandVm(VmCommand, u64),
-    /// Tell operators of a wave: its number, and whether it is complete.
-    TellWave(u64, bool),
-    /// Ask for placement permits.
-    AskPermits(StepKey, Vec<Arc<str>>),
-    /// Log a decision.
-    Note(SchedulerNote),
-}
-
-/// A decision worth a log line.
-#[derive(Clone, Debug)]
-pub enum SchedulerNote {
-    /// A run was given to a worker.
-    Placed {
-        /// Task.
-        task: TaskKey,
-        /// Run number.
-        run: u32,
-        /// Worker.
-        worker: Arc<str>,
-        /// Time since the job arrived, in milliseconds.
-        age_ms: u64,
-    },
-    /// A run ended, or is known to be over.
-    Ended {
-        /// Task.
-        task: TaskKey,
-        /// Run number.
-        run: u32,
-        /// Worker.
-        worker: Arc<str>,
-        /// How.
-        how: &'static str,
-    },
-    /// A run is over with its worker, or taken for over as nothing was heard of it.
-    Lost {
-        /// Task.
-        task: TaskKey,
-        /// Run number.
-        run: u32,
-        /// Worker.
-        worker: Arc<str>,
-        /// How it is known.
-        how: &'static str,
-        /// Time for which the worker told of it, in milliseconds; nothing if it never did.
-        at_work_ms: Option<u64>,
-    },
-    /// A job is given up, as a task of it crashes its workers.
-    GivenUp {
-        /// Task.
-        task: TaskKey,
-        /// Workers that it has lost.
-        lost: u32,
-        /// Why it is the one.
-        reason: &'static str,
-    },
-    /// A start was refused.
-    StartRefused {
-        /// Task.
-        task: TaskKey,
-        /// Run number.
-        run: u32,
-        /// Worker.
-        worker: Arc<str>,
-        /// Why.
-        reason: &'static str,
-    },
-    /// A job's state changed.
-    JobState {
-        /// Job.
-        job: JobId,
-        /// New state.
-        state: JobState,
-        /// Time since it arrived, in milliseconds.
-        age_ms: u64,
-    },
-    /// What is believed of a worker changed.
-    Worker {
-        /// Worker.
-        worker: Arc<str>,
-        /// What.
-        change: &'static str,
-        /// Runs that it had.
-        runs: usize,
-    },
-    /// How a pool is doing, now and then.
-    Pool {
-        /// Pool.
-        pool: Arc<str>,
-        /// VMs that its load needs.
-        needed: usize,
-        /// VMs that take work.
-        usable: usize,
-        /// VMs of these on which nothing runs.
-        idle: usize,
-        /// Processor booked, in thousandths of that of the usable VMs.
-        booked: u64,
-    },
-    /// A VM was commanded, or answered.
-    Vm {
-        /// VM.
-        vm: Arc<str>,
-        /// What.
-        change: String,
-    },
-    /// Runs are stopped to make room or because they are not wanted any more.
-    Stopped {
-        /// Task.
-        task: TaskKey,
-        /// Run number.
-        run: u32,
-        /// Why.
-        reason: &'static str,
-    },
-}
-
 /// Permits of a step.
 #[derive(Clone, Debug, Default)]
 struct StepPermits {
--- a/src/scheduler/organisation.rs
+++ b/src/scheduler/organisation.rs
@@ -110,7 +110,7 @@
             self.left.insert(organisation.clone(), left);
         }
         let Some(left) = self.left.get_mut(organisation) else { return wanted };
-        let part = |left: u64, need: u64| if need == 0 { u64::MAX } else { left / need };
+        let part = |left: u64, need: u64| left.checked_div(need).unwrap_or(u64::MAX);
         let fitting = part(left.cpu, need.cpu)
             .min(part(left.memory, need.memory))
             .min(part(left.accelerators, need.accelerators));
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -8,7 +8,7 @@
 use crate::jobs::model::{JobState, StepSpec};
 use crate::jobs::site::QueueSpec;
 use crate::scheduler::job::{JobRun, OccurrenceRun, StepRun};
-use crate::scheduler::runs::usual_ms;
+use crate::scheduler::judge::usual_ms;
 use crate::scheduler::runtime::RuntimeModel;
 
 /// Share of the run time left, in percent, that must fit before the objective for a job to count as
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -6,7 +6,7 @@
 use crate::jobs::model::{JobState, StepSpec, TaskKey};
 use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall, refusal_word};
 use crate::jobs::site::VmState;
-use crate::scheduler::job::{JobRun, LiveRun, RunPhase, StepRun, TaskRun};
+use crate::scheduler::job::{LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::LifeEnd;
 use crate::scheduler::worker::{BookedRun, WorkSpan, WorkerRun};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
@@ -23,23 +23,9 @@
 const FULL_PAUSE_MS: u64 = 300;
 /// Wait before a malformed task is tried again, in milliseconds.
 const MALFORMED_PAUSE_MS: u64 = 2_000;
-/// Time after which a run without progress is taken for stalled, in milliseconds, beside its
-/// declared run time: several reports without a change.
-const STALL_MS: u64 = 1_500;
-/// Times its siblings' run time that a run may be heading for before it is moved: tasks of a step
-/// differ by a third, slow workers take four times as long and more.
-const SLOW_FACTOR: u64 = 3;
-/// Siblings that a run is compared with at least.
-const SIBLINGS_MIN: usize = 2;
-/// Progress from which a run's pace tells its run time, in percent.
-const TELLING_PERCENT: u32 = 20;
 /// Time that the rest of a gang that has lost a member is left to end by itself, in milliseconds: the
 /// workers end it too, as soon as they notice.
 const BROKEN_GANG_MS: u64 = 800;
-/// Times that a task is moved for being slow or stalled: beyond, it is the task and not its worker.
-const MOVES_MAX: u32 = 2;
-/// Time that a moved run loses at least, in milliseconds.
-const MOVE_COST_MS: u64 = 400;
 
 /// A command to a worker about one run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -406,7 +392,7 @@
         self.task_mut(key)?.live.iter_mut().find(|live| live.run == run)
     }
 
-    fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskRun> {
+    pub(crate) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskRun> {
         self.jobs.get_mut(&key.job)?.task_mut(key)
     }
 
@@ -503,31 +489,6 @@
         }
     }
 
-    /// Looks for runs that stall or crawl, and takes them elsewhere.
-    pub(crate) fn judge_runs(&mut self, now: u64) {
-        let mut stalled = Vec::new();
-        for worker in self.workers.values() {
-            if worker.silent_since_ms.is_some() || worker.entry.is_draining {
-                continue;
-            }
-            for (key, run) in worker.runs.keys() {
-                if let Some(reason) = self.verdict(key, *run, now) {
-                    stalled.push((worker.entry.id.clone(), *key, *run, reason));
-                }
-            }
-        }
-        for (id, key, run, reason) in stalled {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.judge(false, now);
-            }
-            if let Some(task) = self.task_mut(&key) {
-                task.failed_on.push(id);
-                task.moves += 1;
-            }
-            self.stop_run(&key, run, reason, now);
-        }
-    }
-
     /// Stops what is left of gangs that have lost a member: the rest can't work without it, and the
     /// gang is only started as a whole.
     pub(crate) fn stop_broken_gangs(&mut self, now: u64) {
@@ -554,39 +515,6 @@
         }
     }
 
-    /// Why a run should be taken elsewhere, if it should.
-    fn verdict(&self, key: &TaskKey, run: u32, now: u64) -> Option<&'static str> {
-        let job = self.jobs.get(&key.job)?;
-        let spec = job.spec(key)?;
-        let live = job.task(key)?.live.iter().find(|live| live.run == run)?;
-        if live.phase != RunPhase::Running || spec.is_gang || spec.is_service {
-            return None;
-        }
-        let moves = job.task(key)?.moves;
-        if moves >= MOVES_MAX {
-            return None;
-        }
-        // What took long on several workers is long itself.
-        let patience = (STALL_MS + spec.estimate_ms) << moves;
-        if now.saturating_sub(live.progress_ms) > patience {
-            return Some("no progress");
-        }
-        self.is_far_slower(job, key, live, now).then_some("far slower than its siblings")
-    }
-
-    /// Whether a run is heading for far longer than the other tasks of its step take: they do work
-    /// of the same kind, while declared run times tell little. One without siblings is left alone.
-    fn is_far_slower(&self, job: &JobRun, key: &TaskKey, live: &LiveRun, now: u64) -> bool {
-        let Some(step) = job.step(key) else { return false };
-        let Some(usual) = usual_ms(step, Some(key.index)) else { return false };
-        if live.percent == 0 {
-            return now.saturating_sub(live.begun_ms) > usual * SLOW_FACTOR;
-        }
-        let heading_for = heading_for_ms(live);
-        let left = heading_for.saturating_sub(now.saturating_sub(live.begun_ms));
-        heading_for > usual * SLOW_FACTOR && left > usual + MOVE_COST_MS
-    }
-
     /// Drops jobs from the log whose last state need not be told any more.
     pub(crate) fn drop_over_jobs(&mut self, wall_ms: u64) {
         let status_ms = self.bounds.status_ms;
@@ -601,32 +529,6 @@
     }
 }
 
-/// Run time that a run is heading for at its present pace, in milliseconds.
-pub(crate) fn heading_for_ms(live: &LiveRun) -> u64 {
-    let elapsed = live.progress_ms.saturating_sub(live.begun_ms);
-    elapsed * 100 / u64::from(live.percent.clamp(1, 100))
-}
-
-/// Median run time of the tasks of a step, done or well under way, without the one at `index`; nothing
-/// for too few.
-pub(crate) fn usual_ms(step: &StepRun, index: Option<u32>) -> Option<u64> {
-    let mut times: Vec<u64> = Vec::new();
-    for (position, task) in step.tasks.iter().enumerate() {
-        if index.is_some_and(|index| u32::try_from(position) == Ok(index)) {
-            continue;
-        }
-        if let Some(took) = task.took_ms {
-            times.push(took);
-            continue;
-        }
-        let is_telling =
-            |live: &&LiveRun| live.phase == RunPhase::Running && live.percent >= TELLING_PERCENT;
-        times.extend(task.live.iter().find(is_telling).map(heading_for_ms));
-    }
-    times.sort_unstable();
-    (times.len() >= SIBLINGS_MIN).then(|| times[times.len() / 2])
-}
-
 /// Time for which a job's last state is kept beyond what is promised, in milliseconds: the entries'
 /// wall clocks differ, and the caller's wait begins when it learns of the end.
 const STATUS_MARGIN_MS: u64 = 30_000;
