--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its own part of this module")]
 
 pub mod outside;
+pub mod pieces;
 pub mod process;
 pub mod stage;
 pub mod stage_worker;
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -1,143 +1,24 @@
 //! A scheduler on a stage: workers that do what they are told at once, and time that the test moves.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ibisweir::decide::access::RevocationRule;
 use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd};
 use ibisweir::jobs::book::JobBook;
-use ibisweir::jobs::model::{
-    ExitKind, JobId, JobSpec, JobState, JobSubmission, ResourceVector, StepKey, StepSpec, TaskKey,
-};
+use ibisweir::jobs::model::{ExitKind, JobId, JobSpec, JobState, StepKey, TaskKey};
 use ibisweir::jobs::ports::{
     CommandOutcome, CommandRefusal, RenewCall, RunCall, StartCall, VmCommand, VmOutcome,
     WorkerReport,
 };
 use ibisweir::jobs::record::JobRecord;
-use ibisweir::jobs::site::{
-    CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, SiteSettings, VmEntry, VmState,
-    WorkerEntry, life_id, life_name,
-};
+use ibisweir::jobs::site::{SiteBounds, SiteConfig, WorkerEntry, life_id, life_name};
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::runs::RunCommand;
 use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerNote, SchedulerStart};
 
+pub use super::pieces::*;
 pub use super::stage_worker::StageWorker;
 
-/// Queue and pool of most tests.
-pub const QUEUE: &str = "holds";
-pub const POOL: &str = "tours";
-/// Pool whose VMs are off.
-pub const STANDBY: &str = "helpers";
-
-/// Times as the users' sites have them.
-pub fn bounds() -> SiteBounds {
-    SiteBounds {
-        lease_max_ms: 6_000,
-        stop_ms: 200,
-        status_ms: 120_000,
-        grace_ms: 6_000,
-        remote_factor: 3.0,
-        maintain_ms: 2_000,
-        are_vms_fenced: true,
-        revocation: RevocationRule { is_strict: true, bound_ms: 5_000 },
-    }
-}
-
-/// Settings of an entry that binds nothing.
-pub fn site_settings() -> SiteSettings {
-    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-    SiteSettings {
-        node: "front-1".into(),
-        centre: "regina-a".into(),
-        callers: nowhere,
-        ready: nowhere,
-        peer: nowhere,
-        processor: 250,
-        link: 1_000,
-        log: nowhere,
-        vms: None,
-        permits: None,
-        record_bytes_max: 262_144,
-        bounds: bounds(),
-    }
-}
-
-/// One queue on one pool, and a standby pool.
-pub fn config() -> SiteConfig {
-    let pool =
-        |name: &str, is_standby| PoolSpec { name: name.into(), is_guarded: true, is_standby };
-    SiteConfig {
-        version: 1,
-        queues: vec![queue(QUEUE, POOL)],
-        pools: vec![pool(POOL, false), pool(STANDBY, true)],
-        limits: CallerLimits::default(),
-        access: None,
-    }
-}
-
-/// A queue.
-pub fn queue(name: &str, service: &str) -> QueueSpec {
-    QueueSpec {
-        name: name.into(),
-        host: "site.example".to_owned(),
-        path_prefix: format!("/{name}/"),
-        service: service.into(),
-        timeout_ms: 3_000,
-        objective_ms: 600,
-        stretch: 1.6,
-        priority: 0,
-        attempts: 3,
-        permits: None,
-        is_open: false,
-    }
-}
-
-/// A step of tasks of one core that run a second.
-pub fn step(count: u32) -> StepSpec {
-    StepSpec {
-        count,
-        need: ResourceVector { cpu: 1_000, memory: 1_000, accelerators: 0 },
-        estimate_ms: 1_000,
-        ..StepSpec::default()
-    }
-}
-
-/// A step of tasks that last.
-pub fn service_step(count: u32) -> StepSpec {
-    StepSpec { is_service: true, per_worker_max: 1, disruption_budget: 1, ..step(count) }
-}
-
-/// A worker of eight cores.
-pub fn worker(name: &str, rack: &str) -> WorkerEntry {
-    // Each VM has an address of its own, which its next life keeps.
-    let port = name.bytes().fold(1, |sum: u16, byte| sum.wrapping_mul(31) ^ u16::from(byte));
-    WorkerEntry {
-        id: name.into(),
-        service: POOL.into(),
-        address: SocketAddr::from(([127, 0, 0, 1], port)),
-        centre: "regina-a".into(),
-        is_draining: false,
-        drain_left_ms: 0,
-        capacity: ResourceVector { cpu: 8_000, memory: 32_000, accelerators: 0 },
-        labels: vec!["a".into(), rack.into()],
-    }
-}
-
-/// The VM under a worker.
-pub fn vm(worker: &WorkerEntry, pool: &str) -> VmEntry {
-    VmEntry {
-        vm: format!("m-{}", worker.id).into(),
-        pool: pool.into(),
-        state: VmState::Up,
-        centre: worker.centre.clone(),
-        rack: worker.rack().into(),
-        capacity: worker.capacity,
-        worker: worker.id.clone(),
-    }
-}
-
 /// The scheduler, its book and its workers.
 pub struct Stage {
     /// The scheduler.
@@ -211,11 +92,6 @@
     reborn_ms: u64,
 }
 
-/// Start of the stage's time: a new leader with no predecessor needs no bound.
-pub const START_MS: u64 = 100_000;
-/// Wall clock at the stage's time 0, in milliseconds since the epoch.
-pub const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
-
 impl Stage {
     /// One whose workers tell when they were born.
     pub fn open_born(config: SiteConfig, entries: Vec<WorkerEntry>) -> Stage {
@@ -657,30 +533,3 @@
     };
     Scheduler::open(start, book)
 }
-
-/// A job's id.
-pub fn job_id(id: u64) -> JobId {
-    JobId::parse(&format!("{id:016x}")).expect("sixteen digits")
-}
-
-/// A task of the first occurrence.
-pub fn task(job: JobId, step: u16, index: u32) -> TaskKey {
-    TaskKey { job, occurrence: 0, step, index }
-}
-
-/// A job of these steps.
-pub fn job(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { payload: "text".to_owned(), steps, schedule: None }
-}
-
-/// What an entry writes for a job.
-pub fn submission(spec: JobSpec) -> JobSubmission {
-    JobSubmission {
-        queue: QUEUE.into(),
-        service: POOL.into(),
-        accepted_ms: WALL_OFFSET_MS + START_MS,
-        spec,
-        tasks_kept: 0,
-        organisation: None,
-    }
-}
