--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -16,6 +16,7 @@
 
 use crate::jobs::ledger::{CallerJob, SubmissionEnd};
 use crate::jobs::organisation::{ORGANISATIONS, REVOKE_MS, lasting_key};
+use crate::jobs::proxy::LinkFault;
 use crate::jobs::site::{CALLER_HOST, JobPlatform, OPEN, POOLS};
 use crate::soak::entry::EntryProcess;
 
@@ -27,6 +28,9 @@
 const PAUSE_MS: u64 = 250;
 /// Longest pause between two calls with a key that was taken away, in milliseconds.
 const KEY_GAP_MS: u64 = 120;
+/// Time for which an entry sleeps on after a key's time is over, and for which it is cut off after that.
+const SLEEP_BEYOND: Duration = Duration::from_millis(700);
+const CUT_BEYOND: Duration = Duration::from_millis(300);
 /// Pool whose queue needs a key.
 const KEYED: &str = POOLS[1];
 /// Looks at a job before its caller turns to the next one.
@@ -167,20 +171,32 @@
     }
 
     /// Gives a key out, takes it away after `lasting`, and goes on with it on every entry for longer than it may be
-    /// served anywhere.
+    /// served anywhere. One entry stands still as the key is taken away, and wakes when its time is over, cut off from
+    /// the log: what it knew when it fell asleep must not count any more.
     pub async fn outlast_key(&self, organisation: usize, lasting: Duration, seed: u64) {
         let transport = HttpTransport::open();
         let mut random: StdRng = rand::SeedableRng::seed_from_u64(seed);
         let key = self.platform.issue_key(organisation);
         sleep(lasting).await;
+        let bound = Duration::from_millis(REVOKE_MS);
+        let sleeper = self.entries[random.random_range(0..self.entries.len())].clone();
+        sleeper.log_link.set(LinkFault::Cut);
+        sleeper.signal("-STOP").await;
         self.platform.revoke_key(&key);
         let revoked = Instant::now();
-        let bound = Duration::from_millis(REVOKE_MS);
+        let woken = sleeper.clone();
+        let waking = tokio::spawn(async move {
+            sleep(bound + SLEEP_BEYOND).await;
+            woken.signal("-CONT").await;
+            sleep(CUT_BEYOND).await;
+            woken.log_link.set(LinkFault::None);
+        });
         while revoked.elapsed() < bound * 3 {
-            let entry = &self.entries[random.random_range(0..self.entries.len())];
+            let any = &self.entries[random.random_range(0..self.entries.len())];
+            let is_over = revoked.elapsed() > bound;
+            let entry = if is_over && !waking.is_finished() { &sleeper } else { any };
             let late = revoked.elapsed().checked_sub(bound);
-            let path = format!("/{KEYED}/");
-            let call = keyed_call(Method::GET, path, Some(&key), Bytes::new());
+            let call = self.late_submission(organisation, &key, &mut random);
             let answer = transport.exchange(entry.callers, call, PATIENCE).await;
             let is_served = answer.is_ok_and(|answer| answer.status.is_success());
             if let Some(late) = late.filter(|_| is_served) {
@@ -192,6 +208,31 @@
         }
     }
 
+    /// A small job handed in with this key: the leader stores it also for entries that the log does not answer.
+    fn late_submission(&self, organisation: usize, key: &str, random: &mut StdRng) -> HttpCall {
+        let id = loop {
+            let id = JobId::parse(&format!("{:016x}", random.random::<u64>()));
+            if let Some(id) = id.filter(|id| organisation_of(*id) == Some(organisation)) {
+                break id;
+            }
+        };
+        let payload = "work=30 cpu=500".to_owned();
+        let steps = json!([{ "count": 1, "cpu": 500, "mem-mb": 64, "est-ms": 30 }]);
+        let body = json!({ "spec": payload, "steps": steps });
+        let job = CallerJob {
+            payload,
+            steps: vec![1],
+            end: None,
+            is_cancelled: false,
+            lasts: false,
+            may_fail: false,
+            organisation: Some(organisation),
+        };
+        self.platform.ledger().jobs.insert(id, job);
+        let path = format!("/{KEYED}/{id}");
+        keyed_call(Method::POST, path, Some(key), Bytes::from(body.to_string()))
+    }
+
     /// Cancels all jobs whose tasks last, and those whose cancellation has not been confirmed.
     pub async fn cancel_lasting(&self) {
         let transport = HttpTransport::open();
