A leader that follows itself counts leases from its last renewal, not from its claim

Callers saw: tasks run twice. A worker's refusal of a token ends a leader's term from inside, nobody else leads, and the same entry claims again. It takes the runs of its own last term for over too early, and starts them beside the first runs. Cause: a leader appends its renewals and does not read them, so its view of the stream was last seen at its claim. predecessor() gave that time as the end of the leader before, and the bound on leases of that leader was counted from there. Evidence: the new test on the untouched code: after 8 s of renewals the trace of the predecessor is as old as the claim (assertion at tests/claims.rs:217). With the change the test passes; tests/claims.rs and the whole suite of the workspace pass. Change: an appended renewal is noted in the view with the time of its answer. An entry whose own term has ended in itself does not wait out a silence: there is nobody to wait for, and the claim fences what it sent. Why it is enough: a lease given in the term was asked for before the last renewal or within the time that this renewal covers, which is what the bound already assumes of every other predecessor.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -129,6 +129,14 @@
         }
     }
 
+    /// A renewal of our own was appended, so that the stream ends at `end`. A leader that reads none of its
+    /// renewals would take its term for one that ended soon after its claim, if it had to follow itself, and
+    /// the leases that it gave since for over.
+    pub fn renewed(&mut self, end: u64, now: u64) {
+        self.end = end;
+        self.seen_ms = Some(now);
+    }
+
     /// The stream was read to its end.
     pub fn reached(&mut self, end: u64, now: u64) {
         self.end = self.end.max(end);
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -85,7 +85,11 @@
         }
         let now = self.node.now();
         let is_closed = self.node.leader_is_closed();
-        let claim_in = self.view.claim_in_ms(&self.own, is_closed, now);
+        // A term of our own that has ended in itself leaves nobody to wait for.
+        let claim_in = match self.view.is_held_by(&self.own) {
+            true => Some(0),
+            false => self.view.claim_in_ms(&self.own, is_closed, now),
+        };
         if claim_in == Some(0) && !self.is_in_doubt && self.node.may_lead() {
             return self.claim().await;
         }
@@ -205,7 +209,7 @@
     async fn take_up(&mut self, pending: PendingClaim) -> Duration {
         match self.append(LeadershipAct::Renew).await {
             AppendOutcome::Done { end, .. } => {
-                self.view.end = end;
+                self.view.renewed(end, self.node.now());
                 self.begin(pending.predecessor);
                 Duration::from_millis(RENEWAL_MS)
             }
@@ -249,7 +253,7 @@
         let sent_ms = self.node.now();
         match self.append(LeadershipAct::Renew).await {
             AppendOutcome::Done { end, .. } => {
-                self.view.end = end;
+                self.view.renewed(end, self.node.now());
                 self.confirm(sent_ms);
                 let spent = self.node.now().saturating_sub(sent_ms);
                 Duration::from_millis(RENEWAL_MS.saturating_sub(spent))
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use ibisweir::control::ControlLoop;
-use ibisweir::decide::leadership::{HolderId, LeadershipAct, LeadershipRecord, LeadershipView};
+use ibisweir::decide::leadership::{
+    HolderId, LeadershipAct, LeadershipRecord, LeadershipView, RENEWAL_MS,
+};
 use ibisweir::jobs::conductor::ConductorParts;
 use ibisweir::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
 use ibisweir::jobs::model::StepKey;
@@ -28,6 +31,10 @@
     records: Arc<Mutex<Vec<Vec<u8>>>>,
     /// Whether another entry claims just before the second append.
     has_rival: bool,
+    /// Whether the first append is answered like the others.
+    answers_all: bool,
+    /// Whether writers of the job log are told that a later leader has shut them out.
+    is_fenced: Arc<AtomicBool>,
 }
 
 impl LossyLog {
@@ -71,13 +78,17 @@
 impl JobLog for LossyLog {
     async fn append(&self, call: &AppendCall, patience: Duration) -> AppendOutcome {
         if call.topic != LogTopic::Leadership {
-            return AppendOutcome::Refused;
+            sleep(Duration::from_millis(10)).await;
+            return match self.is_fenced.load(Ordering::Relaxed) {
+                true => AppendOutcome::Fenced,
+                false => AppendOutcome::Refused,
+            };
         }
         let end = match self.store(call) {
             Ok(end) => end,
             Err(end) => return AppendOutcome::EndMoved { end },
         };
-        if end == 0 {
+        if end == 0 && !self.answers_all {
             sleep(patience).await;
             return AppendOutcome::Unknown;
         }
@@ -180,3 +191,35 @@
     }
     assert_eq!(leadership.view.term, 2);
 }
+
+/// A leader's term ends in itself after it has renewed for a while: something has refused its token. Nobody else leads, so the entry claims anew at once. Its runs may have leases for as long after its last
+/// renewal as those of any leader before; counted from its first claim, which is all that the entry itself reads,
+/// they would be taken for over and started once more beside those that run.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_follows_itself_counts_leases_from_its_last_renewal() {
+    let log = LossyLog { answers_all: true, ..LossyLog::default() };
+    let mut leadership = leadership(log.clone());
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(8) {
+        let pause = leadership.step().await;
+        sleep(pause).await;
+    }
+    let renewals = log.records().len();
+    assert!(renewals > 10 && log.claims() == 1, "{renewals} records");
+    let renewed_ms = leadership.node.now();
+    log.is_fenced.store(true, Ordering::Relaxed);
+    while leadership.conductor.is_some() {
+        let pause = leadership.step().await;
+        sleep(pause.clamp(Duration::from_millis(1), Duration::from_millis(20))).await;
+        assert!(leadership.node.now() < renewed_ms + 2_000, "the term does not end");
+    }
+    let trace = leadership.view.predecessor(&leadership.own).expect("a leader before");
+    assert!(trace.seen_ms + RENEWAL_MS >= renewed_ms, "{trace:?} at {renewed_ms}");
+    let ended = Instant::now();
+    while leadership.conductor.is_none() {
+        let pause = leadership.step().await;
+        sleep(pause.clamp(Duration::from_millis(1), Duration::from_millis(20))).await;
+        assert!(ended.elapsed() < Duration::from_millis(200), "nobody leads");
+    }
+    assert_eq!(log.claims(), 2);
+}
