A worker's token never falls when its entry is dropped and listed again, and never reaches the next term

Callers saw (on the stage): a task runs twice, as a late start reaches a worker's next life, whose clock began anew, so that its lease says nothing there; or no leader for a while, as a worker refuses its own leader's lower token and the leader takes that for a successor. Cause: what is added to the fencing token for each life of a worker was kept with the worker's entry. When the entry was dropped between two lives it was lost: the next life was called with the first life's token. It was also capped at the last token of the term, so the lives behind that could not be told apart. Change: the step is kept by the worker's name in the book of lives and rises with each life that ends; at the end of a term's tokens the leader steps down, and the next term begins above them.

--- a/src/scheduler/rebirth.rs
+++ b/src/scheduler/rebirth.rs
@@ -28,6 +28,9 @@
 pub(crate) struct LifeBook {
     newest: BTreeMap<Arc<str>, Arc<str>>,
     over: BTreeSet<Arc<str>>,
+    /// What is added to the leader's fencing token in calls to a worker, by its name. It stays when the worker is
+    /// dropped from the list: called with a lower token than before, it would seem to obey another leader.
+    fence_steps: BTreeMap<Arc<str>, u64>,
 }
 
 impl LifeBook {
@@ -40,10 +43,21 @@
     fn begin(&mut self, id: &Arc<str>) -> Option<Arc<str>> {
         let before = self.newest.insert(life_name(id).into(), id.clone());
         let before = before.filter(|before| before != id)?;
-        self.over.insert(before.clone());
+        self.end(&before);
         Some(before)
     }
 
+    /// A life is over: what was sent to it must not count with the next one.
+    fn end(&mut self, before: &Arc<str>) {
+        self.over.insert(before.clone());
+        *self.fence_steps.entry(life_name(before).into()).or_default() += 1;
+    }
+
+    /// What is added to the fencing token in calls to a worker.
+    fn fence_step(&self, id: &str) -> u64 {
+        self.fence_steps.get(life_name(id)).copied().unwrap_or_default()
+    }
+
     /// Whether a later life has been seen.
     pub fn is_over(&self, id: &str) -> bool {
         self.over.contains(id)
@@ -70,6 +84,7 @@
             return false;
         }
         if let Some(before) = self.lives.begin(&entry.id) {
+            self.check_tokens(&entry.id);
             self.reborn(&before, entry.clone(), now);
         }
         true
@@ -99,11 +114,17 @@
         let others: Vec<Arc<str>> = self.workers.keys().filter(is_other).cloned().collect();
         let Some(entry) = self.workers.get(id).map(|worker| worker.entry.clone()) else { return };
         for other in others {
-            self.lives.over.insert(other.clone());
+            self.lives.end(&other);
             self.reborn(&other, entry.clone(), now);
         }
     }
 
+    /// A term has only so many tokens. Behind the last one another term begins, since the next life could not be told
+    /// from the one before.
+    fn check_tokens(&mut self, id: &str) {
+        self.is_deposed |= self.lives.fence_step(id) >= FENCES_PER_TERM;
+    }
+
     /// The life `before` is over, and the same worker lives on as `entry` tells.
     fn reborn(&mut self, before: &Arc<str>, entry: WorkerEntry, now: u64) {
         let id = entry.id.clone();
@@ -126,10 +147,8 @@
         // Whatever comes of those can have a lease that was asked for until now.
         let lease_ms = self.lease_ms() * 100 / 98 + self.bounds.stop_ms;
         let bound = self.foreign_bound_ms.max(now + lease_ms);
-        let fence_step = (old.fence_step + 1).min(FENCES_PER_TERM - 1);
         let next =
             self.workers.entry(id.clone()).or_insert_with(|| WorkerRun::new(entry, bound, now));
-        next.fence_step = next.fence_step.max(fence_step);
         let target = next.target();
         for ((key, run), booked) in &old.runs {
             if !carried.iter().any(|(carried, _)| carried == &(*key, *run)) {
@@ -182,6 +201,6 @@
 
     /// Fencing token of calls to a worker: higher for each life of it that was seen to follow another.
     pub(crate) fn fence_of(&self, id: &str) -> u64 {
-        self.fence() + self.workers.get(id).map_or(0, |worker| worker.fence_step)
+        self.fence() + self.lives.fence_step(id)
     }
 }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -88,8 +88,6 @@
     pub draining_since_ms: Option<u64>,
     /// Whether its entry is listed; one that is not may still run on.
     pub is_listed: bool,
-    /// What is added to the leader's fencing token in calls to it.
-    pub fence_step: u64,
     /// Whether it has answered under our fencing token.
     pub is_fenced: bool,
     /// When it first did, in milliseconds: commands of earlier leaders count only if they came before.
@@ -136,7 +134,6 @@
             entry,
             vm: None,
             is_listed: true,
-            fence_step: 0,
             is_fenced: false,
             fenced_ms: 0,
             silent_since_ms: None,
--- a/tests/scheduler_rebirth.rs
+++ b/tests/scheduler_rebirth.rs
@@ -7,6 +7,7 @@
 use ibisweir::jobs::model::{ExitKind, JobState};
 use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, RenewCall, TaskExit, WorkerReport};
 use ibisweir::jobs::site::WorkerEntry;
+use ibisweir::scheduler::FENCES_PER_TERM;
 use support::stage::{Stage, config, job, job_id, service_step, step, task, worker};
 
 const FIRST: &str = "w1@0";
@@ -190,6 +191,60 @@
     assert_eq!((stage.starts(task(id, 0, 0)), stage.starts(task(id, 0, 1))), (2, 2));
 }
 
+/// A worker begins anew, and an answer shows it before the entry of the life before is dropped and the next one is
+/// written. The leader goes on calling it with the token that the next life has seen; called with a lower one, the
+/// worker would refuse it, and the leader would take that for another leader's work and step down.
+#[test]
+fn a_life_keeps_its_token_when_it_is_dropped_from_the_list_and_listed_again() {
+    let mut stage = one_worker();
+    let next = stage.begin_anew(FIRST);
+    stage.submit(1, job(vec![step(1)]));
+    stage.advance(400);
+    stage.end(task(job_id(1), 0, 0), ExitKind::Done);
+    stage.advance(400);
+    stage.scheduler.worker_unlisted(&"w1".into(), stage.now);
+    stage.scheduler.worker_seen(stage.entry(&next), stage.now);
+    stage.pump();
+    let id = stage.submit(2, job(vec![step(1)]));
+    stage.advance(200);
+    assert!(!stage.scheduler.is_deposed(), "the leader takes its own token for another's");
+    assert_eq!((stage.starts(task(id, 0, 0)), stage.alive(task(id, 0, 0))), (1, 1));
+}
+
+/// A worker loses its runs and its entry, comes back as another life, and a start that was sent to the life before
+/// arrives so late that its run was given up long ago. The next life's clock began anew, so the lease in that start
+/// says nothing there: only the token keeps the task from running twice.
+#[test]
+fn a_start_that_was_given_up_is_refused_by_the_next_life() {
+    let mut stage = two_workers();
+    for worker in stage.workers.values_mut() {
+        worker.is_late = true;
+    }
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let late = stage.workers.iter().find(|(_, worker)| !worker.late.is_empty());
+    let place = late.expect("the start is under way").0.clone();
+    for worker in stage.workers.values_mut() {
+        worker.is_late = false;
+    }
+    stage.workers.get_mut(&place).expect("known").is_silent = true;
+    let name: std::sync::Arc<str> = ibisweir::jobs::site::life_name(&place).into();
+    stage.scheduler.worker_unlisted(&name, stage.now);
+    stage.advance(12_000);
+    assert_eq!(stage.alive(key), 1, "it runs on the other worker");
+    let next = stage.begin_anew(&place);
+    let entry = stage.entry(&next);
+    stage.scheduler.worker_seen(entry, stage.now);
+    stage.pump();
+    stage.advance(500);
+    // Its clock began anew, and shows times that the late start's lease covers.
+    for call in &mut stage.workers.get_mut(&next).expect("known").late {
+        call.lease_until_ms += 20_000;
+    }
+    stage.deliver_late(&next);
+    assert_eq!(stage.alive(key), 1, "the late start was taken");
+}
+
 trait Born {
     fn born(self, born_ms: u64) -> WorkerEntry;
 }
@@ -307,3 +362,23 @@
         assert_eq!(stage.alive(task(id, 0, 1)), 1, "round {round}");
     }
 }
+
+/// A worker begins anew again and again, until its leader has no higher token left in its term. The leader steps
+/// down before it calls a life with a token of the next term, which could belong to another leader.
+#[test]
+fn a_leader_steps_down_before_its_tokens_are_used_up() {
+    let mut stage = one_worker();
+    let mut id: Arc<str> = FIRST.into();
+    let mut lives = 0;
+    while !stage.scheduler.is_deposed() {
+        id = stage.begin_anew(&id);
+        let entry = stage.entry(&id);
+        stage.scheduler.worker_seen(entry, stage.now);
+        stage.pump();
+        let fence = stage.workers[&id].fence;
+        assert!(fence < stage.scheduler.fence() + FENCES_PER_TERM, "{fence} after {lives} lives");
+        lives += 1;
+        assert!(lives <= FENCES_PER_TERM, "it never steps down");
+    }
+    assert!(lives > FENCES_PER_TERM / 2, "{lives} lives");
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -456,6 +456,9 @@
             worker.late.push(call.clone());
             return CommandOutcome::Unknown;
         }
+        if call.fence < worker.fence {
+            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(now));
+        }
         if worker.is_full {
             return CommandOutcome::Refused(CommandRefusal::NoRoom, Some(now));
         }
@@ -509,12 +512,15 @@
         let is_same = |other: &&Arc<str>| life_name(other) == life_name(id);
         let Some(present) = self.workers.keys().find(is_same).cloned() else { return };
         let Some(worker) = self.workers.get_mut(&present) else { return };
-        if !worker.is_silent {
-            worker.fence = worker.fence.max(call.fence);
+        let is_fenced_off = call.fence < worker.fence;
+        if !worker.is_silent && !is_fenced_off {
+            worker.fence = call.fence;
             worker.lease_until_ms = worker.lease_until_ms.max(call.lease_until_ms.unwrap_or(0));
         }
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
+        } else if is_fenced_off {
+            CommandOutcome::Refused(CommandRefusal::Fenced, Some(now))
         } else if worker.is_stale {
             CommandOutcome::Done(WorkerReport { clock_ms: now, ..WorkerReport::default() })
         } else {
