Reads of the log go on for as long as their answer flows

Cause: a read of the log had 1.2 s for its whole answer. A configuration of 1,770 routes takes longer than that on such a link beside other traffic: the read was given up with most of the answer carried, and asked for again from the start, without end. Meanwhile it filled the link, so that renewals of leases and of the leadership and reads of the job log came late. Why it is enough: an answer that flows ends, however narrow the link, and each byte is carried once. A connection that has gone silent is still given up. Test: a_read_of_the_log_goes_on_while_its_answer_flows fails on the code before (tests/platform_calls.rs:286); its counterpart for a stalled answer passes on both.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -10,9 +10,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -74,6 +74,16 @@
     Reset,
 }
 
+/// How long the body of an answer may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLimit {
+    /// Time from the start of the exchange to its end.
+    Whole(Duration),
+    /// Time between two parts of it. An answer that is larger than the link carries in any fixed time would
+    /// be given up and asked for again without end, and take the link from all else meanwhile.
+    Stall(Duration),
+}
+
 /// Connections to any number of peers.
 #[derive(Clone, Default)]
 pub struct HttpTransport {
@@ -120,7 +130,21 @@
         head: Duration,
         whole: Duration,
     ) -> Result<HttpAnswer, ExchangeFailure> {
-        self.exchange_while(address, call, head, whole, || true).await
+        self.exchange_while(address, call, head, BodyLimit::Whole(whole), || true).await
+    }
+
+    /// The same for an answer of any size: its body is read for as long as parts of it arrive.
+    ///
+    /// # Errors
+    /// As those of [`HttpTransport::exchange`].
+    pub async fn exchange_flowing(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        head: Duration,
+        stall: Duration,
+    ) -> Result<HttpAnswer, ExchangeFailure> {
+        self.exchange_while(address, call, head, BodyLimit::Stall(stall), || true).await
     }
 
     /// The same, sent only if `may_send` still holds when the connection is open: that can take as long
@@ -133,7 +157,7 @@
         address: SocketAddr,
         call: HttpCall,
         head: Duration,
-        whole: Duration,
+        body: BodyLimit,
         may_send: impl Fn() -> bool + Send,
     ) -> Result<HttpAnswer, ExchangeFailure> {
         let started = Instant::now();
@@ -148,9 +172,14 @@
             let left = head.saturating_sub(started.elapsed());
             let sent = timeout(left, send(sender, address, call)).await;
             let (response, sender) = sent.map_err(|_| ExchangeFailure::NoAnswer)??;
-            let left = whole.saturating_sub(started.elapsed());
-            let read = timeout(left, read_answer(response, sender)).await;
-            read.map_err(|_| ExchangeFailure::NoAnswer)?
+            match body {
+                BodyLimit::Whole(whole) => {
+                    let left = whole.saturating_sub(started.elapsed());
+                    let read = timeout(left, read_answer(response, sender, Duration::MAX)).await;
+                    read.map_err(|_| ExchangeFailure::NoAnswer)?
+                }
+                BodyLimit::Stall(stall) => read_answer(response, sender, stall).await,
+            }
         };
         match answered.await {
             Ok((answer, sender)) => {
@@ -247,14 +276,25 @@
     Ok((response, sender))
 }
 
+/// Reads the body, and gives up once no part of it has come for `stall`.
 async fn read_answer(
     response: Response<Incoming>,
     mut sender: SendRequest<Full<Bytes>>,
+    stall: Duration,
 ) -> Result<(HttpAnswer, SendRequest<Full<Bytes>>), ExchangeFailure> {
+    let no_answer = |_| ExchangeFailure::NoAnswer;
     let status = response.status();
-    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
-    let body = body.map_err(|_| ExchangeFailure::NoAnswer)?.to_bytes();
+    let mut incoming = response.into_body();
+    let mut body = BytesMut::new();
+    while let Some(frame) = timeout(stall, incoming.frame()).await.map_err(no_answer)? {
+        let frame = frame.map_err(|_| ExchangeFailure::NoAnswer)?;
+        let Ok(part) = frame.into_data() else { continue };
+        if body.len() + part.len() > ANSWER_BYTES_MAX {
+            return Err(ExchangeFailure::NoAnswer);
+        }
+        body.extend_from_slice(&part);
+    }
     // The connection can carry the next request only once it has read this answer's end.
     drop(sender.ready().await);
-    Ok((HttpAnswer { status, body }, sender))
+    Ok((HttpAnswer { status, body: body.freeze() }, sender))
 }
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ibisweir::jobs::model::{JobId, TaskKey};
 use ibisweir::jobs::ports::{
-    AppendCall, AppendOutcome, CommandOutcome, CommandRefusal, JobLog, LogTopic, RenewCall,
-    RunCall, VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient, WorkerTarget, WriterStamp,
+    AppendCall, AppendOutcome, CommandOutcome, CommandRefusal, JobLog, LogTopic, ReadOutcome,
+    RenewCall, RunCall, VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient, WorkerTarget,
+    WriterStamp,
 };
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::platform_adapter::{log::PlatformLog, vm::PlatformVms, worker::PlatformWorkers};
@@ -16,7 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Answers one request with `status` and `body`; gives back what it was sent, in lower case.
 async fn answer_once(status: &str, body: &str) -> (SocketAddr, JoinHandle<String>) {
@@ -233,3 +236,64 @@
     let (stream, _) = accepted.expect("a caller");
     drop((stream, silent, next));
 }
+
+/// Answers each request with a body in parts, `gap` apart; counts the requests.
+async fn answer_in_parts(
+    body: Vec<u8>,
+    part: usize,
+    gap: Duration,
+) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let asked = Arc::new(AtomicU64::new(0));
+    let count = asked.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            count.fetch_add(1, Ordering::Relaxed);
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let _ = stream.write_all(head.as_bytes()).await;
+            for part in body.chunks(part) {
+                sleep(gap).await;
+                if stream.write_all(part).await.is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (address, asked)
+}
+
+/// One record of 40 KB, as a read of the log tells it.
+fn large_record() -> Vec<u8> {
+    let value = vec![7; 40_000];
+    let length = u32::try_from(value.len() + 2).expect("small");
+    let mut body = [1u64.to_be_bytes(), 0u64.to_be_bytes()].concat();
+    body.extend_from_slice(&length.to_be_bytes());
+    body.extend_from_slice(&[1, b'k']);
+    body.extend_from_slice(&value);
+    body
+}
+
+/// Guards against a record that a narrow link carries slowly being given up and asked for again without end.
+#[tokio::test(start_paused = true)]
+async fn a_read_of_the_log_goes_on_while_its_answer_flows() {
+    let (address, asked) = answer_in_parts(large_record(), 4_000, Duration::from_millis(500)).await;
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let outcome = log.read(LogTopic::Operator, 0, Duration::ZERO).await;
+    let ReadOutcome::Read(batch) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((batch.records.len(), asked.load(Ordering::Relaxed)), (1, 1));
+}
+
+/// Guards against a read that waits for good on a connection that has gone silent in the middle of an answer.
+#[tokio::test(start_paused = true)]
+async fn a_read_of_the_log_that_stalls_is_given_up() {
+    let (address, _) = answer_in_parts(large_record(), 20_000, Duration::from_secs(30)).await;
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let begun = Instant::now();
+    let outcome = log.read(LogTopic::Operator, 0, Duration::ZERO).await;
+    assert!(matches!(outcome, ReadOutcome::Unknown), "{outcome:?}");
+    assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
+}
