Nothing starts by a view of the jobs that is older than half of the time in which a cancellation holds

Cause: an entry that can't reach the leader in time appends the cancellation itself; the leader learns of it by reading the job log. On a choked link its reads were more than 4 s late, and it placed and started tasks of jobs as it last knew them. The rule rested on the speed of its reads. Change: the scheduler knows as of when it has all that the log held: the sending of a read that came to the end (or the end of its wait, when it brought nothing), or the first sending of an append of its own that followed on what it has. Once that is older than half of the time that a cancellation may take, nothing is placed and no start is sent. Why it is enough: a start by a view of at most half that age leaves the other half for its way, of which an executor uses 1.2 s at most. A log that reads in time is not slowed: reads come every 0.9 s at the latest. Tests: a_leader_whose_reads_of_the_log_are_late_starts_nothing and a_start_in_its_lane_waits_while_reads_of_the_log_are_late fail without the two gates (tests/scheduler_behind.rs:254 and 269).

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -467,11 +467,14 @@
             self.committed(batch);
             return true;
         }
+        let sent_ms = self.node.now();
         loop {
             match self.append(batch.records.clone(), sequence).await {
                 AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
-                    self.node.fold_own(&batch.folded, offset, end);
+                    if self.node.fold_own(&batch.folded, offset, end) {
+                        self.node.jobs_shown(sent_ms);
+                    }
                     self.committed(batch);
                     return true;
                 }
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -149,6 +149,7 @@
         }
         // What callers made this entry read, and what it has appended itself.
         self.tail.skip_to(self.node.book_end());
+        let sent_ms = self.node.now();
         let step = self.tail.next(&self.log, READ_WAIT).await;
         let is_empty = match &step {
             TailStep::Snapshot(records) | TailStep::Records(records) => records.is_empty(),
@@ -159,6 +160,9 @@
         fold_step(&self.node, step, self.tail.position());
         if self.tail.is_at_end() {
             self.node.set_current();
+            // An answer without news was given when the wait was over.
+            let waited_ms = if is_empty { whole_ms(READ_WAIT) } else { 0 };
+            self.node.jobs_shown(self.node.now().min(sent_ms + waited_ms));
         }
         if is_whole {
             self.node.set_loaded();
@@ -167,6 +171,10 @@
     }
 }
 
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Folds what a step along the job log has brought, up to `position`.
 pub fn fold_step(node: &JobNode, step: TailStep, position: u64) {
     match step {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -211,7 +211,9 @@
     /// It need not be read back, also where records of others lie before it: the book reaches on over it as
     /// soon as those were read. A leader that reads back what it writes spends half of what comes in on a
     /// link of 2 Mbit/s on it.
-    pub fn fold_own(&self, records: &[JobRecord], offset: u64, end: u64) {
+    ///
+    /// Returns whether the book has all that the log held before them.
+    pub fn fold_own(&self, records: &[JobRecord], offset: u64, end: u64) -> bool {
         let mut book = self.book();
         for (offset, record) in (offset..).zip(records) {
             book.fold(record, offset);
@@ -223,6 +225,12 @@
         if is_whole {
             self.set_current();
         }
+        is_whole
+    }
+
+    /// The scheduler has been told of all that the job log held at `shown_ms`.
+    pub fn jobs_shown(&self, shown_ms: u64) {
+        self.with_scheduler(|scheduler| scheduler.jobs_read(shown_ms));
     }
 
     /// The book has all before `end`, and what this entry has appended from there on; returns whether that
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -220,6 +220,8 @@
     pub lease_max_ms: u64,
     /// Longest time for a task to stop, in milliseconds.
     pub stop_ms: u64,
+    /// Time from the acknowledgement of a cancellation after which nothing of the job may start, in milliseconds.
+    pub cancel_ms: u64,
     /// Time for which a job's last state can be asked for, in milliseconds.
     pub status_ms: u64,
     /// Time between a stop signal and the kill, in milliseconds.
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -44,6 +44,10 @@
 impl Scheduler {
     /// Places what is ready, best rank first.
     pub(crate) fn dispatch(&mut self, now: u64) {
+        if !self.knows_jobs(now) {
+            self.is_blind = true;
+            return;
+        }
         let rooms = self.largest_rooms(now);
         let mut ready = self.ready_steps(&rooms, now);
         ready.sort_by_key(|step| (step.rank, step.key));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -142,6 +142,10 @@
     shares: ShareBook,
     /// When what workers say of themselves was last read through, in milliseconds.
     rooms_ms: u64,
+    /// When the job log held no more than what we have been told, in milliseconds.
+    jobs_ms: u64,
+    /// Whether nothing was placed as the jobs are not known well enough.
+    is_blind: bool,
     permits: HashMap<StepKey, StepPermits>,
     commits: CommitQueue,
     fleet: FleetState,
@@ -190,6 +194,8 @@
             organisations: OrganisationLedger::default(),
             shares: ShareBook::default(),
             rooms_ms: now,
+            jobs_ms: now,
+            is_blind: false,
             permits: HashMap::new(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
@@ -275,6 +281,21 @@
         late >= LATE_WORKERS_MIN.max(self.workers.len() / LATE_WORKERS_PART)
     }
 
+    /// We have been told of all that the job log held at `shown_ms`.
+    pub fn jobs_read(&mut self, shown_ms: u64) {
+        if shown_ms > self.jobs_ms {
+            self.jobs_ms = shown_ms;
+            self.needs_dispatch |= std::mem::take(&mut self.is_blind);
+        }
+    }
+
+    /// Whether starts may go by what we know of the jobs. One of a job that was cancelled by another entry, while
+    /// our reads of the log are late, would run for nobody: half of the time until nothing of it may start is left
+    /// for the start's own way.
+    pub(crate) fn knows_jobs(&self, now: u64) -> bool {
+        now <= self.jobs_ms + self.bounds.cancel_ms / 2
+    }
+
     fn is_confirmed(&self, now: u64) -> bool {
         now < self.confirmed_ms + CONFIRMATION_MS
     }
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -197,7 +197,7 @@
             RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return None,
         }
         let pool = self.workers.get(&id)?.entry.service.clone();
-        if !self.knows_rooms(&pool, now) {
+        if !self.knows_rooms(&pool, now) || !self.knows_jobs(now) {
             return None;
         }
         let worker = self.workers.get_mut(&id)?;
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -96,6 +96,7 @@
         lease_max_ms: 10_000,
         stop_ms: 400,
         status_ms: 120_000,
+        cancel_ms: 3_000,
         grace_ms: 6_000,
         remote_factor: 3.0,
         maintain_ms: 2_000,
--- a/tests/scheduler_behind.rs
+++ b/tests/scheduler_behind.rs
@@ -10,7 +10,7 @@
 use ibisweir::jobs::site::{MaintenanceWave, WorkerEntry};
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::fleet::list_rest_ms;
-use support::stage::{POOL, Stage, config, job, service_step, step, task, vm, worker};
+use support::stage::{POOL, Stage, bounds, config, job, service_step, step, task, vm, worker};
 
 /// Longer than every lease that a worker can have.
 const LEASES_MS: u64 = 6_400;
@@ -238,3 +238,37 @@
     }
     assert_eq!(stage.state(id), Some(JobState::Running));
 }
+
+/// Guards against starts of a job that another entry has cancelled seconds ago, while reads of the log are late.
+#[test]
+fn a_leader_whose_reads_of_the_log_are_late_starts_nothing() {
+    let mut stage = Stage::open(config(), workers(4));
+    let first = stage.submit(1, job(vec![step(1)]));
+    stage.advance(100);
+    stage.reads_jobs = false;
+    let second = stage.submit(2, job(vec![step(1)]));
+    stage.advance(bounds().cancel_ms);
+    let third = stage.submit(3, job(vec![step(1)]));
+    stage.advance(1_000);
+    let starts = |stage: &Stage, id| stage.starts(task(id, 0, 0));
+    assert_eq!([first, second, third].map(|id| starts(&stage, id)), [1, 1, 0]);
+    stage.reads_jobs = true;
+    stage.advance(100);
+    assert_eq!(starts(&stage, third), 1, "it starts as soon as the log was read");
+}
+
+/// Guards against a start that is sent late, after the cancellation of its job could have been read.
+#[test]
+fn a_start_in_its_lane_waits_while_reads_of_the_log_are_late() {
+    let mut stage = Stage::open(config(), workers(4));
+    stage.lane_is_slow = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.reads_jobs = false;
+    stage.advance(bounds().cancel_ms);
+    stage.empty_lanes();
+    assert_eq!(stage.starts(task(id, 0, 0)), 0);
+    stage.reads_jobs = true;
+    stage.lane_is_slow = false;
+    stage.advance(1_000);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -56,6 +56,8 @@
     lane: Vec<(Arc<str>, TaskKey, u32)>,
     /// Whether what workers say of themselves is read.
     pub reads_workers: bool,
+    /// Whether the job log is read.
+    pub reads_jobs: bool,
     /// Whether the log takes appends.
     pub log_is_up: bool,
     /// Whether the VM service answers `Done` to commands.
@@ -124,6 +126,7 @@
             lane_is_slow: false,
             lane: Vec::new(),
             reads_workers: true,
+            reads_jobs: true,
             log_is_up: true,
             vm_outcome: VmOutcome::Done,
             bounds: bounds(),
@@ -203,6 +206,9 @@
             if self.reads_workers {
                 self.scheduler.rooms_read(self.now);
             }
+            if self.reads_jobs {
+                self.scheduler.jobs_read(self.now);
+            }
             self.pump();
         }
     }
