A peer has little under way on one connection, so that a large answer leaves a narrow link to the others

Cause: a large configuration is sent to the leader as fast as the store can, and stands in line at the leader's link of 2 Mbit/s for over a second. Answers of workers, of the log to renewals of the leadership, and new connections wait behind it. The leader takes all its workers for silent, extends no lease of theirs, and loses the leadership; its successor has the same line before it, and leases of 5.8 s run out. Change: the receive buffer of a connection to the platform, a worker or another entry is 16 KB: the peer's system stops there until what came was read, and answers on other connections come between the parts. Why it is enough: what stands in line is bounded by the open connections with a large answer, a tenth of a second each at 2 Mbit/s, and no longer by the size of the answer. Test: a_peer_can_have_little_under_way_on_one_connection fails without it (170,028 bytes under way, 96 KB allowed).

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,6 +4,9 @@
 //! track of an open connection while new ones work, and a dead machine answers nothing: so each
 //! exchange has a time limit, and one that passes it takes all idle connections of that peer along.
 //! The next exchange opens a new one.
+//!
+//! One large answer must not fill a narrow link: a peer may have little under way on each connection,
+//! so that answers on others come between its parts.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -16,7 +19,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::time::{Instant, timeout};
 
 /// Largest answer that is read, in bytes: twice the largest page of the log service.
@@ -25,6 +28,9 @@
 const IDLE_MAX: usize = 4;
 /// Age at which an idle connection is not used again, in line with the platform's own idle limit.
 const IDLE_AGE_MAX: Duration = Duration::from_secs(8);
+/// Receive buffer of a connection, in bytes. What a peer may have under way stands in line on a narrow link, and
+/// all other answers wait behind it: a large one would keep leases from being renewed for as long as it takes.
+const RECEIVE_BYTES: u32 = 16 << 10;
 /// Time to open a connection; several round trips between the farthest data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -236,7 +242,13 @@
 ) -> Result<SendRequest<Full<Bytes>>, ExchangeFailure> {
     let not_sent = |_| ExchangeFailure::NotSent;
     let opened = async {
-        let stream = TcpStream::connect(address).await.map_err(not_sent)?;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        let socket = socket.map_err(not_sent)?;
+        socket.set_recv_buffer_size(RECEIVE_BYTES).map_err(not_sent)?;
+        let stream = socket.connect(address).await.map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
         if abandon == AbandonPolicy::Reset {
             stream.set_zero_linger().map_err(not_sent)?;
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -17,7 +17,7 @@
 use ibisweir::platform_adapter::{log::PlatformLog, vm::PlatformVms, worker::PlatformWorkers};
 use ibisweir::transport::HttpTransport;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -297,3 +297,46 @@
     assert!(matches!(outcome, ReadOutcome::Unknown), "{outcome:?}");
     assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
 }
+
+/// Send buffer of the peer in the test below, in bytes.
+const SEND_BYTES: u32 = 16 << 10;
+/// Most that may be under way on one connection, in bytes: the buffers of both ends, which the system may double.
+const UNDER_WAY_BYTES_MAX: usize = 96 << 10;
+
+/// Guards against one large answer that fills a narrow link, so that leases are not renewed meanwhile.
+#[tokio::test]
+async fn a_peer_can_have_little_under_way_on_one_connection() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_send_buffer_size(SEND_BYTES).expect("settable");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("listening");
+    let address = listener.local_addr().expect("bound");
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let read = tokio::spawn(async move { log.read(LogTopic::Jobs, 0, Duration::ZERO).await });
+    let (mut stream, _) = listener.accept().await.expect("a caller");
+    let mut request = [0; 4_096];
+    let _ = stream.read(&mut request).await.expect("a request");
+    let stream = stream.into_std().expect("a stream");
+    // Nothing is read meanwhile: the reader runs on this thread.
+    let written = fill(&stream);
+    assert!(written <= UNDER_WAY_BYTES_MAX, "{written} bytes");
+    read.abort();
+}
+
+/// Writes an answer until the connection takes no more; the bytes that it took.
+fn fill(mut stream: &std::net::TcpStream) -> usize {
+    use std::io::Write;
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 4000000\r\n\r\n";
+    let mut written = stream.write(head.as_bytes()).expect("writable");
+    let mut pauses = 0;
+    while pauses < 20 {
+        match stream.write(&[0; 4_096]) {
+            Ok(more) => written += more,
+            Err(_) => {
+                pauses += 1;
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+    written
+}
