A cancellation that reaches the leader before its job is kept

Cause: an entry relays a cancellation to the leader at once, while the job itself may stand on the log by another entry's append that the leader has not read yet. The scheduler dropped cancellations of jobs that it did not know; the record went on the log, but the leader is not told again of what it has appended itself. When it read the job, it took it as a new one. A takeover between the two forgot it as well. Change: a cancellation of a job that is not known marks the job as over, as does one in the book without its job at a takeover. Why it is enough: a submission of a job that is over is passed over, now and by later leaders, as the log has the cancellation. Tests: a_cancellation_that_comes_before_its_job_holds and ..._for_the_next_leader fail on the code before (tests/scheduler_commit.rs:208 and 220).

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -215,7 +215,12 @@
     }
 
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
-        let Some(submission) = &job.submission else { return };
+        let Some(submission) = &job.submission else {
+            if job.is_cancelled {
+                self.cancel(id, now);
+            }
+            return;
+        };
         let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
         let Some(mut run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
         let live = run.live_tasks();
@@ -385,7 +390,12 @@
     }
 
     fn cancel(&mut self, id: JobId, now: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
+            // relay. Forgotten, it would never be heard of again, and the job would run.
+            self.finished.entry(id).or_insert(self.wall_ms);
+            return;
+        };
         if job.state.is_final() {
             return;
         }
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -195,3 +195,27 @@
     assert_eq!(relayed, 12);
     assert_eq!(submitted.len(), 360);
 }
+
+/// Guards against a cancelled job that runs, as its cancellation reached the leader before the job itself.
+#[test]
+fn a_cancellation_that_comes_before_its_job_holds() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = job_id(1);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.pump();
+    stage.submit(1, job(vec![step(2)]));
+    stage.advance(1_000);
+    assert_eq!((stage.starts(task(id, 0, 0)), stage.state(id)), (0, Some(JobState::Cancelled)));
+}
+
+/// Guards against the same where the leader changes between the two.
+#[test]
+fn a_cancellation_that_comes_before_its_job_holds_for_the_next_leader() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let id = job_id(1);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.take_over(2, config());
+    stage.submit(1, job(vec![step(2)]));
+    stage.advance(1_000);
+    assert_eq!((stage.starts(task(id, 0, 0)), stage.state(id)), (0, Some(JobState::Cancelled)));
+}
