--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -9,12 +9,12 @@
 use ibisweir::decide::executor::ExecutorOffer;
 use ibisweir::jobs::lanes::{LaneCommand, WorkerLanes};
 use ibisweir::jobs::node::JobNode;
-use ibisweir::jobs::ports::{CommandOutcome, RenewCall, WorkerReport};
+use ibisweir::jobs::ports::{CommandOutcome, RenewCall, RunCall, WorkerReport, WorkerTarget};
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::SiteSettings;
 use ibisweir::scheduler::SchedulerAction;
 use support::outside::{AnswerMode, NotedWorkers, lead, node_with};
-use support::stage::{WALL_OFFSET_MS, job, job_id, site_settings, step, submission, worker};
+use support::stage::{WALL_OFFSET_MS, job, job_id, site_settings, step, submission, task, worker};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -148,3 +148,30 @@
     sleep(Duration::from_secs(4)).await;
     assert!(stage.node.metrics.late_answers.get() >= 1);
 }
+
+/// Guards against tasks of a cancelled job that run on, as answers of their worker come late on a choked link.
+#[tokio::test(start_paused = true)]
+async fn stops_go_to_a_worker_that_answers_late() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::LateRenewals);
+    stage.submit(4);
+    sleep(Duration::from_millis(1_500)).await;
+    stage.take(&JobRecord::Cancelled(job_id(1)));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(stage.workers.stops().len(), 4);
+}
+
+/// Guards against stops of one worker that each wait for the answer to the one before.
+#[tokio::test(start_paused = true)]
+async fn stops_of_one_worker_do_not_wait_for_each_other() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Silent);
+    let target = WorkerTarget { id: "w0".into(), address: SocketAddr::from(([127, 0, 0, 1], 9)) };
+    for index in 0..4 {
+        let call = RunCall { task: task(job_id(1), 0, index), run: 1, fence: 1_024 };
+        // A repeat while the first is under way adds nothing.
+        for _ in 0..2 {
+            stage.lanes.send(&target, LaneCommand::Stop(call), &mut stage.tasks);
+        }
+    }
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(stage.workers.stops().len(), 4);
+}
