A job that the leader does not know is not taken for one that does not exist

The job was stored at 37.350 s, and a look at it through another entry was answered with 122 at 37.384 s, after 3 ms. Cause: an entry that the log turns away asks the leader, and took its "unknown" for the answer. But a job can be stored by an append of another entry that the leader has yet to read. A cancellation is answered the same way, and the job then runs. Evidence: the entry's log shows log_age_ms 3414 and another entry's reading asked for 0.24 s before, so it was turned away; the answer came faster than any read of the log; the leader placed the job 1.4 s later, as new. Change: only a job that the leader knows is told by its book; else the log is read, and where that fails the caller is told that the log is away and when to come back. Why it is enough: what is told of a job is then either on the log or in a book that has it. Test: a_job_that_the_leader_does_not_know_may_exist fails on the code before (tests/desk.rs:140, "Refused(UnknownJob, None)").

--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -167,10 +167,11 @@
         if own.as_ref().is_some_and(|own| own.state.is_final()) {
             return Ok(own);
         }
+        // A job that the leader does not know may stand on the log by another entry's append.
         if self.node.is_turned_away()
-            && let Some(told) = self.relay.look(&self.node, job).await
+            && let Some(Some(told)) = self.relay.look(&self.node, job).await
         {
-            return Ok(told);
+            return Ok(Some(told));
         }
         if own.is_some() {
             return Ok(own);
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,8 +16,11 @@
 };
 use ibisweir::jobs::relay::RelayClient;
 use ibisweir::jobs::submitter;
+use ibisweir::logging::silent;
 use ibisweir::transport::HttpTransport;
 use support::stage::{POOL, QUEUE, job, job_id, queue, site_settings, step};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 /// Time of an append.
@@ -84,3 +88,54 @@
     });
     assert!(has_counted);
 }
+
+/// A log that turns this entry away.
+#[derive(Clone)]
+struct AwayLog;
+
+impl JobLog for AwayLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, _: u64, _: Duration) -> ReadOutcome {
+        ReadOutcome::Refused
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+/// A leader that does not know the job that it is asked for.
+async fn unknowing_leader() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            let _ = stream.read(&mut [0; 4_096]).await;
+            // The body is an encoded `None`.
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n\0").await;
+        }
+    });
+    address
+}
+
+/// Guards against an accepted job that is said not to exist, as the leader has yet to read it from the log.
+#[tokio::test]
+async fn a_job_that_the_leader_does_not_know_may_exist() {
+    let node = Arc::new(JobNode::new(site_settings(), Arc::default(), silent()));
+    node.set_leader(Some(unknowing_leader().await));
+    while !node.is_turned_away() {
+        sleep(Duration::from_millis(1)).await;
+        node.turned_away();
+    }
+    let relay = RelayClient::new(HttpTransport::open());
+    let submitter = submitter::spawn(node.clone(), AwayLog, relay.clone(), 1);
+    let reader = Arc::new(CatchUpReader::new(node.clone(), AwayLog));
+    let desk = JobDesk { node, reader, submitter, relay };
+    let reply = desk.look(&CallerAccess::default(), job_id(1)).await;
+    let is_open = |code| matches!(code, ResultCode::LogAway | ResultCode::BehindLog);
+    assert!(matches!(reply, DeskReply::Refused(code, Some(_)) if is_open(code)), "{reply:?}");
+}
