--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -1,11 +1,11 @@
 //! The way of commands and renewals to each worker.
 //!
-//! A worker has three tasks: one renews its leases, one sends its stops, several at a time, and its throttles, one
-//! its starts, one after the other. Starts may wait for the window or for a worker that does not answer; a stop behind them would
+//! A worker has three tasks: one renews its leases, one sends its stops and throttles, one its starts, each one
+//! after the other. Starts may wait for the window or for a worker that does not answer; a stop behind them would
 //! come too late for the job that was cancelled. A stop may overtake the start of its run: the worker refuses a run
 //! that it was told to stop.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,14 +26,8 @@
 use crate::scheduler::exits::RenewPlan;
 use crate::scheduler::runs::RunCommand;
 
-/// Time for a start to be answered.
+/// Time for a start or stop to be answered.
 const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
-/// Time for a stop to be answered, and its connection to be opened: where answers wait in a line of ours, a shorter
-/// one would give it up before it is sent, again and again.
-const STOP_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Stops of one worker that are under way at a time: one after the other, those of a job that was cancelled would
-/// each wait for the answer to the one before.
-const STOPS_MAX: usize = 8;
 /// Answers of one worker that are read on at a time after they were given up.
 const LATE_READS_MAX: usize = 2;
 /// Part of our link that starts may take while other entries can carry them out: renewals and the log need
@@ -170,42 +164,23 @@
         target: WorkerTarget,
         mut commands: mpsc::UnboundedReceiver<LaneCommand>,
     ) {
-        let mut stops = JoinSet::new();
-        let mut stopping = BTreeSet::new();
         while let Some(command) = commands.recv().await {
-            let stop = match command {
-                LaneCommand::Run(task, run) => match self.command(&task, run) {
-                    Some(RunCommand::Stop(call)) => Some(call),
-                    _ => None,
-                },
-                LaneCommand::Stop(call) => Some(call),
+            match command {
+                LaneCommand::Run(task, run) => {
+                    if let Some(RunCommand::Stop(call)) = self.command(&task, run) {
+                        self.send_stop(&target, &call).await;
+                    }
+                }
+                LaneCommand::Stop(call) => self.send_stop(&target, &call).await,
                 LaneCommand::Throttle(call, percent) => {
                     let outcome =
                         self.workers.throttle(&target, &call, percent, COMMAND_PATIENCE).await;
                     let is_done = matches!(outcome, CommandOutcome::Done(_));
                     self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
-                    self.node.wake.notify_one();
-                    None
                 }
-            };
-            let Some(call) = stop else { continue };
-            while let Some(Ok(over)) = stops.try_join_next() {
-                stopping.remove(&over);
-            }
-            while stops.len() >= STOPS_MAX {
-                let Some(Ok(over)) = stops.join_next().await else { break };
-                stopping.remove(&over);
-            }
-            let run = (call.task, call.run);
-            if stopping.insert(run) {
-                let (lanes, target) = (self.clone(), target.clone());
-                stops.spawn(async move {
-                    lanes.send_stop(&target, &call).await;
-                    run
-                });
             }
+            self.node.wake.notify_one();
         }
-        while stops.join_next().await.is_some() {}
     }
 
     /// Sends a worker's starts one after the other, here or through an executor.
@@ -283,12 +258,11 @@
     }
 
     async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
-        let outcome = self.workers.stop(target, call, STOP_PATIENCE).await;
+        let outcome = self.workers.stop(target, call, COMMAND_PATIENCE).await;
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| {
             scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
         });
-        self.node.wake.notify_one();
     }
 
     /// Renews a worker's leases until its life is over.
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -150,11 +150,8 @@
             let (id, phase, since_ms) = (live.worker.clone(), live.phase, live.since_ms);
             let Some(worker) = self.workers.get(&id) else { continue };
             // A start to a worker that doesn't answer would prolong the time after which its runs
-            // are known to be over. A stop goes out: its silence may be that of our own link, which carries
-            // answers late and the stop in time.
-            let is_stop = phase == RunPhase::Stopping;
-            let is_reachable = worker.silent_since_ms.is_none() && worker.is_listed;
-            if !is_stop && !is_reachable {
+            // are known to be over.
+            if worker.silent_since_ms.is_some() || !worker.is_listed {
                 continue;
             }
             if phase == RunPhase::Starting && !worker.may_start_now(&(key, run), since_ms) {
