--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -13,8 +13,10 @@
 //!   lost too, and again, nothing but this task can have been the cause, and its job is given up.
 //! * If another worker is lost at the same time, in its rack or its pool, without a suspect on it, the failure
 //!   is larger than one worker and names nobody. Nor does a VM that loses one worker after the other.
-//! * Whatever the reasons were, a task that has lost [`LOSSES_MAX`] workers is given up; after three of them
-//!   its probation is long. This bounds also what crashes its worker some time after its start.
+//! * A run that was seen at work for longer than a start takes, and whose worker was lost together with others or
+//!   on a VM that had just lost one without its job, was lost by something else: that is not counted.
+//! * A task with [`LOSSES_MAX`] counted losses is given up, whatever their reasons were; after three of them its
+//!   probation is long. This bounds also what crashes its worker some time after its start.
 //!
 //! A loss is counted in the same record that takes the run off the books, and each next run needs that
 //! record: no change of leader, restart or repeated news counts one twice or forgets it.
