The leader's log tells of each cancellation, and executors which starts they carry out

Work that began after its cancellation could not be told apart by cause: nothing said when and by which way the leader had learned of a cancellation, whether it had the job by then, how old its view of the jobs was, which entry had sent a start, and how long that had been under way. Change: log lines for a cancellation that is taken in (relayed, read or restored; job open, over or unknown; age of the view), for a batch of starts that an executor carries out (tasks, time since it was sent), for a run that is first listed after its job was over, and for placing that waits for the job log; the counters cancellations and begun_over, the gauge view_age_ms.

--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -9,6 +9,7 @@
 //! repeats the same run until it knows. A batch that was on its way for longer than the leader waits for it
 //! is not begun at all: the executor tells its age by its own clock, which the leader has from its offers.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -240,6 +241,8 @@
             "is_late" => is_late, "is_of_another_life" => !is_ours);
         return Some(vec![DelegatedOutcome::NotSent; batch.starts.len()]);
     }
+    info!(node.logger, "carrying out starts"; "tasks" => %TaskNames(&batch.starts),
+        "since_sent_ms" => node.now().saturating_sub(batch.stamp.sent_ms));
     let mut outcomes = vec![DelegatedOutcome::NotSent; batch.starts.len()];
     let mut calls = JoinSet::new();
     for (position, start) in batch.starts.into_iter().enumerate() {
@@ -261,6 +264,19 @@
     Some(outcomes)
 }
 
+/// Tasks and runs of a batch, for a log line.
+struct TaskNames<'a>(&'a [DelegatedStart]);
+
+impl fmt::Display for TaskNames<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, start) in self.0.iter().enumerate() {
+            let gap = if position == 0 { "" } else { " " };
+            write!(f, "{gap}{}/{}", start.task, start.run)?;
+        }
+        Ok(())
+    }
+}
+
 /// Text of a task's job, if the book has it.
 fn payload(node: &JobNode, task: &TaskKey) -> Option<Arc<str>> {
     let book = node.book();
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -46,6 +46,10 @@
     pub given_up: Reasons,
     /// Stops, by reason.
     pub stops: Reasons,
+    /// Cancellations that reached the leader, by whether it knew the job.
+    pub cancellations: Reasons,
+    /// Runs that a worker first listed after their job was over.
+    pub begun_over: Counter,
     /// Lease renewals.
     pub renewals: Counter,
     /// Renewals that were answered after they had been given up.
@@ -72,6 +76,8 @@
     pub open_jobs: Gauge,
     /// Runs that may be alive, where this entry leads.
     pub live_runs: Gauge,
+    /// Age of what is known of the jobs, in milliseconds, where this entry leads.
+    pub view_age_ms: Gauge,
     /// Workers that don't answer, where this entry leads.
     pub silent_workers: Gauge,
     /// Age of the reading by which keys are honoured, in milliseconds.
@@ -94,6 +100,8 @@
             lost_runs: Family::default(),
             given_up: Family::default(),
             stops: Family::default(),
+            cancellations: Family::default(),
+            begun_over: Counter::default(),
             renewals: Counter::default(),
             late_answers: Counter::default(),
             command_window: Gauge::default(),
@@ -107,6 +115,7 @@
             config_version: Gauge::default(),
             open_jobs: Gauge::default(),
             live_runs: Gauge::default(),
+            view_age_ms: Gauge::default(),
             silent_workers: Gauge::default(),
             config_age_ms: Gauge::default(),
             organisation_runs: Family::default(),
@@ -130,6 +139,10 @@
         let help = "jobs given up as a task of theirs crashes its workers, by reason";
         registry.register("given_up", help, self.given_up.clone());
         registry.register("stops", "stops, by reason", self.stops.clone());
+        let help = "cancellations that reached the leader, by whether it knew the job";
+        registry.register("cancellations", help, self.cancellations.clone());
+        let help = "runs that a worker first listed after their job was over";
+        registry.register("begun_over", help, self.begun_over.clone());
         registry.register("renewals", "lease renewals", self.renewals.clone());
         let help = "renewals that were answered after they had been given up";
         registry.register("late_answers", help, self.late_answers.clone());
@@ -151,6 +164,8 @@
         registry.register("open", "jobs that are not over, at the leader", self.open_jobs.clone());
         let help = "runs that may be alive, at the leader";
         registry.register("live_runs", help, self.live_runs.clone());
+        let help = "age of what is known of the jobs, in ms, at the leader";
+        registry.register("view_age_ms", help, self.view_age_ms.clone());
         let help = "workers that don't answer, at the leader";
         registry.register("silent_workers", help, self.silent_workers.clone());
         let help = "age of the reading by which keys are honoured, in ms";
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -462,6 +462,9 @@
         let census = census.unwrap_or_default();
         metrics.open_jobs.set(size(census.jobs));
         metrics.live_runs.set(size(census.runs));
+        let now = self.now();
+        let view_age_ms = self.with_scheduler(|scheduler| scheduler.view_age_ms(now));
+        metrics.view_age_ms.set(view_age_ms.map_or(-1, gauge));
         metrics.silent_workers.set(size(census.silent));
         metrics.executors.set(size(self.executors().census(self.now()).0));
         metrics.config_age_ms.set(self.config_age_ms().map_or(-1, gauge));
--- a/src/jobs/notes.rs
+++ b/src/jobs/notes.rs
@@ -1,6 +1,6 @@
 //! The leader's decisions as log lines and counters.
 
-use slog::info;
+use slog::{info, warn};
 
 use crate::jobs::metrics::count;
 use crate::jobs::node::JobNode;
@@ -38,6 +38,19 @@
         SchedulerNote::JobState { job, state, age_ms } => {
             info!(logger, "job state"; "job" => %job, "state" => ?state, "age_ms" => age_ms);
         }
+        SchedulerNote::Cancelled { job, source, found, view_ms } => {
+            count(&node.metrics.cancellations, found);
+            info!(logger, "cancellation taken in"; "job" => %job, "source" => ?source,
+                "found" => found, "view_ms" => view_ms);
+        }
+        SchedulerNote::BegunOver { task, run, worker, since_ms } => {
+            node.metrics.begun_over.inc();
+            warn!(logger, "a run of a job that is over is listed"; "job" => %task.job,
+                "task" => %task, "run" => run, "worker" => &**worker, "since_ms" => since_ms);
+        }
+        SchedulerNote::ViewOld { view_ms } => {
+            warn!(logger, "nothing is placed until the job log is read"; "view_ms" => view_ms);
+        }
         SchedulerNote::Worker { worker, change, runs } => {
             info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
         }
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -32,6 +32,17 @@
     Note(SchedulerNote),
 }
 
+/// By which way a record of a caller came to the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordSource {
+    /// From the entry that the caller asked, before the log has it.
+    Relayed,
+    /// Read from the log.
+    Read,
+    /// From the book, when this leader took over.
+    Restored,
+}
+
 /// A decision worth a log line.
 #[derive(Clone, Debug)]
 pub enum SchedulerNote {
@@ -99,6 +110,33 @@
         /// Time since it arrived, in milliseconds.
         age_ms: u64,
     },
+    /// A cancellation is taken in.
+    Cancelled {
+        /// Job.
+        job: JobId,
+        /// By which way it came.
+        source: RecordSource,
+        /// Whether the job is open, over, or not known yet.
+        found: &'static str,
+        /// Age of the view of the jobs, in milliseconds.
+        view_ms: u64,
+    },
+    /// A worker lists a run for the first time after its job was over.
+    BegunOver {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// Time since the stop was decided, in milliseconds.
+        since_ms: u64,
+    },
+    /// Nothing is placed, as the job log has not been read for too long.
+    ViewOld {
+        /// Age of the view of the jobs, in milliseconds.
+        view_ms: u64,
+    },
     /// What is believed of a worker changed.
     Worker {
         /// Worker.
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -5,8 +5,8 @@
 
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord};
-use crate::scheduler::Scheduler;
 use crate::scheduler::job::RunPhase;
+use crate::scheduler::{RecordSource, Scheduler};
 
 /// Bytes from which a commit takes no more: with the last record, and a last batch of another entry, it
 /// stays under the 2 MB that the platform takes in one append.
@@ -90,7 +90,7 @@
     /// log gets one append where each entry would make its own.
     pub fn relay(&mut self, token: u64, records: Vec<JobRecord>, now: u64) {
         for record in &records {
-            self.take_record(record, now);
+            self.take_record_from(RecordSource::Relayed, record, now);
         }
         self.commits.relayed.push_back((token, records));
     }
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::jobs::model::{JobId, ResourceVector, StepKey, StepSpec, TaskKey};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
 use crate::scheduler::worker::WorkerRun;
-use crate::scheduler::{Scheduler, SchedulerAction};
+use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
 /// Workers named in one question for permits, as the platform allows.
 const PERMIT_WORKERS_MAX: usize = 100;
@@ -45,7 +45,9 @@
     /// Places what is ready, best rank first.
     pub(crate) fn dispatch(&mut self, now: u64) {
         if !self.knows_jobs(now) {
-            self.is_blind = true;
+            if !std::mem::replace(&mut self.is_blind, true) {
+                self.note(SchedulerNote::ViewOld { view_ms: self.view_age_ms(now) });
+            }
             return;
         }
         let rooms = self.largest_rooms(now);
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -475,7 +475,7 @@
             task.checkpoint.clone_from(&told.checkpoint);
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
-        live.is_listed = true;
+        let was_listed = std::mem::replace(&mut live.is_listed, true);
         let is_confirmed = match live.phase {
             RunPhase::Starting => true,
             RunPhase::Inherited => is_settled,
@@ -498,6 +498,12 @@
                 task.failures = 0;
             }
         }
+        let is_stopping = live.phase == RunPhase::Stopping;
+        if is_over && is_stopping && !was_listed && live.begun_ms == 0 {
+            let (worker, since_ms) = (live.worker.clone(), now.saturating_sub(live.since_ms));
+            self.note(SchedulerNote::BegunOver { task: *key, run, worker, since_ms });
+            return;
+        }
         if is_over || task.is_done {
             self.stop_run(key, run, "job is over", now);
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -50,7 +50,7 @@
     MaintenanceWave, QueueSpec, SiteBounds, SiteConfig, VmEntry, WorkerEntry, life_name,
 };
 use crate::scheduler::abandoned::AbandonedRuns;
-pub use crate::scheduler::action::{SchedulerAction, SchedulerNote};
+pub use crate::scheduler::action::{RecordSource, SchedulerAction, SchedulerNote};
 use crate::scheduler::commit::CommitQueue;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
@@ -217,7 +217,7 @@
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
         let Some(submission) = &job.submission else {
             if job.is_cancelled {
-                self.cancel(id, now);
+                self.cancel(id, RecordSource::Restored, now);
             }
             return;
         };
@@ -305,6 +305,11 @@
         now <= self.jobs_ms + self.bounds.cancel_ms / 2
     }
 
+    /// Age of what we know of the jobs, in milliseconds.
+    pub fn view_age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.jobs_ms)
+    }
+
     fn is_confirmed(&self, now: u64) -> bool {
         now < self.confirmed_ms + CONFIRMATION_MS
     }
@@ -357,6 +362,10 @@
 
     /// A record of the job log that others may have written.
     pub fn take_record(&mut self, record: &JobRecord, now: u64) {
+        self.take_record_from(RecordSource::Read, record, now);
+    }
+
+    pub(crate) fn take_record_from(&mut self, source: RecordSource, record: &JobRecord, now: u64) {
         match record {
             JobRecord::Submitted(job, submission) => {
                 // Repeats of a submission come seconds late, also after the job is over.
@@ -377,7 +386,7 @@
                 self.scheduled.insert(*job);
                 self.needs_dispatch = true;
             }
-            JobRecord::Cancelled(job) => self.cancel(*job, now),
+            JobRecord::Cancelled(job) => self.cancel(*job, source, now),
             JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => {}
         }
     }
@@ -389,7 +398,14 @@
         self.shares.arrive(organisation, weight, now)
     }
 
-    fn cancel(&mut self, id: JobId, now: u64) {
+    fn cancel(&mut self, id: JobId, source: RecordSource, now: u64) {
+        let found = match self.jobs.get(&id) {
+            Some(job) if !job.state.is_final() => "open",
+            None if !self.finished.contains_key(&id) => "unknown",
+            _ => "over",
+        };
+        let view_ms = self.view_age_ms(now);
+        self.note(SchedulerNote::Cancelled { job: id, source, found, view_ms });
         let Some(job) = self.jobs.get_mut(&id) else {
             // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
             // relay. Forgotten, it would never be heard of again, and the job would run.
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -95,6 +95,7 @@
         &jobs.given_up,
         &jobs.stops,
         &jobs.vm_calls,
+        &jobs.cancellations,
     ] {
         count(family, "reason");
     }
