A throttle that may be carried out late is overruled until its run ends

Callers would see: a best-effort task that stands still for good, or works at too small a share, and a job that never ends. Cause: a throttle without an answer may be carried out seconds later, after newer ones. The newest was sent once, and a share that stays as it is was never sent again. Evidence: a throttle is lost, the share is raised to 100 afterwards, and in 10 s nothing is told again (tests/scheduler_kinds.rs, line 200). Change: a run with a throttle in doubt gets the present share again every 3 s. Enough: whatever comes late is in force for one such time at most; in the other direction the tails of the services already bring the next throttle. Test: a_throttle_that_may_come_late_is_overruled_again_and_again failed before at that line.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -51,8 +51,10 @@
     pub is_in_doubt: bool,
     /// Share of its speed that it may use, in percent.
     pub throttle: u32,
-    /// When the throttle was last changed, in milliseconds.
+    /// When the throttle was last sent, in milliseconds.
     pub throttled_ms: u64,
+    /// Whether a throttle had no answer: it may be carried out after newer ones.
+    pub is_throttle_in_doubt: bool,
 }
 
 impl LiveRun {
@@ -73,6 +75,7 @@
             is_in_doubt: false,
             throttle: 100,
             throttled_ms: 0,
+            is_throttle_in_doubt: false,
         }
     }
 
--- a/src/scheduler/throttle.rs
+++ b/src/scheduler/throttle.rs
@@ -13,6 +13,8 @@
 /// Share of a target, in percent, from which the tasks beside are slowed down. The gauge is rough
 /// and half a second old; the rest of the way is the reserve.
 const ALARM_PERCENT: u64 = 88;
+/// Time after which an unchanged share is sent again to a run that may yet get an older one, in milliseconds.
+const REPEAT_GAP_MS: u64 = 3_000;
 /// Share of a target, in percent, under which they may go faster.
 const CALM_PERCENT: u64 = 65;
 /// Step by which they go faster, in percent.
@@ -67,7 +69,8 @@
             return;
         }
         let percent = next_share(live.throttle, worst);
-        if percent == live.throttle {
+        let is_due = live.is_throttle_in_doubt && now >= live.throttled_ms + REPEAT_GAP_MS;
+        if percent == live.throttle && !is_due {
             return;
         }
         live.throttle = percent;
@@ -86,6 +89,7 @@
         if let Some(live) = task.live.iter_mut().find(|live| live.run == call.run) {
             // Not known whether it was applied: neither the old nor the new share can be assumed,
             // and the next adjustment must differ from both to be sent.
+            live.is_throttle_in_doubt = true;
             live.throttle = live.throttle.saturating_add(1).min(99);
             live.throttled_ms = 0;
         }
--- a/tests/scheduler_kinds.rs
+++ b/tests/scheduler_kinds.rs
@@ -176,6 +176,31 @@
     assert!(last > *shares.last().expect("throttled"), "{:?}", stage.throttles);
 }
 
+/// Guards against a best-effort task that stands still for good, as a throttle without an answer was carried out after
+/// newer ones.
+#[test]
+fn a_throttle_that_may_come_late_is_overruled_again_and_again() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let service = StepSpec { target_ms: 100, ..service_step(1) };
+    let filler = StepSpec { is_best_effort: true, ..service_step(1) };
+    let serving = stage.submit(1, job(vec![service]));
+    stage.submit(2, job(vec![filler]));
+    stage.advance(200);
+    stage.gauges.insert(task(serving, 0, 0), 95);
+    stage.loses_throttles = true;
+    stage.advance(1_000);
+    assert!(!stage.throttles.is_empty());
+    stage.gauges.insert(task(serving, 0, 0), 20);
+    stage.loses_throttles = false;
+    stage.advance(10_000);
+    let last = |stage: &Stage| stage.throttles.last().expect("throttled").1;
+    assert_eq!(last(&stage), 100);
+    let told = stage.throttles.len();
+    stage.advance(10_000);
+    assert!(stage.throttles.len() > told, "a late one would stay in force");
+    assert_eq!(last(&stage), 100);
+}
+
 /// The pool is full of batch work of a lower priority when a service needs a place. The least work is
 /// thrown away for it.
 #[test]
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -51,6 +51,8 @@
     pub leases: Vec<u64>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
+    /// Whether throttles go unanswered.
+    pub loses_throttles: bool,
     /// Whether commands wait in their lanes until the test empties them.
     pub lane_is_slow: bool,
     lane: Vec<(Arc<str>, TaskKey, u32)>,
@@ -123,6 +125,7 @@
             gauges: BTreeMap::new(),
             leases: Vec::new(),
             throttles: Vec::new(),
+            loses_throttles: false,
             lane_is_slow: false,
             lane: Vec::new(),
             reads_workers: true,
@@ -393,7 +396,7 @@
             SchedulerAction::Stop(target, call) => self.stop(&target.id, &call),
             SchedulerAction::Throttle(_, call, percent) => {
                 self.throttles.push((call.task, percent));
-                self.scheduler.throttled(&call, true);
+                self.scheduler.throttled(&call, !self.loses_throttles);
             }
             SchedulerAction::CommandVm(command, _) => {
                 self.vm_commands.push(command.clone());
