A new leader tells best-effort tasks their shares

Callers would see: a best-effort task that stays slowed, or stands still, for as long as it runs after its leader was lost. Found by reading, beside throttles that come late. Cause: the share that a run may use is not on the log; a successor took each run for unslowed, and sends a share only when it changes. Evidence: a run slowed to under 100 by the first leader is told nothing in 10 s under the second, with every tail low (tests/scheduler_kinds.rs, line 220). Change: the share of a run that was read from the log counts as in doubt, and is regulated from the middle. Enough: it is told with the first report, and raised or halved from there like any other. Test: a_successor_tells_shares_anew failed before at that line.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -7,6 +7,9 @@
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
 use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskSetbacks};
 
+/// Share of its speed from which a new leader regulates a run, in percent: what the leader before allowed is not known.
+const INHERITED_SHARE: u32 = 50;
+
 /// Where a run is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -266,6 +269,7 @@
             let Some(worker) = workers.get(usize::from(*position)) else { continue };
             let mut live = LiveRun::planned(worker.clone(), *run, 0);
             live.phase = RunPhase::Inherited;
+            (live.throttle, live.is_throttle_in_doubt) = (INHERITED_SHARE, true);
             task.live.push(live);
         }
     }
--- a/tests/scheduler_kinds.rs
+++ b/tests/scheduler_kinds.rs
@@ -201,6 +201,25 @@
     assert_eq!(last(&stage), 100);
 }
 
+/// Guards against a best-effort task that stays slowed for good, as the leader that slowed it is gone.
+#[test]
+fn a_successor_tells_shares_anew() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let service = StepSpec { target_ms: 100, ..service_step(1) };
+    let filler = StepSpec { is_best_effort: true, ..service_step(1) };
+    let serving = stage.submit(1, job(vec![service]));
+    stage.submit(2, job(vec![filler]));
+    stage.advance(200);
+    stage.gauges.insert(task(serving, 0, 0), 95);
+    stage.advance(1_000);
+    assert!(stage.throttles.last().expect("throttled").1 < 100);
+    stage.gauges.insert(task(serving, 0, 0), 20);
+    stage.throttles.clear();
+    stage.take_over(2, config());
+    stage.advance(10_000);
+    assert_eq!(stage.throttles.last().map(|(_, percent)| *percent), Some(100));
+}
+
 /// The pool is full of batch work of a lower priority when a service needs a place. The least work is
 /// thrown away for it.
 #[test]
