A start carries when it may no longer begin, and its worker refuses it from then on

Callers would see: a task of a job that begins seconds after the promised time from its acknowledged cancellation, though nobody decided anything wrong. Cause: only the decision of a start was bounded, by the age of the view of the jobs (half of the bound). The start's way was not: up to 1.2 s to an executor, 0.45 s for its call, and then without bound in a socket, in the queue of a narrow link or with a sender that stood still. The worker began it as long as its lease was not over, which is 6 to 10 s. A test that holds a start back for the rest of the bound showed it (below). Change: a start carries the earlier of the end of a whole lease and the time from which nothing of a job may start whose cancellation the leader has not been told of: all was known at the time that the view tells of, so such a cancellation was acknowledged later; 0.1 s is left to the worker. By the worker's clock that is a time which it has reached by then even if it is 2% slow, reckoned from the last sample, which is a lower bound. Platform's own means: workers refuse a start whose lease is over, and leases never shorten. The lease that the books take for possible is reckoned from what was sent. A short lease must not cost work: a worker that was idle, and holds no lease of that length, is renewed when its first run is planned, beside the append, and that renewal does not wait, so that its clock is known anew. A start that is refused as late goes out again at once by the clock that the refusal tells, after 60 ms if it tells none; while the view is old nothing is sent and the next look is 0.6 s later. Refusals are counted (late_lease). Why it is enough: whatever holds a start up after the decision, the worker's own clock decides; it does not rest on any speed.

Tests, tests/start_deadline.rs, failed before: a_start_that_comes_after_the_bound_is_refused (line 56), a_slow_clock_lets_no_start_begin_later (64), a_start_of_an_executor_that_comes_after_the_bound_is_refused (79), a_start_that_is_refused_as_late_goes_out_again_at_once (112), a_start_that_is_refused_as_late_is_not_sent_without_end (146, 91 sends in a second), a_worker_that_was_idle_is_given_a_lease_before_its_first_start (159), one_renewal_gives_the_whole_lease (177, a check of the new lease, not of a fault). The booked lease has a test of the new function. The stage's workers got clocks of their own, which may be slow, and refuse late starts as the platform's do; before, such a start was dropped and answered as done. The two tests of the view's age in tests/scheduler_behind.rs pass as they are.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -32,6 +32,9 @@
 const WITHHELD_GAP_MS: u64 = 400;
 /// Time between two tries to reach a worker that doesn't answer, in milliseconds.
 const SILENT_GAP_MS: u64 = 150;
+/// Age of a worker's last report from which the next one is not waited for, in milliseconds, longer than any
+/// renewal takes: it was idle, and its clock is to be known anew before its first start goes out.
+const IDLE_REPORT_MS: u64 = 4_000;
 /// Time that exits may wait for the log before the leases are renewed all the same, in
 /// milliseconds.
 const COMMIT_WAIT_MS: u64 = 400;
@@ -93,6 +96,7 @@
             && !worker.is_withheld();
         let wait = match waits {
             true if worker.has_waiting_suspect() => Duration::ZERO,
+            true if now > worker.report_ms + IDLE_REPORT_MS => Duration::ZERO,
             true if worker.has_starting_suspect() => renew_wait.min(PROBATION_WAIT),
             true => renew_wait,
             false => Duration::ZERO,
@@ -190,6 +194,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.sample_clock(report.clock_ms, now);
         worker.report_ms = now;
+        worker.hold_lease(call.lease_until_ms.unwrap_or(0));
         worker.exits_told = worker.exits_told.max(call.exits_through);
         let has_more = !report.exits.is_empty() || !report.running.is_empty();
         // The first report under our token gave no lease yet.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -79,6 +79,9 @@
 /// Workers with late answers that show it: so many, and one in so many; a few can be slow themselves.
 const LATE_WORKERS_MIN: usize = 3;
 const LATE_WORKERS_PART: usize = 16;
+/// What is left of the time until nothing of a cancelled job may start, in milliseconds: a worker takes a while from
+/// its look at the clock to the start.
+const START_MARGIN_MS: u64 = 100;
 /// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
 const LEASE_SLACK_MS: u64 = 200;
 
@@ -305,6 +308,12 @@
         now <= self.jobs_ms + self.bounds.cancel_ms / 2
     }
 
+    /// When the latest start that is decided now may begin, in milliseconds. A cancellation that we have not been told
+    /// of was acknowledged after the log held no more than we know.
+    pub(crate) fn start_deadline_ms(&self) -> u64 {
+        self.jobs_ms + self.bounds.cancel_ms.saturating_sub(START_MARGIN_MS)
+    }
+
     /// Age of what we know of the jobs, in milliseconds.
     pub fn view_age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.jobs_ms)
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -71,8 +71,13 @@
         }
         let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
         self.organisations.book(job.submission.organisation.as_ref(), &need);
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.book((*key, run), booked);
+        let whole_ms = self.bounds.cancel_ms;
+        if let Some(entry) = self.workers.get_mut(worker) {
+            // The lease that its start brings ends soon, and nothing was renewed while it was idle.
+            if entry.runs.is_empty() && !entry.holds_lease(whole_ms, now) {
+                self.actions.push(SchedulerAction::Wake(worker.clone()));
+            }
+            entry.book((*key, run), booked);
         }
         self.commits.start(*key, run);
         self.note(SchedulerNote::Placed { task: *key, run, worker: worker.clone(), age_ms });
@@ -183,7 +188,7 @@
         if self.is_deposed || !self.is_confirmed(now) {
             return None;
         }
-        let lease_ms = self.lease_ms();
+        let (lease_ms, deadline_ms) = (self.lease_ms(), self.start_deadline_ms());
         let id = self.live_mut(key, run)?.worker.clone();
         let fence = self.fence_of(&id);
         let live = self.live_mut(key, run)?;
@@ -204,7 +209,7 @@
         if worker.silent_since_ms.is_some() {
             return None;
         }
-        let lease_until_ms = worker.lease_until(lease_ms, now)?;
+        let lease_until_ms = worker.start_until(lease_ms, deadline_ms, now)?;
         let permits = self.permits.get(&key.step_key());
         let permit = permits.and_then(|permits| permits.allowed.get(&id)).cloned();
         let job = self.jobs.get(&key.job)?;
@@ -261,6 +266,12 @@
                     worker.sample_clock(*clock, now);
                 }
                 self.start_refused(worker, key, run, *refusal, now);
+                // The same start would be refused again.
+                if clock_ms.is_none()
+                    && let Some(live) = self.live_mut(key, run)
+                {
+                    live.retry_ms = live.retry_ms.max(now + REFUSED_PAUSE_MS);
+                }
             }
         }
     }
@@ -313,6 +324,7 @@
                 self.actions.push(SchedulerAction::Wake(id.clone()));
                 return;
             }
+            // It has not begun, and its worker's clock is known anew.
             CommandRefusal::LateLease => {
                 if let Some(live) = self.live_mut(key, run) {
                     live.retry_ms = now;
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -30,6 +30,26 @@
     received_ms: u64,
 }
 
+impl ClockSample {
+    /// What the clock shows at least at a time of ours that is later: it was read before `received_ms`, and may
+    /// be slow.
+    fn least_at(self, ms: u64) -> u64 {
+        let since = ms.saturating_sub(self.received_ms);
+        self.worker_ms + since * (100 - CLOCK_DRIFT_PERCENT) / 100
+    }
+
+    /// Latest time of ours at which it comes to show `worker_ms`.
+    fn latest_ms(self, worker_ms: u64) -> u64 {
+        let length = worker_ms.saturating_sub(self.worker_ms) * 100 / (100 - CLOCK_DRIFT_PERCENT);
+        self.received_ms + length + LEASE_MARGIN_MS
+    }
+
+    /// End of a lease that lasts `lease_ms` from now.
+    fn lease_end(self, lease_ms: u64, now: u64) -> u64 {
+        self.worker_ms + now.saturating_sub(self.received_ms) + lease_ms
+    }
+}
+
 /// How long a run has been seen at work, by its worker's clock: answers can be late, that clock is not.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkSpan {
@@ -119,6 +139,8 @@
     used: ResourceVector,
     clock: Option<ClockSample>,
     lease_bound_ms: u64,
+    /// End of the longest lease that a renewal is known to have given, on its clock.
+    held_until_ms: u64,
     verdicts: VecDeque<bool>,
     suspended_until_ms: u64,
     suspension_ms: u64,
@@ -151,6 +173,7 @@
             used: ResourceVector::default(),
             clock: None,
             lease_bound_ms,
+            held_until_ms: 0,
             verdicts: VecDeque::new(),
             suspended_until_ms: 0,
             suspension_ms: SUSPENSION_MS,
@@ -309,10 +332,7 @@
     /// Takes a sample of its clock. One that is behind what the last one leads to, by more than the clock
     /// may be slow, has been on its way for longer and tells less.
     pub fn sample_clock(&mut self, worker_ms: u64, received_ms: u64) {
-        let least_ms = self.clock.map(|clock| {
-            let since = received_ms.saturating_sub(clock.received_ms);
-            clock.worker_ms + since * (100 - CLOCK_DRIFT_PERCENT) / 100
-        });
+        let least_ms = self.clock.map(|clock| clock.least_at(received_ms));
         if least_ms.is_some_and(|least| worker_ms < least) {
             return;
         }
@@ -323,14 +343,30 @@
     /// Counts the lease: from here on its runs may last that long.
     pub fn lease_until(&mut self, lease_ms: u64, now: u64) -> Option<u64> {
         let clock = self.clock?;
-        let since = now.saturating_sub(clock.received_ms);
-        let until = clock.worker_ms + since + lease_ms;
-        // The sample is from before `received_ms`, and the clock may be slow: this is the latest
-        // time by ours at which its clock reaches `until`.
-        let length = (since + lease_ms) * 100 / (100 - CLOCK_DRIFT_PERCENT);
-        let bound = clock.received_ms + length + LEASE_MARGIN_MS;
-        self.lease_bound_ms = self.lease_bound_ms.max(bound);
-        Some(until)
+        Some(self.count_lease(clock, clock.lease_end(lease_ms, now)))
+    }
+
+    /// The same for the lease of a start that must not begin later than at `deadline_ms` by ours. The worker
+    /// refuses it from the end of its lease on, so that end is one that its clock has reached by then.
+    pub fn start_until(&mut self, lease_ms: u64, deadline_ms: u64, now: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let until = clock.lease_end(lease_ms, now).min(clock.least_at(deadline_ms));
+        Some(self.count_lease(clock, until))
+    }
+
+    fn count_lease(&mut self, clock: ClockSample, until: u64) -> u64 {
+        self.lease_bound_ms = self.lease_bound_ms.max(clock.latest_ms(until));
+        until
+    }
+
+    /// Takes in that it has answered a renewal that gave this lease.
+    pub fn hold_lease(&mut self, until: u64) {
+        self.held_until_ms = self.held_until_ms.max(until);
+    }
+
+    /// Whether a renewal has given it a lease that lasts for about so long.
+    pub fn holds_lease(&self, ms: u64, now: u64) -> bool {
+        self.clock.is_some_and(|clock| clock.lease_end(ms, now) <= self.held_until_ms)
     }
 
     /// Time by ours after which nothing that was started there can be alive without a renewal.
--- /dev/null
+++ b/tests/start_deadline.rs
@@ -0,0 +1,198 @@
+//! No start begins on a worker once a cancellation of its job could have been acknowledged for longer than is
+//! promised, however it came there.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::decide::executor::ExecutorStamp;
+use ibisweir::jobs::delegate::{DelegatedStart, StartBatch, carry_out};
+use ibisweir::jobs::model::TaskKey;
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, StartCall};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::scheduler::worker::WorkerRun;
+use ibisweir::scheduler::{SchedulerAction, SchedulerNote};
+use support::outside::{NotedWorkers, silent_node};
+use support::stage::{
+    Stage, WALL_OFFSET_MS, bounds, config, job, job_id, step, submission, task, worker,
+};
+
+/// A start that is on its way to the only worker, and when all was known that the job log held.
+struct HangingStart {
+    stage: Stage,
+    key: TaskKey,
+    shown_ms: u64,
+}
+
+impl HangingStart {
+    /// One that was sent by a view of the jobs that is almost as old as it may be.
+    fn open(slow_percent: u64, idle_ms: u64) -> HangingStart {
+        let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+        let w0 = stage.workers.get_mut("w0").expect("known");
+        w0.slow_percent = slow_percent;
+        w0.is_late = true;
+        stage.mutes_renewals = true;
+        stage.advance(idle_ms);
+        let shown_ms = stage.now;
+        stage.reads_jobs = false;
+        stage.advance(bounds().cancel_ms / 2 - 100);
+        let id = stage.submit(1, job(vec![step(1)]));
+        assert_eq!(stage.workers["w0"].late.len(), 1, "it is on its way");
+        HangingStart { stage, key: task(id, 0, 0), shown_ms }
+    }
+
+    /// Whether the worker carries it out if it comes that long after the view. The leader does nothing more.
+    fn begins_after(mut self, ms: u64) -> bool {
+        self.stage.now = self.shown_ms + ms;
+        self.stage.deliver_late("w0");
+        self.stage.starts(self.key) > 0
+    }
+}
+
+/// Guards against a start that was decided just before its job was cancelled and that the network delivers seconds
+/// later, while its leader stands still and sends no stop.
+#[test]
+fn a_start_that_comes_after_the_bound_is_refused() {
+    assert!(!HangingStart::open(0, 0).begins_after(bounds().cancel_ms));
+    assert!(HangingStart::open(0, 0).begins_after(bounds().cancel_ms - 200), "it came in time");
+}
+
+/// Guards against the same on a worker whose clock is slow, and was last read a while ago.
+#[test]
+fn a_slow_clock_lets_no_start_begin_later() {
+    for idle_ms in [0, 20_000] {
+        assert!(!HangingStart::open(2, idle_ms).begins_after(bounds().cancel_ms));
+        let early_ms = bounds().cancel_ms - 200;
+        assert!(HangingStart::open(2, idle_ms).begins_after(early_ms), "it came in time");
+    }
+}
+
+/// Guards against the same start when another entry carries it out for the leader.
+#[tokio::test]
+async fn a_start_of_an_executor_that_comes_after_the_bound_is_refused() {
+    for (after_ms, begins) in [(bounds().cancel_ms, false), (bounds().cancel_ms - 200, true)] {
+        let mut start = HangingStart::open(0, 0);
+        let w0 = start.stage.workers.get_mut("w0").expect("known");
+        let sent: Vec<StartCall> = std::mem::take(&mut w0.late);
+        let carried = carry_out_all(&sent).await;
+        start.stage.workers.get_mut("w0").expect("known").late = carried;
+        assert_eq!(start.begins_after(after_ms), begins);
+    }
+}
+
+/// What an executor sends to the worker for these starts.
+async fn carry_out_all(sent: &[StartCall]) -> Vec<StartCall> {
+    let (node, workers) = (silent_node(), NotedWorkers::default());
+    let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
+    node.fold(&[(0, record)]);
+    let delegated = |call: &StartCall| DelegatedStart {
+        worker: "w0".into(),
+        address: worker("w0", "r0").address,
+        task: call.task,
+        run: call.run,
+        lease_until_ms: call.lease_until_ms,
+        fence: call.fence,
+        checkpoint: call.checkpoint.clone(),
+        permit: call.permit.clone(),
+    };
+    let stamp = ExecutorStamp { life: node.life, sent_ms: node.now() };
+    let batch = StartBatch { stamp, starts: sent.iter().map(delegated).collect() };
+    let body = postcard::to_stdvec(&batch).expect("plain values");
+    carry_out(&node, &workers, &body).await.expect("it can be read");
+    workers.starts().clone()
+}
+
+/// Guards against a task that waits long for a worker that was idle, whose clock is ahead of what is known of it.
+#[test]
+fn a_start_that_is_refused_as_late_goes_out_again_at_once() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    stage.mutes_renewals = true;
+    stage.advance(200_000);
+    let id = stage.submit(1, job(vec![step(1)]));
+    assert_eq!(stage.workers["w0"].refused_late, 1);
+    assert_eq!(stage.starts(task(id, 0, 0)), 1);
+    let is_late = |note: &&SchedulerNote| {
+        matches!(note, SchedulerNote::StartRefused { reason: "late_lease", .. })
+    };
+    assert_eq!(stage.notes.iter().filter(is_late).count(), 1, "operators see it");
+}
+
+/// Guards against a leader that sends refused starts again and again, with nothing new to say: its view of the jobs
+/// is old, or the worker does not tell its clock.
+#[test]
+fn a_start_that_is_refused_as_late_is_not_sent_without_end() {
+    for is_view_old in [true, false] {
+        let mut start = HangingStart::open(0, 0);
+        let (key, stage) = (start.key, &mut start.stage);
+        let clock_ms = is_view_old.then_some(stage.now + bounds().cancel_ms);
+        let refused = CommandOutcome::Refused(CommandRefusal::LateLease, clock_ms);
+        let mut sent = 0;
+        for _ in 0..100 {
+            stage.now += 10;
+            let now = stage.now;
+            stage.scheduler.confirm(now);
+            if !is_view_old {
+                stage.scheduler.jobs_read(now);
+            }
+            stage.scheduler.tick(now, WALL_OFFSET_MS + now);
+            let actions = stage.scheduler.take_actions();
+            for _ in actions.iter().filter(|action| matches!(action, SchedulerAction::Send(..))) {
+                sent += 1;
+                if stage.scheduler.command(&key, 1, now).is_some() {
+                    stage.scheduler.started(&"w0".into(), &key, 1, &refused, now);
+                }
+            }
+        }
+        assert!((1..=20).contains(&sent), "{sent} in a second");
+    }
+}
+
+/// Guards against work that lapses as its lease was that of its start: a worker that was idle is to have a whole
+/// lease before its first start comes.
+#[test]
+fn a_worker_that_was_idle_is_given_a_lease_before_its_first_start() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    stage.advance(10_000);
+    stage.woken.clear();
+    stage.log_is_up = false;
+    let id = stage.submit(1, job(vec![step(1)]));
+    assert_eq!(stage.woken, ["w0".into()], "while the start waits for the log");
+    let whole_ms = stage.now + bounds().lease_max_ms - 300;
+    assert!(stage.workers["w0"].lease_until_ms >= whole_ms);
+    stage.mutes_renewals = true;
+    stage.log_is_up = true;
+    stage.pump();
+    assert!(stage.workers["w0"].lease_until_ms >= whole_ms, "its start does not shorten it");
+    stage.advance_unconfirmed(bounds().cancel_ms);
+    assert_eq!(stage.alive(task(id, 0, 0)), 1);
+}
+
+/// Guards against the same where that renewal is lost: the next one gives the whole lease.
+#[test]
+fn one_renewal_gives_the_whole_lease() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    stage.advance(10_000);
+    stage.mutes_renewals = true;
+    stage.submit(1, job(vec![step(1)]));
+    assert!(stage.workers["w0"].lease_until_ms <= stage.now + bounds().cancel_ms);
+    stage.mutes_renewals = false;
+    stage.advance(20);
+    assert!(stage.workers["w0"].lease_until_ms >= stage.now + bounds().lease_max_ms - 300);
+}
+
+/// Guards against a task that is started a second time while its first run may be alive, and against one that waits
+/// longer than that: a short lease is booked as long as it may last, on a clock that is right and on one that is slow.
+#[test]
+fn the_lease_of_a_start_is_booked_as_long_as_it_may_last() {
+    let (sampled_ms, deadline_ms) = (100_000, 102_900);
+    let mut booked = WorkerRun::new(worker("w0", "r0"), 0, 0);
+    booked.sample_clock(50_000, sampled_ms);
+    let until = booked.start_until(5_800, deadline_ms, 101_000).expect("its clock is known");
+    let bound = booked.lease_bound_ms();
+    for percent in [98, 100] {
+        let clock = |ms: u64| 50_000 + (ms - sampled_ms) * percent / 100;
+        assert!(clock(deadline_ms) >= until, "no start begins after the deadline");
+        assert!(clock(bound) >= until, "nothing is alive after the bound");
+    }
+    assert!(bound <= deadline_ms + 200, "{bound}");
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -49,6 +49,8 @@
     pub gauges: BTreeMap<TaskKey, u64>,
     /// Ends of leases that renewals asked for.
     pub leases: Vec<u64>,
+    /// Workers whose leases were to be renewed at once, in order.
+    pub woken: Vec<Arc<str>>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
     /// Whether commands wait in their lanes until the test empties them.
@@ -122,6 +124,7 @@
             permits_used: Vec::new(),
             gauges: BTreeMap::new(),
             leases: Vec::new(),
+            woken: Vec::new(),
             throttles: Vec::new(),
             lane_is_slow: false,
             lane: Vec::new(),
@@ -413,9 +416,11 @@
                 self.notes.push(note);
                 return false;
             }
-            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) | SchedulerAction::Forget(_) => {
+            SchedulerAction::Wake(worker) => {
+                self.woken.push(worker);
                 return false;
             }
+            SchedulerAction::Watch(_) | SchedulerAction::Forget(_) => return false,
         }
         true
     }
@@ -445,7 +450,7 @@
         let outcome = match self.reach(id) {
             Some(worker) if !worker.is_silent => {
                 worker.stop(call.task, call.run, now);
-                CommandOutcome::Done(now)
+                CommandOutcome::Done(worker.clock_ms(now))
             }
             _ => CommandOutcome::Unknown,
         };
@@ -462,14 +467,19 @@
             worker.late.push(call.clone());
             return CommandOutcome::Unknown;
         }
+        let clock_ms = worker.clock_ms(now);
+        let refuse = |refusal| CommandOutcome::Refused(refusal, Some(clock_ms));
         if call.fence < worker.fence {
-            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(now));
+            return refuse(CommandRefusal::Fenced);
+        }
+        if worker.is_too_late(call, now) {
+            return refuse(CommandRefusal::LateLease);
         }
         if worker.is_full {
-            return CommandOutcome::Refused(CommandRefusal::NoRoom, Some(now));
+            return refuse(CommandRefusal::NoRoom);
         }
         if worker.refused.contains(&(call.task, call.run)) {
-            return CommandOutcome::Refused(CommandRefusal::OldRun, Some(now));
+            return refuse(CommandRefusal::OldRun);
         }
         if worker.begin(call, now) {
             if self.instant_tasks.contains(&call.task) {
@@ -481,7 +491,7 @@
         if self.crashers.contains(&call.task) && !self.answers_before_crash {
             return CommandOutcome::Unknown;
         }
-        CommandOutcome::Done(self.now)
+        CommandOutcome::Done(clock_ms)
     }
 
     /// Carries out the starts that went unanswered on a worker.
@@ -526,9 +536,10 @@
         let outcome = if worker.is_silent {
             CommandOutcome::Unknown
         } else if is_fenced_off {
-            CommandOutcome::Refused(CommandRefusal::Fenced, Some(now))
+            CommandOutcome::Refused(CommandRefusal::Fenced, Some(worker.clock_ms(now)))
         } else if worker.is_stale {
-            CommandOutcome::Done(WorkerReport { clock_ms: now, ..WorkerReport::default() })
+            let clock_ms = worker.clock_ms(now);
+            CommandOutcome::Done(WorkerReport { clock_ms, ..WorkerReport::default() })
         } else {
             worker.exits.retain(|exit| exit.number > call.exits_through);
             let born_ms = present.rsplit_once('@').and_then(|(_, born)| born.parse().ok());
--- a/tests/support/stage_worker.rs
+++ b/tests/support/stage_worker.rs
@@ -5,6 +5,8 @@
 use ibisweir::jobs::model::{ExitKind, TaskKey};
 use ibisweir::jobs::ports::{RunningTask, StartCall, TaskExit, WorkerReport};
 
+use super::pieces::START_MS;
+
 /// What a worker on the stage holds.
 #[derive(Clone, Debug, Default)]
 pub struct StageWorker {
@@ -30,6 +32,10 @@
     pub late: Vec<StartCall>,
     /// End of the leases of all that runs.
     pub lease_until_ms: u64,
+    /// By how much its clock is slow, in percent.
+    pub slow_percent: u64,
+    /// Starts that it refused as their leases would have been over.
+    pub refused_late: usize,
     /// Highest fencing token seen.
     pub fence: u64,
     /// Exits listed so far.
@@ -37,9 +43,21 @@
 }
 
 impl StageWorker {
+    /// Its own clock.
+    pub fn clock_ms(&self, now: u64) -> u64 {
+        START_MS + (now - START_MS) * (100 - self.slow_percent) / 100
+    }
+
+    /// Whether the lease of a start is over; such a one is refused.
+    pub(super) fn is_too_late(&mut self, call: &StartCall, now: u64) -> bool {
+        let is_late = call.lease_until_ms <= self.clock_ms(now);
+        self.refused_late += usize::from(is_late);
+        is_late
+    }
+
     pub(super) fn begin(&mut self, call: &StartCall, now: u64) -> bool {
         let key = (call.task, call.run);
-        if call.fence < self.fence || call.lease_until_ms <= now {
+        if call.fence < self.fence || self.is_too_late(call, now) {
             return false;
         }
         self.fence = call.fence;
@@ -53,7 +71,7 @@
 
     /// Kills what runs once its lease is over.
     pub(super) fn expire(&mut self, now: u64) {
-        if now < self.lease_until_ms {
+        if self.clock_ms(now) < self.lease_until_ms {
             return;
         }
         let lapsed: Vec<(TaskKey, u32)> = self.running.keys().copied().collect();
@@ -102,7 +120,7 @@
             gauge: gauges.get(task).copied(),
         });
         WorkerReport {
-            clock_ms: now,
+            clock_ms: self.clock_ms(now),
             running: running.collect(),
             exits: self.exits.clone(),
             ..WorkerReport::default()
