What a new leader knows counts from when it was known, not from when it began

Callers would see: a job that was cancelled while the leadership changes has tasks begin after the promised time, or, where nobody guards, a worker is brought over a room that had shrunk. On a weak link the reading of the workers takes seconds, between the takeover's reading of the log and its first start. Cause: the view of the jobs, the confirmation of the leadership and the rooms all counted as of the moment at which the scheduler was opened. Change: the view counts from before the first try to raise the epoch (a repeat of one whose answer was lost is answered with the end that the first had found), or from a later reading of the log while the workers were read; the leadership from the newest claim or renewal, also one that was sent during the takeover, which was dropped before; the rooms from when the first page of them was asked for, also when the workers are read anew later. Why it is enough: each of the three is a time at which what is in the book, on the leadership stream or in the pages was still all there was.

Tests, tests/takeover_view.rs, a leader on a log of its own with the workers held up; failed before: a_takeover_with_an_old_view_of_the_jobs_starts_nothing (line 203), a_takeover_that_is_not_confirmed_any_more_starts_nothing (237), a_takeover_with_an_old_view_of_the_workers_starts_nothing_where_nobody_guards (249). Two more show that a quick takeover starts at once, and that a reading during a takeover counts. Each of the three times, and the reading during the takeover, taken out once: one test fails for each. Not changed: a reading of the workers with news that waited for them still counts from its answer; rooms may be 0.7 s and the answer's way older.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -3,7 +3,7 @@
 //! One task drives the scheduler and hands out what it decides, to the workers by their lanes
 //! (`lanes.rs`); one task commits to the log. All end together when the leadership does.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -74,10 +74,23 @@
     pub wave_encoder: WaveEncoder,
 }
 
+/// A term that begins.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderTerm {
+    /// Its number.
+    pub number: u64,
+    /// The leader before, as last seen.
+    pub predecessor: Option<LeaderTrace>,
+    /// When the append that it rests on was sent, in milliseconds.
+    pub confirmed_ms: u64,
+}
+
 /// A running leader.
 pub struct Conductor {
+    node: Arc<JobNode>,
     main: AbortHandle,
     vm_commands: Arc<AtomicUsize>,
+    confirmed_ms: Arc<AtomicU64>,
 }
 
 impl Conductor {
@@ -85,8 +98,7 @@
     pub fn spawn<L, W, V, P>(
         node: Arc<JobNode>,
         parts: ConductorParts<L, W, V, P>,
-        term: u64,
-        predecessor: Option<LeaderTrace>,
+        term: LeaderTerm,
     ) -> Conductor
     where
         L: JobLog,
@@ -94,23 +106,35 @@
         V: VmClient,
         P: PermitClient,
     {
-        let (teller, statuses) =
-            WaveTeller::open(parts.log.clone(), parts.wave_encoder, node.logger.clone(), term);
+        let (teller, statuses) = WaveTeller::open(
+            parts.log.clone(),
+            parts.wave_encoder,
+            node.logger.clone(),
+            term.number,
+        );
         let (lanes, delegate) = WorkerLanes::open(node.clone(), parts.workers.clone());
         let run = LeaderRun {
-            node,
+            node: node.clone(),
             parts,
-            term,
+            term: term.number,
             sequence: Mutex::new(0),
             patience: Mutex::new(PatienceGauge::new(APPEND_PATIENCE)),
             lanes,
             commit_wake: Notify::new(),
             statuses,
             vm_commands: Arc::default(),
+            confirmed_ms: Arc::new(AtomicU64::new(term.confirmed_ms)),
         };
-        let vm_commands = run.vm_commands.clone();
-        let main = tokio::spawn(Arc::new(run).lead(teller, delegate, predecessor)).abort_handle();
-        Conductor { main, vm_commands }
+        let (vm_commands, confirmed_ms) = (run.vm_commands.clone(), run.confirmed_ms.clone());
+        let leading = Arc::new(run).lead(teller, delegate, term.predecessor);
+        let main = tokio::spawn(leading).abort_handle();
+        Conductor { node, main, vm_commands, confirmed_ms }
+    }
+
+    /// The log has confirmed the leadership with an append that was sent at `sent_ms`; also while it takes over.
+    pub fn confirm(&self, sent_ms: u64) {
+        self.confirmed_ms.fetch_max(sent_ms, Ordering::AcqRel);
+        self.node.with_scheduler(|scheduler| scheduler.confirm(sent_ms));
     }
 
     /// Whether a command to a VM is waiting for its answer; no new one is sent while the entry stops.
@@ -140,6 +164,8 @@
     statuses: mpsc::UnboundedSender<(u64, bool)>,
     /// Commands to VMs that were not answered yet.
     vm_commands: Arc<AtomicUsize>,
+    /// When the newest confirmation of the leadership was sent, in milliseconds.
+    confirmed_ms: Arc<AtomicU64>,
 }
 
 impl<L, W, V, P> LeaderRun<L, W, V, P>
@@ -155,15 +181,20 @@
         delegate: StartDelegate,
         predecessor: Option<LeaderTrace>,
     ) {
+        // A try without an answer may have been done; a later one is then answered with the end that it had found.
+        let raised_ms = self.node.now();
         let Some(end) = self.raise_epoch().await else { return };
         self.read_through(end).await;
-        let Some((tail, workers)) = self.first_workers().await else { return };
+        let (tail, workers, rooms_ms) = self.first_workers().await;
         let Some(config) = self.node.config() else { return };
         let start = SchedulerStart {
             term: self.term,
             bounds: self.node.settings.bounds,
             config,
             predecessor,
+            confirmed_ms: self.confirmed_ms.load(Ordering::Acquire),
+            jobs_ms: raised_ms.max(self.node.jobs_ms()),
+            rooms_ms,
             now: self.node.now(),
             wall_ms: self.node.clock.wall_ms(),
         };
@@ -256,11 +287,16 @@
         }
     }
 
-    async fn first_workers(&self) -> Option<(TailReader, Vec<WorkerEntry>)> {
+    /// What workers say of themselves, and when the first page of it was asked for.
+    async fn first_workers(&self) -> (TailReader, Vec<WorkerEntry>, u64) {
         let mut tail = TailReader::new(LogTopic::Workers);
+        let mut asked_ms = self.node.now();
         loop {
+            if !tail.has_pages() {
+                asked_ms = self.node.now();
+            }
             if let TailStep::Snapshot(records) = tail.next(&self.parts.log, Duration::ZERO).await {
-                return Some((tail, self.decode_workers(&records)));
+                return (tail, self.decode_workers(&records), asked_ms);
             }
             sleep(REPEAT_PAUSE).await;
         }
@@ -278,7 +314,11 @@
     }
 
     async fn follow_workers(self: Arc<Self>, mut tail: TailReader) {
+        let mut asked_ms = self.node.now();
         loop {
+            if !tail.has_pages() {
+                asked_ms = self.node.now();
+            }
             let step = tail.next(&self.parts.log, WORKERS_WAIT).await;
             let now = self.node.now();
             match step {
@@ -287,7 +327,7 @@
                     self.node.touch();
                     self.node.with_scheduler(|scheduler| {
                         scheduler.workers_listed(entries, now);
-                        scheduler.rooms_read(now);
+                        scheduler.rooms_read(asked_ms);
                     });
                 }
                 TailStep::Records(records) => {
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -82,6 +82,11 @@
         self.is_at_end
     }
 
+    /// Whether it is between two pages of a snapshot.
+    pub fn has_pages(&self) -> bool {
+        self.partial.end.is_some()
+    }
+
     /// Goes on from a later offset: what lies before was read another way.
     pub fn skip_to(&mut self, position: u64) {
         if let Some(own) = &mut self.position {
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -10,7 +10,7 @@
 use crate::decide::leadership::{
     HolderId, LeaderTrace, LeadershipAct, LeadershipRecord, LeadershipView, RENEWAL_MS,
 };
-use crate::jobs::conductor::{Conductor, ConductorParts};
+use crate::jobs::conductor::{Conductor, ConductorParts, LeaderTerm};
 use crate::jobs::node::JobNode;
 use crate::jobs::patience::PatienceGauge;
 use crate::jobs::ports::{
@@ -172,12 +172,13 @@
 
     async fn claim(&mut self) -> Duration {
         let predecessor = self.view.predecessor(&self.own);
+        let sent_ms = self.node.now();
         match self.append(LeadershipAct::Claim).await {
             AppendOutcome::Done { .. } => {
                 let now = self.node.now();
                 let record = self.record(LeadershipAct::Claim);
                 self.view.fold(self.view.end, &record, now);
-                self.begin(predecessor);
+                self.begin(predecessor, sent_ms);
                 Duration::from_millis(RENEWAL_MS)
             }
             // Somebody was faster; what was appended tells who.
@@ -207,10 +208,11 @@
     /// It may have been read by others long ago, and one of them may be claiming by now. So a renewal
     /// comes first: only if the stream still ends with ours do we begin.
     async fn take_up(&mut self, pending: PendingClaim) -> Duration {
+        let sent_ms = self.node.now();
         match self.append(LeadershipAct::Renew).await {
             AppendOutcome::Done { end, .. } => {
                 self.view.renewed(end, self.node.now());
-                self.begin(pending.predecessor);
+                self.begin(pending.predecessor, sent_ms);
                 Duration::from_millis(RENEWAL_MS)
             }
             AppendOutcome::EndMoved { .. } | AppendOutcome::Unknown => {
@@ -223,14 +225,16 @@
         }
     }
 
-    fn begin(&mut self, predecessor: Option<LeaderTrace>) {
+    /// Begins to lead, by an append that was sent at `sent_ms`.
+    fn begin(&mut self, predecessor: Option<LeaderTrace>, sent_ms: u64) {
         self.pending = None;
         self.is_in_doubt = false;
         self.node.set_leader(None);
         info!(self.node.logger, "leading"; "term" => self.view.term);
         self.node.metrics.takeovers.inc();
         let (node, parts) = (self.node.clone(), self.parts.clone());
-        self.conductor = Some(Conductor::spawn(node, parts, self.view.term, predecessor));
+        let term = LeaderTerm { number: self.view.term, predecessor, confirmed_ms: sent_ms };
+        self.conductor = Some(Conductor::spawn(node, parts, term));
     }
 
     async fn lead(&mut self) -> Duration {
@@ -282,7 +286,9 @@
 
     fn confirm(&mut self, sent_ms: u64) {
         self.node.touch();
-        self.node.with_scheduler(|scheduler| scheduler.confirm(sent_ms));
+        if let Some(conductor) = &self.conductor {
+            conductor.confirm(sent_ms);
+        }
     }
 
     fn step_down(&mut self, cause: &'static str) {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -63,6 +63,8 @@
     /// Appends of our own beyond the book's end, by their offset, and their ends.
     own_ranges: Mutex<BTreeMap<u64, u64>>,
     own_ms: AtomicU64,
+    /// When the job log held no more than the book has, in milliseconds.
+    jobs_ms: AtomicU64,
     is_loaded: AtomicBool,
     waves: Mutex<BTreeMap<u64, MaintenanceWave>>,
     scheduler: Mutex<Option<Scheduler>>,
@@ -95,6 +97,7 @@
             book_end: AtomicU64::new(0),
             own_ranges: Mutex::default(),
             own_ms: AtomicU64::new(0),
+            jobs_ms: AtomicU64::new(0),
             is_loaded: AtomicBool::new(false),
             waves: Mutex::new(BTreeMap::new()),
             scheduler: Mutex::new(None),
@@ -228,11 +231,17 @@
         is_whole
     }
 
-    /// The scheduler has been told of all that the job log held at `shown_ms`.
+    /// The book has all that the job log held at `shown_ms`, and the scheduler has been told of it.
     pub fn jobs_shown(&self, shown_ms: u64) {
+        self.jobs_ms.fetch_max(shown_ms, Ordering::AcqRel);
         self.with_scheduler(|scheduler| scheduler.jobs_read(shown_ms));
     }
 
+    /// When the job log last held no more than the book has, in milliseconds.
+    pub fn jobs_ms(&self) -> u64 {
+        self.jobs_ms.load(Ordering::Acquire)
+    }
+
     /// The book has all before `end`, and what this entry has appended from there on; returns whether that
     /// leaves nothing of our own beyond it.
     fn reach(&self, end: u64) -> bool {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -95,6 +95,12 @@
     pub config: Arc<SiteConfig>,
     /// The leader before, as last seen.
     pub predecessor: Option<LeaderTrace>,
+    /// When the newest confirmation of this leadership was sent, in milliseconds.
+    pub confirmed_ms: u64,
+    /// When the job log held no more than the book has, in milliseconds.
+    pub jobs_ms: u64,
+    /// When what workers say of themselves was asked for, in milliseconds.
+    pub rooms_ms: u64,
     /// Now, in milliseconds of the steady clock.
     pub now: u64,
     /// Now, in milliseconds since the epoch.
@@ -166,7 +172,7 @@
 impl Scheduler {
     /// Takes over from the log: every run that it tells of may be alive.
     pub fn open(start: SchedulerStart, book: &JobBook) -> Scheduler {
-        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms } = start;
+        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms, .. } = start;
         // The leader before extends no lease later than this long after it was last confirmed.
         let lease_ms = bounds.lease_max_ms * 100 / 98 + 100;
         let foreign_bound_ms =
@@ -183,7 +189,7 @@
             retired: HashMap::new(),
             foreign_bound_ms,
             vm_bound_ms,
-            confirmed_ms: now,
+            confirmed_ms: start.confirmed_ms,
             is_deposed: false,
             jobs: HashMap::new(),
             scheduled: BTreeSet::new(),
@@ -196,8 +202,8 @@
             lives: LifeBook::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareBook::default(),
-            rooms_ms: now,
-            jobs_ms: now,
+            rooms_ms: start.rooms_ms,
+            jobs_ms: start.jobs_ms,
             is_blind: false,
             permits: HashMap::new(),
             commits: CommitQueue::default(),
--- a/src/scheduler/room.rs
+++ b/src/scheduler/room.rs
@@ -18,9 +18,9 @@
 const ROOM_AGE_MS: u64 = 2_000;
 
 impl Scheduler {
-    /// What the workers say of themselves has been read through to its end.
-    pub fn rooms_read(&mut self, now: u64) {
-        self.rooms_ms = now;
+    /// What the workers say of themselves has been read through to its end, as it was at `shown_ms`.
+    pub fn rooms_read(&mut self, shown_ms: u64) {
+        self.rooms_ms = self.rooms_ms.max(shown_ms);
         self.needs_dispatch = true;
     }
 
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -155,6 +155,9 @@
             bounds: bounds(),
             config: Arc::new(config()),
             predecessor: None,
+            confirmed_ms: 100_000,
+            jobs_ms: 100_000,
+            rooms_ms: 100_000,
             now: 100_000,
             wall_ms: 1_000_000,
         };
--- a/tests/support/outside.rs
+++ b/tests/support/outside.rs
@@ -32,6 +32,9 @@
         bounds: bounds(),
         config: Arc::new(config()),
         predecessor: None,
+        confirmed_ms: node.now(),
+        jobs_ms: node.now(),
+        rooms_ms: node.now(),
         now: node.now(),
         wall_ms: node.clock.wall_ms(),
     };
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -563,6 +563,9 @@
         bounds,
         config: Arc::new(config),
         predecessor,
+        confirmed_ms: now,
+        jobs_ms: now,
+        rooms_ms: now,
         now,
         wall_ms: WALL_OFFSET_MS + now,
     };
--- /dev/null
+++ b/tests/takeover_view.rs
@@ -0,0 +1,257 @@
+//! What a new leader knows counts from when it was known, not from when it was read in.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibisweir::control::ControlLoop;
+use ibisweir::decide::leadership::{HolderId, LeadershipView};
+use ibisweir::jobs::conductor::ConductorParts;
+use ibisweir::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
+use ibisweir::jobs::model::StepKey;
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::patience::PatienceGauge;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, CommandOutcome, JobLog, LogBatch, LogTopic, NewestPage,
+    PermitClient, PermitGrant, ReadOutcome, RenewCall, RunCall, StartCall, VmClient, VmCommand,
+    VmOutcome, VmStamp, WorkerClient, WorkerReport, WorkerTarget,
+};
+use ibisweir::jobs::record::{JobRecord, KeyedRecord};
+use ibisweir::jobs::site::{PoolSpec, SiteConfig, VmEntry};
+use support::stage::{bounds, config, job, job_id, site_settings, step, submission, worker};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// A log that answers at once, but for what the test holds up.
+#[derive(Clone, Default)]
+struct HeldLog {
+    ends: Arc<Mutex<[u64; 2]>>,
+    /// Time that the first reading of the workers takes, in milliseconds.
+    workers_ms: Arc<AtomicU64>,
+    /// Whether the workers are not read on.
+    holds_rooms: Arc<AtomicBool>,
+    /// Whether claims and renewals are not answered any more.
+    holds_leadership: Arc<AtomicBool>,
+}
+
+impl HeldLog {
+    fn end(&self, topic: LogTopic, by: u64) -> u64 {
+        let mut ends = self.ends.lock().expect("no panic before");
+        let end = &mut ends[usize::from(topic == LogTopic::Leadership)];
+        *end += by;
+        *end
+    }
+}
+
+impl JobLog for HeldLog {
+    async fn append(&self, call: &AppendCall, patience: Duration) -> AppendOutcome {
+        let is_claim = call.topic == LogTopic::Leadership;
+        if is_claim && self.holds_leadership.load(Ordering::Relaxed) {
+            sleep(patience).await;
+            return AppendOutcome::Unknown;
+        }
+        let count = u64::try_from(call.records.len()).expect("few");
+        let end = self.end(call.topic, count);
+        AppendOutcome::Done { offset: end - count, end }
+    }
+
+    async fn read(&self, topic: LogTopic, from: u64, wait: Duration) -> ReadOutcome {
+        sleep(wait.max(Duration::from_millis(20))).await;
+        let is_held = match topic {
+            LogTopic::Workers => self.holds_rooms.load(Ordering::Relaxed),
+            LogTopic::Leadership => self.holds_leadership.load(Ordering::Relaxed),
+            LogTopic::Jobs | LogTopic::Operator | LogTopic::Status => false,
+        };
+        match is_held {
+            true => ReadOutcome::Unknown,
+            false => ReadOutcome::Read(LogBatch { end: from, next: from, records: Vec::new() }),
+        }
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        sleep(Duration::from_millis(self.workers_ms.load(Ordering::Relaxed))).await;
+        let record = KeyedRecord { key: "w0".to_owned(), value: b"w0".to_vec() };
+        Some(NewestPage { records: vec![(0, record)], has_more: false, end: 1 })
+    }
+}
+
+/// A worker that does what it is told.
+#[derive(Clone, Default)]
+struct GoodWorker {
+    starts: Arc<AtomicU64>,
+}
+
+impl WorkerClient for GoodWorker {
+    async fn renew(
+        &self,
+        _: &WorkerTarget,
+        call: &RenewCall,
+        _: Duration,
+    ) -> CommandOutcome<WorkerReport> {
+        sleep(call.wait.max(Duration::from_millis(5))).await;
+        CommandOutcome::Done(WorkerReport { clock_ms: 40, ..WorkerReport::default() })
+    }
+
+    async fn start(&self, _: &WorkerTarget, _: &StartCall, _: Duration) -> CommandOutcome<u64> {
+        self.starts.fetch_add(1, Ordering::Relaxed);
+        CommandOutcome::Done(40)
+    }
+
+    async fn stop(&self, _: &WorkerTarget, _: &RunCall, _: Duration) -> CommandOutcome<u64> {
+        CommandOutcome::Done(40)
+    }
+
+    async fn throttle(
+        &self,
+        _: &WorkerTarget,
+        _: &RunCall,
+        _: u32,
+        _: Duration,
+    ) -> CommandOutcome<u64> {
+        CommandOutcome::Done(40)
+    }
+}
+
+#[derive(Clone)]
+struct Nobody;
+
+impl VmClient for Nobody {
+    async fn list(&self) -> Option<Vec<VmEntry>> {
+        None
+    }
+
+    async fn command(&self, _: &VmCommand, _: &VmStamp, _: impl Fn() -> bool + Send) -> VmOutcome {
+        VmOutcome::Refused
+    }
+}
+
+impl PermitClient for Nobody {
+    async fn ask(&self, _: &StepKey, _: &[Arc<str>]) -> Option<PermitGrant> {
+        None
+    }
+}
+
+/// An entry that takes over, with one job that waits. Nobody reads the job log for it but the takeover itself.
+struct Takeover {
+    node: Arc<JobNode>,
+    log: HeldLog,
+    worker: GoodWorker,
+    /// Ends with it.
+    _leading: JoinHandle<()>,
+}
+
+impl Takeover {
+    /// One that waits for the workers for so long.
+    fn begin(config: SiteConfig, workers_ms: u64) -> Takeover {
+        let logger = ibisweir::logging::silent();
+        let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
+        node.set_config(config);
+        node.set_loaded();
+        let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
+        node.fold(&[(0, record)]);
+        let (log, good) = (HeldLog::default(), GoodWorker::default());
+        log.workers_ms.store(workers_ms, Ordering::Relaxed);
+        let parts = ConductorParts {
+            log: log.clone(),
+            workers: good.clone(),
+            vms: Nobody,
+            permits: Nobody,
+            worker_decoder: |_| Some(worker("w0", "r0")),
+            wave_encoder: |_, _| None,
+        };
+        let mut leadership = LeadershipLoop {
+            node: node.clone(),
+            parts,
+            own: HolderId { name: "front-1".into(), life: 1, delay_ms: 0 },
+            view: LeadershipView::default(),
+            conductor: None,
+            is_in_doubt: false,
+            patience: PatienceGauge::new(APPEND_PATIENCE),
+            pending: None,
+        };
+        let _leading = tokio::spawn(async move {
+            loop {
+                let pause = leadership.step().await;
+                sleep(pause.max(Duration::from_millis(1))).await;
+            }
+        });
+        Takeover { node, log, worker: good, _leading }
+    }
+
+    /// Whether it has started anything by that time from now.
+    async fn starts_within(&self, ms: u64) -> bool {
+        sleep(Duration::from_millis(ms)).await;
+        self.worker.starts.load(Ordering::Relaxed) > 0
+    }
+}
+
+fn unguarded() -> SiteConfig {
+    let config = config();
+    let pools = config.pools.iter().cloned();
+    let pools = pools.map(|pool| PoolSpec { is_guarded: false, ..pool }).collect();
+    SiteConfig { pools, ..config }
+}
+
+/// Guards against a leader that takes a view of the jobs for new which is from before a slow reading of the workers:
+/// a job that was cancelled meanwhile would start.
+#[tokio::test(start_paused = true)]
+async fn a_takeover_with_an_old_view_of_the_jobs_starts_nothing() {
+    let old_ms = bounds().cancel_ms / 2 + 100;
+    let takeover = Takeover::begin(config(), old_ms);
+    assert!(!takeover.starts_within(old_ms + 700).await);
+    assert!(takeover.node.with_scheduler(|_| ()).is_some(), "it has taken over");
+    takeover.node.jobs_shown(takeover.node.now());
+    assert!(takeover.starts_within(200).await, "it starts as soon as the log was read");
+}
+
+/// Guards against a takeover that waits for another reading though what it knows of the jobs is new.
+#[tokio::test(start_paused = true)]
+async fn a_quick_takeover_starts_what_waits() {
+    let takeover = Takeover::begin(config(), 100);
+    assert!(takeover.starts_within(1_200).await);
+}
+
+/// Guards against a takeover that waits although the job log was read while it waited for the workers.
+#[tokio::test(start_paused = true)]
+async fn a_reading_of_the_jobs_during_a_takeover_counts() {
+    let old_ms = bounds().cancel_ms / 2 + 100;
+    let takeover = Takeover::begin(config(), old_ms);
+    sleep(Duration::from_millis(old_ms - 200)).await;
+    takeover.node.jobs_shown(takeover.node.now());
+    assert!(takeover.starts_within(900).await);
+}
+
+/// Guards against two leaders at work: one that was last confirmed before a slow reading of the workers starts
+/// tasks when a successor may have begun.
+#[tokio::test(start_paused = true)]
+async fn a_takeover_that_is_not_confirmed_any_more_starts_nothing() {
+    let takeover = Takeover::begin(config(), 2_000);
+    sleep(Duration::from_millis(100)).await;
+    takeover.log.holds_leadership.store(true, Ordering::Relaxed);
+    sleep(Duration::from_millis(1_800)).await;
+    takeover.node.jobs_shown(takeover.node.now());
+    for _ in 0..10 {
+        takeover.node.jobs_shown(takeover.node.now());
+        assert!(!takeover.starts_within(100).await);
+    }
+}
+
+/// Guards against a start over the room of a worker that shrank while the workers were read.
+#[tokio::test(start_paused = true)]
+async fn a_takeover_with_an_old_view_of_the_workers_starts_nothing_where_nobody_guards() {
+    for (config, is_guarded) in [(unguarded(), false), (config(), true)] {
+        let takeover = Takeover::begin(config, 2_200);
+        takeover.log.holds_rooms.store(true, Ordering::Relaxed);
+        sleep(Duration::from_millis(2_100)).await;
+        takeover.node.jobs_shown(takeover.node.now());
+        assert_eq!(takeover.starts_within(800).await, is_guarded);
+        takeover.log.holds_rooms.store(false, Ordering::Relaxed);
+        for _ in 0..10 {
+            takeover.node.jobs_shown(takeover.node.now());
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert!(takeover.starts_within(0).await);
+    }
+}
