--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -79,6 +79,9 @@
 /// Workers with late answers that show it: so many, and one in so many; a few can be slow themselves.
 const LATE_WORKERS_MIN: usize = 3;
 const LATE_WORKERS_PART: usize = 16;
+/// What is left of the time until nothing of a cancelled job may start, in milliseconds: a worker takes a while from
+/// its look at the clock to the start.
+const START_MARGIN_MS: u64 = 100;
 /// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
 const LEASE_SLACK_MS: u64 = 200;
 
@@ -92,6 +95,12 @@
     pub config: Arc<SiteConfig>,
     /// The leader before, as last seen.
     pub predecessor: Option<LeaderTrace>,
+    /// When the newest confirmation of this leadership was sent, in milliseconds.
+    pub confirmed_ms: u64,
+    /// When the job log held no more than the book has, in milliseconds.
+    pub jobs_ms: u64,
+    /// When what workers say of themselves was asked for, in milliseconds.
+    pub rooms_ms: u64,
     /// Now, in milliseconds of the steady clock.
     pub now: u64,
     /// Now, in milliseconds since the epoch.
@@ -163,7 +172,7 @@
 impl Scheduler {
     /// Takes over from the log: every run that it tells of may be alive.
     pub fn open(start: SchedulerStart, book: &JobBook) -> Scheduler {
-        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms } = start;
+        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms, .. } = start;
         // The leader before extends no lease later than this long after it was last confirmed.
         let lease_ms = bounds.lease_max_ms * 100 / 98 + 100;
         let foreign_bound_ms =
@@ -180,7 +189,7 @@
             retired: HashMap::new(),
             foreign_bound_ms,
             vm_bound_ms,
-            confirmed_ms: now,
+            confirmed_ms: start.confirmed_ms,
             is_deposed: false,
             jobs: HashMap::new(),
             scheduled: BTreeSet::new(),
@@ -193,8 +202,8 @@
             lives: LifeBook::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareBook::default(),
-            rooms_ms: now,
-            jobs_ms: now,
+            rooms_ms: start.rooms_ms,
+            jobs_ms: start.jobs_ms,
             is_blind: false,
             permits: HashMap::new(),
             commits: CommitQueue::default(),
@@ -305,6 +314,12 @@
         now <= self.jobs_ms + self.bounds.cancel_ms / 2
     }
 
+    /// When the latest start that is decided now may begin, in milliseconds. A cancellation that we have not been told
+    /// of was acknowledged after the log held no more than we know.
+    pub(crate) fn start_deadline_ms(&self) -> u64 {
+        self.jobs_ms + self.bounds.cancel_ms.saturating_sub(START_MARGIN_MS)
+    }
+
     /// Age of what we know of the jobs, in milliseconds.
     pub fn view_age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.jobs_ms)
--- a/tests/support/cancel_site.rs
+++ b/tests/support/cancel_site.rs
@@ -57,6 +57,8 @@
     pub leader: Option<usize>,
     /// The term that it holds.
     pub term: Option<u64>,
+    /// When its newest renewal of the leadership was sent, by its clock, in milliseconds.
+    pub confirmed_ms: u64,
     /// Whether an append of its scheduler is under way.
     pub is_committing: bool,
     /// Lives of workers with a renewal under way.
@@ -387,7 +389,8 @@
                 let sent_ms = node.now();
                 self.renewed_ms = self.now;
                 gap_ms = RENEWAL_MS;
-                self.at_entry(HOP_MS, life, move |_| {
+                self.at_entry(HOP_MS, life, move |site| {
+                    site.entries[life.0].confirmed_ms = sent_ms;
                     node.with_scheduler(|scheduler| scheduler.confirm(sent_ms));
                 });
             } else if entry.term.is_some() {
@@ -462,6 +465,7 @@
         life,
         leader: None,
         term: None,
+        confirmed_ms: 0,
         is_committing: false,
         renewing: BTreeSet::new(),
         taken: Vec::new(),
