An executor starts nothing of a job that it knows to be over

Callers would see: a task of a job begins after its cancellation was acknowledged, sent by an entry whose own copy of the log has the cancellation. Cause: an executor took the job's text from its book and looked at nothing else there. The leader may learn of a cancellation later than the executor, or a batch may have been under way meanwhile. A job whose spec is off the log would have been started with an empty text. Evidence: an executor that has read a cancellation, a completion or a failure answered Done (tests/delegate.rs, line 102); one that has the job without its spec did, too (line 114). Change: such a start is answered as not sent, which is true; the other starts of the batch go out. Enough for this entry: what its book shows as final never becomes open again. Not enough alone: the leader takes such an answer for a start that is to be sent another way, so one that does not know of the cancellation yet may still send it itself. Tests: an_executor_starts_nothing_of_a_job_that_it_knows_to_be_over and an_executor_starts_nothing_without_the_jobs_text failed before at these lines.

--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -226,8 +226,8 @@
     node.wake.notify_one();
 }
 
-/// Carries out a batch of the leader's; nothing if it can't be read. A part of it that this entry knows no
-/// text for yet is left to the leader.
+/// Carries out a batch of the leader's; nothing if it can't be read. Starts of jobs that this entry knows no
+/// text for yet, or knows to be over, are left to the leader.
 pub async fn carry_out<W: WorkerClient>(
     node: &JobNode,
     workers: &W,
@@ -277,11 +277,14 @@
     }
 }
 
-/// Text of a task's job, if the book has it.
+/// Text of a task's job, if the book has it and does not show the job as over: the leader may learn later than
+/// this entry that it was cancelled.
 fn payload(node: &JobNode, task: &TaskKey) -> Option<Arc<str>> {
     let book = node.book();
-    let submission = book.get(task.job)?.submission.as_ref()?;
-    Some(submission.spec.payload.as_str().into())
+    let job = book.get(task.job)?;
+    let submission = job.submission.as_ref()?;
+    let is_over = submission.has_no_spec() || job.state()?.is_final();
+    (!is_over).then(|| submission.spec.payload.as_str().into())
 }
 
 fn start_call(start: DelegatedStart, payload: Arc<str>) -> (WorkerTarget, StartCall) {
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -10,9 +10,10 @@
 use ibisweir::jobs::delegate::{
     DelegatedOutcome, DelegatedStart, StartBatch, StartDelegate, StartOrder, carry_out,
 };
+use ibisweir::jobs::model::JobState;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::ports::{CommandOutcome, RenewCall, WorkerReport};
-use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::record::{JobProgress, JobRecord};
 use ibisweir::jobs::relay;
 use ibisweir::scheduler::runs::RunCommand;
 use ibisweir::scheduler::{Scheduler, SchedulerAction};
@@ -73,6 +74,46 @@
     assert_eq!(workers.starts().len(), 1);
 }
 
+/// What the log says of how far job 1 is, once it is over.
+fn over(state: JobState) -> JobRecord {
+    let progress = JobProgress {
+        term: 1,
+        state,
+        ended_ms: WALL_OFFSET_MS,
+        occurrences_done: 0,
+        steps_done: Vec::new(),
+        tasks: Vec::new(),
+        workers: Vec::new(),
+        setbacks: Vec::new(),
+    };
+    JobRecord::Progress(job_id(1), Arc::new(progress))
+}
+
+/// Guards against work that begins after its job's cancellation: the executor knows that the job is over, and the
+/// leader did not when it sent the start.
+#[tokio::test]
+async fn an_executor_starts_nothing_of_a_job_that_it_knows_to_be_over() {
+    let ends = [JobRecord::Cancelled(job_id(1)), over(JobState::Completed), over(JobState::Failed)];
+    for end in ends {
+        let (node, workers) = (executor(), NotedWorkers::default());
+        node.fold(&[(1, end.clone())]);
+        let outcomes = carry_out(&node, &workers, &batch(&node, vec![start(1, 0)])).await;
+        assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent]), "{end:?}");
+        assert_eq!(workers.starts().len(), 0);
+    }
+}
+
+/// Guards against tasks that begin with an empty text: the log keeps no spec of a job that is over.
+#[tokio::test]
+async fn an_executor_starts_nothing_without_the_jobs_text() {
+    let (node, workers) = (silent_node(), NotedWorkers::default());
+    let bare = submission(job(vec![step(4)])).without_spec();
+    node.fold(&[(0, JobRecord::Submitted(job_id(1), Arc::new(bare)))]);
+    let outcomes = carry_out(&node, &workers, &batch(&node, vec![start(1, 0)])).await;
+    assert_eq!(outcomes, Some(vec![DelegatedOutcome::NotSent]));
+    assert_eq!(workers.starts().len(), 0);
+}
+
 /// A batch was held up on its way, behind a cut or while the executor's VM stood still. The leader has given it up
 /// and sent its starts another way; carried out now, a start could come after its job was cancelled. And one that
 /// was meant for the process before this one is as old. Neither is begun.
