An answer without records is the end of the log only if it lies there

Callers would see: "no such job" (122) for a job that the log holds, also in answer to its cancellation, after which the job runs. Cause: the read to the log's end on which that answer rests took an answer without records for the end, also where it told of an end beyond. Evidence: a log whose answers come without the record that they count was taken as read to its end (tests/catch_up.rs, line 147). Change: only an answer that comes to the end counts; the read is repeated after 40 ms, within the time that the caller has for it. Enough: what is said not to exist was looked for in all that the log held when it was asked. A log that never gives the rest is one that can't be read. Test: an_answer_without_records_is_not_the_end_of_the_log failed before at that line. Whether the platform ever answers so is not known.

--- a/src/jobs/catch_up.rs
+++ b/src/jobs/catch_up.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Mutex;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::jobs::follower::{TailStep, fold_step};
 use crate::jobs::node::JobNode;
@@ -17,6 +17,8 @@
 
 /// Time to read the newest records before a caller is told that the log is away.
 const PATIENCE: Duration = Duration::from_millis(800);
+/// Pause after an answer that brought no record and did not come to the log's end.
+const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
 /// Reads the job log to its end on demand.
 pub struct CatchUpReader<L> {
@@ -57,12 +59,15 @@
             let position = self.node.book_end();
             match self.log.read(LogTopic::Jobs, position, Duration::ZERO).await {
                 ReadOutcome::Read(batch) => {
-                    let is_end = batch.next >= batch.end || batch.records.is_empty();
+                    let (is_end, is_empty) = (batch.next >= batch.end, batch.records.is_empty());
                     fold_step(&self.node, TailStep::Records(batch.records), batch.next);
                     if is_end {
                         self.node.set_current();
                         return true;
                     }
+                    if is_empty {
+                        sleep(REPEAT_PAUSE).await;
+                    }
                 }
                 ReadOutcome::Expired { .. } | ReadOutcome::Refused | ReadOutcome::Unknown => {
                     return false;
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -111,6 +111,46 @@
     assert!(begun.elapsed() <= Duration::from_secs(1));
 }
 
+/// A log with one record, whose first answers come without it though they tell of its end.
+#[derive(Clone, Default)]
+struct HaltingLog {
+    reads: Arc<AtomicUsize>,
+    bare_answers: usize,
+}
+
+impl JobLog for HaltingLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        sleep(Duration::from_millis(1)).await;
+        let is_bare = self.reads.fetch_add(1, Ordering::Relaxed) < self.bare_answers;
+        let (records, next) = match (is_bare, from) {
+            (false, 0) => (vec![(0, submitted(7))], 1),
+            _ => (Vec::new(), from),
+        };
+        ReadOutcome::Read(LogBatch { end: 1, next, records })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
+/// Guards against "no such job" for one that the log has: an answer without records is the end only if it lies there.
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_records_is_not_the_end_of_the_log() {
+    let node = node();
+    let log = HaltingLog { bare_answers: 3, ..HaltingLog::default() };
+    assert!(CatchUpReader::new(node.clone(), log).catch_up().await);
+    assert!(is_known(&node, job_id(7)));
+    let node = self::node();
+    let log = HaltingLog { bare_answers: usize::MAX, ..HaltingLog::default() };
+    assert!(!CatchUpReader::new(node.clone(), log).catch_up().await);
+    assert!(!node.is_current());
+}
+
 fn is_known(node: &JobNode, id: JobId) -> bool {
     node.book().get(id).is_some()
 }
