A cancellation of a job that its entry does not know is kept

Cause: an entry that does not know a job reads the log to its end and answers that there is no such job (122), which ends the caller's part. The submission may still be under way by another entry: relayed, in doubt, or repeated by its caller. Stored after that read, it met no cancellation anywhere. Evidence: a job cancelled at one entry and stored by another right after was shown as queued, and a successor would have run it (tests/tombstones.rs, line 152); with a log that refuses appends the cancellation was acknowledged all the same (line 165); the same among organisations (line 202). Change: the cancellation is put on the log before 122 is answered; if it can't be, the answer is a refusal with the time to come back, or that the outcome is not known. Whoever reads the submission later finds it cancelled: the leader, its successor, an entry that reads the newest record of each key. Where no caller needs a key it is the record that cancellations always were, so entries of earlier versions understand it. Where callers need keys it has a key of its own with a mark of the caller's organisation, counts only if that caller may see the job, and can't replace another's; entries of earlier versions do not read it, as they would take it for anybody's. A job that is hidden from the caller leaves no record. The leader drops such records after the time for which the last state of a job is kept, and not before the keys of a job that came after all. Enough: the log orders the two records, and each reader folds both whichever comes first. A submission that comes later than that time after its cancellation runs. Tests: a_job_that_is_stored_after_its_cancellation_does_not_run, a_cancellation_that_is_not_stored_is_not_acknowledged and a_later_cancellation_of_others_takes_none_away failed before at these lines. The tests of the leader and of the codec need the new record and could not be run before; with the look at the cancellations, the look at the organisation, the mark, or the wait for the job's keys taken out, one of them fails each.

--- a/src/decide/access.rs
+++ b/src/decide/access.rs
@@ -149,6 +149,41 @@
     }
 }
 
+/// Names a caller's organisation in a key of the log: the start of the SHA-256 digest of its name, or 0 for none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallerMark(u64);
+
+impl CallerMark {
+    /// The lowest.
+    pub const FIRST: CallerMark = CallerMark(u64::MIN);
+    /// The highest.
+    pub const LAST: CallerMark = CallerMark(u64::MAX);
+
+    /// Mark of an organisation, or of callers without one.
+    pub fn of(organisation: Option<&Arc<str>>) -> CallerMark {
+        let digest = organisation.map(|name| Sha256::digest(name.as_bytes()));
+        let start = digest.and_then(|digest| digest.first_chunk().copied());
+        CallerMark(start.map_or(0, u64::from_be_bytes))
+    }
+
+    /// Reads 16 hexadecimal digits.
+    pub fn parse(text: &str) -> Option<CallerMark> {
+        let mark = u64::from_str_radix(text, 16).ok().map(CallerMark)?;
+        (mark.to_string() == text).then_some(mark)
+    }
+
+    /// Whether such a caller may see and cancel a job of this organisation, as [`CallerAccess::may_see`] says.
+    pub fn may_see(self, organisation: Option<&Arc<str>>) -> bool {
+        organisation.is_none() || self == CallerMark::of(organisation)
+    }
+}
+
+impl fmt::Display for CallerMark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Lets a caller in, or says why not; `book` is nothing before a reading shows a configuration whose keys may
 /// be honoured.
 ///
--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::access::CallerMark;
 use crate::jobs::model::{JobId, JobState, JobSubmission};
 use crate::jobs::record::{JobProgress, JobRecord};
 
@@ -14,8 +15,10 @@
 pub struct BookedJob {
     /// The submission; a cancellation or progress can be read before it.
     pub submission: Option<Arc<JobSubmission>>,
-    /// Whether a caller cancelled it.
+    /// Whether a caller cancelled it that may.
     pub is_cancelled: bool,
+    /// Callers that cancelled it before their entries knew it.
+    pub tombstones: BTreeSet<CallerMark>,
     /// Newest progress.
     pub progress: Option<Arc<JobProgress>>,
     progress_offset: u64,
@@ -27,6 +30,18 @@
         BookedJob { submission: Some(submission), ..BookedJob::default() }
     }
 
+    /// Lets the cancellations count of callers that may see the job.
+    fn settle(&mut self) {
+        let Some(submission) = &self.submission else { return };
+        let owner = submission.organisation.as_ref();
+        self.is_cancelled |= self.tombstones.iter().any(|mark| mark.may_see(owner));
+    }
+
+    fn is_empty(&self) -> bool {
+        let is_told = self.submission.is_some() || self.progress.is_some() || self.is_cancelled;
+        !is_told && self.tombstones.is_empty()
+    }
+
     /// What a caller may be told; nothing before the submission was read.
     pub fn state(&self) -> Option<JobState> {
         self.submission.as_ref()?;
@@ -77,12 +92,18 @@
                 let is_new = entry.submission.is_none();
                 if is_new || submission.has_no_spec() {
                     entry.submission = Some(submission.clone());
+                    entry.settle();
                 }
                 is_new
             }),
             JobRecord::Cancelled(job) => {
                 self.change(*job, |entry| !std::mem::replace(&mut entry.is_cancelled, true))
             }
+            JobRecord::CancelledBy(job, mark) => self.change(*job, |entry| {
+                let is_new = entry.tombstones.insert(*mark);
+                entry.settle();
+                is_new
+            }),
             JobRecord::Progress(job, progress) => self.change(*job, |entry| {
                 // A snapshot's later pages can be ahead of the records that are read after it.
                 let is_new = entry.progress.is_none() || offset > entry.progress_offset;
@@ -96,6 +117,14 @@
                 self.count(*job, false);
                 self.jobs.remove(job).is_some()
             }
+            JobRecord::TombstoneDropped(job, mark) => {
+                let Some(entry) = self.jobs.get_mut(job) else { return false };
+                let is_new = entry.tombstones.remove(mark);
+                if entry.is_empty() {
+                    self.jobs.remove(job);
+                }
+                is_new
+            }
             JobRecord::Wave(number, done) => {
                 // VMs are only ever added. A record that is read again after a newer one must not take
                 // any away: they would be maintained twice.
--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info};
 use tokio::time::Instant;
 
-use crate::decide::access::{AccessRefusal, CallerAccess, PresentedKey, admit};
+use crate::decide::access::{AccessRefusal, CallerAccess, CallerMark, PresentedKey, admit};
 use crate::error::ResultCode;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
@@ -75,8 +75,7 @@
     /// `NoApiKey` or `UnknownApiKey`; `KeyUnconfirmed` while this entry can't tell whether its configuration is
     /// the newest: another entry may.
     pub fn admit(&self, queue: &QueueSpec, key: PresentedKey) -> Result<CallerAccess, DeskReply> {
-        let needs_key = self.node.config().is_some_and(|config| config.access.is_some());
-        if queue.is_open || !needs_key {
+        if queue.is_open || !self.needs_keys() {
             return Ok(CallerAccess::default());
         }
         let config = self.node.honoured_config();
@@ -84,6 +83,11 @@
         admitted.map_err(|refusal| self.not_admitted(refusal))
     }
 
+    /// Whether callers of any queue need keys.
+    fn needs_keys(&self) -> bool {
+        self.node.config().is_some_and(|config| config.access.is_some())
+    }
+
     fn not_admitted(&self, refusal: AccessRefusal) -> DeskReply {
         let (code, wait) = match refusal {
             AccessRefusal::NoKey => (ResultCode::NoApiKey, None),
@@ -143,21 +147,22 @@
 
     /// Tells a job's state.
     pub async fn look(&self, caller: &CallerAccess, job: JobId) -> DeskReply {
-        match self.find(caller, job).await {
-            Ok(known) => known.map_or_else(no_such_job, |known| DeskReply::State(known.state)),
+        match self.known(job).await {
+            Ok(Some(known)) if !self.is_hidden(caller, job, &known) => {
+                DeskReply::State(known.state)
+            }
+            Ok(_) => no_such_job(),
             Err(reply) => reply,
         }
     }
 
-    /// A job that the caller may see; one of another organisation is none to it.
-    async fn find(&self, caller: &CallerAccess, job: JobId) -> Result<Option<KnownJob>, DeskReply> {
-        let known = self.known(job).await?;
-        let is_hidden = |known: &KnownJob| !caller.may_see(known.organisation.as_ref());
-        if known.as_ref().is_some_and(is_hidden) {
+    /// Whether a job is another organisation's: it is none to this caller.
+    fn is_hidden(&self, caller: &CallerAccess, job: JobId, known: &KnownJob) -> bool {
+        let is_hidden = !caller.may_see(known.organisation.as_ref());
+        if is_hidden {
             info!(self.node.logger, "a job of another organisation is not told"; "job" => %job);
-            return Ok(None);
         }
-        Ok(known)
+        is_hidden
     }
 
     /// A job by this entry's book; while the log turns this entry alone away its book stands still, and the
@@ -182,7 +187,8 @@
         }
     }
 
-    /// Cancels a job.
+    /// Cancels a job, also one that is not known: its submission may be under way by another entry, and whoever
+    /// reads it later finds it cancelled.
     pub async fn cancel(
         &self,
         queue: &QueueSpec,
@@ -191,20 +197,27 @@
         patience: Duration,
     ) -> DeskReply {
         let logger = self.node.logger.clone();
-        match self.find(caller, job).await {
+        let known = match self.known(job).await {
+            Ok(known) => known,
             Err(reply) => return reply,
-            Ok(None) => {
-                info!(logger, "no such job to cancel"; "job" => %job);
-                return no_such_job();
+        };
+        let record = match &known {
+            Some(known) if self.is_hidden(caller, job, known) => return no_such_job(),
+            Some(known) if known.state.is_final() => return DeskReply::Stored,
+            // Whose job it will be is not known where callers belong to organisations.
+            None if self.needs_keys() => {
+                JobRecord::CancelledBy(job, CallerMark::of(caller.organisation.as_ref()))
             }
-            Ok(Some(known)) if known.state.is_final() => return DeskReply::Stored,
-            Ok(Some(_)) => {}
-        }
+            _ => JobRecord::Cancelled(job),
+        };
+        let what = if known.is_some() { "cancellation" } else { "cancellation of no known job" };
         let begun = Instant::now();
-        let record = JobRecord::Cancelled(job);
         let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
-        note(&logger, "cancellation", job, outcome, begun);
-        reply(outcome)
+        note(&logger, what, job, outcome, begun);
+        match outcome {
+            SubmitOutcome::Stored if known.is_none() => no_such_job(),
+            outcome => reply(outcome),
+        }
     }
 
     /// Counts the jobs of a queue that wait for their first task.
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -2,13 +2,16 @@
 //!
 //! Three keys a job, so that no writer overwrites what another one says: the submission and the
 //! cancellation may be written by any entry and any number of times, the progress by the leader
-//! alone. The log keeps the newest record of each key.
+//! alone. The log keeps the newest record of each key. A cancellation by an entry that does not know
+//! the job, where callers belong to organisations, has a key for each organisation: whether it counts
+//! is seen once the job is there.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::access::CallerMark;
 use crate::jobs::model::{JobId, JobState, JobSubmission};
 
 /// What one record of the job log says.
@@ -18,10 +21,14 @@
     Submitted(JobId, Arc<JobSubmission>),
     /// A caller cancelled it.
     Cancelled(JobId),
+    /// A caller cancelled it before its entry knew it; counts if that caller may see it.
+    CancelledBy(JobId, CallerMark),
     /// How far it is.
     Progress(JobId, Arc<JobProgress>),
     /// One of its keys was dropped; the job is over for long.
     Dropped(JobId),
+    /// Such a cancellation was dropped.
+    TombstoneDropped(JobId, CallerMark),
     /// VMs of a maintenance wave that have been maintained, by the number of the wave.
     Wave(u64, Arc<BTreeSet<Arc<str>>>),
 }
@@ -95,6 +102,8 @@
 const SUBMITTED: &str = "s";
 const CANCELLED: &str = "x";
 const PROGRESS: &str = "p";
+/// Between the job and the mark in the key of a cancellation that has one.
+const MARK: char = '.';
 const WAVE: &str = "w";
 
 /// A record as the log keeps it.
@@ -121,11 +130,21 @@
             JobRecord::Progress(job, progress) => {
                 (PROGRESS, job, postcard::to_stdvec(&**progress).ok()?)
             }
-            JobRecord::Dropped(_) | JobRecord::Wave(..) => return None,
+            JobRecord::CancelledBy(job, mark) => {
+                return Some(KeyedRecord { key: tombstone_key(*job, *mark), value: vec![1] });
+            }
+            JobRecord::Dropped(_) | JobRecord::TombstoneDropped(..) | JobRecord::Wave(..) => {
+                return None;
+            }
         };
         Some(KeyedRecord { key: format!("{prefix}{job}"), value })
     }
 
+    /// The record that drops a cancellation by an entry that did not know the job.
+    pub fn drop_tombstone(job: JobId, mark: CallerMark) -> KeyedRecord {
+        KeyedRecord { key: tombstone_key(job, mark), value: Vec::new() }
+    }
+
     /// The records that drop every key of a job. The submission goes last: a reader that sees only
     /// some of them must not take the job for one that has not begun.
     pub fn drops(job: JobId) -> Vec<KeyedRecord> {
@@ -141,6 +160,14 @@
             let done = postcard::from_bytes(value).ok()?;
             return Some(JobRecord::Wave(number.parse().ok()?, Arc::new(done)));
         }
+        if let Some((job, mark)) = key.strip_prefix(CANCELLED).and_then(|key| key.split_once(MARK))
+        {
+            let (job, mark) = (JobId::parse(job)?, CallerMark::parse(mark)?);
+            return Some(match value.is_empty() {
+                true => JobRecord::TombstoneDropped(job, mark),
+                false => JobRecord::CancelledBy(job, mark),
+            });
+        }
         let job = JobId::parse(key.get(1..)?)?;
         match (key.get(..1)?, value.is_empty()) {
             (SUBMITTED, true) => Some(JobRecord::Dropped(job)),
@@ -156,6 +183,10 @@
     }
 }
 
+fn tombstone_key(job: JobId, mark: CallerMark) -> String {
+    format!("{CANCELLED}{job}{MARK}{mark}")
+}
+
 /// Reads a job's progress, also as it was written before setbacks were kept: then their list is missing at the
 /// end, and a process of this version that takes over would know nothing of jobs that run.
 fn decode_progress(value: &[u8]) -> Option<JobProgress> {
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -371,8 +371,13 @@
     keyed
         .map(|record| match JobRecord::decode(&record.key, &record.value)? {
             // Only what callers say is relayed; progress is the leader's own.
-            own @ (JobRecord::Submitted(..) | JobRecord::Cancelled(_)) => Some(own),
-            JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => None,
+            own @ (JobRecord::Submitted(..)
+            | JobRecord::Cancelled(_)
+            | JobRecord::CancelledBy(..)) => Some(own),
+            JobRecord::Progress(..)
+            | JobRecord::Dropped(_)
+            | JobRecord::TombstoneDropped(..)
+            | JobRecord::Wave(..) => None,
         })
         .collect()
 }
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use crate::decide::access::CallerMark;
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::scheduler::job::RunPhase;
@@ -36,6 +37,7 @@
     starts: Vec<(TaskKey, u32)>,
     exits: BTreeMap<Arc<str>, u64>,
     drops: Vec<JobId>,
+    tombstone_drops: Vec<(JobId, CallerMark)>,
     /// Jobs that are over and quiet, without their specs.
     over: Vec<(JobId, Arc<JobSubmission>)>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
@@ -69,6 +71,11 @@
         self.drops.push(job);
     }
 
+    /// A cancellation by an entry that did not know the job need not be kept.
+    pub fn drop_tombstone(&mut self, job: JobId, mark: CallerMark) {
+        self.tombstone_drops.push((job, mark));
+    }
+
     /// VMs of a wave that have been maintained.
     pub fn wave(&mut self, number: u64, done: BTreeSet<Arc<str>>) {
         self.waves.insert(number, done);
@@ -78,6 +85,7 @@
         self.jobs.is_empty()
             && self.exits.is_empty()
             && self.drops.is_empty()
+            && self.tombstone_drops.is_empty()
             && self.over.is_empty()
             && self.waves.is_empty()
             && self.relayed.is_empty()
@@ -125,6 +133,14 @@
             batch.records.extend(JobRecord::drops(job));
             batch.folded.push(JobRecord::Dropped(job));
         }
+        // A job without its cancellation would run: its own keys go first.
+        let is_dropped = self.commits.drops.is_empty();
+        let dropped =
+            if is_dropped { self.commits.tombstone_drops.len().min(DROPS_MAX) } else { 0 };
+        for (job, mark) in self.commits.tombstone_drops.drain(..dropped) {
+            batch.records.push(JobRecord::drop_tombstone(job, mark));
+            batch.folded.push(JobRecord::TombstoneDropped(job, mark));
+        }
         let over = self.commits.over.len().min(OVER_MAX);
         for (job, submission) in self.commits.over.drain(..over) {
             push(&mut batch, JobRecord::Submitted(job, submission));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -35,6 +35,7 @@
 pub mod runtime;
 mod share;
 pub mod throttle;
+mod tombstones;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -59,6 +60,7 @@
 use crate::scheduler::rebirth::LifeBook;
 use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::share::ShareBook;
+use crate::scheduler::tombstones::TombstoneBook;
 use crate::scheduler::worker::WorkerRun;
 
 /// Fencing tokens that one term may use: room for a leader to raise its own.
@@ -133,6 +135,7 @@
     runtimes: HashMap<Arc<str>, RuntimeModel>,
     /// Jobs that are over, and when they ended, in milliseconds since the epoch.
     finished: BTreeMap<JobId, u64>,
+    tombstones: TombstoneBook,
     workers: BTreeMap<Arc<str>, WorkerRun>,
     attention: BTreeSet<(TaskKey, u32)>,
     abandoned: AbandonedRuns,
@@ -186,6 +189,7 @@
             scheduled: BTreeSet::new(),
             runtimes: HashMap::new(),
             finished: BTreeMap::new(),
+            tombstones: TombstoneBook::default(),
             workers: BTreeMap::new(),
             attention: BTreeSet::new(),
             abandoned: AbandonedRuns::default(),
@@ -215,6 +219,9 @@
     }
 
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
+        for mark in &job.tombstones {
+            self.tombstones.insert(id, *mark, wall_ms);
+        }
         let Some(submission) = &job.submission else {
             if job.is_cancelled {
                 self.cancel(id, RecordSource::Restored, now);
@@ -373,6 +380,10 @@
                 if is_known || submission.has_no_spec() {
                     return;
                 }
+                if self.tombstones.covers(*job, submission.organisation.as_ref()) {
+                    self.finished.insert(*job, self.wall_ms);
+                    return;
+                }
                 let booked = BookedJob::submitted(submission.clone());
                 let Some(mut run) = JobRun::restore(*job, &booked, now) else { return };
                 run.is_beyond_share = !self.is_within_share(submission, now);
@@ -387,7 +398,11 @@
                 self.needs_dispatch = true;
             }
             JobRecord::Cancelled(job) => self.cancel(*job, source, now),
-            JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => {}
+            JobRecord::CancelledBy(job, mark) => self.cancel_by(*job, *mark, source, now),
+            JobRecord::Progress(..)
+            | JobRecord::Dropped(_)
+            | JobRecord::TombstoneDropped(..)
+            | JobRecord::Wave(..) => {}
         }
     }
 
@@ -399,13 +414,7 @@
     }
 
     fn cancel(&mut self, id: JobId, source: RecordSource, now: u64) {
-        let found = match self.jobs.get(&id) {
-            Some(job) if !job.state.is_final() => "open",
-            None if !self.finished.contains_key(&id) => "unknown",
-            _ => "over",
-        };
-        let view_ms = self.view_age_ms(now);
-        self.note(SchedulerNote::Cancelled { job: id, source, found, view_ms });
+        self.note_cancelled(id, source, now);
         let Some(job) = self.jobs.get_mut(&id) else {
             // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
             // relay. Forgotten, it would never be heard of again, and the job would run.
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -526,6 +526,7 @@
             self.abandoned.forget_job(id);
             self.commits.drop_job(id);
         }
+        self.drop_tombstones(is_old);
     }
 }
 
--- /dev/null
+++ b/src/scheduler/tombstones.rs
@@ -0,0 +1,76 @@
+//! Cancellations of jobs that their entries did not know.
+//!
+//! Whose job it will be is not known either, so each counts by who cancelled. They are kept as long as the last state
+//! of a job that is over, and longer where the job came after all: a reader of the log that finds the job must find
+//! its cancellation as well.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::decide::access::CallerMark;
+use crate::jobs::model::JobId;
+use crate::scheduler::{RecordSource, Scheduler, SchedulerNote};
+
+/// Such cancellations, and when each was last heard of, in milliseconds since the epoch.
+#[derive(Debug, Default)]
+pub(crate) struct TombstoneBook {
+    marks: BTreeMap<(JobId, CallerMark), u64>,
+}
+
+impl TombstoneBook {
+    /// Takes one in.
+    pub fn insert(&mut self, job: JobId, mark: CallerMark, wall_ms: u64) {
+        self.marks.insert((job, mark), wall_ms);
+    }
+
+    /// Whether a job of this organisation was cancelled.
+    pub fn covers(&self, job: JobId, organisation: Option<&Arc<str>>) -> bool {
+        let mut marks = self.marks.range((job, CallerMark::FIRST)..=(job, CallerMark::LAST));
+        marks.any(|((_, mark), _)| mark.may_see(organisation))
+    }
+
+    /// Takes out those that nothing needs any more.
+    fn take(&mut self, is_old: impl Fn(JobId, u64) -> bool) -> Vec<(JobId, CallerMark)> {
+        let is_old = |(job, _): &(JobId, CallerMark), heard: &mut u64| is_old(*job, *heard);
+        self.marks.extract_if(.., is_old).map(|(key, _)| key).collect()
+    }
+}
+
+impl Scheduler {
+    /// A caller has cancelled a job that its entry did not know.
+    pub(super) fn cancel_by(
+        &mut self,
+        id: JobId,
+        mark: CallerMark,
+        source: RecordSource,
+        now: u64,
+    ) {
+        self.tombstones.insert(id, mark, self.wall_ms);
+        match self.jobs.get(&id) {
+            Some(job) if mark.may_see(job.submission.organisation.as_ref()) => {
+                self.cancel(id, source, now);
+            }
+            Some(_) => {}
+            None => self.note_cancelled(id, source, now),
+        }
+    }
+
+    /// Tells that a cancellation is taken in, before anything is done about it.
+    pub(super) fn note_cancelled(&mut self, id: JobId, source: RecordSource, now: u64) {
+        let found = match self.jobs.get(&id) {
+            Some(job) if !job.state.is_final() => "open",
+            None if !self.finished.contains_key(&id) => "unknown",
+            _ => "over",
+        };
+        let view_ms = self.view_age_ms(now);
+        self.note(SchedulerNote::Cancelled { job: id, source, found, view_ms });
+    }
+
+    /// Takes off the log what was cancelled long ago and never came, or is over and dropped.
+    pub(super) fn drop_tombstones(&mut self, is_old: impl Fn(u64) -> bool) {
+        let is_known = |job: &JobId| self.jobs.contains_key(job) || self.finished.contains_key(job);
+        for (job, mark) in self.tombstones.take(|job, heard| is_old(heard) && !is_known(&job)) {
+            self.commits.drop_tombstone(job, mark);
+        }
+    }
+}
--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -4,8 +4,11 @@
 
 use std::sync::Arc;
 
+use ibisweir::decide::access::CallerMark;
 use ibisweir::jobs::model::JobState;
-use ibisweir::jobs::record::{JobProgress, JobRecord, LossCount, TaskProgress, TaskSetbacks};
+use ibisweir::jobs::record::{
+    JobProgress, JobRecord, KeyedRecord, LossCount, TaskProgress, TaskSetbacks,
+};
 use support::stage::job_id;
 
 fn progress(setbacks: Vec<TaskSetbacks>) -> JobProgress {
@@ -50,3 +53,35 @@
     assert_eq!(*last, 0, "the empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
 }
+
+/// Guards against a cancellation by an entry of an earlier version that is not read, and one of this version that such
+/// an entry does not read: where nobody needs a key the record is the same.
+#[test]
+fn a_cancellation_is_written_as_it_always_was() {
+    let keyed = JobRecord::Cancelled(job_id(1)).encode().expect("a record");
+    let before = KeyedRecord { key: "x0000000000000001".to_owned(), value: vec![1] };
+    assert_eq!(keyed, before);
+    assert_eq!(JobRecord::decode(&keyed.key, &keyed.value), Some(JobRecord::Cancelled(job_id(1))));
+}
+
+/// Guards against a cancellation of one organisation that replaces another's, or is never dropped.
+#[test]
+fn a_cancellation_that_has_a_mark_has_a_key_of_its_own() {
+    let name = |name: &str| CallerMark::of(Some(&name.into()));
+    let marks = [CallerMark::of(None), name("east"), name("a name, of \"several\" words & more")];
+    let mut keys = vec![JobRecord::Cancelled(job_id(1)).encode().expect("a record").key];
+    for mark in marks {
+        let record = JobRecord::CancelledBy(job_id(1), mark);
+        let keyed = record.encode().expect("a record");
+        assert_eq!(JobRecord::decode(&keyed.key, &keyed.value), Some(record));
+        let drop = JobRecord::drop_tombstone(job_id(1), mark);
+        assert_eq!(drop.key, keyed.key);
+        let dropped = JobRecord::TombstoneDropped(job_id(1), mark);
+        assert_eq!(JobRecord::decode(&drop.key, &drop.value), Some(dropped));
+        assert!(!keys.contains(&keyed.key));
+        keys.push(keyed.key);
+    }
+    for key in ["x0000000000000001.", "x0000000000000001.12", "x1.0000000000000000"] {
+        assert_eq!(JobRecord::decode(key, &[1]), None, "{key}");
+    }
+}
--- /dev/null
+++ b/tests/tombstones.rs
@@ -0,0 +1,286 @@
+//! Cancellations of jobs that their entry does not know.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ibisweir::decide::access::{AccessBook, CallerAccess, CallerMark, KeyDigest, OrganisationSpec};
+use ibisweir::error::ResultCode;
+use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::desk::{DeskReply, JobDesk};
+use ibisweir::jobs::follower::{TailReader, fold_step};
+use ibisweir::jobs::model::{JobId, JobState, JobSubmission, ResourceVector};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::{JobRecord, KeyedRecord};
+use ibisweir::jobs::relay::RelayClient;
+use ibisweir::jobs::site::SiteConfig;
+use ibisweir::jobs::submitter;
+use ibisweir::scheduler::{Scheduler, SchedulerStart};
+use ibisweir::transport::HttpTransport;
+use support::outside::silent_node;
+use support::stage::{
+    POOL, QUEUE, Stage, bounds, config, job, job_id, queue, step, submission, task, worker,
+};
+use tokio::time::sleep;
+
+/// Time that a caller has.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Time of a read or an append.
+const LOG_TIME: Duration = Duration::from_millis(5);
+/// Wall clock of a successor, in milliseconds since the epoch.
+const WALL_MS: u64 = 1_700_000_000_000;
+
+/// A log in memory.
+#[derive(Clone, Default)]
+struct MemoryLog {
+    records: Arc<Mutex<Vec<KeyedRecord>>>,
+    /// What becomes of appends; nothing for done.
+    fate: Option<AppendOutcome>,
+}
+
+impl MemoryLog {
+    fn records(&self) -> MutexGuard<'_, Vec<KeyedRecord>> {
+        self.records.lock().expect("no panic")
+    }
+}
+
+impl JobLog for MemoryLog {
+    async fn append(&self, call: &AppendCall, _: Duration) -> AppendOutcome {
+        sleep(LOG_TIME).await;
+        if let Some(fate) = self.fate {
+            return fate;
+        }
+        let mut records = self.records();
+        let offset = records.len() as u64;
+        records.extend(call.records.iter().cloned());
+        AppendOutcome::Done { offset, end: records.len() as u64 }
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        sleep(LOG_TIME).await;
+        let all = self.records();
+        let end = all.len() as u64;
+        let records = (0..).zip(all.iter().cloned()).filter(|(offset, _)| *offset >= from);
+        ReadOutcome::Read(LogBatch { end, next: end, records: records.collect() })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        let all = self.records();
+        let mut newest = BTreeMap::new();
+        for (offset, record) in (0..).zip(all.iter()) {
+            newest.insert(record.key.clone(), (offset, record.clone()));
+        }
+        let records = newest.into_values().filter(|(_, record)| !record.value.is_empty()).collect();
+        Some(NewestPage { records, has_more: false, end: all.len() as u64 })
+    }
+}
+
+/// An entry on this log that follows nothing by itself.
+fn desk(log: &MemoryLog, config: SiteConfig) -> JobDesk<MemoryLog> {
+    let node = silent_node();
+    node.set_config(config);
+    node.touch();
+    let relay = RelayClient::new(HttpTransport::open());
+    let submitter = submitter::spawn(node.clone(), log.clone(), relay.clone(), 1);
+    let reader = Arc::new(CatchUpReader::new(node.clone(), log.clone()));
+    JobDesk { node, reader, submitter, relay }
+}
+
+/// A configuration whose callers need keys.
+fn keyed_config() -> SiteConfig {
+    let organisation = |name: &str| OrganisationSpec {
+        name: name.into(),
+        keys: vec![KeyDigest::of(name)],
+        weight: 10.0,
+        cap: ResourceVector::default(),
+    };
+    let access = AccessBook::from(vec![organisation("east"), organisation("west")]);
+    SiteConfig { access: Some(access), ..config() }
+}
+
+fn caller(organisation: &str) -> CallerAccess {
+    CallerAccess { organisation: Some(organisation.into()) }
+}
+
+async fn submit(desk: &JobDesk<MemoryLog>, caller: &CallerAccess, id: JobId) -> DeskReply {
+    desk.submit(&queue(QUEUE, POOL), caller, id, job(vec![step(1)]), PATIENCE).await
+}
+
+async fn cancel(desk: &JobDesk<MemoryLog>, caller: &CallerAccess, id: JobId) -> DeskReply {
+    desk.cancel(&queue(QUEUE, POOL), caller, id, PATIENCE).await
+}
+
+/// An entry that has just read the newest record of each key.
+async fn newcomer(log: &MemoryLog) -> Arc<JobNode> {
+    let node = silent_node();
+    let mut tail = TailReader::new(LogTopic::Jobs);
+    let step = tail.next(log, Duration::ZERO).await;
+    fold_step(&node, step, tail.position());
+    node
+}
+
+/// Jobs that a leader which takes over from this entry's book would run.
+fn open_jobs(node: &JobNode) -> usize {
+    let start = SchedulerStart {
+        term: 2,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        now: 100_000,
+        wall_ms: WALL_MS,
+    };
+    Scheduler::open(start, &node.book()).census().jobs
+}
+
+const GONE: DeskReply = DeskReply::Refused(ResultCode::UnknownJob, None);
+
+/// Guards against a job that runs to its end after its cancellation: it is stored by one entry a moment after another
+/// has answered that there is no such job.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_stored_after_its_cancellation_does_not_run() {
+    let log = MemoryLog::default();
+    let (first, second) = (desk(&log, config()), desk(&log, config()));
+    let (anyone, id) = (CallerAccess::default(), job_id(1));
+    assert_eq!(cancel(&first, &anyone, id).await, GONE);
+    assert_eq!(first.look(&anyone, id).await, GONE);
+    assert_eq!(second.look(&anyone, id).await, GONE);
+    assert_eq!(submit(&second, &anyone, id).await, DeskReply::Stored);
+    let cancelled = DeskReply::State(JobState::Cancelled);
+    assert_eq!(second.look(&anyone, id).await, cancelled);
+    assert_eq!(first.look(&anyone, id).await, cancelled);
+    let node = newcomer(&log).await;
+    assert_eq!(node.book().get(id).and_then(|job| job.state()), Some(JobState::Cancelled));
+    assert_eq!(open_jobs(&node), 0);
+}
+
+/// Guards against a cancellation that is acknowledged and kept nowhere, as the log takes no appends.
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_is_not_stored_is_not_acknowledged() {
+    let anyone = CallerAccess::default();
+    let log = MemoryLog { fate: Some(AppendOutcome::Refused), ..MemoryLog::default() };
+    let reply = cancel(&desk(&log, config()), &anyone, job_id(1)).await;
+    assert!(matches!(reply, DeskReply::Refused(ResultCode::LogAway, Some(_))), "{reply:?}");
+    let log = MemoryLog { fate: Some(AppendOutcome::Unknown), ..MemoryLog::default() };
+    let reply = cancel(&desk(&log, config()), &anyone, job_id(1)).await;
+    assert_eq!(reply, DeskReply::Unknown(ResultCode::JobOutcomeUnknown));
+}
+
+/// Guards against a job that another organisation cancels before it is stored, or a caller without any.
+#[tokio::test(start_paused = true)]
+async fn nobody_cancels_another_organisations_job_before_it_is_stored() {
+    let log = MemoryLog::default();
+    let (first, second) = (desk(&log, keyed_config()), desk(&log, keyed_config()));
+    let (east, west, id) = (caller("east"), caller("west"), job_id(1));
+    for foreign in [&west, &CallerAccess::default()] {
+        assert_eq!(cancel(&first, foreign, id).await, GONE);
+    }
+    assert_eq!(submit(&second, &east, id).await, DeskReply::Stored);
+    for desk in [&first, &second] {
+        assert_eq!(desk.look(&east, id).await, DeskReply::State(JobState::Queued));
+    }
+    assert_eq!(open_jobs(&*newcomer(&log).await), 1);
+    // What is known and hidden leaves no record.
+    let stored = log.records().len();
+    assert_eq!(cancel(&second, &west, id).await, GONE);
+    assert_eq!(log.records().len(), stored);
+}
+
+/// Guards against a cancellation that another organisation's replaces on the log.
+#[tokio::test(start_paused = true)]
+async fn a_later_cancellation_of_others_takes_none_away() {
+    let log = MemoryLog::default();
+    let (first, second) = (desk(&log, keyed_config()), desk(&log, keyed_config()));
+    let (east, west, id) = (caller("east"), caller("west"), job_id(1));
+    for caller in [&east, &west, &CallerAccess::default()] {
+        assert_eq!(cancel(&first, caller, id).await, GONE);
+    }
+    assert_eq!(submit(&second, &east, id).await, DeskReply::Stored);
+    let cancelled = DeskReply::State(JobState::Cancelled);
+    assert_eq!(first.look(&east, id).await, cancelled);
+    assert_eq!(first.look(&west, id).await, GONE);
+    let node = newcomer(&log).await;
+    assert_eq!(node.book().get(id).and_then(|job| job.state()), Some(JobState::Cancelled));
+    assert_eq!(open_jobs(&node), 0);
+    // A job of a queue that is open to all may be cancelled by every caller that may see it.
+    let (anyone, open) = (CallerAccess::default(), job_id(2));
+    assert_eq!(cancel(&first, &west, open).await, GONE);
+    assert_eq!(submit(&second, &anyone, open).await, DeskReply::Stored);
+    assert_eq!(first.look(&anyone, open).await, cancelled);
+}
+
+/// A leader without a job of this id, the mark of an organisation, and its submission.
+fn stage() -> (Stage, CallerMark, JobRecord) {
+    let stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let organisation: Arc<str> = "east".into();
+    let mark = CallerMark::of(Some(&organisation));
+    let submission =
+        JobSubmission { organisation: Some(organisation), ..submission(job(vec![step(1)])) };
+    (stage, mark, JobRecord::Submitted(job_id(1), Arc::new(submission)))
+}
+
+/// Guards against a job that runs at the leader that was told of its cancellation first, or at its successor; and
+/// against one that others have cancelled.
+#[test]
+fn a_leader_goes_by_who_has_cancelled_a_job_before_it_came() {
+    let west = CallerMark::of(Some(&"west".into()));
+    let id = job_id(1);
+    for takes_over in [false, true] {
+        for marks in [vec![west, CallerMark::of(None)], vec![self::stage().1, west]] {
+            let (mut stage, east, submitted) = stage();
+            let is_cancelled = marks.contains(&east);
+            for mark in &marks {
+                stage.append(&JobRecord::CancelledBy(id, *mark));
+            }
+            stage.advance(100);
+            if takes_over {
+                stage.take_over(2, config());
+            }
+            stage.append(&submitted);
+            stage.advance(500);
+            let state = if is_cancelled { JobState::Cancelled } else { JobState::Running };
+            assert_eq!(stage.state(id), Some(state), "{marks:?} {takes_over}");
+            assert_eq!(stage.starts(task(id, 0, 0)), usize::from(!is_cancelled));
+        }
+    }
+}
+
+/// Guards against a cancellation of a job that the leader has that is not carried out.
+#[test]
+fn a_job_that_came_meanwhile_is_cancelled() {
+    let (mut stage, east, submitted) = stage();
+    stage.append(&submitted);
+    stage.advance(500);
+    stage.append(&JobRecord::CancelledBy(job_id(1), CallerMark::of(None)));
+    stage.advance(500);
+    assert_eq!(stage.state(job_id(1)), Some(JobState::Running));
+    stage.append(&JobRecord::CancelledBy(job_id(1), east));
+    stage.advance(1_000);
+    assert_eq!(stage.state(job_id(1)), Some(JobState::Cancelled));
+    assert_eq!(stage.alive(task(job_id(1), 0, 0)), 0);
+}
+
+/// Guards against cancellations that stay on the log for good, and against a job that outlives its own.
+#[test]
+fn a_cancellation_leaves_the_log_after_its_job() {
+    let (mut stage, east, submitted) = stage();
+    for id in [1, 2] {
+        stage.append(&JobRecord::CancelledBy(job_id(id), east));
+    }
+    stage.advance(140_000);
+    stage.append(&submitted);
+    stage.advance(15_000);
+    assert!(stage.book.get(job_id(2)).is_none());
+    assert_eq!(stage.state(job_id(1)), Some(JobState::Cancelled));
+    let kept = stage.book.get(job_id(1)).expect("kept").tombstones.clone();
+    assert_eq!(kept.into_iter().collect::<Vec<_>>(), [east]);
+    stage.take_over(2, config());
+    stage.advance(1_000);
+    assert_eq!(stage.starts(task(job_id(1), 0, 0)), 0);
+    stage.advance(160_000);
+    assert!(stage.book.get(job_id(1)).is_none());
+}
