A drop that is read again takes nothing newer away

Callers would see: a job that is not known (122), or shown as queued again, though it was accepted after an earlier job of its id had been dropped. Cause: a leader folds its own appends at once, and reads records of others that lie between them later. Such a read brings its own records from there again. Its drop of a job, folded once more, took away what it had stored under the same id since. Change: the book keeps the offset of each thing that it knows of a job, and a drop takes away only what lies before it. Enough: folded in any order, a drop and a submission leave what the log has in its order. Needs an id that comes again after its job was dropped.

--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -3,7 +3,7 @@
 //! Callers are answered from this book: a state is shown only once the log has it, so no answer
 //! depends on what a process alone remembers.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::decide::access::CallerMark;
@@ -17,11 +17,13 @@
     pub submission: Option<Arc<JobSubmission>>,
     /// Whether a caller cancelled it that may.
     pub is_cancelled: bool,
-    /// Callers that cancelled it before their entries knew it.
-    pub tombstones: BTreeSet<CallerMark>,
+    /// Callers that cancelled it before their entries knew it, and the offsets of that.
+    pub tombstones: BTreeMap<CallerMark, u64>,
     /// Newest progress.
     pub progress: Option<Arc<JobProgress>>,
     progress_offset: u64,
+    submission_offset: u64,
+    cancelled_offset: u64,
 }
 
 impl BookedJob {
@@ -34,7 +36,22 @@
     fn settle(&mut self) {
         let Some(submission) = &self.submission else { return };
         let owner = submission.organisation.as_ref();
-        self.is_cancelled |= self.tombstones.iter().any(|mark| mark.may_see(owner));
+        for (_, offset) in self.tombstones.iter().filter(|(mark, _)| mark.may_see(owner)) {
+            self.is_cancelled = true;
+            self.cancelled_offset = self.cancelled_offset.max(*offset);
+        }
+    }
+
+    /// Forgets what lies before `end` on the log.
+    fn forget_before(&mut self, end: u64) {
+        if self.submission_offset < end {
+            self.submission = None;
+        }
+        if self.progress_offset < end {
+            self.progress = None;
+        }
+        self.is_cancelled &= self.cancelled_offset >= end;
+        self.tombstones.retain(|_, offset| *offset >= end);
     }
 
     fn is_empty(&self) -> bool {
@@ -90,17 +107,21 @@
                 // The first submission counts: a caller's retry reaches another entry with the
                 // same job, and what has been scheduled must not change under it.
                 let is_new = entry.submission.is_none();
+                entry.submission_offset = entry.submission_offset.max(offset);
                 if is_new || submission.has_no_spec() {
                     entry.submission = Some(submission.clone());
                     entry.settle();
                 }
                 is_new
             }),
-            JobRecord::Cancelled(job) => {
-                self.change(*job, |entry| !std::mem::replace(&mut entry.is_cancelled, true))
-            }
+            JobRecord::Cancelled(job) => self.change(*job, |entry| {
+                entry.cancelled_offset = entry.cancelled_offset.max(offset);
+                !std::mem::replace(&mut entry.is_cancelled, true)
+            }),
             JobRecord::CancelledBy(job, mark) => self.change(*job, |entry| {
-                let is_new = entry.tombstones.insert(*mark);
+                let is_new = !entry.tombstones.contains_key(mark);
+                let newest = entry.tombstones.entry(*mark).or_default();
+                *newest = offset.max(*newest);
                 entry.settle();
                 is_new
             }),
@@ -114,12 +135,12 @@
                 is_new
             }),
             JobRecord::Dropped(job) => {
-                self.count(*job, false);
-                self.jobs.remove(job).is_some()
+                // It may be read again after what this entry has appended since.
+                self.forget_before(*job, offset)
             }
             JobRecord::TombstoneDropped(job, mark) => {
                 let Some(entry) = self.jobs.get_mut(job) else { return false };
-                let is_new = entry.tombstones.remove(mark);
+                let is_new = entry.tombstones.remove(mark).is_some();
                 if entry.is_empty() {
                     self.jobs.remove(job);
                 }
@@ -135,6 +156,19 @@
         }
     }
 
+    /// Forgets what lies before `end` on the log; returns whether that was all.
+    fn forget_before(&mut self, job: JobId, end: u64) -> bool {
+        self.count(job, false);
+        let Some(entry) = self.jobs.get_mut(&job) else { return false };
+        entry.forget_before(end);
+        let is_over = entry.is_empty();
+        if is_over {
+            self.jobs.remove(&job);
+        }
+        self.count(job, true);
+        is_over
+    }
+
     fn change(&mut self, job: JobId, edit: impl FnOnce(&mut BookedJob) -> bool) -> bool {
         self.count(job, false);
         let is_new = edit(self.jobs.entry(job).or_default());
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -112,7 +112,7 @@
             let records: Vec<JobRecord> =
                 batch.iter().map(|request| request.record.clone()).collect();
             match self.relay.store(&self.node, records).await {
-                RelayOutcome::Stored => self.finish(batch, 0),
+                RelayOutcome::Stored => self.finish(batch, None),
                 RelayOutcome::NotSent => self.append(batch, false).await,
                 // The leader may have made the append, or may make it yet: a refusal of the log
                 // would not be the whole truth.
@@ -142,7 +142,7 @@
                 AppendOutcome::Done { offset, .. } => {
                     self.sequence += 1;
                     self.node.touch();
-                    self.finish(batch, offset);
+                    self.finish(batch, Some(offset));
                     return;
                 }
                 AppendOutcome::Refused if !is_in_doubt => {
@@ -187,11 +187,16 @@
         }
     }
 
-    /// The entry knows its own submissions before it reads them back.
-    fn finish(&self, batch: Vec<SubmitRequest>, offset: u64) {
+    /// The entry knows its own submissions before it reads them back. What another entry has appended counts
+    /// as appended at the start: all that is read is newer.
+    fn finish(&self, batch: Vec<SubmitRequest>, offset: Option<u64>) {
         self.node.stored();
-        let records: Vec<(u64, JobRecord)> =
-            (offset..).zip(batch.iter().map(|request| request.record.clone())).collect();
+        let records: Vec<(u64, JobRecord)> = (0..)
+            .zip(&batch)
+            .map(|(place, request)| {
+                (offset.map_or(0, |first| first + place), request.record.clone())
+            })
+            .collect();
         self.node.fold(&records);
         answer(batch, SubmitOutcome::Stored);
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -219,7 +219,7 @@
     }
 
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
-        for mark in &job.tombstones {
+        for mark in job.tombstones.keys() {
             self.tombstones.insert(id, *mark, wall_ms);
         }
         let Some(submission) = &job.submission else {
--- a/tests/own_appends.rs
+++ b/tests/own_appends.rs
@@ -51,3 +51,16 @@
     assert_eq!(node.with_scheduler(|scheduler| scheduler.census().jobs), Some(1));
     assert!(node.book().get(job_id(2)).is_some());
 }
+
+/// Guards against a job that its leader forgets: the drop of an earlier one of the same id is read again, with a record
+/// of another entry, after the leader has stored the new one.
+#[test]
+fn a_drop_that_is_read_again_takes_nothing_newer() {
+    let node = leader();
+    let dropped = JobRecord::Dropped(job_id(1));
+    node.fold_own(std::slice::from_ref(&dropped), 1, 4);
+    node.fold_own(&[record(1)], 4, 5);
+    node.fold_read(vec![(0, record(2)), (3, dropped)], 4);
+    assert_eq!(node.book_end(), 5);
+    assert!(node.book().get(job_id(1)).is_some());
+}
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -277,7 +277,7 @@
     assert!(stage.book.get(job_id(2)).is_none());
     assert_eq!(stage.state(job_id(1)), Some(JobState::Cancelled));
     let kept = stage.book.get(job_id(1)).expect("kept").tombstones.clone();
-    assert_eq!(kept.into_iter().collect::<Vec<_>>(), [east]);
+    assert_eq!(kept.into_keys().collect::<Vec<_>>(), [east]);
     stage.take_over(2, config());
     stage.advance(1_000);
     assert_eq!(stage.starts(task(job_id(1), 0, 0)), 0);
