--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -131,6 +131,9 @@
         bounds: bounds(),
         config: Arc::new(config()),
         predecessor: None,
+        confirmed_ms: 100_000,
+        jobs_ms: 100_000,
+        rooms_ms: 100_000,
         now: 100_000,
         wall_ms: WALL_MS,
     };
