An entry that is behind the log keeps cancellations instead of refusing them

Cause: an entry that did not know the job had to read the log to its end before it took the cancellation, and a weak one can't while the log grows faster than its link carries. Only what it would have answered rested on that, not what it had to write. Change: where the look fails and the log is not away, the cancellation is stored as one of a job that is not known, and the answer is that it is stored. Enough: such a record counts for the job whether it came before or after, and where callers belong to organisations only for a job that the caller may see. The look and the append share the caller's time. Test: an_entry_that_is_behind_the_log_keeps_cancellations failed before (tests/tombstones.rs:190, refused as BehindLog).

--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Cancels a job, also one that is not known: its submission may be under way by another entry, and whoever
-    /// reads it later finds it cancelled.
+    /// Cancels a job, also one that is not known: its submission may be under way by another entry, or on the log
+    /// where this entry is behind it. Whoever reads it finds it cancelled.
     pub async fn cancel(
         &self,
         queue: &QueueSpec,
@@ -196,30 +196,34 @@
         job: JobId,
         patience: Duration,
     ) -> DeskReply {
-        let logger = self.node.logger.clone();
-        let known = match self.known(job).await {
-            Ok(known) => known,
-            Err(reply) => return reply,
-        };
-        let record = match &known {
-            Some(known) if self.is_hidden(caller, job, known) => return no_such_job(),
-            Some(known) if known.state.is_final() => return DeskReply::Stored,
-            // Whose job it will be is not known where callers belong to organisations.
-            None if self.needs_keys() => {
-                JobRecord::CancelledBy(job, CallerMark::of(caller.organisation.as_ref()))
-            }
-            _ => JobRecord::Cancelled(job),
-        };
-        let what = if known.is_some() { "cancellation" } else { "cancellation of no known job" };
         let begun = Instant::now();
-        let outcome = self.submitter.submit(record, deadline(queue, patience)).await;
-        note(&logger, what, job, outcome, begun);
+        let known = self.known(job).await;
+        let (record, what) = match &known {
+            Err(reply) if self.node.is_log_away() => return *reply,
+            Ok(Some(known)) if self.is_hidden(caller, job, known) => return no_such_job(),
+            Ok(Some(known)) if known.state.is_final() => return DeskReply::Stored,
+            Ok(Some(_)) => (JobRecord::Cancelled(job), "cancellation"),
+            Ok(None) => (self.tombstone(caller, job), "cancellation of no known job"),
+            Err(_) => (self.tombstone(caller, job), "cancellation without a look at the job"),
+        };
+        let left = patience.saturating_sub(begun.elapsed());
+        let outcome = self.submitter.submit(record, deadline(queue, left)).await;
+        note(&self.node.logger, what, job, outcome, begun);
         match outcome {
-            SubmitOutcome::Stored if known.is_none() => no_such_job(),
+            SubmitOutcome::Stored if known == Ok(None) => no_such_job(),
             outcome => reply(outcome),
         }
     }
 
+    /// The cancellation of a job that this entry does not know: whose it is is not known either, where callers
+    /// belong to organisations.
+    fn tombstone(&self, caller: &CallerAccess, job: JobId) -> JobRecord {
+        match self.needs_keys() {
+            true => JobRecord::CancelledBy(job, CallerMark::of(caller.organisation.as_ref())),
+            false => JobRecord::Cancelled(job),
+        }
+    }
+
     /// Counts the jobs of a queue that wait for their first task.
     pub fn count(&self, queue: &QueueSpec) -> DeskReply {
         if !self.node.is_current() {
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -41,6 +41,8 @@
     records: Arc<Mutex<Vec<KeyedRecord>>>,
     /// What becomes of appends; nothing for done.
     fate: Option<AppendOutcome>,
+    /// Whether reads are never answered to their end.
+    is_unread: bool,
 }
 
 impl MemoryLog {
@@ -63,6 +65,9 @@
 
     async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
         sleep(LOG_TIME).await;
+        if self.is_unread {
+            return ReadOutcome::Unknown;
+        }
         let all = self.records();
         let end = all.len() as u64;
         let records = (0..).zip(all.iter().cloned()).filter(|(offset, _)| *offset >= from);
@@ -173,6 +178,23 @@
     assert_eq!(reply, DeskReply::Unknown(ResultCode::JobOutcomeUnknown));
 }
 
+/// Guards against callers that can't cancel for as long as their entries are behind the log.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_behind_the_log_keeps_cancellations() {
+    for (config, caller) in [(config(), CallerAccess::default()), (keyed_config(), caller("east"))]
+    {
+        let log = MemoryLog::default();
+        let unread = MemoryLog { is_unread: true, ..log.clone() };
+        let (behind, other) = (desk(&unread, config.clone()), desk(&log, config));
+        let id = job_id(1);
+        assert_eq!(submit(&other, &caller, id).await, DeskReply::Stored);
+        assert_eq!(cancel(&behind, &caller, id).await, DeskReply::Stored);
+        let newcomer = newcomer(&log).await;
+        assert_eq!(newcomer.book().get(id).and_then(|job| job.state()), Some(JobState::Cancelled));
+        assert_eq!(open_jobs(&newcomer), 0);
+    }
+}
+
 /// Guards against a job that another organisation cancels before it is stored, or a caller without any.
 #[tokio::test(start_paused = true)]
 async fn nobody_cancels_another_organisations_job_before_it_is_stored() {
