A job that was dropped while an entry was behind the log is gone

Callers would see: work of a job begins minutes after the job was cancelled or done, and after its last state was told. Cause: an entry that is behind what the log keeps starts again from the newest record of each key. A job that was dropped meanwhile has no key any more, and the entry's book kept it as it was last known. If that was open, the entry ran it again once it became the leader. A new job of the same id was taken for the old one. Evidence: tests/behind_log.rs, lines 88 and 98; a drop of the entry's own between two pages was undone by a page from before it (line 184), and pages that are older than what another reader had read brought a dropped job back (line 200). Change: such a reading replaces what the book has from before the end that the log had at its first page; what was appended from there on stays, as it is not read back (own appends) or is read on. Pages that are older than the book change nothing. The book remembers the drops beyond what was read, and takes no earlier record of these jobs; only what is new to the book is told to the leader's scheduler. Enough: a key that a page leaves out had no value when that page was made, which was at the first page's time or later; a record from before that time was therefore dropped. All that lies later is in the book or read on. What the leader has stored for this entry meanwhile, at an offset that it is not told, is on a page or read on; until that read the entry may not know it, and looks for it on the log if it is asked.

--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -77,6 +77,8 @@
     jobs: HashMap<JobId, BookedJob>,
     waiting: HashMap<Arc<str>, u64>,
     waves: HashMap<u64, Arc<BTreeSet<Arc<str>>>>,
+    /// Offsets of drops: a page of an earlier time may still have the job.
+    dropped: HashMap<JobId, u64>,
 }
 
 impl JobBook {
@@ -100,10 +102,26 @@
         self.waves.get(&wave).map(|done| (**done).clone()).unwrap_or_default()
     }
 
+    /// Begins anew with the newest record of each key, read since the log ended at `end`: what they leave out was
+    /// dropped, unless it was appended later. Returns those that tell something new.
+    pub fn renew(&mut self, newest: &[(u64, JobRecord)], end: u64) -> Vec<(u64, JobRecord)> {
+        let known: Vec<JobId> = self.jobs.keys().copied().collect();
+        for job in known {
+            self.forget_before(job, end);
+        }
+        let is_new = |(offset, record): &&(u64, JobRecord)| self.fold(record, *offset);
+        newest.iter().filter(is_new).cloned().collect()
+    }
+
+    /// Nothing from before `end` comes any more.
+    pub fn forget_drops(&mut self, end: u64) {
+        self.dropped.retain(|_, offset| *offset >= end);
+    }
+
     /// Takes the record at `offset` of the log; returns whether it told something new.
     pub fn fold(&mut self, record: &JobRecord, offset: u64) -> bool {
         match record {
-            JobRecord::Submitted(job, submission) => self.change(*job, |entry| {
+            JobRecord::Submitted(job, submission) => self.change(*job, offset, |entry| {
                 // The first submission counts: a caller's retry reaches another entry with the
                 // same job, and what has been scheduled must not change under it.
                 let is_new = entry.submission.is_none();
@@ -114,18 +132,18 @@
                 }
                 is_new
             }),
-            JobRecord::Cancelled(job) => self.change(*job, |entry| {
+            JobRecord::Cancelled(job) => self.change(*job, offset, |entry| {
                 entry.cancelled_offset = entry.cancelled_offset.max(offset);
                 !std::mem::replace(&mut entry.is_cancelled, true)
             }),
-            JobRecord::CancelledBy(job, mark) => self.change(*job, |entry| {
+            JobRecord::CancelledBy(job, mark) => self.change(*job, offset, |entry| {
                 let is_new = !entry.tombstones.contains_key(mark);
                 let newest = entry.tombstones.entry(*mark).or_default();
                 *newest = offset.max(*newest);
                 entry.settle();
                 is_new
             }),
-            JobRecord::Progress(job, progress) => self.change(*job, |entry| {
+            JobRecord::Progress(job, progress) => self.change(*job, offset, |entry| {
                 // A snapshot's later pages can be ahead of the records that are read after it.
                 let is_new = entry.progress.is_none() || offset > entry.progress_offset;
                 if is_new {
@@ -135,6 +153,8 @@
                 is_new
             }),
             JobRecord::Dropped(job) => {
+                let newest = self.dropped.entry(*job).or_default();
+                *newest = offset.max(*newest);
                 // It may be read again after what this entry has appended since.
                 self.forget_before(*job, offset)
             }
@@ -169,7 +189,15 @@
         is_over
     }
 
-    fn change(&mut self, job: JobId, edit: impl FnOnce(&mut BookedJob) -> bool) -> bool {
+    fn change(
+        &mut self,
+        job: JobId,
+        offset: u64,
+        edit: impl FnOnce(&mut BookedJob) -> bool,
+    ) -> bool {
+        if self.dropped.get(&job).is_some_and(|dropped| offset < *dropped) {
+            return false;
+        }
         self.count(job, false);
         let is_new = edit(self.jobs.entry(job).or_default());
         self.count(job, true);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -183,9 +183,20 @@
     }
 
     /// Folds the newest record of each key, as they were when the log ended at `end` or later.
+    ///
+    /// What this entry had stored through the leader meanwhile, at an offset that it does not know, is among them
+    /// or is read on from `end`.
     pub fn fold_newest(&self, records: &[(u64, JobRecord)], end: u64) {
-        self.fold(records);
-        self.book_end.fetch_max(end, Ordering::AcqRel);
+        let mut book = self.book();
+        // Another reader has come further: a job that it saw being dropped must not come back.
+        if self.book_end() >= end {
+            return;
+        }
+        let new = book.renew(records, end);
+        self.reach(end);
+        book.forget_drops(self.book_end());
+        drop(book);
+        self.tell_scheduler(&new);
     }
 
     /// Folds what was read from an offset that the book had reached up to `next`.
@@ -202,6 +213,7 @@
             book.fold(record, *offset);
         }
         self.reach(next);
+        book.forget_drops(self.book_end());
         drop(book);
         self.tell_scheduler(&new);
     }
@@ -220,6 +232,7 @@
         }
         self.own_ranges().insert(offset, end);
         let is_whole = self.reach(offset.min(self.book_end()));
+        book.forget_drops(self.book_end());
         let own_ms = if is_whole { self.now().max(1) } else { 0 };
         self.own_ms.store(own_ms, Ordering::Release);
         if is_whole {
--- /dev/null
+++ b/tests/behind_log.rs
@@ -0,0 +1,215 @@
+//! An entry that is behind what the log keeps starts again from the newest record of each key.
+//!
+//! The pages of such a reading are not one moment. Below, the log ends at [`END`] when the first is made.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::decide::access::CallerMark;
+use ibisweir::jobs::follower::{TailStep, fold_step};
+use ibisweir::jobs::model::{JobId, JobState};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::record::{JobProgress, JobRecord};
+use ibisweir::scheduler::{Scheduler, SchedulerStart};
+use support::outside::{lead, silent_node};
+use support::stage::{QUEUE, bounds, config, job, job_id, step, submission};
+
+/// End of the log when the first page was made.
+const END: u64 = 300;
+
+fn submitted(id: u64) -> JobRecord {
+    JobRecord::Submitted(job_id(id), Arc::new(submission(job(vec![step(1)]))))
+}
+
+fn completed(id: u64) -> JobRecord {
+    let progress = JobProgress {
+        term: 1,
+        state: JobState::Completed,
+        ended_ms: 1,
+        occurrences_done: 1,
+        steps_done: Vec::new(),
+        tasks: Vec::new(),
+        workers: Vec::new(),
+        setbacks: Vec::new(),
+    };
+    JobRecord::Progress(job_id(id), Arc::new(progress))
+}
+
+/// An entry that has read these records from the start of the log.
+fn behind(records: Vec<JobRecord>) -> Arc<JobNode> {
+    let node = silent_node();
+    let end = records.len() as u64;
+    node.fold_read((0..).zip(records).collect(), end);
+    node
+}
+
+/// Takes in all pages.
+fn renew(node: &JobNode, newest: &[(u64, JobRecord)]) {
+    let encode = |(offset, record): &(u64, JobRecord)| (*offset, record.encode().expect("kept"));
+    fold_step(node, TailStep::Snapshot(newest.iter().map(encode).collect()), END);
+}
+
+fn state(node: &JobNode, id: u64) -> Option<JobState> {
+    node.book().get(job_id(id)).and_then(|job| job.state())
+}
+
+fn waiting(node: &JobNode) -> u64 {
+    node.book().waiting(QUEUE)
+}
+
+/// Jobs that a leader which takes over from this entry's book would run.
+fn open_jobs(node: &JobNode) -> usize {
+    let start = SchedulerStart {
+        term: 2,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        now: 100_000,
+        wall_ms: node.clock.wall_ms(),
+    };
+    Scheduler::open(start, &node.book()).census().jobs
+}
+
+fn dropped(id: u64) -> JobRecord {
+    JobRecord::Dropped(job_id(id))
+}
+
+fn read_on(node: &JobNode, records: Vec<(u64, JobRecord)>, next: u64) {
+    node.fold_read(records, next);
+}
+
+/// Guards against a job that runs again at the next leader: it was over and dropped while that entry was behind.
+#[test]
+fn a_job_that_was_dropped_meanwhile_is_gone() {
+    let node = behind(vec![submitted(1), submitted(2)]);
+    assert_eq!((waiting(&node), open_jobs(&node)), (2, 2));
+    renew(&node, &[(1, submitted(2))]);
+    assert_eq!((state(&node, 1), state(&node, 2)), (None, Some(JobState::Queued)));
+    assert_eq!((waiting(&node), open_jobs(&node)), (1, 1));
+    assert_eq!(node.book_end(), END);
+}
+
+/// Guards against a new job that is taken for the one of the same id that was dropped meanwhile.
+#[test]
+fn a_job_that_was_dropped_and_handed_in_again_is_new() {
+    let node = behind(vec![submitted(1), JobRecord::Cancelled(job_id(1)), completed(1)]);
+    renew(&node, &[(290, submitted(1))]);
+    assert_eq!(state(&node, 1), Some(JobState::Queued));
+    assert_eq!(waiting(&node), 1);
+}
+
+/// Guards against what is on the log that is lost with what is not.
+#[test]
+fn what_the_log_keeps_stays() {
+    let wave = |names: &[&str]| {
+        JobRecord::Wave(1, Arc::new(names.iter().map(|name| Arc::from(*name)).collect()))
+    };
+    let node = behind(vec![submitted(1), submitted(2), wave(&["a"])]);
+    let newest = [
+        (250, completed(2)),
+        (0, submitted(1)),
+        (1, submitted(2)),
+        (260, wave(&["a", "b"])),
+        (270, JobRecord::Cancelled(job_id(1))),
+    ];
+    renew(&node, &newest);
+    assert_eq!(state(&node, 1), Some(JobState::Cancelled));
+    assert_eq!(state(&node, 2), Some(JobState::Completed));
+    assert_eq!(node.book().maintained(1).len(), 2);
+}
+
+/// Guards against a job that its entry forgets, as it was stored after the page that it would stand on was made.
+#[test]
+fn what_this_entry_appends_between_two_pages_stays() {
+    let node = behind(vec![submitted(1), submitted(2)]);
+    node.fold(&[(310, submitted(3)), (311, JobRecord::Cancelled(job_id(2)))]);
+    renew(&node, &[(0, submitted(1)), (1, submitted(2))]);
+    assert_eq!(state(&node, 2), Some(JobState::Cancelled));
+    assert_eq!(state(&node, 3), Some(JobState::Queued));
+}
+
+/// Guards against a job that is lost to its entry, as the leader stored it and its offset is not known: it is on a
+/// page, or it is read on.
+#[test]
+fn what_the_leader_stores_between_two_pages_is_read_on() {
+    let node = behind(vec![submitted(1)]);
+    node.fold(&[(0, submitted(2)), (1, submitted(3)), (2, JobRecord::Cancelled(job_id(1)))]);
+    renew(&node, &[(0, submitted(1)), (299, submitted(2))]);
+    assert_eq!(state(&node, 2), Some(JobState::Queued));
+    let records = vec![(END, submitted(3)), (END + 1, JobRecord::Cancelled(job_id(1)))];
+    read_on(&node, records, END + 2);
+    assert_eq!(state(&node, 1), Some(JobState::Cancelled));
+    assert_eq!(state(&node, 3), Some(JobState::Queued));
+    assert_eq!(waiting(&node), 2);
+}
+
+/// Guards against runs that a leader forgets, as it wrote them after the page of their job was made.
+#[test]
+fn what_a_leader_writes_between_two_pages_stays() {
+    let node = behind(vec![submitted(1), submitted(2)]);
+    lead(&node);
+    node.fold_own(&[completed(1), submitted(3)], 305, 307);
+    // Once more as the caller's entry, that knows no offset.
+    let unseen = JobRecord::CancelledBy(job_id(4), CallerMark::of(None));
+    node.fold_own(std::slice::from_ref(&unseen), 307, 308);
+    node.fold(&[(0, submitted(3)), (0, unseen)]);
+    renew(&node, &[(0, submitted(1)), (1, submitted(2))]);
+    assert_eq!(state(&node, 1), Some(JobState::Completed));
+    assert_eq!(state(&node, 2), Some(JobState::Queued));
+    assert_eq!(state(&node, 3), Some(JobState::Queued));
+    // What others wrote before it is read, and then it need not be.
+    read_on(&node, Vec::new(), 305);
+    assert_eq!(node.book_end(), 308);
+    read_on(&node, vec![(308, submitted(4))], 309);
+    assert_eq!(state(&node, 4), Some(JobState::Cancelled));
+}
+
+/// Guards against a job that comes back with a page from before its drop, which is read on from the first page's end.
+#[test]
+fn a_job_that_is_dropped_between_two_pages_goes_when_that_is_read() {
+    let node = behind(vec![submitted(1)]);
+    renew(&node, &[(0, submitted(1)), (298, submitted(2))]);
+    read_on(&node, vec![(302, dropped(1)), (305, dropped(2))], 306);
+    assert_eq!((state(&node, 1), state(&node, 2), waiting(&node)), (None, None, 0));
+}
+
+/// Guards against a job that comes back with a page from before a leader's own drop of it, which it does not read.
+#[test]
+fn a_job_that_this_entry_drops_between_two_pages_stays_gone() {
+    let node = behind(vec![submitted(1)]);
+    lead(&node);
+    node.fold_own(&[dropped(1)], 302, 305);
+    renew(&node, &[(0, submitted(1))]);
+    assert_eq!((state(&node, 1), waiting(&node)), (None, 0));
+    assert_eq!(node.with_scheduler(|scheduler| scheduler.census().jobs), Some(0));
+    read_on(&node, Vec::new(), 302);
+    assert_eq!(node.book_end(), 305);
+    // The same id later is another job.
+    read_on(&node, vec![(305, submitted(1))], 306);
+    assert_eq!(state(&node, 1), Some(JobState::Queued));
+    assert_eq!(node.with_scheduler(|scheduler| scheduler.census().jobs), Some(1));
+}
+
+/// Guards against a job that comes back with pages that are older than what another reader has read meanwhile.
+#[test]
+fn pages_that_are_older_than_the_book_change_nothing() {
+    let node = behind(vec![submitted(1)]);
+    read_on(&node, vec![(350, dropped(1)), (351, submitted(2))], 400);
+    renew(&node, &[(0, submitted(1))]);
+    assert_eq!((state(&node, 1), state(&node, 2)), (None, Some(JobState::Queued)));
+    assert_eq!((node.book_end(), waiting(&node)), (400, 1));
+}
+
+/// Guards against a job that is counted or told to the leader twice, as a late page has it and it is read on.
+#[test]
+fn what_a_late_page_has_already_is_read_on_once() {
+    let node = silent_node();
+    lead(&node);
+    renew(&node, &[(302, submitted(1)), (299, submitted(2))]);
+    read_on(&node, vec![(301, submitted(3)), (302, submitted(1))], 303);
+    assert_eq!(waiting(&node), 3);
+    assert_eq!(node.with_scheduler(|scheduler| scheduler.census().jobs), Some(3));
+    let known = |id: JobId| node.book().get(id).is_some();
+    assert!([1, 2, 3].into_iter().all(|id| known(job_id(id))));
+}
--- /dev/null
+++ b/tests/book_model.rs
@@ -0,0 +1,241 @@
+//! Books of entries that fall behind the log against one that has read all of it.
+//!
+//! Jobs are submitted, cancelled, ended, dropped and handed in again, by the entry itself and by others, also
+//! between the pages of a reading; the log forgets its oldest records again and again. In the end each book must
+//! tell what the log tells.
+//!
+//! `IBISWEIR_TEST_SEED` draws other runs.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ibisweir::decide::access::CallerMark;
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::follower::{TailReader, fold_step};
+use ibisweir::jobs::model::{JobId, JobState};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
+};
+use ibisweir::jobs::record::{JobProgress, JobRecord, KeyedRecord};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::outside::silent_node;
+use support::stage::{QUEUE, job, job_id, step, submission};
+
+const RUNS: u64 = 400;
+const STEPS: usize = 60;
+const JOBS: u64 = 8;
+/// Keys on a page.
+const PAGE: usize = 3;
+
+/// The log, and who writes to it.
+struct World {
+    records: Vec<KeyedRecord>,
+    /// Oldest record that is kept.
+    first: usize,
+    /// All of it, folded in order.
+    told: JobBook,
+    random: StdRng,
+    node: Arc<JobNode>,
+    /// Whether the entry leads: it alone ends and drops jobs then.
+    leads: bool,
+    is_quiet: bool,
+}
+
+/// How the entry has stored a record.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Another entry has.
+    Foreign,
+    /// By an append of its own.
+    Direct,
+    /// Through the leader, at an offset that it is not told.
+    Relayed,
+    /// As the leader.
+    Leading,
+}
+
+impl World {
+    fn write(&mut self, records: Vec<KeyedRecord>, folded: &JobRecord, way: Way) {
+        let offset = self.records.len() as u64;
+        self.told.fold(folded, offset);
+        self.records.extend(records);
+        match way {
+            Way::Foreign => {}
+            Way::Direct => self.node.fold(&[(offset, folded.clone())]),
+            Way::Relayed => self.node.fold(&[(0, folded.clone())]),
+            Way::Leading => {
+                let end = self.records.len() as u64;
+                self.node.fold_own(std::slice::from_ref(folded), offset, end);
+                // The caller's entry may be the same.
+                if !matches!(folded, JobRecord::Dropped(_) | JobRecord::Progress(..)) {
+                    self.node.fold(&[(0, folded.clone())]);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        let id = job_id(self.random.random_range(0..JOBS));
+        let own = match (self.leads, self.random.random_range(0..4)) {
+            (true, 0..2) => Way::Leading,
+            (false, 0) => Way::Direct,
+            (false, 1) => Way::Relayed,
+            _ => Way::Foreign,
+        };
+        let leading = if self.leads { Way::Leading } else { Way::Foreign };
+        let state = self.told.get(id).and_then(|job| job.state());
+        let mark = CallerMark::of(None);
+        let (record, way) = match self.random.random_range(0..10) {
+            0..3 => (JobRecord::Submitted(id, Arc::new(submission(job(vec![step(1)])))), own),
+            3 => (JobRecord::Cancelled(id), own),
+            4 => (JobRecord::CancelledBy(id, mark), own),
+            5 | 6 if state.is_some() => (ended(id), leading),
+            7 if state.is_none_or(JobState::is_final) => (JobRecord::Dropped(id), leading),
+            8 => {
+                self.first = self.records.len();
+                return;
+            }
+            _ => return,
+        };
+        let records = match &record {
+            JobRecord::Dropped(id) => {
+                let mut records = JobRecord::drops(*id);
+                records.push(JobRecord::drop_tombstone(*id, mark));
+                records
+            }
+            record => vec![record.encode().expect("no drop")],
+        };
+        self.write(records, &record, way);
+    }
+}
+
+fn ended(id: JobId) -> JobRecord {
+    let progress = JobProgress {
+        term: 1,
+        state: JobState::Completed,
+        ended_ms: 1,
+        occurrences_done: 1,
+        steps_done: Vec::new(),
+        tasks: Vec::new(),
+        workers: Vec::new(),
+        setbacks: Vec::new(),
+    };
+    JobRecord::Progress(id, Arc::new(progress))
+}
+
+#[derive(Clone)]
+struct WorldLog(Arc<Mutex<World>>);
+
+impl WorldLog {
+    fn world(&self) -> MutexGuard<'_, World> {
+        self.0.lock().expect("no panic")
+    }
+
+    /// What happens before or after an answer is made.
+    fn meanwhile(&self) {
+        let mut world = self.world();
+        let acts = if world.is_quiet { 0 } else { world.random.random_range(0..4) };
+        for _ in 0..acts {
+            world.act();
+        }
+    }
+}
+
+impl JobLog for WorldLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        let answer = {
+            let world = self.world();
+            let at = usize::try_from(from).expect("small");
+            if at < world.first {
+                return ReadOutcome::Expired { first: world.first as u64 };
+            }
+            let records: Vec<_> =
+                (from..).zip(world.records[at..].iter().take(5).cloned()).collect();
+            let next = from + records.len() as u64;
+            ReadOutcome::Read(LogBatch { end: world.records.len() as u64, next, records })
+        };
+        self.meanwhile();
+        answer
+    }
+
+    async fn newest(&self, _: LogTopic, after: Option<&str>) -> Option<NewestPage> {
+        let page = {
+            let mut world = self.world();
+            if !world.is_quiet && world.random.random_range(0..8) == 0 {
+                return None;
+            }
+            let mut newest = BTreeMap::new();
+            for (offset, record) in (0..).zip(&world.records) {
+                newest.insert(record.key.as_str(), (offset, record.clone()));
+            }
+            newest.retain(|key, (_, record)| {
+                !record.value.is_empty() && after.is_none_or(|after| *key > after)
+            });
+            let has_more = newest.len() > PAGE;
+            let records = newest.into_values().take(PAGE).collect();
+            NewestPage { records, has_more, end: world.records.len() as u64 }
+        };
+        self.meanwhile();
+        Some(page)
+    }
+}
+
+/// Reads on with one of two readers, or as a caller's question does.
+async fn read(log: &WorldLog, tails: &mut [TailReader], node: &Arc<JobNode>) {
+    let choice = log.world().random.random_range(0..tails.len() + 1);
+    let Some(tail) = tails.get_mut(choice) else {
+        CatchUpReader::new(node.clone(), log.clone()).catch_up().await;
+        return;
+    };
+    tail.skip_to(node.book_end());
+    let step = tail.next(log, Duration::ZERO).await;
+    fold_step(node, step, tail.position());
+}
+
+/// Guards against a job that an entry takes for open, for over or for unknown against what the log says, however its
+/// readings fall in with what is written.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_has_read_the_log_tells_what_it_says() {
+    let mut pinned = 0xB00C;
+    support::seeded(pinned, |seed| pinned = seed);
+    for seed in pinned..pinned + RUNS {
+        let node = silent_node();
+        let world = World {
+            records: Vec::new(),
+            first: 0,
+            told: JobBook::default(),
+            random: StdRng::seed_from_u64(seed),
+            node: node.clone(),
+            leads: seed % 2 == 0,
+            is_quiet: false,
+        };
+        let log = WorldLog(Arc::new(Mutex::new(world)));
+        let mut tails = [TailReader::new(LogTopic::Jobs), TailReader::new(LogTopic::Jobs)];
+        for _ in 0..STEPS {
+            log.meanwhile();
+            read(&log, &mut tails, &node).await;
+        }
+        log.world().is_quiet = true;
+        for _ in 0..100 {
+            read(&log, &mut tails, &node).await;
+        }
+        let world = log.world();
+        assert_eq!(node.book_end(), world.records.len() as u64, "seed {seed}: not read");
+        for id in (0..JOBS).map(job_id) {
+            let told = world.told.get(id).and_then(|job| job.state());
+            let known = node.book().get(id).and_then(|job| job.state());
+            assert_eq!(known, told, "seed {seed}: {id}");
+        }
+        assert_eq!(node.book().waiting(QUEUE), world.told.waiting(QUEUE), "seed {seed}");
+    }
+}
