--- a/tests/cancellation_model.rs
+++ b/tests/cancellation_model.rs
@@ -11,13 +11,13 @@
 
 use std::ops::RangeInclusive;
 
-use ibisweir::jobs::model::{JobId, StepSpec};
+use ibisweir::jobs::model::{JobId, ResourceVector, StepSpec};
 use rand::Rng;
 use support::cancel_site::{CancelSite, HOP_MS};
 use support::stage::{job_id, step};
 
 /// Runs in CI; by hand thousands.
-const RUNS: u64 = 60;
+const RUNS: u64 = 120;
 /// Steps of a run.
 const STEPS: usize = 150;
 const ENTRIES: usize = 3;
@@ -72,20 +72,20 @@
 
     fn act(&mut self) {
         match self.site.random.random_range(0..100) {
-            0..20 => self.submit(),
-            20..40 => self.cancel(),
-            40..46 => self.delay_reads(),
-            46..52 => self.delay_appends(),
-            52..56 => self.delay_leader(),
-            56..64 => self.delay_starts(),
-            64..68 => self.lose_commands(),
-            68..73 => self.toggle_links(),
-            73..78 => self.toggle_silence(),
-            78..84 => self.freeze(),
-            84..86 => self.restart(),
-            86..88 => self.site.log.compact(),
-            88..90 => self.begin_anew(),
-            90..94 => self.heal(),
+            0..24 => self.submit(),
+            24..40 => self.cancel(),
+            40..50 => self.delay_reads(),
+            50..55 => self.delay_appends(),
+            55..59 => self.delay_leader(),
+            59..65 => self.delay_starts(),
+            65..69 => self.lose_commands(),
+            69..77 => self.toggle_links(),
+            77..81 => self.toggle_silence(),
+            81..85 => self.freeze(),
+            85..87 => self.restart(),
+            87..89 => self.site.log.compact(),
+            89..91 => self.begin_anew(),
+            91..93 => self.heal(),
             _ => {}
         }
     }
@@ -94,19 +94,36 @@
         self.site.random.random_range(0..ENTRIES)
     }
 
+    /// The leader more often than the others.
+    fn leader_or_other(&mut self) -> usize {
+        let (other, is_leader) = (self.entry(), self.site.happens(60));
+        self.site.leader().filter(|_| is_leader).unwrap_or(other)
+    }
+
+    /// Steps one after the other, so that there is something to start for some seconds.
     fn steps(&mut self) -> Vec<StepSpec> {
-        let mut steps = vec![step(self.site.random.random_range(1..4))];
-        if self.site.random.random_range(0..3) == 0 {
-            steps.push(StepSpec { after: vec![0], ..step(self.site.random.random_range(1..3)) });
+        let mut steps = vec![self.step()];
+        for position in 1..self.site.random.random_range(1..5) {
+            steps.push(StepSpec { after: vec![position - 1], ..self.step() });
         }
         steps
     }
 
-    /// A caller hands a job in, and tries another entry if it has no answer.
+    fn step(&mut self) -> StepSpec {
+        let cpu = self.site.random.random_range(1..6) * 1_000;
+        let need = ResourceVector { cpu, memory: 500, accelerators: 0 };
+        StepSpec { need, ..step(self.site.random.random_range(1..4)) }
+    }
+
+    /// A caller hands a job in, tries another entry if it has no answer, and often cancels it soon.
     fn submit(&mut self) {
         self.next_job += 1;
         let (number, steps, entry) = (self.next_job, self.steps(), self.entry());
         self.site.submit(entry, number, steps.clone());
+        if self.site.happens(50) {
+            let (other, ms) = (self.entry(), self.site.random.random_range(0..2_000));
+            self.site.later(ms, move |site| site.cancel(other, job_id(number)));
+        }
         if self.site.happens(30) {
             let (other, ms) = (self.entry(), self.site.random.random_range(200..3_000));
             self.site.later(ms, move |site| {
@@ -137,7 +154,7 @@
     }
 
     fn delay_reads(&mut self) {
-        let (entry, range) = (self.entry(), self.delay(HOP_MS, 8_000));
+        let (entry, range) = (self.leader_or_other(), self.delay(HOP_MS, 8_000));
         self.site.entries[entry].reads_ms = range;
     }
 
@@ -182,11 +199,9 @@
         worker.is_silent = !worker.is_silent;
     }
 
-    /// An entry stands still, the leader more often than the others.
+    /// An entry stands still.
     fn freeze(&mut self) {
-        let other = self.entry();
-        let is_leader = self.site.happens(60);
-        let entry = self.site.leader().filter(|_| is_leader).unwrap_or(other);
+        let entry = self.leader_or_other();
         let ms = self.site.random.random_range(100..6_000);
         self.site.entries[entry].frozen_until_ms = self.site.now + ms;
     }
