--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -35,6 +35,7 @@
 pub mod runtime;
 mod share;
 pub mod throttle;
+mod tombstones;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -59,6 +60,7 @@
 use crate::scheduler::rebirth::LifeBook;
 use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::share::ShareBook;
+use crate::scheduler::tombstones::TombstoneBook;
 use crate::scheduler::worker::WorkerRun;
 
 /// Fencing tokens that one term may use: room for a leader to raise its own.
@@ -79,6 +81,9 @@
 /// Workers with late answers that show it: so many, and one in so many; a few can be slow themselves.
 const LATE_WORKERS_MIN: usize = 3;
 const LATE_WORKERS_PART: usize = 16;
+/// What is left of the time until nothing of a cancelled job may start, in milliseconds: a worker takes a while from
+/// its look at the clock to the start.
+const START_MARGIN_MS: u64 = 100;
 /// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
 const LEASE_SLACK_MS: u64 = 200;
 
@@ -92,6 +97,12 @@
     pub config: Arc<SiteConfig>,
     /// The leader before, as last seen.
     pub predecessor: Option<LeaderTrace>,
+    /// When the newest confirmation of this leadership was sent, in milliseconds.
+    pub confirmed_ms: u64,
+    /// When the job log held no more than the book has, in milliseconds.
+    pub jobs_ms: u64,
+    /// When what workers say of themselves was asked for, in milliseconds.
+    pub rooms_ms: u64,
     /// Now, in milliseconds of the steady clock.
     pub now: u64,
     /// Now, in milliseconds since the epoch.
@@ -133,6 +144,7 @@
     runtimes: HashMap<Arc<str>, RuntimeModel>,
     /// Jobs that are over, and when they ended, in milliseconds since the epoch.
     finished: BTreeMap<JobId, u64>,
+    tombstones: TombstoneBook,
     workers: BTreeMap<Arc<str>, WorkerRun>,
     attention: BTreeSet<(TaskKey, u32)>,
     abandoned: AbandonedRuns,
@@ -163,7 +175,7 @@
 impl Scheduler {
     /// Takes over from the log: every run that it tells of may be alive.
     pub fn open(start: SchedulerStart, book: &JobBook) -> Scheduler {
-        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms } = start;
+        let SchedulerStart { term, bounds, config, predecessor, now, wall_ms, .. } = start;
         // The leader before extends no lease later than this long after it was last confirmed.
         let lease_ms = bounds.lease_max_ms * 100 / 98 + 100;
         let foreign_bound_ms =
@@ -180,12 +192,13 @@
             retired: HashMap::new(),
             foreign_bound_ms,
             vm_bound_ms,
-            confirmed_ms: now,
+            confirmed_ms: start.confirmed_ms,
             is_deposed: false,
             jobs: HashMap::new(),
             scheduled: BTreeSet::new(),
             runtimes: HashMap::new(),
             finished: BTreeMap::new(),
+            tombstones: TombstoneBook::default(),
             workers: BTreeMap::new(),
             attention: BTreeSet::new(),
             abandoned: AbandonedRuns::default(),
@@ -193,8 +206,8 @@
             lives: LifeBook::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareBook::default(),
-            rooms_ms: now,
-            jobs_ms: now,
+            rooms_ms: start.rooms_ms,
+            jobs_ms: start.jobs_ms,
             is_blind: false,
             permits: HashMap::new(),
             commits: CommitQueue::default(),
@@ -215,6 +228,9 @@
     }
 
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
+        for mark in job.tombstones.keys() {
+            self.tombstones.insert(id, *mark, wall_ms);
+        }
         let Some(submission) = &job.submission else {
             if job.is_cancelled {
                 self.cancel(id, RecordSource::Restored, now);
@@ -305,6 +321,12 @@
         now <= self.jobs_ms + self.bounds.cancel_ms / 2
     }
 
+    /// When the latest start that is decided now may begin, in milliseconds. A cancellation that we have not been told
+    /// of was acknowledged after the log held no more than we know.
+    pub(crate) fn start_deadline_ms(&self) -> u64 {
+        self.jobs_ms + self.bounds.cancel_ms.saturating_sub(START_MARGIN_MS)
+    }
+
     /// Age of what we know of the jobs, in milliseconds.
     pub fn view_age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.jobs_ms)
@@ -373,6 +395,10 @@
                 if is_known || submission.has_no_spec() {
                     return;
                 }
+                if self.tombstones.covers(*job, submission.organisation.as_ref()) {
+                    self.finished.insert(*job, self.wall_ms);
+                    return;
+                }
                 let booked = BookedJob::submitted(submission.clone());
                 let Some(mut run) = JobRun::restore(*job, &booked, now) else { return };
                 run.is_beyond_share = !self.is_within_share(submission, now);
@@ -387,7 +413,11 @@
                 self.needs_dispatch = true;
             }
             JobRecord::Cancelled(job) => self.cancel(*job, source, now),
-            JobRecord::Progress(..) | JobRecord::Dropped(_) | JobRecord::Wave(..) => {}
+            JobRecord::CancelledBy(job, mark) => self.cancel_by(*job, *mark, source, now),
+            JobRecord::Progress(..)
+            | JobRecord::Dropped(_)
+            | JobRecord::TombstoneDropped(..)
+            | JobRecord::Wave(..) => {}
         }
     }
 
@@ -399,13 +429,7 @@
     }
 
     fn cancel(&mut self, id: JobId, source: RecordSource, now: u64) {
-        let found = match self.jobs.get(&id) {
-            Some(job) if !job.state.is_final() => "open",
-            None if !self.finished.contains_key(&id) => "unknown",
-            _ => "over",
-        };
-        let view_ms = self.view_age_ms(now);
-        self.note(SchedulerNote::Cancelled { job: id, source, found, view_ms });
+        self.note_cancelled(id, source, now);
         let Some(job) = self.jobs.get_mut(&id) else {
             // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
             // relay. Forgotten, it would never be heard of again, and the job would run.
--- a/tests/support/cancel_leader.rs
+++ b/tests/support/cancel_leader.rs
@@ -32,6 +32,17 @@
 /// Time between two looks at the leases.
 const LEASE_LOOK_MS: u64 = 50;
 
+/// A takeover that has shut earlier leaders out of the log.
+#[derive(Clone, Copy)]
+struct SiteTakeover {
+    term: u64,
+    predecessor: Option<LeaderTrace>,
+    /// End of the log that earlier leaders have written.
+    end: u64,
+    /// When the append that shut them out was sent, by the entry's clock, in milliseconds.
+    raised_ms: u64,
+}
+
 /// A leader's starts on their way to an executor.
 pub struct StartOrders {
     leader: EntryLife,
@@ -51,26 +62,21 @@
             return;
         }
         self.log.epoch = term;
-        let end = self.log.end;
-        self.read_through(life, term, end, predecessor);
+        let takeover =
+            SiteTakeover { term, predecessor, end: self.log.end, raised_ms: self.node(life).now() };
+        self.read_through(life, takeover);
     }
 
     /// Reads what earlier leaders wrote, and the workers: `LeaderRun::read_through`, `first_workers`.
-    fn read_through(
-        &mut self,
-        life: EntryLife,
-        term: u64,
-        end: u64,
-        predecessor: Option<LeaderTrace>,
-    ) {
-        if self.entries[life.0].term != Some(term) {
+    fn read_through(&mut self, life: EntryLife, takeover: SiteTakeover) {
+        if self.entries[life.0].term != Some(takeover.term) {
             return;
         }
         let takeover_ms = self.delays.takeover_ms.clone();
         let ms = self.draw(&takeover_ms);
         let node = self.node(life);
-        if node.book_end() >= end {
-            self.at_entry(ms, life, move |site| site.install(life, term, predecessor));
+        if node.book_end() >= takeover.end {
+            self.at_entry(ms, life, move |site| site.install(life, takeover));
             return;
         }
         let from = node.book_end();
@@ -80,12 +86,13 @@
         };
         self.at_entry(ms, life, move |site| {
             fold_step(&node, step.0, step.1);
-            site.read_through(life, term, end, predecessor);
+            site.read_through(life, takeover);
         });
     }
 
     /// Opens the scheduler: `LeaderRun::install`.
-    fn install(&mut self, life: EntryLife, term: u64, predecessor: Option<LeaderTrace>) {
+    fn install(&mut self, life: EntryLife, takeover: SiteTakeover) {
+        let SiteTakeover { term, predecessor, raised_ms, .. } = takeover;
         if self.entries[life.0].term != Some(term) {
             return;
         }
@@ -95,6 +102,9 @@
             bounds: bounds(),
             config: Arc::new(one_pool()),
             predecessor,
+            confirmed_ms: self.entries[life.0].confirmed_ms.max(raised_ms),
+            jobs_ms: raised_ms.max(node.jobs_ms()),
+            rooms_ms: raised_ms,
             now: node.now(),
             wall_ms: WALL_OFFSET_MS + self.now,
         };
