The model of cancellations has callers with keys and late answers of workers

Callers need keys in three of ten runs, so that the cancellation of an unknown job is the record with a mark; answers to renewals may be late, so that workers are taken for silent and their clocks are read late. The second random test is named after what it does now: starts and takeovers are quick there. No code of the service is changed.

--- a/tests/cancellation_model.rs
+++ b/tests/cancellation_model.rs
@@ -49,6 +49,7 @@
     fn open(seed: u64, kinds: TroubleKinds) -> Model {
         let mut site = CancelSite::open(seed, ENTRIES, WORKERS);
         site.delays.run_ms = 100..=1_500;
+        site.needs_keys = site.happens(30);
         for position in 0..WORKERS {
             site.workers[position].slow_percent = site.random.random_range(0..=2);
         }
@@ -162,6 +163,7 @@
         self.site.delays.commit_ms = self.delay(5, 1_500);
         self.site.delays.lane_ms = self.delay(1, 3_000);
         self.site.delays.relay_ms = self.delay(HOP_MS, 1_500);
+        self.site.delays.renew_ms = self.delay(HOP_MS, 1_500);
         let latest_ms = if self.kinds.late_takeovers { 5_000 } else { 50 };
         self.site.delays.takeover_ms = self.delay(10, latest_ms);
     }
@@ -256,8 +258,8 @@
     check(ALL).await;
 }
 
-/// Guards against the same without the kinds of trouble that break the rule today.
+/// Guards against the same where starts and takeovers are quick, so that more tasks begin.
 #[tokio::test(start_paused = true)]
-async fn nothing_begins_long_after_a_cancellation_without_known_trouble() {
+async fn nothing_begins_long_after_a_cancellation_where_starts_are_quick() {
     check(NONE).await;
 }
--- a/tests/support/cancel_callers.rs
+++ b/tests/support/cancel_callers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use ibisweir::decide::access::CallerMark;
 use ibisweir::jobs::follower::{TailStep, fold_step};
 use ibisweir::jobs::model::{JobId, StepSpec};
 use ibisweir::jobs::record::JobRecord;
@@ -12,6 +13,8 @@
 use super::cancel_site::{CancelSite, EntryLife, HOP_MS};
 use super::pieces::{job, job_id, submission};
 
+/// Word for a record that cancels.
+const CANCELLATION: &str = "cancellation";
 /// Time for which a caller waits.
 const SUBMIT_PATIENCE_MS: u64 = 1_500;
 /// Time for the leader to take a batch, and to store it.
@@ -98,7 +101,12 @@
         self.at_entry(ms, life, move |site| {
             fold_step(&site.node(life), TailStep::Records(batch.records), batch.next);
             if !site.cancel_known(life, id) {
-                site.store(life, JobRecord::Cancelled(id));
+                let mark = CallerMark::of(None);
+                let record = match site.needs_keys {
+                    true => JobRecord::CancelledBy(id, mark),
+                    false => JobRecord::Cancelled(id),
+                };
+                site.store(life, record);
             }
         });
     }
@@ -199,7 +207,7 @@
     fn finish(&mut self, request: &StoreRequest, offset: u64) {
         let is_first = self.requests.stored.insert(request.number);
         self.node(request.from).fold(&[(offset, request.record.clone())]);
-        let is_cancellation = matches!(request.record, JobRecord::Cancelled(_));
+        let is_cancellation = word(&request.record) == CANCELLATION;
         if is_first && is_cancellation && self.now <= request.due_ms {
             self.acknowledge(job_of(&request.record), request.from, "stored");
         }
@@ -221,7 +229,7 @@
 fn word(record: &JobRecord) -> &'static str {
     match record {
         JobRecord::Submitted(..) => "submission",
-        JobRecord::Cancelled(_) => "cancellation",
+        JobRecord::Cancelled(_) | JobRecord::CancelledBy(..) => CANCELLATION,
         _ => "record",
     }
 }
--- a/tests/support/cancel_leader.rs
+++ b/tests/support/cancel_leader.rs
@@ -496,7 +496,25 @@
             };
             site.later(ms, move |site| {
                 let outcome = site.report(&target.id, &call);
-                site.tell_renewed(HOP_MS, (life, term), target.id, call, now, outcome);
+                let renew_ms = site.delays.renew_ms.clone();
+                let ms = site.draw(&renew_ms);
+                let is_late = ms > patience_ms;
+                let (in_time, late) = match (outcome, is_late) {
+                    (CommandOutcome::Done(report), true) => (CommandOutcome::Unknown, Some(report)),
+                    (outcome, _) => (outcome, None),
+                };
+                let leader = (life, term);
+                let id = target.id.clone();
+                site.tell_renewed(ms.min(patience_ms), leader, target.id, call, now, in_time);
+                let Some(report) = late else { return };
+                site.at_entry(ms, life, move |site| {
+                    let node = site.node(life);
+                    if site.leads(life, term) {
+                        node.with_scheduler(|scheduler| {
+                            scheduler.answered_late(&id, &call, report, now, node.now());
+                        });
+                    }
+                });
             });
         });
     }
--- a/tests/support/cancel_site.rs
+++ b/tests/support/cancel_site.rs
@@ -112,6 +112,8 @@
     pub commit_ms: RangeInclusive<u64>,
     /// A start's wait in its lane.
     pub lane_ms: RangeInclusive<u64>,
+    /// The answer to a renewal.
+    pub renew_ms: RangeInclusive<u64>,
     /// A start's way from its sender to the worker.
     pub start_ms: RangeInclusive<u64>,
     /// A batch's way to its executor.
@@ -145,6 +147,8 @@
     pub lost_stops: u32,
     /// Part of the starts that go through executors, in percent.
     pub delegated: u32,
+    /// Whether callers need keys.
+    pub needs_keys: bool,
     /// Draws.
     pub random: StdRng,
     holder: Option<EntryLife>,
@@ -181,6 +185,7 @@
                 relay_ms: HOP_MS..=HOP_MS,
                 commit_ms: 5..=5,
                 lane_ms: 1..=1,
+                renew_ms: HOP_MS..=HOP_MS,
                 start_ms: HOP_MS..=HOP_MS,
                 batch_ms: HOP_MS..=HOP_MS,
                 takeover_ms: 10..=10,
@@ -189,6 +194,7 @@
             lost_starts: 0,
             lost_stops: 0,
             delegated: 0,
+            needs_keys: false,
             random: StdRng::seed_from_u64(seed),
             holder: None,
             holder_term: 0,
