The order of a late start through an executor guards the start deadline again

Since executors start nothing of a job that they know to be over, the order with a late batch passes without the start deadline: the executor has read the cancellation by then.

--- a/tests/cancellation_orders.rs
+++ b/tests/cancellation_orders.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::cancel_site::CancelSite;
+use support::cancel_site::{CancelSite, HOP_MS};
 use support::stage::{job_id, step};
 
 /// Time in which the first entry comes to lead, in milliseconds.
@@ -42,15 +42,17 @@
 /// Guards against the same start when another entry carries it out for the leader.
 #[tokio::test(start_paused = true)]
 async fn a_start_of_an_executor_that_is_under_way_for_seconds_does_not_begin() {
-    let mut site = led_site(1).await;
-    site.delegated = 100;
-    site.delays.batch_ms = 1_000..=1_000;
-    site.delays.start_ms = 2_500..=2_500;
-    site.lost_stops = 100;
-    site.submit(1, 1, vec![step(1)]);
-    site.run(100).await;
-    site.cancel(2, job_id(1));
-    expect_nothing_late(site).await;
+    for (batch_ms, start_ms) in [(1_000, 2_500), (HOP_MS, 4_000)] {
+        let mut site = led_site(1).await;
+        site.delegated = 100;
+        site.delays.batch_ms = batch_ms..=batch_ms;
+        site.delays.start_ms = start_ms..=start_ms;
+        site.lost_stops = 100;
+        site.submit(1, 1, vec![step(1)]);
+        site.run(100).await;
+        site.cancel(2, job_id(1));
+        expect_nothing_late(site).await;
+    }
 }
 
 /// Guards against "no such job" for a job whose submission another entry is still putting on the log.
