No start goes out, or again, to a worker that is known to be leaving

Callers would see: tasks that start on a worker which was known to leave for longer than the platform's bound (DRAIN), and are lost with it. Cause: a worker that says that it is leaving gets no new task, but starts that were placed before stayed: those in their lanes went out later, and those without an answer were sent again every 0.6 s for as long as there was none. Change: when a worker says that it is leaving, its unanswered starts are taken back, as when its room shrinks: one that was never sent is dropped, one that may be under way is ruled out by a stop, and the task goes elsewhere. Why it is enough: the rule counts from when one of our machines knows it; the leader is the one that reads it, and from then on decides and sends nothing there. What is under way then arrives within the bound of a start, or is ruled out by the stop before. Not done: starts of pools whose workers guard their room are not bounded by the age of the view of the workers. The rule binds machines in touch, whose readings of the workers come every 0.8 s; and the second half of rooms_that_nobody_has_read_for_seconds_take_no_start_without_a_guard asks that such pools go on while the workers can't be read for 5 s, which a bound of 2 to 3 s would end.

Test: no_start_goes_out_to_a_worker_that_is_known_to_leave, one start in its lane and one without an answer; failed before (line 220, for each of the two), and fails with the change taken out.

--- a/src/scheduler/room.rs
+++ b/src/scheduler/room.rs
@@ -3,7 +3,7 @@
 //! A worker without a guard starts whatever it is told to. A start that was placed when there was room, and
 //! goes out when there is none, brings it over: all that runs there is starved, and nothing refuses it. So
 //! starts that are under way are taken back when a room shrinks, and none goes out into a room that was not
-//! read for a while.
+//! read for a while. None is sent, or sent again, to a worker that is known to be leaving.
 
 use std::sync::Arc;
 
@@ -30,12 +30,20 @@
         is_guarded || now <= self.rooms_ms + ROOM_AGE_MS
     }
 
-    /// Takes what a worker says of itself, and takes back the starts that no longer fit, the latest first.
+    /// Takes what a worker says of itself, and takes back the starts that no longer fit, the latest first, or all
+    /// if it is about to leave.
     pub(crate) fn resize_worker(&mut self, entry: WorkerEntry, now: u64) {
         let id = entry.id.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let has_shrunk = !entry.capacity.holds(&worker.entry.capacity);
+        let is_leaving = entry.is_draining;
         worker.entry = entry;
+        if is_leaving {
+            for (key, run) in self.pending_starts(&id) {
+                self.take_back_start(&key, run, "its worker is leaving", now);
+            }
+            return;
+        }
         if !has_shrunk {
             return;
         }
@@ -45,7 +53,7 @@
             if self.workers.get(&id).is_none_or(|worker| worker.is_within_room()) {
                 return;
             }
-            self.take_back_start(&key, run, now);
+            self.take_back_start(&key, run, "no room any more", now);
         }
     }
 
@@ -64,11 +72,11 @@
     }
 
     /// One that was sent may be carried out yet: a stop makes the worker refuse it for good.
-    fn take_back_start(&mut self, key: &TaskKey, run: u32, now: u64) {
+    fn take_back_start(&mut self, key: &TaskKey, run: u32, reason: &'static str, now: u64) {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         let live = task.and_then(|task| task.live.iter().find(|live| live.run == run));
         match live {
-            Some(live) if live.is_sent => self.stop_run(key, run, "no room any more", now),
+            Some(live) if live.is_sent => self.stop_run(key, run, reason, now),
             Some(_) => self.remove_run(key, run, now),
             None => {}
         }
--- a/tests/start_deadline.rs
+++ b/tests/start_deadline.rs
@@ -10,6 +10,7 @@
 use ibisweir::jobs::model::TaskKey;
 use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, StartCall};
 use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::WorkerEntry;
 use ibisweir::scheduler::worker::WorkerRun;
 use ibisweir::scheduler::{SchedulerAction, SchedulerNote};
 use support::outside::{NotedWorkers, silent_node};
@@ -196,3 +197,28 @@
     }
     assert!(bound <= deadline_ms + 200, "{bound}");
 }
+
+/// Guards against a start that is sent again and again, or waits in its lane, until long after its worker was known to
+/// be leaving.
+#[test]
+fn no_start_goes_out_to_a_worker_that_is_known_to_leave() {
+    for is_sent in [false, true] {
+        let mut stage = Stage::open(config(), vec![worker("w0", "r0"), worker("w1", "r0")]);
+        stage.lane_is_slow = !is_sent;
+        stage.workers.values_mut().for_each(|worker| worker.is_late = true);
+        let id = stage.submit(1, job(vec![step(1)]));
+        let place = match stage.scheduled_on("w0") {
+            0 => "w1",
+            _ => "w0",
+        };
+        stage.report(WorkerEntry { is_draining: true, ..worker(place, "r0") });
+        stage.workers.values_mut().for_each(|worker| worker.is_late = false);
+        stage.lane_is_slow = false;
+        stage.empty_lanes();
+        stage.advance(1_000);
+        let on = |id: &str| stage.started.iter().filter(|(.., on)| **on == *id).count();
+        assert_eq!((on(place), stage.started.len()), (0, 1));
+        stage.deliver_late(place);
+        assert_eq!(stage.starts(task(id, 0, 0)), 1, "a stop has ruled it out");
+    }
+}
