Reads of the leadership stream that fail are logged

A read that fails after others were answered now leaves a line with its outcome and time. No decision changes.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -143,6 +143,11 @@
         self.contact_ms.get_or_insert(now);
     }
 
+    /// Whether the last read was answered.
+    pub fn has_contact(&self) -> bool {
+        self.contact_ms.is_some()
+    }
+
     /// A read failed: a renewal may have been missed since.
     pub fn lost_contact(&mut self) {
         self.contact_ms = None;
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -101,6 +101,7 @@
 
     /// Reads what was appended; false if the log can't be read.
     async fn read(&mut self, wait: Duration) -> bool {
+        let sent_ms = self.node.now();
         let outcome = self.parts.log.read(LogTopic::Leadership, self.view.end, wait).await;
         let now = self.node.now();
         match outcome {
@@ -122,6 +123,10 @@
                 true
             }
             ReadOutcome::Refused | ReadOutcome::Unknown => {
+                if self.view.has_contact() {
+                    warn!(self.node.logger, "who leads can't be read"; "outcome" => ?outcome,
+                        "took_ms" => now.saturating_sub(sent_ms));
+                }
                 self.view.lost_contact();
                 false
             }
