Stops go to workers that answer late, several at a time, each to the address its worker has by then

Cause: no stop was sent to a worker that was taken for silent, by a rule that is right for starts only. On a choked link a worker is taken for silent each half second, as its answers come late, while what is sent to it arrives. Stops of one worker also went one after the other, each with 0.45 s. Change: a stop goes out to any listed worker, whatever is believed of it; up to eight at a time for each, the same one not twice, be it under way or waiting; it has 1.5 s. Where answers come within 20 ms the next one waits for the one before, so that they share a connection. Each command takes the worker's address from the scheduler as it is sent, and nothing goes to a worker without one. Repeats to a worker that does not answer pause for 1.2, 1.8, 3.0 and 5.4 s; when it answers, a stop is due at once. A start that turns into a stop while it waits goes to the line of the stops. Why it is enough: a stop extends no lease and is idempotent; one that is carried out late is refused by token, or stops what was to be stopped. No lane is opened for a worker without an address, and none keeps an address.

--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -1,11 +1,14 @@
 //! The way of commands and renewals to each worker.
 //!
-//! A worker has three tasks: one renews its leases, one sends its stops and throttles, one its starts, each one
-//! after the other. Starts may wait for the window or for a worker that does not answer; a stop behind them would
-//! come too late for the job that was cancelled. A stop may overtake the start of its run: the worker refuses a run
-//! that it was told to stop.
+//! A worker has three tasks: one renews its leases, one sends its stops, several at a time, and its throttles, one
+//! its starts, one after the other. Starts may wait for the window or for a worker that does not answer; a stop
+//! behind them would come too late for the job that was cancelled. A stop may overtake the start of its run: the
+//! worker refuses a run that it was told to stop.
+//!
+//! A lane outlives what was known of its worker when it was opened: each command goes to the address that the
+//! scheduler has when it is sent, and to none where it has no address.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,8 +29,15 @@
 use crate::scheduler::exits::RenewPlan;
 use crate::scheduler::runs::RunCommand;
 
-/// Time for a start or stop to be answered.
+/// Time for a start or throttle to be answered.
 const COMMAND_PATIENCE: Duration = Duration::from_millis(450);
+/// Time for a stop to be answered: where answers wait in a line of ours, a shorter one would give it up before it is
+/// sent, again and again.
+const STOP_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Stops of one worker that are under way at a time.
+const STOPS_MAX: usize = 8;
+/// Time for which a stop waits for the one before it: where answers come at once, they share a connection.
+const STOP_STAGGER: Duration = Duration::from_millis(20);
 /// Answers of one worker that are read on at a time after they were given up.
 const LATE_READS_MAX: usize = 2;
 /// Part of our link that starts may take while other entries can carry them out: renewals and the log need
@@ -47,6 +57,45 @@
     Throttle(RunCall, u32),
 }
 
+/// Stops and throttles that wait to be sent to a worker.
+#[derive(Clone)]
+struct CommandLine {
+    commands: mpsc::UnboundedSender<LaneCommand>,
+    stopping: StoppingRuns,
+}
+
+impl CommandLine {
+    fn push(&self, command: LaneCommand) {
+        let is_new = match command {
+            LaneCommand::Run(task, run) => self.stopping.insert((task, run)),
+            LaneCommand::Stop(call) => self.stopping.insert((call.task, call.run)),
+            LaneCommand::Throttle(..) => true,
+        };
+        if is_new {
+            // The lane ends only with its worker, whose runs are then over.
+            let _ = self.commands.send(command);
+        }
+    }
+}
+
+/// Runs with a stop that waits or is under way: the same one again would add nothing.
+#[derive(Clone, Default)]
+struct StoppingRuns(Arc<Mutex<BTreeSet<(TaskKey, u32)>>>);
+
+impl StoppingRuns {
+    fn insert(&self, key: (TaskKey, u32)) -> bool {
+        self.lock().insert(key)
+    }
+
+    fn remove(&self, key: (TaskKey, u32)) {
+        self.lock().remove(&key);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<(TaskKey, u32)>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Which way a start goes.
 enum StartRoute<'a> {
     Direct(FlowPermit<'a>),
@@ -57,7 +106,7 @@
 #[derive(Clone)]
 struct WorkerLane {
     wake: Arc<Notify>,
-    commands: mpsc::UnboundedSender<LaneCommand>,
+    commands: CommandLine,
     starts: mpsc::UnboundedSender<(TaskKey, u32)>,
     renewing: AbortHandle,
 }
@@ -123,13 +172,13 @@
         tasks: &mut JoinSet<()>,
     ) {
         let lane = self.lane(target, tasks);
-        // The lane ends only with its worker, whose runs are then over.
-        let _ = match command {
+        match command {
             LaneCommand::Run(task, run) if self.is_starting(&task, run) => {
-                lane.starts.send((task, run)).is_ok()
+                // The lane ends only with its worker, whose runs are then over.
+                let _ = lane.starts.send((task, run));
             }
-            command => lane.commands.send(command).is_ok(),
-        };
+            command => lane.commands.push(command),
+        }
     }
 
     fn is_starting(&self, task: &TaskKey, run: u32) -> bool {
@@ -147,76 +196,120 @@
         if let Some(lane) = lanes.get(&target.id) {
             return lane.clone();
         }
-        let (commands, other) = mpsc::unbounded_channel();
+        let (sender, commands) = mpsc::unbounded_channel();
+        let stopping = StoppingRuns::default();
+        let line = CommandLine { commands: sender, stopping: stopping.clone() };
         let (starts, starting) = mpsc::unbounded_channel();
-        let wake = Arc::new(Notify::new());
-        let renewing = tasks.spawn(self.clone().renew(target.id.clone(), wake.clone()));
-        let lane = WorkerLane { wake, commands, starts, renewing };
-        lanes.insert(target.id.clone(), lane.clone());
-        tasks.spawn(self.clone().send_commands(target.clone(), other));
-        tasks.spawn(self.clone().send_starts(target.clone(), starting));
+        let (id, wake) = (target.id.clone(), Arc::new(Notify::new()));
+        let renewing = tasks.spawn(self.clone().renew(id.clone(), wake.clone()));
+        tasks.spawn(self.clone().send_commands(id.clone(), commands, stopping));
+        tasks.spawn(self.clone().send_starts(id.clone(), starting, line.clone()));
+        let lane = WorkerLane { wake, commands: line, starts, renewing };
+        lanes.insert(id, lane.clone());
         lane
     }
 
-    /// Sends a worker's stops and throttles one after the other.
+    /// Sends a worker's stops, several at a time, and its throttles.
     async fn send_commands(
         self: Arc<Self>,
-        target: WorkerTarget,
+        id: Arc<str>,
         mut commands: mpsc::UnboundedReceiver<LaneCommand>,
+        stopping: StoppingRuns,
     ) {
+        let mut stops = JoinSet::new();
         while let Some(command) = commands.recv().await {
-            match command {
-                LaneCommand::Run(task, run) => {
-                    if let Some(RunCommand::Stop(call)) = self.command(&task, run) {
-                        self.send_stop(&target, &call).await;
-                    }
-                }
-                LaneCommand::Stop(call) => self.send_stop(&target, &call).await,
+            let key = match command {
+                LaneCommand::Run(task, run) => (task, run),
+                LaneCommand::Stop(call) => (call.task, call.run),
                 LaneCommand::Throttle(call, percent) => {
-                    let outcome =
-                        self.workers.throttle(&target, &call, percent, COMMAND_PATIENCE).await;
-                    let is_done = matches!(outcome, CommandOutcome::Done(_));
-                    self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
+                    self.send_throttle(&id, &call, percent).await;
+                    continue;
                 }
+            };
+            while stops.try_join_next().is_some() {}
+            if !stops.is_empty() {
+                // Either ends the wait.
+                let _ = timeout(STOP_STAGGER, stops.join_next()).await;
+            }
+            while stops.len() >= STOPS_MAX {
+                stops.join_next().await;
             }
-            self.node.wake.notify_one();
+            let Some((target, call)) = self.stop_call(&id, command) else {
+                stopping.remove(key);
+                continue;
+            };
+            let (lanes, stopping) = (self.clone(), stopping.clone());
+            stops.spawn(async move {
+                lanes.send_stop(&target, &call).await;
+                stopping.remove(key);
+            });
         }
+        while stops.join_next().await.is_some() {}
+    }
+
+    /// What stops a run now, if it is still to be stopped.
+    fn stop_call(&self, id: &Arc<str>, command: LaneCommand) -> Option<(WorkerTarget, RunCall)> {
+        match command {
+            LaneCommand::Run(task, run) => match self.command(id, &task, run)? {
+                (target, RunCommand::Stop(call)) => Some((target, call)),
+                (_, RunCommand::Start(_)) => None,
+            },
+            LaneCommand::Stop(call) => Some((self.target(id)?, call)),
+            LaneCommand::Throttle(..) => None,
+        }
+    }
+
+    async fn send_throttle(&self, id: &Arc<str>, call: &RunCall, percent: u32) {
+        let Some(target) = self.target(id) else { return };
+        let outcome = self.workers.throttle(&target, call, percent, COMMAND_PATIENCE).await;
+        let is_done = matches!(outcome, CommandOutcome::Done(_));
+        self.node.with_scheduler(|scheduler| scheduler.throttled(call, is_done));
+        self.node.wake.notify_one();
     }
 
     /// Sends a worker's starts one after the other, here or through an executor.
     async fn send_starts(
         self: Arc<Self>,
-        target: WorkerTarget,
+        id: Arc<str>,
         mut starts: mpsc::UnboundedReceiver<(TaskKey, u32)>,
+        commands: CommandLine,
     ) {
         while let Some((task, run)) = starts.recv().await {
             if self.is_starting(&task, run) {
-                self.send_run(&target, &task, run).await;
+                self.send_run(&id, &commands, &task, run).await;
                 self.node.wake.notify_one();
             }
         }
     }
 
-    /// What a run needs now.
-    fn command(&self, task: &TaskKey, run: u32) -> Option<RunCommand> {
+    /// Where calls reach a worker now.
+    fn target(&self, id: &str) -> Option<WorkerTarget> {
+        self.node.with_scheduler(|scheduler| scheduler.target_of(id)).flatten()
+    }
+
+    /// What a run needs now, and where that goes.
+    fn command(&self, id: &str, task: &TaskKey, run: u32) -> Option<(WorkerTarget, RunCommand)> {
         let now = self.node.now();
-        self.node.with_scheduler(|scheduler| scheduler.command(task, run, now)).flatten()
+        let command = self.node.with_scheduler(|scheduler| {
+            let target = scheduler.target_of(id)?;
+            Some((target, scheduler.command(task, run, now)?))
+        });
+        command.flatten()
     }
 
     /// Sends a start when there is room for it, if it is still wanted then.
-    async fn send_run(&self, target: &WorkerTarget, task: &TaskKey, run: u32) {
+    async fn send_run(&self, id: &str, commands: &CommandLine, task: &TaskKey, run: u32) {
         let route = self.start_route().await;
-        match (self.command(task, run), route) {
-            (Some(RunCommand::Start(call)), StartRoute::Direct(permit)) => {
+        match (self.command(id, task, run), route) {
+            (Some((target, RunCommand::Start(call))), StartRoute::Direct(permit)) => {
                 self.direct_bytes().charge(call.payload.len() + START_BYTES);
-                let is_answered = self.send_start(target, &call).await;
+                let is_answered = self.send_start(&target, &call).await;
                 permit.end(is_answered, self.node.now());
             }
-            (Some(RunCommand::Start(call)), StartRoute::Delegated) => self.delegate(target, call),
-            (Some(RunCommand::Stop(call)), route) => {
-                drop(route);
-                self.send_stop(target, &call).await;
+            (Some((target, RunCommand::Start(call))), StartRoute::Delegated) => {
+                self.delegate(&target, call);
             }
+            (Some((_, RunCommand::Stop(_))), _) => commands.push(LaneCommand::Run(*task, run)),
             (None, _) => {}
         }
     }
@@ -258,11 +351,12 @@
     }
 
     async fn send_stop(&self, target: &WorkerTarget, call: &RunCall) {
-        let outcome = self.workers.stop(target, call, COMMAND_PATIENCE).await;
+        let outcome = self.workers.stop(target, call, STOP_PATIENCE).await;
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| {
             scheduler.stopped(&target.id, &call.task, call.run, &outcome, now);
         });
+        self.node.wake.notify_one();
     }
 
     /// Renews a worker's leases until its life is over.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -49,6 +49,8 @@
     pub is_listed: bool,
     /// Whether a start had no answer: it may be carried out seconds later.
     pub is_in_doubt: bool,
+    /// Stops that were handed out to be sent.
+    pub stops: u32,
     /// Share of its speed that it may use, in percent.
     pub throttle: u32,
     /// When the throttle was last changed, in milliseconds.
@@ -71,6 +73,7 @@
             is_sent: false,
             is_listed: false,
             is_in_doubt: false,
+            stops: 0,
             throttle: 100,
             throttled_ms: 0,
         }
@@ -82,6 +85,7 @@
         self.since_ms = now;
         self.retry_ms = now;
         self.answered_ms = None;
+        self.stops = 0;
     }
 }
 
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{JobState, StepSpec, TaskKey};
-use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall, refusal_word};
+use crate::jobs::ports::{
+    CommandOutcome, CommandRefusal, RunCall, StartCall, WorkerTarget, refusal_word,
+};
 use crate::jobs::site::VmState;
 use crate::scheduler::job::{LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::LifeEnd;
@@ -16,6 +18,8 @@
 /// Time for a start or stop to be answered before it is sent again, in milliseconds; repeats are
 /// idempotent, so this only bounds the traffic to a worker that is slow to answer.
 const COMMAND_RETRY_MS: u64 = 600;
+/// Most doublings of the pause between two stops of a run to a worker that doesn't answer.
+const STOP_DOUBLINGS_MAX: u32 = 3;
 /// Wait before a task that a worker refused is placed again, in milliseconds: by then the worker's
 /// next report has corrected the book.
 const REFUSED_PAUSE_MS: u64 = 60;
@@ -148,10 +152,17 @@
                 continue;
             }
             let (id, phase, since_ms) = (live.worker.clone(), live.phase, live.since_ms);
+            let quiet_ms = live.retry_ms + stop_pause_ms(live.stops);
             let Some(worker) = self.workers.get(&id) else { continue };
-            // A start to a worker that doesn't answer would prolong the time after which its runs
-            // are known to be over.
-            if worker.silent_since_ms.is_some() || !worker.is_listed {
+            let is_silent = worker.silent_since_ms.is_some();
+            let is_held = match phase {
+                // It extends no lease, and gets there where only the answers are late.
+                RunPhase::Stopping => !worker.takes_stops() || is_silent && now < quiet_ms,
+                // To a worker that doesn't answer it would prolong the time after which its runs are
+                // known to be over.
+                _ => is_silent || !worker.is_listed,
+            };
+            if is_held {
                 continue;
             }
             if phase == RunPhase::Starting && !worker.may_start_now(&(key, run), since_ms) {
@@ -161,11 +172,17 @@
             let target = worker.target();
             if let Some(live) = self.live_mut(&key, run) {
                 live.retry_ms = now + COMMAND_RETRY_MS;
+                live.stops += u32::from(phase == RunPhase::Stopping);
             }
             self.actions.push(SchedulerAction::Send(target, key, run));
         }
     }
 
+    /// Where calls reach a worker now; nothing while only the log tells of it.
+    pub fn target_of(&self, id: &str) -> Option<WorkerTarget> {
+        self.workers.get(id).filter(|worker| worker.has_address()).map(WorkerRun::target)
+    }
+
     /// Whether a run waits to be started.
     pub fn is_starting(&mut self, key: &TaskKey, run: u32) -> bool {
         self.live_mut(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
@@ -533,6 +550,15 @@
 /// wall clocks differ, and the caller's wait begins when it learns of the end.
 const STATUS_MARGIN_MS: u64 = 30_000;
 
+/// Pause beyond the usual one after so many stops to a worker that doesn't answer, in milliseconds: one that is dead
+/// costs a connection each.
+fn stop_pause_ms(stops: u32) -> u64 {
+    match stops {
+        0 => 0,
+        sent => COMMAND_RETRY_MS << (sent - 1).min(STOP_DOUBLINGS_MAX),
+    }
+}
+
 fn booked(spec: Option<&StepSpec>, task: &TaskRun) -> Option<BookedRun> {
     spec.map(|spec| BookedRun {
         need: spec.booked(),
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -185,6 +185,16 @@
         WorkerTarget { id: self.entry.id.clone(), address: self.entry.address }
     }
 
+    /// Whether it is known where calls reach it.
+    pub fn has_address(&self) -> bool {
+        self.entry.address.port() != 0
+    }
+
+    /// Whether stops may be sent to it.
+    pub fn takes_stops(&self) -> bool {
+        self.has_address() && self.is_listed
+    }
+
     /// Books a run.
     pub fn book(&mut self, key: (TaskKey, u32), run: BookedRun) {
         if self.runs.insert(key, run).is_none() {
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,10 @@
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::SiteSettings;
 use ibisweir::scheduler::SchedulerAction;
-use support::outside::{AnswerMode, NotedWorkers, lead, node_with};
-use support::stage::{WALL_OFFSET_MS, job, job_id, site_settings, step, submission, task, worker};
+use support::outside::{AnswerMode, NotedWorkers, lead, node_with, succeed};
+use support::stage::{
+    Stage, WALL_OFFSET_MS, config, job, job_id, site_settings, step, submission, task, worker,
+};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -28,14 +31,35 @@
 
 impl LaneStage {
     fn open(settings: SiteSettings, mode: AnswerMode) -> LaneStage {
-        let (node, workers) = (node_with(settings), NotedWorkers::new(mode));
+        let node = node_with(settings);
         lead(&node);
+        let stage = LaneStage::open_on(node, mode);
+        stage.list();
+        stage
+    }
+
+    /// A leader that took over while `w0`, on which one task runs, is not listed.
+    fn open_unlisted() -> LaneStage {
+        let node = node_with(site_settings());
+        let mut before = Stage::open(config(), vec![worker("w0", "r0")]);
+        before.submit(1, job(vec![step(1)]));
+        succeed(&node, &before.book);
+        LaneStage::open_on(node, AnswerMode::Done)
+    }
+
+    fn open_on(node: Arc<JobNode>, mode: AnswerMode) -> LaneStage {
+        let workers = NotedWorkers::new(mode);
         let (lanes, delegate) = WorkerLanes::open(node.clone(), workers.clone());
         let mut tasks = JoinSet::new();
         tasks.spawn(delegate.run());
-        let now = node.now();
+        LaneStage { node, lanes, workers, tasks }
+    }
+
+    /// Lists the worker, which answers its first renewal.
+    fn list(&self) {
+        let now = self.node.now();
         let report = WorkerReport { clock_ms: 30, ..WorkerReport::default() };
-        node.with_scheduler(|scheduler| {
+        self.node.with_scheduler(|scheduler| {
             scheduler.workers_listed(vec![worker("w0", "r0")], now);
             let renewal = RenewCall {
                 fence: scheduler.fence(),
@@ -45,7 +69,6 @@
             };
             scheduler.renewed(&"w0".into(), &renewal, CommandOutcome::Done(report), now, now);
         });
-        LaneStage { node, lanes, workers, tasks }
     }
 
     /// Tells the scheduler of a record, stores what it decides, and hands its commands to the lanes.
@@ -73,8 +96,12 @@
     }
 
     fn submit(&mut self, tasks: u32) {
+        self.submit_as(1, tasks);
+    }
+
+    fn submit_as(&mut self, id: u64, tasks: u32) {
         let submission = submission(job(vec![step(tasks)]));
-        self.take(&JobRecord::Submitted(job_id(1), Arc::new(submission)));
+        self.take(&JobRecord::Submitted(job_id(id), Arc::new(submission)));
     }
 }
 
@@ -175,3 +202,33 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(stage.workers.stops().len(), 4);
 }
+
+/// Guards against starts that go to no address, as a stop opened their lane before the worker was listed.
+#[tokio::test(start_paused = true)]
+async fn starts_go_to_the_address_that_a_worker_has_by_then() {
+    let mut stage = LaneStage::open_unlisted();
+    stage.take(&JobRecord::Cancelled(job_id(1)));
+    sleep(Duration::from_millis(50)).await;
+    stage.list();
+    stage.submit_as(2, 4);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(stage.workers.starts().len(), 4);
+    let address = worker("w0", "r0").address;
+    assert_eq!(*stage.workers.addresses(), BTreeSet::from([address]));
+}
+
+/// Guards against stops that are sent again and again, as they were handed out again while they waited for others.
+#[tokio::test(start_paused = true)]
+async fn a_stop_that_waits_is_not_sent_twice() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Silent);
+    let target = WorkerTarget { id: "w0".into(), address: worker("w0", "r0").address };
+    for _ in 0..4 {
+        for index in 0..12 {
+            let call = RunCall { task: task(job_id(1), 0, index), run: 1, fence: 1_024 };
+            stage.lanes.send(&target, LaneCommand::Stop(call), &mut stage.tasks);
+        }
+        sleep(Duration::from_millis(350)).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(stage.workers.stops().len(), 12);
+}
--- /dev/null
+++ b/tests/scheduler_stops.rs
@@ -0,0 +1,43 @@
+//! Stops of runs that nobody wants any more, where they are lost or their worker is.
+
+mod support;
+
+use ibisweir::jobs::model::JobId;
+use ibisweir::jobs::record::JobRecord;
+use support::stage::{Stage, StageWorker, config, job, step, task, worker};
+
+/// A job with so many tasks on one worker.
+fn running(tasks: u32) -> (Stage, JobId) {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let id = stage.submit(1, job(vec![step(tasks)]));
+    assert_eq!(stage.workers["w0"].running.len(), tasks as usize);
+    (stage, id)
+}
+
+fn w0(stage: &mut Stage) -> &mut StageWorker {
+    stage.workers.get_mut("w0").expect("known")
+}
+
+/// Guards against a dead worker that gets stop upon stop, each on a connection of its own.
+#[test]
+fn a_worker_that_does_not_answer_gets_few_stops() {
+    let (mut stage, id) = running(8);
+    w0(&mut stage).is_silent = true;
+    stage.advance(1_000);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(10_000);
+    assert!((8..=32).contains(&stage.stops.len()), "{} stops", stage.stops.len());
+}
+
+/// Guards against a stop that waits out its pause though its worker answers again.
+#[test]
+fn a_stop_goes_out_as_soon_as_its_worker_answers_again() {
+    let (mut stage, id) = running(1);
+    w0(&mut stage).is_silent = true;
+    stage.advance(500);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(3_700);
+    w0(&mut stage).is_silent = false;
+    stage.advance(500);
+    assert_eq!(stage.alive(task(id, 0, 0)), 0);
+}
--- a/tests/support/outside.rs
+++ b/tests/support/outside.rs
@@ -1,8 +1,11 @@
 //! Nodes without loops, and workers that note what they are told.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd};
 use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::ports::{
@@ -27,15 +30,25 @@
 
 /// Makes an entry the leader of term 1, with no job.
 pub fn lead(node: &JobNode) {
+    lead_from(node, &JobBook::default(), 1, None);
+}
+
+/// Makes an entry the leader of term 2, after one that was seen just now and has left this on the log.
+pub fn succeed(node: &JobNode, book: &JobBook) {
+    let before = LeaderTrace { seen_ms: node.now(), end: PredecessorEnd::Unknown };
+    lead_from(node, book, 2, Some(before));
+}
+
+fn lead_from(node: &JobNode, book: &JobBook, term: u64, predecessor: Option<LeaderTrace>) {
     let start = SchedulerStart {
-        term: 1,
+        term,
         bounds: bounds(),
         config: Arc::new(config()),
-        predecessor: None,
+        predecessor,
         now: node.now(),
         wall_ms: node.clock.wall_ms(),
     };
-    node.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
+    node.set_scheduler(Some(Scheduler::open(start, book)));
 }
 
 /// What workers answer.
@@ -59,6 +72,7 @@
     pub mode: AnswerMode,
     starts: Arc<Mutex<Vec<StartCall>>>,
     stops: Arc<Mutex<Vec<RunCall>>>,
+    addresses: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
 impl NotedWorkers {
@@ -77,6 +91,11 @@
         self.stops.lock().expect("no test thread panics")
     }
 
+    /// Where starts and stops were sent.
+    pub fn addresses(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.addresses.lock().expect("no test thread panics")
+    }
+
     async fn answer(&self, patience: Duration) -> CommandOutcome<u64> {
         match self.mode {
             AnswerMode::Done | AnswerMode::NoRoom | AnswerMode::LateRenewals => {
@@ -107,10 +126,11 @@
 
     async fn start(
         &self,
-        _: &WorkerTarget,
+        target: &WorkerTarget,
         call: &StartCall,
         patience: Duration,
     ) -> CommandOutcome<u64> {
+        self.addresses().insert(target.address);
         self.starts().push(call.clone());
         match self.mode {
             AnswerMode::NoRoom => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
@@ -120,10 +140,11 @@
 
     async fn stop(
         &self,
-        _: &WorkerTarget,
+        target: &WorkerTarget,
         call: &RunCall,
         patience: Duration,
     ) -> CommandOutcome<u64> {
+        self.addresses().insert(target.address);
         self.stops().push(*call);
         self.answer(patience).await
     }
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -49,6 +49,8 @@
     pub gauges: BTreeMap<TaskKey, u64>,
     /// Ends of leases that renewals asked for.
     pub leases: Vec<u64>,
+    /// Stops sent.
+    pub stops: Vec<(TaskKey, u32)>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
     /// Whether commands wait in their lanes until the test empties them.
@@ -122,6 +124,7 @@
             permits_used: Vec::new(),
             gauges: BTreeMap::new(),
             leases: Vec::new(),
+            stops: Vec::new(),
             throttles: Vec::new(),
             lane_is_slow: false,
             lane: Vec::new(),
@@ -442,8 +445,9 @@
 
     fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
         let now = self.now;
+        self.stops.push((call.task, call.run));
         let outcome = match self.reach(id) {
-            Some(worker) if !worker.is_silent => {
+            Some(worker) if !worker.is_silent && !worker.loses_stops => {
                 worker.stop(call.task, call.run, now);
                 CommandOutcome::Done(now)
             }
--- a/tests/support/stage_worker.rs
+++ b/tests/support/stage_worker.rs
@@ -20,6 +20,8 @@
     pub is_stale: bool,
     /// Whether starts go unanswered, to be carried out when the test says so.
     pub is_late: bool,
+    /// Whether stops to it are lost, and nothing else.
+    pub loses_stops: bool,
     /// Whether it says that it has no room for any start.
     pub is_full: bool,
     /// Time that a stop takes, in milliseconds; until then the run is listed as running.
