Stops go to a worker that answers though it is not listed any more

Callers would see a cancelled service that runs on for ever: its worker's entry is dropped while it lives on behind a cut, it answers renewals again, so its leases are extended, and no stop goes to it, as only listed workers got any. Cause: the rule that no start goes to a worker that is not listed held for stops too. Change: a stop goes to any worker with an address that is listed or answers. One that is neither is gone, or its leases run out, as they are not extended. Test: stops_go_to_a_worker_that_is_not_listed_and_answers failed before (tests/scheduler_stops.rs:38: one run alive).

--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -190,9 +190,9 @@
         self.entry.address.port() != 0
     }
 
-    /// Whether stops may be sent to it.
+    /// Whether stops may be sent to it: one that neither is listed nor answers is gone, or its leases run out.
     pub fn takes_stops(&self) -> bool {
-        self.has_address() && self.is_listed
+        self.has_address() && (self.is_listed || self.silent_since_ms.is_none())
     }
 
     /// Books a run.
--- a/tests/scheduler_stops.rs
+++ b/tests/scheduler_stops.rs
@@ -4,7 +4,7 @@
 
 use ibisweir::jobs::model::JobId;
 use ibisweir::jobs::record::JobRecord;
-use support::stage::{Stage, StageWorker, config, job, step, task, worker};
+use support::stage::{Stage, StageWorker, config, job, service_step, step, task, worker};
 
 /// A job with so many tasks on one worker.
 fn running(tasks: u32) -> (Stage, JobId) {
@@ -14,10 +14,30 @@
     (stage, id)
 }
 
+/// A job with one service task on one worker.
+fn serving() -> (Stage, JobId) {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let id = stage.submit(1, job(vec![service_step(1)]));
+    stage.advance(500);
+    assert_eq!(stage.alive(task(id, 0, 0)), 1);
+    (stage, id)
+}
+
 fn w0(stage: &mut Stage) -> &mut StageWorker {
     stage.workers.get_mut("w0").expect("known")
 }
 
+/// Guards against a cancelled service that runs on for ever on a worker that is not listed and answers.
+#[test]
+fn stops_go_to_a_worker_that_is_not_listed_and_answers() {
+    let (mut stage, id) = serving();
+    stage.scheduler.worker_unlisted(&"w0".into(), stage.now);
+    stage.advance(500);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(500);
+    assert_eq!(stage.alive(task(id, 0, 0)), 0);
+}
+
 /// Guards against a dead worker that gets stop upon stop, each on a connection of its own.
 #[test]
 fn a_worker_that_does_not_answer_gets_few_stops() {
