Leases are not extended where all that runs is to be stopped

Callers would see a cancelled service that is kept alive for ever: its worker answers renewals and every stop to it is lost, and each renewal extends the lease of all that it runs. Nothing bounded it but that a stop gets through in the end. Change: a renewal extends no lease of a worker on which every run is to be stopped. Stops go on being repeated; the lease, at most lease_max_ms, is the last resort. A run that is started there later brings its lease along, and renewals extend again. Tests: leases_run_out_where_every_stop_is_lost failed before (tests/scheduler_stops.rs:48: one run alive). leases_are_renewed_beside_a_run_that_is_to_be_stopped passed before and guards the other side.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -63,6 +63,7 @@
             (self.fence_of(id), self.lease_ms(), self.is_confirmed(now));
         let (renew_wait, patience) = (self.renew_wait(), self.renew_patience());
         let may_acknowledge = self.may_acknowledge(id);
+        let is_wanted = self.has_wanted_run(id);
         let Some(worker) = self.workers.get_mut(id) else { return RenewPlan::Leave };
         if !worker.is_listed && worker.runs.is_empty() {
             return RenewPlan::Leave;
@@ -82,8 +83,8 @@
             return RenewPlan::Wait(Duration::from_millis(worker.report_ms + COMMIT_WAIT_MS - now));
         }
         // Leases of a worker that doesn't answer must run out, or its tasks could never be started
-        // elsewhere.
-        let extends = is_confirmed && !is_silent && !worker.runs.is_empty();
+        // elsewhere; so must those of runs that are all to be stopped, as each stop can be lost.
+        let extends = is_confirmed && !is_silent && is_wanted;
         let lease_until_ms = if extends { worker.lease_until(lease_ms, now) } else { None };
         // An exit that is listed already would end the wait at once.
         let waits = worker.is_fenced
@@ -102,6 +103,16 @@
         RenewPlan::Call(worker.target(), call, patience)
     }
 
+    /// Whether a worker has a run that is not to be stopped.
+    fn has_wanted_run(&self, id: &str) -> bool {
+        let is_stopping = |(key, run): &(TaskKey, u32)| {
+            let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+            let live = task.and_then(|task| task.live.iter().find(|live| live.run == *run));
+            live.is_some_and(|live| live.phase == RunPhase::Stopping)
+        };
+        self.workers.get(id).is_some_and(|worker| !worker.runs.keys().all(is_stopping))
+    }
+
     /// Wait for an exit that is asked for. Renewals without news are what a choked link can best do
     /// without: a hundred workers' take half of 2 Mbit/s at the shortest wait.
     fn renew_wait(&self) -> Duration {
--- a/tests/scheduler_stops.rs
+++ b/tests/scheduler_stops.rs
@@ -38,6 +38,30 @@
     assert_eq!(stage.alive(task(id, 0, 0)), 0);
 }
 
+/// Guards against a cancelled service that is kept alive by renewals where every stop is lost.
+#[test]
+fn leases_run_out_where_every_stop_is_lost() {
+    let (mut stage, id) = serving();
+    w0(&mut stage).loses_stops = true;
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(stage.bounds.lease_max_ms);
+    assert_eq!(stage.alive(task(id, 0, 0)), 0);
+}
+
+/// Guards against leases that run out under a wanted run, as a stop of another is lost beside it.
+#[test]
+fn leases_are_renewed_beside_a_run_that_is_to_be_stopped() {
+    let (mut stage, id) = serving();
+    let other = stage.submit(2, job(vec![service_step(1)]));
+    w0(&mut stage).loses_stops = true;
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(3 * stage.bounds.lease_max_ms);
+    assert_eq!(stage.alive(task(other, 0, 0)), 1);
+    w0(&mut stage).loses_stops = false;
+    stage.advance(1_000);
+    assert_eq!(stage.alive(task(id, 0, 0)), 0);
+}
+
 /// Guards against a dead worker that gets stop upon stop, each on a connection of its own.
 #[test]
 fn a_worker_that_does_not_answer_gets_few_stops() {
