--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -232,3 +232,15 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(stage.workers.stops().len(), 12);
 }
+
+/// Guards against a connection for each stop of a job, where its worker answers at once.
+#[tokio::test(start_paused = true)]
+async fn stops_that_are_answered_at_once_go_one_after_the_other() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Prompt);
+    stage.submit(8);
+    sleep(Duration::from_millis(100)).await;
+    stage.take(&JobRecord::Cancelled(job_id(1)));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(stage.workers.stops().len(), 8);
+    assert_eq!(stage.workers.most_stopping(), 1);
+}
--- a/tests/support/outside.rs
+++ b/tests/support/outside.rs
@@ -57,6 +57,8 @@
     /// All is done at once.
     #[default]
     Done,
+    /// All is done after 5 ms.
+    Prompt,
     /// Starts are refused for want of room.
     NoRoom,
     /// Nothing is answered.
@@ -72,6 +74,8 @@
     pub mode: AnswerMode,
     starts: Arc<Mutex<Vec<StartCall>>>,
     stops: Arc<Mutex<Vec<RunCall>>>,
+    /// Stops that are under way, and the most that were at a time.
+    stopping: Arc<Mutex<(usize, usize)>>,
     addresses: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
@@ -91,6 +95,15 @@
         self.stops.lock().expect("no test thread panics")
     }
 
+    /// Most stops that were under way at a time.
+    pub fn most_stopping(&self) -> usize {
+        self.stopping().1
+    }
+
+    fn stopping(&self) -> MutexGuard<'_, (usize, usize)> {
+        self.stopping.lock().expect("no test thread panics")
+    }
+
     /// Where starts and stops were sent.
     pub fn addresses(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
         self.addresses.lock().expect("no test thread panics")
@@ -101,6 +114,10 @@
             AnswerMode::Done | AnswerMode::NoRoom | AnswerMode::LateRenewals => {
                 CommandOutcome::Done(40)
             }
+            AnswerMode::Prompt => {
+                sleep(Duration::from_millis(5)).await;
+                CommandOutcome::Done(40)
+            }
             AnswerMode::Silent => {
                 sleep(patience).await;
                 CommandOutcome::Unknown
@@ -146,7 +163,12 @@
     ) -> CommandOutcome<u64> {
         self.addresses().insert(target.address);
         self.stops().push(*call);
-        self.answer(patience).await
+        let under_way = self.stopping().0 + 1;
+        let most = self.stopping().1.max(under_way);
+        *self.stopping() = (under_way, most);
+        let outcome = self.answer(patience).await;
+        self.stopping().0 -= 1;
+        outcome
     }
 
     async fn throttle(
