--- a/tests/support/outside.rs
+++ b/tests/support/outside.rs
@@ -1,8 +1,11 @@
 //! Nodes without loops, and workers that note what they are told.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd};
 use ibisweir::jobs::book::JobBook;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::ports::{
@@ -27,18 +30,28 @@
 
 /// Makes an entry the leader of term 1, with no job.
 pub fn lead(node: &JobNode) {
+    lead_from(node, &JobBook::default(), 1, None);
+}
+
+/// Makes an entry the leader of term 2, after one that was seen just now and has left this on the log.
+pub fn succeed(node: &JobNode, book: &JobBook) {
+    let before = LeaderTrace { seen_ms: node.now(), end: PredecessorEnd::Unknown };
+    lead_from(node, book, 2, Some(before));
+}
+
+fn lead_from(node: &JobNode, book: &JobBook, term: u64, predecessor: Option<LeaderTrace>) {
     let start = SchedulerStart {
-        term: 1,
+        term,
         bounds: bounds(),
         config: Arc::new(config()),
-        predecessor: None,
+        predecessor,
         confirmed_ms: node.now(),
         jobs_ms: node.now(),
         rooms_ms: node.now(),
         now: node.now(),
         wall_ms: node.clock.wall_ms(),
     };
-    node.set_scheduler(Some(Scheduler::open(start, &JobBook::default())));
+    node.set_scheduler(Some(Scheduler::open(start, book)));
 }
 
 /// What workers answer.
@@ -47,6 +60,8 @@
     /// All is done at once.
     #[default]
     Done,
+    /// All is done after 5 ms.
+    Prompt,
     /// Starts are refused for want of room.
     NoRoom,
     /// Nothing is answered.
@@ -62,6 +77,9 @@
     pub mode: AnswerMode,
     starts: Arc<Mutex<Vec<StartCall>>>,
     stops: Arc<Mutex<Vec<RunCall>>>,
+    /// Stops that are under way, and the most that were at a time.
+    stopping: Arc<Mutex<(usize, usize)>>,
+    addresses: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
 impl NotedWorkers {
@@ -80,11 +98,29 @@
         self.stops.lock().expect("no test thread panics")
     }
 
+    /// Most stops that were under way at a time.
+    pub fn most_stopping(&self) -> usize {
+        self.stopping().1
+    }
+
+    fn stopping(&self) -> MutexGuard<'_, (usize, usize)> {
+        self.stopping.lock().expect("no test thread panics")
+    }
+
+    /// Where starts and stops were sent.
+    pub fn addresses(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.addresses.lock().expect("no test thread panics")
+    }
+
     async fn answer(&self, patience: Duration) -> CommandOutcome<u64> {
         match self.mode {
             AnswerMode::Done | AnswerMode::NoRoom | AnswerMode::LateRenewals => {
                 CommandOutcome::Done(40)
             }
+            AnswerMode::Prompt => {
+                sleep(Duration::from_millis(5)).await;
+                CommandOutcome::Done(40)
+            }
             AnswerMode::Silent => {
                 sleep(patience).await;
                 CommandOutcome::Unknown
@@ -110,10 +146,11 @@
 
     async fn start(
         &self,
-        _: &WorkerTarget,
+        target: &WorkerTarget,
         call: &StartCall,
         patience: Duration,
     ) -> CommandOutcome<u64> {
+        self.addresses().insert(target.address);
         self.starts().push(call.clone());
         match self.mode {
             AnswerMode::NoRoom => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
@@ -123,12 +160,18 @@
 
     async fn stop(
         &self,
-        _: &WorkerTarget,
+        target: &WorkerTarget,
         call: &RunCall,
         patience: Duration,
     ) -> CommandOutcome<u64> {
+        self.addresses().insert(target.address);
         self.stops().push(*call);
-        self.answer(patience).await
+        let under_way = self.stopping().0 + 1;
+        let most = self.stopping().1.max(under_way);
+        *self.stopping() = (under_way, most);
+        let outcome = self.answer(patience).await;
+        self.stopping().0 -= 1;
+        outcome
     }
 
     async fn throttle(
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -51,6 +51,8 @@
     pub leases: Vec<u64>,
     /// Workers whose leases were to be renewed at once, in order.
     pub woken: Vec<Arc<str>>,
+    /// Stops sent.
+    pub stops: Vec<(TaskKey, u32)>,
     /// Throttles sent.
     pub throttles: Vec<(TaskKey, u32)>,
     /// Whether throttles go unanswered.
@@ -127,6 +129,7 @@
             gauges: BTreeMap::new(),
             leases: Vec::new(),
             woken: Vec::new(),
+            stops: Vec::new(),
             throttles: Vec::new(),
             loses_throttles: false,
             lane_is_slow: false,
@@ -450,8 +453,9 @@
 
     fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
         let now = self.now;
+        self.stops.push((call.task, call.run));
         let outcome = match self.reach(id) {
-            Some(worker) if !worker.is_silent => {
+            Some(worker) if !worker.is_silent && !worker.loses_stops => {
                 worker.stop(call.task, call.run, now);
                 CommandOutcome::Done(worker.clock_ms(now))
             }
