The soak's ledger checks when tasks begin after an acknowledged cancellation

Callers saw tasks of cancelled jobs begin more than the bound after the acknowledgement; the fault soak could not have seen it, as its ledger never noted when a caller was told that a cancellation is done. Change: the first 2xx or 410 to a cancellation is noted with the entry that gave it, for a job of whatever outcome; a start later than 3 s after it is a broken promise, but for starts that the worker itself carries out late. Each run also prints how many starts came after a cancellation within the bound, and how many of those ended as done. These are no broken promises: a short task that begins within the bound may be through before a stop reaches it.

--- a/standin/src/jobs/ledger.rs
+++ b/standin/src/jobs/ledger.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ibisweir::jobs::model::{JobId, TaskKey};
+use tokio::time::{Duration, Instant};
 
 use crate::jobs::organisation::{CAP_CPU, most_running};
 use crate::jobs::worker::TaskText;
@@ -37,6 +38,17 @@
     pub may_fail: bool,
 }
 
+/// Time after the acknowledgement of a cancellation from which no task of the job may begin, in milliseconds.
+pub const CANCEL_MS: u64 = 3_000;
+
+/// A cancellation as its caller knows it to be done.
+#[derive(Clone, Debug)]
+struct CancellationAck {
+    at: Instant,
+    /// Entry that acknowledged it, and how.
+    by: String,
+}
+
 /// Workers that may crash under a task before its starts are counted, and starts from there on that are too
 /// many.
 const CRASHES_FREE: u32 = 3;
@@ -52,6 +64,8 @@
     /// Workers that it has crashed, and starts since that was too many.
     crashes: u32,
     starts_since: u32,
+    /// Runs that began after the job's cancellation was acknowledged.
+    begun_cancelled: BTreeSet<(String, u32)>,
 }
 
 /// All that was seen, checked as it is written.
@@ -63,6 +77,11 @@
     pub faults: Vec<String>,
     /// Starts carried out.
     pub starts: u64,
+    /// Starts carried out after the acknowledgement of the job's cancellation, within the bound or not.
+    pub starts_cancelled: u64,
+    /// Those of them that ended as done: nobody stopped them.
+    pub done_cancelled: u64,
+    cancellations: BTreeMap<JobId, CancellationAck>,
     tasks: BTreeMap<TaskKey, TaskLedger>,
     /// Who has used which fencing token, by VM.
     holders: BTreeMap<(String, u64), String>,
@@ -70,7 +89,15 @@
 
 impl JobLedger {
     /// A worker begins a run. `is_late` says that it does so long after it was asked.
-    pub fn started(&mut self, task: TaskKey, run: u32, life: &str, payload: &str, is_late: bool) {
+    pub fn started(
+        &mut self,
+        task: TaskKey,
+        run: u32,
+        life: &str,
+        payload: &str,
+        is_late: bool,
+        now: Instant,
+    ) {
         self.starts += 1;
         match self.jobs.get(&task.job) {
             None => self.faults.push(format!("{task} starts, and nobody handed its job in")),
@@ -96,9 +123,36 @@
             self.faults.push(format!("{task} run {run} starts on {life} after its end was noted"));
         }
         ledger.live.insert((life.to_owned(), run));
+        if !is_late {
+            self.check_cancellation(task, run, life, now);
+        }
         self.check_cap(task);
     }
 
+    /// Nothing of a job may begin later than the bound after the acknowledgement of its cancellation.
+    fn check_cancellation(&mut self, task: TaskKey, run: u32, life: &str, now: Instant) {
+        let Some(ack) = self.cancellations.get(&task.job) else { return };
+        self.starts_cancelled += 1;
+        let ledger = self.tasks.entry(task).or_default();
+        ledger.begun_cancelled.insert((life.to_owned(), run));
+        let since = now.saturating_duration_since(ack.at);
+        if since > Duration::from_millis(CANCEL_MS) {
+            let by = &ack.by;
+            self.faults.push(format!(
+                "{task} run {run} starts on {life} {} ms after its job's cancellation was acknowledged by {by}",
+                since.as_millis()
+            ));
+        }
+    }
+
+    /// A caller is told by an entry that its cancellation is done, or that there is no such job. The first time
+    /// counts.
+    pub fn cancelled(&mut self, id: JobId, by: &str, now: Instant) {
+        self.cancellations
+            .entry(id)
+            .or_insert_with(|| CancellationAck { at: now, by: by.to_owned() });
+    }
+
     /// A start must not bring what its organisation has running over its cap and one task.
     fn check_cap(&mut self, task: TaskKey) {
         let Some(job) = self.jobs.get(&task.job) else { return };
@@ -139,6 +193,9 @@
         let ledger = self.tasks.entry(task).or_default();
         ledger.live.remove(&(life.to_owned(), run));
         ledger.is_done |= is_done;
+        if ledger.begun_cancelled.remove(&(life.to_owned(), run)) && is_done {
+            self.done_cancelled += 1;
+        }
     }
 
     /// The end of a run that was done has been acknowledged.
--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
-use crate::jobs::ledger::JobLedger;
+use crate::jobs::ledger::{CANCEL_MS, JobLedger};
 use crate::jobs::log::LogStandin;
 use crate::jobs::organisation::{KeyRegister, REVOKE_MS};
 use crate::jobs::proxy::FaultProxy;
@@ -185,7 +185,8 @@
             "platform": { "addr": log, "form": "log" },
             "cloud": { "addr": vm_service },
             "bounds": {
-                "max-hold-ms": LEASE_MAX_MS, "stop-ms": millis(STOP_TIME), "status_s": 120,
+                "max-hold-ms": LEASE_MAX_MS, "stop-ms": millis(STOP_TIME), "cancel_ms": CANCEL_MS,
+                "status_s": 120,
                 "grace-s": 6, "maint-s": AWAY_TIME.as_secs_f64(),
                 "strict-revoke": true, "revoke-ms": REVOKE_MS,
             },
--- a/standin/src/jobs/worker.rs
+++ b/standin/src/jobs/worker.rs
@@ -479,8 +479,9 @@
             let wait = Duration::from_millis(rand::rng().random_range(0..CRASH_MS));
             state.doom.get_or_insert((Instant::now() + wait, key.0));
         }
-        state.running.insert(key, LiveTask { text, begun: Instant::now(), stop: None });
-        self.ledger().started(key.0, key.1, life, payload, is_late);
+        let now = Instant::now();
+        state.running.insert(key, LiveTask { text, begun: now, stop: None });
+        self.ledger().started(key.0, key.1, life, payload, is_late, now);
         json(200, &value!({ "clock-ms": clock }))
     }
 
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -142,6 +142,7 @@
         }
     }
 
+    /// A call about a job to any entry.
     async fn send(
         &self,
         transport: &HttpTransport,
@@ -150,12 +151,27 @@
         body: String,
         random: &mut StdRng,
     ) -> (Told, Value) {
-        let entry = &self.entries[random.random_range(0..self.entries.len())];
+        let entry = random.random_range(0..self.entries.len());
+        self.send_to(transport, entry, method, id, body, PATIENCE).await
+    }
+
+    /// A call about a job to this entry. The ledger notes a cancellation that is told to be done.
+    async fn send_to(
+        &self,
+        transport: &HttpTransport,
+        entry: usize,
+        method: Method,
+        id: JobId,
+        body: String,
+        patience: Duration,
+    ) -> (Told, Value) {
+        let entry = &self.entries[entry];
+        let is_cancellation = method == Method::DELETE;
         // The id tells the queue, for every call about the job.
         let pool = if organisation_of(id).is_some() { KEYED } else { OPEN };
         let key = organisation_of(id).map(|number| lasting_key(ORGANISATIONS[number]));
         let call = keyed_call(method, format!("/{pool}/{id}"), key.as_deref(), Bytes::from(body));
-        match transport.exchange(entry.callers, call, PATIENCE).await {
+        match transport.exchange(entry.callers, call, patience).await {
             Ok(answer) => {
                 let told = match answer.status.as_u16() {
                     200..=299 => Told::Done,
@@ -163,6 +179,10 @@
                     404 | 429 | 503 => Told::Refused,
                     _ => Told::Unknown,
                 };
+                if is_cancellation && matches!(told, Told::Done | Told::Gone) {
+                    let by = format!("{} ({})", entry.name, answer.status.as_u16());
+                    self.platform.ledger().cancelled(id, &by, Instant::now());
+                }
                 (told, serde_json::from_slice(&answer.body).unwrap_or_default())
             }
             Err(ExchangeFailure::NotSent) => (Told::Refused, Value::Null),
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -67,6 +67,8 @@
     refused: usize,
     unknown: usize,
     starts: u64,
+    starts_cancelled: u64,
+    done_cancelled: u64,
     faults: usize,
     broken: Vec<String>,
 }
@@ -93,11 +95,14 @@
         let report =
             one_run(plan, seed).await.map_err(|error| coded(ResultCode::BindFailed, error))?;
         println!(
-            "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts, {} faults, {} s: {}",
+            "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts ({} after a cancellation, {} \
+             of them done), {} faults, {} s: {}",
             report.accepted,
             report.refused,
             report.unknown,
             report.starts,
+            report.starts_cancelled,
+            report.done_cancelled,
             report.faults,
             begun.elapsed().as_secs(),
             if report.broken.is_empty() { "all promises kept" } else { "BROKEN" },
@@ -231,4 +236,6 @@
         }
     }
     report.starts = ledger.starts;
+    (report.starts_cancelled, report.done_cancelled) =
+        (ledger.starts_cancelled, ledger.done_cancelled);
 }
