Soak: callers that cancel promptly, also while the submission is under way

Few callers of the soak cancelled a job, and none before a second had passed; a cancellation that another entry takes while the submission is still under way was never drawn. Change: four more callers per run, with random draws of their own. Half of their jobs are cancelled within 0.3 s of the acknowledgement of the submission, the others while the submission is under way or given up; always through another entry. A job whose caller was told "no such job" before it knew of an acceptance need not be shown afterwards; one that was accepted before the cancellation was sent and is then said not to exist is a broken promise, as it was for looks alone.

--- a/standin/src/jobs/ledger.rs
+++ b/standin/src/jobs/ledger.rs
@@ -82,6 +82,7 @@
     /// Those of them that ended as done: nobody stopped them.
     pub done_cancelled: u64,
     cancellations: BTreeMap<JobId, CancellationAck>,
+    withdrawn: BTreeSet<JobId>,
     tasks: BTreeMap<TaskKey, TaskLedger>,
     /// Who has used which fencing token, by VM.
     holders: BTreeMap<(String, u64), String>,
@@ -181,6 +182,22 @@
         }
     }
 
+    /// A caller that has not been told that its job is accepted is told by its cancellation that there is none: also
+    /// if the submission is carried out yet, nothing of the job need be shown.
+    pub fn withdrawn(&mut self, id: JobId) {
+        self.withdrawn.insert(id);
+    }
+
+    /// Whether a job was withdrawn before its caller knew it to be accepted.
+    pub fn is_withdrawn(&self, id: JobId) -> bool {
+        self.withdrawn.contains(&id)
+    }
+
+    /// Whether the caller of a job knows it to be accepted.
+    pub fn is_accepted(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.end == Some(SubmissionEnd::Accepted))
+    }
+
     /// A caller is told that a job has failed.
     pub fn shown_failed(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|job| !job.may_fail) {
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 pub mod entry;
 mod faults;
+mod prompt;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -32,6 +33,8 @@
 const VMS: usize = 9;
 /// Callers at a time.
 const CALLERS: usize = 8;
+/// Callers at a time that cancel promptly.
+const PROMPT_CALLERS: usize = 4;
 /// Time for everything to settle once the faults are over; only a hang reaches it.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 /// Time between two looks at whether it has.
@@ -42,6 +45,8 @@
 /// The same for workers that begin anew, and for keys that are taken away.
 const REBIRTH_SEED: u64 = 0x626f_726e;
 const KEY_SEED: u64 = 0x6b65_7973;
+/// The same for callers that cancel promptly.
+const PROMPT_SEED: u64 = 0x7072_6f6d;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -137,6 +142,10 @@
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
         tasks.spawn(callers.clone().call(random));
     }
+    for number in 0..PROMPT_CALLERS {
+        let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
+        tasks.spawn(callers.clone().call_promptly(random));
+    }
     let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
     tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
     let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
