Soak: links that deliver late, a log that does appends seconds later, leaders that freeze

What an entry had sent and given up arrived late in the soak only by the worker's own doing, which the checks rightly leave out. Change: the proxy has a fault that holds bytes back for up to seconds and delivers them also after the sender has closed its connection; the log has one that answers appends late or does them 1 to 6 s later without an answer. A series of faults with random draws of its own puts them on the links of workers and of entries to the log, and freezes entries for 1 to 4 s, leaders most of all. Entries reach each other where they listen, so their links have no proxy: what they have sent to a frozen entry is delivered as late.

--- a/standin/src/jobs/log.rs
+++ b/standin/src/jobs/log.rs
@@ -28,6 +28,10 @@
 /// Time after which a lost append is carried out at most, in milliseconds.
 const LATE_MS: u64 = 3_000;
 
+/// Time after which an append is answered late, and after which one without an answer is done late, in milliseconds.
+const ANSWER_MS: std::ops::Range<u64> = 300..2_500;
+const DELAYED_MS: std::ops::Range<u64> = 1_000..6_000;
+
 /// What the log does wrong.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LogFaults {
@@ -39,6 +43,8 @@
     pub delay: Duration,
     /// Appends in a hundred that are carried out, at once or later, without an answer.
     pub lost_percent: u32,
+    /// Appends in a hundred that are done at once and answered late, or done seconds later without an answer.
+    pub late_percent: u32,
 }
 
 #[derive(Debug, Default)]
@@ -157,6 +163,11 @@
         return if faults.is_silent { None } else { json(503, &value!({})) };
     }
     match (&call.method, call.path.as_str()) {
+        (&Method::POST, "/log-append")
+            if rand::rng().random_range(0..100) < faults.late_percent =>
+        {
+            append_late(shared, call).await
+        }
         (&Method::POST, "/log-append") => {
             let is_lost = rand::rng().random_range(0..100) < faults.lost_percent;
             if !is_lost {
@@ -178,6 +189,22 @@
     }
 }
 
+/// Does an append at once and answers it late, or does it late without an answer.
+async fn append_late(shared: Arc<LogShared>, call: AskedCall) -> GivenAnswer {
+    if rand::rng().random_bool(0.5) {
+        let given = append(&shared, &call);
+        let wait = Duration::from_millis(rand::rng().random_range(ANSWER_MS));
+        sleep(wait).await;
+        return given;
+    }
+    let wait = Duration::from_millis(rand::rng().random_range(DELAYED_MS));
+    tokio::spawn(async move {
+        sleep(wait).await;
+        drop(append(&shared, &call));
+    });
+    None
+}
+
 fn append(shared: &LogShared, call: &AskedCall) -> GivenAnswer {
     let name = call.query.get("topic")?;
     let mut topics = shared.topics();
--- a/standin/src/jobs/proxy.rs
+++ b/standin/src/jobs/proxy.rs
@@ -1,20 +1,25 @@
 //! A loopback proxy that harms the connections through it.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time between two looks at whether a stopped direction goes on.
 const LOOK_GAP: Duration = Duration::from_millis(20);
 /// Bytes that are passed on at a time.
 const CHUNK: usize = 16 << 10;
+/// Time for which a connection is kept open towards the far end once its last held bytes were delivered.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// What a link does to its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -24,6 +29,9 @@
     None,
     /// Each chunk waits this long.
     Delay(Duration),
+    /// Two chunks of three are held back for up to this long, on each connection in its order, and delivered then:
+    /// also after the sender has given up, or the fault is over.
+    Hold(Duration),
     /// Nothing passes to the far end; what comes back does.
     CutForth,
     /// Nothing comes back; what is sent passes.
@@ -32,6 +40,14 @@
     Cut,
 }
 
+/// Bytes on their way.
+#[derive(Debug)]
+struct PassedChunk {
+    bytes: Vec<u8>,
+    /// Before when they are not delivered; none for bytes that are not held back.
+    due: Option<Instant>,
+}
+
 #[derive(Debug, Default)]
 struct LinkState {
     fault: Mutex<LinkFault>,
@@ -89,6 +105,13 @@
     fn fault(&self) -> LinkFault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// For how long a chunk that has just come is held back.
+    fn hold_time(&self) -> Option<Duration> {
+        let LinkFault::Hold(longest) = self.fault() else { return None };
+        let mut random = rand::rng();
+        random.random_bool(2.0 / 3.0).then(|| longest.mul_f64(random.random_range(0.0..1.0)))
+    }
 }
 
 async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<LinkState>) {
@@ -122,18 +145,51 @@
 }
 
 async fn pass(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    state: &LinkState,
+    number: u64,
+    cut: LinkFault,
+) {
+    let (sender, queue) = mpsc::unbounded_channel();
+    // What was read is delivered also after its sender has closed the connection, as a network does.
+    let reading = async {
+        take_in(from, sender, state).await;
+        pending::<()>().await;
+    };
+    tokio::select! {
+        () = reading => {}
+        () = deliver(queue, to, state, number, cut) => {}
+    }
+}
+
+async fn take_in(
     mut from: OwnedReadHalf,
+    queue: mpsc::UnboundedSender<PassedChunk>,
+    state: &LinkState,
+) {
+    let mut bytes = vec![0; CHUNK];
+    while let Ok(read) = from.read(&mut bytes).await {
+        let due = state.hold_time().map(|hold| Instant::now() + hold);
+        if read == 0 || queue.send(PassedChunk { bytes: bytes[..read].to_vec(), due }).is_err() {
+            return;
+        }
+    }
+}
+
+async fn deliver(
+    mut queue: mpsc::UnboundedReceiver<PassedChunk>,
     mut to: OwnedWriteHalf,
     state: &LinkState,
     number: u64,
     cut: LinkFault,
 ) {
-    let mut chunk = vec![0; CHUNK];
-    loop {
-        let read = match from.read(&mut chunk).await {
-            Ok(0) | Err(_) => return,
-            Ok(read) => read,
-        };
+    let mut was_held = false;
+    while let Some(chunk) = queue.recv().await {
+        if let Some(due) = chunk.due {
+            was_held = true;
+            sleep_until(due).await;
+        }
         if let LinkFault::Delay(delay) = state.fault() {
             sleep(delay).await;
         }
@@ -143,8 +199,12 @@
         {
             sleep(LOOK_GAP).await;
         }
-        if to.write_all(&chunk[..read]).await.is_err() {
+        if to.write_all(&chunk.bytes).await.is_err() {
             return;
         }
     }
+    if was_held {
+        // A server may drop a request whose connection ends before it was handled.
+        sleep(LINGER).await;
+    }
 }
--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -22,7 +22,10 @@
 const FIRST_OCTET: u8 = 64;
 /// Time for a stopped process to end; only a hang reaches it.
 const STOP_PATIENCE: Duration = Duration::from_secs(60);
-/// Time for a readiness probe.
+/// Path of the metrics, and the line that tells of a leader.
+const METRICS_PATH: &str = "/metrics";
+const LEADS: &str = "ibisweir_job_leading 1";
+/// Time for a readiness probe, and for the metrics.
 const PROBE_PATIENCE: Duration = Duration::from_millis(500);
 
 /// An entry.
@@ -62,6 +65,15 @@
     Ok(addresses)
 }
 
+fn get(path: &str) -> HttpCall {
+    HttpCall {
+        method: Method::GET,
+        path: path.to_owned(),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+    }
+}
+
 impl EntryProcess {
     /// Starts an entry that reaches the platform over links of its own.
     ///
@@ -134,18 +146,21 @@
         if has_ended && let Err(error) = self.spawn().await {
             println!("{} can't be started: {error}", self.name);
         }
-        let call = HttpCall {
-            method: Method::GET,
-            path: "/readyz".to_owned(),
-            headers: HeaderMap::new(),
-            body: bytes::Bytes::new(),
-        };
-        let answer = HttpTransport::open().exchange(self.ready, call, PROBE_PATIENCE).await;
+        let answer =
+            HttpTransport::open().exchange(self.ready, get("/readyz"), PROBE_PATIENCE).await;
         let is_ready = answer.is_ok_and(|answer| answer.status == 200);
         self.is_ready.store(is_ready, Ordering::Relaxed);
         self.was_ready.fetch_or(is_ready, Ordering::Relaxed);
     }
 
+    /// Whether it says that it leads; false as well for one that does not answer.
+    pub async fn leads(&self) -> bool {
+        let call = get(METRICS_PATH);
+        let answer = HttpTransport::open().exchange(self.peer, call, PROBE_PATIENCE).await;
+        let has_line = |body: &[u8]| String::from_utf8_lossy(body).lines().any(|l| l == LEADS);
+        answer.is_ok_and(|answer| has_line(&answer.body))
+    }
+
     /// Whether it was ready when it was last looked after.
     pub fn is_ready_now(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed)
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -182,7 +182,11 @@
     }
 }
 
-async fn on_link(link: &crate::jobs::proxy::FaultProxy, fault: LinkFault, lasting: Duration) {
+pub(super) async fn on_link(
+    link: &crate::jobs::proxy::FaultProxy,
+    fault: LinkFault,
+    lasting: Duration,
+) {
     link.set(fault);
     sleep(lasting).await;
     link.set(LinkFault::None);
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 pub mod entry;
 mod faults;
+mod late;
 mod prompt;
 
 use std::path::PathBuf;
@@ -47,6 +48,8 @@
 const KEY_SEED: u64 = 0x6b65_7973;
 /// The same for callers that cancel promptly.
 const PROMPT_SEED: u64 = 0x7072_6f6d;
+/// The same for faults by which what was sent arrives late.
+const LATE_SEED: u64 = 0x6c61_7465;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -146,6 +149,8 @@
         let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
         tasks.spawn(callers.clone().call_promptly(random));
     }
+    let late = StdRng::seed_from_u64(seed ^ LATE_SEED);
+    tasks.spawn(late::inject(late, plan.length, platform.clone(), entries.clone()));
     let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
     tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
     let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
