Soak: a choice of faults, and jobs of several steps for callers that cancel promptly

A soak with all faults keeps about half of its four entries frozen or cut off, so that few jobs are accepted; and the jobs of prompt callers were mostly through before their cancellation was a bound old. Change: `--faults usual|late|all`. `late` leaves out the usual faults, `usual` is the soak as it was, `all` is the default. Jobs of prompt callers have five steps, one after the other, so that work is left for seconds. Leaders are killed as well.

--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -14,7 +14,7 @@
 use ibisweir_standin::platform::{PlatformHandle, WorkerLine};
 use ibisweir_standin::quickstart;
 use ibisweir_standin::site::LOOPBACK;
-use ibisweir_standin::soak::{self, SoakPlan};
+use ibisweir_standin::soak::{self, FaultMix, SoakPlan};
 use ibisweir_standin::worker::{WorkerHandle, WorkerShape};
 
 const USAGE: &str = "\
@@ -91,6 +91,7 @@
     options.optopt("", "runs", "seeds of a soak, one after the other [1]", "COUNT");
     options.optopt("", "seconds", "time of a soak under faults, for each seed [10]", "SECONDS");
     options.optopt("", "entries", "entries of a soak, a process each, 180 at most [4]", "COUNT");
+    options.optopt("", "faults", "faults of a soak: usual, late or all [all]", "MIX");
     options.optopt("", "daemon", "program of a soak's entries [ibisweird beside this one]", "PATH");
     options.optopt("", "logs", "directory for the logs of a soak that fails", "PATH");
     options.optflag("h", "help", "show this help");
@@ -152,6 +153,11 @@
         Ok(entries) if (1..=soak::ENTRIES_MAX).contains(&entries) => entries,
         _ => return Invocation::Refuse("--entries: 1 to 180\n".to_owned()),
     };
+    let faults = match matches.opt_str("faults").as_deref().map(FaultMix::parse) {
+        None => FaultMix::default(),
+        Some(Some(faults)) => faults,
+        Some(None) => return Invocation::Refuse("--faults: usual, late or all\n".to_owned()),
+    };
     let directory = std::env::temp_dir().join(format!("ibisweir-soak-{}", std::process::id()));
     Invocation::Run(Task::Soak(SoakPlan {
         daemon: matches.opt_str("daemon").map_or_else(daemon_beside, PathBuf::from),
@@ -159,6 +165,7 @@
         runs,
         length: Duration::from_secs(seconds),
         entries,
+        faults,
         directory: matches.opt_str("logs").map_or(directory, PathBuf::from),
     }))
 }
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -92,7 +92,11 @@
     }
 
     /// Draws a job that is noted in the ledger, and the body that submits it.
-    pub(super) fn draw(&self, random: &mut StdRng) -> (JobId, String) {
+    pub(super) fn draw(
+        &self,
+        random: &mut StdRng,
+        draw_job: impl FnOnce(JobId, &mut StdRng) -> (CallerJob, Value),
+    ) -> (JobId, String) {
         let id = loop {
             if let Some(id) = JobId::parse(&format!("{:016x}", random.random::<u64>())) {
                 break id;
@@ -104,7 +108,7 @@
     }
 
     async fn submit(&self, transport: &HttpTransport, random: &mut StdRng) -> JobId {
-        let (id, body) = self.draw(random);
+        let (id, body) = self.draw(random, draw_job);
         let mut end = SubmissionEnd::Refused;
         for _ in 0..TRIES {
             match self.send(transport, Method::POST, id, body.clone(), random).await.0 {
@@ -320,7 +324,7 @@
 }
 
 /// Organisation of a job by its id; none on the queue that is open to all.
-fn organisation_of(id: JobId) -> Option<usize> {
+pub(super) fn organisation_of(id: JobId) -> Option<usize> {
     let id = id.to_string();
     let is_keyed = id.ends_with(['0', '2', '4', '6', '8', 'a', 'c', 'e']);
     is_keyed.then(|| usize::from(id.starts_with(['0', '1', '2', '3', '4', '5', '6', '7'])))
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -26,6 +26,8 @@
 /// Longest pause between two workers that begin anew, and between two keys that are taken away, in milliseconds.
 const REBIRTH_GAP_MS: u64 = 2_500;
 const REVOKE_GAP_MS: u64 = 1_500;
+/// Time between two looks at entries that have ended.
+const LOOK_GAP: Duration = Duration::from_millis(200);
 /// Kinds of faults that are drawn from.
 const KINDS: u32 = 17;
 
@@ -65,6 +67,17 @@
     count
 }
 
+/// Starts entries again that have ended, for `length`.
+pub async fn look_after(length: Duration, entries: &[Arc<EntryProcess>]) {
+    let begun = Instant::now();
+    while begun.elapsed() < length {
+        for entry in entries {
+            entry.look_after().await;
+        }
+        sleep(LOOK_GAP).await;
+    }
+}
+
 /// Lets rooms shrink and grow for `length`, drawn by a seed of their own.
 pub async fn resize(mut random: StdRng, length: Duration, platform: Arc<JobPlatform>) {
     let begun = Instant::now();
--- a/standin/src/soak/late.rs
+++ b/standin/src/soak/late.rs
@@ -1,6 +1,6 @@
 //! Faults by which what was sent arrives late, drawn by a seed of their own: links that hold bytes back and deliver
 //! them after the sender has given up, a log that does appends seconds later, entries that freeze while they lead or
-//! have starts in hand.
+//! have starts in hand, and leaders that are killed.
 //!
 //! Other entries reach an entry where it listens, so their links have no proxy. What they have sent to a frozen entry
 //! stands in its sockets, and is delivered as late.
@@ -31,7 +31,7 @@
 /// Appends in a hundred that are late while the log is.
 const LATE_PERCENT: u32 = 30;
 /// Kinds of faults that are drawn from.
-const KINDS: u32 = 8;
+const KINDS: u32 = 9;
 
 /// Injects such faults for `length`, and takes all back.
 pub async fn inject(
@@ -89,10 +89,13 @@
                 platform.log().set_faults(|faults| faults.late_percent = 0);
             }
             5 | 6 => {
-                for entry in entries {
-                    if entry.leads().await {
-                        return self.freeze(entry).await;
-                    }
+                if let Some(leader) = leader(entries).await {
+                    self.freeze(leader).await;
+                }
+            }
+            7 => {
+                if let Some(leader) = leader(entries).await {
+                    leader.signal("-KILL").await;
                 }
             }
             _ => self.freeze(entry).await,
@@ -105,3 +108,13 @@
         entry.signal("-CONT").await;
     }
 }
+
+/// The first entry that says that it leads.
+async fn leader(entries: &[Arc<EntryProcess>]) -> Option<&EntryProcess> {
+    for entry in entries {
+        if entry.leads().await {
+            return Some(entry);
+        }
+    }
+    None
+}
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -35,7 +35,7 @@
 /// Callers at a time.
 const CALLERS: usize = 8;
 /// Callers at a time that cancel promptly.
-const PROMPT_CALLERS: usize = 4;
+const PROMPT_CALLERS: usize = 8;
 /// Time for everything to settle once the faults are over; only a hang reaches it.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 /// Time between two looks at whether it has.
@@ -51,6 +51,30 @@
 /// The same for faults by which what was sent arrives late.
 const LATE_SEED: u64 = 0x6c61_7465;
 
+/// Which faults, and which callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FaultMix {
+    /// Without those by which things arrive late, and without callers that cancel promptly.
+    Usual,
+    /// Only those by which things arrive late, and callers that cancel promptly beside the others.
+    Late,
+    /// All.
+    #[default]
+    All,
+}
+
+impl FaultMix {
+    /// By its name on the command line.
+    pub fn parse(name: &str) -> Option<FaultMix> {
+        match name {
+            "usual" => Some(FaultMix::Usual),
+            "late" => Some(FaultMix::Late),
+            "all" => Some(FaultMix::All),
+            _ => None,
+        }
+    }
+}
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct SoakPlan {
@@ -64,6 +88,8 @@
     pub length: Duration,
     /// Entries, a process each.
     pub entries: u8,
+    /// Faults.
+    pub faults: FaultMix,
     /// Directory of the logs; those of runs that pass are removed.
     pub directory: PathBuf,
 }
@@ -145,20 +171,26 @@
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
         tasks.spawn(callers.clone().call(random));
     }
-    for number in 0..PROMPT_CALLERS {
-        let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
-        tasks.spawn(callers.clone().call_promptly(random));
-    }
-    let late = StdRng::seed_from_u64(seed ^ LATE_SEED);
-    tasks.spawn(late::inject(late, plan.length, platform.clone(), entries.clone()));
-    let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
-    tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
-    let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
-    tasks.spawn(faults::rebear(births, plan.length, platform.clone()));
-    let keys = StdRng::seed_from_u64(seed ^ KEY_SEED);
-    tasks.spawn(faults::revoke(keys, plan.length, callers.clone()));
-    let random = StdRng::seed_from_u64(seed);
-    report.faults = faults::inject(random, plan.length, &platform, &entries).await;
+    if plan.faults != FaultMix::Usual {
+        for number in 0..PROMPT_CALLERS {
+            let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
+            tasks.spawn(callers.clone().call_promptly(random));
+        }
+        let late = StdRng::seed_from_u64(seed ^ LATE_SEED);
+        tasks.spawn(late::inject(late, plan.length, platform.clone(), entries.clone()));
+    }
+    if plan.faults == FaultMix::Late {
+        faults::look_after(plan.length, &entries).await;
+    } else {
+        let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
+        tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
+        let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
+        tasks.spawn(faults::rebear(births, plan.length, platform.clone()));
+        let keys = StdRng::seed_from_u64(seed ^ KEY_SEED);
+        tasks.spawn(faults::revoke(keys, plan.length, callers.clone()));
+        let random = StdRng::seed_from_u64(seed);
+        report.faults = faults::inject(random, plan.length, &platform, &entries).await;
+    }
     callers.stop();
     while tasks.join_next().await.is_some() {}
     check_end(&platform, &entries, &callers, &mut report).await;
--- a/standin/src/soak/prompt.rs
+++ b/standin/src/soak/prompt.rs
@@ -9,16 +9,21 @@
 use ibisweir::transport::HttpTransport;
 use rand::Rng;
 use rand::rngs::StdRng;
+use serde_json::{Value, json};
 use tokio::join;
 use tokio::time::sleep;
 
-use crate::jobs::ledger::SubmissionEnd;
-use crate::soak::callers::{CallerGroup, PATIENCE, PAUSE_MS, TRIES, Told};
+use crate::jobs::ledger::{CallerJob, SubmissionEnd};
+use crate::soak::callers::{CallerGroup, PATIENCE, PAUSE_MS, TRIES, Told, organisation_of};
 
 /// Longest time from the acknowledgement of a submission, or from its sending, to the cancellation, in milliseconds.
 const PROMPT_MS: u64 = 300;
 /// Shortest and longest time after which a caller gives a submission up, in milliseconds.
 const GIVE_UP_MS: std::ops::Range<u64> = 30..1_500;
+/// Steps of a job, one after the other, and run time of their tasks in milliseconds: work is left to be started for longer
+/// than it may be once the job is cancelled.
+const STEPS: usize = 5;
+const WORK_MS: std::ops::Range<u64> = 400..1_200;
 /// Looks at a cancelled job.
 const LOOKS: usize = 2;
 
@@ -29,7 +34,7 @@
         while !self.is_over() {
             let entry = random.random_range(0..self.entries.len());
             let pause = Duration::from_millis(random.random_range(0..PROMPT_MS));
-            let (id, body) = self.draw(&mut random);
+            let (id, body) = self.draw(&mut random, draw_chain);
             if random.random_bool(0.5) {
                 self.submit_through(&transport, entry, id, &body).await;
                 sleep(pause).await;
@@ -107,3 +112,29 @@
         }
     }
 }
+
+/// A job whose steps follow each other.
+fn draw_chain(id: JobId, random: &mut StdRng) -> (CallerJob, Value) {
+    let (work, cpu) = (random.random_range(WORK_MS), random.random_range(200..1_000));
+    let payload = format!("work={work} cpu={cpu}");
+    let steps: Vec<u32> = (0..STEPS).map(|_| random.random_range(1..3)).collect();
+    let bodies: Vec<Value> = steps
+        .iter()
+        .enumerate()
+        .map(|(position, tasks)| {
+            let after: Vec<usize> = (0..position).collect();
+            json!({ "count": tasks, "cpu": cpu, "mem-mb": 128, "est-ms": work, "after": after })
+        })
+        .collect();
+    let body = json!({ "spec": payload, "steps": bodies });
+    let job = CallerJob {
+        payload,
+        steps,
+        end: None,
+        is_cancelled: false,
+        lasts: false,
+        may_fail: false,
+        organisation: organisation_of(id),
+    };
+    (job, body)
+}
