--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -12,6 +12,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ibisweir::error::{CodeResult, ResultCode, coded};
@@ -41,6 +42,11 @@
 /// Time between two looks at whether it has.
 const SETTLE_GAP: Duration = Duration::from_millis(200);
 
+/// File of a run that has all its broken promises; the first few are printed.
+const BROKEN_FILE: &str = "broken.txt";
+/// Time between two looks at how late this process is.
+const LAG_GAP: Duration = Duration::from_millis(10);
+
 /// Rooms are drawn by a seed of their own, so that a seed draws the same faults as before there were any.
 const ROOM_SEED: u64 = 0x726f_6f6d;
 /// The same for workers that begin anew, and for keys that are taken away.
@@ -104,6 +110,8 @@
     starts_cancelled: u64,
     done_cancelled: u64,
     faults: usize,
+    /// Longest time by which this process itself was late.
+    lag: Duration,
     broken: Vec<String>,
 }
 
@@ -130,7 +138,7 @@
             one_run(plan, seed).await.map_err(|error| coded(ResultCode::BindFailed, error))?;
         println!(
             "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts ({} after a cancellation, {} \
-             of them done), {} faults, {} s: {}",
+             of them done), {} faults, {} s, own lag {} ms: {}",
             report.accepted,
             report.refused,
             report.unknown,
@@ -139,6 +147,7 @@
             report.done_cancelled,
             report.faults,
             begun.elapsed().as_secs(),
+            report.lag.as_millis(),
             if report.broken.is_empty() { "all promises kept" } else { "BROKEN" },
         );
         for line in report.broken.iter().take(10) {
@@ -162,6 +171,8 @@
         entries.push(Arc::new(entry));
     }
     let mut report = SoakReport::default();
+    let lag = Arc::new(AtomicU64::new(0));
+    let lag_watch = tokio::spawn(watch_lag(lag.clone()));
     if !settle(|| entries.iter().all(|entry| entry.was_ready()), &entries).await {
         report.broken.push("not every entry was ready before the faults began".to_owned());
     }
@@ -199,14 +210,28 @@
             report.broken.push(format!("{} did not end with 0 when it was stopped", entry.name));
         }
     }
+    lag_watch.abort();
+    report.lag = Duration::from_millis(lag.load(Ordering::Relaxed));
     report.broken.append(&mut platform.ledger().faults);
     if report.broken.is_empty() {
         // A directory that can't be removed is only left over.
         let _ = std::fs::remove_dir_all(&directory);
+    } else {
+        std::fs::write(directory.join(BROKEN_FILE), report.broken.join("\n"))?;
     }
     Ok(report)
 }
 
+/// Notes by how much this process, whose platform and workers the entries are judged by, is late at most.
+async fn watch_lag(lag: Arc<AtomicU64>) {
+    loop {
+        let begun = Instant::now();
+        sleep(LAG_GAP).await;
+        let late = u64::try_from(begun.elapsed().saturating_sub(LAG_GAP).as_millis());
+        lag.fetch_max(late.unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+}
+
 /// Waits until something holds, looking after entries that have ended; false if it never does.
 async fn settle(holds: impl Fn() -> bool, entries: &[Arc<EntryProcess>]) -> bool {
     let waiting = async {
