--- a/standin/src/soak/late.rs
+++ b/standin/src/soak/late.rs
@@ -33,15 +33,16 @@
 /// Kinds of faults that are drawn from.
 const KINDS: u32 = 9;
 
-/// Injects such faults for `length`, and takes all back.
+/// Injects such faults for `length`, and takes all back; how many there were.
 pub async fn inject(
     mut random: StdRng,
     length: Duration,
     platform: Arc<JobPlatform>,
     entries: Vec<Arc<EntryProcess>>,
-) {
+) -> usize {
     let begun = Instant::now();
     let mut under_way = JoinSet::new();
+    let mut count = 0;
     while begun.elapsed() < length {
         sleep(Duration::from_millis(random.random_range(100..GAP_MS))).await;
         let late = LateFault {
@@ -54,8 +55,10 @@
         };
         let (platform, entries) = (platform.clone(), entries.clone());
         under_way.spawn(async move { late.run(&platform, &entries).await });
+        count += 1;
     }
     while under_way.join_next().await.is_some() {}
+    count
 }
 
 /// One fault.
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -182,13 +182,15 @@
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
         tasks.spawn(callers.clone().call(random));
     }
+    let mut late_faults = None;
     if plan.faults != FaultMix::Usual {
         for number in 0..PROMPT_CALLERS {
             let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
             tasks.spawn(callers.clone().call_promptly(random));
         }
         let late = StdRng::seed_from_u64(seed ^ LATE_SEED);
-        tasks.spawn(late::inject(late, plan.length, platform.clone(), entries.clone()));
+        let injecting = late::inject(late, plan.length, platform.clone(), entries.clone());
+        late_faults = Some(tokio::spawn(injecting));
     }
     if plan.faults == FaultMix::Late {
         faults::look_after(plan.length, &entries).await;
@@ -204,6 +206,9 @@
     }
     callers.stop();
     while tasks.join_next().await.is_some() {}
+    if let Some(injected) = late_faults {
+        report.faults += injected.await.unwrap_or(0);
+    }
     check_end(&platform, &entries, &callers, &mut report).await;
     for entry in &entries {
         if !entry.stop().await {
