--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -7,9 +7,12 @@
 mod callers;
 pub mod entry;
 mod faults;
+mod late;
+mod prompt;
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ibisweir::error::{CodeResult, ResultCode, coded};
@@ -32,16 +35,51 @@
 const VMS: usize = 9;
 /// Callers at a time.
 const CALLERS: usize = 8;
+/// Callers at a time that cancel promptly.
+const PROMPT_CALLERS: usize = 8;
 /// Time for everything to settle once the faults are over; only a hang reaches it.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 /// Time between two looks at whether it has.
 const SETTLE_GAP: Duration = Duration::from_millis(200);
 
+/// File of a run that has all its broken promises; the first few are printed.
+const BROKEN_FILE: &str = "broken.txt";
+/// Time between two looks at how late this process is.
+const LAG_GAP: Duration = Duration::from_millis(10);
+
 /// Rooms are drawn by a seed of their own, so that a seed draws the same faults as before there were any.
 const ROOM_SEED: u64 = 0x726f_6f6d;
 /// The same for workers that begin anew, and for keys that are taken away.
 const REBIRTH_SEED: u64 = 0x626f_726e;
 const KEY_SEED: u64 = 0x6b65_7973;
+/// The same for callers that cancel promptly.
+const PROMPT_SEED: u64 = 0x7072_6f6d;
+/// The same for faults by which what was sent arrives late.
+const LATE_SEED: u64 = 0x6c61_7465;
+
+/// Which faults, and which callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FaultMix {
+    /// Without those by which things arrive late, and without callers that cancel promptly.
+    Usual,
+    /// Only those by which things arrive late, and callers that cancel promptly beside the others.
+    Late,
+    /// All.
+    #[default]
+    All,
+}
+
+impl FaultMix {
+    /// By its name on the command line.
+    pub fn parse(name: &str) -> Option<FaultMix> {
+        match name {
+            "usual" => Some(FaultMix::Usual),
+            "late" => Some(FaultMix::Late),
+            "all" => Some(FaultMix::All),
+            _ => None,
+        }
+    }
+}
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -56,6 +94,8 @@
     pub length: Duration,
     /// Entries, a process each.
     pub entries: u8,
+    /// Faults.
+    pub faults: FaultMix,
     /// Directory of the logs; those of runs that pass are removed.
     pub directory: PathBuf,
 }
@@ -67,7 +107,11 @@
     refused: usize,
     unknown: usize,
     starts: u64,
+    starts_cancelled: u64,
+    done_cancelled: u64,
     faults: usize,
+    /// Longest time by which this process itself was late.
+    lag: Duration,
     broken: Vec<String>,
 }
 
@@ -93,13 +137,17 @@
         let report =
             one_run(plan, seed).await.map_err(|error| coded(ResultCode::BindFailed, error))?;
         println!(
-            "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts, {} faults, {} s: {}",
+            "seed {seed}: {} jobs accepted, {} refused, {} unknown, {} starts ({} after a cancellation, {} \
+             of them done), {} faults, {} s, own lag {} ms: {}",
             report.accepted,
             report.refused,
             report.unknown,
             report.starts,
+            report.starts_cancelled,
+            report.done_cancelled,
             report.faults,
             begun.elapsed().as_secs(),
+            report.lag.as_millis(),
             if report.broken.is_empty() { "all promises kept" } else { "BROKEN" },
         );
         for line in report.broken.iter().take(10) {
@@ -123,6 +171,8 @@
         entries.push(Arc::new(entry));
     }
     let mut report = SoakReport::default();
+    let lag = Arc::new(AtomicU64::new(0));
+    let lag_watch = tokio::spawn(watch_lag(lag.clone()));
     if !settle(|| entries.iter().all(|entry| entry.was_ready()), &entries).await {
         report.broken.push("not every entry was ready before the faults began".to_owned());
     }
@@ -132,30 +182,61 @@
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
         tasks.spawn(callers.clone().call(random));
     }
-    let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
-    tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
-    let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
-    tasks.spawn(faults::rebear(births, plan.length, platform.clone()));
-    let keys = StdRng::seed_from_u64(seed ^ KEY_SEED);
-    tasks.spawn(faults::revoke(keys, plan.length, callers.clone()));
-    let random = StdRng::seed_from_u64(seed);
-    report.faults = faults::inject(random, plan.length, &platform, &entries).await;
+    let mut late_faults = None;
+    if plan.faults != FaultMix::Usual {
+        for number in 0..PROMPT_CALLERS {
+            let random = StdRng::seed_from_u64((seed * 1_000 + number as u64) ^ PROMPT_SEED);
+            tasks.spawn(callers.clone().call_promptly(random));
+        }
+        let late = StdRng::seed_from_u64(seed ^ LATE_SEED);
+        let injecting = late::inject(late, plan.length, platform.clone(), entries.clone());
+        late_faults = Some(tokio::spawn(injecting));
+    }
+    if plan.faults == FaultMix::Late {
+        faults::look_after(plan.length, &entries).await;
+    } else {
+        let rooms = StdRng::seed_from_u64(seed ^ ROOM_SEED);
+        tasks.spawn(faults::resize(rooms, plan.length, platform.clone()));
+        let births = StdRng::seed_from_u64(seed ^ REBIRTH_SEED);
+        tasks.spawn(faults::rebear(births, plan.length, platform.clone()));
+        let keys = StdRng::seed_from_u64(seed ^ KEY_SEED);
+        tasks.spawn(faults::revoke(keys, plan.length, callers.clone()));
+        let random = StdRng::seed_from_u64(seed);
+        report.faults = faults::inject(random, plan.length, &platform, &entries).await;
+    }
     callers.stop();
     while tasks.join_next().await.is_some() {}
+    if let Some(injected) = late_faults {
+        report.faults += injected.await.unwrap_or(0);
+    }
     check_end(&platform, &entries, &callers, &mut report).await;
     for entry in &entries {
         if !entry.stop().await {
             report.broken.push(format!("{} did not end with 0 when it was stopped", entry.name));
         }
     }
+    lag_watch.abort();
+    report.lag = Duration::from_millis(lag.load(Ordering::Relaxed));
     report.broken.append(&mut platform.ledger().faults);
     if report.broken.is_empty() {
         // A directory that can't be removed is only left over.
         let _ = std::fs::remove_dir_all(&directory);
+    } else {
+        std::fs::write(directory.join(BROKEN_FILE), report.broken.join("\n"))?;
     }
     Ok(report)
 }
 
+/// Notes by how much this process, whose platform and workers the entries are judged by, is late at most.
+async fn watch_lag(lag: Arc<AtomicU64>) {
+    loop {
+        let begun = Instant::now();
+        sleep(LAG_GAP).await;
+        let late = u64::try_from(begun.elapsed().saturating_sub(LAG_GAP).as_millis());
+        lag.fetch_max(late.unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+}
+
 /// Waits until something holds, looking after entries that have ended; false if it never does.
 async fn settle(holds: impl Fn() -> bool, entries: &[Arc<EntryProcess>]) -> bool {
     let waiting = async {
@@ -231,4 +312,6 @@
         }
     }
     report.starts = ledger.starts;
+    (report.starts_cancelled, report.done_cancelled) =
+        (ledger.starts_cancelled, ledger.done_cancelled);
 }
