--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,7 +5,7 @@
 use support::process::run_standin;
 
 /// Faults of the short soak.
-const SHORT_FAULTS: &str = "usual";
+const SHORT_FAULTS: &str = "all";
 
 /// A seed under the faults that it was found with.
 fn soak(seed: &str, seconds: &str) {
