Eight tests of ways around the bounds of cancellations, starts and rooms, failing

A review of the start deadline and of the kept cancellations.

* a_start_that_comes_late_to_the_next_life_of_its_worker_is_refused (tests/order_bounds.rs:57): the end of a start's lease is a time of one life's clock.
A life whose clock began anew has not reached it for long, so the start begins, until the leader's first call with the higher token.
Whether clocks of workers begin anew is not known; the module of rebirths takes it for possible, and so do now the stage's workers.
* a_view_of_the_jobs_does_not_count_before_the_scheduler_was_told (tests/order_bounds.rs:38): fold_read and fold_newest let the book go before they tell the scheduler; fold_own between them answers that all is known.
* a_worker_whose_clock_stood_still_is_believed (tests/order_bounds.rs:72): a sample that is behind by more than the drift is taken for late, also where all later ones are.
* a_job_that_was_just_cancelled_outlives_a_leader_whose_wall_clock_is_ahead (tests/order_bounds.rs:106): the end of a job is the wall clock of the leader that saw it, its age that of the leader which drops it.
* a_cancellation_is_not_dropped_with_an_earlier_one (tests/order_bounds.rs:131): take_commit puts drops after what entries relay.
* news_of_the_workers_that_are_long_on_their_way_start_nothing_where_nobody_guards (tests/takeover_view.rs:279): rooms count from when an answer with news has come, not from when it was asked for.
* an_entry_that_is_behind_the_log_says_nothing_done_that_does_not_count (tests/tombstones.rs:324): the answer to a cancellation that may not count is that it is stored.
* nobody_cancels_an_organisations_job_through_an_old_configuration (tests/tombstones.rs:336): where no key is needed yet, the cancellation counts for all.

--- /dev/null
+++ b/tests/order_bounds.rs
@@ -0,0 +1,132 @@
+//! Ways by which a start, or a job that was cancelled, could outlast what bounds it.
+
+mod support;
+
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::Duration;
+
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::scheduler::worker::WorkerRun;
+use ibisweir::scheduler::{Scheduler, SchedulerStart};
+use support::outside::{lead, silent_node};
+use support::stage::{
+    START_MS, Stage, WALL_OFFSET_MS, bounds, config, job, job_id, step, submission, task, worker,
+};
+
+/// Time for which a thread is given the chance to go on.
+const TURN: Duration = Duration::from_millis(300);
+
+/// Guards against a view of the jobs that counts as new before the leader was told of what it rests on: a reader has
+/// moved the book's end over a cancellation, and waits for the scheduler, when an append of the leader's is folded.
+#[test]
+fn a_view_of_the_jobs_does_not_count_before_the_scheduler_was_told() {
+    let node = silent_node();
+    lead(&node);
+    node.fold_own(&[], 0, 0);
+    let reader = node.clone();
+    let committer = node.clone();
+    let (sender, is_whole) = mpsc::channel();
+    node.with_scheduler(|_| {
+        let _reading = thread::spawn(move || {
+            reader.fold_read(vec![(0, JobRecord::Cancelled(job_id(1)))], 1);
+        });
+        thread::sleep(TURN);
+        thread::spawn(move || sender.send(committer.fold_own(&[], 1, 1)));
+        let told = is_whole.recv_timeout(TURN);
+        assert_ne!(told, Ok(true), "the scheduler has not been told of the cancellation");
+    });
+}
+
+/// Guards against a start that was sent to one life of a worker, and that the next one, whose clock begins anew, takes
+/// long after its job's cancellation was acknowledged.
+#[test]
+fn a_start_that_comes_late_to_the_next_life_of_its_worker_is_refused() {
+    let mut stage = Stage::open_born(config(), vec![worker("w1", "r1")]);
+    stage.advance(20_000);
+    stage.workers.get_mut("w1@0").expect("known").is_late = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    let next = stage.begin_anew("w1@0");
+    // Its leader is cut off from it, and reads of the cancellation.
+    stage.mutes_renewals = true;
+    stage.workers.get_mut(&next).expect("known").born_ms = stage.now;
+    stage.append(&JobRecord::Cancelled(id));
+    stage.now += bounds().cancel_ms + 1_000;
+    stage.deliver_late(&next);
+    assert_eq!(stage.starts(task(id, 0, 0)), 0);
+}
+
+/// Guards against a start that may begin late on a worker whose clock stood still for a while: what it tells since is
+/// taken for answers that were on their way for long.
+#[test]
+fn a_worker_whose_clock_stood_still_is_believed() {
+    let mut stood = WorkerRun::new(worker("w0", "r0"), 0, 0);
+    stood.sample_clock(50_000, 100_000);
+    for seconds in 0..20 {
+        let ms = seconds * 1_000;
+        stood.sample_clock(50_100 + ms, 110_000 + ms);
+    }
+    let (now, deadline_ms) = (129_100, 131_000);
+    let until = stood.start_until(5_800, deadline_ms, now).expect("its clock is known");
+    assert!(until <= 50_100 + deadline_ms - 110_000, "{until}");
+}
+
+/// Guards against a cancelled job that runs when its submission is repeated: its leader's wall clock is ahead of that of
+/// the leader before, and the job is dropped from the log at once.
+#[test]
+fn a_job_that_was_just_cancelled_outlives_a_leader_whose_wall_clock_is_ahead() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.append(&JobRecord::Cancelled(id));
+    stage.advance(1_000);
+    let wall_ms = WALL_OFFSET_MS + stage.now + bounds().status_ms + 60_000;
+    let start = SchedulerStart {
+        term: 2,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        confirmed_ms: stage.now,
+        jobs_ms: stage.now,
+        rooms_ms: stage.now,
+        now: stage.now,
+        wall_ms,
+    };
+    let mut successor = Scheduler::open(start, &stage.book);
+    successor.tick(stage.now, wall_ms);
+    while let Some(batch) = successor.take_commit() {
+        for record in &batch.folded {
+            stage.book.fold(record, stage.end);
+            stage.end += 1;
+        }
+        successor.committed(&batch, stage.now);
+    }
+    let repeat = JobRecord::Submitted(id, Arc::new(submission(job(vec![step(1)]))));
+    successor.take_record(&repeat, stage.now);
+    assert_eq!(successor.census().jobs, 0, "it runs");
+}
+
+/// Guards against a cancellation that is acknowledged and on no log: an earlier one of the same id is being dropped, and
+/// the drop is appended behind it.
+#[test]
+fn a_cancellation_is_not_dropped_with_an_earlier_one() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let id = job_id(1);
+    stage.append(&JobRecord::Cancelled(id));
+    stage.log_is_up = false;
+    stage.advance(bounds().status_ms + 31_000);
+    stage.scheduler.relay(7, vec![JobRecord::Cancelled(id)], stage.now);
+    let mut book = JobBook::default();
+    let mut end = START_MS;
+    let mut is_acknowledged = false;
+    while let Some(batch) = stage.scheduler.take_commit() {
+        for record in &batch.folded {
+            book.fold(record, end);
+            end += 1;
+        }
+        is_acknowledged |= batch.relayed.contains(&7);
+        stage.scheduler.committed(&batch, stage.now);
+    }
+    assert!(is_acknowledged);
+    assert!(book.get(id).is_some_and(|job| job.is_cancelled));
+}
--- a/tests/support/stage_worker.rs
+++ b/tests/support/stage_worker.rs
@@ -36,6 +36,8 @@
     pub lease_until_ms: u64,
     /// By how much its clock is slow, in percent.
     pub slow_percent: u64,
+    /// When its clock began, in milliseconds; 0 for as long ago as the stage's time.
+    pub born_ms: u64,
     /// Starts that it refused as their leases would have been over.
     pub refused_late: usize,
     /// Highest fencing token seen.
@@ -47,7 +49,9 @@
 impl StageWorker {
     /// Its own clock.
     pub fn clock_ms(&self, now: u64) -> u64 {
-        START_MS + (now - START_MS) * (100 - self.slow_percent) / 100
+        let begun_ms = self.born_ms.max(START_MS);
+        let shown_ms = if self.born_ms == 0 { START_MS } else { 0 };
+        shown_ms + (now - begun_ms) * (100 - self.slow_percent) / 100
     }
 
     /// Whether the lease of a start is over; such a one is refused.
--- a/tests/takeover_view.rs
+++ b/tests/takeover_view.rs
@@ -32,6 +32,8 @@
     workers_ms: Arc<AtomicU64>,
     /// Whether the workers are not read on.
     holds_rooms: Arc<AtomicBool>,
+    /// Time that an answer with news of the workers is on its way, in milliseconds; 0 where there is no news.
+    news_ms: Arc<AtomicU64>,
     /// Whether claims and renewals are not answered any more.
     holds_leadership: Arc<AtomicBool>,
 }
@@ -58,6 +60,13 @@
     }
 
     async fn read(&self, topic: LogTopic, from: u64, wait: Duration) -> ReadOutcome {
+        let news_ms = self.news_ms.load(Ordering::Relaxed);
+        if topic == LogTopic::Workers && news_ms > 0 {
+            sleep(Duration::from_millis(news_ms)).await;
+            let record = KeyedRecord { key: "w0".to_owned(), value: b"w0".to_vec() };
+            let (end, records) = (from + 1, vec![(from, record)]);
+            return ReadOutcome::Read(LogBatch { end, next: end, records });
+        }
         sleep(wait.max(Duration::from_millis(20))).await;
         let is_held = match topic {
             LogTopic::Workers => self.holds_rooms.load(Ordering::Relaxed),
@@ -255,3 +264,17 @@
         assert!(takeover.starts_within(0).await);
     }
 }
+
+/// Guards against the same by an answer with news that is long on its way, as on a weak link: what it shows is as old as
+/// the question may be.
+#[tokio::test(start_paused = true)]
+async fn news_of_the_workers_that_are_long_on_their_way_start_nothing_where_nobody_guards() {
+    let takeover = Takeover::begin(unguarded(), 2_200);
+    takeover.log.news_ms.store(3_000, Ordering::Relaxed);
+    for _ in 0..80 {
+        takeover.node.jobs_shown(takeover.node.now());
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(takeover.node.with_scheduler(|_| ()).is_some(), "it has taken over");
+    assert!(!takeover.starts_within(0).await);
+}
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -309,3 +309,29 @@
     stage.advance(160_000);
     assert!(stage.book.get(job_id(1)).is_none());
 }
+
+/// Guards against a caller that is told that its cancellation is done while the job, which is another organisation's,
+/// runs on: its entry is behind the log and can't tell whose the job is.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_behind_the_log_says_nothing_done_that_does_not_count() {
+    let log = MemoryLog::default();
+    let unread = MemoryLog { is_unread: true, ..log.clone() };
+    let (behind, other) = (desk(&unread, keyed_config()), desk(&log, keyed_config()));
+    let id = job_id(1);
+    assert_eq!(submit(&other, &caller("east"), id).await, DeskReply::Stored);
+    let told = cancel(&behind, &caller("west"), id).await;
+    assert_eq!(open_jobs(&*newcomer(&log).await), 1, "it runs on");
+    assert_ne!(told, DeskReply::Stored);
+}
+
+/// Guards against a job that a caller without a key cancels before it is stored: its entry still goes by a configuration
+/// in which nobody needs one.
+#[tokio::test(start_paused = true)]
+async fn nobody_cancels_an_organisations_job_through_an_old_configuration() {
+    let log = MemoryLog::default();
+    let (old, new) = (desk(&log, config()), desk(&log, keyed_config()));
+    let id = job_id(1);
+    assert_eq!(cancel(&old, &CallerAccess::default(), id).await, GONE);
+    assert_eq!(submit(&new, &caller("east"), id).await, DeskReply::Stored);
+    assert_eq!(open_jobs(&*newcomer(&log).await), 1);
+}
