A test that a worker with nothing but stops is renewed before its next start, failing

Callers would see: work that lapses on a sound worker. A worker whose runs are all to be stopped gets no lease any more; the renewal beside the append of a first run is asked for only where nothing is booked.

--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -130,3 +130,22 @@
     assert!(is_acknowledged);
     assert!(book.get(id).is_some_and(|job| job.is_cancelled));
 }
+
+/// Guards against work that lapses as its lease was that of its start: all that its worker has is to be stopped and was
+/// not renewed for a while.
+#[test]
+fn a_worker_with_nothing_but_stops_is_given_a_lease_before_its_next_start() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let first = stage.submit(1, job(vec![step(1)]));
+    stage.advance(1_000);
+    stage.workers.get_mut("w0").expect("known").loses_stops = true;
+    stage.append(&JobRecord::Cancelled(first));
+    stage.advance(4_500);
+    assert_eq!(stage.alive(task(first, 0, 0)), 1, "its stops are lost");
+    stage.woken.clear();
+    stage.mutes_renewals = true;
+    stage.log_is_up = false;
+    stage.submit(2, job(vec![step(1)]));
+    let left_ms = stage.workers["w0"].lease_until_ms - stage.now;
+    assert!(stage.woken.contains(&"w0".into()), "{left_ms} ms are left");
+}
