A worker with nothing but stops is given a lease before its next start

Callers would see: work that lapses, as its worker's lease is that of its start alone. Cause: leases are not extended where all that runs is to be stopped, and the renewal ahead of a start was asked for only where nothing is booked. Change: the renewal is asked for wherever the lease known is shorter than a cancellation may take. Enough: a renewal that is under way anyhow is only repeated sooner.

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -77,8 +77,8 @@
         self.organisations.book(job.submission.organisation.as_ref(), &need);
         let whole_ms = self.bounds.cancel_ms;
         if let Some(entry) = self.workers.get_mut(worker) {
-            // The lease that its start brings ends soon, and nothing was renewed while it was idle.
-            if entry.runs.is_empty() && !entry.holds_lease(whole_ms, now) {
+            // The lease that its start brings ends soon, and nothing was renewed while nothing was wanted there.
+            if !entry.holds_lease(whole_ms, now) {
                 self.actions.push(SchedulerAction::Wake(worker.clone()));
             }
             entry.book((*key, run), booked);
