An entry that is behind the log takes no cancellation where callers belong to organisations

Callers would see: a caller of another organisation is told that its cancellation of a job is done, and the job runs on. Cause: an entry that can't look at the job stored a cancellation that counts only for jobs that the caller may see, and answered that it is done. Change: there it refuses as before (BehindLog), with when to come back; where callers belong to no organisation every cancellation counts, and is kept.

--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -199,7 +199,8 @@
         let begun = Instant::now();
         let known = self.known(job).await;
         let (record, what) = match &known {
-            Err(reply) if self.node.is_log_away() => return *reply,
+            // Whether it would count for a job that is there can't be told where callers belong to organisations.
+            Err(reply) if self.node.is_log_away() || self.needs_keys() => return *reply,
             Ok(Some(known)) if self.is_hidden(caller, job, known) => return no_such_job(),
             Ok(Some(known)) if known.state.is_final() => return DeskReply::Stored,
             Ok(Some(_)) => (JobRecord::Cancelled(job), "cancellation"),
