--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -198,7 +198,7 @@
         let new = book.renew(records, end);
         self.reach(end);
         book.forget_drops(self.book_end());
-        drop(book);
+        // Before anybody else finds the book as far: by that the view of the jobs counts as new.
         self.tell_scheduler(&new);
     }
 
@@ -217,7 +217,7 @@
         }
         self.reach(next);
         book.forget_drops(self.book_end());
-        drop(book);
+        // Before anybody else finds the book as far: by that the view of the jobs counts as new.
         self.tell_scheduler(&new);
     }
 
