A cancellation is not dropped behind itself

Callers would see: a cancellation that was acknowledged and is on no log, where an earlier one of the same id is being dropped minutes later. Cause: drops follow the relayed records in one append. Change: a job that is cancelled again is taken off the drops that wait, and is dropped its time later. Test: a_cancellation_is_not_dropped_with_an_earlier_one failed before (tests/order_bounds.rs:131) and leaves the list.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -71,6 +71,16 @@
         self.drops.push(job);
     }
 
+    /// A job that was about to be dropped was cancelled again: the record must not be dropped behind itself.
+    pub fn keep_job(&mut self, job: JobId) {
+        self.drops.retain(|dropped| *dropped != job);
+    }
+
+    /// The same for a cancellation by an entry that did not know the job.
+    pub fn keep_tombstone(&mut self, job: JobId, mark: CallerMark) {
+        self.tombstone_drops.retain(|dropped| *dropped != (job, mark));
+    }
+
     /// A cancellation by an entry that did not know the job need not be kept.
     pub fn drop_tombstone(&mut self, job: JobId, mark: CallerMark) {
         self.tombstone_drops.push((job, mark));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -434,6 +434,7 @@
             // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
             // relay. Forgotten, it would never be heard of again, and the job would run.
             self.finished.entry(id).or_insert(self.wall_ms);
+            self.commits.keep_job(id);
             return;
         };
         if job.state.is_final() {
--- a/src/scheduler/tombstones.rs
+++ b/src/scheduler/tombstones.rs
@@ -46,6 +46,7 @@
         now: u64,
     ) {
         self.tombstones.insert(id, mark, self.wall_ms);
+        self.commits.keep_tombstone(id, mark);
         match self.jobs.get(&id) {
             Some(job) if mark.may_see(job.submission.organisation.as_ref()) => {
                 self.cancel(id, source, now);
