A VM list ends no life whose name it shows

What callers saw: a task ran twice at once for a moment. A caller of a task that may not run twice would see both.

Cause: the VM list tells a worker's name, not its life, and the scheduler gave each row the newest life that it knew of that name. A new leader has lives from the log alone, which it takes for silent. Where another life of the same name was listed, or none, the first VM list did not show the life of the log: it counted as gone with its VM, its runs were over, and their tasks started elsewhere. They may have gone on to the next life, which is known with its first answer only, or run on in the same life behind a cut.

Change: the list is held against names. A life whose name it shows on a VM that is up ends as the others do: with the first answer of the next one, which takes over what may still come, or with its leases.

Why this is enough: commands to the VM aside, the list is the only source that ends a life without an answer, a lease or a birth to tell lives by. It still ends lives of which it shows no name or whose VM is down. The cost: a task of a life that only the log tells of waits for the next life's first answer, or for its leases if none comes.

It leaves out starts that a life would have refused by its token and that come to the life after it: those still run twice.

The stage called workers that the leader had not asked to watch, which hid this: it calls only watched ones now, as the entry does. It can hold back the entries of new lives, drop one, and list VMs by the names of their workers.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::jobs::ports::{VmCommand, VmOutcome};
-use crate::jobs::site::{MaintenanceWave, VmEntry, VmState};
+use crate::jobs::site::{MaintenanceWave, VmEntry, VmState, life_name};
 use crate::scheduler::demand::ArrivalRate;
 use crate::scheduler::losses::LifeEnd;
 use crate::scheduler::maintenance::WaveRun;
@@ -158,11 +158,11 @@
         known.done.extend(done);
     }
 
-    /// State of the VM of each worker that the list shows; nothing before a first list.
-    pub fn lives(&self) -> Option<HashMap<Arc<str>, VmState>> {
+    /// State of the VM of each worker that the list shows, by the worker's name; nothing before a first list.
+    pub fn lives(&self) -> Option<HashMap<&str, VmState>> {
         self.listed_ms?;
-        let state = |vm: &VmEntry| (vm.worker.clone(), vm.state);
-        Some(self.vms.values().filter(|vm| !vm.worker.is_empty()).map(state).collect())
+        let shown = self.vms.values().filter(|vm| !vm.worker.is_empty());
+        Some(shown.map(|vm| (life_name(&vm.worker), vm.state)).collect())
     }
 
     /// The VM that a worker runs on.
--- a/src/scheduler/rebirth.rs
+++ b/src/scheduler/rebirth.rs
@@ -2,12 +2,14 @@
 //!
 //! A call names the worker that it is meant for, and the next life takes that name as its own. So what was sent
 //! to the life before may be carried out by the next one: a start that had no answer yet runs there seconds later,
-//! and its task, taken for lost and started elsewhere, would run twice. Four things keep that out:
+//! and its task, taken for lost and started elsewhere, would run twice. Five things keep that out:
 //!
 //! * A life is known by its name and the time of its birth (`life_id`), and everything is booked by it: numbers
 //!   of exits, clocks, leases and losses of one life are never held against another.
 //! * Runs that the life before has listed are over with it. Those that may still be on their way go over to the
 //!   next life, and are over only when that one does not list them.
+//! * The VM list shows workers by their names. It ends lives only where it shows none of that name: of one that the log
+//!   tells of, the runs may have gone on to the next life, which has yet to answer.
 //! * Exits are acknowledged only while nothing was sent that the life has not listed: the next life could have taken
 //!   it, and would forget its own exits up to that number.
 //! * The next life is called with a higher fencing token from the first call on. What was sent before is refused
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::model::{JobState, StepSpec, TaskKey};
 use crate::jobs::ports::{CommandOutcome, CommandRefusal, RunCall, StartCall, refusal_word};
-use crate::jobs::site::VmState;
+use crate::jobs::site::{VmState, life_name};
 use crate::scheduler::job::{LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::LifeEnd;
 use crate::scheduler::worker::{BookedRun, WorkSpan, WorkerRun};
@@ -481,7 +481,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.silent_since_ms.is_some_and(|since| since <= asked_ms))
-            .filter(|(id, _)| lives.get(*id).is_none_or(|state| *state == VmState::Down))
+            .filter(|(id, _)| lives.get(life_name(id)).is_none_or(|state| *state == VmState::Down))
             .map(|(id, _)| id.clone())
             .collect();
         if !over.is_empty() {
--- a/tests/scheduler_rebirth.rs
+++ b/tests/scheduler_rebirth.rs
@@ -284,6 +284,54 @@
     assert_eq!((stage.starts(key), stage.alive(key)), (1, 1));
 }
 
+/// Guards against a second run of a task that the next life took, where a new leader reads the VM list before that life's
+/// first answer.
+#[test]
+fn a_list_of_vms_does_not_end_what_the_next_life_may_have() {
+    let mut stage = two_workers();
+    for worker in stage.workers.values_mut() {
+        worker.is_late = true;
+    }
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let late = stage.workers.iter().find(|(_, worker)| !worker.late.is_empty());
+    let place = late.expect("the start is under way").0.clone();
+    stage.mutes_renewals = true;
+    let next = stage.begin_anew(&place);
+    stage.deliver_late(&next);
+    for worker in stage.workers.values_mut() {
+        worker.is_late = false;
+    }
+    stage.workers.get_mut(&next).expect("known").is_silent = true;
+    stage.mutes_renewals = false;
+    stage.take_over(2, config());
+    stage.list_vms();
+    assert_eq!(stage.alive(key), 1, "it runs twice");
+    stage.workers.get_mut(&next).expect("known").is_silent = false;
+    stage.advance(1_000);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1));
+    stage.end_run(key, 1, &next, ExitKind::Done);
+    stage.advance(200);
+    assert_eq!(stage.state(id), Some(JobState::Completed));
+}
+
+/// Guards against a second run of a task whose worker a new leader knows from the log and the VM list alone, as its
+/// entry is gone: it may run on behind a cut until its leases have run out.
+#[test]
+fn a_worker_that_only_the_log_and_its_vm_tell_of_keeps_its_runs() {
+    let mut stage = two_workers();
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let place = stage.place(key);
+    stage.unlist(&place);
+    stage.take_over(2, config());
+    stage.list_vms();
+    stage.advance(1_000);
+    assert_eq!((stage.starts(key), stage.alive(key)), (1, 1), "it runs twice");
+    stage.advance(7_500);
+    assert_eq!((stage.starts(key), stage.alive(key)), (2, 1));
+}
+
 /// What was sent to the life before is refused by the next one's higher token. That tells of no other leader.
 #[test]
 fn a_refusal_of_what_was_meant_for_the_life_before_deposes_nobody() {
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -11,7 +11,7 @@
     WorkerReport,
 };
 use ibisweir::jobs::record::JobRecord;
-use ibisweir::jobs::site::{SiteBounds, SiteConfig, WorkerEntry, life_id, life_name};
+use ibisweir::jobs::site::{SiteBounds, SiteConfig, VmEntry, WorkerEntry, life_id, life_name};
 use ibisweir::scheduler::exits::RenewPlan;
 use ibisweir::scheduler::runs::RunCommand;
 use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerNote, SchedulerStart};
@@ -70,6 +70,8 @@
     pub now: u64,
     /// Whether no renewal is sent.
     pub mutes_renewals: bool,
+    /// Whether the entries of workers that begin anew stay as they were until the test shows them.
+    pub hides_rebirths: bool,
     /// Tasks that are done as soon as they are started.
     pub instant_tasks: BTreeSet<TaskKey>,
     /// Tasks that crash each worker that starts them.
@@ -83,8 +85,9 @@
     /// Workers that were lost, in order.
     pub lost: Vec<Arc<str>>,
     entries: Vec<WorkerEntry>,
-    /// Lives that were over before their workers began anew under the same name.
-    earlier_lives: Vec<Arc<str>>,
+    unlisted: BTreeSet<Arc<str>>,
+    /// Lives that the leader asked to watch; others it can't call.
+    watched: BTreeSet<Arc<str>>,
     crashes: u32,
     /// Workers that are going to crash, or that have and whose next lives are not listed yet.
     doomed: Vec<DoomedWorker>,
@@ -133,6 +136,7 @@
             predecessor_end: PredecessorEnd::Unknown,
             now: START_MS,
             mutes_renewals: false,
+            hides_rebirths: false,
             instant_tasks: BTreeSet::new(),
             crashers: BTreeSet::new(),
             crash_after_ms: 10,
@@ -140,7 +144,8 @@
             answers_before_crash: true,
             lost: Vec::new(),
             entries,
-            earlier_lives: Vec::new(),
+            unlisted: BTreeSet::new(),
+            watched: BTreeSet::new(),
             crashes: 0,
             doomed: Vec::new(),
         };
@@ -151,6 +156,7 @@
 
     /// Another entry takes over from the log; the old leader says no more.
     pub fn take_over(&mut self, term: u64, config: SiteConfig) {
+        self.watched.clear();
         let before = LeaderTrace { seen_ms: self.now, end: self.predecessor_end };
         self.scheduler = leader(term, Some(before), self.bounds, config, &self.book, self.now);
         self.list_workers();
@@ -171,11 +177,21 @@
         self.notes.iter().filter(is_placed).count()
     }
 
+    /// A worker's entry is gone; the worker runs on, and its VM is listed.
+    pub fn unlist(&mut self, id: &str) {
+        self.unlisted.insert(id.into());
+    }
+
     fn list_workers(&mut self) {
         for entry in &self.entries {
-            self.workers.entry(entry.id.clone()).or_default();
+            let is_same = |id: &Arc<str>| life_name(id) == life_name(&entry.id);
+            if !self.workers.keys().any(is_same) {
+                self.workers.insert(entry.id.clone(), StageWorker::default());
+            }
         }
-        self.scheduler.workers_listed(self.entries.clone(), self.now);
+        let is_listed = |entry: &&WorkerEntry| !self.unlisted.contains(&entry.id);
+        let listed = self.entries.iter().filter(is_listed).cloned().collect();
+        self.scheduler.workers_listed(listed, self.now);
     }
 
     /// Hands a job in and lets the scheduler act.
@@ -236,12 +252,42 @@
         let next = life_id(life_name(id), Some(u64::from(self.crashes)));
         let late = before.late.clone();
         self.workers.insert(next.clone(), StageWorker { late, ..StageWorker::default() });
-        let entry = self.entries.iter_mut().find(|entry| &*entry.id == id);
-        entry.expect("the worker is known").id = next.clone();
-        self.earlier_lives.push(id.into());
+        if !self.hides_rebirths {
+            self.write_rebirths();
+        }
         next
     }
 
+    /// The entries of all workers tell of their present lives.
+    fn write_rebirths(&mut self) {
+        for entry in &mut self.entries {
+            let name = life_name(&entry.id);
+            if let Some(present) = self.workers.keys().find(|id| life_name(id) == name) {
+                entry.id = present.clone();
+            }
+        }
+    }
+
+    /// The same, and they are read.
+    pub fn show_rebirths(&mut self) {
+        self.write_rebirths();
+        for entry in self.entries.clone() {
+            self.scheduler.worker_seen(entry, self.now);
+        }
+        self.pump();
+    }
+
+    /// The VM list is read, which knows workers by their names alone.
+    pub fn list_vms(&mut self) {
+        let named = |entry: &WorkerEntry| {
+            let name = life_name(&entry.id);
+            VmEntry { vm: format!("m-{name}").into(), worker: name.into(), ..vm(entry, POOL) }
+        };
+        let vms = self.entries.iter().map(named).collect();
+        self.scheduler.take_vms(vms, self.now, self.now);
+        self.pump();
+    }
+
     /// The entries of all workers as they are now.
     pub fn entry(&self, id: &str) -> WorkerEntry {
         let entry = self.entries.iter().find(|entry| &*entry.id == id);
@@ -413,9 +459,11 @@
                 self.notes.push(note);
                 return false;
             }
-            SchedulerAction::Watch(_) | SchedulerAction::Wake(_) | SchedulerAction::Forget(_) => {
+            SchedulerAction::Watch(target) => {
+                self.watched.insert(target.id);
                 return false;
             }
+            SchedulerAction::Wake(_) | SchedulerAction::Forget(_) => return false,
         }
         true
     }
@@ -500,8 +548,7 @@
         if self.mutes_renewals {
             return false;
         }
-        let earlier = self.earlier_lives.iter();
-        let ids: Vec<Arc<str>> = self.workers.keys().chain(earlier).cloned().collect();
+        let ids: Vec<Arc<str>> = self.watched.iter().cloned().collect();
         let mut has_called = false;
         for id in ids {
             if let RenewPlan::Call(_, call, _) = self.scheduler.renew_plan(&id, self.now) {
