The soak takes no answer of "no such job" for a job that was accepted, also after its cancellation

The soak's check of looks had been narrowed while cancellations of unknown jobs were kept nowhere: a job whose cancellation was answered 410 before its caller knew of an acceptance might be said not to exist afterwards. Now that they are kept, no trace shows that this is allowed, and the check stands as it was before: an accepted job that is said not to exist is a fault. One that was never accepted may be, as then.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -135,12 +135,12 @@
     ) -> String {
         let (told, body) = self.send(transport, Method::GET, id, String::new(), random).await;
         let mut ledger = self.platform.ledger();
-        if told == Told::Gone && ledger.is_withdrawn(id) {
-            return "cancelled".to_owned();
-        }
         if told == Told::Gone && ledger.is_accepted(id) {
             ledger.faults.push(format!("{id} was accepted and is said not to exist"));
         }
+        if told == Told::Gone && ledger.is_withdrawn(id) {
+            return "cancelled".to_owned();
+        }
         let state = body["state"].as_str().unwrap_or("").to_owned();
         match state.as_str() {
             "completed" => ledger.shown_completed(id),
