A leader tells what takes its link and how late it is by itself

Change: bytes and unanswered calls are counted by kind of call; every two seconds the leader writes how often its loop came round, how late it woke, and what took the link.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -24,6 +24,7 @@
     AppendCall, AppendOutcome, JobLog, LogTopic, PermitClient, VmClient, VmStamp, WorkerClient,
     WriterStamp,
 };
+use crate::jobs::pulse::LeaderPulse;
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
 use crate::jobs::wave_teller::WaveTeller;
@@ -376,6 +377,7 @@
 
     async fn drive(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         let mut told_ms = 0;
+        let mut pulse = LeaderPulse::open(&self.node);
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
@@ -399,7 +401,9 @@
             }
             self.commit_wake.notify_one();
             while tasks.try_join_next().is_some() {}
+            let paused = Instant::now();
             sleep(TICK_GAP).await;
+            pulse.woke(&self.node, paused.elapsed().saturating_sub(TICK_GAP));
             // No wake within the time is the usual case.
             let _ = timeout(TICK, self.node.wake.notified()).await;
         }
--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -117,7 +117,8 @@
     /// One that is to be run, and where it takes its orders.
     pub fn open(node: Arc<JobNode>) -> (StartDelegate, mpsc::UnboundedSender<StartOrder>) {
         let (sender, orders) = mpsc::unbounded_channel();
-        (StartDelegate { node, transport: HttpTransport::open(), orders }, sender)
+        let transport = HttpTransport::open().metered(node.metrics.traffic.clone());
+        (StartDelegate { node, transport, orders }, sender)
     }
 
     /// Hands orders on until nobody can give any more. Batches under way end with it.
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -104,7 +104,8 @@
         let address = callers
             .local_addr()
             .map_err(|error| coded(ResultCode::BindFailed, error.to_string()))?;
-        let node = Arc::new(JobNode::new(settings, Arc::new(JobMetrics::default()), logger));
+        let metrics = Arc::new(JobMetrics::metering(ports.transport.traffic().clone()));
+        let node = Arc::new(JobNode::new(settings, metrics, logger));
         let life = node.life;
         info!(node.logger, "starting"; "callers" => %address, "life" => format!("{life:x}"),
             "log" => %node.settings.log);
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -11,8 +11,10 @@
 use prometheus_client::registry::Registry;
 
 use crate::metrics::ReasonLabel;
+use crate::traffic::TrafficMeter;
 
 type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
+type CallBytes = Family<CallLabel, Counter>;
 type Organisations = Family<OrganisationLabel, Gauge>;
 
 /// Organisations that have a series of their own; what there is of others is under one name, so that operators'
@@ -28,10 +30,22 @@
     pub organisation: String,
 }
 
+/// Label of a metric that is split by kind of call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabel {
+    /// Path of the call, without what tells single things apart.
+    pub call: String,
+}
+
 /// Every metric of the job side of one entry.
 #[derive(Debug)]
 pub struct JobMetrics {
     registry: Registry,
+    /// Bytes of calls to other processes.
+    pub traffic: TrafficMeter,
+    bytes_sent: CallBytes,
+    bytes_received: CallBytes,
+    calls_unanswered: CallBytes,
     /// Answers to callers, by call and status.
     pub replies: Reasons,
     /// Time to answer a caller, in seconds.
@@ -93,6 +107,10 @@
         let seconds = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let mut metrics = JobMetrics {
             registry: Registry::with_prefix("ibisweir_job"),
+            traffic: TrafficMeter::default(),
+            bytes_sent: Family::default(),
+            bytes_received: Family::default(),
+            calls_unanswered: Family::default(),
             replies: Family::default(),
             reply_seconds: seconds(),
             starts: Family::default(),
@@ -127,8 +145,35 @@
 }
 
 impl JobMetrics {
+    /// Metrics that tell what `traffic` counts.
+    pub fn metering(traffic: TrafficMeter) -> JobMetrics {
+        JobMetrics { traffic, ..JobMetrics::default() }
+    }
+
+    /// Brings the counters of calls up to date.
+    pub fn measure_traffic(&self) {
+        for (call, traffic) in self.traffic.totals() {
+            let label = CallLabel { call };
+            let counters = [
+                (&self.bytes_sent, traffic.sent),
+                (&self.bytes_received, traffic.received),
+                (&self.calls_unanswered, traffic.unanswered),
+            ];
+            for (family, total) in counters {
+                let counter = family.get_or_create(&label);
+                counter.inc_by(total.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
+        let help = "bytes of bodies sent in calls to other processes, by call";
+        registry.register("bytes_sent", help, self.bytes_sent.clone());
+        let help = "bytes of bodies received in answers to these, by call";
+        registry.register("bytes_received", help, self.bytes_received.clone());
+        let help = "calls to other processes without a whole answer, by call";
+        registry.register("calls_unanswered", help, self.calls_unanswered.clone());
         registry.register("replies", "answers to callers, by call and code", self.replies.clone());
         let help = "time to answer a caller, in seconds";
         registry.register("reply_seconds", help, self.reply_seconds.clone());
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 pub mod notes;
 pub mod patience;
 pub mod ports;
+pub mod pulse;
 pub mod record;
 pub mod relay;
 pub mod site;
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -477,6 +477,7 @@
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         let size = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         let metrics = &self.metrics;
+        metrics.measure_traffic();
         metrics.log_age_ms.set(self.log_age_ms().map_or(-1, gauge));
         metrics.config_version.set(self.config().map_or(0, |config| gauge(config.version)));
         let census = self.with_scheduler(|scheduler| scheduler.census());
--- /dev/null
+++ b/src/jobs/pulse.rs
@@ -0,0 +1,99 @@
+//! Tells how a leader gets on: what takes its link, and how late it is by itself.
+//!
+//! A leader that answers late may wait for its link or for its processor; from outside both look the same.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use slog::info;
+
+use crate::jobs::node::JobNode;
+use crate::traffic::CallTraffic;
+
+/// Time between two lines, in milliseconds.
+const PULSE_GAP_MS: u64 = 2_000;
+/// Kinds of calls in one line.
+const KINDS_MAX: usize = 6;
+
+/// What was told last.
+pub struct LeaderPulse {
+    told_ms: u64,
+    told: BTreeMap<String, CallTraffic>,
+    wakes: u32,
+    late: Duration,
+    latest: Duration,
+}
+
+impl LeaderPulse {
+    /// One that counts from now.
+    pub fn open(node: &JobNode) -> LeaderPulse {
+        LeaderPulse {
+            told_ms: node.now(),
+            told: node.metrics.traffic.totals(),
+            wakes: 0,
+            late: Duration::ZERO,
+            latest: Duration::ZERO,
+        }
+    }
+
+    /// The leader's loop woke so much later than it had asked for.
+    pub fn woke(&mut self, node: &JobNode, late: Duration) {
+        self.wakes += 1;
+        self.late += late;
+        self.latest = self.latest.max(late);
+        let now = node.now();
+        let span_ms = now.saturating_sub(self.told_ms);
+        if span_ms < PULSE_GAP_MS {
+            return;
+        }
+        let totals = node.metrics.traffic.totals();
+        let spent = TrafficShares::since(&self.told, &totals, span_ms);
+        let mean_ms = crate::clock::millis(self.late / self.wakes);
+        info!(node.logger, "traffic of the leader"; "wakes" => self.wakes, "late_ms" => mean_ms,
+            "latest_ms" => crate::clock::millis(self.latest), "sent_kbs" => spent.sent_kbs,
+            "received_kbs" => spent.received_kbs, "calls" => %spent);
+        *self = LeaderPulse { told_ms: now, told: totals, ..LeaderPulse::open(node) };
+    }
+}
+
+/// What took the link: calls a second, unanswered ones, kilobytes a second sent and received.
+struct TrafficShares {
+    span_ms: u64,
+    sent_kbs: u64,
+    received_kbs: u64,
+    kinds: Vec<(String, CallTraffic)>,
+}
+
+impl TrafficShares {
+    fn since(
+        told: &BTreeMap<String, CallTraffic>,
+        totals: &BTreeMap<String, CallTraffic>,
+        span_ms: u64,
+    ) -> TrafficShares {
+        let before = |kind: &String| told.get(kind).copied().unwrap_or_default();
+        let mut kinds: Vec<(String, CallTraffic)> =
+            totals.iter().map(|(kind, now)| (kind.clone(), now.since(before(kind)))).collect();
+        kinds.sort_by_key(|(_, traffic)| std::cmp::Reverse(traffic.sent + traffic.received));
+        let sum = |part: fn(&CallTraffic) -> u64| -> u64 {
+            kinds.iter().map(|(_, traffic)| part(traffic)).sum()
+        };
+        // Bytes in a millisecond are kilobytes in a second.
+        let (sent_kbs, received_kbs) =
+            (sum(|traffic| traffic.sent) / span_ms, sum(|traffic| traffic.received) / span_ms);
+        kinds.truncate(KINDS_MAX);
+        TrafficShares { span_ms, sent_kbs, received_kbs, kinds }
+    }
+}
+
+impl fmt::Display for TrafficShares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, (kind, traffic)) in self.kinds.iter().enumerate() {
+            let gap = if position == 0 { "" } else { "; " };
+            let (calls, lost) = (traffic.calls, traffic.unanswered);
+            let (sent, received) = (traffic.sent / self.span_ms, traffic.received / self.span_ms);
+            write!(f, "{gap}{kind} {calls} ({lost} lost) {sent}/{received} KB/s")?;
+        }
+        Ok(())
+    }
+}
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -38,6 +38,8 @@
 
 /// Path of a batch of records.
 const RELAY_PATH: &str = "/relay";
+/// What batches that are taken from other entries are counted as.
+const TAKEN_BATCHES: &str = "/relay-taken";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Path of the status of an entry, for operators.
@@ -357,6 +359,7 @@
     request: Request<Incoming>,
 ) -> Result<oneshot::Receiver<()>, StatusCode> {
     let body = body(request, BATCH_BYTES_MAX).await?;
+    node.metrics.traffic.count(TAKEN_BATCHES, 0, Some(body.len()));
     let Some(records) = decode(&body) else {
         warn!(node.logger, "an entry's batch can't be read");
         return Err(StatusCode::BAD_REQUEST);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod scheduler;
 pub mod settings;
 pub mod steward;
+pub mod traffic;
 pub mod transport;
 pub mod view;
 pub mod worker;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -22,6 +22,8 @@
 use tokio::net::TcpSocket;
 use tokio::time::{Instant, timeout};
 
+use crate::traffic::TrafficMeter;
+
 /// Largest answer that is read, in bytes: twice the largest page of the log service.
 const ANSWER_BYTES_MAX: usize = 4 << 20;
 /// Idle connections kept for one peer: a worker gets a renewal and a few commands at a time.
@@ -95,6 +97,7 @@
 pub struct HttpTransport {
     idle: Arc<Mutex<HashMap<SocketAddr, VecDeque<IdleConnection>>>>,
     abandon: AbandonPolicy,
+    traffic: TrafficMeter,
 }
 
 impl HttpTransport {
@@ -111,6 +114,16 @@
         HttpTransport { abandon: AbandonPolicy::Reset, ..HttpTransport::default() }
     }
 
+    /// The same, counting into `traffic`.
+    pub fn metered(self, traffic: TrafficMeter) -> Self {
+        HttpTransport { traffic, ..self }
+    }
+
+    /// What this transport counts into.
+    pub fn traffic(&self) -> &TrafficMeter {
+        &self.traffic
+    }
+
     /// One request and its whole answer, within `patience`.
     ///
     /// # Errors
@@ -174,6 +187,7 @@
         if !may_send() {
             return Err(ExchangeFailure::NotSent);
         }
+        let (path, sent) = (call.path.clone(), call.body.len());
         let answered = async {
             let left = head.saturating_sub(started.elapsed());
             let sent = timeout(left, send(sender, address, call)).await;
@@ -187,7 +201,10 @@
                 BodyLimit::Stall(stall) => read_answer(response, sender, stall).await,
             }
         };
-        match answered.await {
+        let answered = answered.await;
+        let received = answered.as_ref().ok().map(|(answer, _)| answer.body.len());
+        self.traffic.count(&path, sent, received);
+        match answered {
             Ok((answer, sender)) => {
                 self.keep(address, sender);
                 Ok(answer)
