A worker whose clock stood still is believed

What callers see: work of a cancelled job may begin up to as long too late as a worker's clock stood still (9 s in the test), for minutes: the end that its start carries is one that the worker reaches only then. Real only where workers' clocks stop, as with suspended VMs.

Cause: a sample of a worker's clock that is behind what the sample before leads to is passed over, as an answer that was long on its way tells less. A clock that stood still is behind in each sample from then on, until the drift that is allowed for has made up for it.

Change: a sample counts by when it was asked for as well. What is behind the least that the clock showed at that time can't be explained by any delay, so the clock stood still and the sample is taken; where the time is not known, the longest for which an answer is read at all is allowed for. Leases that were asked for before count until that clock comes to their end, which is later than was reckoned.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -6,7 +6,8 @@
 
 use crate::jobs::model::{CHECKPOINT_BYTES_MAX, ExitKind, JobState, TaskKey};
 use crate::jobs::ports::{
-    CommandOutcome, CommandRefusal, RenewCall, RunningTask, TaskExit, WorkerReport, WorkerTarget,
+    CommandOutcome, CommandRefusal, LATE_ANSWER, RenewCall, RunningTask, TaskExit, WorkerReport,
+    WorkerTarget,
 };
 use crate::scheduler::job::RunPhase;
 use crate::scheduler::losses::{LifeEnd, PROOF_MS};
@@ -23,6 +24,9 @@
 const RENEW_WAIT_MAX: Duration = Duration::from_millis(1_600);
 const RENEW_STRETCH: u32 = 10;
 const RENEW_PATIENCE_MAX: Duration = Duration::from_millis(1_500);
+/// Longest time that an answer which is read at all has been on its way, in milliseconds.
+pub(crate) const ANSWER_AGE_MAX_MS: u64 =
+    whole_ms(RENEW_WAIT_MAX) + whole_ms(RENEW_PATIENCE_MAX) + whole_ms(LATE_ANSWER);
 /// Least time between two renewals of a worker, in milliseconds: exits that come together are then
 /// taken together, for one call and one append.
 const RENEW_GAP_MS: u64 = 40;
@@ -203,7 +207,7 @@
             self.end_other_lives(id, now);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.sample_clock(report.clock_ms, now);
+        worker.sample_clock_since(report.clock_ms, sent_ms, now);
         worker.report_ms = now;
         worker.hold_lease(call.lease_until_ms.unwrap_or(0));
         worker.exits_told = worker.exits_told.max(call.exits_through);
@@ -565,6 +569,10 @@
     }
 }
 
+const fn whole_ms(time: Duration) -> u64 {
+    time.as_secs() * 1_000 + time.subsec_millis() as u64
+}
+
 /// Whether there is a checkpoint, and one that the log can hold beside all others.
 fn is_kept(checkpoint: &str) -> bool {
     !checkpoint.is_empty() && checkpoint.len() <= CHECKPOINT_BYTES_MAX
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -8,6 +8,7 @@
 use crate::jobs::model::{JobId, ResourceVector, TaskKey};
 use crate::jobs::ports::WorkerTarget;
 use crate::jobs::site::WorkerEntry;
+use crate::scheduler::exits::ANSWER_AGE_MAX_MS;
 use crate::scheduler::losses::PROOF_MS;
 
 /// Rate by which a worker's clock may be slow, in percent, as the platform states it.
@@ -139,6 +140,8 @@
     used: ResourceVector,
     clock: Option<ClockSample>,
     lease_bound_ms: u64,
+    /// End of the longest lease that was asked for, on its clock.
+    given_until_ms: u64,
     /// End of the longest lease that a renewal is known to have given, on its clock.
     held_until_ms: u64,
     verdicts: VecDeque<bool>,
@@ -173,6 +176,7 @@
             used: ResourceVector::default(),
             clock: None,
             lease_bound_ms,
+            given_until_ms: 0,
             held_until_ms: 0,
             verdicts: VecDeque::new(),
             suspended_until_ms: 0,
@@ -339,14 +343,32 @@
         now < self.suspended_until_ms || self.is_on_trial
     }
 
-    /// Takes a sample of its clock. One that is behind what the last one leads to, by more than the clock
-    /// may be slow, has been on its way for longer and tells less.
+    /// Takes a sample of its clock from an answer that came at `received_ms`; when it was asked for is not known.
     pub fn sample_clock(&mut self, worker_ms: u64, received_ms: u64) {
-        let least_ms = self.clock.map(|clock| clock.least_at(received_ms));
-        if least_ms.is_some_and(|least| worker_ms < least) {
-            return;
+        self.sample_clock_since(
+            worker_ms,
+            received_ms.saturating_sub(ANSWER_AGE_MAX_MS),
+            received_ms,
+        );
+    }
+
+    /// The same of an answer that was asked for at `sent_ms`.
+    ///
+    /// A sample that is behind what the last one leads to, by more than the clock may be slow, has been on its way
+    /// for longer and tells less. One that is behind what the clock showed when it was asked for tells that the clock
+    /// stood still: by what the last one leads to, starts would begin too late and leases be taken for over too soon.
+    pub fn sample_clock_since(&mut self, worker_ms: u64, sent_ms: u64, received_ms: u64) {
+        let sample = ClockSample { worker_ms, received_ms };
+        if let Some(clock) = self.clock {
+            let stood_still = sent_ms >= clock.received_ms && worker_ms < clock.least_at(sent_ms);
+            if stood_still {
+                self.lease_bound_ms =
+                    self.lease_bound_ms.max(sample.latest_ms(self.given_until_ms));
+            } else if worker_ms < clock.least_at(received_ms) {
+                return;
+            }
         }
-        self.clock = Some(ClockSample { worker_ms, received_ms });
+        self.clock = Some(sample);
     }
 
     /// End of a lease that lasts `lease_ms` from now, on its clock; nothing before a first sample.
@@ -365,6 +387,7 @@
     }
 
     fn count_lease(&mut self, clock: ClockSample, until: u64) -> u64 {
+        self.given_until_ms = self.given_until_ms.max(until);
         self.lease_bound_ms = self.lease_bound_ms.max(clock.latest_ms(until));
         until
     }
--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -72,6 +72,27 @@
     assert!(until <= 50_100 + deadline_ms - 110_000, "{until}");
 }
 
+/// Guards against leases that are taken for over too soon on such a worker: its clock comes to their end later.
+#[test]
+fn leases_last_longer_on_a_worker_whose_clock_stood_still() {
+    let mut stood = WorkerRun::new(worker("w0", "r0"), 0, 0);
+    stood.sample_clock_since(50_000, 100_000, 100_000);
+    let until = stood.lease_until(5_800, 100_000).expect("its clock is known");
+    stood.sample_clock_since(50_100, 103_000, 103_010);
+    let left_ms = until - 50_100;
+    assert!(stood.lease_bound_ms() >= 103_000 + left_ms, "{}", stood.lease_bound_ms());
+}
+
+/// Guards against an answer that was on its way for long and is taken for one of a clock that stood still.
+#[test]
+fn an_answer_that_comes_late_sets_no_clock_back() {
+    let mut late = WorkerRun::new(worker("w0", "r0"), 0, 0);
+    late.sample_clock_since(50_000, 100_000, 100_000);
+    late.sample_clock_since(50_100, 100_050, 103_000);
+    late.sample_clock_since(49_900, 99_800, 103_000);
+    assert_eq!(late.lease_until(1_000, 104_000), Some(55_000));
+}
+
 /// Guards against a cancelled job that runs when its submission is repeated: its leader's wall clock is ahead of that of
 /// the leader before, and the job is dropped from the log at once.
 #[test]
