What is over is dropped from the log by how long this process has known it, not by wall clocks

What callers see: a job that was just cancelled runs when its submission is repeated. A leader whose wall clock is ahead of that of the leader before by the time for which last states are kept, 30 s more, drops cancelled jobs from the log at once, and with them what tells that they are over.

Cause: the age of an end was the leader's wall clock less the one that was written with the end: two clocks of two VMs, each of which may be set forward while it runs.

Change: each process notes by its steady clock when it first read that a job is over; a leader drops by that, and so does it with cancellations of unknown jobs. An entry that has just started counts from its reading of the log, so nothing is dropped too early and a restart of all entries keeps last states for longer by their age. The time of the end stays in the record.

New: a_wall_clock_that_is_set_forward_drops_nothing, a_successor_drops_what_it_has_known_to_be_over_for_long.

--- a/src/jobs/book.rs
+++ b/src/jobs/book.rs
@@ -21,6 +21,8 @@
     pub tombstones: BTreeMap<CallerMark, u64>,
     /// Newest progress.
     pub progress: Option<Arc<JobProgress>>,
+    /// Since when this process knows that the job is over, in milliseconds.
+    pub over_ms: Option<u64>,
     progress_offset: u64,
     submission_offset: u64,
     cancelled_offset: u64,
@@ -113,6 +115,16 @@
         newest.iter().filter(is_new).cloned().collect()
     }
 
+    /// Notes that what these records show as over was known by now.
+    pub fn note_over(&mut self, records: &[(u64, JobRecord)], now: u64) {
+        for job in records.iter().filter_map(|(_, record)| record.job()) {
+            let Some(entry) = self.jobs.get_mut(&job) else { continue };
+            if entry.state().is_some_and(JobState::is_final) {
+                entry.over_ms.get_or_insert(now);
+            }
+        }
+    }
+
     /// Nothing from before `end` comes any more.
     pub fn forget_drops(&mut self, end: u64) {
         self.dropped.retain(|_, offset| *offset >= end);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -196,6 +196,7 @@
             return;
         }
         let new = book.renew(records, end);
+        book.note_over(&new, self.now());
         self.reach(end);
         book.forget_drops(self.book_end());
         // Before anybody else finds the book as far: by that the view of the jobs counts as new.
@@ -215,6 +216,7 @@
         for (offset, record) in &new {
             book.fold(record, *offset);
         }
+        book.note_over(&new, self.now());
         self.reach(next);
         book.forget_drops(self.book_end());
         // Before anybody else finds the book as far: by that the view of the jobs counts as new.
@@ -230,9 +232,11 @@
     /// Returns whether the book has all that the log held before them.
     pub fn fold_own(&self, records: &[JobRecord], offset: u64, end: u64) -> bool {
         let mut book = self.book();
-        for (offset, record) in (offset..).zip(records) {
-            book.fold(record, offset);
+        let own: Vec<(u64, JobRecord)> = (offset..).zip(records.iter().cloned()).collect();
+        for (offset, record) in &own {
+            book.fold(record, *offset);
         }
+        book.note_over(&own, self.now());
         self.own_ranges().insert(offset, end);
         let is_whole = self.reach(offset.min(self.book_end()));
         book.forget_drops(self.book_end());
@@ -285,6 +289,7 @@
             for (offset, record) in records {
                 book.fold(record, *offset);
             }
+            book.note_over(records, self.now());
         }
         self.tell_scheduler(records);
     }
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -116,6 +116,19 @@
 }
 
 impl JobRecord {
+    /// The job that it tells of.
+    pub fn job(&self) -> Option<JobId> {
+        match self {
+            JobRecord::Submitted(job, _)
+            | JobRecord::Cancelled(job)
+            | JobRecord::CancelledBy(job, _)
+            | JobRecord::Progress(job, _)
+            | JobRecord::Dropped(job)
+            | JobRecord::TombstoneDropped(job, _) => Some(*job),
+            JobRecord::Wave(..) => None,
+        }
+    }
+
     /// Writes a record that is not a drop.
     pub fn encode(&self) -> Option<KeyedRecord> {
         if let JobRecord::Wave(number, done) = self {
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -443,7 +443,7 @@
         job.state = state;
         job.ended_wall_ms = wall_ms;
         let age_ms = now.saturating_sub(job.arrived_ms);
-        self.finished.insert(id, wall_ms);
+        self.finished.insert(id, now);
         self.note(SchedulerNote::JobState { job: id, state, age_ms });
         self.commits.mark(id);
         self.stop_all(id, now);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -142,7 +142,7 @@
     scheduled: BTreeSet<JobId>,
     /// Run times by queue.
     runtimes: HashMap<Arc<str>, RuntimeModel>,
-    /// Jobs that are over, and when they ended, in milliseconds since the epoch.
+    /// Jobs that are over, and since when this process knows that, in milliseconds: a wall clock may be set forward.
     finished: BTreeMap<JobId, u64>,
     tombstones: TombstoneBook,
     workers: BTreeMap<Arc<str>, WorkerRun>,
@@ -230,7 +230,7 @@
 
     fn restore(&mut self, id: JobId, job: &BookedJob, now: u64, wall_ms: u64) {
         for mark in job.tombstones.keys() {
-            self.tombstones.insert(id, *mark, wall_ms);
+            self.tombstones.insert(id, *mark, now);
         }
         let Some(submission) = &job.submission else {
             if job.is_cancelled {
@@ -242,12 +242,11 @@
         let Some(mut run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
         let live = run.live_tasks();
         if run.state.is_final() {
-            // A cancellation can be on the log without the progress that tells its time. Taken for
-            // one of long ago its job would be dropped at once, and run again when it is repeated.
+            // A cancellation can be on the log without the progress that tells its time.
             if run.ended_wall_ms == 0 {
                 run.ended_wall_ms = wall_ms;
             }
-            self.finished.insert(id, run.ended_wall_ms);
+            self.finished.insert(id, job.over_ms.unwrap_or(now));
             if live.is_empty() {
                 return;
             }
@@ -399,7 +398,7 @@
                     return;
                 }
                 if self.tombstones.covers(*job, submission.organisation.as_ref()) {
-                    self.finished.insert(*job, self.wall_ms);
+                    self.finished.insert(*job, now);
                     return;
                 }
                 let booked = BookedJob::submitted(submission.clone());
@@ -436,7 +435,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             // Another entry has stored the job, and we have yet to read it: the cancellation came sooner, by the
             // relay. Forgotten, it would never be heard of again, and the job would run.
-            self.finished.entry(id).or_insert(self.wall_ms);
+            self.finished.entry(id).or_insert(now);
             self.commits.keep_job(id);
             return;
         };
@@ -445,7 +444,7 @@
         }
         job.state = JobState::Cancelled;
         job.ended_wall_ms = self.wall_ms;
-        self.finished.insert(id, self.wall_ms);
+        self.finished.insert(id, now);
         let age_ms = now.saturating_sub(job.arrived_ms);
         self.note(SchedulerNote::JobState { job: id, state: JobState::Cancelled, age_ms });
         self.commits.mark(id);
@@ -557,7 +556,7 @@
                 self.judge_runs(now);
             }
             self.stop_broken_gangs(now);
-            self.drop_over_jobs(wall_ms);
+            self.drop_over_jobs(now);
             self.looks_for_copies = true;
             self.needs_dispatch = true;
         }
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -544,10 +544,11 @@
         }
     }
 
-    /// Drops jobs from the log whose last state need not be told any more.
-    pub(crate) fn drop_over_jobs(&mut self, wall_ms: u64) {
+    /// Drops jobs from the log whose last state need not be told any more: a repeat of their submission that came
+    /// after that would run.
+    pub(crate) fn drop_over_jobs(&mut self, now: u64) {
         let status_ms = self.bounds.status_ms;
-        let is_old = |ended: u64| ended > 0 && ended + status_ms + STATUS_MARGIN_MS < wall_ms;
+        let is_old = |known_ms: u64| known_ms + status_ms + STATUS_MARGIN_MS < now;
         let old: Vec<_> =
             self.finished.iter().filter(|(_, ended)| is_old(**ended)).map(|(id, _)| *id).collect();
         for id in old {
@@ -559,8 +560,8 @@
     }
 }
 
-/// Time for which a job's last state is kept beyond what is promised, in milliseconds: the entries'
-/// wall clocks differ, and the caller's wait begins when it learns of the end.
+/// Time for which a job's last state is kept beyond what is promised, in milliseconds: the caller's wait begins when
+/// it learns of the end.
 const STATUS_MARGIN_MS: u64 = 30_000;
 
 /// Pause beyond the usual one after so many stops to a worker that doesn't answer, in milliseconds: one that is dead
--- a/src/scheduler/tombstones.rs
+++ b/src/scheduler/tombstones.rs
@@ -11,7 +11,7 @@
 use crate::jobs::model::JobId;
 use crate::scheduler::{RecordSource, Scheduler, SchedulerNote};
 
-/// Such cancellations, and when each was last heard of, in milliseconds since the epoch.
+/// Such cancellations, and when each was last heard of, in milliseconds.
 #[derive(Debug, Default)]
 pub(crate) struct TombstoneBook {
     marks: BTreeMap<(JobId, CallerMark), u64>,
@@ -19,8 +19,8 @@
 
 impl TombstoneBook {
     /// Takes one in.
-    pub fn insert(&mut self, job: JobId, mark: CallerMark, wall_ms: u64) {
-        self.marks.insert((job, mark), wall_ms);
+    pub fn insert(&mut self, job: JobId, mark: CallerMark, now: u64) {
+        self.marks.insert((job, mark), now);
     }
 
     /// Whether a job of this organisation was cancelled.
@@ -45,7 +45,7 @@
         source: RecordSource,
         now: u64,
     ) {
-        self.tombstones.insert(id, mark, self.wall_ms);
+        self.tombstones.insert(id, mark, now);
         self.commits.keep_tombstone(id, mark);
         match self.jobs.get(&id) {
             Some(job) if mark.may_see(job.submission.organisation.as_ref()) => {
--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -6,8 +6,11 @@
 use std::thread;
 use std::time::Duration;
 
+use ibisweir::decide::access::CallerMark;
 use ibisweir::jobs::book::JobBook;
-use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::model::JobState;
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::record::{JobProgress, JobRecord};
 use ibisweir::scheduler::worker::WorkerRun;
 use ibisweir::scheduler::{Scheduler, SchedulerStart};
 use support::outside::{lead, silent_node};
@@ -127,6 +130,86 @@
     assert_eq!(successor.census().jobs, 0, "it runs");
 }
 
+/// Records by which jobs and cancellations are dropped from the log.
+fn drops(scheduler: &mut Scheduler, now: u64) -> usize {
+    let mut dropped = 0;
+    while let Some(batch) = scheduler.take_commit() {
+        let is_drop = |record: &&JobRecord| {
+            matches!(record, JobRecord::Dropped(_) | JobRecord::TombstoneDropped(..))
+        };
+        dropped += batch.folded.iter().filter(is_drop).count();
+        scheduler.committed(&batch, now);
+    }
+    dropped
+}
+
+/// Guards against the same where the clock of the leader itself is set forward, for jobs and for cancellations of jobs
+/// that nobody knows.
+#[test]
+fn a_wall_clock_that_is_set_forward_drops_nothing() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.append(&JobRecord::Cancelled(id));
+    stage.append(&JobRecord::CancelledBy(job_id(2), CallerMark::of(None)));
+    stage.advance(1_000);
+    let (now, kept_ms) = (stage.now, bounds().status_ms + 31_000);
+    stage.scheduler.tick(now, WALL_OFFSET_MS + now + 10 * kept_ms);
+    assert_eq!(drops(&mut stage.scheduler, now), 0);
+    stage.scheduler.tick(now + kept_ms, WALL_OFFSET_MS + now);
+    assert_eq!(drops(&mut stage.scheduler, now + kept_ms), 2, "both are old by now");
+}
+
+/// Guards against jobs that are kept for good as each new leader counts from its beginning: it counts from when its
+/// process learned of the end.
+#[test]
+fn a_successor_drops_what_it_has_known_to_be_over_for_long() {
+    let node = silent_node();
+    let progress = JobProgress {
+        term: 1,
+        state: JobState::Completed,
+        ended_ms: 1,
+        occurrences_done: 1,
+        steps_done: Vec::new(),
+        tasks: Vec::new(),
+        workers: Vec::new(),
+        setbacks: Vec::new(),
+    };
+    let records = vec![
+        (0, JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))))),
+        (1, JobRecord::Progress(job_id(1), Arc::new(progress))),
+    ];
+    node.fold_read(records, 2);
+    lead_from_book(&node);
+    let (now, kept_ms) = (node.now(), bounds().status_ms + 31_000);
+    let dropped_at = |now: u64| {
+        node.with_scheduler(|scheduler| {
+            scheduler.confirm(now);
+            scheduler.tick(now, WALL_OFFSET_MS + now);
+            drops(scheduler, now)
+        })
+    };
+    assert_eq!(dropped_at(now + kept_ms - 2_000), Some(0));
+    assert_eq!(dropped_at(now + kept_ms), Some(1));
+}
+
+/// Makes an entry the leader of what its book has, long after it learned of that.
+fn lead_from_book(node: &JobNode) {
+    let late = node.now() + bounds().status_ms;
+    let start = SchedulerStart {
+        term: 2,
+        bounds: bounds(),
+        config: Arc::new(config()),
+        predecessor: None,
+        confirmed_ms: late,
+        jobs_ms: late,
+        rooms_ms: late,
+        now: late,
+        wall_ms: WALL_OFFSET_MS + late,
+    };
+    let scheduler = Scheduler::open(start, &node.book());
+    node.set_scheduler(Some(scheduler));
+}
+
 /// Guards against a cancellation that is acknowledged and on no log: an earlier one of the same id is being dropped, and
 /// the drop is appended behind it.
 #[test]
