A cancellation of an unknown job counts only for those who may see the job, whatever the entry's configuration

What callers see: a job of an organisation is cancelled by somebody who may not see it: an entry with a configuration from before there were organisations stores a cancellation that counts for whoever hands the job in.

Cause: the entry chose the kind of record by its own configuration, which may be older than that of the entry that accepts the job.

Change: such a cancellation always carries the mark of its caller's organisation, or of none. Where nobody belongs to an organisation the mark of none covers every job, as before.

Test: nobody_cancels_an_organisations_job_through_an_old_configuration failed before and leaves the list.

--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -204,8 +204,8 @@
             Ok(Some(known)) if self.is_hidden(caller, job, known) => return no_such_job(),
             Ok(Some(known)) if known.state.is_final() => return DeskReply::Stored,
             Ok(Some(_)) => (JobRecord::Cancelled(job), "cancellation"),
-            Ok(None) => (self.tombstone(caller, job), "cancellation of no known job"),
-            Err(_) => (self.tombstone(caller, job), "cancellation without a look at the job"),
+            Ok(None) => (tombstone(caller, job), "cancellation of no known job"),
+            Err(_) => (tombstone(caller, job), "cancellation without a look at the job"),
         };
         let left = patience.saturating_sub(begun.elapsed());
         let outcome = self.submitter.submit(record, deadline(queue, left)).await;
@@ -216,15 +216,6 @@
         }
     }
 
-    /// The cancellation of a job that this entry does not know: whose it is is not known either, where callers
-    /// belong to organisations.
-    fn tombstone(&self, caller: &CallerAccess, job: JobId) -> JobRecord {
-        match self.needs_keys() {
-            true => JobRecord::CancelledBy(job, CallerMark::of(caller.organisation.as_ref())),
-            false => JobRecord::Cancelled(job),
-        }
-    }
-
     /// Counts the jobs of a queue that wait for their first task.
     pub fn count(&self, queue: &QueueSpec) -> DeskReply {
         if !self.node.is_current() {
@@ -270,6 +261,12 @@
     }
 }
 
+/// The cancellation of a job that this entry does not know. Whose it is is not known either, nor whether callers belong
+/// to organisations by a newer configuration than this entry's: it counts only if the caller may see the job.
+fn tombstone(caller: &CallerAccess, job: JobId) -> JobRecord {
+    JobRecord::CancelledBy(job, CallerMark::of(caller.organisation.as_ref()))
+}
+
 fn outage() -> DeskReply {
     DeskReply::Refused(ResultCode::LogAway, Some(OUTAGE_RETRY))
 }
