News of the workers counts from when it was asked for

What callers see: where workers guard nothing, a start may bring a worker over its room: rooms that are 3 s old pass for new.

Cause: an answer with news of the workers counted from its arrival. One that was on its way for seconds tells of rooms as they were then.

Change: both count by the same rule, when the reading was asked for, or when the wait was over where there was no news.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -14,7 +14,7 @@
 
 use crate::decide::leadership::LeaderTrace;
 use crate::jobs::delegate::StartDelegate;
-use crate::jobs::follower::{TailReader, TailStep, fold_step};
+use crate::jobs::follower::{TailReader, TailStep, fold_step, shown_ms};
 use crate::jobs::lanes::{LaneCommand, WorkerLanes};
 use crate::jobs::metrics::count;
 use crate::jobs::node::JobNode;
@@ -317,8 +317,9 @@
     async fn follow_workers(self: Arc<Self>, mut tail: TailReader) {
         let mut asked_ms = self.node.now();
         loop {
+            let sent_ms = self.node.now();
             if !tail.has_pages() {
-                asked_ms = self.node.now();
+                asked_ms = sent_ms;
             }
             let step = tail.next(&self.parts.log, WORKERS_WAIT).await;
             let now = self.node.now();
@@ -335,7 +336,8 @@
                     self.node.touch();
                     self.take_workers(&records, now);
                     if tail.is_at_end() {
-                        self.node.with_scheduler(|scheduler| scheduler.rooms_read(now));
+                        let shown_ms = shown_ms(records.is_empty(), sent_ms, WORKERS_WAIT, now);
+                        self.node.with_scheduler(|scheduler| scheduler.rooms_read(shown_ms));
                     }
                 }
                 TailStep::Failed => {}
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -165,9 +165,7 @@
         fold_step(&self.node, step, self.tail.position());
         if self.tail.is_at_end() {
             self.node.set_current();
-            // An answer without news was given when the wait was over.
-            let waited_ms = if is_empty { whole_ms(READ_WAIT) } else { 0 };
-            self.node.jobs_shown(self.node.now().min(sent_ms + waited_ms));
+            self.node.jobs_shown(shown_ms(is_empty, sent_ms, READ_WAIT, self.node.now()));
         }
         if is_whole {
             self.node.set_loaded();
@@ -176,8 +174,11 @@
     }
 }
 
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+/// As of when a read that came to the log's end shows it, in milliseconds: when it was asked for, as its answer may have
+/// been on its way since; one without news was given when the wait was over.
+pub fn shown_ms(is_empty: bool, sent_ms: u64, wait: Duration, now: u64) -> u64 {
+    let waited_ms = if is_empty { crate::clock::millis(wait) } else { 0 };
+    now.min(sent_ms + waited_ms)
 }
 
 /// Folds what a step along the job log has brought, up to `position`.
