--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -26,9 +26,6 @@
 
 /// What arrives, by the higher of two averages: the quick one shows a rise early, the steady one holds
 /// VMs over the gaps between jobs.
-///
-/// Gain over the steady one alone, on played days with trouble, five seeds each of three sites of 50 VMs:
-/// share of the callers' worth that is earned 0.857 to 0.881, 0.858 to 0.882 and 0.878 to 0.892.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivalRate {
     steady: WorkRate,
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -43,10 +43,6 @@
 const IDLE_MS: u64 = 1_500;
 /// Part of the VMs that could be called for that may be on their way to the standby pool: one in so
 /// many.
-///
-/// Gain of a half over a quarter, on played days with trouble, five seeds each of three sites of 50 VMs:
-/// the users' worth after the price of their VMs rises by 0.011, 0.005 and 0.002 of what is owed, and as
-/// many callers are served in time.
 const LEAVING_PART: usize = 2;
 /// VMs beyond its need from which a pool's services are moved together: one VM more than is needed
 /// keeps room for the next jobs.
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -29,16 +29,14 @@
 use crate::jobs::site::WorkerEntry;
 use crate::scheduler::worker::BookedRun;
 
-/// Time at work, by the worker's clock, after which a start is not what ends its worker, in milliseconds.
-/// Crashes were seen within 10 ms of a start. A longer time suspects more tasks that merely were there, and
-/// gives other failures longer to fall into a probation.
+/// Time at work, by the worker's clock, after which a start is not what ends its worker, in milliseconds. A longer time
+/// suspects more tasks that merely were there, and gives other failures longer to fall into a probation.
 pub const PROOF_MS: u64 = 30;
 /// The same for a task that has lost several workers, and for services at any time, in milliseconds: a
 /// service lasts for weeks, and outlives many workers.
 pub const LONG_PROOF_MS: u64 = 5_000;
 /// Workers lost at its start from which a task is given up: one that it shared with others, and two on
-/// probation. With two in all, of 30 played days with trouble one ended with an innocent job given up:
-/// failures of other causes followed each other within a second.
+/// probation. Two in all would be too few, as failures of other causes follow each other within a second.
 pub const LOSSES_AT_START_MAX: u32 = 3;
 /// Workers lost under a task from which its probation is long.
 const LONG_PROBATION_FROM: u32 = 3;
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -132,9 +132,6 @@
     /// step go a few at a time, which takes longest of all. As many VMs a pool are emptied at a time as
     /// budgets let their tasks be away together; one by one, each would wait for the slowest task of the
     /// one before.
-    ///
-    /// Gain with the VMs kept for them (`needs.rs`) and room made for them, 10 played days with trouble on a
-    /// site of 350 VMs: VMs that were not maintained in time 56 to 24 of some 1,700.
     fn empty_services(
         &mut self,
         number: u64,
--- a/src/scheduler/runtime.rs
+++ b/src/scheduler/runtime.rs
@@ -4,10 +4,6 @@
 //! objective goes first. Which jobs can is told by their run times, and declared ones may be off by
 //! nearly all of their length. The error differs from queue to queue: declared times are trusted as
 //! far as they have told the times that were seen.
-//!
-//! Gain over declared times, on played days with trouble, five seeds each of three sites of 50 VMs, share
-//! of the callers' worth that is earned: 0.884 to 0.890 where declarations are off by up to nine tenths,
-//! 0.881 to 0.882 and 0.894 to 0.895 where they are off by less.
 
 /// Part of the earlier observations that each new one leaves: some fifty steps count.
 const KEPT: f64 = 0.98;
