The measurement of a leader's decisions measures decisions again, and tells of queues without jobs

Cause: since starts go by a view of the jobs, the stage of the measurement, which never said that the jobs were read, started nothing: its table told 0 starts a second.

Change: it says so; a size with 2,000 queues that no job names, and one of 3,000 workers.

--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -27,8 +27,16 @@
 
 use super::{ExperimentTable, number, time_ms};
 
-/// Workers, and jobs that wait in vain.
-const SIZES: [(usize, usize); 5] = [(50, 0), (350, 0), (350, 600), (350, 10_000), (1_000, 10_000)];
+/// Workers, jobs that wait in vain, and queues without jobs.
+const SIZES: [(usize, usize, usize); 7] = [
+    (50, 0, 0),
+    (350, 0, 0),
+    (350, 600, 0),
+    (350, 600, 2_000),
+    (350, 10_000, 0),
+    (1_000, 10_000, 0),
+    (3_000, 0, 0),
+];
 const POOLS: usize = 4;
 /// Time between two ticks, in milliseconds, as the leader's loop has them in a burst.
 const TICK_MS: u64 = 8;
@@ -47,15 +55,22 @@
 /// None.
 pub fn run() -> CodeResult<bool> {
     super::print_machine();
-    let head = ["workers", "waiting in vain", "starts a second", "ms of decisions a second"];
+    let head = [
+        "workers",
+        "waiting in vain",
+        "unused queues",
+        "starts a second",
+        "ms of decisions a second",
+    ];
     let mut table = ExperimentTable::new("decisions of a leader", &head);
-    for (workers, waiting) in SIZES {
-        let mut stage = DecisionStage::open(workers, waiting);
+    for (workers, waiting, unused) in SIZES {
+        let mut stage = DecisionStage::open(workers, waiting, unused);
         let (spent, starts) = stage.run();
         let seconds = number(usize::try_from(LENGTH_MS).unwrap_or(0)) / 1_000.0;
         table.row([
             workers.to_string(),
             waiting.to_string(),
+            unused.to_string(),
             format!("{:.0}", number(starts) / seconds),
             time_ms(spent.div_f64(seconds)),
         ]);
@@ -67,7 +82,7 @@
     format!("pool-{}", number % POOLS).into()
 }
 
-fn config() -> SiteConfig {
+fn config(unused: usize) -> SiteConfig {
     let queue = |number: usize| QueueSpec {
         name: pool(number),
         host: String::new(),
@@ -81,10 +96,12 @@
         permits: None,
         is_open: true,
     };
+    let unused_queue =
+        |number| QueueSpec { name: format!("unused-{number}").into(), ..queue(number) };
     let spec = |number| PoolSpec { name: pool(number), is_guarded: true, is_standby: false };
     SiteConfig {
         version: 1,
-        queues: (0..POOLS).map(queue).collect(),
+        queues: (0..unused).map(unused_queue).chain((0..POOLS).map(queue)).collect(),
         pools: (0..POOLS).map(spec).collect(),
         limits: CallerLimits::default(),
         access: None,
@@ -148,12 +165,12 @@
 }
 
 impl DecisionStage {
-    fn open(workers: usize, waiting: usize) -> DecisionStage {
+    fn open(workers: usize, waiting: usize, unused: usize) -> DecisionStage {
         let entries: Vec<WorkerEntry> = (0..workers).map(worker).collect();
         let start = SchedulerStart {
             term: 1,
             bounds: bounds(),
-            config: Arc::new(config()),
+            config: Arc::new(config(unused)),
             predecessor: None,
             confirmed_ms: 100_000,
             jobs_ms: 100_000,
@@ -246,6 +263,8 @@
         for _ in 0..3 {
             let actions = self.call(|scheduler, now| {
                 scheduler.confirm(now);
+                scheduler.jobs_read(now);
+                scheduler.rooms_read(now);
                 scheduler.tick(now, 1_000_000 + now);
                 scheduler.take_actions()
             });
