Two safeguards of suspects are shown to be needed by a test each

The two that stand here fail: without the first a task is blamed for an idle worker that had died before its start (2 losses counted in place of 1), without the second it starts at once beside a task that has just begun.

--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -510,3 +510,49 @@
     stage.advance(3_000);
     assert_eq!((stage.starts(key), stage.state(id)), (BOUND, Some(JobState::Failed)));
 }
+
+/// Guards against a suspect that is blamed for an idle worker which had died before: its start must wait until the worker
+/// has answered.
+#[test]
+fn a_suspect_is_not_sent_to_a_worker_that_has_not_answered_since() {
+    let mut stage = four_workers();
+    // All workers have been idle for a while.
+    stage.advance(1_000);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    let first = stage.place(key);
+    let idle: Vec<Arc<str>> = stage.workers.keys().filter(|id| **id != first).cloned().collect();
+    for id in &idle {
+        stage.workers.get_mut(id).expect("known").is_silent = true;
+    }
+    stage.mutes_renewals = true;
+    stage.crash(&first);
+    stage.advance(200);
+    stage.mutes_renewals = false;
+    stage.advance(200);
+    for id in &idle {
+        stage.crash(id);
+    }
+    assert_eq!(told_losses(&stage, key), LossCount { all: 1, at_start: 1 });
+    work(&mut stage, 5_000);
+    assert!(are_completed(&stage, &[id]));
+}
+
+/// Guards against a suspect whose worker's loss tells nothing, as another task was just starting beside it: neither could
+/// be named, and both would be suspected.
+#[test]
+fn a_suspect_waits_until_what_starts_beside_it_is_at_work() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let suspect = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    let place = stage.place(suspect);
+    let spread = StepSpec { per_worker_max: 1, ..step(2) };
+    let beside = stage.submit(2, job(vec![spread]));
+    assert_eq!(stage.alive(task(beside, 0, 0)) + stage.alive(task(beside, 0, 1)), 2);
+    // The next life says nothing yet.
+    stage.mutes_renewals = true;
+    stage.crash(&place);
+    assert_eq!(stage.starts(suspect), 1, "it waits");
+    stage.mutes_renewals = false;
+    stage.advance(1_000);
+    assert_eq!(stage.starts(suspect), 2);
+}
