Stops do not wait for the answer to a throttle

What callers see: tasks of a cancelled job run on, by 0.45 s for each throttle that their worker does not answer.

Cause: a worker's throttles and stops stood in one line, and throttles are waited for one after the other.

Change: throttles have a line of their own, in which a later share still follows an earlier one. Stops have their own type of order.

Test: stops_do_not_wait_behind_throttles; before, no stop is on its way after 0.1 s behind four throttles.

--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -1,8 +1,8 @@
 //! The way of commands and renewals to each worker.
 //!
-//! A worker has three tasks: one renews its leases, one sends its stops, several at a time, and its throttles, one
-//! its starts, one after the other. Starts may wait for the window or for a worker that does not answer; a stop
-//! behind them would come too late for the job that was cancelled. A stop may overtake the start of its run: the
+//! A worker has four tasks: one renews its leases, one sends its stops, several at a time, one its throttles and one
+//! its starts, one after the other. Starts may wait for the window, and starts and throttles for a worker that does not
+//! answer; a stop behind them would come too late for the job that was cancelled. A stop may overtake the start of its run: the
 //! worker refuses a run that it was told to stop.
 //!
 //! A lane outlives what was known of its worker when it was opened: each command goes to the address that the
@@ -57,23 +57,36 @@
     Throttle(RunCall, u32),
 }
 
-/// Stops and throttles that wait to be sent to a worker.
+/// A run to be stopped.
+#[derive(Clone, Copy, Debug)]
+enum StopOrder {
+    /// If it still is when its turn has come.
+    Booked(TaskKey, u32),
+    /// One that is on no book.
+    Unbooked(RunCall),
+}
+
+impl StopOrder {
+    fn key(&self) -> (TaskKey, u32) {
+        match self {
+            StopOrder::Booked(task, run) => (*task, *run),
+            StopOrder::Unbooked(call) => (call.task, call.run),
+        }
+    }
+}
+
+/// Stops that wait to be sent to a worker.
 #[derive(Clone)]
-struct CommandLine {
-    commands: mpsc::UnboundedSender<LaneCommand>,
+struct StopLine {
+    orders: mpsc::UnboundedSender<StopOrder>,
     stopping: StoppingRuns,
 }
 
-impl CommandLine {
-    fn push(&self, command: LaneCommand) {
-        let is_new = match command {
-            LaneCommand::Run(task, run) => self.stopping.insert((task, run)),
-            LaneCommand::Stop(call) => self.stopping.insert((call.task, call.run)),
-            LaneCommand::Throttle(..) => true,
-        };
-        if is_new {
+impl StopLine {
+    fn push(&self, order: StopOrder) {
+        if self.stopping.insert(order.key()) {
             // The lane ends only with its worker, whose runs are then over.
-            let _ = self.commands.send(command);
+            let _ = self.orders.send(order);
         }
     }
 }
@@ -106,7 +119,8 @@
 #[derive(Clone)]
 struct WorkerLane {
     wake: Arc<Notify>,
-    commands: CommandLine,
+    stops: StopLine,
+    throttles: mpsc::UnboundedSender<(RunCall, u32)>,
     starts: mpsc::UnboundedSender<(TaskKey, u32)>,
     renewing: AbortHandle,
 }
@@ -172,12 +186,16 @@
         tasks: &mut JoinSet<()>,
     ) {
         let lane = self.lane(target, tasks);
+        // The lane ends only with its worker, whose runs are then over.
         match command {
             LaneCommand::Run(task, run) if self.is_starting(&task, run) => {
-                // The lane ends only with its worker, whose runs are then over.
                 let _ = lane.starts.send((task, run));
             }
-            command => lane.commands.push(command),
+            LaneCommand::Run(task, run) => lane.stops.push(StopOrder::Booked(task, run)),
+            LaneCommand::Stop(call) => lane.stops.push(StopOrder::Unbooked(call)),
+            LaneCommand::Throttle(call, percent) => {
+                let _ = lane.throttles.send((call, percent));
+            }
         }
     }
 
@@ -196,36 +214,29 @@
         if let Some(lane) = lanes.get(&target.id) {
             return lane.clone();
         }
-        let (sender, commands) = mpsc::unbounded_channel();
-        let stopping = StoppingRuns::default();
-        let line = CommandLine { commands: sender, stopping: stopping.clone() };
+        let (orders, stop_orders) = mpsc::unbounded_channel();
+        let stops = StopLine { orders, stopping: StoppingRuns::default() };
+        let (throttles, throttling) = mpsc::unbounded_channel();
         let (starts, starting) = mpsc::unbounded_channel();
         let (id, wake) = (target.id.clone(), Arc::new(Notify::new()));
         let renewing = tasks.spawn(self.clone().renew(id.clone(), wake.clone()));
-        tasks.spawn(self.clone().send_commands(id.clone(), commands, stopping));
-        tasks.spawn(self.clone().send_starts(id.clone(), starting, line.clone()));
-        let lane = WorkerLane { wake, commands: line, starts, renewing };
+        tasks.spawn(self.clone().send_stops(id.clone(), stop_orders, stops.stopping.clone()));
+        tasks.spawn(self.clone().send_throttles(id.clone(), throttling));
+        tasks.spawn(self.clone().send_starts(id.clone(), starting, stops.clone()));
+        let lane = WorkerLane { wake, stops, throttles, starts, renewing };
         lanes.insert(id, lane.clone());
         lane
     }
 
-    /// Sends a worker's stops, several at a time, and its throttles.
-    async fn send_commands(
+    /// Sends a worker's stops, several at a time.
+    async fn send_stops(
         self: Arc<Self>,
         id: Arc<str>,
-        mut commands: mpsc::UnboundedReceiver<LaneCommand>,
+        mut orders: mpsc::UnboundedReceiver<StopOrder>,
         stopping: StoppingRuns,
     ) {
         let mut stops = JoinSet::new();
-        while let Some(command) = commands.recv().await {
-            let key = match command {
-                LaneCommand::Run(task, run) => (task, run),
-                LaneCommand::Stop(call) => (call.task, call.run),
-                LaneCommand::Throttle(call, percent) => {
-                    self.send_throttle(&id, &call, percent).await;
-                    continue;
-                }
-            };
+        while let Some(order) = orders.recv().await {
             while stops.try_join_next().is_some() {}
             if !stops.is_empty() {
                 // Either ends the wait.
@@ -234,37 +245,43 @@
             while stops.len() >= STOPS_MAX {
                 stops.join_next().await;
             }
-            let Some((target, call)) = self.stop_call(&id, command) else {
-                stopping.remove(key);
+            let Some((target, call)) = self.stop_call(&id, order) else {
+                stopping.remove(order.key());
                 continue;
             };
             let (lanes, stopping) = (self.clone(), stopping.clone());
             stops.spawn(async move {
                 lanes.send_stop(&target, &call).await;
-                stopping.remove(key);
+                stopping.remove(order.key());
             });
         }
         while stops.join_next().await.is_some() {}
     }
 
     /// What stops a run now, if it is still to be stopped.
-    fn stop_call(&self, id: &Arc<str>, command: LaneCommand) -> Option<(WorkerTarget, RunCall)> {
-        match command {
-            LaneCommand::Run(task, run) => match self.command(id, &task, run)? {
+    fn stop_call(&self, id: &Arc<str>, order: StopOrder) -> Option<(WorkerTarget, RunCall)> {
+        match order {
+            StopOrder::Booked(task, run) => match self.command(id, &task, run)? {
                 (target, RunCommand::Stop(call)) => Some((target, call)),
                 (_, RunCommand::Start(_)) => None,
             },
-            LaneCommand::Stop(call) => Some((self.target(id)?, call)),
-            LaneCommand::Throttle(..) => None,
+            StopOrder::Unbooked(call) => Some((self.target(id)?, call)),
         }
     }
 
-    async fn send_throttle(&self, id: &Arc<str>, call: &RunCall, percent: u32) {
-        let Some(target) = self.target(id) else { return };
-        let outcome = self.workers.throttle(&target, call, percent, COMMAND_PATIENCE).await;
-        let is_done = matches!(outcome, CommandOutcome::Done(_));
-        self.node.with_scheduler(|scheduler| scheduler.throttled(call, is_done));
-        self.node.wake.notify_one();
+    /// Sends a worker's throttles one after the other: a later share must not be overtaken by an earlier one.
+    async fn send_throttles(
+        self: Arc<Self>,
+        id: Arc<str>,
+        mut throttles: mpsc::UnboundedReceiver<(RunCall, u32)>,
+    ) {
+        while let Some((call, percent)) = throttles.recv().await {
+            let Some(target) = self.target(&id) else { continue };
+            let outcome = self.workers.throttle(&target, &call, percent, COMMAND_PATIENCE).await;
+            let is_done = matches!(outcome, CommandOutcome::Done(_));
+            self.node.with_scheduler(|scheduler| scheduler.throttled(&call, is_done));
+            self.node.wake.notify_one();
+        }
     }
 
     /// Sends a worker's starts one after the other, here or through an executor.
@@ -272,11 +289,11 @@
         self: Arc<Self>,
         id: Arc<str>,
         mut starts: mpsc::UnboundedReceiver<(TaskKey, u32)>,
-        commands: CommandLine,
+        stops: StopLine,
     ) {
         while let Some((task, run)) = starts.recv().await {
             if self.is_starting(&task, run) {
-                self.send_run(&id, &commands, &task, run).await;
+                self.send_run(&id, &stops, &task, run).await;
                 self.node.wake.notify_one();
             }
         }
@@ -298,7 +315,7 @@
     }
 
     /// Sends a start when there is room for it, if it is still wanted then.
-    async fn send_run(&self, id: &str, commands: &CommandLine, task: &TaskKey, run: u32) {
+    async fn send_run(&self, id: &str, stops: &StopLine, task: &TaskKey, run: u32) {
         let route = self.start_route().await;
         match (self.command(id, task, run), route) {
             (Some((target, RunCommand::Start(call))), StartRoute::Direct(permit)) => {
@@ -309,7 +326,7 @@
             (Some((target, RunCommand::Start(call))), StartRoute::Delegated) => {
                 self.delegate(&target, call);
             }
-            (Some((_, RunCommand::Stop(_))), _) => commands.push(LaneCommand::Run(*task, run)),
+            (Some((_, RunCommand::Stop(_))), _) => stops.push(StopOrder::Booked(*task, run)),
             (None, _) => {}
         }
     }
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -244,3 +244,17 @@
     assert_eq!(stage.workers.stops().len(), 8);
     assert_eq!(stage.workers.most_stopping(), 1);
 }
+
+/// Guards against stops that wait for the answer to a throttle.
+#[tokio::test(start_paused = true)]
+async fn stops_do_not_wait_behind_throttles() {
+    let mut stage = LaneStage::open(site_settings(), AnswerMode::Silent);
+    let target = WorkerTarget { id: "w0".into(), address: worker("w0", "r0").address };
+    let call = |index| RunCall { task: task(job_id(1), 0, index), run: 1, fence: 1_024 };
+    for index in 0..4 {
+        stage.lanes.send(&target, LaneCommand::Throttle(call(index), 50), &mut stage.tasks);
+    }
+    stage.lanes.send(&target, LaneCommand::Stop(call(9)), &mut stage.tasks);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(stage.workers.stops().len(), 1);
+}
