Starts wait for executors that are passed over, and do not fill the leader's link

What callers see: on small twins (links of 2 Mbit/s), after all entries had lost power, under a quarter of the requests are served 15 s after the entries are back.

Change: while there are executors, and only none takes a start at the moment, starts go out directly within their budget of the link, or wait for an executor, for 1.5 s at most. Without any executor they go out as before.

Test: starts_do_not_fill_a_narrow_link_while_executors_are_passed_over failed before.

--- a/src/decide/executor.rs
+++ b/src/decide/executor.rs
@@ -88,6 +88,11 @@
         self.known.values().any(|known| known.has_room(now))
     }
 
+    /// Whether there are entries that take starts, if not at this moment.
+    pub fn has_heard(&self, now: u64) -> bool {
+        self.known.values().any(|known| now < known.heard_ms + OFFER_AGE_MAX_MS)
+    }
+
     /// The entry for starts on workers of a data centre: one that will soon be through, and beside them if it
     /// makes no difference.
     pub fn pick(&self, centre: &str, now: u64) -> Option<SocketAddr> {
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -14,7 +14,7 @@
 
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::decide::window::ByteBudget;
 use crate::jobs::delegate::{StartDelegate, StartOrder};
@@ -43,6 +43,11 @@
 /// Part of our link that starts may take while other entries can carry them out: renewals and the log need
 /// the rest.
 const DIRECT_LINK_PART: u64 = 8;
+/// Longest time that a start waits for an executor while none takes any: about as long as one that did not answer is passed
+/// over.
+const EXECUTOR_WAIT: Duration = Duration::from_millis(1_500);
+/// Time between two looks at whether one does.
+const EXECUTOR_LOOK: Duration = Duration::from_millis(20);
 /// Bytes of a start beside its job's text, on the wire.
 const START_BYTES: usize = 400;
 
@@ -333,15 +338,26 @@
 
     /// Which way the next start goes: from here while our link and the window have room to spare, else
     /// through an executor; without one it waits for the window.
+    ///
+    /// Where executors have their fill or did not answer just now, it waits for them: our link may be why they
+    /// did not, and starts of our own would fill it further.
     async fn start_route(&self) -> StartRoute<'_> {
-        let now = self.node.now();
-        if !self.node.executors().has_room(now) {
-            return StartRoute::Direct(self.flow.enter(|| self.node.now()).await);
-        }
-        let has_bytes = self.direct_bytes().has_room(now);
-        match self.flow.try_enter().filter(|_| has_bytes) {
-            Some(permit) => StartRoute::Direct(permit),
-            None => StartRoute::Delegated,
+        let waited = Instant::now();
+        loop {
+            let now = self.node.now();
+            let (has_room, is_alone) = {
+                let executors = self.node.executors();
+                (executors.has_room(now), !executors.has_heard(now))
+            };
+            if is_alone || !has_room && waited.elapsed() >= EXECUTOR_WAIT {
+                return StartRoute::Direct(self.flow.enter(|| self.node.now()).await);
+            }
+            let has_bytes = self.direct_bytes().has_room(now);
+            match self.flow.try_enter().filter(|_| has_bytes) {
+                Some(permit) => return StartRoute::Direct(permit),
+                None if has_room => return StartRoute::Delegated,
+                None => sleep(EXECUTOR_LOOK).await,
+            }
         }
     }
 
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -258,3 +258,27 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(stage.workers.stops().len(), 1);
 }
+
+/// Guards against a leader whose narrow link is full, so that executors answer late, and that then sends all starts
+/// itself and fills it for good.
+#[tokio::test(start_paused = true)]
+async fn starts_do_not_fill_a_narrow_link_while_executors_are_passed_over() {
+    let mut stage = LaneStage::open(narrow(), AnswerMode::Done);
+    stage.node.executors().heard(offer(), stage.node.now());
+    let address = offer().address;
+    stage.node.executors().end(address, 0, false, stage.node.now());
+    stage.submit(4);
+    sleep(Duration::from_millis(1_000)).await;
+    assert!(stage.workers.starts().is_empty(), "they wait for the executor");
+    for _ in 0..140 {
+        let now = stage.node.now();
+        stage.node.executors().end(address, 0, false, now);
+        stage.node.with_scheduler(|scheduler| {
+            scheduler.confirm(now);
+            scheduler.jobs_read(now);
+        });
+        stage.list();
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(stage.workers.starts().len(), 4, "they go from here where it does not come back");
+}
