A job of a queue that its leader never knew is served

What callers see: an accepted job never runs. Its queue was removed before its leader began, or came and went between two configurations that the leader has read; another entry had accepted the job meanwhile. Found while looking at what skipping configurations would break.

Cause: the leader knew queues only from configurations that it had read itself, and passes over jobs of other queues at each decision.

Change: of a queue that no configuration it has read names, the leader takes the pool from the job's own record, the last place in the order and one attempt, which any queue allows.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -239,6 +239,7 @@
             return;
         };
         let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
+        self.learn_queue_of(submission);
         let Some(mut run) = JobRun::restore(id, job, now.saturating_sub(age_ms)) else { return };
         let live = run.live_tasks();
         if run.state.is_final() {
@@ -363,6 +364,28 @@
         self.needs_dispatch = true;
     }
 
+    /// Takes the queue of a job that no configuration we have read names: another entry has accepted the job by one that
+    /// came and went meanwhile. Of the queue only its pool is known; one attempt is what any queue allows.
+    fn learn_queue_of(&mut self, submission: &JobSubmission) {
+        if self.queues.contains_key(&submission.queue) {
+            return;
+        }
+        let queue = QueueSpec {
+            name: submission.queue.clone(),
+            host: String::new(),
+            path_prefix: String::new(),
+            service: submission.service.clone(),
+            timeout_ms: 0,
+            objective_ms: 0,
+            stretch: 1.0,
+            priority: u32::MAX,
+            attempts: 1,
+            permits: None,
+            is_open: false,
+        };
+        self.queues.insert(queue.name.clone(), queue);
+    }
+
     fn learn_queues(&mut self) {
         let named = self.config.queues.iter().map(|queue| (queue.name.clone(), queue.clone()));
         self.queues.extend(named);
@@ -401,6 +424,7 @@
                     self.finished.insert(*job, now);
                     return;
                 }
+                self.learn_queue_of(submission);
                 let booked = BookedJob::submitted(submission.clone());
                 let Some(mut run) = JobRun::restore(*job, &booked, now) else { return };
                 run.is_beyond_share = !self.is_within_share(submission, now);
