An entry that is behind the operators goes on with the newest configuration

Test: an_entry_that_is_behind_the_operators_goes_on_with_the_newest_configuration failed before: all 39 versions were read.

--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -87,6 +87,11 @@
         self.partial.end.is_some()
     }
 
+    /// Begins anew with the newest record of each key: what lies between is not needed.
+    pub fn skip_to_newest(&mut self) {
+        self.position = None;
+    }
+
     /// Goes on from a later offset: what lies before was read another way.
     pub fn skip_to(&mut self, position: u64) {
         if let Some(own) = &mut self.position {
@@ -235,7 +240,13 @@
             self.take(*offset, record);
         }
         // Pages of a snapshot are read one after the other: only what is read on from there is whole.
-        let is_shown = is_read_on && self.tail.is_at_end() && !self.is_in_the_dark;
+        let is_behind = is_read_on && !self.tail.is_at_end();
+        if is_behind {
+            // Each record is a whole configuration: read one after the other on a narrow link, those that are out of
+            // date would keep the one in force from callers for seconds.
+            self.tail.skip_to_newest();
+        }
+        let is_shown = is_read_on && !is_behind && !self.is_in_the_dark;
         if is_shown {
             self.node.config_shown(began_ms);
         }
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -1,14 +1,20 @@
 //! Reading a keyed stream whose history is short.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use ibisweir::jobs::follower::{TailReader, TailStep};
+use ibisweir::control::ControlLoop;
+use ibisweir::jobs::follower::{OperatorFollower, TailReader, TailStep};
 use ibisweir::jobs::ports::{
     AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
 };
 use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::jobs::site::{OperatorRecord, SiteConfig};
+use support::outside::silent_node;
+use support::stage::config;
 
 /// Keys in the log, ten to a page.
 const KEYS: usize = 35;
@@ -85,3 +91,63 @@
     }
     panic!("it never gets to the end");
 }
+
+/// A log on which configurations came faster than a narrow link carries them: one in each read.
+#[derive(Clone, Default)]
+struct StormLog {
+    bytes_read: Arc<AtomicUsize>,
+}
+
+/// Versions on it, and the size of each.
+const VERSIONS: u64 = 40;
+const VERSION_BYTES: usize = 50_000;
+
+impl StormLog {
+    fn record(&self, version: u64) -> (u64, KeyedRecord) {
+        self.bytes_read.fetch_add(VERSION_BYTES, Ordering::Relaxed);
+        (version, KeyedRecord { key: "config".to_owned(), value: version.to_be_bytes().to_vec() })
+    }
+}
+
+impl JobLog for StormLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, from: u64, _: Duration) -> ReadOutcome {
+        let records: Vec<(u64, KeyedRecord)> =
+            (from..VERSIONS).take(1).map(|version| self.record(version)).collect();
+        let next = from + u64::try_from(records.len()).expect("one or none");
+        ReadOutcome::Read(LogBatch { end: VERSIONS, next, records })
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        let newest = self.record(VERSIONS - 1);
+        Some(NewestPage { records: vec![newest], has_more: false, end: VERSIONS })
+    }
+}
+
+fn versioned(record: &KeyedRecord) -> Option<OperatorRecord> {
+    let version = u64::from_be_bytes(record.value.as_slice().try_into().ok()?);
+    Some(OperatorRecord::Config(SiteConfig { version, ..config() }))
+}
+
+/// Guards against callers that are served by a configuration from seconds ago, as their entry reads each of those that
+/// came since, one after the other.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_behind_the_operators_goes_on_with_the_newest_configuration() {
+    let log = StormLog::default();
+    let node = silent_node();
+    let mut follower = OperatorFollower {
+        node: node.clone(),
+        log: log.clone(),
+        tail: TailReader::at(LogTopic::Operator, 1),
+        decoder: versioned,
+        is_in_the_dark: false,
+    };
+    while node.config().is_none_or(|config| config.version < VERSIONS - 1) {
+        follower.step().await;
+    }
+    let read = log.bytes_read.load(Ordering::Relaxed);
+    assert!(read <= 4 * VERSION_BYTES, "{read} bytes were read");
+}
