A service that crashes its workers late: its test, listed as red

A service on four workers that crashes each of them 6 s after its start is started without end: a service that was at work for 5 s is cleared, as services outlive many workers. What would tell the two apart is not decided.

--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -556,3 +556,16 @@
     stage.advance(1_000);
     assert_eq!(stage.starts(suspect), 2);
 }
+
+/// Guards against a service that crashes each of its workers some time after its start, for as long as it lasts.
+#[test]
+fn a_service_that_crashes_its_workers_late_is_bounded() {
+    let mut stage = four_workers();
+    stage.crash_after_ms = 6_000;
+    let bad = submit_bad(&mut stage, 1, job(vec![service_step(1)]));
+    for _ in 0..200 {
+        stage.advance(500);
+    }
+    assert_eq!(stage.state(bad), Some(JobState::Failed));
+    assert!(stage.lost.len() <= BOUND, "{} workers were lost", stage.lost.len());
+}
