--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -16,6 +16,7 @@
 use crate::jobs::delegate::StartDelegate;
 use crate::jobs::follower::{TailReader, TailStep, fold_step, shown_ms};
 use crate::jobs::lanes::{LaneCommand, WorkerLanes};
+use crate::jobs::load::LeaderLoad;
 use crate::jobs::metrics::count;
 use crate::jobs::node::JobNode;
 use crate::jobs::notes;
@@ -24,7 +25,6 @@
     AppendCall, AppendOutcome, JobLog, LogTopic, PermitClient, VmClient, VmStamp, WorkerClient,
     WriterStamp,
 };
-use crate::jobs::pulse::LeaderPulse;
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::WorkerEntry;
 use crate::jobs::wave_teller::WaveTeller;
@@ -379,7 +379,7 @@
 
     async fn drive(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         let mut told_ms = 0;
-        let mut pulse = LeaderPulse::open(&self.node);
+        let mut load = LeaderLoad::open(&self.node);
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
@@ -405,7 +405,7 @@
             while tasks.try_join_next().is_some() {}
             let paused = Instant::now();
             sleep(TICK_GAP).await;
-            pulse.woke(&self.node, paused.elapsed().saturating_sub(TICK_GAP));
+            load.woke(&self.node, paused.elapsed().saturating_sub(TICK_GAP));
             // No wake within the time is the usual case.
             let _ = timeout(TICK, self.node.wake.notified()).await;
         }
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -2,8 +2,8 @@
 //!
 //! A worker has four tasks: one renews its leases, one sends its stops, several at a time, one its throttles and one
 //! its starts, one after the other. Starts may wait for the window, and starts and throttles for a worker that does not
-//! answer; a stop behind them would come too late for the job that was cancelled. A stop may overtake the start of its run: the
-//! worker refuses a run that it was told to stop.
+//! answer; a stop behind them would come too late for the job that was cancelled. A stop may overtake the start of its
+//! run: the worker refuses a run that it was told to stop.
 //!
 //! A lane outlives what was known of its worker when it was opened: each command goes to the address that the
 //! scheduler has when it is sent, and to none where it has no address.
@@ -43,7 +43,7 @@
 /// Part of our link that starts may take while other entries can carry them out: renewals and the log need
 /// the rest.
 const DIRECT_LINK_PART: u64 = 8;
-/// Longest time that a start waits for an executor while none takes any: about as long as one that did not answer is passed
+/// Longest time that a start waits for an executor while none takes any: as long as one without an answer is passed
 /// over.
 const EXECUTOR_WAIT: Duration = Duration::from_millis(1_500);
 /// Time between two looks at whether one does.
--- a/src/jobs/pulse.rs
+++ b/src/jobs/load.rs
@@ -12,12 +12,12 @@
 use crate::traffic::CallTraffic;
 
 /// Time between two lines, in milliseconds.
-const PULSE_GAP_MS: u64 = 2_000;
+const LOAD_GAP_MS: u64 = 2_000;
 /// Kinds of calls in one line.
 const KINDS_MAX: usize = 6;
 
-/// What was told last.
-pub struct LeaderPulse {
+/// How late the leader's loop was, and what its calls took, since the last line.
+pub struct LeaderLoad {
     told_ms: u64,
     told: BTreeMap<String, CallTraffic>,
     wakes: u32,
@@ -25,10 +25,10 @@
     latest: Duration,
 }
 
-impl LeaderPulse {
+impl LeaderLoad {
     /// One that counts from now.
-    pub fn open(node: &JobNode) -> LeaderPulse {
-        LeaderPulse {
+    pub fn open(node: &JobNode) -> LeaderLoad {
+        LeaderLoad {
             told_ms: node.now(),
             told: node.metrics.traffic.totals(),
             wakes: 0,
@@ -44,7 +44,7 @@
         self.latest = self.latest.max(late);
         let now = node.now();
         let span_ms = now.saturating_sub(self.told_ms);
-        if span_ms < PULSE_GAP_MS {
+        if span_ms < LOAD_GAP_MS {
             return;
         }
         let totals = node.metrics.traffic.totals();
@@ -53,11 +53,12 @@
         info!(node.logger, "traffic of the leader"; "wakes" => self.wakes, "late_ms" => mean_ms,
             "latest_ms" => crate::clock::millis(self.latest), "sent_kbs" => spent.sent_kbs,
             "received_kbs" => spent.received_kbs, "calls" => %spent);
-        *self = LeaderPulse { told_ms: now, told: totals, ..LeaderPulse::open(node) };
+        *self = LeaderLoad { told_ms: now, told: totals, ..LeaderLoad::open(node) };
     }
 }
 
-/// What took the link: calls a second, unanswered ones, kilobytes a second sent and received.
+/// The calls that took most of the link in a span of time: how many, how many without an answer, kilobytes a second sent
+/// and received.
 struct TrafficShares {
     span_ms: u64,
     sent_kbs: u64,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -386,6 +386,7 @@
         self.queues.insert(queue.name.clone(), queue);
     }
 
+    /// Takes the queues of the configuration in force.
     fn learn_queues(&mut self) {
         let named = self.config.queues.iter().map(|queue| (queue.name.clone(), queue.clone()));
         self.queues.extend(named);
