--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -208,7 +208,7 @@
             }
             let mut avoided = self.avoided(key);
             if self.loss_count(key).all > 0 {
-                avoided.extend(self.unsteady_workers(&step.service, now));
+                avoided.extend(self.unsteady_workers(&step.service, key, now));
             }
             let is_lasting = spec.is_service && !spec.is_best_effort;
             if is_lasting && self.fleet.hurried.contains(&step.service) {
@@ -290,10 +290,15 @@
 
     /// Workers of a pool whose VMs have lost another one lately. A task that has lost workers would lose the next
     /// one to a VM that goes down and up by turns.
-    fn unsteady_workers(&self, service: &str, now: u64) -> Vec<Arc<str>> {
+    fn unsteady_workers(&self, service: &str, key: &TaskKey, now: u64) -> Vec<Arc<str>> {
+        let is_on_trial = self.loss_count(key).is_on_trial();
         let workers = self.workers.iter().filter(|(_, worker)| &*worker.entry.service == service);
         let is_unsteady = |(_, worker): &(&Arc<str>, &WorkerRun)| {
-            self.losses.is_unsteady(worker.entry.address, now)
+            let address = worker.entry.address;
+            match is_on_trial {
+                true => self.losses.is_failing(address, now),
+                false => self.losses.is_unsteady(address, now),
+            }
         };
         workers.filter(is_unsteady).map(|(id, _)| id.clone()).collect()
     }
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -423,6 +423,15 @@
             || self.inherited.iter().any(is_inherited)
     }
 
+    /// The same of a loss that no task is likely to have caused: its VM may go down again by itself.
+    pub fn is_failing(&self, address: SocketAddr, now: u64) -> bool {
+        let is_recent = |at_ms: u64| now <= at_ms + UNSTEADY_MS;
+        let own = self.recent.iter().filter(|loss| is_recent(loss.at_ms) && !loss.is_explained());
+        let mut inherited = self.inherited.iter().filter(|loss| is_recent(loss.at_ms));
+        own.map(|loss| loss.entry.address).any(|other| other == address)
+            || inherited.any(|loss| loss.vm.address == address && !loss.vm.is_explained)
+    }
+
     /// Whether other workers were lost when a task of that job lost its own by something else than a suspect: one
     /// beside it, or several anywhere. Those that it may have crashed itself don't count.
     pub fn is_larger_failure(&self, job: JobId, entry: &WorkerEntry, lost_ms: u64) -> bool {
