--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::access::CallerMark;
-use crate::jobs::model::{JobId, JobState, JobSubmission};
+use crate::jobs::model::{JobId, JobState, JobSubmission, TaskKey};
 
 /// What one record of the job log says.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,7 +32,7 @@
     TombstoneDropped(JobId, CallerMark),
     /// VMs of a maintenance wave that have been maintained, by the number of the wave.
     Wave(u64, Arc<BTreeSet<Arc<str>>>),
-    /// VMs of a pool that have lost their workers lately, the latest last.
+    /// VMs of a pool that have lost their workers lately by what no task is likely to have caused, the latest last.
     Losses(Arc<str>, Arc<Vec<LostVm>>),
 }
 
@@ -43,10 +43,8 @@
     pub address: SocketAddr,
     /// When it was learned of, in milliseconds since the epoch.
     pub lost_ms: u64,
-    /// Jobs that ran there and have lost a worker.
-    pub aboard: Vec<JobId>,
-    /// Whether a task that ran there is likely to be the cause.
-    pub is_explained: bool,
+    /// Tasks that ran there, of jobs that have lost a worker.
+    pub aboard: Vec<TaskKey>,
 }
 
 /// How far a job is, whole: each record replaces the one before.
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -199,8 +199,8 @@
 struct RecentLoss {
     at_ms: u64,
     entry: WorkerEntry,
-    /// Jobs that ran there.
-    aboard: Vec<JobId>,
+    /// Tasks that ran there.
+    aboard: Vec<TaskKey>,
     /// Jobs that were just starting there.
     starting: Vec<JobId>,
     /// Whom it was counted against.
@@ -306,7 +306,7 @@
     pub fn record(&self, service: &str, now: u64, wall_ms: u64) -> Vec<LostVm> {
         let wall_at = |at_ms: u64| wall_ms.saturating_sub(now.saturating_sub(at_ms));
         let is_kept = |at_ms: u64| now <= at_ms + KEPT_MS;
-        let is_open = |job: &&JobId| self.recorded.contains(job);
+        let is_open = |task: &&TaskKey| self.recorded.contains(&task.job);
         let inherited = self
             .inherited
             .iter()
@@ -316,30 +316,31 @@
             .recent
             .iter()
             .filter(|loss| &*loss.entry.service == service && is_kept(loss.at_ms))
+            .filter(|loss| !loss.is_explained())
             .map(|loss| LostVm {
                 address: loss.entry.address,
                 lost_ms: wall_at(loss.at_ms),
                 aboard: loss.aboard.iter().filter(is_open).copied().collect(),
-                is_explained: loss.is_explained(),
             });
-        let mut lost: Vec<LostVm> = inherited.chain(own).collect();
+        let latest: BTreeMap<SocketAddr, LostVm> =
+            inherited.chain(own).map(|vm| (vm.address, vm)).collect();
+        let mut lost: Vec<LostVm> = latest.into_values().collect();
+        lost.sort_by_key(|vm| vm.lost_ms);
         let surplus = lost.len().saturating_sub(RECORDED_MAX);
         lost.drain(..surplus);
         lost
     }
 
-    /// Time since each VM of a pool was lost under something else than that job, the latest first.
-    fn loss_ages(&self, service: &str, job: JobId, now: u64) -> Vec<u64> {
+    /// Time since each VM of a pool was lost under something else than that task, the latest first.
+    fn loss_ages(&self, service: &str, key: &TaskKey, now: u64) -> Vec<u64> {
         let mut latest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-        let is_other =
-            |aboard: &[JobId], is_explained: bool| !aboard.contains(&job) && !is_explained;
         for loss in self.inherited.iter().filter(|loss| &*loss.service == service) {
-            if is_other(&loss.vm.aboard, loss.vm.is_explained) {
+            if !loss.vm.aboard.contains(key) {
                 latest.insert(loss.vm.address, loss.at_ms);
             }
         }
         for loss in self.recent.iter().filter(|loss| &*loss.entry.service == service) {
-            if is_other(&loss.aboard, loss.is_explained()) {
+            if !loss.aboard.contains(key) && !loss.is_explained() {
                 latest.insert(loss.entry.address, loss.at_ms);
             }
         }
@@ -351,7 +352,7 @@
     /// Whether a task waits, by its losses, until its pool of so many VMs is calm.
     pub fn holds_back(&self, key: &TaskKey, task: &TaskRun, pool: &PoolView<'_>, now: u64) -> bool {
         self.is_choosy(task, pool.is_for_service, now)
-            && !self.is_calm(pool, key.job, task.losses.calm_life_ms(), now)
+            && !self.is_calm(pool, key, task.losses.calm_life_ms(), now)
     }
 
     /// Whether a task on trial still waits for the time and the VM that it asks for.
@@ -362,10 +363,10 @@
     }
 
     /// Whether over no recent time, up to `life_ms`, VMs of a pool were lost at such a rate that they would not last
-    /// that long, whatever that job did.
-    fn is_calm(&self, pool: &PoolView<'_>, job: JobId, life_ms: u64, now: u64) -> bool {
+    /// that long, whatever that task did.
+    fn is_calm(&self, pool: &PoolView<'_>, key: &TaskKey, life_ms: u64, now: u64) -> bool {
         let vms = u64::try_from(pool.vms).unwrap_or(u64::MAX);
-        let ages = self.loss_ages(pool.service, job, now);
+        let ages = self.loss_ages(pool.service, key, now);
         let lost = (1u64..).zip(ages).skip(pool.vms / UNSTEADY_PART);
         lost.take_while(|(_, age)| *age < life_ms)
             .all(|(count, age)| age.saturating_mul(vms) >= count.min(vms).saturating_mul(life_ms))
@@ -391,8 +392,7 @@
     /// A worker was lost with these runs.
     pub fn insert(&mut self, entry: &WorkerEntry, exposed: &[ExposedRun], now: u64) {
         self.recent.retain(|loss| now <= loss.at_ms + KEPT_MS);
-        let mut aboard: Vec<JobId> = exposed.iter().map(|run| run.task.job).collect();
-        aboard.dedup();
+        let aboard = exposed.iter().map(|run| run.task).collect();
         let starting = exposed.iter().filter(|run| run.is_starting());
         let mut jobs: Vec<JobId> = starting.map(|run| run.task.job).collect();
         jobs.dedup();
@@ -429,7 +429,7 @@
         let own = self.recent.iter().filter(|loss| is_recent(loss.at_ms) && !loss.is_explained());
         let mut inherited = self.inherited.iter().filter(|loss| is_recent(loss.at_ms));
         own.map(|loss| loss.entry.address).any(|other| other == address)
-            || inherited.any(|loss| loss.vm.address == address && !loss.vm.is_explained)
+            || inherited.any(|loss| loss.vm.address == address)
     }
 
     /// Whether other workers were lost when a task of that job lost its own by something else than a suspect: one
--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -10,7 +10,7 @@
 use ibisweir::jobs::record::{
     JobProgress, JobRecord, KeyedRecord, LossCount, LostVm, TaskProgress, TaskSetbacks,
 };
-use support::stage::job_id;
+use support::stage::{job_id, task};
 
 fn progress(setbacks: Vec<TaskSetbacks>) -> JobProgress {
     let task = TaskProgress {
@@ -48,7 +48,7 @@
 #[test]
 fn losses_of_a_pool_are_read_back() {
     let address = SocketAddr::from(([127, 0, 0, 2], 9_000));
-    let lost = LostVm { address, lost_ms: 1_700, aboard: vec![job_id(4)], is_explained: true };
+    let lost = LostVm { address, lost_ms: 1_700, aboard: vec![task(job_id(4), 0, 1)] };
     let record = JobRecord::Losses("render".into(), Arc::new(vec![lost]));
     let keyed = record.encode().expect("a record");
     assert_eq!(keyed.key, "lrender");
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -567,6 +567,22 @@
     assert!(stage.starts(key) > 3);
 }
 
+/// Guards against a wide job that takes any pool for calm, as one of its tasks was on every VM that went.
+#[test]
+fn a_task_of_a_wide_job_waits_on_trial_too() {
+    let mut stage = four_workers();
+    let id = stage.submit(1, job(vec![StepSpec { per_worker_max: 1, ..step(4) }]));
+    for _ in 0..3 {
+        stage.advance(500);
+        let all: Vec<Arc<str>> = stage.workers.keys().cloned().collect();
+        stage.crash_all(&all.iter().map(|id| &**id).collect::<Vec<_>>());
+    }
+    assert_eq!(told_losses(&stage, task(id, 0, 0)).all, 3);
+    stage.advance(2_000);
+    let starts: Vec<usize> = (0..4).map(|index| stage.starts(task(id, 0, index))).collect();
+    assert_eq!(starts, vec![3; 4]);
+}
+
 /// Guards against a suspect that is blamed for an idle worker which had died before: its start must wait until the worker
 /// has answered.
 #[test]
