--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -139,6 +139,11 @@
         for run in exposed.iter().filter(|run| !run.is_clear()) {
             let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
             let Some(task) = job.task_mut(&run.task) else { continue };
+            let live = task.live.iter_mut().find(|live| live.run == run.run);
+            // Carried over to the next life of its worker, the same start can be lost again.
+            if live.is_some_and(|live| std::mem::replace(&mut live.is_counted, true)) {
+                continue;
+            }
             task.losses.add(run.is_at_start());
             let (losses, is_over) = (task.losses, task.losses.is_exhausted());
             self.losses.note_count(run.task.job, &losses);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -50,6 +50,8 @@
     pub is_sent: bool,
     /// Whether its worker has listed it as running.
     pub is_listed: bool,
+    /// Whether the loss of a worker that may have had it was counted.
+    pub is_counted: bool,
     /// Whether a start had no answer: it may be carried out seconds later.
     pub is_in_doubt: bool,
     /// Stops that were handed out to be sent.
@@ -77,6 +79,7 @@
             answered_ms: None,
             is_sent: false,
             is_listed: false,
+            is_counted: false,
             is_in_doubt: false,
             stops: 0,
             throttle: 100,
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -583,6 +583,23 @@
     assert_eq!(starts, vec![3; 4]);
 }
 
+/// Guards against a start that is counted as lost once for each life of its worker that it is carried over to.
+#[test]
+fn a_start_that_is_carried_over_counts_one_loss() {
+    let mut stage = Stage::open_born(config(), vec![worker("w1", "r1")]);
+    let first = stage.workers.keys().next().cloned().expect("one");
+    stage.workers.get_mut(&first).expect("known").is_late = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.mutes_renewals = true;
+    for _ in 0..6 {
+        stage.advance(60);
+        let present = stage.workers.keys().next().cloned().expect("one");
+        stage.begin_anew(&present);
+        stage.show_rebirths();
+    }
+    assert_eq!(told_losses(&stage, task(id, 0, 0)).all, 1);
+}
+
 /// Guards against a suspect that is blamed for an idle worker which had died before: its start must wait until the worker
 /// has answered.
 #[test]
