--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -30,12 +30,15 @@
         for (worker, exposed, _) in &cases {
             self.losses.insert(&worker.entry, exposed, now);
         }
-        for (worker, exposed, named) in cases {
-            self.count_losses(&exposed, worker, now);
+        // A conviction clears others, so it comes before their own verdicts.
+        for (worker, _, named) in &cases {
             if let Some(task) = named {
-                self.defer_verdict(VerdictCause::Named, task, worker, now);
+                self.defer_verdict(VerdictCause::Named, *task, worker, now);
             }
         }
+        for (worker, exposed, _) in &cases {
+            self.count_losses(exposed, worker, now);
+        }
         self.record_losses(lost, now);
     }
 
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -600,6 +600,25 @@
     assert_eq!(told_losses(&stage, task(id, 0, 0)).all, 1);
 }
 
+/// Guards against a neighbour that is given up for a loss of which another task is convicted in the same moment.
+#[test]
+fn a_conviction_comes_before_the_verdicts_on_its_neighbours() {
+    let pool = (1..=3).map(|n| worker(&format!("w{n}"), &format!("r{n}"))).collect();
+    let mut stage = Stage::open(config(), pool);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for _ in 0..3 {
+        stage.advance(70_000);
+        stage.crash(&stage.place(key));
+    }
+    stage.advance(70_000);
+    assert_eq!((told_losses(&stage, key).all, stage.alive(key)), (3, 1));
+    let bad = submit_bad(&mut stage, 2, job(vec![step(1)]));
+    stage.advance(20_000);
+    assert_eq!(stage.state(bad), Some(JobState::Failed));
+    assert_eq!(stage.state(id), Some(JobState::Running));
+}
+
 /// Guards against a suspect that is blamed for an idle worker which had died before: its start must wait until the worker
 /// has answered.
 #[test]
