--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -30,12 +30,15 @@
         for (worker, exposed, _) in &cases {
             self.losses.insert(&worker.entry, exposed, now);
         }
-        for (worker, exposed, named) in cases {
-            self.count_losses(&exposed, worker, now);
+        // A conviction clears others, so it comes before their own verdicts.
+        for (worker, _, named) in &cases {
             if let Some(task) = named {
-                self.defer_verdict(VerdictCause::Named, task, worker, now);
+                self.defer_verdict(VerdictCause::Named, *task, worker, now);
             }
         }
+        for (worker, exposed, _) in &cases {
+            self.count_losses(exposed, worker, now);
+        }
         self.record_losses(lost, now);
     }
 
@@ -139,6 +142,11 @@
         for run in exposed.iter().filter(|run| !run.is_clear()) {
             let Some(job) = self.jobs.get_mut(&run.task.job) else { continue };
             let Some(task) = job.task_mut(&run.task) else { continue };
+            let live = task.live.iter_mut().find(|live| live.run == run.run);
+            // Carried over to the next life of its worker, the same start can be lost again.
+            if live.is_some_and(|live| std::mem::replace(&mut live.is_counted, true)) {
+                continue;
+            }
             task.losses.add(run.is_at_start());
             let (losses, is_over) = (task.losses, task.losses.is_exhausted());
             self.losses.note_count(run.task.job, &losses);
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -567,6 +567,58 @@
     assert!(stage.starts(key) > 3);
 }
 
+/// Guards against a wide job that takes any pool for calm, as one of its tasks was on every VM that went.
+#[test]
+fn a_task_of_a_wide_job_waits_on_trial_too() {
+    let mut stage = four_workers();
+    let id = stage.submit(1, job(vec![StepSpec { per_worker_max: 1, ..step(4) }]));
+    for _ in 0..3 {
+        stage.advance(500);
+        let all: Vec<Arc<str>> = stage.workers.keys().cloned().collect();
+        stage.crash_all(&all.iter().map(|id| &**id).collect::<Vec<_>>());
+    }
+    assert_eq!(told_losses(&stage, task(id, 0, 0)).all, 3);
+    stage.advance(2_000);
+    let starts: Vec<usize> = (0..4).map(|index| stage.starts(task(id, 0, index))).collect();
+    assert_eq!(starts, vec![3; 4]);
+}
+
+/// Guards against a start that is counted as lost once for each life of its worker that it is carried over to.
+#[test]
+fn a_start_that_is_carried_over_counts_one_loss() {
+    let mut stage = Stage::open_born(config(), vec![worker("w1", "r1")]);
+    let first = stage.workers.keys().next().cloned().expect("one");
+    stage.workers.get_mut(&first).expect("known").is_late = true;
+    let id = stage.submit(1, job(vec![step(1)]));
+    stage.mutes_renewals = true;
+    for _ in 0..6 {
+        stage.advance(60);
+        let present = stage.workers.keys().next().cloned().expect("one");
+        stage.begin_anew(&present);
+        stage.show_rebirths();
+    }
+    assert_eq!(told_losses(&stage, task(id, 0, 0)).all, 1);
+}
+
+/// Guards against a neighbour that is given up for a loss of which another task is convicted in the same moment.
+#[test]
+fn a_conviction_comes_before_the_verdicts_on_its_neighbours() {
+    let pool = (1..=3).map(|n| worker(&format!("w{n}"), &format!("r{n}"))).collect();
+    let mut stage = Stage::open(config(), pool);
+    let id = stage.submit(1, job(vec![step(1)]));
+    let key = task(id, 0, 0);
+    for _ in 0..3 {
+        stage.advance(70_000);
+        stage.crash(&stage.place(key));
+    }
+    stage.advance(70_000);
+    assert_eq!((told_losses(&stage, key).all, stage.alive(key)), (3, 1));
+    let bad = submit_bad(&mut stage, 2, job(vec![step(1)]));
+    stage.advance(20_000);
+    assert_eq!(stage.state(bad), Some(JobState::Failed));
+    assert_eq!(stage.state(id), Some(JobState::Running));
+}
+
 /// Guards against a suspect that is blamed for an idle worker which had died before: its start must wait until the worker
 /// has answered.
 #[test]
