A second run of a task is told, and refusals of a start that has other tries under way

Cause: a run on no book was logged and counted like any other stray, so nothing showed that its task ran in two places, and a refusal did not show that another try of the same start had no outcome yet. Change: tries of a start are counted until their outcome is known; the note SecondRun, two metrics, and open_tries on refusals. No decision uses them.

--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -66,6 +66,10 @@
     pub trials: Counter,
     /// Runs that a worker first listed after their job was over.
     pub begun_over: Counter,
+    /// Starts that were refused while another try of them had no outcome yet.
+    pub refused_open: Counter,
+    /// Runs on no book that a worker listed beside another run of their task.
+    pub second_runs: Counter,
     /// Questions to entries with a copy of the job log, by what became of them.
     pub questions: Reasons,
     /// Whether this entry keeps a copy of the job log.
@@ -127,6 +131,8 @@
             cancellations: Family::default(),
             trials: Counter::default(),
             begun_over: Counter::default(),
+            refused_open: Counter::default(),
+            second_runs: Counter::default(),
             questions: Family::default(),
             replica: Gauge::default(),
             renewals: Counter::default(),
@@ -199,6 +205,10 @@
         registry.register("trials", help, self.trials.clone());
         let help = "runs that a worker first listed after their job was over";
         registry.register("begun_over", help, self.begun_over.clone());
+        let help = "starts that were refused while another try of them had no outcome yet";
+        registry.register("refused_open", help, self.refused_open.clone());
+        let help = "runs on no book that a worker listed beside another run of their task";
+        registry.register("second_runs", help, self.second_runs.clone());
         let help = "questions to entries with a copy of the job log, by what became of them";
         registry.register("questions", help, self.questions.clone());
         let help = "1 while this entry keeps a copy of the job log";
--- a/src/jobs/notes.rs
+++ b/src/jobs/notes.rs
@@ -36,9 +36,17 @@
             info!(logger, "starts only while its pool is calm"; "job" => %task.job, "task" => %task,
                 "workers_lost" => lost);
         }
-        SchedulerNote::StartRefused { task, run, worker, reason } => {
+        SchedulerNote::StartRefused { task, run, worker, reason, open_tries } => {
+            if *open_tries > 0 {
+                node.metrics.refused_open.inc();
+            }
             info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
-                "worker" => &**worker, "reason" => reason);
+                "worker" => &**worker, "reason" => reason, "open_tries" => open_tries);
+        }
+        SchedulerNote::SecondRun { task, run, worker, booked } => {
+            node.metrics.second_runs.inc();
+            warn!(logger, "a second run of a task is listed"; "job" => %task.job, "task" => %task,
+                "run" => run, "worker" => &**worker, "booked_run" => booked);
         }
         SchedulerNote::JobState { job, state, age_ms } => {
             info!(logger, "job state"; "job" => %job, "state" => ?state, "age_ms" => age_ms);
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -107,6 +107,19 @@
         worker: Arc<str>,
         /// Why.
         reason: &'static str,
+        /// Other tries of it whose outcome is not known yet.
+        open_tries: u32,
+    },
+    /// A worker lists a run that is on no book, while another run of its task is on one.
+    SecondRun {
+        /// Task.
+        task: TaskKey,
+        /// Run number.
+        run: u32,
+        /// Worker.
+        worker: Arc<str>,
+        /// The run that is on the books.
+        booked: u32,
     },
     /// A job's state changed.
     JobState {
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -9,7 +9,7 @@
     CommandOutcome, CommandRefusal, LATE_ANSWER, RenewCall, RunningTask, TaskExit, WorkerReport,
     WorkerTarget,
 };
-use crate::scheduler::job::RunPhase;
+use crate::scheduler::job::{LiveRun, RunPhase};
 use crate::scheduler::losses::{LifeEnd, PROOF_MS};
 use crate::scheduler::{Scheduler, SchedulerNote};
 
@@ -475,6 +475,9 @@
                 None => self.run_missing(id, key, *run, sent_ms, now),
             }
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.strays.retain(|stray| told.contains_key(stray));
+        }
         for (key, run) in told.keys().filter(|key| !booked.contains(key)) {
             self.stop_stray(id, key, *run);
         }
@@ -562,11 +565,25 @@
     /// them, so it must not go on.
     fn stop_stray(&mut self, id: &Arc<str>, key: &TaskKey, run: u32) {
         let fence = self.fence_of(id);
-        let Some(worker) = self.workers.get(id) else { return };
+        let booked = self.booked_beside(key, run);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let is_new = worker.strays.insert((*key, run));
         let call = crate::jobs::ports::RunCall { task: *key, run, fence };
         let reason = "not on the books";
         self.actions.push(crate::scheduler::SchedulerAction::Stop(worker.target(), call));
         self.note(SchedulerNote::Stopped { task: *key, run, reason });
+        if let Some(booked) = booked.filter(|_| is_new) {
+            self.note(SchedulerNote::SecondRun { task: *key, run, worker: id.clone(), booked });
+        }
+    }
+
+    /// A run on the books of a task that allows no copies, beside this one.
+    fn booked_beside(&self, key: &TaskKey, run: u32) -> Option<u32> {
+        let job = self.jobs.get(&key.job)?;
+        job.spec(key).filter(|spec| !spec.allows_copies && !spec.is_gang)?;
+        let is_beside = |live: &&LiveRun| live.run != run && live.phase != RunPhase::Planned;
+        let beside = job.task(key)?.live.iter().find(is_beside)?;
+        Some(beside.run)
     }
 }
 
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -54,6 +54,8 @@
     pub is_counted: bool,
     /// Whether a start had no answer: it may be carried out seconds later.
     pub is_in_doubt: bool,
+    /// Tries of its start that were handed out to be sent and whose outcome is not known yet.
+    pub open_tries: u32,
     /// Stops that were handed out to be sent.
     pub stops: u32,
     /// Share of its speed that it may use, in percent.
@@ -81,6 +83,7 @@
             is_listed: false,
             is_counted: false,
             is_in_doubt: false,
+            open_tries: 0,
             stops: 0,
             throttle: 100,
             throttled_ms: 0,
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -238,7 +238,9 @@
         let payload = job.submission.spec.payload.as_str().into();
         let call =
             StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
-        self.live_mut(key, run)?.is_sent = true;
+        let live = self.live_mut(key, run)?;
+        live.is_sent = true;
+        live.open_tries += 1;
         Some(RunCommand::Start(call))
     }
 
@@ -250,6 +252,7 @@
 
     /// A start was not sent, as nobody could carry it out: it is due at once.
     pub fn start_not_sent(&mut self, key: &TaskKey, run: u32, now: u64) {
+        self.close_try(key, run);
         if let Some(live) = self.live_mut(key, run)
             && live.phase == RunPhase::Starting
         {
@@ -267,6 +270,7 @@
         outcome: &CommandOutcome<u64>,
         now: u64,
     ) {
+        self.close_try(key, run);
         match outcome {
             CommandOutcome::Done(clock_ms) => self.start_done(worker, key, run, *clock_ms, now),
             CommandOutcome::Unknown => {
@@ -293,6 +297,13 @@
         }
     }
 
+    /// The outcome of a try of a start is known.
+    fn close_try(&mut self, key: &TaskKey, run: u32) {
+        if let Some(live) = self.live_mut(key, run) {
+            live.open_tries = live.open_tries.saturating_sub(1);
+        }
+    }
+
     fn start_done(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, clock_ms: u64, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.sample_clock(clock_ms, now);
@@ -319,7 +330,9 @@
         now: u64,
     ) {
         let reason = refusal_word(refusal);
-        self.note(SchedulerNote::StartRefused { task: *key, run, worker: id.clone(), reason });
+        let open_tries = self.live_mut(key, run).map_or(0, |live| live.open_tries);
+        let worker = id.clone();
+        self.note(SchedulerNote::StartRefused { task: *key, run, worker, reason, open_tries });
         match refusal {
             CommandRefusal::Fenced => {
                 self.outranked(id);
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -1,7 +1,7 @@
 //! One life of a worker as the leader sees it: what is booked on it, how long its leases may last,
 //! and whether it does its work.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -137,6 +137,8 @@
     pub idle_since_ms: u64,
     /// What is booked.
     pub runs: BTreeMap<(TaskKey, u32), BookedRun>,
+    /// What it lists and is not booked.
+    pub strays: BTreeSet<(TaskKey, u32)>,
     used: ResourceVector,
     clock: Option<ClockSample>,
     lease_bound_ms: u64,
@@ -173,6 +175,7 @@
             is_reserved: false,
             idle_since_ms: now,
             runs: BTreeMap::new(),
+            strays: BTreeSet::new(),
             used: ResourceVector::default(),
             clock: None,
             lease_bound_ms,
