A failing test: a refused repeat of a start settles the try before it

What callers see: a task runs in two places at a time. The test hands a try of a start to an executor, lets the repeat be refused for want of room while that try has no outcome, and carries the try out after the task was started elsewhere: two runs are alive, one is asked.

--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -2,9 +2,42 @@
 
 mod support;
 
+use std::sync::Arc;
+
+use ibisweir::jobs::model::TaskKey;
 use ibisweir::scheduler::SchedulerNote;
+use ibisweir::scheduler::runs::RunCommand;
 use support::stage::{Stage, config, job, step, task, worker};
 
+/// A task whose first try of a start is with an executor that has not answered yet; the worker that it is for.
+fn with_a_try_under_way() -> (Stage, TaskKey, Arc<str>) {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    stage.lane_is_slow = true;
+    let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    let place: Arc<str> = if stage.scheduled_on("w1") > 0 { "w1".into() } else { "w2".into() };
+    let now = stage.now;
+    let Some(RunCommand::Start(call)) = stage.scheduler.command(&key, 1, now) else {
+        panic!("a start is due");
+    };
+    stage.workers.get_mut(&place).expect("known").late.push(call);
+    (stage, key, place)
+}
+
+/// Guards against a start that is carried out after its repeat was refused and its task was started elsewhere.
+#[test]
+fn a_repeat_that_is_refused_does_not_settle_the_try_before_it() {
+    let (mut stage, key, place) = with_a_try_under_way();
+    stage.workers.get_mut(&place).expect("known").is_full = true;
+    stage.advance(700);
+    stage.lane_is_slow = false;
+    stage.empty_lanes();
+    stage.advance(700);
+    assert_eq!(stage.alive(key), 1, "it runs elsewhere");
+    stage.workers.get_mut(&place).expect("known").is_full = false;
+    stage.deliver_late(&place);
+    assert_eq!(stage.alive(key), 1);
+}
+
 /// Guards against a second run that nothing tells of: it is stopped, and its task may be served.
 #[test]
 fn a_second_run_that_a_worker_lists_is_told_once() {
