A refused start that has another try under way is stopped before its task goes elsewhere

What callers saw: a task ran in two places at a time. Cause: a start is sent again 600 ms after the one before, also while that one is with an executor (given up after 900 ms), and a run can stand in its worker's lane several times. A refusal for want of room, or of an unhealthy worker, took the run off the books unless a try had come back without an answer. One that had no outcome yet did not count, though its worker may carry it out seconds later: by then the task was at work elsewhere. Change: a refusal settles a run only if no other try of it is open; else it is stopped first, as one in doubt is. A worker refuses a run that it was told to stop, so the late try starts nothing.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether a try of its start may yet be carried out, whatever became of the others.
+    pub fn may_start_late(&self) -> bool {
+        self.is_in_doubt || self.open_tries > 0
+    }
+
     /// Enters a phase.
     pub fn enter(&mut self, phase: RunPhase, now: u64) {
         self.phase = phase;
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -377,10 +377,10 @@
             }
             CommandRefusal::Malformed => {}
         }
-        // An earlier try without an answer may be carried out yet, when there is room again: the
+        // Another try, without an answer so far, may be carried out when there is room again: the
         // task would run twice. A stop makes the worker refuse that run for good.
-        let is_in_doubt = self.live_mut(key, run).is_some_and(|live| live.is_in_doubt);
-        if is_in_doubt {
+        let may_start_late = self.live_mut(key, run).is_some_and(|live| live.may_start_late());
+        if may_start_late {
             self.stop_run(key, run, "start in doubt", now);
             return;
         }
--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -9,24 +9,27 @@
 use ibisweir::scheduler::runs::RunCommand;
 use support::stage::{Stage, config, job, step, task, worker};
 
-/// A task whose first try of a start is with an executor that has not answered yet; the worker that it is for.
-fn with_a_try_under_way() -> (Stage, TaskKey, Arc<str>) {
-    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+/// Submits a task whose first try of a start is with an executor that has not answered; the worker that it is for.
+fn start_under_way(stage: &mut Stage) -> (TaskKey, Arc<str>) {
     stage.lane_is_slow = true;
     let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
-    let place: Arc<str> = if stage.scheduled_on("w1") > 0 { "w1".into() } else { "w2".into() };
-    let now = stage.now;
-    let Some(RunCommand::Start(call)) = stage.scheduler.command(&key, 1, now) else {
+    let Some(RunCommand::Start(call)) = stage.scheduler.command(&key, 1, stage.now) else {
         panic!("a start is due");
     };
+    let placed = stage.notes.iter().find_map(|note| match note {
+        SchedulerNote::Placed { worker, .. } => Some(worker.clone()),
+        _ => None,
+    });
+    let place = placed.expect("it was placed");
     stage.workers.get_mut(&place).expect("known").late.push(call);
-    (stage, key, place)
+    (key, place)
 }
 
 /// Guards against a start that is carried out after its repeat was refused and its task was started elsewhere.
 #[test]
 fn a_repeat_that_is_refused_does_not_settle_the_try_before_it() {
-    let (mut stage, key, place) = with_a_try_under_way();
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let (key, place) = start_under_way(&mut stage);
     stage.workers.get_mut(&place).expect("known").is_full = true;
     stage.advance(700);
     stage.lane_is_slow = false;
