A repeat that was not sent does not hide the try before it from the worker's next life

What callers see, where workers come back under their names: a task runs twice, once in the next life of a worker that began anew. A repeat that no executor took marked the run as never sent, also while an earlier try had no outcome; and a listed run counted as settled though another try of it was open. Such a run was not carried over to the worker's next life, its task was started elsewhere, and the try could reach the next life before that was first called. Change: a run whose start may come late counts as sent, and is carried over.

--- a/src/scheduler/rebirth.rs
+++ b/src/scheduler/rebirth.rs
@@ -73,7 +73,7 @@
         RunPhase::Planned => false,
         RunPhase::Inherited => true,
         RunPhase::Starting | RunPhase::Running | RunPhase::Stopping => {
-            live.is_sent && (live.is_in_doubt || !live.is_listed)
+            live.is_sent && (live.may_start_late() || !live.is_listed)
         }
     }
 }
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -257,7 +257,7 @@
             && live.phase == RunPhase::Starting
         {
             live.retry_ms = now;
-            live.is_sent = live.is_in_doubt;
+            live.is_sent = live.may_start_late();
         }
     }
 
--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -59,3 +59,20 @@
     assert_eq!(stage.notes.iter().filter(is_told).count(), 1);
     assert_eq!(stage.alive(key), 1);
 }
+
+/// Guards against a start that reaches its worker's next life, as a repeat that was not sent hides the try before it.
+#[test]
+fn a_repeat_that_is_not_sent_does_not_hide_the_try_before_it() {
+    let mut stage = Stage::open_born(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let (key, place) = start_under_way(&mut stage);
+    stage.scheduler.command(&key, 1, stage.now);
+    stage.scheduler.start_not_sent(&key, 1, stage.now);
+    stage.lane_is_slow = false;
+    stage.mutes_renewals = true;
+    stage.hides_rebirths = true;
+    let next = stage.begin_anew(&place);
+    stage.show_rebirths();
+    stage.advance(500);
+    stage.deliver_late(&next);
+    assert_eq!(stage.alive(key), 1);
+}
