A test: a start whose repeat was not sent is not taken back as if it never was

A start is also taken back when its worker is leaving or its room shrinks, and one marked as never sent was simply taken off the books, on any site.

--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use ibisweir::jobs::model::TaskKey;
+use ibisweir::jobs::site::WorkerEntry;
 use ibisweir::scheduler::SchedulerNote;
 use ibisweir::scheduler::runs::RunCommand;
 use support::stage::{Stage, config, job, step, task, worker};
@@ -76,3 +77,17 @@
     stage.deliver_late(&next);
     assert_eq!(stage.alive(key), 1);
 }
+
+/// Guards against the same where the worker is leaving: the try is carried out after its task was started elsewhere.
+#[test]
+fn a_repeat_that_is_not_sent_does_not_free_the_task_of_a_leaving_worker() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let (key, place) = start_under_way(&mut stage);
+    stage.scheduler.command(&key, 1, stage.now);
+    stage.scheduler.start_not_sent(&key, 1, stage.now);
+    stage.lane_is_slow = false;
+    stage.report(WorkerEntry { is_draining: true, ..stage.entry(&place) });
+    stage.advance(500);
+    stage.deliver_late(&place);
+    assert_eq!(stage.alive(key), 1);
+}
