A refusal of one try does not free a task whose run another try has begun

What callers saw: a task ran in two places at a time. A batch of starts that a slow executor carries out is repeated after 600 ms through another; the first is answered as begun, and the repeat, by a worker that is unhealthy or full meanwhile, is refused. The refusal took the run off the books whatever its phase. Change: a refusal counts for a run only while it is starting. One that has begun, or is being stopped, ends as its worker tells. Measured: the new test fails before (two starts) and passes, beside those of runs, rooms, silence, stops, deadlines, caps, kinds and executors.

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -377,10 +377,14 @@
             }
             CommandRefusal::Malformed => {}
         }
+        let Some(live) = self.live_mut(key, run) else { return };
+        // Another try has begun it, or it is being stopped: the refusal tells of this try alone.
+        if live.phase != RunPhase::Starting {
+            return;
+        }
         // Another try, without an answer so far, may be carried out when there is room again: the
         // task would run twice. A stop makes the worker refuse that run for good.
-        let may_start_late = self.live_mut(key, run).is_some_and(|live| live.may_start_late());
-        if may_start_late {
+        if live.may_start_late() {
             self.stop_run(key, run, "start in doubt", now);
             return;
         }
--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use ibisweir::jobs::model::TaskKey;
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal};
 use ibisweir::jobs::site::WorkerEntry;
 use ibisweir::scheduler::SchedulerNote;
 use ibisweir::scheduler::runs::RunCommand;
@@ -91,3 +92,22 @@
     stage.deliver_late(&place);
     assert_eq!(stage.alive(key), 1);
 }
+
+/// Guards against a run that was begun by one try, and is taken for never begun as a later try of its start is refused.
+#[test]
+fn a_refusal_that_comes_after_the_run_has_begun_does_not_free_its_task() {
+    for refusal in [CommandRefusal::Unhealthy, CommandRefusal::NoRoom, CommandRefusal::Permit] {
+        let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+        let (key, place) = start_under_way(&mut stage);
+        stage.deliver_late(&place);
+        let clock_ms = stage.workers[&place].clock_ms(stage.now);
+        let begun = CommandOutcome::Done(clock_ms);
+        stage.scheduler.command(&key, 1, stage.now);
+        stage.scheduler.started(&place, &key, 1, &begun, stage.now);
+        let refused = CommandOutcome::Refused(refusal, Some(clock_ms));
+        stage.scheduler.started(&place, &key, 1, &refused, stage.now);
+        stage.lane_is_slow = false;
+        stage.advance(500);
+        assert_eq!((stage.alive(key), stage.starts(key)), (1, 1), "{refusal:?}");
+    }
+}
