Failing tests: a refused or unsent repeat of a start settles a run that is at work, is being stopped or may yet begin

What callers see: a task runs in two places at a time. Cause: a start is handed out again while an earlier try of it has no outcome, by the clock (600 ms, a batch of an executor is given up after 900 ms) and as a run can stand in its worker's lane several times. What comes of one try is then taken for what came of the run: - A refusal for want of room, of health or of a permit, or as malformed takes the run off the books whatever its phase: also one that another try has begun and that its worker has confirmed or listed, and one that is being stopped and has not ended. - A try that nobody could send marks the run as not sent. If its worker then says that it is leaving, or that its room has shrunk, the run is taken back without a stop, though an earlier try is under way.

--- /dev/null
+++ b/tests/start_outcomes.rs
@@ -0,0 +1,153 @@
+//! What a refused or unsent repeat of a start tells of the run, when another try of it was carried out or still may be.
+
+mod support;
+
+use std::sync::Arc;
+
+use ibisweir::jobs::model::TaskKey;
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, StartCall};
+use ibisweir::jobs::site::WorkerEntry;
+use ibisweir::scheduler::SchedulerNote;
+use ibisweir::scheduler::runs::RunCommand;
+use support::stage::{Stage, config, job, step, task, worker};
+
+/// Two workers, and a task whose start has been handed out and has no outcome.
+struct TryScene {
+    stage: Stage,
+    key: TaskKey,
+    place: Arc<str>,
+    call: StartCall,
+}
+
+impl TryScene {
+    fn open() -> TryScene {
+        let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+        stage.lane_is_slow = true;
+        let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+        let placed = stage.notes.iter().find_map(|note| match note {
+            SchedulerNote::Placed { worker, .. } => Some(worker.clone()),
+            _ => None,
+        });
+        let place = placed.expect("it was placed");
+        let call = hand_out(&mut stage, &key);
+        TryScene { stage, key, place, call }
+    }
+
+    /// The worker gets to the first try now, and begins the run unless it was told to refuse it.
+    fn carry_out(&mut self) {
+        self.stage.workers.get_mut(&self.place).expect("known").late.push(self.call.clone());
+        self.stage.deliver_late(&self.place);
+    }
+
+    /// The outcome of a try.
+    fn end_try(&mut self, outcome: &CommandOutcome<u64>) {
+        let now = self.stage.now;
+        self.stage.scheduler.started(&self.place, &self.key, 1, outcome, now);
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.stage.workers[&self.place].clock_ms(self.stage.now)
+    }
+
+    fn refused(&self, refusal: CommandRefusal) -> CommandOutcome<u64> {
+        CommandOutcome::Refused(refusal, Some(self.clock_ms()))
+    }
+
+    /// Its worker says that it is about to leave.
+    fn drain(&mut self) {
+        let entry = self.stage.entry(&self.place);
+        self.stage.report(WorkerEntry { is_draining: true, drain_left_ms: 3_000, ..entry });
+    }
+
+    /// What waits in the lanes goes out, and so does what is decided next.
+    fn go_on(&mut self, ms: u64) {
+        self.stage.lane_is_slow = false;
+        self.stage.empty_lanes();
+        self.stage.advance(ms);
+    }
+}
+
+/// Hands out the next try of the first run.
+fn hand_out(stage: &mut Stage, key: &TaskKey) -> StartCall {
+    match stage.scheduler.command(key, 1, stage.now) {
+        Some(RunCommand::Start(call)) => call,
+        other => panic!("a start is due: {other:?}"),
+    }
+}
+
+/// Refusals after which a worker has done nothing.
+const REFUSALS: [CommandRefusal; 4] = [
+    CommandRefusal::Unhealthy,
+    CommandRefusal::NoRoom,
+    CommandRefusal::Permit,
+    CommandRefusal::Malformed,
+];
+
+/// Guards against a run at work that is taken off the books, as a repeat of its start was refused: its task would be
+/// started elsewhere beside it.
+#[test]
+fn a_refused_repeat_takes_no_run_off_the_books_that_was_confirmed() {
+    for refusal in REFUSALS {
+        let mut scene = TryScene::open();
+        scene.stage.mutes_renewals = true;
+        hand_out(&mut scene.stage, &scene.key);
+        scene.carry_out();
+        let done = CommandOutcome::Done(scene.clock_ms());
+        scene.end_try(&done);
+        let refused = scene.refused(refusal);
+        scene.end_try(&refused);
+        scene.go_on(1_500);
+        assert_eq!(scene.stage.starts(scene.key), 1, "{refusal:?}");
+        assert_eq!(scene.stage.alive(scene.key), 1, "{refusal:?}");
+    }
+}
+
+/// Guards against the same where its worker has listed the run before any try had an outcome.
+#[test]
+fn a_refused_repeat_takes_no_run_off_the_books_that_was_listed() {
+    for refusal in REFUSALS {
+        let mut scene = TryScene::open();
+        hand_out(&mut scene.stage, &scene.key);
+        scene.carry_out();
+        scene.stage.advance(100);
+        let refused = scene.refused(refusal);
+        scene.end_try(&refused);
+        scene.go_on(1_500);
+        assert_eq!(scene.stage.starts(scene.key), 1, "{refusal:?}");
+        assert_eq!(scene.stage.alive(scene.key), 1, "{refusal:?}");
+    }
+}
+
+/// Guards against a run that is being stopped and is taken for over, as a repeat of its start was refused.
+#[test]
+fn a_refused_repeat_ends_no_run_that_is_being_stopped() {
+    for refusal in REFUSALS {
+        let mut scene = TryScene::open();
+        hand_out(&mut scene.stage, &scene.key);
+        scene.stage.workers.get_mut(&scene.place).expect("known").loses_stops = true;
+        scene.carry_out();
+        let done = CommandOutcome::Done(scene.clock_ms());
+        scene.stage.mutes_renewals = true;
+        scene.drain();
+        scene.end_try(&done);
+        let refused = scene.refused(refusal);
+        scene.end_try(&refused);
+        scene.go_on(1_500);
+        assert_eq!(scene.stage.alive(scene.key), 1, "{refusal:?}");
+    }
+}
+
+/// Guards against a start that is taken back unsent while an earlier try of it is under way: it would be carried out
+/// after its task was started elsewhere.
+#[test]
+fn a_repeat_that_is_not_sent_does_not_settle_the_try_before_it() {
+    let mut scene = TryScene::open();
+    scene.stage.advance(700);
+    hand_out(&mut scene.stage, &scene.key);
+    let now = scene.stage.now;
+    scene.stage.scheduler.start_not_sent(&scene.key, 1, now);
+    scene.drain();
+    scene.go_on(500);
+    scene.carry_out();
+    assert_eq!(scene.stage.alive(scene.key), 1);
+}
