A failing test: any answer of a worker that is not understood counts as a refusal of its start

What callers could see: a task runs in two places at a time. Cause: a worker has done nothing where it answers 409, 400, 429 or 503; of other answers (500, 502, 504, 408) nothing is promised. They are all taken for a refusal of an unhealthy worker, and the run is taken off the books and started elsewhere at once, though it may have begun.

--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -10,8 +10,8 @@
 use ibisweir::jobs::model::{JobId, TaskKey};
 use ibisweir::jobs::ports::{
     AppendCall, AppendOutcome, CommandOutcome, CommandRefusal, JobLog, LogTopic, ReadOutcome,
-    RenewCall, RunCall, VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient, WorkerTarget,
-    WriterStamp,
+    RenewCall, RunCall, StartCall, VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient,
+    WorkerTarget, WriterStamp,
 };
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::platform_adapter::{log::PlatformLog, vm::PlatformVms, worker::PlatformWorkers};
@@ -152,6 +152,38 @@
     drop(listener);
 }
 
+/// Guards against a start that is taken for refused by an answer which does not say that nothing was done: its task would
+/// be started elsewhere beside it.
+#[tokio::test]
+async fn only_an_answer_that_says_so_is_a_refusal_of_a_start() {
+    let unknown = CommandOutcome::Unknown;
+    let unhealthy = CommandOutcome::Refused(CommandRefusal::Unhealthy, None);
+    let answers = [
+        ("500 Internal Server Error", &unknown),
+        ("502 Bad Gateway", &unknown),
+        ("504 Gateway Timeout", &unknown),
+        ("408 Request Timeout", &unknown),
+        ("429 Too Many Requests", &unhealthy),
+        ("503 Service Unavailable", &unhealthy),
+    ];
+    for (status, expected) in answers {
+        let (address, _) = answer_once(status, "").await;
+        let workers = PlatformWorkers::new(HttpTransport::open());
+        let target = WorkerTarget { id: "i-1".into(), address };
+        let call = StartCall {
+            task: task(),
+            run: 1,
+            payload: "text".into(),
+            lease_until_ms: 486_000,
+            fence: 9,
+            checkpoint: String::new(),
+            permit: None,
+        };
+        let outcome = workers.start(&target, &call, PATIENCE).await;
+        assert_eq!(outcome, *expected, "{status}");
+    }
+}
+
 /// A leader is cut off after it has sent a command to a VM, and gives it up. Its system would deliver
 /// the command once the cut heals, seconds after the successor's own; a service that checks no tokens
 /// would carry it out. Given up, it is reset, which drops what has not arrived.
