A failing test: a start that waits in its worker's lane is handed out several times at once

What callers could see: nothing by itself. Several tries of one start under way at a time are what lets the outcome of one be taken for that of the run. Cause: a start that has not gone out within 600 ms is handed to its lane again; when its turn comes, each of them goes out. Stops have a guard against it.

--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -284,3 +284,25 @@
     }
     assert_eq!(stage.workers.starts().len(), 4, "they go from here where it does not come back");
 }
+
+/// Guards against several tries of one start that go out together, as it was handed out again while it waited for an
+/// executor: what comes of them comes in any order.
+#[tokio::test(start_paused = true)]
+async fn a_start_that_waits_is_handed_to_executors_once() {
+    let mut stage = LaneStage::open(narrow(), AnswerMode::Done);
+    stage.node.executors().heard(offer(), stage.node.now());
+    stage.node.executors().end(offer().address, 0, false, stage.node.now());
+    stage.submit(1);
+    let target = WorkerTarget { id: "w0".into(), address: worker("w0", "r0").address };
+    for _ in 0..2 {
+        sleep(Duration::from_millis(300)).await;
+        let again = LaneCommand::Run(task(job_id(1), 0, 0), 1);
+        stage.lanes.send(&target, again, &mut stage.tasks);
+    }
+    let now = stage.node.now();
+    stage.node.executors().heard(ExecutorOffer { life: 8, ..offer() }, now);
+    sleep(Duration::from_millis(300)).await;
+    let text = stage.node.metrics.text();
+    let tries = text.lines().find(|line| line.contains("not_delegated"));
+    assert!(tries.is_some_and(|line| line.ends_with(" 1")), "{tries:?}");
+}
