A failing test: the first lease after an idle time can be longer than a successor waits for

What callers could see: a task runs in two places at a time after a change of leaders. Cause: the end of a lease is reckoned from the latest sample of the worker's clock as if that clock kept our time. After a minute without work a clock that is 2% slow is 1.2 s behind that, so the end lies 7 s ahead of it. The worker shortens it to 6 s from when the lease arrives. If it arrives late, it ends later than a successor that can't reach the worker waits: 6.2 s from the latest time at which it can have been given.

--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -86,6 +86,17 @@
     assert!(stood.lease_bound_ms() >= 103_000 + left_ms, "{}", stood.lease_bound_ms());
 }
 
+/// Guards against a lease that is longer than any that a successor waits for, as its worker was idle and its clock is slow:
+/// one that arrives late counts from then.
+#[test]
+fn a_lease_after_an_idle_time_is_not_longer_than_any_may_be() {
+    let mut idle = WorkerRun::new(worker("w0", "r0"), 0, 0);
+    idle.sample_clock_since(50_000, 100_000, 100_000);
+    let shown_ms = 50_000 + 60_000 * 98 / 100;
+    let until = idle.lease_until(5_800, 160_000).expect("its clock is known");
+    assert!(until <= shown_ms + bounds().lease_max_ms, "{} ms", until - shown_ms);
+}
+
 /// Guards against an answer that was on its way for long and is taken for one of a clock that stood still.
 #[test]
 fn an_answer_that_comes_late_sets_no_clock_back() {
