A refusal settles only a run whose start has no answer yet

What callers saw: a task ran in two places at a time. Cause: of two tries of one start under way, one begins the run and the other is refused as its worker is not well, has no room, or misses a permit. The refusal took the run off the books in any phase: also where the other try had been confirmed, where the worker had listed the run, or where it was being stopped. Change: such a refusal is no news of a run that is confirmed or being stopped; its worker's report tells of the end.

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -364,10 +364,14 @@
             }
             CommandRefusal::Malformed => {}
         }
+        let Some(live) = self.live_mut(key, run) else { return };
+        // Another try was carried out, or a stop is on its way: the worker's report tells of the end.
+        if live.phase != RunPhase::Starting {
+            return;
+        }
         // An earlier try without an answer may be carried out yet, when there is room again: the
         // task would run twice. A stop makes the worker refuse that run for good.
-        let is_in_doubt = self.live_mut(key, run).is_some_and(|live| live.is_in_doubt);
-        if is_in_doubt {
+        if live.is_in_doubt {
             self.stop_run(key, run, "start in doubt", now);
             return;
         }
