A start that waits in its worker's lane stands there once

Cause: a start that could not go out for 600 ms was handed to its lane again; when executors took starts, all of them went out in one batch. Change: the lane keeps which runs wait, as it does for stops. The leader still repeats a start that has gone out and has no answer after 600 ms.

--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -84,7 +84,7 @@
 #[derive(Clone)]
 struct StopLine {
     orders: mpsc::UnboundedSender<StopOrder>,
-    stopping: StoppingRuns,
+    stopping: CommandedRuns,
 }
 
 impl StopLine {
@@ -96,11 +96,11 @@
     }
 }
 
-/// Runs with a stop that waits or is under way: the same one again would add nothing.
+/// Runs with a command of one kind that waits or is under way: the same one again would add nothing.
 #[derive(Clone, Default)]
-struct StoppingRuns(Arc<Mutex<BTreeSet<(TaskKey, u32)>>>);
+struct CommandedRuns(Arc<Mutex<BTreeSet<(TaskKey, u32)>>>);
 
-impl StoppingRuns {
+impl CommandedRuns {
     fn insert(&self, key: (TaskKey, u32)) -> bool {
         self.lock().insert(key)
     }
@@ -127,6 +127,8 @@
     stops: StopLine,
     throttles: mpsc::UnboundedSender<(RunCall, u32)>,
     starts: mpsc::UnboundedSender<(TaskKey, u32)>,
+    /// Runs with a start that waits.
+    starting: CommandedRuns,
     renewing: AbortHandle,
 }
 
@@ -194,7 +196,9 @@
         // The lane ends only with its worker, whose runs are then over.
         match command {
             LaneCommand::Run(task, run) if self.is_starting(&task, run) => {
-                let _ = lane.starts.send((task, run));
+                if lane.starting.insert((task, run)) {
+                    let _ = lane.starts.send((task, run));
+                }
             }
             LaneCommand::Run(task, run) => lane.stops.push(StopOrder::Booked(task, run)),
             LaneCommand::Stop(call) => lane.stops.push(StopOrder::Unbooked(call)),
@@ -220,15 +224,18 @@
             return lane.clone();
         }
         let (orders, stop_orders) = mpsc::unbounded_channel();
-        let stops = StopLine { orders, stopping: StoppingRuns::default() };
+        let stops = StopLine { orders, stopping: CommandedRuns::default() };
         let (throttles, throttling) = mpsc::unbounded_channel();
-        let (starts, starting) = mpsc::unbounded_channel();
+        let (starts, start_orders) = mpsc::unbounded_channel();
+        let starting = CommandedRuns::default();
         let (id, wake) = (target.id.clone(), Arc::new(Notify::new()));
         let renewing = tasks.spawn(self.clone().renew(id.clone(), wake.clone()));
         tasks.spawn(self.clone().send_stops(id.clone(), stop_orders, stops.stopping.clone()));
         tasks.spawn(self.clone().send_throttles(id.clone(), throttling));
-        tasks.spawn(self.clone().send_starts(id.clone(), starting, stops.clone()));
-        let lane = WorkerLane { wake, stops, throttles, starts, renewing };
+        let starts_task =
+            self.clone().send_starts(id.clone(), start_orders, starting.clone(), stops.clone());
+        tasks.spawn(starts_task);
+        let lane = WorkerLane { wake, stops, throttles, starts, starting, renewing };
         lanes.insert(id, lane.clone());
         lane
     }
@@ -238,7 +245,7 @@
         self: Arc<Self>,
         id: Arc<str>,
         mut orders: mpsc::UnboundedReceiver<StopOrder>,
-        stopping: StoppingRuns,
+        stopping: CommandedRuns,
     ) {
         let mut stops = JoinSet::new();
         while let Some(order) = orders.recv().await {
@@ -294,6 +301,7 @@
         self: Arc<Self>,
         id: Arc<str>,
         mut starts: mpsc::UnboundedReceiver<(TaskKey, u32)>,
+        starting: CommandedRuns,
         stops: StopLine,
     ) {
         while let Some((task, run)) = starts.recv().await {
@@ -301,6 +309,7 @@
                 self.send_run(&id, &stops, &task, run).await;
                 self.node.wake.notify_one();
             }
+            starting.remove((task, run));
         }
     }
 
