The first lease after an idle time is no longer than any may be

What callers could see: a task runs in two places at a time after a change of leaders. Cause: the end of a lease was reckoned as if the worker's clock kept our time since its latest sample. Where that is old and the clock slow, the end lay further ahead than the longest lease, and the worker shortened it from when it arrived: one that arrived late outlasted the bound that a successor waits for. Evidence: a_lease_after_an_idle_time_is_not_longer_than_any_may_be failed before, with 7,000 ms after a minute. Change: the end is at most the longest lease ahead of the least that the clock can show.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -85,7 +85,7 @@
 /// its look at the clock to the start.
 const START_MARGIN_MS: u64 = 100;
 /// What a lease is shorter than the longest one, in milliseconds: a command may be under way.
-const LEASE_SLACK_MS: u64 = 200;
+pub(crate) const LEASE_SLACK_MS: u64 = 200;
 
 /// What a leader starts from.
 pub struct SchedulerStart {
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -8,6 +8,7 @@
 use crate::jobs::model::{JobId, ResourceVector, TaskKey};
 use crate::jobs::ports::WorkerTarget;
 use crate::jobs::site::WorkerEntry;
+use crate::scheduler::LEASE_SLACK_MS;
 use crate::scheduler::exits::ANSWER_AGE_MAX_MS;
 use crate::scheduler::losses::PROOF_MS;
 
@@ -45,9 +46,11 @@
         self.received_ms + length + LEASE_MARGIN_MS
     }
 
-    /// End of a lease that lasts `lease_ms` from now.
+    /// End of a lease that lasts `lease_ms` from now, and not longer than any may where the clock is slow: the worker
+    /// would shorten it only as it arrives.
     fn lease_end(self, lease_ms: u64, now: u64) -> u64 {
-        self.worker_ms + now.saturating_sub(self.received_ms) + lease_ms
+        let end = self.worker_ms + now.saturating_sub(self.received_ms) + lease_ms;
+        end.min(self.least_at(now) + lease_ms + LEASE_SLACK_MS)
     }
 }
 
