The bound on a worker's leases outlasts its entry

What callers could see: a task runs in two places at a time. Cause: a worker without runs was dropped with its entry, and the end of the longest lease that it had been given with it. Listed again while that lease lasted, it got a shorter one with a start, and its runs were taken for over by that. A worker's lease never shortens. Change: the bound is kept by the worker's id until it has passed.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -146,6 +146,8 @@
     finished: BTreeMap<JobId, u64>,
     tombstones: TombstoneBook,
     workers: BTreeMap<Arc<str>, WorkerRun>,
+    /// Ends of the leases of workers that were dropped as nothing runs there, in milliseconds: they may be listed again.
+    dropped_bounds: BTreeMap<Arc<str>, u64>,
     attention: BTreeSet<(TaskKey, u32)>,
     abandoned: AbandonedRuns,
     losses: LossWatch,
@@ -200,6 +202,7 @@
             finished: BTreeMap::new(),
             tombstones: TombstoneBook::default(),
             workers: BTreeMap::new(),
+            dropped_bounds: BTreeMap::new(),
             attention: BTreeSet::new(),
             abandoned: AbandonedRuns::default(),
             losses: LossWatch::open(now),
@@ -492,7 +495,8 @@
         let id = entry.id.clone();
         self.needs_dispatch = true;
         let Some(worker) = self.workers.get_mut(&id) else {
-            let worker = WorkerRun::new(entry, self.foreign_bound_ms, now);
+            let bound = self.dropped_bounds.remove(&id).unwrap_or(0).max(self.foreign_bound_ms);
+            let worker = WorkerRun::new(entry, bound, now);
             let target = worker.target();
             self.workers.insert(id.clone(), worker);
             self.note(SchedulerNote::Worker { worker: id, change: "listed", runs: 0 });
@@ -528,10 +532,11 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.is_listed = false;
         worker.silent_since_ms.get_or_insert(now);
-        let runs = worker.runs.len();
+        let (runs, bound) = (worker.runs.len(), worker.lease_bound_ms());
         self.note(SchedulerNote::Worker { worker: id.clone(), change: "not listed", runs });
         if runs == 0 {
             self.workers.remove(id);
+            self.dropped_bounds.insert(id.clone(), bound);
         }
         self.fleet.wants_list = true;
         self.needs_dispatch = true;
@@ -590,6 +595,7 @@
             }
             self.stop_broken_gangs(now);
             self.drop_over_jobs(now);
+            self.dropped_bounds.retain(|_, bound| now < *bound);
             self.looks_for_copies = true;
             self.needs_dispatch = true;
         }
