A failing test: a start whose call panics in an executor is taken for not sent

What callers could see: a task runs in two places at a time. Cause: a batch whose outcomes can't be told is answered with 400, which the leader takes for one that was not begun. The start counts as not sent, though it may have been. No panic is known.

--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -265,6 +265,18 @@
     assert_eq!(leader.with_scheduler(|scheduler| scheduler.census().runs), Some(1));
 }
 
+/// Guards against a start that is taken for not sent, as the call that sent it has ended without an outcome.
+#[tokio::test]
+async fn a_start_whose_call_panics_stays_in_doubt() {
+    let (leader, order) = leader();
+    let workers = NotedWorkers::new(AnswerMode::Panics);
+    let is_told = || leader.metrics.text().contains("ibisweir_job_starts_total{");
+    hand_on(&leader, &order, Some(workers.clone()), is_told).await;
+    assert!(!workers.starts().is_empty());
+    let text = leader.metrics.text();
+    assert!(text.contains("no_answer") && !text.contains("not_delegated"), "{text}");
+}
+
 /// Guards against callers that are refused as the log turns their entry away, though the leader would store for it: where
 /// there are hundreds of entries, hardly any has stored something through the leader a moment ago.
 #[tokio::test]
--- a/tests/support/outside.rs
+++ b/tests/support/outside.rs
@@ -97,6 +97,8 @@
     Silent,
     /// Renewals are answered a second after their time.
     LateRenewals,
+    /// Calls of starts panic once they are sent.
+    Panics,
 }
 
 /// Workers that note what they are told.
@@ -143,9 +145,10 @@
 
     async fn answer(&self, patience: Duration) -> CommandOutcome<u64> {
         match self.mode {
-            AnswerMode::Done | AnswerMode::NoRoom | AnswerMode::LateRenewals => {
-                CommandOutcome::Done(40)
-            }
+            AnswerMode::Done
+            | AnswerMode::NoRoom
+            | AnswerMode::LateRenewals
+            | AnswerMode::Panics => CommandOutcome::Done(40),
             AnswerMode::Prompt => {
                 sleep(Duration::from_millis(5)).await;
                 CommandOutcome::Done(40)
@@ -183,6 +186,7 @@
         self.starts().push(call.clone());
         match self.mode {
             AnswerMode::NoRoom => CommandOutcome::Refused(CommandRefusal::NoRoom, Some(40)),
+            AnswerMode::Panics => panic!("a call is broken off"),
             _ => self.answer(patience).await,
         }
     }
