A start whose call panics in an executor stays in doubt

Cause: the whole batch was answered as one that can't be read, and the leader took its starts for not sent. Evidence: a_start_whose_call_panics_stays_in_doubt failed before. No panic is known. Change: a start counts as sent without an answer from when its call is made; the others of the batch keep their outcomes.

--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -253,12 +253,13 @@
         let Some(payload) = payload(node, &start.task) else { continue };
         let (target, call) = start_call(start, payload);
         let workers = workers.clone();
+        // A call that panics may have been sent.
+        outcomes[position] = DelegatedOutcome::Unknown;
         calls.spawn(async move { (position, workers.start(&target, &call, START_PATIENCE).await) });
     }
     node.metrics.delegated.inc_by(u64::try_from(calls.len()).unwrap_or(0));
     while let Some(ended) = calls.join_next().await {
-        // A call that panicked may have been sent.
-        let Ok((position, outcome)) = ended else { return None };
+        let Ok((position, outcome)) = ended else { continue };
         outcomes[position] = match outcome {
             CommandOutcome::Done(clock_ms) => DelegatedOutcome::Done(clock_ms),
             CommandOutcome::Refused(refusal, clock) => DelegatedOutcome::Refused(refusal, clock),
