A renewal that is found late counts from when it was first sent

What callers would see: one task runs in two places. A leader whose renewal was stored, but not answered, takes the next try's time for its confirmation when it finds the record. It extends leases for up to 1.6 s after that time; a successor that can't reach the worker waits by when it read the record itself, and starts the task elsewhere while the first run is alive.

Cause: LeadershipLoop::resolve confirmed with the time of the latest try, though all tries since the last known end name the same end and only one of them can be on the stream, perhaps the first. The time between them is how long the leader could not read: up to the 1.4 s after which others claim, and with no bound where the log was away for the successor as well, as its contact begins anew and its trace of the leader does not.

Evidence: two tests, two entries over one log, each reaching a worker that the other does not, clocks of workers 2% slow. Before, the runs overlapped by 682 ms (the record found 1.25 s after it was stored) and by 3.386 s (after 4 s without the log for both). With the mend by 0 ms in both.

Why it works: the time of the first try without an answer at an end is kept, and confirms when the end has moved and the leadership is still ours. No record that others can have read is older than its sending. An answered renewal, or a new claim, settles all tries before it.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -126,6 +126,8 @@
     pub seen_ms: Option<u64>,
     /// Since when reads have been answered without a gap, in milliseconds.
     contact_ms: Option<u64>,
+    /// When the first of our renewals at this end that had no answer was sent, in milliseconds.
+    unanswered_ms: Option<u64>,
 }
 
 impl LeadershipView {
@@ -141,6 +143,7 @@
                 self.term = offset + 1;
                 self.holder = Some((record.holder.clone(), record.life));
                 self.has_resigned = false;
+                self.unanswered_ms = None;
             }
             LeadershipAct::Renew => {
                 // A reader that starts behind the claim still learns who leads.
@@ -158,6 +161,18 @@
     pub fn renewed(&mut self, end: u64, now: u64) {
         self.end = end;
         self.seen_ms = Some(now);
+        self.unanswered_ms = None;
+    }
+
+    /// A renewal of our own that was sent at `sent_ms` had no answer: it may be on the stream, or may be yet.
+    pub fn unanswered(&mut self, sent_ms: u64) {
+        self.unanswered_ms.get_or_insert(sent_ms);
+    }
+
+    /// Our renewal was found on the stream: when it was sent at the earliest, in milliseconds. Later tries
+    /// named the same end, and others may have read the first one and counted our silence from it.
+    pub fn found(&mut self) -> Option<u64> {
+        self.unanswered_ms.take()
     }
 
     /// The stream was read to its end.
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -303,13 +303,17 @@
                 let spent = self.node.now().saturating_sub(sent_ms);
                 Duration::from_millis(RENEWAL_MS.saturating_sub(spent))
             }
-            AppendOutcome::EndMoved { .. } | AppendOutcome::Unknown => self.resolve(sent_ms).await,
+            AppendOutcome::EndMoved { .. } => self.resolve().await,
+            AppendOutcome::Unknown => {
+                self.view.unanswered(sent_ms);
+                self.resolve().await
+            }
             _ => FAILED_PAUSE,
         }
     }
 
     /// A renewal may have been done: the stream tells.
-    async fn resolve(&mut self, sent_ms: u64) -> Duration {
+    async fn resolve(&mut self) -> Duration {
         let end = self.view.end;
         if !self.read(Duration::ZERO).await {
             return FAILED_PAUSE;
@@ -318,7 +322,9 @@
             self.step_down("another entry leads");
             return Duration::ZERO;
         }
-        if self.view.end > end {
+        if self.view.end > end
+            && let Some(sent_ms) = self.view.found()
+        {
             self.confirm(sent_ms);
         }
         sleep(WAIT_MIN).await;
--- /dev/null
+++ b/tests/two_leaders.rs
@@ -0,0 +1,443 @@
+//! An old leader and its successor, each of which reaches a worker that the other does not.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ibisweir::control::ControlLoop;
+use ibisweir::decide::leadership::{HolderId, LeadershipView};
+use ibisweir::jobs::conductor::ConductorParts;
+use ibisweir::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
+use ibisweir::jobs::model::{StepKey, StepSpec, TaskKey};
+use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::patience::PatienceGauge;
+use ibisweir::jobs::ports::{
+    AppendCall, AppendOutcome, CommandOutcome, CommandRefusal, JobLog, LogBatch, LogTopic,
+    NewestPage, PermitClient, PermitGrant, ReadOutcome, RenewCall, RunCall, RunningTask, StartCall,
+    VmClient, VmCommand, VmOutcome, VmStamp, WorkerClient, WorkerReport, WorkerTarget,
+};
+use ibisweir::jobs::record::{JobRecord, KeyedRecord};
+use ibisweir::jobs::site::{SiteSettings, VmEntry};
+use support::site_log::SiteLog;
+use support::stage::{bounds, config, job, job_id, site_settings, step, submission, worker};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// Time between two looks at a stream that is read with a wait.
+const LOOK: Duration = Duration::from_millis(5);
+/// Longest time of the scene.
+const SCENE: Duration = Duration::from_secs(40);
+/// Rate by which the clocks of workers are slow, in percent: as much as they may be.
+const SLOW_PERCENT: u64 = 2;
+
+/// The streams that both entries use.
+#[derive(Default)]
+struct SharedLog {
+    jobs: SiteLog,
+    leadership: SiteLog,
+}
+
+/// What happens to an entry's calls to the log.
+#[derive(Default)]
+struct LinkFaults {
+    /// Leadership appends are stored and their answers lost.
+    loses_answers: AtomicBool,
+    /// Leadership can't be read.
+    loses_reads: AtomicBool,
+    /// No call gets there.
+    is_cut: AtomicBool,
+    /// No call gets there once the leadership was read to a record.
+    cuts_after_news: AtomicBool,
+    /// Leadership appends that were stored and not answered.
+    unanswered: AtomicUsize,
+}
+
+/// An entry's way to the log.
+#[derive(Clone, Default)]
+struct LogLink {
+    shared: Arc<Mutex<SharedLog>>,
+    faults: Arc<LinkFaults>,
+}
+
+impl LogLink {
+    fn shared(&self) -> MutexGuard<'_, SharedLog> {
+        self.shared.lock().expect("no panic before")
+    }
+
+    fn has(&self, fault: &AtomicBool) -> bool {
+        fault.load(Ordering::Relaxed)
+    }
+
+    fn store(&self, call: &AppendCall) -> AppendOutcome {
+        let mut shared = self.shared();
+        if let Some(stamp) = &call.stamp {
+            if stamp.epoch < shared.jobs.epoch {
+                return AppendOutcome::Fenced;
+            }
+            shared.jobs.epoch = stamp.epoch;
+        }
+        let log = match call.topic {
+            LogTopic::Leadership => &mut shared.leadership,
+            _ => &mut shared.jobs,
+        };
+        if call.expected_end.is_some_and(|end| end != log.end) {
+            return AppendOutcome::EndMoved { end: log.end };
+        }
+        let offset = log.append(call.records.clone());
+        AppendOutcome::Done { offset, end: log.end }
+    }
+
+    fn peek(&self, topic: LogTopic, from: u64) -> ReadOutcome {
+        let shared = self.shared();
+        let log = match topic {
+            LogTopic::Leadership => &shared.leadership,
+            LogTopic::Jobs => &shared.jobs,
+            LogTopic::Operator | LogTopic::Workers | LogTopic::Status => {
+                return ReadOutcome::Read(LogBatch { end: from, next: from, records: Vec::new() });
+            }
+        };
+        ReadOutcome::Read(log.read(from).expect("nothing is dropped"))
+    }
+}
+
+impl JobLog for LogLink {
+    async fn append(&self, call: &AppendCall, patience: Duration) -> AppendOutcome {
+        if self.has(&self.faults.is_cut) {
+            sleep(patience).await;
+            return AppendOutcome::Unknown;
+        }
+        let outcome = self.store(call);
+        let is_done = matches!(outcome, AppendOutcome::Done { .. });
+        let is_leadership = call.topic == LogTopic::Leadership;
+        if is_leadership && is_done && self.has(&self.faults.loses_answers) {
+            self.faults.unanswered.fetch_add(1, Ordering::Relaxed);
+            sleep(patience).await;
+            return AppendOutcome::Unknown;
+        }
+        sleep(Duration::from_millis(4)).await;
+        outcome
+    }
+
+    async fn read(&self, topic: LogTopic, from: u64, wait: Duration) -> ReadOutcome {
+        let begun = Instant::now();
+        loop {
+            sleep(LOOK).await;
+            let is_lost = topic == LogTopic::Leadership && self.has(&self.faults.loses_reads);
+            if self.has(&self.faults.is_cut) || is_lost {
+                return ReadOutcome::Unknown;
+            }
+            let outcome = self.peek(topic, from);
+            let has_news =
+                !matches!(&outcome, ReadOutcome::Read(batch) if batch.records.is_empty());
+            if has_news && topic == LogTopic::Leadership && self.has(&self.faults.cuts_after_news) {
+                self.faults.is_cut.store(true, Ordering::Relaxed);
+            }
+            if has_news || begun.elapsed() >= wait {
+                return outcome;
+            }
+        }
+    }
+
+    async fn newest(&self, topic: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        sleep(LOOK).await;
+        let named = |name: &str| KeyedRecord { key: name.to_owned(), value: name.into() };
+        let records = match topic {
+            LogTopic::Workers => vec![(0, named("w0")), (1, named("w1"))],
+            _ => Vec::new(),
+        };
+        let end = records.len() as u64;
+        Some(NewestPage { records, has_more: false, end })
+    }
+}
+
+/// A worker with a slow clock that runs what it is told and never ends it.
+#[derive(Default)]
+struct SlowWorker {
+    fence: u64,
+    lease_until_ms: u64,
+    running: Option<(TaskKey, u32)>,
+}
+
+/// The two workers.
+#[derive(Clone)]
+struct TwoWorkers {
+    begun: Instant,
+    workers: Arc<Mutex<[SlowWorker; 2]>>,
+    /// The only one that the entry reaches.
+    reached: usize,
+}
+
+impl TwoWorkers {
+    fn workers(&self) -> MutexGuard<'_, [SlowWorker; 2]> {
+        self.workers.lock().expect("no panic before")
+    }
+
+    fn clock_ms(&self) -> u64 {
+        let since = u64::try_from(self.begun.elapsed().as_millis()).expect("a short scene");
+        1_000 + since * (100 - SLOW_PERCENT) / 100
+    }
+
+    fn position(target: &WorkerTarget) -> usize {
+        usize::from(&*target.id == "w1")
+    }
+
+    /// A call that reaches its worker: its clock.
+    async fn reach(&self, target: &WorkerTarget, patience: Duration) -> Option<u64> {
+        if Self::position(target) != self.reached {
+            sleep(patience).await;
+            return None;
+        }
+        sleep(Duration::from_millis(1)).await;
+        Some(self.clock_ms())
+    }
+
+    /// Takes a lease and a token; false if the token is an old one.
+    fn take(&self, position: usize, fence: u64, until_ms: u64, clock_ms: u64) -> bool {
+        let worker = &mut self.workers()[position];
+        if fence < worker.fence {
+            return false;
+        }
+        worker.fence = fence;
+        let until_ms = until_ms.min(clock_ms + bounds().lease_max_ms);
+        worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+        true
+    }
+
+    /// The run on a worker, while its lease lasts.
+    fn alive(&self, position: usize) -> Option<(TaskKey, u32)> {
+        let worker = &self.workers()[position];
+        worker.running.filter(|_| self.clock_ms() < worker.lease_until_ms)
+    }
+}
+
+impl WorkerClient for TwoWorkers {
+    async fn renew(
+        &self,
+        target: &WorkerTarget,
+        call: &RenewCall,
+        patience: Duration,
+    ) -> CommandOutcome<WorkerReport> {
+        let Some(clock_ms) = self.reach(target, patience + call.wait).await else {
+            return CommandOutcome::Unknown;
+        };
+        let position = Self::position(target);
+        if !self.take(position, call.fence, call.lease_until_ms.unwrap_or(0), clock_ms) {
+            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(clock_ms));
+        }
+        sleep(call.wait).await;
+        let clock_ms = self.clock_ms();
+        let told = self.alive(position).map(|(task, run)| RunningTask {
+            task,
+            run,
+            checkpoint: String::new(),
+            percent: 10,
+            gauge: None,
+        });
+        let running = told.into_iter().collect();
+        CommandOutcome::Done(WorkerReport { clock_ms, running, ..WorkerReport::default() })
+    }
+
+    async fn start(
+        &self,
+        target: &WorkerTarget,
+        call: &StartCall,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        let Some(clock_ms) = self.reach(target, patience).await else {
+            return CommandOutcome::Unknown;
+        };
+        let position = Self::position(target);
+        if !self.take(position, call.fence, call.lease_until_ms, clock_ms) {
+            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(clock_ms));
+        }
+        self.workers()[position].running = Some((call.task, call.run));
+        CommandOutcome::Done(clock_ms)
+    }
+
+    async fn stop(
+        &self,
+        target: &WorkerTarget,
+        _: &RunCall,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        match self.reach(target, patience).await {
+            Some(clock_ms) => CommandOutcome::Done(clock_ms),
+            None => CommandOutcome::Unknown,
+        }
+    }
+
+    async fn throttle(
+        &self,
+        target: &WorkerTarget,
+        _: &RunCall,
+        _: u32,
+        patience: Duration,
+    ) -> CommandOutcome<u64> {
+        match self.reach(target, patience).await {
+            Some(clock_ms) => CommandOutcome::Done(clock_ms),
+            None => CommandOutcome::Unknown,
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Nobody;
+
+impl VmClient for Nobody {
+    async fn list(&self) -> Option<Vec<VmEntry>> {
+        None
+    }
+
+    async fn command(&self, _: &VmCommand, _: &VmStamp, _: impl Fn() -> bool + Send) -> VmOutcome {
+        VmOutcome::Refused
+    }
+}
+
+impl PermitClient for Nobody {
+    async fn ask(&self, _: &StepKey, _: &[Arc<str>]) -> Option<PermitGrant> {
+        None
+    }
+}
+
+/// An entry that may lead, and the worker that it reaches.
+struct LeadingEntry {
+    node: Arc<JobNode>,
+    faults: Arc<LinkFaults>,
+    _leading: JoinHandle<()>,
+}
+
+impl LeadingEntry {
+    fn begin(name: &str, link: LogLink, workers: TwoWorkers) -> LeadingEntry {
+        let settings = SiteSettings { node: name.into(), ..site_settings() };
+        let logger = ibisweir::logging::silent();
+        let node = Arc::new(JobNode::new(settings, Arc::default(), logger));
+        node.set_config(config());
+        node.set_loaded();
+        let faults = link.faults.clone();
+        let parts = ConductorParts {
+            log: link,
+            workers,
+            vms: Nobody,
+            permits: Nobody,
+            worker_decoder: |record| Some(worker(&record.key, &record.key)),
+            wave_encoder: |_, _| None,
+        };
+        let mut leadership = LeadershipLoop {
+            node: node.clone(),
+            parts,
+            own: HolderId { name: name.into(), life: 1, delay_ms: 0 },
+            view: LeadershipView::default(),
+            conductor: None,
+            is_in_doubt: false,
+            patience: PatienceGauge::new(APPEND_PATIENCE),
+            pending: None,
+        };
+        let _leading = tokio::spawn(async move {
+            loop {
+                let pause = leadership.step().await;
+                sleep(pause.max(Duration::from_millis(1))).await;
+            }
+        });
+        LeadingEntry { node, faults, _leading }
+    }
+
+    fn leads(&self) -> bool {
+        self.node.with_scheduler(|_| ()).is_some()
+    }
+
+    /// Whether its leadership was confirmed just now.
+    fn is_sure(&self) -> bool {
+        let now = self.node.now();
+        self.node.with_scheduler(|scheduler| scheduler.may_command_vms(now)).unwrap_or(false)
+    }
+
+    fn set(&self, fault: impl Fn(&LinkFaults) -> &AtomicBool, holds: bool) {
+        fault(&self.faults).store(holds, Ordering::Relaxed);
+    }
+
+    fn has(&self, fault: impl Fn(&LinkFaults) -> &AtomicBool) -> bool {
+        fault(&self.faults).load(Ordering::Relaxed)
+    }
+}
+
+/// Two entries and a task that runs where only the first reaches it.
+struct Scene {
+    workers: TwoWorkers,
+    old: LeadingEntry,
+    new: LeadingEntry,
+}
+
+impl Scene {
+    async fn open() -> Scene {
+        let shared = Arc::<Mutex<SharedLog>>::default();
+        let long = StepSpec { estimate_ms: 60_000, ..step(1) };
+        let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![long]))));
+        let record = record.encode().expect("a record");
+        shared.lock().expect("no panic before").jobs.append(vec![record]);
+        let workers = TwoWorkers { begun: Instant::now(), workers: Arc::default(), reached: 0 };
+        let link = || LogLink { shared: shared.clone(), ..LogLink::default() };
+        let old = LeadingEntry::begin("front-1", link(), workers.clone());
+        wait_for("the task to run", || workers.alive(0).is_some()).await;
+        sleep(Duration::from_secs(1)).await;
+        let reached = TwoWorkers { reached: 1, ..workers.clone() };
+        let new = LeadingEntry::begin("front-2", link(), reached);
+        sleep(Duration::from_secs(1)).await;
+        assert!(old.is_sure() && !new.leads());
+        Scene { workers, old, new }
+    }
+
+    /// A renewal of the old leader is stored, and its answer lost; it can't read the stream before the time is over,
+    /// and is cut off for good as soon as it has.
+    async fn find_renewal_after(&self, time: Duration, is_away_for_all: bool) {
+        self.old.set(|faults| &faults.loses_answers, true);
+        self.old.set(|faults| &faults.loses_reads, true);
+        self.old.set(|faults| &faults.cuts_after_news, true);
+        let unanswered = || self.old.faults.unanswered.load(Ordering::Relaxed);
+        wait_for("a renewal", || unanswered() == 1).await;
+        let stored = Instant::now();
+        sleep(Duration::from_millis(50)).await;
+        self.new.set(|faults| &faults.is_cut, is_away_for_all);
+        sleep(time - stored.elapsed()).await;
+        assert!(!self.old.is_sure());
+        self.new.set(|faults| &faults.is_cut, false);
+        self.old.set(|faults| &faults.loses_reads, false);
+        wait_for("the renewal to be read", || self.old.has(|faults| &faults.is_cut)).await;
+        assert_eq!(unanswered(), 1, "no other renewal is stored");
+    }
+
+    /// How long two runs of the task were alive at the same time.
+    async fn doubled(&self) -> Duration {
+        wait_for("a second run", || self.workers.alive(1).is_some()).await;
+        let begun = Instant::now();
+        wait_for("the first run to end", || self.workers.alive(0).is_none()).await;
+        begun.elapsed()
+    }
+}
+
+async fn wait_for(what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < SCENE, "waited in vain for {what}");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against a leader that counts a renewal without an answer from a later try, so that it extends leases for
+/// longer than its successor waits.
+#[tokio::test(start_paused = true)]
+async fn a_renewal_that_is_found_late_counts_from_when_it_was_sent() {
+    let scene = Scene::open().await;
+    scene.find_renewal_after(Duration::from_millis(1_250), false).await;
+    assert_eq!(scene.doubled().await, Duration::ZERO);
+}
+
+/// Guards against the same where the log was away for both entries meanwhile: the successor claims by a renewal that
+/// it read before.
+#[tokio::test(start_paused = true)]
+async fn a_renewal_that_is_found_after_an_outage_counts_from_when_it_was_sent() {
+    let scene = Scene::open().await;
+    scene.find_renewal_after(Duration::from_secs(4), true).await;
+    assert_eq!(scene.doubled().await, Duration::ZERO);
+}
