A leader that has missed records of the leadership stream leads no longer

What callers would see: two leaders at a time, after one was away from the log for longer than its history. The one that comes back extends leases, and sends starts that were on the log before, on workers that its successor can't reach; those tasks run elsewhere by then. Or a follower claims at once beside a leader that renews, as it has read the resignation of the one before and not the claim between.

Cause: an expired read moved the end and left the holder as it was. To the old leader the end had moved and it still led, so it confirmed itself; where the successor's claim is forgotten only renewals are left to read, and a renewal of another holder did not change who leads.

Evidence: of two entries over one log the first was cut off until the second led and the history was cut; the first then took itself for confirmed. Before, a_leader_that_has_missed_records_does_not_lead_on fails, and so does the test of the view where an expired read moves the end only.

Why it works: after an expired read nobody is known to lead until the next record tells. The old leader steps down, others wait for the silence as for any leader. It costs a claim where a renewal's answer is lost and the history dropped before it is read.

--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -146,7 +146,7 @@
                 self.unanswered_ms = None;
             }
             LeadershipAct::Renew => {
-                // A reader that starts behind the claim still learns who leads.
+                // A reader that has missed the claim still learns who leads.
                 if self.holder.is_none() {
                     self.holder = Some((record.holder.clone(), record.life));
                 }
@@ -175,6 +175,16 @@
         self.unanswered_ms.take()
     }
 
+    /// The records before `first` were dropped before they were read: a claim may be among them, so nobody is known to
+    /// lead until the next record.
+    pub fn missed(&mut self, first: u64, now: u64) {
+        self.end = self.end.max(first);
+        self.seen_ms = Some(now);
+        self.holder = None;
+        self.has_resigned = false;
+        self.unanswered_ms = None;
+    }
+
     /// The stream was read to its end.
     pub fn reached(&mut self, end: u64, now: u64) {
         self.end = self.end.max(end);
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -140,8 +140,7 @@
                 true
             }
             ReadOutcome::Expired { first } => {
-                self.view.end = self.view.end.max(first);
-                self.view.seen_ms = Some(now);
+                self.view.missed(first, now);
                 true
             }
             ReadOutcome::Refused | ReadOutcome::Unknown => {
--- a/tests/two_leaders.rs
+++ b/tests/two_leaders.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use ibisweir::control::ControlLoop;
-use ibisweir::decide::leadership::{HolderId, LeadershipView};
+use ibisweir::decide::leadership::{
+    HolderId, LeadershipAct, LeadershipRecord, LeadershipView, SILENCE_MS,
+};
+use ibisweir::decide::replica::ReplicaList;
 use ibisweir::jobs::conductor::ConductorParts;
 use ibisweir::jobs::leadership::{APPEND_PATIENCE, LeadershipLoop};
 use ibisweir::jobs::model::{StepKey, StepSpec, TaskKey};
@@ -37,6 +40,8 @@
 struct SharedLog {
     jobs: SiteLog,
     leadership: SiteLog,
+    /// Leadership records before this offset are forgotten.
+    first: u64,
 }
 
 /// What happens to an entry's calls to the log.
@@ -92,6 +97,9 @@
     fn peek(&self, topic: LogTopic, from: u64) -> ReadOutcome {
         let shared = self.shared();
         let log = match topic {
+            LogTopic::Leadership if from < shared.first => {
+                return ReadOutcome::Expired { first: shared.first };
+            }
             LogTopic::Leadership => &shared.leadership,
             LogTopic::Jobs => &shared.jobs,
             LogTopic::Operator | LogTopic::Workers | LogTopic::Status => {
@@ -364,6 +372,7 @@
 
 /// Two entries and a task that runs where only the first reaches it.
 struct Scene {
+    shared: Arc<Mutex<SharedLog>>,
     workers: TwoWorkers,
     old: LeadingEntry,
     new: LeadingEntry,
@@ -385,7 +394,7 @@
         let new = LeadingEntry::begin("front-2", link(), reached);
         sleep(Duration::from_secs(1)).await;
         assert!(old.is_sure() && !new.leads());
-        Scene { workers, old, new }
+        Scene { shared, workers, old, new }
     }
 
     /// A renewal of the old leader is stored, and its answer lost; it can't read the stream before the time is over,
@@ -441,3 +450,45 @@
     scene.find_renewal_after(Duration::from_secs(4), true).await;
     assert_eq!(scene.doubled().await, Duration::ZERO);
 }
+
+/// Guards against a leader that takes itself for confirmed by a stream from which a later claim has gone.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_has_missed_records_does_not_lead_on() {
+    let scene = Scene::open().await;
+    scene.old.set(|faults| &faults.is_cut, true);
+    wait_for("a successor", || scene.new.is_sure()).await;
+    sleep(Duration::from_secs(1)).await;
+    {
+        let mut shared = scene.shared.lock().expect("no panic before");
+        shared.first = shared.leadership.end;
+    }
+    scene.old.set(|faults| &faults.is_cut, false);
+    for _ in 0..2_000 {
+        sleep(Duration::from_millis(1)).await;
+        assert!(!scene.old.is_sure(), "two leaders");
+    }
+    assert!(!scene.old.leads() && scene.new.is_sure());
+}
+
+/// Guards against an entry that takes a leader for resigned, and claims beside the one that renews, as it has not read
+/// the claim between.
+#[test]
+fn a_renewal_tells_who_leads_where_the_claim_was_not_read() {
+    let record = |act, name: &str| LeadershipRecord {
+        act,
+        holder: name.into(),
+        life: 1,
+        address: "127.0.0.1:7000".parse().expect("an address"),
+        replicas: ReplicaList::default(),
+        append_ms: 0,
+    };
+    let mut view = LeadershipView::default();
+    view.fold(4, &record(LeadershipAct::Claim, "a"), 1_000);
+    view.fold(5, &record(LeadershipAct::Resign, "a"), 1_100);
+    view.missed(40, 30_000);
+    view.reached(40, 30_000);
+    view.fold(40, &record(LeadershipAct::Renew, "b"), 30_100);
+    let own = |name: &str| HolderId { name: name.into(), life: 1, delay_ms: 0 };
+    assert!(view.is_held_by(&own("b")) && !view.is_held_by(&own("a")));
+    assert_eq!(view.claim_in_ms(&own("c"), false, 30_100), Some(SILENCE_MS));
+}
