A renewal that is carried out late lasts no longer than a successor waits

What callers would see: one task runs in two places. A worker that was idle for long gets a task and, late, the renewal that goes with it; its leader is lost, its successor can't reach it, waits out the longest lease and starts the task elsewhere while the first run has a lease.

Cause: the end of a lease was reckoned by a clock that keeps time. An idle worker's clock was last heard when it became idle, and may be 2% slow: after 90 s the end lay 7.6 s ahead on it. A worker shortens that to the longest lease, but counts from when the call arrives, and calls are carried out seconds late. The wait of a successor, the longest lease on a slow clock, counts from the sending.

Why it works: the end is never further ahead than the longest lease from the least that the clock can show, so its time by ours is bounded from the sending, whenever the call arrives. Samples up to 10 s old give the same ends as before.

--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -8,6 +8,7 @@
 use crate::jobs::model::{JobId, ResourceVector, TaskKey};
 use crate::jobs::ports::WorkerTarget;
 use crate::jobs::site::WorkerEntry;
+use crate::scheduler::LEASE_SLACK_MS;
 use crate::scheduler::exits::ANSWER_AGE_MAX_MS;
 use crate::scheduler::losses::PROOF_MS;
 
@@ -45,9 +46,11 @@
         self.received_ms + length + LEASE_MARGIN_MS
     }
 
-    /// End of a lease that lasts `lease_ms` from now.
+    /// End of a lease that lasts `lease_ms` from now. A clock that is slow has come less far since the sample, and
+    /// would hold the lease for longer than the longest one from the arrival of the call, however late that is.
     fn lease_end(self, lease_ms: u64, now: u64) -> u64 {
-        self.worker_ms + now.saturating_sub(self.received_ms) + lease_ms
+        let usual_ms = self.worker_ms + now.saturating_sub(self.received_ms) + lease_ms;
+        usual_ms.min(self.least_at(now) + lease_ms + LEASE_SLACK_MS)
     }
 }
 
--- a/tests/two_leaders.rs
+++ b/tests/two_leaders.rs
@@ -32,6 +32,8 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// Longest time of the scene.
 const SCENE: Duration = Duration::from_secs(40);
+/// Time after which a renewal that is carried out late is.
+const LATE: Duration = Duration::from_millis(2_500);
 /// Rate by which the clocks of workers are slow, in percent: as much as they may be.
 const SLOW_PERCENT: u64 = 2;
 
@@ -49,6 +51,8 @@
 struct LinkFaults {
     /// Leadership appends are stored and their answers lost.
     loses_answers: AtomicBool,
+    /// Leadership appends get nowhere.
+    loses_appends: AtomicBool,
     /// Leadership can't be read.
     loses_reads: AtomicBool,
     /// No call gets there.
@@ -112,13 +116,14 @@
 
 impl JobLog for LogLink {
     async fn append(&self, call: &AppendCall, patience: Duration) -> AppendOutcome {
-        if self.has(&self.faults.is_cut) {
+        let is_leadership = call.topic == LogTopic::Leadership;
+        let is_lost = is_leadership && self.has(&self.faults.loses_appends);
+        if self.has(&self.faults.is_cut) || is_lost {
             sleep(patience).await;
             return AppendOutcome::Unknown;
         }
         let outcome = self.store(call);
         let is_done = matches!(outcome, AppendOutcome::Done { .. });
-        let is_leadership = call.topic == LogTopic::Leadership;
         if is_leadership && is_done && self.has(&self.faults.loses_answers) {
             self.faults.unanswered.fetch_add(1, Ordering::Relaxed);
             sleep(patience).await;
@@ -175,6 +180,8 @@
     workers: Arc<Mutex<[SlowWorker; 2]>>,
     /// The only one that the entry reaches.
     reached: usize,
+    /// Whether renewals that give a lease are carried out late and not answered.
+    delays_renewals: Arc<AtomicBool>,
 }
 
 impl TwoWorkers {
@@ -231,6 +238,16 @@
             return CommandOutcome::Unknown;
         };
         let position = Self::position(target);
+        if self.delays_renewals.load(Ordering::Relaxed) && call.lease_until_ms.is_some() {
+            let (late, call) = (self.clone(), *call);
+            tokio::spawn(async move {
+                sleep(LATE).await;
+                let until_ms = call.lease_until_ms.unwrap_or(0);
+                late.take(position, call.fence, until_ms, late.clock_ms());
+            });
+            sleep(patience + call.wait).await;
+            return CommandOutcome::Unknown;
+        }
         if !self.take(position, call.fence, call.lease_until_ms.unwrap_or(0), clock_ms) {
             return CommandOutcome::Refused(CommandRefusal::Fenced, Some(clock_ms));
         }
@@ -379,24 +396,39 @@
 }
 
 impl Scene {
-    async fn open() -> Scene {
+    /// Two entries, the first of which leads, and no task.
+    async fn idle() -> Scene {
         let shared = Arc::<Mutex<SharedLog>>::default();
-        let long = StepSpec { estimate_ms: 60_000, ..step(1) };
-        let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![long]))));
-        let record = record.encode().expect("a record");
-        shared.lock().expect("no panic before").jobs.append(vec![record]);
-        let workers = TwoWorkers { begun: Instant::now(), workers: Arc::default(), reached: 0 };
+        let delays_renewals = Arc::default();
+        let begun = Instant::now();
+        let workers = TwoWorkers { begun, workers: Arc::default(), reached: 0, delays_renewals };
         let link = || LogLink { shared: shared.clone(), ..LogLink::default() };
         let old = LeadingEntry::begin("front-1", link(), workers.clone());
-        wait_for("the task to run", || workers.alive(0).is_some()).await;
-        sleep(Duration::from_secs(1)).await;
+        wait_for("a leader", || old.leads()).await;
         let reached = TwoWorkers { reached: 1, ..workers.clone() };
         let new = LeadingEntry::begin("front-2", link(), reached);
         sleep(Duration::from_secs(1)).await;
-        assert!(old.is_sure() && !new.leads());
         Scene { shared, workers, old, new }
     }
 
+    async fn open() -> Scene {
+        let scene = Scene::idle().await;
+        scene.submit().await;
+        sleep(Duration::from_secs(1)).await;
+        assert!(scene.old.is_sure() && !scene.new.leads());
+        scene
+    }
+
+    /// Hands a long task to the first entry, which starts it.
+    async fn submit(&self) {
+        let long = StepSpec { estimate_ms: 60_000, ..step(1) };
+        let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![long]))));
+        self.old.node.jobs_shown(self.old.node.now());
+        // It is stored when the task runs.
+        let _ = self.old.node.relay(vec![record]);
+        wait_for("the task to run", || self.workers.alive(0).is_some()).await;
+    }
+
     /// A renewal of the old leader is stored, and its answer lost; it can't read the stream before the time is over,
     /// and is cut off for good as soon as it has.
     async fn find_renewal_after(&self, time: Duration, is_away_for_all: bool) {
@@ -492,3 +524,16 @@
     assert!(view.is_held_by(&own("b")) && !view.is_held_by(&own("a")));
     assert_eq!(view.claim_in_ms(&own("c"), false, 30_100), Some(SILENCE_MS));
 }
+
+/// Guards against a lease that a worker with a slow clock, which was idle for long, takes late and holds for longer than
+/// a successor waits.
+#[tokio::test(start_paused = true)]
+async fn a_late_renewal_of_a_worker_that_was_idle_outlives_no_successors_wait() {
+    let scene = Scene::idle().await;
+    sleep(Duration::from_secs(90)).await;
+    scene.workers.delays_renewals.store(true, Ordering::Relaxed);
+    scene.old.set(|faults| &faults.loses_appends, true);
+    sleep(Duration::from_millis(1_100)).await;
+    scene.submit().await;
+    assert_eq!(scene.doubled().await, Duration::ZERO);
+}
