A model of tries of a start that overlap, late calls, and changes of leaders

Cause for it: the models so far give each start its outcome before the next try is sent, and have one leader at a time; so they could not show a refusal that arrives while another try is under way, nor leases that an old leader extends where its successor can't. Drawn: lanes, executors, tries that are not sent, calls carried out up to 4 s late, lost and overtaking answers, refusals for want of room and by unhealthy workers, links of each leader to each worker, leaders that are killed or lose the log and work on, next lives, entries and VM lists, clocks 2% slow.

--- /dev/null
+++ b/tests/second_runs_model.rs
@@ -0,0 +1,834 @@
+//! Orders of events in which a task could run in two places: tries of a start that overlap, refusals, late calls,
+//! answers that overtake each other, and changes of leaders while both leaders are at work.
+//!
+//! Checked: no task has two runs alive at a time. A worker's next life gets nothing that was sent to the one before.
+//! `IBISWEIR_TEST_SEED` and `IBISWEIR_TEST_RUNS` draw other and more histories.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use ibisweir::decide::leadership::{LeaderTrace, PredecessorEnd, RENEWAL_MS, SILENCE_MS};
+use ibisweir::jobs::book::JobBook;
+use ibisweir::jobs::model::{ExitKind, TaskKey};
+use ibisweir::jobs::ports::{
+    CommandOutcome, CommandRefusal, RenewCall, RunCall, RunningTask, StartCall, TaskExit,
+    WorkerReport,
+};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::{SiteConfig, VmEntry, WorkerEntry, life_id, life_name};
+use ibisweir::scheduler::commit::CommitBatch;
+use ibisweir::scheduler::exits::RenewPlan;
+use ibisweir::scheduler::runs::RunCommand;
+use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::stage::{
+    POOL, WALL_OFFSET_MS, bounds, config, job, job_id, service_step, step, submission, task, vm,
+    worker,
+};
+
+/// Histories in CI.
+const RUNS: u64 = 60;
+/// Length of a history, in milliseconds.
+const HISTORY_MS: u64 = 30_000;
+/// Time between two turns of a leader, in milliseconds.
+const TURN_MS: u64 = 10;
+const WORKERS: usize = 4;
+const JOBS: u64 = 40;
+/// Start of the model's time.
+const BEGIN_MS: u64 = 100_000;
+/// Longest time that a call is on its way before it is carried out, in milliseconds.
+const LATE_MS: u64 = 4_000;
+/// Longest time that a start is on its way where it waits in an executor, in milliseconds.
+const START_LATE_MS: u64 = 2_000;
+/// Time for a start to be answered, sent by the leader and through an executor, in milliseconds.
+const PATIENCE_MS: [u64; 3] = [450, 900, 900];
+/// Time after which a leader gives a stop up, in milliseconds.
+const STOP_PATIENCE_MS: u64 = 1_500;
+/// Time for which an answer to a renewal is read on, in milliseconds.
+const READ_ON_MS: u64 = 4_000;
+
+/// A life of a worker.
+struct ModelWorker {
+    entry: WorkerEntry,
+    born_ms: u64,
+    slow_percent: u64,
+    fence: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<TaskKey, u32>,
+    /// Highest run that has ended or was stopped.
+    closed: BTreeMap<TaskKey, u32>,
+    exits: Vec<TaskExit>,
+    next_exit: u64,
+    is_full: bool,
+    is_unwell: bool,
+    is_listed: bool,
+}
+
+impl ModelWorker {
+    fn begin(entry: WorkerEntry, slow_percent: u64, born_ms: u64) -> ModelWorker {
+        ModelWorker {
+            entry,
+            born_ms,
+            slow_percent,
+            fence: 0,
+            lease_until_ms: 0,
+            running: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            exits: Vec::new(),
+            next_exit: 0,
+            is_full: false,
+            is_unwell: false,
+            is_listed: true,
+        }
+    }
+
+    fn clock_ms(&self, now: u64) -> u64 {
+        1_000 + (now - self.born_ms) * (100 - self.slow_percent) / 100
+    }
+
+    fn take_lease(&mut self, until_ms: u64, now: u64) {
+        let until_ms = until_ms.min(self.clock_ms(now) + bounds().lease_max_ms);
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+    }
+
+    fn end(&mut self, task: TaskKey, kind: ExitKind) {
+        let Some(run) = self.running.remove(&task) else { return };
+        self.close(task, run);
+        self.next_exit += 1;
+        let number = self.next_exit;
+        self.exits.push(TaskExit { number, task, run, kind, checkpoint: String::new() });
+    }
+
+    fn close(&mut self, task: TaskKey, run: u32) {
+        let closed = self.closed.entry(task).or_default();
+        *closed = run.max(*closed);
+    }
+
+    fn expire(&mut self, now: u64) {
+        if self.clock_ms(now) < self.lease_until_ms {
+            return;
+        }
+        for task in self.running.keys().copied().collect::<Vec<_>>() {
+            self.end(task, ExitKind::Lapsed);
+        }
+    }
+
+    fn start(&mut self, call: &StartCall, now: u64) -> CommandOutcome<u64> {
+        self.expire(now);
+        let clock_ms = self.clock_ms(now);
+        let refuse = |refusal| CommandOutcome::Refused(refusal, Some(clock_ms));
+        if call.fence < self.fence {
+            return refuse(CommandRefusal::Fenced);
+        }
+        if self.is_unwell {
+            return CommandOutcome::Refused(CommandRefusal::Unhealthy, None);
+        }
+        self.fence = call.fence;
+        if call.lease_until_ms <= clock_ms {
+            return refuse(CommandRefusal::LateLease);
+        }
+        self.take_lease(call.lease_until_ms, now);
+        if self.running.get(&call.task) == Some(&call.run) {
+            return CommandOutcome::Done(clock_ms);
+        }
+        if self.closed.get(&call.task).is_some_and(|closed| *closed >= call.run) {
+            return refuse(CommandRefusal::OldRun);
+        }
+        if self.is_full {
+            return refuse(CommandRefusal::NoRoom);
+        }
+        self.running.insert(call.task, call.run);
+        CommandOutcome::Done(clock_ms)
+    }
+
+    fn stop(&mut self, call: &RunCall, now: u64) -> CommandOutcome<u64> {
+        let clock_ms = self.clock_ms(now);
+        if call.fence < self.fence {
+            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(clock_ms));
+        }
+        self.fence = call.fence;
+        if self.running.get(&call.task) == Some(&call.run) {
+            self.end(call.task, ExitKind::Stopped);
+        }
+        self.close(call.task, call.run);
+        CommandOutcome::Done(clock_ms)
+    }
+
+    fn renew(&mut self, call: &RenewCall, now: u64) -> CommandOutcome<WorkerReport> {
+        self.expire(now);
+        let clock_ms = self.clock_ms(now);
+        if call.fence < self.fence {
+            return CommandOutcome::Refused(CommandRefusal::Fenced, Some(clock_ms));
+        }
+        self.fence = call.fence;
+        self.take_lease(call.lease_until_ms.unwrap_or(0), now);
+        self.exits.retain(|exit| exit.number > call.exits_through);
+        let running = self.running.iter().map(|(task, run)| RunningTask {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 50,
+            gauge: None,
+        });
+        CommandOutcome::Done(WorkerReport {
+            clock_ms,
+            born_ms: Some(self.born_ms),
+            running: running.collect(),
+            exits: self.exits.clone(),
+        })
+    }
+}
+
+/// An entry that leads, or takes itself for the leader.
+struct ModelLeader {
+    scheduler: Scheduler,
+    term: u64,
+    reaches_log: bool,
+    /// Workers that it can't reach, by name.
+    cut: BTreeSet<Arc<str>>,
+    watched: BTreeSet<Arc<str>>,
+    renewing: BTreeSet<Arc<str>>,
+    is_committing: bool,
+    /// When its next renewal of the leadership is due.
+    renew_ms: u64,
+}
+
+/// What comes later.
+enum ModelEvent {
+    Turn,
+    Draw,
+    /// The next command of a run is sent.
+    Send(u64, Arc<str>, TaskKey, u32),
+    StartArrives(u64, Arc<str>, StartCall, Option<u64>),
+    StartTold(u64, Arc<str>, TaskKey, u32, CommandOutcome<u64>),
+    NotSent(u64, TaskKey, u32),
+    StopArrives(u64, Arc<str>, RunCall, Option<u64>),
+    StopTold(u64, Arc<str>, RunCall, CommandOutcome<u64>),
+    RenewArrives(u64, Arc<str>, RenewCall, u64, Option<u64>),
+    RenewTold(u64, Arc<str>, RenewCall, u64, CommandOutcome<WorkerReport>),
+    ToldLate(u64, Arc<str>, RenewCall, u64, WorkerReport),
+    Commit(u64, CommitBatch),
+    Claim(u64),
+    TakeOver(u64, u64),
+    Seen(WorkerEntry),
+    Unlisted(Arc<str>),
+}
+
+struct Model {
+    random: StdRng,
+    now: u64,
+    events: BTreeMap<(u64, u64), ModelEvent>,
+    next_event: u64,
+    leaders: Vec<ModelLeader>,
+    book: JobBook,
+    end: u64,
+    /// Highest term that has written to the job log.
+    epoch: u64,
+    /// Newest claim, and when the leadership stream last grew.
+    claimed: u64,
+    renewed_ms: u64,
+    workers: Vec<ModelWorker>,
+    keys: Vec<TaskKey>,
+    jobs: u64,
+    births: u64,
+    starts: usize,
+    told: Vec<(u64, String)>,
+    fault: Option<String>,
+}
+
+fn one_pool() -> SiteConfig {
+    let mut config = config();
+    config.pools.retain(|pool| !pool.is_standby);
+    config
+}
+
+impl Model {
+    fn open(seed: u64) -> Model {
+        let mut random = StdRng::seed_from_u64(seed);
+        let workers = (0..WORKERS).map(|number| {
+            let born_ms = BEGIN_MS - 1_000 - number as u64;
+            let entry = worker(&format!("w{number}"), &format!("r{number}"));
+            let entry = WorkerEntry { id: life_id(&entry.id, Some(born_ms)), ..entry };
+            ModelWorker::begin(entry, random.random_range(0..3), born_ms)
+        });
+        let workers = workers.collect();
+        let mut model = Model {
+            random,
+            now: BEGIN_MS,
+            events: BTreeMap::new(),
+            next_event: 0,
+            leaders: Vec::new(),
+            book: JobBook::default(),
+            end: 0,
+            epoch: 0,
+            claimed: 0,
+            renewed_ms: 0,
+            workers,
+            keys: Vec::new(),
+            jobs: 0,
+            births: 0,
+            starts: 0,
+            told: Vec::new(),
+            fault: None,
+        };
+        model.later(0, ModelEvent::Claim(1));
+        model.later(0, ModelEvent::Turn);
+        model.later(100, ModelEvent::Draw);
+        model
+    }
+
+    fn run(&mut self) {
+        while let Some(((at_ms, _), event)) = self.events.pop_first() {
+            if at_ms > BEGIN_MS + HISTORY_MS || self.fault.is_some() {
+                return;
+            }
+            self.now = at_ms;
+            self.take(event);
+        }
+    }
+
+    fn later(&mut self, ms: u64, event: ModelEvent) {
+        self.next_event += 1;
+        self.events.insert((self.now + ms, self.next_event), event);
+    }
+
+    fn tell(&mut self, what: String) {
+        self.told.push((self.now - BEGIN_MS, what));
+    }
+
+    fn happens(&mut self, one_in: u32) -> bool {
+        self.random.random_range(0..one_in) == 0
+    }
+
+    fn leader(&mut self, term: u64) -> Option<&mut ModelLeader> {
+        self.leaders.iter_mut().find(|leader| leader.term == term)
+    }
+
+    fn with<R>(&mut self, term: u64, edit: impl FnOnce(&mut Scheduler, u64) -> R) -> Option<R> {
+        let now = self.now;
+        self.leader(term).map(|leader| edit(&mut leader.scheduler, now))
+    }
+
+    fn reaches(&mut self, term: u64, id: &str) -> bool {
+        let name: Arc<str> = life_name(id).into();
+        self.leader(term).is_some_and(|leader| !leader.cut.contains(&name))
+    }
+
+    fn worker(&mut self, id: &str) -> Option<&mut ModelWorker> {
+        self.workers.iter_mut().find(|worker| *worker.entry.id == *id)
+    }
+
+    /// How long a call takes to its worker, and its answer back; nothing for one that is lost.
+    fn ways(&mut self) -> (Option<u64>, Option<u64>) {
+        let way = match self.random.random_range(0..20) {
+            0 => None,
+            1..4 => Some(self.random.random_range(0..LATE_MS)),
+            4..10 => Some(self.random.random_range(0..800)),
+            _ => Some(self.random.random_range(0..8)),
+        };
+        let back = match self.random.random_range(0..12) {
+            0 => None,
+            1..4 => Some(self.random.random_range(0..900)),
+            _ => Some(self.random.random_range(0..8)),
+        };
+        (way, back)
+    }
+
+    fn take(&mut self, event: ModelEvent) {
+        match event {
+            ModelEvent::Turn => self.turn(),
+            ModelEvent::Draw => self.draw(),
+            ModelEvent::Send(term, id, key, run) => self.send(term, &id, key, run),
+            ModelEvent::StartArrives(term, id, call, back) => {
+                self.start_arrives(term, id, &call, back);
+            }
+            ModelEvent::StartTold(term, id, key, run, outcome) => {
+                self.tell(format!("{term} hears of {key}/{run} on {id}: {outcome:?}"));
+                self.with(term, |scheduler, now| scheduler.started(&id, &key, run, &outcome, now));
+            }
+            ModelEvent::NotSent(term, key, run) => {
+                self.tell(format!("{term} hears that {key}/{run} was not sent"));
+                self.with(term, |scheduler, now| scheduler.start_not_sent(&key, run, now));
+            }
+            ModelEvent::StopArrives(term, id, call, back) => {
+                let now = self.now;
+                let Some(worker) = self.worker(&id) else { return };
+                let outcome = worker.stop(&call, now);
+                self.tell(format!("stop of {}/{} at {id}: {outcome:?}", call.task, call.run));
+                if let Some(ms) = back {
+                    self.later(ms, ModelEvent::StopTold(term, id, call, outcome));
+                }
+            }
+            ModelEvent::StopTold(term, id, call, outcome) => {
+                self.with(term, |scheduler, now| {
+                    scheduler.stopped(&id, &call.task, call.run, &outcome, now);
+                });
+            }
+            ModelEvent::RenewArrives(term, id, call, sent_ms, back) => {
+                self.renew_arrives(term, id, call, sent_ms, back);
+            }
+            ModelEvent::RenewTold(term, id, call, sent_ms, outcome) => {
+                self.with(term, |scheduler, now| {
+                    scheduler.renewed(&id, &call, outcome, sent_ms, now);
+                });
+                if let Some(leader) = self.leader(term) {
+                    leader.renewing.remove(&id);
+                }
+            }
+            ModelEvent::ToldLate(term, id, call, sent_ms, report) => {
+                self.with(term, |scheduler, now| {
+                    scheduler.answered_late(&id, &call, report, sent_ms, now);
+                });
+            }
+            ModelEvent::Commit(term, batch) => self.commit(term, batch),
+            ModelEvent::Claim(term) => self.claim(term),
+            ModelEvent::TakeOver(term, seen_ms) => self.take_over(term, seen_ms),
+            ModelEvent::Seen(entry) => {
+                for leader in &mut self.leaders {
+                    leader.scheduler.worker_seen(entry.clone(), self.now);
+                }
+            }
+            ModelEvent::Unlisted(name) => {
+                for leader in &mut self.leaders {
+                    leader.scheduler.worker_unlisted(&name, self.now);
+                }
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        for worker in &mut self.workers {
+            worker.expire(self.now);
+        }
+        for term in self.leaders.iter().map(|leader| leader.term).collect::<Vec<_>>() {
+            self.turn_of(term);
+        }
+        self.leaders.retain(|leader| !leader.scheduler.is_deposed());
+        self.later(TURN_MS, ModelEvent::Turn);
+    }
+
+    fn turn_of(&mut self, term: u64) {
+        let (now, claimed) = (self.now, self.claimed);
+        let Some(leader) = self.leader(term) else { return };
+        if leader.reaches_log {
+            if claimed > term {
+                leader.scheduler.depose();
+                return;
+            }
+            leader.scheduler.rooms_read(now);
+            leader.scheduler.jobs_read(now);
+            if now >= leader.renew_ms {
+                leader.renew_ms = now + RENEWAL_MS;
+                leader.scheduler.confirm(now);
+                self.renewed_ms = now;
+            }
+        }
+        let Some(actions) = self.with(term, |scheduler, now| {
+            scheduler.tick(now, WALL_OFFSET_MS + now);
+            scheduler.take_actions()
+        }) else {
+            return;
+        };
+        for action in actions {
+            match action {
+                SchedulerAction::Send(target, key, run) => {
+                    let lane_ms = if self.happens(8) { 700 } else { 20 };
+                    let ms = self.random.random_range(0..lane_ms);
+                    self.later(ms, ModelEvent::Send(term, target.id, key, run));
+                }
+                SchedulerAction::Stop(target, call) => self.send_stop(term, &target.id, call),
+                SchedulerAction::Watch(target) => {
+                    if let Some(leader) = self.leader(term) {
+                        leader.watched.insert(target.id);
+                    }
+                }
+                SchedulerAction::Throttle(_, call, _) => {
+                    self.with(term, |scheduler, _| scheduler.throttled(&call, true));
+                }
+                SchedulerAction::Note(_)
+                | SchedulerAction::Wake(_)
+                | SchedulerAction::Forget(_)
+                | SchedulerAction::ListVms
+                | SchedulerAction::CommandVm(..)
+                | SchedulerAction::TellWave(..)
+                | SchedulerAction::AskPermits(..) => {}
+            }
+        }
+        self.take_batch(term);
+        let Some(leader) = self.leader(term) else { return };
+        let idle = leader.watched.difference(&leader.renewing).cloned().collect::<Vec<_>>();
+        for id in idle {
+            self.renew(term, id);
+        }
+    }
+
+    fn take_batch(&mut self, term: u64) {
+        if self.leader(term).is_none_or(|leader| leader.is_committing) {
+            return;
+        }
+        let Some(batch) = self.with(term, |scheduler, _| scheduler.take_commit()).flatten() else {
+            return;
+        };
+        if let Some(leader) = self.leader(term) {
+            leader.is_committing = true;
+        }
+        let ms = self.random.random_range(4..30);
+        self.later(ms, ModelEvent::Commit(term, batch));
+    }
+
+    fn commit(&mut self, term: u64, batch: CommitBatch) {
+        let epoch = self.epoch;
+        let Some(leader) = self.leader(term) else { return };
+        if !leader.reaches_log {
+            self.later(40, ModelEvent::Commit(term, batch));
+            return;
+        }
+        if epoch > term {
+            leader.scheduler.depose();
+            return;
+        }
+        leader.is_committing = false;
+        for record in &batch.folded {
+            self.book.fold(record, self.end);
+            self.end += 1;
+        }
+        self.with(term, |scheduler, now| scheduler.committed(&batch, now));
+    }
+
+    fn send(&mut self, term: u64, id: &Arc<str>, key: TaskKey, run: u32) {
+        let command = self.with(term, |scheduler, now| scheduler.command(&key, run, now));
+        match command.flatten() {
+            Some(RunCommand::Start(call)) => self.send_start(term, id, call),
+            Some(RunCommand::Stop(call)) => self.send_stop(term, id, call),
+            None => {}
+        }
+    }
+
+    fn send_start(&mut self, term: u64, id: &Arc<str>, call: StartCall) {
+        let (key, run) = (call.task, call.run);
+        if self.happens(20) {
+            let ms = self.random.random_range(1..1_000);
+            self.later(ms, ModelEvent::NotSent(term, key, run));
+            return;
+        }
+        let patience_ms = PATIENCE_MS[self.random.random_range(0..PATIENCE_MS.len())];
+        let (way, back) = self.ways();
+        let way = match self.happens(3) {
+            true => Some(self.random.random_range(300..START_LATE_MS)),
+            false => way,
+        };
+        let way = way.filter(|_| self.reaches(term, id));
+        self.tell(format!("{term} sends {key}/{run} to {id}, on its way {way:?}, back {back:?}"));
+        let told_ms = way.zip(back).map(|(way, back)| way + back).filter(|ms| *ms < patience_ms);
+        if let Some(ms) = way {
+            let back = told_ms.and(back);
+            self.later(ms, ModelEvent::StartArrives(term, id.clone(), call, back));
+        }
+        if told_ms.is_none() {
+            let unknown =
+                ModelEvent::StartTold(term, id.clone(), key, run, CommandOutcome::Unknown);
+            self.later(patience_ms, unknown);
+        }
+    }
+
+    fn start_arrives(&mut self, term: u64, id: Arc<str>, call: &StartCall, back: Option<u64>) {
+        let now = self.now;
+        let (key, run) = (call.task, call.run);
+        let outcome = self.worker(&id).map(|worker| worker.start(call, now));
+        self.tell(format!("start of {key}/{run} at {id}: {outcome:?}"));
+        // The life is over: the connection is closed.
+        let outcome = outcome.unwrap_or(CommandOutcome::Unknown);
+        if let Some(ms) = back {
+            self.later(ms, ModelEvent::StartTold(term, id, key, run, outcome));
+        }
+        self.starts += 1;
+        self.check(key);
+    }
+
+    fn check(&mut self, key: TaskKey) {
+        let now = self.now;
+        self.workers.iter_mut().for_each(|worker| worker.expire(now));
+        let alive: Vec<String> = self
+            .workers
+            .iter()
+            .filter_map(|worker| {
+                Some(format!("{} on {}", worker.running.get(&key)?, worker.entry.id))
+            })
+            .collect();
+        if alive.len() > 1 {
+            self.fault = Some(format!("{key} at {}: {}", now - BEGIN_MS, alive.join(", ")));
+        }
+    }
+
+    fn send_stop(&mut self, term: u64, id: &Arc<str>, call: RunCall) {
+        let (way, back) = self.ways();
+        let way = way.filter(|_| self.reaches(term, id));
+        self.tell(format!("{term} stops {}/{} on {id}, on its way {way:?}", call.task, call.run));
+        let told_ms = way.zip(back).map(|(way, back)| way + back);
+        let told_ms = told_ms.filter(|ms| *ms < STOP_PATIENCE_MS);
+        if let Some(ms) = way {
+            let back = told_ms.and(back);
+            self.later(ms, ModelEvent::StopArrives(term, id.clone(), call, back));
+        }
+    }
+
+    fn renew(&mut self, term: u64, id: Arc<str>) {
+        let plan = self.with(term, |scheduler, now| scheduler.renew_plan(&id, now));
+        match plan {
+            Some(RenewPlan::Call(_, call, patience)) => {
+                if let Some(leader) = self.leader(term) {
+                    leader.renewing.insert(id.clone());
+                }
+                let patience_ms = u64::try_from(patience.as_millis()).expect("a short time");
+                let (way, back) = self.ways();
+                let way = way.filter(|_| self.reaches(term, &id));
+                let told_ms = way.zip(back).map(|(way, back)| way + back);
+                if let Some(ms) = way {
+                    let arrives = ModelEvent::RenewArrives(term, id.clone(), call, self.now, back);
+                    self.later(ms, arrives);
+                }
+                if told_ms.is_none_or(|ms| ms >= patience_ms) {
+                    let unknown = CommandOutcome::Unknown;
+                    let told = ModelEvent::RenewTold(term, id, call, self.now, unknown);
+                    self.later(patience_ms, told);
+                }
+            }
+            Some(RenewPlan::Wait(_)) => {}
+            Some(RenewPlan::Leave) | None => {
+                if let Some(leader) = self.leader(term) {
+                    leader.watched.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn renew_arrives(
+        &mut self,
+        term: u64,
+        id: Arc<str>,
+        call: RenewCall,
+        sent_ms: u64,
+        back: Option<u64>,
+    ) {
+        let now = self.now;
+        let Some(worker) = self.worker(&id) else { return };
+        let outcome = worker.renew(&call, now);
+        let Some(back) = back else { return };
+        let took_ms = now + back - sent_ms;
+        if took_ms < 300 {
+            self.later(back, ModelEvent::RenewTold(term, id, call, sent_ms, outcome));
+        } else if let CommandOutcome::Done(report) = outcome
+            && took_ms < READ_ON_MS
+        {
+            self.later(back, ModelEvent::ToldLate(term, id, call, sent_ms, report));
+        }
+    }
+
+    /// Another entry claims, once the stream was quiet for long enough.
+    fn claim(&mut self, term: u64) {
+        if self.claimed >= term {
+            return;
+        }
+        let quiet_ms = self.now - self.renewed_ms;
+        if term > 1 && quiet_ms < SILENCE_MS {
+            self.later(SILENCE_MS - quiet_ms, ModelEvent::Claim(term));
+            return;
+        }
+        self.claimed = term;
+        let seen_ms = self.renewed_ms;
+        self.renewed_ms = self.now;
+        self.tell(format!("{term} claims, last seen {}", seen_ms.saturating_sub(BEGIN_MS)));
+        let ms = self.random.random_range(10..200);
+        self.later(ms, ModelEvent::TakeOver(term, seen_ms));
+    }
+
+    fn take_over(&mut self, term: u64, seen_ms: u64) {
+        self.epoch = term;
+        let end = PredecessorEnd::Unknown;
+        let start = SchedulerStart {
+            term,
+            bounds: bounds(),
+            config: Arc::new(one_pool()),
+            predecessor: (term > 1).then_some(LeaderTrace { seen_ms, end }),
+            confirmed_ms: self.now,
+            jobs_ms: self.now,
+            rooms_ms: self.now,
+            now: self.now,
+            wall_ms: WALL_OFFSET_MS + self.now,
+        };
+        let mut scheduler = Scheduler::open(start, &self.book);
+        let listed = self.workers.iter().filter(|worker| worker.is_listed);
+        let listed = listed.map(|worker| worker.entry.clone()).collect();
+        scheduler.workers_listed(listed, self.now);
+        self.renewed_ms = self.now;
+        self.leaders.push(ModelLeader {
+            scheduler,
+            term,
+            reaches_log: true,
+            cut: BTreeSet::new(),
+            watched: BTreeSet::new(),
+            renewing: BTreeSet::new(),
+            is_committing: false,
+            renew_ms: self.now,
+        });
+        // Each leader has its own links.
+        for position in 0..WORKERS {
+            if self.happens(4) {
+                self.toggle_cut(term, position);
+            }
+        }
+    }
+
+    fn toggle_cut(&mut self, term: u64, position: usize) {
+        let name: Arc<str> = life_name(&self.workers[position].entry.id).into();
+        self.tell(format!("{term} and {name}: cut or joined"));
+        let Some(leader) = self.leader(term) else { return };
+        if !leader.cut.remove(&name) {
+            leader.cut.insert(name);
+        }
+    }
+
+    fn newest_term(&self) -> Option<u64> {
+        self.leaders.iter().map(|leader| leader.term).max()
+    }
+
+    fn draw(&mut self) {
+        let position = self.random.random_range(0..WORKERS);
+        let kind = self.random.random_range(0..100);
+        match kind {
+            0..16 => self.submit(),
+            16..32 => self.workers[position].is_full ^= true,
+            32..37 => self.workers[position].is_unwell ^= true,
+            37..44 => {
+                if let Some(term) = self.newest_term() {
+                    self.toggle_cut(term, position);
+                }
+            }
+            44..48 => self.lose_leader(),
+            48..49 => self.begin_anew(position),
+            49..51 => self.list_or_unlist(position),
+            55..60 => self.list_vms(),
+            60..80 => self.end_some(position),
+            _ => {}
+        }
+        let ms = self.random.random_range(20..250);
+        self.later(ms, ModelEvent::Draw);
+    }
+
+    fn submit(&mut self) {
+        if self.jobs >= JOBS {
+            return;
+        }
+        self.jobs += 1;
+        let step = if self.happens(4) { service_step(1) } else { step(2) };
+        let count = step.count;
+        let id = job_id(self.jobs);
+        let record = JobRecord::Submitted(id, Arc::new(submission(job(vec![step]))));
+        self.keys.extend((0..count).map(|index| task(id, 0, index)));
+        if self.book.fold(&record, self.end) {
+            for leader in self.leaders.iter_mut().filter(|leader| leader.reaches_log) {
+                leader.scheduler.take_record(&record, self.now);
+            }
+        }
+        self.end += 1;
+    }
+
+    /// The newest leader is killed, or cut off from the log and works on.
+    fn lose_leader(&mut self) {
+        let Some(term) = self.newest_term().filter(|term| *term == self.claimed) else { return };
+        let is_killed = self.happens(3);
+        self.tell(format!("{term} is lost, killed: {is_killed}"));
+        if is_killed {
+            self.leaders.retain(|leader| leader.term != term);
+        } else if let Some(leader) = self.leader(term) {
+            leader.reaches_log = false;
+        }
+        self.later(1, ModelEvent::Claim(term + 1));
+    }
+
+    /// A worker begins anew under its name; leaders read of it a moment later.
+    fn begin_anew(&mut self, position: usize) {
+        self.births += 1;
+        let (now, slow_percent) = (self.now, self.workers[position].slow_percent);
+        let before = &self.workers[position].entry;
+        let entry = WorkerEntry { id: life_id(life_name(&before.id), Some(now)), ..before.clone() };
+        self.tell(format!("{} begins anew as {}", before.id, entry.id));
+        self.workers[position] = ModelWorker::begin(entry.clone(), slow_percent, now);
+        let ms = self.random.random_range(20..1_500);
+        self.later(ms, ModelEvent::Seen(entry));
+    }
+
+    /// Entries of workers go and come back, also while the workers run on.
+    fn list_or_unlist(&mut self, position: usize) {
+        let worker = &mut self.workers[position];
+        worker.is_listed ^= true;
+        let (is_listed, entry) = (worker.is_listed, worker.entry.clone());
+        self.tell(format!("{} listed: {is_listed}", entry.id));
+        let ms = self.random.random_range(5..300);
+        let event = match is_listed {
+            true => ModelEvent::Seen(entry),
+            false => ModelEvent::Unlisted(life_name(&entry.id).into()),
+        };
+        self.later(ms, event);
+    }
+
+    fn list_vms(&mut self) {
+        let named = |worker: &ModelWorker| {
+            let name = life_name(&worker.entry.id);
+            let vm_name = format!("m-{name}").into();
+            VmEntry { vm: vm_name, worker: name.into(), ..vm(&worker.entry, POOL) }
+        };
+        let vms: Vec<VmEntry> = self.workers.iter().map(named).collect();
+        for leader in &mut self.leaders {
+            leader.scheduler.take_vms(vms.clone(), self.now, self.now);
+        }
+    }
+
+    fn end_some(&mut self, position: usize) {
+        let worker = &mut self.workers[position];
+        let Some(key) = worker.running.keys().next().copied() else { return };
+        let kind =
+            if self.random.random_range(0..2) == 0 { ExitKind::Failed } else { ExitKind::Done };
+        worker.end(key, kind);
+        self.tell(format!("{key} ends on worker {position}"));
+    }
+
+    /// What was told of the task with two runs, and of all workers and leaders.
+    fn story(&self, fault: &str) -> String {
+        let name = fault.split(' ').next().unwrap_or_default();
+        let is_other = |line: &str| {
+            self.keys.iter().any(|key| key.to_string() != name && line.contains(&key.to_string()))
+        };
+        let lines = self.told.iter().filter(|(_, line)| !is_other(line));
+        lines.map(|(ms, line)| format!("{ms:>6} {line}\n")).collect()
+    }
+}
+
+fn number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+/// Guards against orders of events in which a run is taken for over, or for never begun, while its worker has it or
+/// may yet take it.
+#[test]
+fn no_task_has_two_runs_in_any_order_of_tries_and_leaders() {
+    let first = number("IBISWEIR_TEST_SEED", 1);
+    let (mut starts, mut broken, mut story) = (0, Vec::new(), String::new());
+    for seed in first..first + number("IBISWEIR_TEST_RUNS", RUNS) {
+        let mut model = Model::open(seed);
+        model.run();
+        starts += model.starts;
+        if let Some(fault) = &model.fault {
+            if broken.is_empty() {
+                story = format!("seed {seed}: {fault}\n{}", model.story(fault));
+            }
+            broken.push(seed);
+        }
+    }
+    println!("{starts} starts");
+    assert!(broken.is_empty(), "broken with seeds {broken:?}\n{story}");
+    assert!(starts > 0, "the histories must show something");
+}
