A late report tells of no second run

Cause: a report that was long on its way lists runs that have ended since; where their tasks run elsewhere by now, the new warning told of second runs that were none. Change: answers that came late tell of none. Measured: the new test fails with the guard out and passes with it.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -476,10 +476,10 @@
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.strays.retain(|stray| told.contains_key(stray));
+            worker.second_runs.retain(|run| told.contains_key(run));
         }
         for (key, run) in told.keys().filter(|key| !booked.contains(key)) {
-            self.stop_stray(id, key, *run);
+            self.stop_stray(id, key, *run, now);
         }
     }
 
@@ -563,16 +563,18 @@
 
     /// Something runs that the books know nothing of: the books were right when it was taken off
     /// them, so it must not go on.
-    fn stop_stray(&mut self, id: &Arc<str>, key: &TaskKey, run: u32) {
+    fn stop_stray(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, now: u64) {
         let fence = self.fence_of(id);
         let booked = self.booked_beside(key, run);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let is_new = worker.strays.insert((*key, run));
+        // A late answer may list a run that has ended since.
+        let booked = booked.filter(|_| worker.late_ms != Some(now));
+        let is_told = booked.is_some() && !worker.second_runs.insert((*key, run));
         let call = crate::jobs::ports::RunCall { task: *key, run, fence };
         let reason = "not on the books";
         self.actions.push(crate::scheduler::SchedulerAction::Stop(worker.target(), call));
         self.note(SchedulerNote::Stopped { task: *key, run, reason });
-        if let Some(booked) = booked.filter(|_| is_new) {
+        if let Some(booked) = booked.filter(|_| !is_told) {
             self.note(SchedulerNote::SecondRun { task: *key, run, worker: id.clone(), booked });
         }
     }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -140,8 +140,8 @@
     pub idle_since_ms: u64,
     /// What is booked.
     pub runs: BTreeMap<(TaskKey, u32), BookedRun>,
-    /// What it lists and is not booked.
-    pub strays: BTreeSet<(TaskKey, u32)>,
+    /// Second runs of tasks that it lists and that were told of.
+    pub second_runs: BTreeSet<(TaskKey, u32)>,
     used: ResourceVector,
     clock: Option<ClockSample>,
     lease_bound_ms: u64,
@@ -178,7 +178,7 @@
             is_reserved: false,
             idle_since_ms: now,
             runs: BTreeMap::new(),
-            strays: BTreeSet::new(),
+            second_runs: BTreeSet::new(),
             used: ResourceVector::default(),
             clock: None,
             lease_bound_ms,
--- a/tests/second_runs.rs
+++ b/tests/second_runs.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ibisweir::jobs::model::TaskKey;
-use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal};
+use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, RenewCall, RunningTask, WorkerReport};
 use ibisweir::jobs::site::WorkerEntry;
 use ibisweir::scheduler::SchedulerNote;
 use ibisweir::scheduler::runs::RunCommand;
@@ -62,6 +63,25 @@
     assert_eq!(stage.alive(key), 1);
 }
 
+/// Guards against a second run that is told of though the first has ended: the report that lists it was long on its way.
+#[test]
+fn a_late_report_tells_of_no_second_run() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let sent_ms = stage.now;
+    stage.advance(500);
+    let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    stage.advance(200);
+    let other: Arc<str> = if &*stage.place(key) == "w1" { "w2".into() } else { "w1".into() };
+    let told =
+        RunningTask { task: key, run: 7, checkpoint: String::new(), percent: 0, gauge: None };
+    let report = WorkerReport { clock_ms: stage.now, running: vec![told], ..Default::default() };
+    let call = RenewCall { fence: 0, exits_through: 0, lease_until_ms: None, wait: Duration::ZERO };
+    stage.scheduler.answered_late(&other, &call, report, sent_ms, stage.now);
+    stage.pump();
+    let is_told = |note: &SchedulerNote| matches!(note, SchedulerNote::SecondRun { .. });
+    assert!(!stage.notes.iter().any(is_told));
+}
+
 /// Guards against a start that reaches its worker's next life, as a repeat that was not sent hides the try before it.
 #[test]
 fn a_repeat_that_is_not_sent_does_not_hide_the_try_before_it() {
