Only an answer that says that nothing was stored refuses an append

Cause: every answer to an append that was none of those promised (500, 502, 504, 408) counted as a refusal. An entry that appends a submission itself then tells its caller that the job never runs, though it may be stored; a leader does not count its renewal as one that may be on the stream. Refusals are those of the caller's fault, 503 and 507.

--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -184,6 +184,34 @@
     }
 }
 
+/// Guards against an append that is taken for refused by an answer which does not say that nothing was stored: callers
+/// would be told that their job never runs, and it would.
+#[tokio::test]
+async fn only_an_answer_that_says_so_is_a_refusal_of_an_append() {
+    let answers = [
+        ("500 Internal Server Error", AppendOutcome::Unknown),
+        ("502 Bad Gateway", AppendOutcome::Unknown),
+        ("504 Gateway Timeout", AppendOutcome::Unknown),
+        ("408 Request Timeout", AppendOutcome::Unknown),
+        ("400 Bad Request", AppendOutcome::Refused),
+        ("413 Payload Too Large", AppendOutcome::Refused),
+        ("429 Too Many Requests", AppendOutcome::Refused),
+        ("503 Service Unavailable", AppendOutcome::Refused),
+        ("507 Insufficient Storage", AppendOutcome::Refused),
+    ];
+    for (status, expected) in answers {
+        let (address, _) = answer_once(status, "").await;
+        let log = PlatformLog::new(address, HttpTransport::open());
+        let call = AppendCall {
+            topic: LogTopic::Jobs,
+            records: Vec::new(),
+            expected_end: None,
+            stamp: None,
+        };
+        assert_eq!(log.append(&call, PATIENCE).await, expected, "{status}");
+    }
+}
+
 /// A leader is cut off after it has sent a command to a VM, and gives it up. Its system would deliver
 /// the command once the cut heals, seconds after the successor's own; a service that checks no tokens
 /// would carry it out. Given up, it is reset, which drops what has not arrived.
