A waiting start leaves its lane's list before the scheduler is woken

Cause: found by a review. The scheduler was woken first and could hand the same start out again while it still stood in the list of those that wait; that repeat was dropped, and the next came 600 ms later. Change: the order of the two. Measured: tests of lanes pass; the window is microseconds, so no test shows it.

--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -305,11 +305,15 @@
         stops: StopLine,
     ) {
         while let Some((task, run)) = starts.recv().await {
-            if self.is_starting(&task, run) {
+            let is_due = self.is_starting(&task, run);
+            if is_due {
                 self.send_run(&id, &stops, &task, run).await;
-                self.node.wake.notify_one();
             }
+            // Before the scheduler is woken: it may hand the same start out again at once.
             starting.remove((task, run));
+            if is_due {
+                self.node.wake.notify_one();
+            }
         }
     }
 
