A start that a task outlives no longer explains the loss of its earlier worker

Callers saw jobs without fault given up ("it has lost too many workers") in busy pools: a task on trial waits until its pool is calm, and a pool that lost a worker each 0.7 s looked calm.

Cause: a loss under a run that was just starting, or on probation, was taken for explained by it, for good. It was no unrest for other tasks, did not go on the log, and its VM was not a failing one. In a busy pool something is starting on nearly every worker that is lost, so no loss counted.

Change: a loss is explained only for as long as a task that was starting there has not outlived another start; a task that crashes its workers as it starts never does. From then on the loss is unrest and on the log.

--- a/src/scheduler/blame.rs
+++ b/src/scheduler/blame.rs
@@ -39,17 +39,26 @@
         for (worker, exposed, _) in &cases {
             self.count_losses(exposed, worker, now);
         }
-        self.record_losses(lost, now);
+        let services = lost.iter().map(|worker| worker.entry.service.clone()).collect();
+        self.record_losses(services, now);
     }
 
-    /// Tells the next leader what was lost in these workers' pools, where a task may come to be on trial.
-    fn record_losses(&mut self, lost: &[WorkerRun], now: u64) {
+    /// A task has outlived a start: what was lost at its earlier ones may be the pool's own trouble.
+    pub(crate) fn exonerate(&mut self, task: &TaskKey, now: u64) {
+        let services = self.losses.exonerate(task);
+        self.record_losses(services, now);
+    }
+
+    /// Tells the next leader what was lost in these services' pools, where a task may come to be on trial.
+    fn record_losses(&mut self, services: BTreeSet<Arc<str>>, now: u64) {
+        if services.is_empty() {
+            return;
+        }
         let near = self.losses.recorded().iter().filter_map(|job| self.jobs.get(job));
         let concerned: BTreeSet<Arc<str>> = near.map(|job| self.service_of(job)).collect();
-        let services: BTreeSet<&Arc<str>> = lost.iter().map(|w| &w.entry.service).collect();
-        for service in services.into_iter().filter(|service| concerned.contains(*service)) {
-            let record = self.losses.record(service, now, self.wall_ms);
-            self.commits.losses(service.clone(), record);
+        for service in services.into_iter().filter(|service| concerned.contains(service)) {
+            let record = self.losses.record(&service, now, self.wall_ms);
+            self.commits.losses(service, record);
         }
     }
 
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -231,17 +231,23 @@
         }
         let is_full = report.exits.len() >= REPORT_EXITS_MAX;
         self.take_exits(id, &report.exits, now);
-        self.see_runs(id, &report);
+        self.see_runs(id, &report, now);
         self.take_running(id, &report.running, sent_ms, is_full, now);
         self.adjust_throttles(id, &report.running, now);
     }
 
     /// Takes in until when, by the worker's clock, the runs that it lists were at work.
-    fn see_runs(&mut self, id: &Arc<str>, report: &WorkerReport) {
+    fn see_runs(&mut self, id: &Arc<str>, report: &WorkerReport, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let mut proved = Vec::new();
         for told in &report.running {
-            worker.see_run(&(told.task, told.run), report.clock_ms);
+            let key = (told.task, told.run);
+            worker.see_run(&key, report.clock_ms);
+            if self.losses.is_suspected(&told.task) && worker.has_settled(&key) {
+                proved.push(told.task);
+            }
         }
+        proved.iter().for_each(|task| self.exonerate(task, now));
     }
 
     fn take_exits(&mut self, id: &Arc<str>, exits: &[TaskExit], now: u64) {
@@ -292,6 +298,7 @@
         match exit.kind {
             // Also of a run that was taken for over: it did end so, and must not be run again.
             ExitKind::Done if !spec.is_service => {
+                self.exonerate(&exit.task, now);
                 self.credit_worker(id, now);
                 self.task_done(&exit.task, now);
             }
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -13,6 +13,8 @@
 //!   lost too, and again, nothing but this task can have been the cause, and its job is given up.
 //! * If another worker is lost at the same time, in its rack or its pool, without a suspect on it, the failure
 //!   is larger than one worker and names nobody. Nor does a VM that loses one worker after the other.
+//! * A loss under a task that was just starting tells nothing of the pool, until the task outlives another start. In a
+//!   busy pool something is starting on nearly every worker that is lost, and only the next start tells by what.
 //! * A task with [`LOSSES_MAX`] losses is given up, whatever their reasons were. This bounds also what crashes its
 //!   worker some time after its start. No single loss tells such a task from one that was there by chance: both may be
 //!   lost at any time at work, and other workers may go at the same time. So after three losses the task is on trial: its
@@ -177,6 +179,11 @@
         !self.booked.has_worked(PROOF_MS) && !self.is_unknown
     }
 
+    /// Whether it may have crashed its worker by its start.
+    fn is_suspected(&self) -> bool {
+        self.is_at_start() || self.booked.is_on_probation()
+    }
+
     /// Whether its worker's loss says nothing of it.
     pub fn is_clear(&self) -> bool {
         self.booked.is_service && self.booked.has_worked(LONG_PROOF_MS)
@@ -207,8 +214,9 @@
     counted: Vec<CountedRun>,
     /// Whether one of them was on probation, and so is likely to be the cause.
     had_suspect: bool,
-    /// Whether one of them was just starting.
-    had_start: bool,
+    /// Tasks that may have crashed it: those that were just starting there or were on probation, and have not
+    /// outlived a start since.
+    suspected: Vec<TaskKey>,
     /// Whether the VM had lost another one not long before.
     was_unsteady: bool,
 }
@@ -219,9 +227,9 @@
         self.at_ms.abs_diff(at_ms) <= COINCIDENCE_MS && !self.had_suspect && !self.was_unsteady
     }
 
-    /// Whether one of its tasks is likely to be the cause, so that it tells nothing of the pool.
+    /// Whether one of its tasks may be the cause, so that it tells nothing of the pool.
     fn is_explained(&self) -> bool {
-        self.had_suspect || self.had_start
+        !self.suspected.is_empty()
     }
 
     fn is_near(&self, entry: &WorkerEntry) -> bool {
@@ -277,6 +285,8 @@
     verdicts: VecDeque<PendingVerdict>,
     /// VMs whose workers were lost under earlier leaders, as far as the log tells.
     inherited: Vec<InheritedLoss>,
+    /// Tasks that are suspected of any recent loss.
+    suspected: BTreeSet<TaskKey>,
     /// Jobs with tasks that have lost so many workers that the log keeps what else is lost in their pools.
     recorded: BTreeSet<JobId>,
     /// When this leader began, in milliseconds.
@@ -401,6 +411,7 @@
             is_at_start: run.is_at_start(),
             is_starting: run.is_starting(),
         });
+        let suspected = exposed.iter().filter(|run| run.is_suspected()).map(|run| run.task);
         let loss = RecentLoss {
             at_ms: now,
             entry: entry.clone(),
@@ -408,10 +419,32 @@
             starting: jobs,
             counted: counted.collect(),
             had_suspect: exposed.iter().any(|run| run.booked.is_on_probation()),
-            had_start: exposed.iter().any(ExposedRun::is_at_start),
+            suspected: suspected.collect(),
             was_unsteady: self.is_unsteady(entry.address, now),
         };
         self.recent.push_back(loss);
+        self.suspected = self.recent.iter().flat_map(|loss| loss.suspected.clone()).collect();
+    }
+
+    /// Whether a recent loss may be this task's doing.
+    pub fn is_suspected(&self, task: &TaskKey) -> bool {
+        self.suspected.contains(task)
+    }
+
+    /// A task has outlived a start, so that it did not crash the workers that were lost at earlier ones; the services
+    /// of those whose loss nothing explains any more.
+    pub fn exonerate(&mut self, task: &TaskKey) -> BTreeSet<Arc<str>> {
+        let mut services = BTreeSet::new();
+        if !self.suspected.remove(task) {
+            return services;
+        }
+        for loss in self.recent.iter_mut().filter(|loss| loss.suspected.contains(task)) {
+            loss.suspected.retain(|other| other != task);
+            if !loss.is_explained() {
+                services.insert(loss.entry.service.clone());
+            }
+        }
+        services
     }
 
     /// Whether a worker was lost at this address not long ago, of which no task is known to be the cause.
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -99,6 +99,11 @@
     pub fn is_on_probation(&self) -> bool {
         self.probation_ms > 0 && !self.has_worked(self.probation_ms)
     }
+
+    /// Whether its start is over as a danger to the worker.
+    pub fn has_settled(&self) -> bool {
+        self.has_worked(PROOF_MS) && !self.is_on_probation()
+    }
 }
 
 /// A worker.
@@ -242,6 +247,11 @@
         }
     }
 
+    /// Whether the start of a run is over as a danger to the worker.
+    pub fn has_settled(&self, key: &(TaskKey, u32)) -> bool {
+        self.runs.get(key).is_some_and(BookedRun::has_settled)
+    }
+
     /// Takes a run off the book; returns whether it was there.
     pub fn release(&mut self, key: &(TaskKey, u32), now: u64) -> bool {
         let Some(run) = self.runs.remove(key) else { return false };
@@ -301,9 +311,8 @@
     /// Whether a task of this job may start there on probation: then nothing else is just starting, and the
     /// loss of the worker would tell of that task alone.
     fn takes_suspect(&self, job: JobId, now: u64) -> bool {
-        let is_settled = |((task, _), run): (&(TaskKey, u32), &BookedRun)| {
-            task.job == job || run.has_worked(PROOF_MS) && !run.is_on_probation()
-        };
+        let is_settled =
+            |((task, _), run): (&(TaskKey, u32), &BookedRun)| task.job == job || run.has_settled();
         self.is_open(now) && self.runs.iter().all(is_settled)
     }
 
