A task on trial starts once its pool was watched without it

Callers saw a job without fault given up in a small pool: its task was on each of five workers that were lost, by chance. Also where the pool was busy and losses had just come.

Cause: only losses of workers without the task are unrest, and a task on trial started the moment after its own last loss. In a pool of two that loses one each 0.7 s the task is on five in a row in one case of 32, and no leader has seen a loss without it. So does a loss that a start explains until it is outlived, where both come together.

Change: a task on trial, that is after three lost workers, waits for 2 s after each further one, as the pool goes on without it. It is the only evidence that parts it from a task that crashes its workers late; more starts would be, but cost workers. The wait counts from the loss that this leader has seen: counted from each change of leaders, a task that crashes its workers would never be convicted under leaders that change within a second (two_leaders_within_a_second_cost_no_more_workers_than_the_bound fails so).

--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -72,6 +72,9 @@
 const UNREST_MS: u64 = 2 * CALM_LIFE_MS;
 /// One VM in so many may be lost at any rate: suspects keep off those that were lost lately.
 const UNSTEADY_PART: usize = 8;
+/// Time for which a pool is watched without a task on trial before it starts there again, in milliseconds: the loss of
+/// a worker is noticed within a second, and what was starting there has then outlived its next start.
+const WATCH_MS: u64 = 2_000;
 /// Longest time that a task waits for its pool to become calm, in milliseconds.
 const CALM_WAIT_MAX_MS: u64 = 15_000;
 /// The same for a service, in milliseconds: well under the six seconds in which it must be back.
@@ -359,10 +362,11 @@
         ages
     }
 
-    /// Whether a task waits, by its losses, until its pool of so many VMs is calm.
+    /// Whether a task waits, by its losses, until its pool of so many VMs is calm, and was seen so without the task.
     pub fn holds_back(&self, key: &TaskKey, task: &TaskRun, pool: &PoolView<'_>, now: u64) -> bool {
+        let is_watched = now < task.waiting_since_ms + WATCH_MS;
         self.is_choosy(task, pool.is_for_service, now)
-            && !self.is_calm(pool, key, task.losses.calm_life_ms(), now)
+            && (is_watched || !self.is_calm(pool, key, task.losses.calm_life_ms(), now))
     }
 
     /// Whether a task on trial still waits for the time and the VM that it asks for.
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -553,6 +553,65 @@
     assert_eq!(stage.starts(key), 4);
 }
 
+/// A task that has lost three workers, the last one together with another on which something was just starting.
+fn on_trial_beside_starts(stage: &mut Stage) -> TaskKey {
+    let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    for _ in 0..2 {
+        stage.advance(500);
+        stage.crash(&stage.place(key));
+    }
+    stage.advance(500);
+    let place = stage.place(key);
+    stage.submit(2, job(vec![StepSpec { per_worker_max: 1, ..step(4) }]));
+    let other = stage.workers.keys().find(|id| **id != place).cloned().expect("another");
+    stage.crash_all(&[&place, &other]);
+    assert_eq!(told_losses(stage, key).all, 3);
+    key
+}
+
+/// Guards against a start in a pool whose losses are explained by starts that are about to be outlived.
+#[test]
+fn a_task_on_trial_waits_until_starts_are_outlived() {
+    let mut stage = four_workers();
+    let key = on_trial_beside_starts(&mut stage);
+    stage.advance(2_500);
+    assert_eq!(stage.starts(key), 3, "it waits");
+    stage.advance(2_500);
+    assert_eq!(stage.starts(key), 4);
+}
+
+/// Guards against a successor that takes a pool for calm, as its losses were explained when they were written down.
+#[test]
+fn a_loss_that_a_start_explains_no_longer_is_told_to_the_next_leader() {
+    let mut stage = four_workers();
+    let key = on_trial_beside_starts(&mut stage);
+    stage.advance(500);
+    stage.take_over(2, config());
+    stage.advance(2_000);
+    assert_eq!(stage.starts(key), 3, "it waits");
+    stage.advance(3_000);
+    assert_eq!(stage.starts(key), 4);
+}
+
+/// Guards against a pool that is taken for calm as a task was on each worker that it lost, by chance.
+#[test]
+fn a_pool_is_watched_without_a_task_on_trial() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    for _ in 0..3 {
+        stage.advance(500);
+        stage.crash(&stage.place(key));
+    }
+    stage.submit(2, job(vec![StepSpec { per_worker_max: 1, ..step(2) }]));
+    stage.advance(1_000);
+    assert_eq!(stage.starts(key), 3, "it waits");
+    stage.crash(&stage.workers.keys().next().cloned().expect("one"));
+    stage.advance(4_000);
+    assert_eq!(stage.starts(key), 3, "the pool goes on losing workers");
+    stage.advance(3_000);
+    assert_eq!(stage.starts(key), 4);
+}
+
 /// Guards against a job that never ends, as its pool loses workers for as long as it waits.
 #[test]
 fn a_task_on_trial_does_not_wait_for_ever() {
