--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -554,7 +554,7 @@
 }
 
 /// A task that has lost three workers, the last one together with another on which something was just starting.
-fn on_trial_beside_starts(stage: &mut Stage) -> TaskKey {
+fn on_trial_beside_starts(stage: &mut Stage, are_restarts_instant: bool) -> TaskKey {
     let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
     for _ in 0..2 {
         stage.advance(500);
@@ -563,17 +563,29 @@
     stage.advance(500);
     let place = stage.place(key);
     stage.submit(2, job(vec![StepSpec { per_worker_max: 1, ..step(4) }]));
+    if are_restarts_instant {
+        stage.instant_tasks.extend((0..4).map(|index| task(job_id(2), 0, index)));
+    }
     let other = stage.workers.keys().find(|id| **id != place).cloned().expect("another");
     stage.crash_all(&[&place, &other]);
     assert_eq!(told_losses(stage, key).all, 3);
     key
 }
 
+/// Guards against a loss that stays explained by a start, as its task is done sooner than it can be seen at work.
+#[test]
+fn a_task_that_is_done_at_once_explains_no_loss() {
+    let mut stage = four_workers();
+    let key = on_trial_beside_starts(&mut stage, true);
+    stage.advance(2_500);
+    assert_eq!(stage.starts(key), 3, "it waits");
+}
+
 /// Guards against a start in a pool whose losses are explained by starts that are about to be outlived.
 #[test]
 fn a_task_on_trial_waits_until_starts_are_outlived() {
     let mut stage = four_workers();
-    let key = on_trial_beside_starts(&mut stage);
+    let key = on_trial_beside_starts(&mut stage, false);
     stage.advance(2_500);
     assert_eq!(stage.starts(key), 3, "it waits");
     stage.advance(2_500);
@@ -584,7 +596,7 @@
 #[test]
 fn a_loss_that_a_start_explains_no_longer_is_told_to_the_next_leader() {
     let mut stage = four_workers();
-    let key = on_trial_beside_starts(&mut stage);
+    let key = on_trial_beside_starts(&mut stage, false);
     stage.advance(500);
     stage.take_over(2, config());
     stage.advance(2_000);
@@ -593,6 +605,23 @@
     assert_eq!(stage.starts(key), 4);
 }
 
+/// Guards against a task on trial that waits for tasks which crash their workers as they start.
+#[test]
+fn a_task_on_trial_does_not_wait_for_losses_that_a_start_explains() {
+    let mut stage = four_workers();
+    let key = task(stage.submit(1, job(vec![step(1)])), 0, 0);
+    for _ in 0..3 {
+        stage.advance(70_000);
+        stage.crash(&stage.place(key));
+    }
+    assert_eq!((told_losses(&stage, key).all, stage.alive(key)), (3, 0));
+    stage.advance(1_600);
+    submit_bad(&mut stage, 2, job(vec![step(1)]));
+    stage.advance(900);
+    assert!(stage.lost.len() > 3, "the bad task has crashed a worker");
+    assert_eq!(stage.alive(key), 1);
+}
+
 /// Guards against a pool that is taken for calm as a task was on each worker that it lost, by chance.
 #[test]
 fn a_pool_is_watched_without_a_task_on_trial() {
