What a lasting task waits for, and the commit under way, are in the log

Callers of long-running jobs saw tasks that were to last and did not run. The log told when a task was placed, started and ended, and nothing in between: a task that found no place left no line at all, so that a trial, a probation, avoided VMs and a full pool looked alike, and one that was placed looked the same whether its record was stuck before the log, its start was in doubt or its worker had gone silent. `traffic of the leader` counted appends by number and bytes, not how large the one under way was, nor how often it had been tried.

A task of a service that has not been at work for 3 s now has a line each two seconds, `a service task is away`, with what it waits for, for how long, and what was lost under it; a look writes 16 lines at most and each line has the count of all. `ibisweir_job_service_waits` counts them by reason. The line `traffic of the leader` has the bytes, the tries and the age of the commit that the log has not confirmed.

No decision changes: which workers a task avoids is computed in one place, for the placement and for the line.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -16,7 +16,7 @@
 use crate::jobs::delegate::StartDelegate;
 use crate::jobs::follower::{TailReader, TailStep, fold_step, shown_ms};
 use crate::jobs::lanes::{LaneCommand, WorkerLanes};
-use crate::jobs::load::LeaderLoad;
+use crate::jobs::load::{CommitTrace, LeaderLoad};
 use crate::jobs::metrics::count;
 use crate::jobs::node::JobNode;
 use crate::jobs::notes;
@@ -122,6 +122,7 @@
             patience: Mutex::new(PatienceGauge::new(APPEND_PATIENCE)),
             lanes,
             commit_wake: Notify::new(),
+            commit_trace: Mutex::default(),
             statuses,
             vm_commands: Arc::default(),
             confirmed_ms: Arc::new(AtomicU64::new(term.confirmed_ms)),
@@ -162,6 +163,8 @@
     patience: Mutex<PatienceGauge>,
     lanes: Arc<WorkerLanes<W>>,
     commit_wake: Notify,
+    /// The commit that is under way.
+    commit_trace: Mutex<Option<CommitTrace>>,
     statuses: mpsc::UnboundedSender<(u64, bool)>,
     /// Commands to VMs that were not answered yet.
     vm_commands: Arc<AtomicUsize>,
@@ -257,6 +260,10 @@
         self.patience.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn commit_trace(&self) -> MutexGuard<'_, Option<CommitTrace>> {
+        self.commit_trace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn append(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendOutcome {
         let stamp = WriterStamp { writer: WRITER.into(), epoch: self.term, sequence };
         let call =
@@ -405,7 +412,8 @@
             while tasks.try_join_next().is_some() {}
             let paused = Instant::now();
             sleep(TICK_GAP).await;
-            load.woke(&self.node, paused.elapsed().saturating_sub(TICK_GAP));
+            let commit = *self.commit_trace();
+            load.woke(&self.node, paused.elapsed().saturating_sub(TICK_GAP), commit);
             // No wake within the time is the usual case.
             let _ = timeout(TICK, self.node.wake.notified()).await;
         }
@@ -514,7 +522,11 @@
             return true;
         }
         let sent_ms = self.node.now();
+        let bytes = batch.records.iter().map(|record| record.key.len() + record.value.len()).sum();
+        let mut trace = CommitTrace { bytes, begun_ms: sent_ms, tries: 0 };
         loop {
+            trace.tries += 1;
+            *self.commit_trace() = Some(trace);
             match self.append(batch.records.clone(), sequence).await {
                 AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
@@ -534,6 +546,7 @@
     }
 
     fn committed(&self, batch: &CommitBatch) {
+        *self.commit_trace() = None;
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| scheduler.committed(batch, now));
         self.node.relayed(&batch.relayed);
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -16,6 +16,17 @@
 /// Kinds of calls in one line.
 const KINDS_MAX: usize = 6;
 
+/// A commit that the log has not confirmed yet.
+#[derive(Clone, Copy, Debug)]
+pub struct CommitTrace {
+    /// Bytes of its records.
+    pub bytes: usize,
+    /// When it was first sent, in milliseconds.
+    pub begun_ms: u64,
+    /// Appends that were sent for it.
+    pub tries: u32,
+}
+
 /// How late the leader's loop was, and what its calls took, since the last line.
 pub struct LeaderLoad {
     told_ms: u64,
@@ -37,8 +48,8 @@
         }
     }
 
-    /// The leader's loop woke so much later than it had asked for.
-    pub fn woke(&mut self, node: &JobNode, late: Duration) {
+    /// The leader's loop woke so much later than it had asked for, with this commit under way.
+    pub fn woke(&mut self, node: &JobNode, late: Duration, commit: Option<CommitTrace>) {
         self.wakes += 1;
         self.late += late;
         self.latest = self.latest.max(late);
@@ -52,7 +63,10 @@
         let mean_ms = crate::clock::millis(self.late / self.wakes);
         info!(node.logger, "traffic of the leader"; "wakes" => self.wakes, "late_ms" => mean_ms,
             "latest_ms" => crate::clock::millis(self.latest), "sent_kbs" => spent.sent_kbs,
-            "received_kbs" => spent.received_kbs, "calls" => %spent);
+            "received_kbs" => spent.received_kbs, "calls" => %spent,
+            "commit_bytes" => commit.map(|commit| commit.bytes),
+            "commit_tries" => commit.map(|commit| commit.tries),
+            "commit_age_ms" => commit.map(|commit| now.saturating_sub(commit.begun_ms)));
         *self = LeaderLoad { told_ms: now, told: totals, ..LeaderLoad::open(node) };
     }
 }
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -64,6 +64,8 @@
     pub cancellations: Reasons,
     /// Losses after which a task starts only while its pool is calm.
     pub trials: Counter,
+    /// Lines about tasks of services that are away for long, by what these wait for.
+    pub service_waits: Reasons,
     /// Runs that a worker first listed after their job was over.
     pub begun_over: Counter,
     /// Starts that were refused while another try of them had no outcome yet.
@@ -130,6 +132,7 @@
             stops: Family::default(),
             cancellations: Family::default(),
             trials: Counter::default(),
+            service_waits: Family::default(),
             begun_over: Counter::default(),
             refused_open: Counter::default(),
             second_runs: Counter::default(),
@@ -203,6 +206,8 @@
         registry.register("cancellations", help, self.cancellations.clone());
         let help = "losses after which a task starts only while its pool is calm";
         registry.register("trials", help, self.trials.clone());
+        let help = "lines about tasks of services that are away for long, by what these wait for";
+        registry.register("service_waits", help, self.service_waits.clone());
         let help = "runs that a worker first listed after their job was over";
         registry.register("begun_over", help, self.begun_over.clone());
         let help = "starts that were refused while another try of them had no outcome yet";
--- a/src/jobs/notes.rs
+++ b/src/jobs/notes.rs
@@ -31,6 +31,22 @@
             info!(logger, "given up"; "job" => %task.job, "task" => %task,
                 "workers_lost" => lost, "reason" => reason);
         }
+        SchedulerNote::ServiceAway {
+            task,
+            run,
+            worker,
+            reason,
+            away_ms,
+            waits_ms,
+            losses,
+            all,
+        } => {
+            count(&node.metrics.service_waits, reason);
+            info!(logger, "a service task is away"; "job" => %task.job, "task" => %task,
+                "run" => run, "worker" => worker.as_deref(), "reason" => reason,
+                "away_ms" => away_ms, "waits_ms" => waits_ms, "workers_lost" => losses.all,
+                "lost_at_start" => losses.at_start, "all_away" => all);
+        }
         SchedulerNote::OnTrial { task, lost } => {
             node.metrics.trials.inc();
             info!(logger, "starts only while its pool is calm"; "job" => %task.job, "task" => %task,
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -4,6 +4,7 @@
 
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
 use crate::jobs::ports::{RunCall, VmCommand, WorkerTarget};
+use crate::jobs::record::LossCount;
 
 /// What is to be done.
 #[derive(Clone, Debug)]
@@ -88,6 +89,25 @@
         /// Workers that it has lost.
         lost: u32,
     },
+    /// A task of a service ought to be at work and has not been for long.
+    ServiceAway {
+        /// Task.
+        task: TaskKey,
+        /// Its latest run.
+        run: u32,
+        /// Worker of that run, if it may be alive.
+        worker: Option<Arc<str>>,
+        /// What it waits for.
+        reason: &'static str,
+        /// Time since it was last at work under this leader, in milliseconds.
+        away_ms: u64,
+        /// Time for which it has waited in this state, in milliseconds.
+        waits_ms: u64,
+        /// Workers that were lost under it.
+        losses: LossCount,
+        /// Tasks of services that are away for long.
+        all: usize,
+    },
     /// A job is given up, as a task of it crashes its workers.
     GivenUp {
         /// Task.
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -206,14 +206,8 @@
             if suspect.is_some() && !self.has_probation_room(&step.service, now) {
                 continue;
             }
-            let mut avoided = self.avoided(key);
-            if self.loss_count(key).all > 0 {
-                avoided.extend(self.unsteady_workers(&step.service, key, now));
-            }
-            let is_lasting = spec.is_service && !spec.is_best_effort;
-            if is_lasting && self.fleet.hurried.contains(&step.service) {
-                avoided.extend(self.due_workers(&step.service));
-            }
+            let avoided = self.avoided_now(key, spec, &step.service, now);
+            let is_lasting = is_urgent(spec);
             let query = PlaceQuery {
                 spec,
                 beside: &beside,
@@ -288,6 +282,24 @@
         task.map(|task| task.failed_on.clone()).unwrap_or_default()
     }
 
+    /// The same, with those of its pool that it would rather not start on now.
+    pub(crate) fn avoided_now(
+        &self,
+        key: &TaskKey,
+        spec: &StepSpec,
+        service: &str,
+        now: u64,
+    ) -> Vec<Arc<str>> {
+        let mut avoided = self.avoided(key);
+        if self.loss_count(key).all > 0 {
+            avoided.extend(self.unsteady_workers(service, key, now));
+        }
+        if is_urgent(spec) && self.fleet.hurried.contains(service) {
+            avoided.extend(self.due_workers(service));
+        }
+        avoided
+    }
+
     /// Workers of a pool whose VMs have lost another one lately. A task that has lost workers would lose the next
     /// one to a VM that goes down and up by turns.
     fn unsteady_workers(&self, service: &str, key: &TaskKey, now: u64) -> Vec<Arc<str>> {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod share;
 pub mod throttle;
 mod tombstones;
+mod waits;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -61,6 +62,7 @@
 use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::share::ShareBook;
 use crate::scheduler::tombstones::TombstoneBook;
+use crate::scheduler::waits::WaitLog;
 use crate::scheduler::worker::WorkerRun;
 
 /// Fencing tokens that one term may use: room for a leader to raise its own.
@@ -152,6 +154,7 @@
     abandoned: AbandonedRuns,
     losses: LossWatch,
     lives: LifeBook,
+    waits: WaitLog,
     organisations: OrganisationLedger,
     shares: ShareBook,
     /// When what workers say of themselves was last read through, in milliseconds.
@@ -207,6 +210,7 @@
             abandoned: AbandonedRuns::default(),
             losses: LossWatch::open(now),
             lives: LifeBook::default(),
+            waits: WaitLog::open(now),
             organisations: OrganisationLedger::default(),
             shares: ShareBook::default(),
             rooms_ms: start.rooms_ms,
@@ -595,6 +599,7 @@
             }
             self.stop_broken_gangs(now);
             self.drop_over_jobs(now);
+            self.tell_waits(now);
             self.dropped_bounds.retain(|_, bound| now < *bound);
             self.looks_for_copies = true;
             self.needs_dispatch = true;
--- /dev/null
+++ b/src/scheduler/waits.rs
@@ -0,0 +1,235 @@
+//! Tells of tasks of services that ought to be at work and are not, and what each of them waits for.
+//!
+//! A task that finds no place leaves no other trace, and one that is placed waits in silence for the log, for its worker
+//! or for the end of an earlier run. Nothing is decided here.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::{StepSpec, TaskKey};
+use crate::scheduler::dispatch::PlaceQuery;
+use crate::scheduler::job::{JobRun, LiveRun, RunPhase, TaskRun};
+use crate::scheduler::losses::PoolView;
+use crate::scheduler::{Scheduler, SchedulerNote};
+
+/// Time for which a task is away before it is told of, in milliseconds.
+const AWAY_MS: u64 = 3_000;
+/// Time between two lines about one task, in milliseconds.
+const TOLD_GAP_MS: u64 = 2_000;
+/// Time between two looks, in milliseconds.
+const LOOK_GAP_MS: u64 = 500;
+/// Lines written after one look; the count of all tasks that are away stands in each.
+const LINES_MAX: usize = 16;
+
+/// Which tasks have been away for long, and when each was last told of.
+#[derive(Debug, Default)]
+pub(crate) struct WaitLog {
+    opened_ms: u64,
+    looked_ms: u64,
+    told: BTreeMap<TaskKey, u64>,
+}
+
+impl WaitLog {
+    /// One that begins now: for how long tasks were away before is not known.
+    pub fn open(now: u64) -> WaitLog {
+        WaitLog { opened_ms: now, looked_ms: now, told: BTreeMap::new() }
+    }
+}
+
+impl Scheduler {
+    /// Writes down which tasks of services are away for long, and why.
+    pub(crate) fn tell_waits(&mut self, now: u64) {
+        if now < self.waits.looked_ms + LOOK_GAP_MS {
+            return;
+        }
+        let away = self.tasks_away(now);
+        let told = std::mem::take(&mut self.waits.told);
+        let is_due = |key: &TaskKey| told.get(key).is_none_or(|told| now >= told + TOLD_GAP_MS);
+        let due: Vec<(TaskKey, u64)> =
+            away.iter().filter(|(key, _)| is_due(key)).take(LINES_MAX).copied().collect();
+        let kept = away.iter().filter_map(|(key, _)| Some((*key, *told.get(key)?)));
+        self.waits.told = kept.chain(due.iter().map(|(key, _)| (*key, now))).collect();
+        self.waits.looked_ms = now;
+        for (key, away_ms) in due {
+            if let Some(note) = self.wait_note(&key, away_ms, away.len(), now) {
+                self.note(note);
+            }
+        }
+    }
+
+    /// Tasks of services that are wanted and have not been at work for long, and for how long, in milliseconds.
+    fn tasks_away(&self, now: u64) -> Vec<(TaskKey, u64)> {
+        let mut away = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let since_ms = job.arrived_ms.max(self.waits.opened_ms);
+            let specs = &job.submission.spec.steps;
+            if now < since_ms + AWAY_MS || !specs.iter().any(is_watched) {
+                continue;
+            }
+            for (occurrence, run) in &job.occurrences {
+                for (position, step) in run.steps.iter().enumerate() {
+                    let is_open = |before: &u16| {
+                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
+                    };
+                    if !is_watched(&specs[position]) || !specs[position].after.iter().all(is_open) {
+                        continue;
+                    }
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        let away_ms = now.saturating_sub(task.at_work_ms.max(since_ms));
+                        if !task.is_done && away_ms >= AWAY_MS {
+                            away.push((job.key(*occurrence, position, index), away_ms));
+                        }
+                    }
+                }
+            }
+        }
+        away.sort_by_key(|(key, away_ms)| (std::cmp::Reverse(*away_ms), *key));
+        away
+    }
+
+    fn wait_note(
+        &self,
+        key: &TaskKey,
+        away_ms: u64,
+        all: usize,
+        now: u64,
+    ) -> Option<SchedulerNote> {
+        let job = self.jobs.get(&key.job)?;
+        let (spec, task) = (job.spec(key)?, job.task(key)?);
+        let (reason, since_ms) = match task.live.last() {
+            Some(live) => (self.live_reason(key, live, now), live.since_ms),
+            None => (self.place_reason(key, job, spec, task, now), task.waiting_since_ms),
+        };
+        Some(SchedulerNote::ServiceAway {
+            task: *key,
+            run: task.run,
+            worker: task.live.last().map(|live| live.worker.clone()),
+            reason,
+            away_ms,
+            waits_ms: now.saturating_sub(since_ms.max(self.waits.opened_ms)),
+            losses: task.losses,
+            all,
+        })
+    }
+
+    /// What a run that is placed waits for.
+    fn live_reason(&self, key: &TaskKey, live: &LiveRun, now: u64) -> &'static str {
+        let Some(worker) = self.workers.get(&live.worker) else { return "its worker is not known" };
+        if worker.silent_since_ms.is_some() && live.phase != RunPhase::Planned {
+            return "its worker does not answer";
+        }
+        match live.phase {
+            RunPhase::Planned => "its record is not on the log",
+            RunPhase::Starting if live.open_tries > 0 => "its start is under way",
+            RunPhase::Starting if live.is_in_doubt => "its start is in doubt",
+            RunPhase::Starting if !worker.may_start_now(&(*key, live.run), live.since_ms) => {
+                "its worker must answer before a probation"
+            }
+            RunPhase::Starting if now < live.retry_ms => "its start is sent again later",
+            RunPhase::Starting => "its start is not sent",
+            RunPhase::Running => "it is not at full work",
+            RunPhase::Inherited => "its worker has not confirmed it",
+            RunPhase::Stopping => "its stop is not confirmed",
+        }
+    }
+
+    /// Why a task has no place.
+    fn place_reason(
+        &self,
+        key: &TaskKey,
+        job: &JobRun,
+        spec: &StepSpec,
+        task: &TaskRun,
+        now: u64,
+    ) -> &'static str {
+        let Some(queue) = self.queue_of(job) else { return "its queue is not known" };
+        let service = &queue.service;
+        let sizes = self.pool_sizes();
+        let pool = PoolView {
+            service,
+            vms: sizes.get(service).copied().unwrap_or_default(),
+            is_for_service: true,
+        };
+        let suspect = self.suspect(key);
+        let permits = self.permits.get(&key.step_key());
+        let has_permits = queue.permits.is_none()
+            || permits
+                .is_some_and(|permits| !permits.allowed.is_empty() && now < permits.expires_ms);
+        if task.losses.is_exhausted() {
+            return "it has lost too many workers";
+        }
+        if now < task.not_before_ms {
+            return "a pause after its last run";
+        }
+        if self.losses.holds_back(key, task, &pool, now) {
+            return "on trial until its pool is calm";
+        }
+        if !self.knows_jobs(now) {
+            return "the job log is read too late";
+        }
+        if !self.knows_rooms(service, now) {
+            return "rooms of workers are read too late";
+        }
+        if !has_permits {
+            return "no permits";
+        }
+        if !self.has_start_room() {
+            return "too many starts are under way";
+        }
+        if !self.has_cap_room(key, &spec.need) {
+            return "the cap of its organisation";
+        }
+        if suspect.is_some() && !self.has_probation_room(service, now) {
+            return "no worker is left for a probation";
+        }
+        self.room_reason(key, spec, service, now)
+    }
+
+    /// Why no worker takes a task that may start.
+    fn room_reason(
+        &self,
+        key: &TaskKey,
+        spec: &StepSpec,
+        service: &Arc<str>,
+        now: u64,
+    ) -> &'static str {
+        let (beside, racks) = self.neighbours(&key.step_key());
+        let allowed = self.permits.get(&key.step_key()).map(|permits| &permits.allowed);
+        let permitted = allowed
+            .filter(|allowed| !allowed.is_empty())
+            .map(|allowed| allowed.keys().cloned().collect());
+        let suspect = self.suspect(key);
+        let avoided = self.avoided_now(key, spec, service, now);
+        let query = PlaceQuery {
+            spec,
+            beside: &beside,
+            racks: &racks,
+            avoided: &avoided,
+            permitted,
+            rack: None,
+            suspect,
+        };
+        let waited_ms = self.waited_ms(key, now);
+        if self.find_worker(service, &query, waited_ms, now).is_some() {
+            return "its turn";
+        }
+        let query = PlaceQuery { avoided: &[], ..query };
+        if self.find_worker(service, &query, waited_ms, now).is_some() {
+            return "only workers that it avoids have room";
+        }
+        let query = PlaceQuery { suspect: None, ..query };
+        if suspect.is_some() && self.find_worker(service, &query, waited_ms, now).is_some() {
+            return "no worker with room takes a probation";
+        }
+        let mut pool = self.workers.values().filter(|worker| worker.entry.service == *service);
+        match pool.any(|worker| worker.takes_starts(now)) {
+            true => "no worker has room",
+            false => "no worker of its pool takes starts",
+        }
+    }
+}
+
+/// Whether tasks of a step are told of: they are to be at work until they are cancelled.
+fn is_watched(spec: &StepSpec) -> bool {
+    spec.is_service && !spec.is_best_effort
+}
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -97,6 +97,7 @@
         &jobs.vm_calls,
         &jobs.cancellations,
         &jobs.questions,
+        &jobs.service_waits,
     ] {
         count(family, "reason");
     }
