Tests of three ways in which services stay away though there is room, listed as red

Callers of a service saw a task of it away for as long as the fault lasted, while VMs had room for it.

Workers on the stage can refuse starts as unhealthy for this.

--- /dev/null
+++ b/tests/service_return.rs
@@ -0,0 +1,172 @@
+//! Services come back to work in time after their last run, wherever there is room for them.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ibisweir::jobs::model::{JobId, ResourceVector, StepSpec, TaskKey};
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::{VmState, WorkerEntry};
+use support::stage::{POOL, Stage, config, job, service_step, step, task, vm, worker};
+
+/// Longest time for which a service may be away, as is promised.
+const AWAY_MAX_MS: u64 = 9_000;
+
+/// Workers, and the services on them whose times away are measured.
+struct ReturnScene {
+    stage: Stage,
+    pool: Vec<WorkerEntry>,
+    services: Vec<TaskKey>,
+    /// When each was last at work.
+    seen_ms: BTreeMap<TaskKey, u64>,
+    worst_ms: u64,
+}
+
+impl ReturnScene {
+    fn open(workers: usize) -> ReturnScene {
+        let name = |n: usize| worker(&format!("w{n}"), &format!("r{}", n / 4));
+        let pool: Vec<WorkerEntry> = (0..workers).map(name).collect();
+        let stage = Stage::open(config(), pool.clone());
+        let (services, seen_ms) = (Vec::new(), BTreeMap::new());
+        let mut scene = ReturnScene { stage, pool, services, seen_ms, worst_ms: 0 };
+        scene.list_vms(&[]);
+        scene
+    }
+
+    fn list_vms(&mut self, down: &[Arc<str>]) {
+        let listed = |entry: &WorkerEntry| {
+            let mut vm = vm(entry, POOL);
+            if down.contains(&entry.id) {
+                (vm.state, vm.worker) = (VmState::Down, "".into());
+            }
+            vm
+        };
+        let vms = self.pool.iter().map(listed).collect();
+        self.stage.scheduler.take_vms(vms, self.stage.now, self.stage.now);
+        self.stage.pump();
+    }
+
+    /// Hands in a service of so many tasks.
+    fn serve(&mut self, id: u64, spec: StepSpec) -> Vec<TaskKey> {
+        let count = spec.count;
+        let id = self.stage.submit(id, job(vec![spec]));
+        let keys: Vec<TaskKey> = (0..count).map(|index| task(id, 0, index)).collect();
+        self.services.extend(&keys);
+        self.seen_ms.extend(keys.iter().map(|key| (*key, self.stage.now)));
+        keys
+    }
+
+    /// Workers that run services.
+    fn hosts(&self) -> Vec<Arc<str>> {
+        let mut hosts: Vec<_> = self.services.iter().map(|key| self.stage.place(*key)).collect();
+        hosts.sort();
+        hosts.dedup();
+        hosts
+    }
+
+    /// VMs lose power and stay off, as the list shows half a second later.
+    fn power_off(&mut self, ids: &[Arc<str>]) {
+        for id in ids {
+            let worker = self.stage.workers.get_mut(id).expect("known");
+            worker.is_silent = true;
+            worker.running.clear();
+        }
+        self.advance(500);
+        self.list_vms(ids);
+    }
+
+    /// Lets the time go on, with everything that runs at work.
+    fn advance(&mut self, ms: u64) {
+        let end = self.stage.now + ms;
+        while self.stage.now < end {
+            self.stage.advance(20);
+            for worker in self.stage.workers.values_mut() {
+                worker.running.values_mut().for_each(|percent| *percent = 100);
+            }
+            let now = self.stage.now;
+            for key in &self.services {
+                let runs = self.stage.alive(*key);
+                assert!(runs <= 1, "{key} runs twice");
+                if runs == 1 {
+                    self.seen_ms.insert(*key, now);
+                }
+                self.worst_ms = self.worst_ms.max(now - self.seen_ms[key]);
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        self.stage.append(&JobRecord::Cancelled(id));
+    }
+}
+
+/// Tasks of a core that go on for ever.
+fn filling(count: u32) -> StepSpec {
+    StepSpec { estimate_ms: 600_000, ..step(count) }
+}
+
+/// Services of a core that may stand beside each other.
+fn serving(count: u32) -> StepSpec {
+    StepSpec { per_worker_max: 0, ..service_step(count) }
+}
+
+/// Guards against a VM that stays closed for good, as its first run after a time of errors is a service.
+#[test]
+fn a_vm_that_is_tried_with_a_service_takes_more_once_that_is_at_work() {
+    let mut scene = ReturnScene::open(4);
+    let set = |scene: &mut ReturnScene, is_unhealthy| {
+        for id in ["w0", "w1"] {
+            scene.stage.workers.get_mut(id).expect("known").is_unhealthy = is_unhealthy;
+        }
+    };
+    set(&mut scene, true);
+    let need = ResourceVector { cpu: 4_000, memory: 1_000, accelerators: 0 };
+    let batch = scene.stage.submit(1, job(vec![StepSpec { need, ..filling(6) }]));
+    scene.advance(1_000);
+    set(&mut scene, false);
+    scene.cancel(batch);
+    scene.serve(2, service_step(4));
+    scene.advance(AWAY_MAX_MS);
+    scene.serve(3, service_step(4));
+    scene.advance(2 * AWAY_MAX_MS);
+    assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms", scene.worst_ms);
+}
+
+/// Guards against services that are lost together and get room one after the other, each after the stop of what
+/// it displaces.
+#[test]
+fn services_that_are_lost_together_displace_others_together() {
+    for steps in [1, 64] {
+        let mut scene = ReturnScene::open(20);
+        scene.stage.workers.values_mut().for_each(|worker| worker.stop_ms = 200);
+        for id in 0..steps {
+            scene.serve(100 + id, serving(64 / u32::try_from(steps).expect("few")));
+        }
+        scene.stage.submit(1, job(vec![filling(160)]));
+        scene.advance(2_000);
+        let hosts = scene.hosts();
+        assert_eq!(hosts.len(), 8, "there is room for all of them elsewhere");
+        scene.power_off(&hosts);
+        scene.advance(2 * AWAY_MAX_MS);
+        assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, {steps} steps", scene.worst_ms);
+    }
+}
+
+/// Guards against a service that waits for the room of a run whose stops are lost, while others could make room.
+#[test]
+fn a_service_displaces_others_where_stops_are_lost() {
+    for lossy in [1, 4] {
+        let mut scene = ReturnScene::open(6);
+        scene.serve(2, serving(2));
+        scene.stage.submit(1, job(vec![filling(48)]));
+        scene.advance(2_000);
+        let hosts = scene.hosts();
+        let is_other = |(id, _): &(&Arc<str>, _)| !hosts.contains(id);
+        let others = scene.stage.workers.iter_mut().filter(is_other).take(lossy);
+        others.for_each(|(_, worker)| worker.loses_stops = true);
+        scene.power_off(&hosts);
+        scene.advance(2 * AWAY_MAX_MS);
+        assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, {lossy} of 5", scene.worst_ms);
+    }
+}
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -535,6 +535,9 @@
         if worker.is_full {
             return refuse(CommandRefusal::NoRoom);
         }
+        if worker.is_unhealthy {
+            return refuse(CommandRefusal::Unhealthy);
+        }
         if worker.refused.contains(&(call.task, call.run)) {
             return refuse(CommandRefusal::OldRun);
         }
--- a/tests/support/stage_worker.rs
+++ b/tests/support/stage_worker.rs
@@ -26,6 +26,8 @@
     pub loses_stops: bool,
     /// Whether it says that it has no room for any start.
     pub is_full: bool,
+    /// Whether it refuses every start as unhealthy.
+    pub is_unhealthy: bool,
     /// Time that a stop takes, in milliseconds; until then the run is listed as running.
     pub stop_ms: u64,
     /// Runs that were told to stop and have not ended, and when they will.
