Connections and confirmations of a leader are in its line of traffic

A leader whose link is full stood in the log as one that did little: a call whose connection did not open within its 0.4 s was counted nowhere.

`traffic of the leader` has the connections that it tried to open and those that did not, the greatest age of the confirmation of its leadership, and at how many wakes that was too old to extend a lease; a renewal of the leadership that is not confirmed has a line with its outcome. The line names up to ten kinds of calls, and none that made no call. Connections are also counted as the call `connect` in the counters of calls.

No decision changes. Test: a connection that does not open is counted, which failed before as nothing was.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -398,9 +398,11 @@
             let turn = self.node.with_scheduler(|scheduler| {
                 scheduler.set_pace(pace);
                 scheduler.tick(now, wall_ms);
-                (scheduler.take_actions(), scheduler.is_deposed())
+                let age_ms = scheduler.confirmation_age_ms(now);
+                (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
             });
-            let Some((actions, is_deposed)) = turn else { return };
+            let Some((actions, is_deposed, age_ms)) = turn else { return };
+            load.unconfirmed(age_ms);
             if is_deposed {
                 info!(self.node.logger, "a higher term was seen"; "term" => self.term);
                 return;
--- a/src/jobs/leadership.rs
+++ b/src/jobs/leadership.rs
@@ -293,7 +293,12 @@
             return WAIT_MAX;
         }
         let sent_ms = self.node.now();
-        match self.append(LeadershipAct::Renew).await {
+        let outcome = self.append(LeadershipAct::Renew).await;
+        if !matches!(outcome, AppendOutcome::Done { .. }) {
+            info!(self.node.logger, "a renewal of the leadership is not confirmed";
+                "outcome" => ?outcome, "took_ms" => self.node.now().saturating_sub(sent_ms));
+        }
+        match outcome {
             AppendOutcome::Done { end, .. } => {
                 self.view.renewed(end, self.node.now());
                 self.view.replicas = self.node.planner().list().clone();
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -9,12 +9,13 @@
 use slog::info;
 
 use crate::jobs::node::JobNode;
-use crate::traffic::CallTraffic;
+use crate::scheduler::CONFIRMATION_MS;
+use crate::traffic::{CONNECTS, CallTraffic};
 
 /// Time between two lines, in milliseconds.
 const LOAD_GAP_MS: u64 = 2_000;
 /// Kinds of calls in one line.
-const KINDS_MAX: usize = 6;
+const KINDS_MAX: usize = 10;
 
 /// A commit that the log has not confirmed yet.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +35,8 @@
     wakes: u32,
     late: Duration,
     latest: Duration,
+    unconfirmed_ms: u64,
+    unconfirmed_wakes: u32,
 }
 
 impl LeaderLoad {
@@ -45,9 +48,17 @@
             wakes: 0,
             late: Duration::ZERO,
             latest: Duration::ZERO,
+            unconfirmed_ms: 0,
+            unconfirmed_wakes: 0,
         }
     }
 
+    /// The leadership was last confirmed by an append that was sent so long ago.
+    pub fn unconfirmed(&mut self, age_ms: u64) {
+        self.unconfirmed_ms = self.unconfirmed_ms.max(age_ms);
+        self.unconfirmed_wakes += u32::from(age_ms >= CONFIRMATION_MS);
+    }
+
     /// The leader's loop woke so much later than it had asked for, with this commit under way.
     pub fn woke(&mut self, node: &JobNode, late: Duration, commit: Option<CommitTrace>) {
         self.wakes += 1;
@@ -64,6 +75,8 @@
         info!(node.logger, "traffic of the leader"; "wakes" => self.wakes, "late_ms" => mean_ms,
             "latest_ms" => crate::clock::millis(self.latest), "sent_kbs" => spent.sent_kbs,
             "received_kbs" => spent.received_kbs, "calls" => %spent,
+            "connects" => spent.connects.calls, "connects_failed" => spent.connects.unanswered,
+            "unconfirmed_ms" => self.unconfirmed_ms, "unconfirmed_wakes" => self.unconfirmed_wakes,
             "commit_bytes" => commit.map(|commit| commit.bytes),
             "commit_tries" => commit.map(|commit| commit.tries),
             "commit_age_ms" => commit.map(|commit| now.saturating_sub(commit.begun_ms)));
@@ -77,6 +90,7 @@
     span_ms: u64,
     sent_kbs: u64,
     received_kbs: u64,
+    connects: CallTraffic,
     kinds: Vec<(String, CallTraffic)>,
 }
 
@@ -86,7 +100,7 @@
         totals: &BTreeMap<String, CallTraffic>,
         span_ms: u64,
     ) -> TrafficShares {
-        let before = |kind: &String| told.get(kind).copied().unwrap_or_default();
+        let before = |kind: &str| told.get(kind).copied().unwrap_or_default();
         let mut kinds: Vec<(String, CallTraffic)> =
             totals.iter().map(|(kind, now)| (kind.clone(), now.since(before(kind)))).collect();
         kinds.sort_by_key(|(_, traffic)| std::cmp::Reverse(traffic.sent + traffic.received));
@@ -96,8 +110,11 @@
         // Bytes in a millisecond are kilobytes in a second.
         let (sent_kbs, received_kbs) =
             (sum(|traffic| traffic.sent) / span_ms, sum(|traffic| traffic.received) / span_ms);
+        let connects = totals.get(CONNECTS).copied().unwrap_or_default();
+        let connects = connects.since(before(CONNECTS));
+        kinds.retain(|(kind, traffic)| kind != CONNECTS && traffic.calls > 0);
         kinds.truncate(KINDS_MAX);
-        TrafficShares { span_ms, sent_kbs, received_kbs, kinds }
+        TrafficShares { span_ms, sent_kbs, received_kbs, connects, kinds }
     }
 }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -346,6 +346,11 @@
         now.saturating_sub(self.jobs_ms)
     }
 
+    /// Age of the newest confirmation of our leadership, in milliseconds.
+    pub fn confirmation_age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.confirmed_ms)
+    }
+
     fn is_confirmed(&self, now: u64) -> bool {
         now < self.confirmed_ms + CONFIRMATION_MS
     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -8,6 +8,8 @@
 const CALLS_MAX: usize = 48;
 /// The name of the others.
 const OTHERS: &str = "others";
+/// The kind under which connections are counted: as calls, those that did not open as unanswered.
+pub const CONNECTS: &str = "connect";
 
 /// Bytes of all calls of one kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -57,6 +59,11 @@
         traffic.received += bytes(received.unwrap_or(0));
     }
 
+    /// Takes in that a connection was opened, or did not open in time.
+    pub fn count_connect(&self, is_open: bool) {
+        self.count(CONNECTS, 0, is_open.then_some(0));
+    }
+
     /// What was counted, by kind of call.
     pub fn totals(&self) -> BTreeMap<String, CallTraffic> {
         self.lock().clone()
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -182,7 +182,11 @@
         let started = Instant::now();
         let sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, head, self.abandon).await?,
+            None => {
+                let opened = connect(address, head, self.abandon).await;
+                self.traffic.count_connect(opened.is_ok());
+                opened?
+            }
         };
         if !may_send() {
             return Err(ExchangeFailure::NotSent);
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -1,6 +1,11 @@
 //! Bytes of calls are told apart by what the call is for.
 
-use ibisweir::traffic::{CallTraffic, TrafficMeter};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use ibisweir::traffic::{CONNECTS, CallTraffic, TrafficMeter};
+use ibisweir::transport::{HttpCall, HttpTransport};
 
 #[test]
 fn calls_are_told_apart_by_path_and_first_parameter() {
@@ -19,6 +24,27 @@
     assert_eq!(totals["/look"].sent, 14);
 }
 
+/// Guards against a link on which no connection opens and that looks idle.
+#[tokio::test]
+async fn connections_that_do_not_open_are_counted() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    let transport = HttpTransport::open();
+    let call = HttpCall {
+        method: Method::GET,
+        path: "/look".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let answer = transport.exchange(address, call, Duration::from_secs(1)).await;
+    assert!(answer.is_err());
+    let totals = transport.traffic().totals();
+    let expected = CallTraffic { calls: 1, unanswered: 1, sent: 0, received: 0 };
+    assert_eq!(totals[CONNECTS], expected);
+    assert_eq!(totals.len(), 1, "the call was not sent: {totals:?}");
+}
+
 /// Guards against metrics that grow with whatever paths there are.
 #[test]
 fn kinds_of_calls_are_bounded() {
