A flood of one kind of line no longer drops the others

Whoever read the log of a busy leader missed placements: lines wait for the thread that writes them in a channel of 128, and the bound of each kind acted only behind it.

The bound acts before the channel, which holds 4,096 lines: a kind takes 500 of these a second at most, and what is left out of it is still told.

Test: a slow writer, 3,000 lines of one kind and one of another; before, the other was dropped.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -35,14 +35,27 @@
 /// At most [`LINES_PER_SECOND`] lines of a kind are written.
 pub fn open_output(level: Level) -> Logger {
     let drain = slog_json::Json::new(io::stdout()).add_default_keys().build();
-    let bounded = BoundedDrain::new(Mutex::new(drain).map(slog::Fuse), LINES_PER_SECOND);
-    spawn(bounded, level)
+    spawn_bounded(Mutex::new(drain).map(slog::Fuse), LINES_PER_SECOND, level)
+}
+
+/// A logger of bounded lines. They are bounded before they wait to be written: a flood of one kind would take
+/// the places of all others in the line.
+pub fn spawn_bounded<D>(drain: D, per_second: u32, level: Level) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let written = slog_async::Async::new(drain).chan_size(LINES_WAITING).build().fuse();
+    let bounded = BoundedDrain::new(written, per_second);
+    Logger::root(bounded.filter_level(level).fuse(), o!())
 }
 
 /// Lines of one kind that are written in a second: the leader of fifty workers writes half as many
 /// in a burst.
 pub const LINES_PER_SECOND: u32 = 500;
 
+/// Lines that may wait to be written: those of a few kinds in a burst.
+const LINES_WAITING: usize = 4_096;
+
 /// Lines of one kind in the present second.
 #[derive(Debug, Default)]
 struct LineCount {
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,10 +1,10 @@
 //! The log's volume is bounded, and it says what it left out.
 
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use ibisweir::logging::BoundedDrain;
-use slog::{Drain, Logger, Never, OwnedKVList, Record, info, o};
+use ibisweir::logging::{BoundedDrain, spawn_bounded};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, info, o};
 
 /// Keeps the messages.
 #[derive(Clone, Default)]
@@ -37,3 +37,32 @@
     assert!(floods <= 10 * seconds, "{floods}");
     assert!(lines.iter().any(|line| line == "leading"));
 }
+
+/// Takes a while for each line.
+struct SlowDrain(KeptLines);
+
+impl Drain for SlowDrain {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        std::thread::sleep(Duration::from_millis(1));
+        self.0.log(record, values)
+    }
+}
+
+/// Guards against a burst of one kind that takes the places of other lines before these are written.
+#[test]
+fn lines_wait_behind_a_flood_and_are_not_lost() {
+    let kept = KeptLines::default();
+    let logger = spawn_bounded(SlowDrain(kept.clone()), 10, Level::Info);
+    for _ in 0..3_000 {
+        info!(logger, "placed");
+    }
+    info!(logger, "leading");
+    // The last logger waits for what is still to be written.
+    drop(logger);
+    let lines = kept.0.lock().expect("no panic holds it").clone();
+    assert!(lines.iter().any(|line| line == "leading"));
+    assert!(!lines.iter().any(|line| line.contains("dropped")), "{} lines", lines.len());
+}
