A worker that was left out for errors opens again where services stand

Callers of a service saw a task of it away for good while VMs had room for it. A worker that refuses or fails what others get done is left out for 1.5 to 8 s and then tried: it counts as open only while nothing runs there, until a run on it ends as done. A service never does. So a worker with a service on it was never tried again, and one that was tried with a service took nothing more, for as long as the service stood there. Where tasks of a step have to be apart, such workers are often the only ones without a sibling, and as they counted as usable no VM was called for in their place.

Now services that have been there for as long as the shortest time out do not count in the trial, and a service that gets to work on a worker on trial ends the trial. One that is already at work while the worker is left out, and one that fails before, still tell nothing for it, and failures of services count as before.

Both tests failed on the code before: 18 s away, the length of their scenes (9 s are promised); no time away after it. Stage only: not shown to be what the users met.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -477,7 +477,7 @@
         let is_settled = sent_ms > settled_ms;
         for (key, run) in &booked {
             match told.get(&(*key, *run)) {
-                Some(told) => self.run_seen(key, *run, told, is_settled, now),
+                Some(told) => self.run_seen(id, key, *run, told, is_settled, now),
                 None if is_full => {}
                 None => self.run_missing(id, key, *run, sent_ms, now),
             }
@@ -492,6 +492,7 @@
 
     fn run_seen(
         &mut self,
+        id: &Arc<str>,
         key: &TaskKey,
         run: u32,
         told: &RunningTask,
@@ -523,7 +524,8 @@
         }
         let was_at_work = live.percent >= 100;
         live.percent = told.percent;
-        if spec.is_service && told.percent >= 100 {
+        let is_at_work = spec.is_service && told.percent >= 100;
+        if is_at_work {
             task.at_work_ms = now;
             if !was_at_work {
                 task.failures = 0;
@@ -537,6 +539,11 @@
         }
         if is_over || task.is_done {
             self.stop_run(key, run, "job is over", now);
+        } else if is_at_work && !was_at_work {
+            // A service never ends as done.
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.end_trial(now);
+            }
         }
     }
 
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -100,6 +100,12 @@
         self.probation_ms > 0 && !self.has_worked(self.probation_ms)
     }
 
+    /// Whether it lasts, and has been there for as long as its worker is left out at least: it tells nothing of
+    /// what starts there now.
+    fn is_settled_service(&self) -> bool {
+        self.is_service && self.has_worked(SUSPENSION_MS)
+    }
+
     /// Whether its start is over as a danger to the worker.
     pub fn has_settled(&self) -> bool {
         self.has_worked(PROOF_MS) && !self.is_on_probation()
@@ -350,7 +356,7 @@
             && self.is_within_room()
             && now >= self.suspended_until_ms
             && now >= self.full_until_ms
-            && (!self.is_on_trial || self.runs.is_empty())
+            && (!self.is_on_trial || self.runs.values().all(BookedRun::is_settled_service))
     }
 
     /// Whether it is left out because what it starts fails.
@@ -440,7 +446,14 @@
         }
     }
 
-    /// Leaves the worker out for a growing time, and then tries it with one run.
+    /// Ends the time in which one run at a time is tried there: a service has come to work.
+    pub fn end_trial(&mut self, now: u64) {
+        if self.is_on_trial && now >= self.suspended_until_ms {
+            self.judge(true, now);
+        }
+    }
+
+    /// Leaves the worker out for a growing time, and then tries it with one run beside services that stand there.
     pub fn suspend(&mut self, now: u64) {
         self.suspended_until_ms = now + self.suspension_ms;
         self.suspension_ms = (self.suspension_ms * 2).min(SUSPENSION_MAX_MS);
--- a/tests/service_return.rs
+++ b/tests/service_return.rs
@@ -111,21 +111,26 @@
     StepSpec { per_worker_max: 0, ..service_step(count) }
 }
 
-/// Guards against a VM that stays closed for good, as its first run after a time of errors is a service.
-#[test]
-fn a_vm_that_is_tried_with_a_service_takes_more_once_that_is_at_work() {
-    let mut scene = ReturnScene::open(4);
+/// Four VMs of which two refuse what is started there for a second, while there is much to start.
+fn refuse_for_a_while(scene: &mut ReturnScene) {
     let set = |scene: &mut ReturnScene, is_unhealthy| {
         for id in ["w0", "w1"] {
             scene.stage.workers.get_mut(id).expect("known").is_unhealthy = is_unhealthy;
         }
     };
-    set(&mut scene, true);
+    set(scene, true);
     let need = ResourceVector { cpu: 4_000, memory: 1_000, accelerators: 0 };
     let batch = scene.stage.submit(1, job(vec![StepSpec { need, ..filling(6) }]));
     scene.advance(1_000);
-    set(&mut scene, false);
+    set(scene, false);
     scene.cancel(batch);
+}
+
+/// Guards against a VM that stays closed for good, as its first run after a time of errors is a service.
+#[test]
+fn a_vm_that_is_tried_with_a_service_takes_more_once_that_is_at_work() {
+    let mut scene = ReturnScene::open(4);
+    refuse_for_a_while(&mut scene);
     scene.serve(2, service_step(4));
     scene.advance(AWAY_MAX_MS);
     scene.serve(3, service_step(4));
@@ -133,6 +138,18 @@
     assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms", scene.worst_ms);
 }
 
+/// Guards against a VM that stays closed for good after a time of errors, as a service stands there.
+#[test]
+fn a_vm_with_a_service_is_tried_again_after_errors() {
+    let mut scene = ReturnScene::open(4);
+    scene.serve(2, service_step(4));
+    scene.advance(2_000);
+    refuse_for_a_while(&mut scene);
+    scene.serve(3, service_step(4));
+    scene.advance(2 * AWAY_MAX_MS);
+    assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms", scene.worst_ms);
+}
+
 /// Guards against services that are lost together and get room one after the other, each after the stop of what
 /// it displaces.
 #[test]
