Services that wait in a full pool displace other tasks together

Callers saw tasks of services away the longer the more of them were lost at one time: in a full pool they came back one after the other, each after the stop of what it displaced. A look at all that waits stopped tasks for the first service of a step only, and for every step on the worker where least work was thrown away; the next look found the same tasks, still being stopped, and took their room for free to take again. So one stop, its end and a report were waited for by each service in turn.

Now each is promised the room that it counts on for the length of one look: of runs that are being stopped, whatever for, and of those that are stopped for it besides. The next one counts on other room, and nothing else is placed into the free part of a promise. Nothing is booked before the room is free, as before; a task on trial still waits alone, and an organisation's cap counts what was promised to the same step.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -51,6 +51,7 @@
             }
             return;
         }
+        self.clear_promises();
         let rooms = self.largest_rooms(now);
         let mut ready = self.ready_steps(&rooms, now);
         ready.sort_by_key(|step| (step.rank, step.key));
@@ -83,6 +84,7 @@
         if std::mem::take(&mut self.looks_for_copies) {
             self.place_copies(now);
         }
+        self.clear_promises();
         self.is_held_back = !self.has_start_room();
     }
 
@@ -195,10 +197,12 @@
     fn place_tasks(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
         let Some(permitted) = self.permitted(step, now) else { return true };
         let (mut beside, mut racks) = self.neighbours_of(spec, &step.key);
+        // Tasks that will be placed once what is displaced for them has ended.
+        let mut waiting = 0;
         for key in &step.waiting {
             // Its organisation's other tasks wait as well, and nobody else's.
-            if !self.has_start_room() || !self.has_cap_room(key, &spec.need) {
-                return true;
+            if !self.has_start_room() || !self.has_cap_room(key, &spec.need.times(waiting + 1)) {
+                return waiting == 0;
             }
             let waited = self.waited_ms(key, now);
             let suspect = self.suspect(key);
@@ -226,9 +230,15 @@
             let mut worker = self.find_worker(&step.service, &query, waited, now);
             if worker.is_none()
                 && is_lasting
-                && self.make_room(&step.service, &query, step.rank, now)
+                && let Some(promised) = self.make_room(&step.service, &query, step.rank, now)
             {
-                return false;
+                // Beside a suspect nothing else may start, so no other can count on room there.
+                if suspect.is_some() {
+                    return false;
+                }
+                waiting += 1;
+                *beside.entry(promised).or_insert(0) += 1;
+                continue;
             }
             let waits =
                 self.is_choosy(key, spec, now) && self.has_other_open(&step.service, &avoided, now);
@@ -249,7 +259,7 @@
             }
             *beside.entry(worker).or_insert(0) += 1;
         }
-        true
+        waiting == 0
     }
 
     /// Whether a pool has open workers beside these.
@@ -385,7 +395,7 @@
         // The cheapest question first: in a burst few workers have room.
         self.workers
             .iter()
-            .filter(|(_, worker)| worker.free().holds(&booked))
+            .filter(|(id, worker)| self.unpromised(id, worker).holds(&booked))
             .filter(|(_, worker)| &*worker.entry.service == service)
             .filter(|(_, worker)| worker.takes(query.suspect, now))
             .filter(|(id, worker)| is_allowed(id, worker, query))
@@ -429,7 +439,7 @@
         let has_lasting = is_hurried && hosts.iter().any(|(is_due, _)| !is_due);
         hosts.iter().filter(|(is_due, _)| !(has_lasting && *is_due)).any(|(_, worker)| {
             worker.free().holds(&spec.booked())
-                || is_hurried && self.victims(worker, spec, rank).is_some()
+                || is_hurried && self.can_make_room(worker, spec, rank)
         })
     }
 
@@ -460,69 +470,6 @@
         }
         (is_far, hosts_none, due, fullest)
     }
-
-    /// Stops tasks that may be displaced so that a service task finds room; false if none would help.
-    fn make_room(
-        &mut self,
-        service: &str,
-        query: &PlaceQuery<'_>,
-        rank: JobRank,
-        now: u64,
-    ) -> bool {
-        let mut best: Option<(u64, Vec<(TaskKey, u32)>)> = None;
-        for (id, worker) in &self.workers {
-            if &*worker.entry.service != service
-                || !worker.takes(query.suspect, now)
-                || !is_allowed(id, worker, query)
-            {
-                continue;
-            }
-            let Some((cost, victims)) = self.victims(worker, query.spec, rank) else { continue };
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, victims));
-            }
-        }
-        let Some((_, victims)) = best else { return false };
-        for (key, run) in victims {
-            self.stop_run(&key, run, "displaced by a service", now);
-        }
-        true
-    }
-
-    /// Runs whose end would make room on a worker, and the work thrown away.
-    fn victims(
-        &self,
-        worker: &WorkerRun,
-        spec: &StepSpec,
-        rank: JobRank,
-    ) -> Option<(u64, Vec<(TaskKey, u32)>)> {
-        let mut runs: Vec<(u64, TaskKey, u32, ResourceVector)> = Vec::new();
-        for ((key, run), booked) in &worker.runs {
-            if booked.is_service {
-                continue;
-            }
-            let job = self.jobs.get(&key.job)?;
-            let priority = self.queue_of(job).map_or(u32::MAX, |queue| queue.priority);
-            if priority < rank.priority {
-                continue;
-            }
-            let live = job.task(key)?.live.iter().find(|live| live.run == *run)?;
-            let cost = u64::from(live.percent.min(100)) * booked.need.cpu.max(1);
-            runs.push((cost, *key, *run, booked.need));
-        }
-        runs.sort_by_key(|(cost, key, run, _)| (*cost, *key, *run));
-        let mut room = worker.free();
-        let (mut total, mut victims) = (0, Vec::new());
-        for (cost, key, run, need) in runs {
-            if room.holds(&spec.booked()) {
-                break;
-            }
-            room.add(&need);
-            total += cost;
-            victims.push((key, run));
-        }
-        (room.holds(&spec.booked()) && !victims.is_empty()).then_some((total, victims))
-    }
 }
 
 /// Whether a step's tasks displace others where there is no room.
--- /dev/null
+++ b/src/scheduler/displace.rs
@@ -0,0 +1,151 @@
+//! Room for services on workers that are full: tasks that may be displaced are stopped.
+//!
+//! Services that were lost together need room together, and a stop takes a while. So each is promised the room of
+//! what is stopped for it, and the next one counts on other room. Promises last for one look at all that waits; the
+//! next look makes them anew, first of the room that is being made already.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::jobs::model::{ResourceVector, StepSpec, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::scheduler::dispatch::{PlaceQuery, is_allowed};
+use crate::scheduler::job::{LiveRun, RunPhase};
+use crate::scheduler::rank::JobRank;
+use crate::scheduler::worker::WorkerRun;
+
+/// Room that waiting services count on, by worker.
+#[derive(Debug, Default)]
+pub(crate) struct RoomPromises {
+    promised: BTreeMap<Arc<str>, ResourceVector>,
+    /// Room of runs that are being stopped. Gathered when it is first asked for.
+    coming: Option<BTreeMap<Arc<str>, ResourceVector>>,
+}
+
+/// Runs whose end would make room on a worker, and the work thrown away.
+struct Displacement {
+    cost: u64,
+    victims: Vec<(TaskKey, u32)>,
+}
+
+impl Scheduler {
+    /// Drops all promises.
+    pub(crate) fn clear_promises(&mut self) {
+        self.promises = RoomPromises::default();
+    }
+
+    /// What is free on a worker and promised to nobody.
+    pub(crate) fn unpromised(&self, id: &Arc<str>, worker: &WorkerRun) -> ResourceVector {
+        let free = worker.free();
+        let Some(promised) = self.promises.promised.get(id) else { return free };
+        let coming = self.promises.coming.as_ref().and_then(|coming| coming.get(id).copied());
+        free.less(&promised.less(&coming.unwrap_or_default()))
+    }
+
+    /// Finds a worker on which a service task gets room once what is stopped there has ended, and stops what must be
+    /// displaced for it beside that; nothing if none would help.
+    pub(crate) fn make_room(
+        &mut self,
+        service: &str,
+        query: &PlaceQuery<'_>,
+        rank: JobRank,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        if self.promises.coming.is_none() {
+            let coming = self.workers.iter().map(|(id, worker)| (id.clone(), self.coming(worker)));
+            self.promises.coming = Some(coming.collect());
+        }
+        let mut best: Option<(Displacement, Arc<str>)> = None;
+        for (id, worker) in &self.workers {
+            if &*worker.entry.service != service
+                || !worker.takes(query.suspect, now)
+                || !is_allowed(id, worker, query)
+            {
+                continue;
+            }
+            let Some(room) = self.promisable(id, worker) else { continue };
+            let Some(found) = self.displacement(worker, room, query.spec, rank) else { continue };
+            if best.as_ref().is_none_or(|(least, _)| found.cost < least.cost) {
+                best = Some((found, id.clone()));
+            }
+        }
+        let (found, id) = best?;
+        for (key, run) in &found.victims {
+            self.stop_run(key, *run, "displaced by a service", now);
+        }
+        let coming = self.workers.get(&id).map(|worker| self.coming(worker)).unwrap_or_default();
+        if let Some(known) = &mut self.promises.coming {
+            known.insert(id.clone(), coming);
+        }
+        self.promises.promised.entry(id.clone()).or_default().add(&query.spec.booked());
+        Some(id)
+    }
+
+    /// Whether a worker has room for a service task, or would if other tasks were displaced.
+    pub(crate) fn can_make_room(&self, worker: &WorkerRun, spec: &StepSpec, rank: JobRank) -> bool {
+        let mut room = worker.free();
+        room.add(&self.coming(worker));
+        self.displacement(worker, room, spec, rank).is_some()
+    }
+
+    /// Room of a worker's runs that are being stopped.
+    fn coming(&self, worker: &WorkerRun) -> ResourceVector {
+        let mut coming = ResourceVector::default();
+        for ((key, run), booked) in &worker.runs {
+            if self.live(key, *run).is_some_and(|live| live.phase == RunPhase::Stopping) {
+                coming.add(&booked.need);
+            }
+        }
+        coming
+    }
+
+    /// What is free on a worker or will be soon, and promised to nobody.
+    fn promisable(&self, id: &Arc<str>, worker: &WorkerRun) -> Option<ResourceVector> {
+        let mut room = worker.free();
+        room.add(self.promises.coming.as_ref()?.get(id)?);
+        Some(room.less(&self.promises.promised.get(id).copied().unwrap_or_default()))
+    }
+
+    /// What must be displaced on a worker with so much room to come, the least work first.
+    fn displacement(
+        &self,
+        worker: &WorkerRun,
+        mut room: ResourceVector,
+        spec: &StepSpec,
+        rank: JobRank,
+    ) -> Option<Displacement> {
+        let need = spec.booked();
+        let mut found = Displacement { cost: 0, victims: Vec::new() };
+        if room.holds(&need) {
+            return Some(found);
+        }
+        let mut runs: Vec<(u64, TaskKey, u32, ResourceVector)> = Vec::new();
+        for ((key, run), booked) in &worker.runs {
+            if booked.is_service {
+                continue;
+            }
+            let job = self.jobs.get(&key.job)?;
+            let priority = self.queue_of(job).map_or(u32::MAX, |queue| queue.priority);
+            let live = self.live(key, *run)?;
+            if priority < rank.priority || live.phase == RunPhase::Stopping {
+                continue;
+            }
+            let cost = u64::from(live.percent.min(100)) * booked.need.cpu.max(1);
+            runs.push((cost, *key, *run, booked.need));
+        }
+        runs.sort_by_key(|(cost, key, run, _)| (*cost, *key, *run));
+        for (cost, key, run, freed) in runs {
+            room.add(&freed);
+            found.cost += cost;
+            found.victims.push((key, run));
+            if room.holds(&need) {
+                return Some(found);
+            }
+        }
+        None
+    }
+
+    fn live(&self, key: &TaskKey, run: u32) -> Option<&LiveRun> {
+        self.jobs.get(&key.job)?.task(key)?.live.iter().find(|live| live.run == run)
+    }
+}
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -65,7 +65,7 @@
             .filter(|(_, worker)| {
                 worker.entry.service == step.service && worker.takes(suspect, now)
             })
-            .map(|(id, worker)| (id, worker.free()))
+            .map(|(id, worker)| (id, self.unpromised(id, worker)))
             .collect();
         let mut plan = Vec::with_capacity(step.waiting.len());
         for _ in &step.waiting {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod copies;
 pub mod demand;
 pub mod dispatch;
+mod displace;
 pub mod exits;
 pub mod fleet;
 mod gang;
@@ -53,6 +54,7 @@
 use crate::scheduler::abandoned::AbandonedRuns;
 pub use crate::scheduler::action::{RecordSource, SchedulerAction, SchedulerNote};
 use crate::scheduler::commit::CommitQueue;
+use crate::scheduler::displace::RoomPromises;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::losses::LossWatch;
@@ -161,6 +163,7 @@
     /// Whether nothing was placed as the jobs are not known well enough.
     is_blind: bool,
     permits: HashMap<StepKey, StepPermits>,
+    promises: RoomPromises,
     commits: CommitQueue,
     fleet: FleetState,
     pace: FlowPace,
@@ -213,6 +216,7 @@
             jobs_ms: start.jobs_ms,
             is_blind: false,
             permits: HashMap::new(),
+            promises: RoomPromises::default(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
             pace: FlowPace::default(),
