--- a/standin/src/jobs/proxy.rs
+++ b/standin/src/jobs/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy that harms the connections through it.
 
 use std::future::pending;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -18,6 +18,10 @@
 const LOOK_GAP: Duration = Duration::from_millis(20);
 /// Bytes that are passed on at a time.
 const CHUNK: usize = 16 << 10;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Receive buffer towards the near end, in bytes: what stands in it has not passed the link.
+const RECEIVE_BYTES: u32 = 16 << 10;
 /// Time for which a connection is kept open towards the far end once its last held bytes were delivered.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -32,6 +36,8 @@
     /// Two chunks of three are held back for up to this long, on each connection in its order, and delivered then:
     /// also after the sender has given up, or the fault is over.
     Hold(Duration),
+    /// All connections together carry so many bytes a second to the far end.
+    Narrow(u32),
     /// Nothing passes to the far end; what comes back does.
     CutForth,
     /// Nothing comes back; what is sent passes.
@@ -56,6 +62,8 @@
     /// Connections of an earlier generation are reset.
     reset: AtomicU64,
     next: AtomicU64,
+    /// When the narrow link has carried all that was read.
+    free: Mutex<Option<Instant>>,
 }
 
 /// A running proxy; stops when dropped.
@@ -76,7 +84,10 @@
 impl FaultProxy {
     /// Binds a port that the system chooses, in front of `target`.
     pub async fn open(target: SocketAddr) -> std::io::Result<FaultProxy> {
-        let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+        socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         let state = Arc::new(LinkState::default());
         let server = tokio::spawn(accept(listener, target, state.clone()));
@@ -106,6 +117,16 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When so many bytes have passed a narrow link.
+    fn carried(&self, bytes: usize) -> Option<Instant> {
+        let LinkFault::Narrow(rate) = self.fault() else { return None };
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let mut free = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+        let begun = free.map_or_else(Instant::now, |free| free.max(Instant::now()));
+        *free = Some(begun + Duration::from_secs_f64(f64::from(bytes) / f64::from(rate)));
+        *free
+    }
+
     /// For how long a chunk that has just come is held back.
     fn hold_time(&self) -> Option<Duration> {
         let LinkFault::Hold(longest) = self.fault() else { return None };
@@ -154,7 +175,7 @@
     let (sender, queue) = mpsc::unbounded_channel();
     // What was read is delivered also after its sender has closed the connection, as a network does.
     let reading = async {
-        take_in(from, sender, state).await;
+        take_in(from, sender, state, cut == LinkFault::CutForth).await;
         pending::<()>().await;
     };
     tokio::select! {
@@ -167,9 +188,13 @@
     mut from: OwnedReadHalf,
     queue: mpsc::UnboundedSender<PassedChunk>,
     state: &LinkState,
+    is_forth: bool,
 ) {
     let mut bytes = vec![0; CHUNK];
     while let Ok(read) = from.read(&mut bytes).await {
+        if is_forth && let Some(carried) = state.carried(read) {
+            sleep_until(carried).await;
+        }
         let due = state.hold_time().map(|hold| Instant::now() + hold);
         if read == 0 || queue.send(PassedChunk { bytes: bytes[..read].to_vec(), due }).is_err() {
             return;
