--- a/src/jobs/notes.rs
+++ b/src/jobs/notes.rs
@@ -38,13 +38,14 @@
             reason,
             away_ms,
             waits_ms,
+            open_tries,
             losses,
             all,
         } => {
             count(&node.metrics.service_waits, reason);
             info!(logger, "a service task is away"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => worker.as_deref(), "reason" => reason,
-                "away_ms" => away_ms, "waits_ms" => waits_ms, "workers_lost" => losses.all,
+                "away_ms" => away_ms, "waits_ms" => waits_ms, "open_tries" => open_tries, "workers_lost" => losses.all,
                 "lost_at_start" => losses.at_start, "all_away" => all);
         }
         SchedulerNote::OnTrial { task, lost } => {
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -103,6 +103,8 @@
         away_ms: u64,
         /// Time for which it has waited in this state, in milliseconds.
         waits_ms: u64,
+        /// Tries of its start that are under way.
+        open_tries: u32,
         /// Workers that were lost under it.
         losses: LossCount,
         /// Tasks of services that are away for long.
--- a/src/scheduler/waits.rs
+++ b/src/scheduler/waits.rs
@@ -106,6 +106,7 @@
             worker: task.live.last().map(|live| live.worker.clone()),
             reason,
             away_ms,
+            open_tries: task.live.last().map_or(0, |live| live.open_tries),
             waits_ms: now.saturating_sub(since_ms.max(self.waits.opened_ms)),
             losses: task.losses,
             all,
@@ -121,6 +122,11 @@
         match live.phase {
             RunPhase::Planned => "its record is not on the log",
             RunPhase::Starting if live.open_tries > 0 => "its start is under way",
+            RunPhase::Starting if !self.is_confirmed(now) => "the leadership is not confirmed",
+            RunPhase::Starting if !self.knows_jobs(now) => "the job log is read too late",
+            RunPhase::Starting if !self.knows_rooms(&worker.entry.service, now) => {
+                "rooms of workers are read too late"
+            }
             RunPhase::Starting if live.is_in_doubt => "its start is in doubt",
             RunPhase::Starting if !worker.may_start_now(&(*key, live.run), live.since_ms) => {
                 "its worker must answer before a probation"
