Starts for which no executor has room are told of

Whether these starts were handed to the executors and found none with room was counted (`not_delegated`) and in no line. The line has their number and their data centre.

--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -154,6 +154,9 @@
             })
         };
         let Some((address, stamp)) = picked else {
+            let centre = orders.first().map(|order| order.centre.clone());
+            info!(self.node.logger, "no executor has room for starts"; "starts" => orders.len(),
+                "centre" => centre.as_deref());
             tell(&self.node, &orders, &vec![DelegatedOutcome::NotSent; orders.len()]);
             return;
         };
