Leases that run out where every answer comes late: a failing test

In a traced play all 134 workers went silent, answered late and answered again some six times each between 26.5 and 32.5 s: their renewals arrived and were answered 0.31 s after they were given up (the median), and yet no lease was extended for 6 s.

Cause, as the test shows: a renewal that has no answer makes its worker silent, and the next one, 150 ms later, extends no lease, as those of silent workers must run out. The late answer of the first clears the silence after that, and then the answer of the second is late as well. Where each answer takes 500 to 700 ms, no renewal after the first carries a lease.

--- a/tests/scheduler_silence.rs
+++ b/tests/scheduler_silence.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use ibisweir::jobs::model::{ExitKind, JobId, JobState};
-use ibisweir::jobs::ports::VmCommand;
-use support::stage::{POOL, STANDBY, Stage, config, job, step, task, vm, worker};
+use ibisweir::jobs::ports::{CommandOutcome, RenewCall, RunningTask, VmCommand, WorkerReport};
+use ibisweir::scheduler::exits::RenewPlan;
+use support::stage::{POOL, STANDBY, Stage, config, job, service_step, step, task, vm, worker};
 
 /// Longer than every lease that a worker can have.
 const LEASES_MS: u64 = 6_400;
@@ -124,3 +127,89 @@
     assert_eq!((0..15).filter(|index| stage.alive(task(other, 0, *index)) > 0).count(), 7);
     assert!(stage.workers["w0"].running.is_empty());
 }
+
+/// A renewal that has reached its worker; the answer is on its way.
+struct SlowRenewal {
+    call: RenewCall,
+    report: WorkerReport,
+    sent_ms: u64,
+    given_up_ms: u64,
+    answered_ms: u64,
+}
+
+/// Renews the leases of `w0`, whose answers take so long, as a lane does: one call at a time, while the answers of those
+/// that were given up are read on.
+fn renew_slowly(stage: &mut Stage, delay_ms: u64, ms: u64) {
+    let id: Arc<str> = "w0".into();
+    let (mut open, mut late): (Option<SlowRenewal>, Vec<SlowRenewal>) = (None, Vec::new());
+    stage.mutes_renewals = true;
+    for _ in 0..ms / 10 {
+        stage.advance(10);
+        let now = stage.now;
+        let (answered, waiting): (Vec<_>, Vec<_>) =
+            late.into_iter().partition(|renewal| renewal.answered_ms <= now);
+        late = waiting;
+        for renewal in answered {
+            let SlowRenewal { call, report, sent_ms, .. } = renewal;
+            stage.scheduler.answered_late(&id, &call, report, sent_ms, now);
+        }
+        match open.take() {
+            Some(renewal) if renewal.answered_ms <= now => {
+                let outcome = CommandOutcome::Done(renewal.report);
+                stage.scheduler.renewed(&id, &renewal.call, outcome, renewal.sent_ms, now);
+            }
+            Some(renewal) if renewal.given_up_ms <= now => {
+                let outcome = CommandOutcome::Unknown;
+                stage.scheduler.renewed(&id, &renewal.call, outcome, renewal.sent_ms, now);
+                late.push(renewal);
+            }
+            waiting => open = waiting,
+        }
+        if open.is_some() {
+            continue;
+        }
+        let RenewPlan::Call(_, call, patience) = stage.scheduler.renew_plan(&id, now) else {
+            continue;
+        };
+        let host = stage.workers.get_mut(&id).expect("known");
+        host.lease_until_ms = host.lease_until_ms.max(call.lease_until_ms.unwrap_or(0));
+        let running = host.running.keys().map(|(task, run)| RunningTask {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            gauge: None,
+        });
+        let wait_ms = u64::try_from(call.wait.as_millis()).expect("a short wait");
+        let patience_ms = u64::try_from(patience.as_millis()).expect("a short patience");
+        let report = WorkerReport {
+            clock_ms: host.clock_ms(now + wait_ms),
+            running: running.collect(),
+            exits: host.exits.clone(),
+            ..WorkerReport::default()
+        };
+        open = Some(SlowRenewal {
+            call,
+            report,
+            sent_ms: now,
+            given_up_ms: now + wait_ms + patience_ms,
+            answered_ms: now + wait_ms + delay_ms,
+        });
+    }
+}
+
+/// Guards against leases that run out under workers that take every renewal, as each answer comes after its time.
+#[test]
+fn leases_last_where_every_answer_comes_late() {
+    let mut starts = Vec::new();
+    for delay_ms in [100, 350, 420, 500, 600, 700, 800, 1_000] {
+        let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+        let id = stage.submit(1, job(vec![service_step(1)]));
+        let key = task(id, 0, 0);
+        stage.advance(1_000);
+        assert_eq!(stage.alive(key), 1);
+        renew_slowly(&mut stage, delay_ms, 30_000);
+        starts.push((delay_ms, stage.starts(key)));
+    }
+    assert!(starts.iter().all(|(_, starts)| *starts == 1), "delay in ms, starts: {starts:?}");
+}
