Services displace other tasks where stops are lost

Callers saw a task of a service away for as long as stops to one worker were lost, in a pool full of tasks that could have made room. A service that found no room went again and again for the worker where least work was thrown away, and after the first stop that was the one where the tasks were being stopped already.

Now no service counts on the room of a worker where a stop has gone without effect for 1.5 s, the time for which one is waited for, and it displaces others elsewhere. Nothing is taken for over: what is being stopped keeps its room and its task until its end is known. Where all stops are that slow, each service displaces tasks on one worker more each 1.5 s, on each worker once.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -439,7 +439,7 @@
         let has_lasting = is_hurried && hosts.iter().any(|(is_due, _)| !is_due);
         hosts.iter().filter(|(is_due, _)| !(has_lasting && *is_due)).any(|(_, worker)| {
             worker.free().holds(&spec.booked())
-                || is_hurried && self.can_make_room(worker, spec, rank)
+                || is_hurried && self.can_make_room(worker, spec, rank, now)
         })
     }
 
--- a/src/scheduler/displace.rs
+++ b/src/scheduler/displace.rs
@@ -14,12 +14,16 @@
 use crate::scheduler::rank::JobRank;
 use crate::scheduler::worker::WorkerRun;
 
+/// Time after which the room of a run that is being stopped is not counted on, in milliseconds: its stops may all be
+/// lost.
+const STOP_WAIT_MAX_MS: u64 = 1_500;
+
 /// Room that waiting services count on, by worker.
 #[derive(Debug, Default)]
 pub(crate) struct RoomPromises {
     promised: BTreeMap<Arc<str>, ResourceVector>,
-    /// Room of runs that are being stopped. Gathered when it is first asked for.
-    coming: Option<BTreeMap<Arc<str>, ResourceVector>>,
+    /// Room of runs that are being stopped; none where a stop is overdue. Gathered when it is first asked for.
+    coming: Option<BTreeMap<Arc<str>, Option<ResourceVector>>>,
 }
 
 /// Runs whose end would make room on a worker, and the work thrown away.
@@ -38,7 +42,7 @@
     pub(crate) fn unpromised(&self, id: &Arc<str>, worker: &WorkerRun) -> ResourceVector {
         let free = worker.free();
         let Some(promised) = self.promises.promised.get(id) else { return free };
-        let coming = self.promises.coming.as_ref().and_then(|coming| coming.get(id).copied());
+        let coming = self.promises.coming.as_ref().and_then(|coming| coming.get(id).copied()?);
         free.less(&promised.less(&coming.unwrap_or_default()))
     }
 
@@ -52,7 +56,8 @@
         now: u64,
     ) -> Option<Arc<str>> {
         if self.promises.coming.is_none() {
-            let coming = self.workers.iter().map(|(id, worker)| (id.clone(), self.coming(worker)));
+            let coming =
+                self.workers.iter().map(|(id, worker)| (id.clone(), self.coming(worker, now)));
             self.promises.coming = Some(coming.collect());
         }
         let mut best: Option<(Displacement, Arc<str>)> = None;
@@ -73,7 +78,7 @@
         for (key, run) in &found.victims {
             self.stop_run(key, *run, "displaced by a service", now);
         }
-        let coming = self.workers.get(&id).map(|worker| self.coming(worker)).unwrap_or_default();
+        let coming = self.workers.get(&id).and_then(|worker| self.coming(worker, now));
         if let Some(known) = &mut self.promises.coming {
             known.insert(id.clone(), coming);
         }
@@ -82,27 +87,39 @@
     }
 
     /// Whether a worker has room for a service task, or would if other tasks were displaced.
-    pub(crate) fn can_make_room(&self, worker: &WorkerRun, spec: &StepSpec, rank: JobRank) -> bool {
+    pub(crate) fn can_make_room(
+        &self,
+        worker: &WorkerRun,
+        spec: &StepSpec,
+        rank: JobRank,
+        now: u64,
+    ) -> bool {
         let mut room = worker.free();
-        room.add(&self.coming(worker));
+        room.add(&self.coming(worker, now).unwrap_or_default());
         self.displacement(worker, room, spec, rank).is_some()
     }
 
-    /// Room of a worker's runs that are being stopped.
-    fn coming(&self, worker: &WorkerRun) -> ResourceVector {
+    /// Room of a worker's runs that are being stopped; nothing if one of them should have ended by now.
+    fn coming(&self, worker: &WorkerRun, now: u64) -> Option<ResourceVector> {
         let mut coming = ResourceVector::default();
         for ((key, run), booked) in &worker.runs {
-            if self.live(key, *run).is_some_and(|live| live.phase == RunPhase::Stopping) {
-                coming.add(&booked.need);
+            let Some(live) = self.live(key, *run) else { continue };
+            if live.phase != RunPhase::Stopping {
+                continue;
+            }
+            if now > live.since_ms + STOP_WAIT_MAX_MS {
+                return None;
             }
+            coming.add(&booked.need);
         }
-        coming
+        Some(coming)
     }
 
-    /// What is free on a worker or will be soon, and promised to nobody.
+    /// What is free on a worker or will be soon, and promised to nobody; nothing where a stop is overdue.
     fn promisable(&self, id: &Arc<str>, worker: &WorkerRun) -> Option<ResourceVector> {
+        let coming = self.promises.coming.as_ref()?.get(id).copied()??;
         let mut room = worker.free();
-        room.add(self.promises.coming.as_ref()?.get(id)?);
+        room.add(&coming);
         Some(room.less(&self.promises.promised.get(id).copied().unwrap_or_default()))
     }
 
