Workers that have just refused a start come after the others

Callers saw a task of a service away for as long as some workers refused it, though others had room. A worker that says that it has no room gets nothing for 0.3 s, and a refused task is placed again after 60 ms on the worker that fits best. With six workers that refuse, the first is open again when the last has refused, and they took turns for good; the slower the log and the links, the fewer it takes.

Now a worker that has refused a start comes after those that have not, for 8 s or until it begins another. So each of them refuses a task once before all others are tried. Those that say that they are unhealthy are told by the same; they were left out for a growing time after some refusals, as before. Gangs are placed as before.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -403,7 +403,7 @@
                 // Away from its data it takes longer than a short wait for room beside it.
                 is_near(worker, query.spec) || waited_ms >= remote_ms
             })
-            .min_by_key(|(_, worker)| self.misfit(worker, query, now))
+            .min_by_key(|(_, worker)| (worker.has_refused(now), self.misfit(worker, query, now)))
             .map(|(id, _)| id.clone())
     }
 
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -23,8 +23,6 @@
 /// Wait before a task that a worker refused is placed again, in milliseconds: by then the worker's
 /// next report has corrected the book.
 const REFUSED_PAUSE_MS: u64 = 60;
-/// Time for which a worker that says that it has no room gets no start, in milliseconds: a report or two.
-const FULL_PAUSE_MS: u64 = 300;
 /// Wait before a malformed task is tried again, in milliseconds.
 const MALFORMED_PAUSE_MS: u64 = 2_000;
 /// Time that the rest of a gang that has lost a member is left to end by itself, in milliseconds: the
@@ -316,6 +314,7 @@
             live.progress_ms = now;
             self.actions.push(SchedulerAction::Wake(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
+                worker.refused_ms = None;
                 worker.see_run(&(*key, run), clock_ms);
             }
         }
@@ -364,15 +363,9 @@
             CommandRefusal::Permit => {
                 self.permits.remove(&key.step_key());
             }
-            CommandRefusal::Unhealthy => {
+            CommandRefusal::Unhealthy | CommandRefusal::NoRoom => {
                 if let Some(worker) = self.workers.get_mut(id) {
-                    worker.judge(false, now);
-                }
-            }
-            // The books are wrong about it, and each further try would be refused too.
-            CommandRefusal::NoRoom => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.full_until_ms = now + FULL_PAUSE_MS;
+                    worker.refuse(refusal, now);
                 }
             }
             CommandRefusal::Malformed => {}
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{JobId, ResourceVector, TaskKey};
-use crate::jobs::ports::WorkerTarget;
+use crate::jobs::ports::{CommandRefusal, WorkerTarget};
 use crate::jobs::site::WorkerEntry;
 use crate::scheduler::LEASE_SLACK_MS;
 use crate::scheduler::exits::ANSWER_AGE_MAX_MS;
@@ -22,6 +22,10 @@
 const FAILURES_MIN: usize = 3;
 /// First time that a failing worker is left out, in milliseconds: about one task's run time.
 const SUSPENSION_MS: u64 = 1_500;
+/// Time for which a worker that says that it has no room gets no start, in milliseconds: a report or two.
+const FULL_PAUSE_MS: u64 = 300;
+/// Time for which a worker that has refused a start comes after the others, in milliseconds.
+const REFUSAL_AGE_MS: u64 = 8_000;
 /// Longest time that it is left out, in milliseconds, so that a cured worker comes back.
 const SUSPENSION_MAX_MS: u64 = 8_000;
 
@@ -144,7 +148,9 @@
     /// Earliest time of the next renewal, in milliseconds.
     pub renew_ms: u64,
     /// Until when it gets no start since it said that it has no room, in milliseconds.
-    pub full_until_ms: u64,
+    full_until_ms: u64,
+    /// When it last refused a start that others may take, in milliseconds; nothing once it has begun another.
+    pub refused_ms: Option<u64>,
     /// Kept free for maintenance or a move.
     pub is_reserved: bool,
     /// Since when nothing is booked on it, in milliseconds.
@@ -186,6 +192,7 @@
             late_ms: None,
             renew_ms: 0,
             full_until_ms: 0,
+            refused_ms: None,
             is_reserved: false,
             idle_since_ms: now,
             runs: BTreeMap::new(),
@@ -359,6 +366,12 @@
             && (!self.is_on_trial || self.runs.values().all(BookedRun::is_settled_service))
     }
 
+    /// Whether it has refused a start lately and begun none since. Tried again before the others, a few such workers
+    /// would take turns in refusing a task that has room elsewhere.
+    pub fn has_refused(&self, now: u64) -> bool {
+        self.refused_ms.is_some_and(|refused| now < refused + REFUSAL_AGE_MS)
+    }
+
     /// Whether it is left out because what it starts fails.
     pub fn is_suspended(&self, now: u64) -> bool {
         now < self.suspended_until_ms || self.is_on_trial
@@ -428,6 +441,16 @@
         self.lease_bound_ms
     }
 
+    /// Takes in that it has refused a start that others may take.
+    pub fn refuse(&mut self, refusal: CommandRefusal, now: u64) {
+        self.refused_ms = Some(now);
+        match refusal {
+            // The books are wrong about it, and each further try would be refused too.
+            CommandRefusal::NoRoom => self.full_until_ms = now + FULL_PAUSE_MS,
+            _ => self.judge(false, now),
+        }
+    }
+
     /// Takes in how a run ended, and leaves the worker out if it fails what others get done.
     pub fn judge(&mut self, is_good: bool, now: u64) {
         if self.verdicts.len() >= VERDICTS_KEPT {
--- a/tests/service_return.rs
+++ b/tests/service_return.rs
@@ -7,7 +7,7 @@
 
 use ibisweir::jobs::model::{JobId, ResourceVector, StepSpec, TaskKey};
 use ibisweir::jobs::record::JobRecord;
-use ibisweir::jobs::site::{VmState, WorkerEntry};
+use ibisweir::jobs::site::{SiteConfig, VmState, WorkerEntry};
 use support::stage::{POOL, Stage, config, job, service_step, step, task, vm, worker};
 
 /// Longest time for which a service may be away, as is promised.
@@ -25,9 +25,20 @@
 
 impl ReturnScene {
     fn open(workers: usize) -> ReturnScene {
+        ReturnScene::open_with(config(), workers)
+    }
+
+    /// One whose idle VMs stay.
+    fn open_without_standby(workers: usize) -> ReturnScene {
+        let mut config = config();
+        config.pools.retain(|pool| !pool.is_standby);
+        ReturnScene::open_with(config, workers)
+    }
+
+    fn open_with(config: SiteConfig, workers: usize) -> ReturnScene {
         let name = |n: usize| worker(&format!("w{n}"), &format!("r{}", n / 4));
         let pool: Vec<WorkerEntry> = (0..workers).map(name).collect();
-        let stage = Stage::open(config(), pool.clone());
+        let stage = Stage::open(config, pool.clone());
         let (services, seen_ms) = (Vec::new(), BTreeMap::new());
         let mut scene = ReturnScene { stage, pool, services, seen_ms, worst_ms: 0 };
         scene.list_vms(&[]);
@@ -187,3 +198,22 @@
         assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, {lossy} of 5", scene.worst_ms);
     }
 }
+
+/// Guards against a service that is refused by the same few workers in turn, while others have room.
+#[test]
+fn a_service_that_some_workers_refuse_finds_one_with_room() {
+    for refusing in [2, 6, 20] {
+        let mut scene = ReturnScene::open_without_standby(2 * refusing);
+        let count = u32::try_from(refusing).expect("few");
+        scene.serve(2, service_step(count + 1));
+        let keys = scene.serve(3, serving(2));
+        scene.advance(2_000);
+        let lost = scene.stage.place(keys[0]);
+        for id in scene.hosts().iter().filter(|id| **id != lost) {
+            scene.stage.workers.get_mut(id).expect("known").is_full = true;
+        }
+        scene.power_off(&[lost]);
+        scene.advance(2 * AWAY_MAX_MS);
+        assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, {refusing} refuse", scene.worst_ms);
+    }
+}
