--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -415,7 +415,7 @@
                 // Away from its data it takes longer than a short wait for room beside it.
                 is_near(worker, query.spec) || waited_ms >= remote_ms
             })
-            .min_by_key(|(_, worker)| self.misfit(worker, query, now))
+            .min_by_key(|(_, worker)| (worker.has_refused(now), self.misfit(worker, query, now)))
             .map(|(id, _)| id.clone())
     }
 
@@ -451,7 +451,7 @@
         let has_lasting = is_hurried && hosts.iter().any(|(is_due, _)| !is_due);
         hosts.iter().filter(|(is_due, _)| !(has_lasting && *is_due)).any(|(_, worker)| {
             worker.free().holds(&spec.booked())
-                || is_hurried && self.can_make_room(worker, spec, rank)
+                || is_hurried && self.can_make_room(worker, spec, rank, now)
         })
     }
 
