--- a/tests/start_outcomes.rs
+++ b/tests/start_outcomes.rs
@@ -7,9 +7,9 @@
 use ibisweir::jobs::model::TaskKey;
 use ibisweir::jobs::ports::{CommandOutcome, CommandRefusal, StartCall};
 use ibisweir::jobs::site::WorkerEntry;
-use ibisweir::scheduler::SchedulerNote;
 use ibisweir::scheduler::runs::RunCommand;
-use support::stage::{Stage, config, job, step, task, worker};
+use ibisweir::scheduler::{SchedulerAction, SchedulerNote};
+use support::stage::{Stage, WALL_OFFSET_MS, config, job, step, task, worker};
 
 /// Two workers, and a task whose start has been handed out and has no outcome.
 struct TryScene {
@@ -59,6 +59,23 @@
         self.stage.report(WorkerEntry { is_draining: true, drain_left_ms: 3_000, ..entry });
     }
 
+    /// Whether the run is handed out to be sent within this time, while nothing else happens.
+    fn is_sent_within(&mut self, ms: u64) -> bool {
+        let until = self.stage.now + ms;
+        while self.stage.now < until {
+            self.stage.now += 50;
+            let (now, scheduler) = (self.stage.now, &mut self.stage.scheduler);
+            scheduler.confirm(now);
+            scheduler.jobs_read(now);
+            scheduler.tick(now, WALL_OFFSET_MS + now);
+            let is_ours = |action: &SchedulerAction| matches!(action, SchedulerAction::Send(_, task, 1) if *task == self.key);
+            if scheduler.take_actions().iter().any(is_ours) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// What waits in the lanes goes out, and so does what is decided next.
     fn go_on(&mut self, ms: u64) {
         self.stage.lane_is_slow = false;
@@ -151,3 +168,27 @@
     scene.carry_out();
     assert_eq!(scene.stage.alive(scene.key), 1);
 }
+
+/// Guards against starts that are sent again while their executor's answer is on its way, and that take the time of a
+/// busy leader from the next ones.
+#[test]
+fn a_start_is_not_sent_again_before_its_try_is_given_up() {
+    let mut scene = TryScene::open();
+    assert!(!scene.is_sent_within(900));
+}
+
+/// Guards against a lost answer to a start that is waited for once its try has been given up.
+#[test]
+fn a_start_is_sent_again_once_its_try_is_given_up() {
+    let mut scene = TryScene::open();
+    scene.is_sent_within(500);
+    scene.end_try(&CommandOutcome::Unknown);
+    assert!(scene.is_sent_within(150));
+}
+
+/// Guards against a task that waits for good, as the outcome of its start is never told.
+#[test]
+fn a_start_without_an_outcome_is_sent_again() {
+    let mut scene = TryScene::open();
+    assert!(scene.is_sent_within(2_000));
+}
