Bound the whole wait of tasks that last and have lost workers

What callers saw: tasks that last and were lost together three times came back one after the other, in pools that were calm and nearly empty: after up to 14.7 s for six on 4 VMs, 27.8 s for 120 on 40; while leaders changed each second or each three, some not at all.

Cause: queueing without a deadline. Each task on trial waited for a calm pool, then for one of the places on probation (half of a pool's workers, five seconds each). The wait had no bound as a whole: only its first part had one, which each leader counted anew, and runs that a new leader takes over were on probation alone again, which closes their workers to all starts for five seconds.

Change: the wait counts from the last sign of life of the last run, whatever follows (news of the loss, a calm pool, refused starts, other leaders). That time is in the record of the job's progress, behind the counts of losses. An entry of the version before reads such a record and ignores the time; a record without it is read as if the run had been alive until now. After 4 s a service starts wherever there is room, on the worker with the fewest and least suspected others; in a calm pool one on trial also starts where no other suspect has begun within 0.8 s. Such starts still count as suspects and explain the loss of their worker, but keep no others off it; neither do runs of services that a new leader takes over. A task that would be given up with its next loss waits 5 s in any pool, and keeps off others on probation while its pool goes on losing workers.

--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -8,7 +8,7 @@
 /// Most steps of a job; one more is refused as malformed.
 pub const STEPS_MAX: usize = 256;
 /// Most tasks that a job may have under way, over all its steps and occurrences that have begun. The
-/// progress of each takes up to 95 bytes of one record, its setbacks 18 more, and the log takes
+/// progress of each takes up to 95 bytes of one record, its setbacks 24 more, and the log takes
 /// records of 262,144 bytes: one that did not fit would be refused for ever, and no commit would come after
 /// it.
 pub const TASKS_MAX: usize = 2_000;
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -64,8 +64,11 @@
     pub tasks: Vec<TaskProgress>,
     /// Workers that the tasks name.
     pub workers: Vec<Arc<str>>,
-    /// Tasks that were set back. Last, as records from before it was kept end here.
+    /// Tasks that were set back. Records from before it was kept end here.
     pub setbacks: Vec<TaskSetbacks>,
+    /// When a run of each of these was last known to be alive, in milliseconds since the epoch; 0 for not known.
+    /// Last, as earlier records end here.
+    pub seen_ms: Vec<u64>,
 }
 
 /// Workers that were lost under a task.
@@ -224,11 +227,13 @@
     format!("{CANCELLED}{job}{MARK}{mark}")
 }
 
-/// Reads a job's progress, also as it was written before setbacks were kept: then their list is missing at the
+/// Reads a job's progress, also as it was written before its last lists were kept: then they are missing at the
 /// end, and a process of this version that takes over would know nothing of jobs that run.
 fn decode_progress(value: &[u8]) -> Option<JobProgress> {
-    const NO_SETBACKS: u8 = 0;
+    const NO_LIST: u8 = 0;
+    let earlier = |lists: &[u8]| postcard::from_bytes(&[value, lists].concat());
     postcard::from_bytes(value)
-        .or_else(|_| postcard::from_bytes(&[value, &[NO_SETBACKS]].concat()))
+        .or_else(|_| earlier(&[NO_LIST]))
+        .or_else(|_| earlier(&[NO_LIST, NO_LIST]))
         .ok()
 }
--- /dev/null
+++ b/src/scheduler/absence.rs
@@ -0,0 +1,158 @@
+//! How long a task that lasts has been without a run, and on what terms it starts again.
+//!
+//! A task that has lost workers is tried alone, one worker at a time and on half of a pool at most. Tasks that were lost
+//! together would come back one after the other, and the last of them late: a task that lasts must run again within
+//! seconds while there is room for it. So its whole wait is bounded, from the last sign of its last run on and over
+//! changes of leaders. After that it starts wherever there is room, as far from other suspects as there are workers. Its
+//! losses still count, and the loss of its worker still tells of it.
+//!
+//! One that is given up with its next loss waits longest, and keeps off other suspects: lost together with one that
+//! crashes its workers, it would be given up for it. While its pool goes on losing workers it takes only one where no
+//! probation is under way; in a quiet pool the others need only have outlived the time in which most such crashes come.
+
+use std::sync::Arc;
+
+use crate::jobs::model::{StepSpec, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::scheduler::dispatch::{PlaceQuery, ReadyStep};
+use crate::scheduler::job::{LiveRun, TaskRun};
+use crate::scheduler::losses::LONG_PROOF_MS;
+use crate::scheduler::worker::PlaceTerms;
+
+/// Time without a run after which a service no longer waits for a calm pool or for a worker of its own, in
+/// milliseconds: well under the six seconds in which it must be back.
+const SERVICE_WAIT_MAX_MS: u64 = 4_000;
+/// The same for a task that is given up with its next loss, in milliseconds. It waits that long in a pool that looks calm
+/// too.
+const LAST_WAIT_MS: u64 = 5_000;
+/// Time without a lost worker after which a pool is quiet, in milliseconds.
+const QUIET_MS: u64 = 5_000;
+/// Time without a run after which such a task starts beside any other, in milliseconds: it must be back within nine
+/// seconds whatever happens.
+const APART_WAIT_MAX_MS: u64 = 8_000;
+
+/// Time at work of a suspect after which another one may start beside it, in milliseconds: most tasks that crash their
+/// workers do it within a second.
+const APART_PROOF_MS: u64 = 800;
+
+/// When a run was last known to be alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeenTime {
+    /// By the leader's steady clock, in milliseconds.
+    pub at_ms: u64,
+    /// The same in milliseconds since the epoch, for the log.
+    pub wall_ms: u64,
+}
+
+impl SeenTime {
+    /// What the log tells; where it does not know, the run is taken to have been alive until now.
+    pub fn restore(logged_ms: u64, now: u64, wall_ms: u64) -> SeenTime {
+        match logged_ms {
+            0 => SeenTime { at_ms: now, wall_ms },
+            _ => {
+                let age_ms = wall_ms.saturating_sub(logged_ms);
+                SeenTime { at_ms: now.saturating_sub(age_ms), wall_ms: logged_ms }
+            }
+        }
+    }
+}
+
+impl TaskRun {
+    /// Whether a task of a service has been without a run for so long that it may wait no longer. One that never ran
+    /// has nothing to come back from.
+    pub(crate) fn is_overdue(&self, is_for_service: bool, now: u64) -> bool {
+        let wait_max_ms = match self.losses.is_last() {
+            true => LAST_WAIT_MS,
+            false => SERVICE_WAIT_MAX_MS,
+        };
+        is_for_service && self.is_absent(wait_max_ms, now)
+    }
+
+    fn is_absent(&self, ms: u64, now: u64) -> bool {
+        self.seen.is_some_and(|seen| now >= seen.at_ms + ms)
+    }
+}
+
+impl Scheduler {
+    /// Takes in when a run that is over was last known to be alive. A start that was refused tells nothing.
+    pub(crate) fn see_last(&mut self, key: &TaskKey, live: &LiveRun, now: u64) {
+        if !live.is_listed && !live.is_counted {
+            return;
+        }
+        let at_ms = live.seen_ms.max(live.since_ms).max(self.losses.opened_ms()).min(now);
+        let seen = SeenTime { at_ms, wall_ms: self.wall_ms.saturating_sub(now - at_ms) };
+        if let Some(task) = self.task_mut(key) {
+            task.seen = Some(seen);
+        }
+    }
+
+    /// Gives a task to a worker on these terms.
+    pub(crate) fn plan_run_on(
+        &mut self,
+        terms: PlaceTerms,
+        key: &TaskKey,
+        run: u32,
+        worker: &Arc<str>,
+        now: u64,
+    ) {
+        self.plan_run(key, run, worker, now);
+        let host = self.workers.get_mut(worker).filter(|_| terms.is_shared());
+        if let Some(host) = host {
+            host.share_probation(&(*key, run));
+        }
+    }
+
+    /// The worker that fits best on the first of these terms on which any does. One that may wait no longer takes an
+    /// avoided worker before it takes worse terms.
+    pub(crate) fn find_on_terms(
+        &self,
+        service: &str,
+        query: &PlaceQuery<'_>,
+        terms: &[PlaceTerms],
+        waited_ms: u64,
+        now: u64,
+    ) -> Option<(Arc<str>, PlaceTerms)> {
+        let is_overdue = terms.iter().any(|terms| terms.is_shared());
+        let find = |query: &PlaceQuery<'_>| self.find_worker(service, query, waited_ms, now);
+        terms.iter().find_map(|terms| {
+            let query = PlaceQuery { terms: *terms, ..query.clone() };
+            let mut worker = find(&query);
+            if worker.is_none() && is_overdue {
+                worker = find(&PlaceQuery { avoided: &[], ..query });
+            }
+            Some((worker?, *terms))
+        })
+    }
+
+    /// On what terms a task may start, the best first; none if it has to wait.
+    pub(crate) fn place_terms(
+        &self,
+        key: &TaskKey,
+        step: &ReadyStep,
+        spec: &StepSpec,
+        now: u64,
+    ) -> Vec<PlaceTerms> {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        let Some(task) = task else { return Vec::new() };
+        let is_overdue = task.is_overdue(spec.is_service, now);
+        let Some(job) = self.suspect(key) else {
+            let mut terms = vec![PlaceTerms::Usual];
+            terms.extend(is_overdue.then_some(PlaceTerms::Anywhere));
+            return terms;
+        };
+        let has_room = self.has_probation_room(&step.service, now);
+        let mut terms = Vec::from_iter(has_room.then_some(PlaceTerms::Alone(job)));
+        if !task.losses.is_last() {
+            let is_apart = is_overdue || spec.is_service && task.losses.is_on_trial();
+            terms.extend(is_apart.then_some(PlaceTerms::Apart(APART_PROOF_MS)));
+            terms.extend(is_overdue.then_some(PlaceTerms::Anywhere));
+        } else if is_overdue {
+            terms.push(PlaceTerms::Apart(LONG_PROOF_MS));
+            let is_quiet = self.losses.is_quiet(&step.service, QUIET_MS, now);
+            terms.extend(is_quiet.then_some(PlaceTerms::Apart(APART_PROOF_MS)));
+            let is_late = is_quiet && task.is_absent(APART_WAIT_MAX_MS, now);
+            terms.extend(is_late.then_some(PlaceTerms::Anywhere));
+        }
+        terms
+    }
+}
--- a/src/scheduler/copies.rs
+++ b/src/scheduler/copies.rs
@@ -4,6 +4,7 @@
 use crate::scheduler::dispatch::PlaceQuery;
 use crate::scheduler::job::{LiveRun, RunPhase, StepRun};
 use crate::scheduler::judge::{heading_for_ms, usual_ms};
+use crate::scheduler::worker::PlaceTerms;
 
 /// Copies of a task that may run at once.
 const COPIES_MAX: usize = 2;
@@ -54,7 +55,7 @@
                 avoided: &avoided,
                 permitted: None,
                 rack: None,
-                suspect: None,
+                terms: PlaceTerms::Usual,
             };
             if let Some(worker) = self.find_worker(&service, &query, u64::MAX, now) {
                 let run = self.next_run(&key);
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::jobs::model::{JobId, ResourceVector, StepKey, StepSpec, TaskKey};
+use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
 use crate::scheduler::losses::PoolView;
 use crate::scheduler::rank::{JobRank, RankTier, rank};
-use crate::scheduler::worker::WorkerRun;
+use crate::scheduler::worker::{PlaceTerms, WorkerRun};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerNote};
 
 /// Workers named in one question for permits, as the platform allows.
@@ -26,6 +26,7 @@
 }
 
 /// What a task asks of a worker beside room.
+#[derive(Clone)]
 pub(crate) struct PlaceQuery<'a> {
     pub spec: &'a StepSpec,
     /// Runs of the step by worker.
@@ -38,8 +39,8 @@
     pub permitted: Option<Vec<Arc<str>>>,
     /// Rack that it must be on.
     pub rack: Option<&'a str>,
-    /// Its job, if it must be tried on probation.
-    pub suspect: Option<JobId>,
+    /// On what terms it starts.
+    pub terms: PlaceTerms,
 }
 
 impl Scheduler {
@@ -201,11 +202,9 @@
                 return true;
             }
             let waited = self.waited_ms(key, now);
-            let suspect = self.suspect(key);
+            let terms = self.place_terms(key, step, spec, now);
             // The rest of the pool is not full because a suspect has to wait.
-            if suspect.is_some() && !self.has_probation_room(&step.service, now) {
-                continue;
-            }
+            let Some(last) = terms.last().copied() else { continue };
             let mut avoided = self.avoided(key);
             if self.loss_count(key).all > 0 {
                 avoided.extend(self.unsteady_workers(&step.service, key, now));
@@ -221,10 +220,10 @@
                 avoided: &avoided,
                 permitted: permitted.clone(),
                 rack: None,
-                suspect,
+                terms: last,
             };
-            let mut worker = self.find_worker(&step.service, &query, waited, now);
-            if worker.is_none()
+            let mut found = self.find_on_terms(&step.service, &query, &terms, waited, now);
+            if found.is_none()
                 && is_lasting
                 && self.make_room(&step.service, &query, step.rank, now)
             {
@@ -232,18 +231,18 @@
             }
             let waits =
                 self.is_choosy(key, spec, now) && self.has_other_open(&step.service, &avoided, now);
-            if worker.is_none() && !avoided.is_empty() && !waits {
+            if found.is_none() && !avoided.is_empty() && !waits {
                 let query = PlaceQuery { avoided: &[], ..query };
-                worker = self.find_worker(&step.service, &query, waited, now);
+                found = self.find_on_terms(&step.service, &query, &terms, waited, now);
             }
-            let Some(worker) = worker else {
-                if suspect.is_some() {
+            let Some((worker, terms)) = found else {
+                if self.suspect(key).is_some() {
                     continue;
                 }
                 return false;
             };
             let run = self.next_run(key);
-            self.plan_run(key, run, &worker, now);
+            self.plan_run_on(terms, key, run, &worker, now);
             if let Some(host) = self.workers.get(&worker) {
                 *racks.entry(host.entry.rack().into()).or_insert(0) += 1;
             }
@@ -387,7 +386,7 @@
             .iter()
             .filter(|(_, worker)| worker.free().holds(&booked))
             .filter(|(_, worker)| &*worker.entry.service == service)
-            .filter(|(_, worker)| worker.takes(query.suspect, now))
+            .filter(|(_, worker)| worker.takes(query.terms, now))
             .filter(|(id, worker)| is_allowed(id, worker, query))
             .filter(|(_, worker)| {
                 // Away from its data it takes longer than a short wait for room beside it.
@@ -414,7 +413,7 @@
             avoided: &[],
             permitted: None,
             rack: None,
-            suspect: None,
+            terms: PlaceTerms::Usual,
         };
         let service = self.service_of(job);
         let rank = JobRank { priority: queue.priority, tier: RankTier::Service, work: 0 };
@@ -442,10 +441,15 @@
         let rack = query.racks.get(worker.entry.rack()).copied().unwrap_or(0);
         let load = worker.used().share_of(&worker.entry.capacity);
         let fullest = 1_000 - load.min(1_000);
-        if query.suspect.is_some() {
+        if query.terms.is_guarded() {
             // What is lost with it, services first: each has a budget for being away.
-            let is_unsteady = self.losses.is_unsteady(worker.entry.address, now);
-            return (is_far, u64::from(is_unsteady), u64::from(hosts_service), load);
+            let is_unsteady = u64::from(self.losses.is_unsteady(worker.entry.address, now));
+            if query.terms.is_shared() {
+                let (losses, suspects) = worker.risk();
+                let suspects = u64::try_from(suspects).unwrap_or(u64::MAX);
+                return (is_far, u64::from(losses), suspects, 2 * load + is_unsteady);
+            }
+            return (is_far, is_unsteady, u64::from(hosts_service), load);
         }
         if spec.is_best_effort {
             // It lives on what is left over: the emptiest worker.
@@ -472,7 +476,7 @@
         let mut best: Option<(u64, Vec<(TaskKey, u32)>)> = None;
         for (id, worker) in &self.workers {
             if &*worker.entry.service != service
-                || !worker.takes(query.suspect, now)
+                || !worker.takes(query.terms, now)
                 || !is_allowed(id, worker, query)
             {
                 continue;
--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -507,6 +507,7 @@
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
         let was_listed = std::mem::replace(&mut live.is_listed, true);
+        live.seen_ms = now;
         let is_confirmed = match live.phase {
             RunPhase::Starting => true,
             RunPhase::Inherited => is_settled,
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -6,6 +6,7 @@
 use crate::jobs::model::{ResourceVector, StepSpec};
 use crate::scheduler::Scheduler;
 use crate::scheduler::dispatch::{PlaceQuery, ReadyStep, is_allowed, is_near, remote_cost_ms};
+use crate::scheduler::worker::PlaceTerms;
 
 impl Scheduler {
     /// Places all members of a gang or none; false if there is no room.
@@ -19,23 +20,25 @@
             return true;
         }
         let Some(permitted) = self.permitted(step, now) else { return true };
-        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
-        if suspect.is_some() && !self.has_probation_room(&step.service, now) {
+        let suspect = step.waiting.iter().find(|key| self.suspect(key).is_some());
+        let terms = self.place_terms(suspect.unwrap_or(&step.waiting[0]), step, spec, now);
+        if terms.is_empty() {
             return true;
         }
         let waited = self.waited_ms(&step.waiting[0], now);
         let racks = if spec.wants_one_rack { self.racks(&step.service) } else { Vec::new() };
-        let mut plan = racks
-            .iter()
-            .find_map(|rack| self.gang_plan(step, spec, permitted.clone(), Some(rack), now));
         let remote_ms = remote_cost_ms(spec, self.bounds.remote_factor);
-        if plan.is_none() && (!spec.wants_one_rack || waited >= remote_ms) {
-            plan = self.gang_plan(step, spec, permitted, None, now);
-        }
-        let Some(plan) = plan else { return false };
+        let is_scattered = !spec.wants_one_rack || waited >= remote_ms;
+        let places = racks.iter().map(|rack| Some(&**rack)).chain(is_scattered.then_some(None));
+        let ways = terms.iter().flat_map(|terms| places.clone().map(|rack| (*terms, rack)));
+        let plan = ways.into_iter().find_map(|(terms, rack)| {
+            let plan = self.gang_plan(step, spec, permitted.clone(), rack, terms, now)?;
+            Some((plan, terms))
+        });
+        let Some((plan, terms)) = plan else { return false };
         let run = step.waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
         for (key, worker) in step.waiting.iter().zip(plan) {
-            self.plan_run(key, run, &worker, now);
+            self.plan_run_on(terms, key, run, &worker, now);
         }
         true
     }
@@ -55,16 +58,14 @@
         spec: &StepSpec,
         permitted: Option<Vec<Arc<str>>>,
         rack: Option<&str>,
+        terms: PlaceTerms,
         now: u64,
     ) -> Option<Vec<Arc<str>>> {
         let (mut beside, racks) = (BTreeMap::new(), BTreeMap::new());
-        let suspect = step.waiting.iter().find_map(|key| self.suspect(key));
         let mut free: BTreeMap<&Arc<str>, ResourceVector> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
-                worker.entry.service == step.service && worker.takes(suspect, now)
-            })
+            .filter(|(_, worker)| worker.entry.service == step.service && worker.takes(terms, now))
             .map(|(id, worker)| (id, worker.free()))
             .collect();
         let mut plan = Vec::with_capacity(step.waiting.len());
@@ -76,7 +77,7 @@
                 avoided: &[],
                 permitted: permitted.clone(),
                 rack,
-                suspect,
+                terms,
             };
             let chosen = free
                 .iter()
@@ -90,7 +91,7 @@
                 .min_by_key(|(id, room)| {
                     let worker = &self.workers[**id];
                     let is_unsteady =
-                        suspect.is_some() && self.losses.is_unsteady(worker.entry.address, now);
+                        terms.is_guarded() && self.losses.is_unsteady(worker.entry.address, now);
                     let share = room.share_of(&worker.entry.capacity);
                     (!is_near(worker, spec), is_unsteady, share)
                 })
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -6,6 +6,7 @@
 use crate::jobs::book::BookedJob;
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
 use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskSetbacks};
+use crate::scheduler::absence::SeenTime;
 
 /// Share of its speed from which a new leader regulates a run, in percent: what the leader before allowed is not known.
 const INHERITED_SHARE: u32 = 50;
@@ -50,6 +51,8 @@
     pub is_sent: bool,
     /// Whether its worker has listed it as running.
     pub is_listed: bool,
+    /// When it last did, in milliseconds.
+    pub seen_ms: u64,
     /// Whether the loss of a worker that may have had it was counted.
     pub is_counted: bool,
     /// Whether a start had no answer: it may be carried out seconds later.
@@ -81,6 +84,7 @@
             answered_ms: None,
             is_sent: false,
             is_listed: false,
+            seen_ms: 0,
             is_counted: false,
             is_in_doubt: false,
             open_tries: 0,
@@ -135,6 +139,8 @@
     pub losses: LossCount,
     /// Services only: when it was last at work, in milliseconds.
     pub at_work_ms: u64,
+    /// When its last run was last known to be alive.
+    pub seen: Option<SeenTime>,
 }
 
 impl TaskRun {
@@ -255,12 +261,7 @@
             self.apply_task(told, &progress.workers);
         }
         for told in &progress.setbacks {
-            let key = TaskKey {
-                job: self.id,
-                occurrence: told.occurrence,
-                step: told.step,
-                index: told.index,
-            };
+            let key = self.setback_key(told);
             if let Some(task) = self.task_mut(&key) {
                 task.losses = told.losses;
                 task.moves = told.moves;
@@ -268,6 +269,24 @@
         }
     }
 
+    /// Takes in what the log tells of when its tasks were last known to run.
+    pub(crate) fn restore_seen(&mut self, job: &BookedJob, now: u64, wall_ms: u64) {
+        let Some(progress) = &job.progress else { return };
+        let lost = progress.setbacks.iter().enumerate().filter(|(_, told)| told.losses.all > 0);
+        for (position, told) in lost {
+            let logged_ms = progress.seen_ms.get(position).copied().unwrap_or_default();
+            let key = self.setback_key(told);
+            if let Some(task) = self.task_mut(&key) {
+                task.seen = Some(SeenTime::restore(logged_ms, now, wall_ms));
+            }
+        }
+    }
+
+    fn setback_key(&self, told: &TaskSetbacks) -> TaskKey {
+        let TaskSetbacks { occurrence, step, index, .. } = *told;
+        TaskKey { job: self.id, occurrence, step, index }
+    }
+
     fn apply_task(&mut self, told: &TaskProgress, workers: &[Arc<str>]) {
         let submission = self.submission.clone();
         let entry = self.occurrence(told.occurrence, &submission);
@@ -321,6 +340,7 @@
             tasks: Vec::new(),
             workers: Vec::new(),
             setbacks: Vec::new(),
+            seen_ms: Vec::new(),
         };
         progress.occurrences_done =
             self.occurrences.keys().next().copied().unwrap_or(self.next_occurrence);
@@ -440,6 +460,7 @@
         let (losses, moves) = (task.losses, task.moves);
         if losses.all + moves > 0 && !task.is_done {
             progress.setbacks.push(TaskSetbacks { occurrence, step, index, losses, moves });
+            progress.seen_ms.push(task.seen.map_or(0, |seen| seen.wall_ms));
         }
         let live = task
             .live
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -77,8 +77,6 @@
 const WATCH_MS: u64 = 2_000;
 /// Longest time that a task waits for its pool to become calm, in milliseconds.
 const CALM_WAIT_MAX_MS: u64 = 15_000;
-/// The same for a service, in milliseconds: well under the six seconds in which it must be back.
-const SERVICE_WAIT_MAX_MS: u64 = 4_000;
 
 impl LossCount {
     /// Time at work after which a task's start is over as a danger, in milliseconds; 0 for a task that is
@@ -111,6 +109,11 @@
         self.all >= LOSSES_MAX
     }
 
+    /// Whether the task is given up with its next loss.
+    pub(crate) fn is_last(&self) -> bool {
+        self.all + 1 >= LOSSES_MAX
+    }
+
     /// One worker more was lost.
     pub(crate) fn add(&mut self, is_at_start: bool) {
         self.all += 1;
@@ -302,6 +305,11 @@
         LossWatch { opened_ms: now, ..LossWatch::default() }
     }
 
+    /// When this leader began, in milliseconds.
+    pub fn opened_ms(&self) -> u64 {
+        self.opened_ms
+    }
+
     /// What an earlier leader wrote of a pool. Unrest that was still going on counts as lasting until now: what came
     /// after the record is not known.
     pub fn restore(&mut self, service: &Arc<str>, lost: &[LostVm], now: u64, wall_ms: u64) {
@@ -364,16 +372,18 @@
 
     /// Whether a task waits, by its losses, until its pool of so many VMs is calm, and was seen so without the task.
     pub fn holds_back(&self, key: &TaskKey, task: &TaskRun, pool: &PoolView<'_>, now: u64) -> bool {
-        let is_watched = now < task.waiting_since_ms + WATCH_MS;
+        let is_last = pool.is_for_service && task.losses.is_last();
+        let is_watched = is_last || now < task.waiting_since_ms + WATCH_MS;
         self.is_choosy(task, pool.is_for_service, now)
             && (is_watched || !self.is_calm(pool, key, task.losses.calm_life_ms(), now))
     }
 
     /// Whether a task on trial still waits for the time and the VM that it asks for.
     pub fn is_choosy(&self, task: &TaskRun, is_for_service: bool, now: u64) -> bool {
-        let wait_max_ms = if is_for_service { SERVICE_WAIT_MAX_MS } else { CALM_WAIT_MAX_MS };
         let since_ms = task.waiting_since_ms.max(self.opened_ms);
-        task.losses.is_on_trial() && now < since_ms + wait_max_ms
+        task.losses.is_on_trial()
+            && now < since_ms + CALM_WAIT_MAX_MS
+            && !task.is_overdue(is_for_service, now)
     }
 
     /// Whether over no recent time, up to `life_ms`, VMs of a pool were lost at such a rate that they would not last
@@ -386,6 +396,12 @@
             .all(|(count, age)| age.saturating_mul(vms) >= count.min(vms).saturating_mul(life_ms))
     }
 
+    /// Whether no worker of a pool was lost for so long, by whatever cause; what was lost under earlier leaders aside.
+    pub fn is_quiet(&self, service: &str, ms: u64, now: u64) -> bool {
+        let mut lost = self.recent.iter().filter(|loss| &*loss.entry.service == service);
+        !lost.any(|loss| now < loss.at_ms + ms)
+    }
+
     /// A job's task has lost so many workers.
     pub fn note_count(&mut self, job: JobId, losses: &LossCount) {
         if losses.is_recorded() {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 //!   the life of its worker is over, or every lease that the worker can have has run out.
 
 pub(crate) mod abandoned;
+pub mod absence;
 pub mod action;
 mod blame;
 pub mod commit;
@@ -258,6 +259,7 @@
                 return;
             }
         }
+        run.restore_seen(job, now, wall_ms);
         let exhausted = run.exhausted_task();
         if !run.state.is_final() {
             run.open_losses().for_each(|losses| self.losses.note_count(id, losses));
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -45,7 +45,9 @@
     pub(crate) fn adopt_runs(&mut self, key: &TaskKey, now: u64) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(task) = job.task(key) else { return };
-        let Some(booked) = booked(job.spec(key), task) else { return };
+        let Some(mut booked) = booked(job.spec(key), task) else { return };
+        // How long they have been at work is not known. A pool full of services would take no start.
+        booked.is_shared = booked.is_service;
         let runs: Vec<(Arc<str>, u32)> =
             task.live.iter().map(|live| (live.worker.clone(), live.run)).collect();
         let bound = self.foreign_bound_ms;
@@ -96,6 +98,8 @@
         let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
         let live = task.live.remove(position);
         task.waiting_since_ms = now;
+        self.see_last(key, &live, now);
+        let Some(job) = self.jobs.get(&key.job) else { return };
         let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
         self.organisations.release(job.submission.organisation.as_ref(), &need);
         self.commits.mark(key.job);
@@ -595,6 +599,8 @@
         need: spec.booked(),
         span: WorkSpan::default(),
         probation_ms: task.losses.probation_ms(),
+        is_shared: false,
+        losses: task.losses.all,
         is_best_effort: spec.is_best_effort,
         is_service: spec.is_service,
     })
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -74,6 +74,31 @@
     }
 }
 
+/// On what terms a task starts on a worker, room aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceTerms {
+    /// Where nothing is on probation alone.
+    Usual,
+    /// On probation, named by its job: nothing else may just be starting, and nothing starts there until it is over.
+    Alone(JobId),
+    /// Where no other suspect has been at work for less than so many milliseconds.
+    Apart(u64),
+    /// Wherever there is room.
+    Anywhere,
+}
+
+impl PlaceTerms {
+    /// Whether the start is one of a suspect, or beside one.
+    pub fn is_guarded(self) -> bool {
+        self != PlaceTerms::Usual
+    }
+
+    /// Whether other tasks may start beside a suspect during its probation.
+    pub fn is_shared(self) -> bool {
+        matches!(self, PlaceTerms::Apart(_) | PlaceTerms::Anywhere)
+    }
+}
+
 /// A run on a worker and what it books there.
 #[derive(Clone, Copy, Debug)]
 pub struct BookedRun {
@@ -83,6 +108,10 @@
     pub span: WorkSpan,
     /// Time at work until which nothing else starts beside it, in milliseconds; 0 if it is no suspect.
     pub probation_ms: u64,
+    /// Whether other tasks may start beside it during its probation.
+    pub is_shared: bool,
+    /// Workers that its task had lost before.
+    pub losses: u32,
     /// Whether it takes processor time only where others leave it.
     pub is_best_effort: bool,
     /// Whether it lasts until it is cancelled.
@@ -100,6 +129,11 @@
         self.probation_ms > 0 && !self.has_worked(self.probation_ms)
     }
 
+    /// Whether it is a suspect that has been at work for less than that.
+    fn is_new_suspect(&self, proof_ms: u64) -> bool {
+        self.probation_ms > 0 && !self.has_worked(proof_ms)
+    }
+
     /// Whether its start is over as a danger to the worker.
     pub fn has_settled(&self) -> bool {
         self.has_worked(PROOF_MS) && !self.is_on_probation()
@@ -300,11 +334,15 @@
         self.is_open(now) && !self.has_probation()
     }
 
-    /// Whether a task may start there, room aside; a suspect is named by its job.
-    pub fn takes(&self, suspect: Option<JobId>, now: u64) -> bool {
-        match suspect {
-            None => self.takes_starts(now),
-            Some(job) => self.takes_suspect(job, now),
+    /// Whether a task may start there on these terms.
+    pub fn takes(&self, terms: PlaceTerms, now: u64) -> bool {
+        match terms {
+            PlaceTerms::Usual => self.takes_starts(now),
+            PlaceTerms::Alone(job) => self.takes_suspect(job, now),
+            PlaceTerms::Apart(proof_ms) => {
+                self.is_open(now) && !self.runs.values().any(|run| run.is_new_suspect(proof_ms))
+            }
+            PlaceTerms::Anywhere => self.is_open(now),
         }
     }
 
@@ -334,9 +372,22 @@
         self.runs.values().any(|run| run.probation_ms > 0 && !run.has_worked(PROOF_MS))
     }
 
-    /// Whether a suspect is on probation there.
+    /// Whether a suspect is on probation there alone.
     pub fn has_probation(&self) -> bool {
-        self.runs.values().any(BookedRun::is_on_probation)
+        self.runs.values().any(|run| run.is_on_probation() && !run.is_shared)
+    }
+
+    /// How likely it is to be crashed by a suspect: by most workers that one of them has lost, and by their number.
+    pub fn risk(&self) -> (u32, usize) {
+        let suspects = self.runs.values().filter(|run| run.is_on_probation());
+        (suspects.clone().map(|run| run.losses).max().unwrap_or_default(), suspects.count())
+    }
+
+    /// Lets others start beside a suspect.
+    pub fn share_probation(&mut self, key: &(TaskKey, u32)) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.is_shared = true;
+        }
     }
 
     /// Whether it takes work at all.
--- a/tests/behind_log.rs
+++ b/tests/behind_log.rs
@@ -32,6 +32,7 @@
         tasks: Vec::new(),
         workers: Vec::new(),
         setbacks: Vec::new(),
+        seen_ms: Vec::new(),
     };
     JobRecord::Progress(job_id(id), Arc::new(progress))
 }
--- a/tests/book_model.rs
+++ b/tests/book_model.rs
@@ -125,6 +125,7 @@
         tasks: Vec::new(),
         workers: Vec::new(),
         setbacks: Vec::new(),
+        seen_ms: Vec::new(),
     };
     JobRecord::Progress(id, Arc::new(progress))
 }
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -87,6 +87,7 @@
         tasks: Vec::new(),
         workers: Vec::new(),
         setbacks: Vec::new(),
+        seen_ms: Vec::new(),
     };
     JobRecord::Progress(job_id(1), Arc::new(progress))
 }
--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -31,6 +31,7 @@
         steps_done: vec![(0, 1)],
         tasks: vec![task],
         workers: vec!["w1".into()],
+        seen_ms: vec![1_700; setbacks.len()],
         setbacks,
     }
 }
@@ -61,9 +62,26 @@
 fn a_record_from_before_setbacks_were_kept_is_read_as_one_without() {
     let record = JobRecord::Progress(job_id(1), Arc::new(progress(Vec::new())));
     let keyed = record.encode().expect("a record");
+    let (before, lists) = keyed.value.split_at(keyed.value.len() - 2);
+    assert_eq!(lists, [0, 0], "each empty list is one byte");
+    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
+}
+
+/// Guards against a successor that knows nothing of jobs of which an earlier version wrote, and against an entry of that
+/// version that knows nothing of those of this one.
+#[test]
+fn a_record_is_read_without_the_times_of_last_runs() {
+    let losses = LossCount { all: 2, at_start: 1 };
+    let setbacks = vec![TaskSetbacks { occurrence: 0, step: 0, index: 3, losses, moves: 1 }];
+    let told = JobProgress { seen_ms: Vec::new(), ..progress(setbacks) };
+    let record = JobRecord::Progress(job_id(1), Arc::new(told));
+    let keyed = record.encode().expect("a record");
     let (last, before) = keyed.value.split_last().expect("not empty");
     assert_eq!(*last, 0, "the empty list is one byte");
-    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
+    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record.clone()));
+    // To that version the list is what follows the end of a record.
+    let longer = [&keyed.value[..], &[1, 7]].concat();
+    assert_eq!(JobRecord::decode(&keyed.key, &longer), Some(record));
 }
 
 /// Guards against a cancellation by an entry of an earlier version that is not read, and one of this version that such
--- a/tests/lasting_tasks.rs
+++ b/tests/lasting_tasks.rs
@@ -362,14 +362,28 @@
 /// are given up for it.
 #[test]
 fn lasting_tasks_that_crash_their_workers_are_bounded() {
-    let mut scenes = Vec::new();
     for crash_after_ms in [10, 700, 3_000] {
-        for (vms, bad) in [(4, 1), (4, 6), (12, 1), (12, 6)] {
-            for arrivals_ms in [0, 100] {
-                let scene = LossScene { losses: 0, vms, bad, crash_after_ms, arrivals_ms, ..CALM };
-                scenes.push(scene);
-            }
-        }
+        check_bound(&bad_scenes(crash_after_ms, &[(4, 1), (12, 1), (12, 6)]));
     }
-    check_bound(&scenes);
+    check_bound(&bad_scenes(10, &[(4, 6)]));
+}
+
+/// Guards against the same where half of the tasks that last crash their workers, and there are three for each VM.
+#[test]
+fn lasting_tasks_of_which_half_crash_a_small_pool_are_bounded() {
+    let scenes = [700, 3_000].map(|crash_after_ms| bad_scenes(crash_after_ms, &[(4, 6)]));
+    check_bound(&scenes.concat());
+}
+
+/// Scenes with so many VMs and tasks that crash their workers, in calm pools and in busy ones.
+fn bad_scenes(crash_after_ms: u64, sizes: &[(usize, u64)]) -> Vec<LossScene> {
+    let scene = |(vms, bad): (usize, u64), arrivals_ms| LossScene {
+        losses: 0,
+        vms,
+        bad,
+        crash_after_ms,
+        arrivals_ms,
+        ..CALM
+    };
+    sizes.iter().flat_map(|size| [0, 100].map(|arrivals_ms| scene(*size, arrivals_ms))).collect()
 }
--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -184,6 +184,7 @@
         tasks: Vec::new(),
         workers: Vec::new(),
         setbacks: Vec::new(),
+        seen_ms: Vec::new(),
     };
     let records = vec![
         (0, JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))))),
