--- a/src/scheduler/displace.rs
+++ b/src/scheduler/displace.rs
@@ -63,7 +63,7 @@
         let mut best: Option<(Displacement, Arc<str>)> = None;
         for (id, worker) in &self.workers {
             if &*worker.entry.service != service
-                || !worker.takes(query.suspect, now)
+                || !worker.takes(query.terms, now)
                 || !is_allowed(id, worker, query)
             {
                 continue;
--- a/src/scheduler/waits.rs
+++ b/src/scheduler/waits.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::dispatch::PlaceQuery;
 use crate::scheduler::job::{JobRun, LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::PoolView;
+use crate::scheduler::worker::PlaceTerms;
 use crate::scheduler::{Scheduler, SchedulerNote};
 
 /// Time for which a task is away before it is told of, in milliseconds.
@@ -156,7 +157,6 @@
             vms: sizes.get(service).copied().unwrap_or_default(),
             is_for_service: true,
         };
-        let suspect = self.suspect(key);
         let permits = self.permits.get(&key.step_key());
         let has_permits = queue.permits.is_none()
             || permits
@@ -185,7 +185,7 @@
         if !self.has_cap_room(key, &spec.need) {
             return "the cap of its organisation";
         }
-        if suspect.is_some() && !self.has_probation_room(service, now) {
+        if self.place_terms(key, service, spec, now).is_empty() {
             return "no worker is left for a probation";
         }
         self.room_reason(key, spec, service, now)
@@ -204,7 +204,7 @@
         let permitted = allowed
             .filter(|allowed| !allowed.is_empty())
             .map(|allowed| allowed.keys().cloned().collect());
-        let suspect = self.suspect(key);
+        let terms = self.place_terms(key, service, spec, now);
         let avoided = self.avoided_now(key, spec, service, now);
         let query = PlaceQuery {
             spec,
@@ -213,7 +213,7 @@
             avoided: &avoided,
             permitted,
             rack: None,
-            suspect,
+            terms: terms.last().copied().unwrap_or(PlaceTerms::Usual),
         };
         let waited_ms = self.waited_ms(key, now);
         if self.find_worker(service, &query, waited_ms, now).is_some() {
@@ -223,8 +223,10 @@
         if self.find_worker(service, &query, waited_ms, now).is_some() {
             return "only workers that it avoids have room";
         }
-        let query = PlaceQuery { suspect: None, ..query };
-        if suspect.is_some() && self.find_worker(service, &query, waited_ms, now).is_some() {
+        let query = PlaceQuery { terms: PlaceTerms::Usual, ..query };
+        if self.suspect(key).is_some()
+            && self.find_worker(service, &query, waited_ms, now).is_some()
+        {
             return "no worker with room takes a probation";
         }
         let mut pool = self.workers.values().filter(|worker| worker.entry.service == *service);
