Starts go elsewhere once their worker is not listed

Callers saw a task of a service away for as long as a worker that answered was not listed: a start that was on the log and not answered is sent to no such worker, and as the worker answered and its leases were renewed for that run, nothing took it for over either. Where the worker is known to be leaving such starts are taken back; the same is done now for one whose entry is gone. One that was never sent is off the books at once; one that may have been is stopped, and its task waits until the worker tells that it is not there or its leases are over, so none runs twice.

Stage only: a worker that runs on while its entry is gone is cut off from the log, which is no calm time.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -533,6 +533,7 @@
 
     /// A life's entry is gone. It may run on behind a cut, so its runs are not over yet.
     fn life_unlisted(&mut self, id: &Arc<str>, now: u64) {
+        self.take_back_starts(id, "its worker is not listed", now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.is_listed = false;
         worker.silent_since_ms.get_or_insert(now);
--- a/src/scheduler/room.rs
+++ b/src/scheduler/room.rs
@@ -3,7 +3,7 @@
 //! A worker without a guard starts whatever it is told to. A start that was placed when there was room, and
 //! goes out when there is none, brings it over: all that runs there is starved, and nothing refuses it. So
 //! starts that are under way are taken back when a room shrinks, and none goes out into a room that was not
-//! read for a while. None is sent, or sent again, to a worker that is known to be leaving.
+//! read for a while. None is sent, or sent again, to a worker that is known to be leaving or is not listed.
 
 use std::sync::Arc;
 
@@ -39,9 +39,7 @@
         let is_leaving = entry.is_draining;
         worker.entry = entry;
         if is_leaving {
-            for (key, run) in self.pending_starts(&id) {
-                self.take_back_start(&key, run, "its worker is leaving", now);
-            }
+            self.take_back_starts(&id, "its worker is leaving", now);
             return;
         }
         if !has_shrunk {
@@ -57,6 +55,13 @@
         }
     }
 
+    /// Takes back all starts that a worker has not answered.
+    pub(crate) fn take_back_starts(&mut self, id: &Arc<str>, reason: &'static str, now: u64) {
+        for (key, run) in self.pending_starts(id) {
+            self.take_back_start(&key, run, reason, now);
+        }
+    }
+
     /// Starts that a worker has not answered, the latest first.
     fn pending_starts(&self, id: &Arc<str>) -> Vec<(TaskKey, u32)> {
         let Some(worker) = self.workers.get(id) else { return Vec::new() };
--- a/tests/service_return.rs
+++ b/tests/service_return.rs
@@ -8,6 +8,7 @@
 use ibisweir::jobs::model::{JobId, ResourceVector, StepSpec, TaskKey};
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{SiteConfig, VmState, WorkerEntry};
+use ibisweir::scheduler::SchedulerNote;
 use support::stage::{POOL, Stage, config, job, service_step, step, task, vm, worker};
 
 /// Longest time for which a service may be away, as is promised.
@@ -161,6 +162,31 @@
     assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms", scene.worst_ms);
 }
 
+/// Guards against a service whose start waits for good on a worker that answers and is not listed any more.
+#[test]
+fn a_start_goes_elsewhere_once_its_worker_is_not_listed() {
+    for is_sent in [false, true] {
+        let mut scene = ReturnScene::open_without_standby(3);
+        let key = scene.serve(2, serving(1))[0];
+        scene.advance(1_000);
+        let lost = scene.stage.place(key);
+        scene.stage.lane_is_slow = !is_sent;
+        scene.stage.workers.values_mut().for_each(|worker| worker.is_late = is_sent);
+        scene.power_off(&[lost]);
+        scene.advance(300);
+        let placed = scene.stage.notes.iter().rev().find_map(|note| match note {
+            SchedulerNote::Placed { worker, .. } => Some(worker.clone()),
+            _ => None,
+        });
+        scene.stage.scheduler.worker_unlisted(&placed.expect("it was placed"), scene.stage.now);
+        scene.stage.lane_is_slow = false;
+        scene.stage.workers.values_mut().for_each(|worker| worker.is_late = false);
+        scene.stage.empty_lanes();
+        scene.advance(2 * AWAY_MAX_MS);
+        assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, sent: {is_sent}", scene.worst_ms);
+    }
+}
+
 /// Guards against services that are lost together and get room one after the other, each after the stop of what
 /// it displaces.
 #[test]
