A start is not sent again while its try is under way

Callers saw tasks wait for seconds though they were placed and room was free. A start was sent again 0.6 s after it had been handed out, while the answer of an executor is waited for for 0.9 s.

Now a start whose try is open is sent again after 1.5 s only, longer than any try takes. The end of a try still decides before that: without an answer it is sent again 0.1 s later, and at once where it was not sent. So a lost batch is repeated after 1.0 s in place of 0.6 s. A refusal of a repeat meets fewer open tries of the same run than before; how one is judged has not changed.

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -18,6 +18,9 @@
 /// Time for a start or stop to be answered before it is sent again, in milliseconds; repeats are
 /// idempotent, so this only bounds the traffic to a worker that is slow to answer.
 const COMMAND_RETRY_MS: u64 = 600;
+/// Time after which a start whose outcome was not told is sent again, in milliseconds: longer than its try takes
+/// through an executor. Repeats of tries under way would take the time of a busy leader from other starts.
+const START_RETRY_MS: u64 = 1_500;
 /// Most doublings of the pause between two stops of a run to a worker that doesn't answer.
 const STOP_DOUBLINGS_MAX: u32 = 3;
 /// Wait before a task that a worker refused is placed again, in milliseconds: by then the worker's
@@ -239,6 +242,7 @@
         let call =
             StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
         let live = self.live_mut(key, run)?;
+        live.retry_ms = now + START_RETRY_MS;
         live.is_sent = true;
         live.open_tries += 1;
         Some(RunCommand::Start(call))
@@ -560,27 +564,8 @@
             self.stop_task(&key, "its gang is broken", now);
         }
     }
-
-    /// Drops jobs from the log whose last state need not be told any more: a repeat of their submission that came
-    /// after that would run.
-    pub(crate) fn drop_over_jobs(&mut self, now: u64) {
-        let status_ms = self.bounds.status_ms;
-        let is_old = |known_ms: u64| known_ms + status_ms + STATUS_MARGIN_MS < now;
-        let old: Vec<_> =
-            self.finished.iter().filter(|(_, ended)| is_old(**ended)).map(|(id, _)| *id).collect();
-        for id in old {
-            self.finished.remove(&id);
-            self.abandoned.forget_job(id);
-            self.commits.drop_job(id);
-        }
-        self.drop_tombstones(is_old);
-    }
 }
 
-/// Time for which a job's last state is kept beyond what is promised, in milliseconds: the caller's wait begins when
-/// it learns of the end.
-const STATUS_MARGIN_MS: u64 = 30_000;
-
 /// Pause beyond the usual one after so many stops to a worker that doesn't answer, in milliseconds: one that is dead
 /// costs a connection each.
 fn stop_pause_ms(stops: u32) -> u64 {
--- a/src/scheduler/tombstones.rs
+++ b/src/scheduler/tombstones.rs
@@ -11,6 +11,10 @@
 use crate::jobs::model::JobId;
 use crate::scheduler::{RecordSource, Scheduler, SchedulerNote};
 
+/// Time for which a job's last state is kept beyond what is promised, in milliseconds: the caller's wait begins when
+/// it learns of the end.
+const STATUS_MARGIN_MS: u64 = 30_000;
+
 /// Such cancellations, and when each was last heard of, in milliseconds.
 #[derive(Debug, Default)]
 pub(crate) struct TombstoneBook {
@@ -67,8 +71,23 @@
         self.note(SchedulerNote::Cancelled { job: id, source, found, view_ms });
     }
 
+    /// Drops jobs from the log whose last state need not be told any more: a repeat of their submission that came
+    /// after that would run.
+    pub(crate) fn drop_over_jobs(&mut self, now: u64) {
+        let status_ms = self.bounds.status_ms;
+        let is_old = |known_ms: u64| known_ms + status_ms + STATUS_MARGIN_MS < now;
+        let old: Vec<_> =
+            self.finished.iter().filter(|(_, ended)| is_old(**ended)).map(|(id, _)| *id).collect();
+        for id in old {
+            self.finished.remove(&id);
+            self.abandoned.forget_job(id);
+            self.commits.drop_job(id);
+        }
+        self.drop_tombstones(is_old);
+    }
+
     /// Takes off the log what was cancelled long ago and never came, or is over and dropped.
-    pub(super) fn drop_tombstones(&mut self, is_old: impl Fn(u64) -> bool) {
+    fn drop_tombstones(&mut self, is_old: impl Fn(u64) -> bool) {
         let is_known = |job: &JobId| self.jobs.contains_key(job) || self.finished.contains_key(job);
         for (job, mark) in self.tombstones.take(|job, heard| is_old(heard) && !is_known(&job)) {
             self.commits.drop_tombstone(job, mark);
