A commit takes in what it is told to, starts first, and lets ends go in their order

A commit took up to 512 KiB, whole batches of other entries before all else, then changed jobs by their ids. In smaller commits, which a narrow link needs, that order starves: a start waits behind everything, a job with a high id behind all that keep changing, and ends are acknowledged only when nothing at all is left, so that workers list them again and again.

Now `take_commit_within` takes a room: progress of jobs whose starts wait for it first (a third of it at most), unless a record of a caller about the job is not on the log yet; then records of other entries (half of it; a batch that does not fit is told of with its last part); then changed jobs, the oldest change first. Ends wait for the changes before them, not for later ones. What nobody waits for takes an eighth. `decide/append_room.rs` decides the room: what the link has carried in a fifth of a second, by the answers, less the time that the log takes for a small append; nothing uses it yet. Records are as before.

--- /dev/null
+++ b/src/decide/append_room.rs
@@ -0,0 +1,77 @@
+//! How much one append takes in: what the link has carried lately in a fifth of a second.
+//!
+//! What waits for the log while an append goes out waits for all of it, so a large one on a narrow link
+//! holds up every start. A smaller one costs a call more.
+
+use std::time::Duration;
+
+/// Time in which an append is to go out.
+const SEND_TIME: Duration = Duration::from_millis(200);
+/// Least that an append takes in, in bytes.
+pub const ROOM_MIN: usize = 16 << 10;
+/// What it takes in before anything is known of the link.
+const ROOM_FIRST: usize = 64 << 10;
+/// Most that it takes in: with the last record it stays under the 2 MB that the platform takes.
+pub const ROOM_MAX: usize = 512 << 10;
+/// Size up to which the answer to an append tells of the log alone, in bytes.
+const SMALL: usize = 4 << 10;
+/// Part of the smoothed time of the log that one answer counts.
+const LOG_PART: u32 = 4;
+
+/// How a body went out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentBody {
+    /// Its size, in bytes; 0 if there was no connection.
+    pub bytes: usize,
+    /// Time in which the system took it.
+    pub took: Duration,
+    /// Time until the answer was there, if it came.
+    pub answered: Option<Duration>,
+}
+
+/// Bytes for the next append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AppendRoom {
+    bytes: usize,
+    /// Smoothed time of the log for a small append.
+    log: Option<Duration>,
+}
+
+impl Default for AppendRoom {
+    fn default() -> Self {
+        AppendRoom { bytes: ROOM_FIRST, log: None }
+    }
+}
+
+impl AppendRoom {
+    /// Bytes from which an append takes no more.
+    pub fn bytes(self) -> usize {
+        self.bytes
+    }
+
+    /// Takes in how an append went out.
+    pub fn learn(&mut self, sent: SentBody) {
+        let is_full = sent.bytes >= self.bytes / 2;
+        let Some(answered) = sent.answered else {
+            if is_full {
+                self.bytes = (self.bytes / 2).max(ROOM_MIN);
+            }
+            return;
+        };
+        if sent.bytes <= SMALL {
+            let before = self.log.unwrap_or(answered);
+            self.log = Some((before * (LOG_PART - 1) + answered) / LOG_PART);
+            return;
+        }
+        // What stands in the buffers of the way counts as sent: only the answer tells that it has passed.
+        let took = sent.took.max(answered.saturating_sub(self.log.unwrap_or_default()));
+        if took > SEND_TIME && sent.bytes >= ROOM_MIN {
+            let carried = u128::try_from(sent.bytes).unwrap_or(u128::MAX);
+            let fitting = carried.saturating_mul(SEND_TIME.as_micros()) / took.as_micros();
+            let fitting = usize::try_from(fitting).unwrap_or(ROOM_MAX);
+            self.bytes = self.bytes.min(fitting).max(ROOM_MIN);
+        } else if is_full && took <= SEND_TIME / 2 {
+            self.bytes = (self.bytes * 2).min(ROOM_MAX);
+        }
+    }
+}
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -1,21 +1,28 @@
 //! What waits for the log: runs that may start and exits that may be forgotten once it has them.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::decide::access::CallerMark;
+use crate::decide::append_room::ROOM_MAX;
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord, LostVm};
 use crate::scheduler::job::RunPhase;
 use crate::scheduler::{RecordSource, Scheduler};
 
-/// Bytes from which a commit takes no more: with the last record, and a last batch of another entry, it
-/// stays under the 2 MB that the platform takes in one append.
-const COMMIT_BYTES_MAX: usize = 512 << 10;
 /// Jobs dropped in one commit, of three small records each.
 const DROPS_MAX: usize = 500;
+/// Bytes that dropping a job takes, about.
+const DROP_BYTES: usize = 128;
 /// Jobs whose specs are taken off the log in one commit.
 const OVER_MAX: usize = 500;
+/// Part of a commit's room for the progress of jobs whose tasks are to start: it goes before all else.
+const STARTS_PART: usize = 3;
+/// Part of it for records of other entries, whose callers wait; progress takes the rest.
+const RELAYED_PART: usize = 2;
+/// Part of a commit's room that what nobody waits for may take: all else would stand behind it.
+const IDLE_PART: usize = 8;
 
 /// Records for one append, and what it releases.
 #[derive(Clone, Debug, Default)]
@@ -30,19 +37,69 @@
     exits: BTreeMap<Arc<str>, u64>,
 }
 
+impl CommitBatch {
+    /// Size of its records.
+    pub fn bytes(&self) -> usize {
+        self.records.iter().map(|record| record.key.len() + record.value.len()).sum()
+    }
+}
+
+/// Jobs whose record has changed, in the order in which they did so.
+#[derive(Debug, Default)]
+struct ChangedJobs {
+    places: BTreeMap<JobId, u64>,
+    order: BTreeMap<u64, JobId>,
+    next: u64,
+}
+
+impl ChangedJobs {
+    fn insert(&mut self, job: JobId) {
+        if let Entry::Vacant(place) = self.places.entry(job) {
+            place.insert(self.next);
+            self.order.insert(self.next, job);
+            self.next += 1;
+        }
+    }
+
+    fn take(&mut self, job: JobId) -> bool {
+        let place = self.places.remove(&job);
+        place.is_some_and(|place| self.order.remove(&place).is_some())
+    }
+
+    /// The oldest change from a place on.
+    fn next_from(&self, place: u64) -> Option<(u64, JobId)> {
+        self.order.range(place..).next().map(|(at, job)| (*at, *job))
+    }
+
+    fn contains(&self, job: JobId) -> bool {
+        self.places.contains_key(&job)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Place of the oldest change.
+    fn oldest(&self) -> u64 {
+        self.order.first_key_value().map_or(self.next, |(place, _)| *place)
+    }
+}
+
 /// What has changed since the last commit was taken.
 #[derive(Debug, Default)]
 pub struct CommitQueue {
-    jobs: BTreeSet<JobId>,
+    jobs: ChangedJobs,
     starts: Vec<(TaskKey, u32)>,
     exits: BTreeMap<Arc<str>, u64>,
+    /// Exits that wait for the changes before a place.
+    held_exits: VecDeque<(u64, BTreeMap<Arc<str>, u64>)>,
     drops: Vec<JobId>,
     tombstone_drops: Vec<(JobId, CallerMark)>,
     /// Jobs that are over and quiet, without their specs.
-    over: Vec<(JobId, Arc<JobSubmission>)>,
+    over: VecDeque<(JobId, Arc<JobSubmission>)>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
     losses: BTreeMap<Arc<str>, Vec<LostVm>>,
-    relayed: VecDeque<(u64, Vec<JobRecord>)>,
+    relayed: VecDeque<(u64, VecDeque<JobRecord>)>,
 }
 
 impl CommitQueue {
@@ -97,9 +154,16 @@
         self.losses.insert(service, lost);
     }
 
+    /// Jobs of which records of other entries wait.
+    fn relayed_jobs(&self) -> BTreeSet<JobId> {
+        let records = self.relayed.iter().flat_map(|(_, records)| records);
+        records.filter_map(JobRecord::job).collect()
+    }
+
     fn is_empty(&self) -> bool {
         self.jobs.is_empty()
             && self.exits.is_empty()
+            && self.held_exits.is_empty()
             && self.drops.is_empty()
             && self.tombstone_drops.is_empty()
             && self.over.is_empty()
@@ -117,35 +181,38 @@
         for record in &records {
             self.take_record_from(RecordSource::Relayed, record, now);
         }
-        self.commits.relayed.push_back((token, records));
+        self.commits.relayed.push_back((token, records.into()));
     }
 
-    /// The next append; nothing if the log has everything. The caller appends it until it is done,
-    /// in order, and then calls [`Scheduler::committed`].
+    /// The next append, of any size that the log takes.
     pub fn take_commit(&mut self) -> Option<CommitBatch> {
+        self.take_commit_within(ROOM_MAX)
+    }
+
+    /// The next append, of `room` bytes and a record; nothing if the log has everything. The caller appends
+    /// it until it is done, in order, and then calls [`Scheduler::committed`].
+    pub fn take_commit_within(&mut self, room: usize) -> Option<CommitBatch> {
         if self.is_deposed || self.commits.is_empty() {
             return None;
         }
         let mut batch = CommitBatch::default();
-        let mut bytes = 0;
-        // A submission stands before the progress of its job, and no task may start before the log has
-        // the job: where submissions fill the append, no progress goes out with them.
-        while bytes < COMMIT_BYTES_MAX
-            && let Some((token, records)) = self.commits.relayed.pop_front()
+        let mut bytes = self.take_starts(&mut batch, room / STARTS_PART);
+        bytes += self.take_relayed(&mut batch, room / RELAYED_PART);
+        // A submission stands before the progress of its job, and no task may start before the log has the job.
+        let relayed = self.commits.relayed_jobs();
+        let mut place = 0;
+        while bytes < room
+            && let Some((at, id)) = self.commits.jobs.next_from(place)
         {
-            batch.relayed.push(token);
-            for record in records {
-                bytes += push(&mut batch, record);
+            place = at + 1;
+            if !relayed.contains(&id) {
+                self.commits.jobs.take(id);
+                bytes += self.push_progress(&mut batch, id);
             }
         }
-        while bytes < COMMIT_BYTES_MAX
-            && let Some(id) = self.commits.jobs.pop_first()
-        {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let record = JobRecord::Progress(id, Arc::new(job.progress(self.term)));
-            bytes += push(&mut batch, record);
-        }
-        let dropped = self.commits.drops.len().min(DROPS_MAX);
+        let idle_room = room / IDLE_PART;
+        let drops_max = DROPS_MAX.min(idle_room / DROP_BYTES).max(1);
+        let dropped = self.commits.drops.len().min(drops_max);
         for job in self.commits.drops.drain(..dropped) {
             batch.records.extend(JobRecord::drops(job));
             batch.folded.push(JobRecord::Dropped(job));
@@ -153,14 +220,18 @@
         // A job without its cancellation would run: its own keys go first.
         let is_dropped = self.commits.drops.is_empty();
         let dropped =
-            if is_dropped { self.commits.tombstone_drops.len().min(DROPS_MAX) } else { 0 };
+            if is_dropped { self.commits.tombstone_drops.len().min(drops_max) } else { 0 };
         for (job, mark) in self.commits.tombstone_drops.drain(..dropped) {
             batch.records.push(JobRecord::drop_tombstone(job, mark));
             batch.folded.push(JobRecord::TombstoneDropped(job, mark));
         }
-        let over = self.commits.over.len().min(OVER_MAX);
-        for (job, submission) in self.commits.over.drain(..over) {
-            push(&mut batch, JobRecord::Submitted(job, submission));
+        let (mut over, mut over_bytes) = (0, 0);
+        while over < OVER_MAX
+            && over_bytes < idle_room
+            && let Some((job, submission)) = self.commits.over.pop_front()
+        {
+            over_bytes += push(&mut batch, JobRecord::Submitted(job, submission));
+            over += 1;
         }
         while let Some((number, done)) = self.commits.waves.pop_first() {
             push(&mut batch, JobRecord::Wave(number, Arc::new(done)));
@@ -168,18 +239,64 @@
         while let Some((service, lost)) = self.commits.losses.pop_first() {
             push(&mut batch, JobRecord::Losses(service, Arc::new(lost)));
         }
-        // Jobs that did not fit keep their starts and every exit back for the next append.
+        // Jobs that did not fit keep their starts back for the next append, and the exits that were taken in with them.
         let left = &self.commits.jobs;
         let (later, now): (Vec<_>, Vec<_>) =
-            self.commits.starts.drain(..).partition(|(task, _)| left.contains(&task.job));
+            self.commits.starts.drain(..).partition(|(task, _)| left.contains(task.job));
         batch.starts = now;
         self.commits.starts = later;
-        if self.commits.jobs.is_empty() {
-            batch.exits = std::mem::take(&mut self.commits.exits);
+        let exits = std::mem::take(&mut self.commits.exits);
+        if !exits.is_empty() {
+            self.commits.held_exits.push_back((self.commits.jobs.next, exits));
+        }
+        let oldest = self.commits.jobs.oldest();
+        while let Some((_, exits)) =
+            self.commits.held_exits.pop_front_if(|(place, _)| *place <= oldest)
+        {
+            batch.exits.extend(exits);
         }
         Some(batch)
     }
 
+    /// Progress of jobs whose starts wait for it, unless something that callers said of them is not on the log yet.
+    fn take_starts(&mut self, batch: &mut CommitBatch, room: usize) -> usize {
+        let relayed = self.commits.relayed_jobs();
+        let waiting: Vec<JobId> = self.commits.starts.iter().map(|(task, _)| task.job).collect();
+        let mut bytes = 0;
+        for id in waiting {
+            if bytes >= room {
+                break;
+            }
+            if !relayed.contains(&id) && self.commits.jobs.take(id) {
+                bytes += self.push_progress(batch, id);
+            }
+        }
+        bytes
+    }
+
+    /// Records of other entries; a batch that does not fit is told of with its last part.
+    fn take_relayed(&mut self, batch: &mut CommitBatch, room: usize) -> usize {
+        let mut bytes = 0;
+        while let Some((token, records)) = self.commits.relayed.front_mut() {
+            while bytes < room
+                && let Some(record) = records.pop_front()
+            {
+                bytes += push(batch, record);
+            }
+            if !records.is_empty() {
+                break;
+            }
+            batch.relayed.push(*token);
+            self.commits.relayed.pop_front();
+        }
+        bytes
+    }
+
+    fn push_progress(&self, batch: &mut CommitBatch, id: JobId) -> usize {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
+        push(batch, JobRecord::Progress(id, Arc::new(job.progress(self.term))))
+    }
+
     /// An append is on the log.
     pub fn committed(&mut self, batch: &CommitBatch, now: u64) {
         for (task, run) in &batch.starts {
@@ -219,9 +336,9 @@
         let over = &mut self.commits.over;
         self.jobs.retain(|id, job| {
             let is_kept =
-                !job.state.is_final() || dirty.contains(id) || !job.live_tasks().is_empty();
+                !job.state.is_final() || dirty.contains(*id) || !job.live_tasks().is_empty();
             if !is_kept && !job.submission.has_no_spec() {
-                over.push((*id, Arc::new(job.submission.without_spec())));
+                over.push_back((*id, Arc::new(job.submission.without_spec())));
             }
             is_kept
         });
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -6,6 +6,7 @@
 
 use ibisweir::jobs::model::{ExitKind, JobSpec, JobState};
 use ibisweir::jobs::record::JobRecord;
+use ibisweir::scheduler::SchedulerNote;
 use support::stage::{Stage, config, job, job_id, step, submission, task, worker};
 
 /// The log is slow: each append takes a third of a second, one after the other. A caller's job is
@@ -219,3 +220,92 @@
     stage.advance(1_000);
     assert_eq!((stage.starts(task(id, 0, 0)), stage.state(id)), (0, Some(JobState::Cancelled)));
 }
+
+/// Room of a commit that takes some 20 records.
+const SMALL_ROOM: usize = 1_024;
+/// Jobs of which most wait for room.
+const CHANGED: u64 = 600;
+
+/// A full worker, with jobs that wait; the log is away. Answers with a task that runs.
+fn full_pool() -> (Stage, ibisweir::jobs::model::TaskKey) {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    for id in 0..CHANGED {
+        stage.submit(id, job(vec![step(1)]));
+    }
+    stage.log_is_up = false;
+    let running = stage.started.first().expect("some run").0;
+    (stage, running)
+}
+
+/// Cancels jobs that wait.
+fn cancel_waiting(stage: &mut Stage, ids: std::ops::Range<u64>) {
+    for id in ids {
+        assert_eq!(stage.starts(task(job_id(id), 0, 0)), 0, "it runs");
+        stage.append(&JobRecord::Cancelled(job_id(id)));
+    }
+    stage.pump();
+}
+
+/// Guards against a task that waits to start behind all other changes on a narrow link.
+#[test]
+fn a_start_goes_before_other_changes() {
+    let (mut stage, running) = full_pool();
+    cancel_waiting(&mut stage, 200..CHANGED);
+    let placed = stage.notes.len();
+    stage.end(running, ExitKind::Done);
+    stage.advance(200);
+    let started = stage.notes[placed..].iter().find_map(|note| match note {
+        SchedulerNote::Placed { task, .. } => Some(task.job),
+        _ => None,
+    });
+    assert!(started.is_some(), "nothing was placed");
+    let batch = stage.scheduler.take_commit_within(SMALL_ROOM).expect("an append");
+    assert!(batch.records.len() < 100, "all fits");
+    assert_eq!(batch.folded.first().and_then(JobRecord::job), started);
+}
+
+/// Guards against ends that workers list again and again, as other changes always wait for the log behind them.
+#[test]
+fn ends_are_acknowledged_though_changes_keep_coming() {
+    let (mut stage, running) = full_pool();
+    cancel_waiting(&mut stage, 200..240);
+    stage.end(running, ExitKind::Done);
+    stage.advance(200);
+    for first in (240..CHANGED).step_by(40) {
+        // More than one commit takes, each time.
+        cancel_waiting(&mut stage, first..first + 40);
+        let batch = stage.scheduler.take_commit_within(SMALL_ROOM / 8).expect("an append");
+        stage.scheduler.committed(&batch, stage.now);
+    }
+    stage.advance(200);
+    assert!(stage.scheduler.take_commit_within(SMALL_ROOM / 8).is_some(), "nothing was left");
+    assert!(stage.workers["w1"].exits.is_empty(), "no end was acknowledged");
+}
+
+/// Guards against a batch of another entry that is told of before all of it is on the log, and against progress of a job
+/// that the log does not have.
+#[test]
+fn a_batch_that_does_not_fit_is_told_of_with_its_last_part() {
+    let mut stage = Stage::open(config(), vec![worker("w1", "r1")]);
+    let submitted = Arc::new(submission(job(vec![step(1)])));
+    let records = (0..CHANGED).map(|id| JobRecord::Submitted(job_id(id), submitted.clone()));
+    stage.scheduler.relay(7, records.collect(), stage.now);
+    stage.scheduler.tick(stage.now, 0);
+    let mut stored = std::collections::BTreeSet::new();
+    let mut commits = 0;
+    while let Some(batch) = stage.scheduler.take_commit_within(SMALL_ROOM) {
+        commits += 1;
+        for record in &batch.folded {
+            match record {
+                JobRecord::Submitted(id, _) => drop(stored.insert(*id)),
+                JobRecord::Progress(id, _) => assert!(stored.contains(id), "{id} too early"),
+                _ => {}
+            }
+        }
+        let is_whole = stored.len() == usize::try_from(CHANGED).expect("few");
+        assert!(batch.relayed.is_empty() || is_whole, "told of too early");
+        stage.scheduler.committed(&batch, stage.now);
+    }
+    assert!(commits > 3, "it fits");
+    assert_eq!(stored.len(), usize::try_from(CHANGED).expect("few"));
+}
