An append has its time once its body has gone out, and takes in what the link carries

Callers saw a task that is to last and does not run, with room for it. The leader repeats one append of up to 512 KiB unchanged, and each try had 0.7 s for all of it. On a link of 2 Mbit/s no more than 175 KB gets through in that time, so a larger one never does; what is left of each try that was given up went out all the same beside its repeat. No start goes out until leaders change. The class: work that gathers under a fixed time limit and is retried whole, a limit on the whole in place of one on the pause.

The time in which the system takes parts of a request does not count any more for appends and for batches to the leader; a link that takes nothing is given up after the same time as before. The send buffer is 16 KB, so that what was taken is on its way. A connection ends with its request: nothing more of one that was given up goes out. Commits, and the submitter's own appends, take in what the link has carried lately in a fifth of a second (16 to 512 KiB).

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -490,7 +490,9 @@
     /// Commits what the scheduler has decided, one append at a time.
     async fn commit(self: Arc<Self>) {
         loop {
-            let batch = self.node.with_scheduler(Scheduler::take_commit).flatten();
+            let room = self.parts.log.append_room();
+            let take = |scheduler: &mut Scheduler| scheduler.take_commit_within(room);
+            let batch = self.node.with_scheduler(take).flatten();
             let Some(batch) = batch else {
                 self.commit_wake.notified().await;
                 continue;
--- a/src/jobs/ports.rs
+++ b/src/jobs/ports.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::append_room::ROOM_MAX;
 use crate::jobs::model::{ExitKind, StepKey, TaskKey};
 use crate::jobs::record::KeyedRecord;
 use crate::jobs::site::VmEntry;
@@ -124,6 +125,11 @@
         patience: Duration,
     ) -> impl Future<Output = AppendOutcome> + Send;
 
+    /// Bytes from which the next append should take no more records.
+    fn append_room(&self) -> usize {
+        ROOM_MAX
+    }
+
     /// Reads from an offset; waits for a record up to `wait`.
     fn read(
         &self,
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -188,9 +188,10 @@
             headers: HeaderMap::new(),
             body: Bytes::from(body),
         };
-        let exchange = self.transport.exchange_long(leader, call, TAKEN_PATIENCE, STORE_PATIENCE);
+        let exchange =
+            self.transport.exchange_sending(leader, call, TAKEN_PATIENCE, STORE_PATIENCE);
         let answer = tokio::select! {
-            answer = exchange => answer,
+            (answer, _) = exchange => answer,
             () = succeeded(node, leader) => Err(ExchangeFailure::NoAnswer),
         };
         match answer {
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -112,7 +112,8 @@
         while let Some(first) = self.requests.recv().await {
             let mut bytes = first.keyed.value.len();
             let mut batch = vec![first];
-            while batch.len() < BATCH_MAX && bytes < BATCH_BYTES_MAX {
+            let room = self.log.append_room().min(BATCH_BYTES_MAX);
+            while batch.len() < BATCH_MAX && bytes < room {
                 let Ok(next) = self.requests.try_recv() else { break };
                 bytes += next.keyed.value.len();
                 batch.push(next);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod platform;
 #[path = "../platform/mod.rs"]
 pub mod platform_adapter;
+pub mod progress;
 pub mod publisher;
 pub mod quota;
 pub mod request;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,8 +21,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
-use tokio::time::{Instant, timeout};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::decide::append_room::SentBody;
+use crate::progress::{SendProgress, WatchedStream};
 use crate::traffic::TrafficMeter;
 
 /// Largest answer that is read, in bytes: twice the largest page of the log service.
@@ -33,6 +37,8 @@
 /// Receive buffer of a connection, in bytes. What a peer may have under way stands in line on a narrow link, and
 /// all other answers wait behind it: a large one would keep leases from being renewed for as long as it takes.
 const RECEIVE_BYTES: u32 = 16 << 10;
+/// Send buffer of a connection, in bytes. What stands in it counts as sent, and other calls wait behind it.
+const SEND_BYTES: u32 = 16 << 10;
 /// Time to open a connection; several round trips between the farthest data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -67,8 +73,22 @@
     pub body: Bytes,
 }
 
-struct IdleConnection {
+/// An open connection; closed with it.
+struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    progress: Arc<SendProgress>,
+    driver: AbortHandle,
+}
+
+impl Drop for OpenConnection {
+    // What is left of a request that was given up would go out all the same, and keep the link from its repeat.
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+struct IdleConnection {
+    connection: OpenConnection,
     since: Instant,
 }
 
@@ -82,6 +102,15 @@
     Reset,
 }
 
+/// What the time limit of a request counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestLimit {
+    /// All of it.
+    Whole,
+    /// Not the time in which its body goes out: a large one takes as long as the link needs.
+    Unsent,
+}
+
 /// How long the body of an answer may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLimit {
@@ -166,6 +195,19 @@
         self.exchange_while(address, call, head, BodyLimit::Stall(stall), || true).await
     }
 
+    /// The same for a request of any size: the time limits count once its body has gone out, or no part of it goes
+    /// out any more. Also answers with how much went out, and how long that took.
+    pub async fn exchange_sending(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        head: Duration,
+        whole: Duration,
+    ) -> (Result<HttpAnswer, ExchangeFailure>, SentBody) {
+        let body = BodyLimit::Whole(whole);
+        self.carry(address, call, head, RequestLimit::Unsent, body, || true).await
+    }
+
     /// The same, sent only if `may_send` still holds when the connection is open: that can take as long
     /// as the VM was frozen meanwhile.
     ///
@@ -179,43 +221,62 @@
         body: BodyLimit,
         may_send: impl Fn() -> bool + Send,
     ) -> Result<HttpAnswer, ExchangeFailure> {
+        self.carry(address, call, head, RequestLimit::Whole, body, may_send).await.0
+    }
+
+    async fn carry(
+        &self,
+        address: SocketAddr,
+        call: HttpCall,
+        head: Duration,
+        request: RequestLimit,
+        body: BodyLimit,
+        may_send: impl Fn() -> bool + Send,
+    ) -> (Result<HttpAnswer, ExchangeFailure>, SentBody) {
         let started = Instant::now();
-        let sender = match self.take_idle(address) {
-            Some(sender) => sender,
-            None => connect(address, head, self.abandon).await?,
+        let connection = match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => connect(address, head, self.abandon).await,
+        };
+        let mut connection = match connection {
+            Ok(connection) if may_send() => connection,
+            Ok(_) | Err(_) => return (Err(ExchangeFailure::NotSent), SentBody::default()),
         };
-        if !may_send() {
-            return Err(ExchangeFailure::NotSent);
-        }
         let (path, sent) = (call.path.clone(), call.body.len());
+        let progress = connection.progress.clone();
+        progress.begin();
+        let begun = Instant::now();
+        let spared = || match request {
+            RequestLimit::Whole => Duration::ZERO,
+            RequestLimit::Unsent => progress.span(),
+        };
         let answered = async {
-            let left = head.saturating_sub(started.elapsed());
-            let sent = timeout(left, send(sender, address, call)).await;
-            let (response, sender) = sent.map_err(|_| ExchangeFailure::NoAnswer)??;
+            let sending = send(&mut connection.sender, address, call);
+            let response = sent_within(sending, || started + head + spared()).await?;
             match body {
                 BodyLimit::Whole(whole) => {
-                    let left = whole.saturating_sub(started.elapsed());
-                    let read = timeout(left, read_answer(response, sender, Duration::MAX)).await;
-                    read.map_err(|_| ExchangeFailure::NoAnswer)?
+                    let limit = started + whole + spared();
+                    let read = read_answer(response, &mut connection.sender, None);
+                    timeout_at(limit, read).await.map_err(|_| ExchangeFailure::NoAnswer)?
+                }
+                BodyLimit::Stall(stall) => {
+                    read_answer(response, &mut connection.sender, Some(stall)).await
                 }
-                BodyLimit::Stall(stall) => read_answer(response, sender, stall).await,
             }
         };
         let answered = answered.await;
-        let received = answered.as_ref().ok().map(|(answer, _)| answer.body.len());
+        let received = answered.as_ref().ok().map(|answer| answer.body.len());
         self.traffic.count(&path, sent, received);
         match answered {
-            Ok((answer, sender)) => {
-                self.keep(address, sender);
-                Ok(answer)
-            }
-            Err(failure) => {
-                // The others may have gone silent together with this one; each would cost a
-                // whole time limit before it shows.
-                self.forget_idle(address);
-                Err(failure)
-            }
+            Ok(_) => self.keep(address, connection),
+            // The others may have gone silent together with this one; each would cost a
+            // whole time limit before it shows.
+            Err(_) => self.forget_idle(address),
         }
+        let time = begun.elapsed();
+        let sent =
+            SentBody { bytes: sent, took: progress.span(), answered: received.map(|_| time) };
+        (answered, sent)
     }
 
     /// Uses no connection to a peer again that is idle now.
@@ -223,20 +284,20 @@
         self.lock().remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop_back() {
-            let is_fresh = connection.since.elapsed() < IDLE_AGE_MAX;
-            if is_fresh && !connection.sender.is_closed() {
-                return Some(connection.sender);
+        while let Some(idle) = connections.pop_back() {
+            let is_fresh = idle.since.elapsed() < IDLE_AGE_MAX;
+            if is_fresh && !idle.connection.sender.is_closed() {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
+    fn keep(&self, address: SocketAddr, connection: OpenConnection) {
+        if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.lock();
@@ -244,7 +305,7 @@
         if connections.len() >= IDLE_MAX {
             connections.pop_front();
         }
-        connections.push_back(IdleConnection { sender, since: Instant::now() });
+        connections.push_back(IdleConnection { connection, since: Instant::now() });
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, VecDeque<IdleConnection>>> {
@@ -256,7 +317,7 @@
     address: SocketAddr,
     patience: Duration,
     abandon: AbandonPolicy,
-) -> Result<SendRequest<Full<Bytes>>, ExchangeFailure> {
+) -> Result<OpenConnection, ExchangeFailure> {
     let not_sent = |_| ExchangeFailure::NotSent;
     let opened = async {
         let socket = match address {
@@ -265,31 +326,51 @@
         };
         let socket = socket.map_err(not_sent)?;
         socket.set_recv_buffer_size(RECEIVE_BYTES).map_err(not_sent)?;
+        socket.set_send_buffer_size(SEND_BYTES).map_err(not_sent)?;
         let stream = socket.connect(address).await.map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
         if abandon == AbandonPolicy::Reset {
             stream.set_zero_linger().map_err(not_sent)?;
         }
+        let progress = Arc::new(SendProgress::default());
+        let stream = WatchedStream::new(stream, progress.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ExchangeFailure::NotSent)?;
         // The driver ends with the connection; its error shows at the sender as well.
-        match abandon {
+        let driver = match abandon {
             AbandonPolicy::Deliver => tokio::spawn(async move { drop(connection.await) }),
             // An orderly end first would promise the peer that all of it is on its way.
             AbandonPolicy::Reset => {
                 tokio::spawn(async move { drop(connection.without_shutdown().await) })
             }
         };
-        Ok(sender)
+        Ok(OpenConnection { sender, progress, driver: driver.abort_handle() })
     };
     timeout(CONNECT_TIMEOUT.min(patience), opened).await.map_err(|_| ExchangeFailure::NotSent)?
 }
 
+/// Waits for an answer until a limit that moves while the request goes out.
+async fn sent_within(
+    sending: impl Future<Output = Result<Response<Incoming>, ExchangeFailure>>,
+    limit: impl Fn() -> Instant,
+) -> Result<Response<Incoming>, ExchangeFailure> {
+    let mut sending = pin!(sending);
+    loop {
+        let until = limit();
+        if let Ok(response) = timeout_at(until, &mut sending).await {
+            return response;
+        }
+        if limit() <= until {
+            return Err(ExchangeFailure::NoAnswer);
+        }
+    }
+}
+
 async fn send(
-    mut sender: SendRequest<Full<Bytes>>,
+    sender: &mut SendRequest<Full<Bytes>>,
     address: SocketAddr,
     call: HttpCall,
-) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), ExchangeFailure> {
+) -> Result<Response<Incoming>, ExchangeFailure> {
     let no_answer = |_| ExchangeFailure::NoAnswer;
     let mut request = Request::builder()
         .method(call.method)
@@ -301,20 +382,20 @@
     let host = host.map_err(|_| ExchangeFailure::NotSent)?;
     request.headers_mut().entry(http::header::HOST).or_insert(host);
     sender.ready().await.map_err(no_answer)?;
-    let response = sender.send_request(request).await.map_err(no_answer)?;
-    Ok((response, sender))
+    sender.send_request(request).await.map_err(no_answer)
 }
 
 /// Reads the body, and gives up once no part of it has come for `stall`.
 async fn read_answer(
     response: Response<Incoming>,
-    mut sender: SendRequest<Full<Bytes>>,
-    stall: Duration,
-) -> Result<(HttpAnswer, SendRequest<Full<Bytes>>), ExchangeFailure> {
+    sender: &mut SendRequest<Full<Bytes>>,
+    stall: Option<Duration>,
+) -> Result<HttpAnswer, ExchangeFailure> {
     let no_answer = |_| ExchangeFailure::NoAnswer;
     let status = response.status();
     let mut incoming = response.into_body();
     let mut body = BytesMut::new();
+    let stall = stall.unwrap_or(Duration::MAX);
     while let Some(frame) = timeout(stall, incoming.frame()).await.map_err(no_answer)? {
         let frame = frame.map_err(|_| ExchangeFailure::NoAnswer)?;
         let Ok(part) = frame.into_data() else { continue };
@@ -325,5 +406,5 @@
     }
     // The connection can carry the next request only once it has read this answer's end.
     drop(sender.ready().await);
-    Ok((HttpAnswer { status, body: body.freeze() }, sender))
+    Ok(HttpAnswer { status, body: body.freeze() })
 }
