A connection that opens late is kept for the next call

While a configuration of 1,770 routes comes in, the line on a leader's link of 2 Mbit/s is longer than the 0.4 s that a call waits for its connection.

The opening goes on for 2 s by itself; a call waits for it as long as before, and if it comes later, the next call finds it open.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -39,8 +40,10 @@
 const RECEIVE_BYTES: u32 = 16 << 10;
 /// Send buffer of a connection, in bytes. What stands in it counts as sent, and other calls wait behind it.
 const SEND_BYTES: u32 = 16 << 10;
-/// Time to open a connection; several round trips between the farthest data centres.
+/// Time for which a call waits for its connection; several round trips between the farthest data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a connection may be opening, for later calls.
+const OPENING_TIME: Duration = Duration::from_secs(2);
 
 /// A whole answer.
 #[derive(Debug)]
@@ -236,7 +239,7 @@
         let started = Instant::now();
         let connection = match self.take_idle(address) {
             Some(connection) => Ok(connection),
-            None => connect(address, head, self.abandon).await,
+            None => self.open_connection(address, head).await,
         };
         let mut connection = match connection {
             Ok(connection) if may_send() => connection,
@@ -279,6 +282,24 @@
         (answered, sent)
     }
 
+    /// Opens a connection. One that takes longer is kept for the next call: given up, it would be begun anew without
+    /// end where the line on a full link is longer than the time for it.
+    async fn open_connection(
+        &self,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Result<OpenConnection, ExchangeFailure> {
+        let (transport, (hand, opened)) = (self.clone(), oneshot::channel());
+        tokio::spawn(async move {
+            let connection = connect(address, transport.abandon).await;
+            if let Err(Ok(unwanted)) = hand.send(connection) {
+                transport.keep(address, unwanted);
+            }
+        });
+        let opened = timeout(CONNECT_TIMEOUT.min(patience), opened).await;
+        opened.ok().and_then(Result::ok).unwrap_or(Err(ExchangeFailure::NotSent))
+    }
+
     /// Uses no connection to a peer again that is idle now.
     pub fn forget_idle(&self, address: SocketAddr) {
         self.lock().remove(&address);
@@ -315,7 +336,6 @@
 
 async fn connect(
     address: SocketAddr,
-    patience: Duration,
     abandon: AbandonPolicy,
 ) -> Result<OpenConnection, ExchangeFailure> {
     let not_sent = |_| ExchangeFailure::NotSent;
@@ -346,7 +366,7 @@
         };
         Ok(OpenConnection { sender, progress, driver: driver.abort_handle() })
     };
-    timeout(CONNECT_TIMEOUT.min(patience), opened).await.map_err(|_| ExchangeFailure::NotSent)?
+    timeout(OPENING_TIME, opened).await.map_err(|_| ExchangeFailure::NotSent)?
 }
 
 /// Waits for an answer until a limit that moves while the request goes out.
--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -119,6 +119,41 @@
     assert!(carried <= LEFT_BYTES_MAX, "{carried} bytes");
 }
 
+/// Time after which a connection has not been opened as the queue of the peer is full.
+const OPENING: Duration = Duration::from_millis(300);
+/// Time until an opening packet that was dropped is sent again, with room to spare.
+const OPENED: Duration = Duration::from_secs(20);
+
+/// Guards against calls that never get a connection, as the line on the way is longer than the time to open one and each
+/// call begins anew.
+#[tokio::test]
+async fn a_connection_that_opens_late_is_kept_for_the_next_call() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("listening");
+    let address = listener.local_addr().expect("bound");
+    let mut waiting = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, OPENING) {
+        waiting.push(stream);
+    }
+    let log = PlatformLog::new(address, HttpTransport::open());
+    let call =
+        AppendCall { topic: LogTopic::Jobs, records: Vec::new(), expected_end: None, stamp: None };
+    assert_eq!(log.append(&call, PATIENCE).await, AppendOutcome::Refused);
+    for _ in waiting {
+        drop(listener.accept().await.expect("a caller"));
+    }
+    let late = timeout(OPENED, listener.accept()).await.expect("the connection is opened");
+    let (mut stream, _) = late.expect("a caller");
+    // It is kept from the moment at which it is open on the caller's side too.
+    sleep(OPENING).await;
+    let appended = tokio::spawn(async move { log.append(&call, OPENED).await });
+    let mut request = [0; 4_096];
+    let asked = timeout(OPENED, stream.read(&mut request)).await.expect("a call comes on it");
+    assert!(asked.expect("readable") > 0);
+    appended.abort();
+}
+
 /// What the leader's link to the log carries, in bytes a second.
 const LINK_RATE: u32 = 200_000;
 /// Submissions that come at once, and the size of each: several times what the link carries in `PATIENCE`.
