A line and metrics for a commit that waits for the log

`traffic of the leader` shows appends without an answer, not whether they are one that is repeated, how large it is and how long it has waited. Each try of a commit that is older than half a second is told of; the room of the next commit is a gauge, repeats are counted.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -45,6 +45,8 @@
 const COMMIT_GAP_MAX: Duration = Duration::from_millis(120);
 /// Longest time for an append to be answered before it is repeated.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
+/// Age from which a commit that the log does not have is told of, in milliseconds.
+const LONG_COMMIT_MS: u64 = 500;
 /// Pause before an append is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 /// Wait for a record of the workers' stream in one read, and the pause after records.
@@ -491,6 +493,7 @@
     async fn commit(self: Arc<Self>) {
         loop {
             let room = self.parts.log.append_room();
+            self.node.metrics.append_room.set(i64::try_from(room).unwrap_or(i64::MAX));
             let take = |scheduler: &mut Scheduler| scheduler.take_commit_within(room);
             let batch = self.node.with_scheduler(take).flatten();
             let Some(batch) = batch else {
@@ -516,8 +519,12 @@
             return true;
         }
         let sent_ms = self.node.now();
+        let mut tries = 0;
         loop {
-            match self.append(batch.records.clone(), sequence).await {
+            tries += 1;
+            let outcome = self.append(batch.records.clone(), sequence).await;
+            self.tell_commit(batch, tries, self.node.now().saturating_sub(sent_ms));
+            match outcome {
                 AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
                     if self.node.fold_own(&batch.folded, offset, end) {
@@ -531,10 +538,21 @@
                 | AppendOutcome::Refused
                 | AppendOutcome::Unknown => {}
             }
+            self.node.metrics.append_repeats.inc();
             sleep(REPEAT_PAUSE).await;
         }
     }
 
+    /// Tells of a commit that takes long.
+    fn tell_commit(&self, batch: &CommitBatch, tries: u32, age_ms: u64) {
+        if age_ms < LONG_COMMIT_MS {
+            return;
+        }
+        info!(self.node.logger, "a commit waits for the log"; "bytes" => batch.bytes(),
+            "records" => batch.records.len(), "tries" => tries, "age_ms" => age_ms,
+            "room" => self.parts.log.append_room());
+    }
+
     fn committed(&self, batch: &CommitBatch) {
         let now = self.node.now();
         self.node.with_scheduler(|scheduler| scheduler.committed(batch, now));
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -88,6 +88,10 @@
     pub vm_calls: Reasons,
     /// Time of an append to the log, in seconds.
     pub append_seconds: Histogram,
+    /// Bytes from which the next commit takes no more, where this entry leads.
+    pub append_room: Gauge,
+    /// Appends of commits that were repeated.
+    pub append_repeats: Counter,
     /// Times that this entry began to lead.
     pub takeovers: Counter,
     /// Whether this entry leads.
@@ -142,6 +146,8 @@
             executors: Gauge::default(),
             vm_calls: Family::default(),
             append_seconds: seconds(),
+            append_room: Gauge::default(),
+            append_repeats: Counter::default(),
             takeovers: Counter::default(),
             leading: Gauge::default(),
             log_age_ms: Gauge::default(),
@@ -225,6 +231,10 @@
         registry.register("vm_calls", "failed calls to the VM service", self.vm_calls.clone());
         let help = "time of an append to the log, in seconds";
         registry.register("append_seconds", help, self.append_seconds.clone());
+        let help = "bytes from which the next commit takes no more, at the leader";
+        registry.register("append_room", help, self.append_room.clone());
+        let help = "appends of commits that were repeated";
+        registry.register("append_repeats", help, self.append_repeats.clone());
         registry.register("takeovers", "times this entry began to lead", self.takeovers.clone());
         registry.register("leading", "1 while this entry leads", self.leading.clone());
         let help = "age of the last answer of the log, in ms";
