--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -45,6 +45,8 @@
 const COMMIT_GAP_MAX: Duration = Duration::from_millis(120);
 /// Longest time for an append to be answered before it is repeated.
 const APPEND_PATIENCE: Duration = Duration::from_millis(700);
+/// Age from which a commit that the log does not have is told of, in milliseconds.
+const LONG_COMMIT_MS: u64 = 500;
 /// Pause before an append is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 /// Wait for a record of the workers' stream in one read, and the pause after records.
@@ -500,7 +502,10 @@
     /// Commits what the scheduler has decided, one append at a time.
     async fn commit(self: Arc<Self>) {
         loop {
-            let batch = self.node.with_scheduler(Scheduler::take_commit).flatten();
+            let room = self.parts.log.append_room();
+            self.node.metrics.append_room.set(i64::try_from(room).unwrap_or(i64::MAX));
+            let take = |scheduler: &mut Scheduler| scheduler.take_commit_within(room);
+            let batch = self.node.with_scheduler(take).flatten();
             let Some(batch) = batch else {
                 self.commit_wake.notified().await;
                 continue;
@@ -524,12 +529,13 @@
             return true;
         }
         let sent_ms = self.node.now();
-        let bytes = batch.records.iter().map(|record| record.key.len() + record.value.len()).sum();
-        let mut trace = CommitTrace { bytes, begun_ms: sent_ms, tries: 0 };
+        let mut trace = CommitTrace { bytes: batch.bytes(), begun_ms: sent_ms, tries: 0 };
         loop {
             trace.tries += 1;
             *self.commit_trace() = Some(trace);
-            match self.append(batch.records.clone(), sequence).await {
+            let outcome = self.append(batch.records.clone(), sequence).await;
+            self.tell_commit(batch, trace);
+            match outcome {
                 AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
                     if self.node.fold_own(&batch.folded, offset, end) {
@@ -543,10 +549,22 @@
                 | AppendOutcome::Refused
                 | AppendOutcome::Unknown => {}
             }
+            self.node.metrics.append_repeats.inc();
             sleep(REPEAT_PAUSE).await;
         }
     }
 
+    /// Tells of a commit that takes long.
+    fn tell_commit(&self, batch: &CommitBatch, trace: CommitTrace) {
+        let age_ms = self.node.now().saturating_sub(trace.begun_ms);
+        if age_ms < LONG_COMMIT_MS {
+            return;
+        }
+        info!(self.node.logger, "a commit waits for the log"; "bytes" => trace.bytes,
+            "records" => batch.records.len(), "tries" => trace.tries, "age_ms" => age_ms,
+            "room" => self.parts.log.append_room());
+    }
+
     fn committed(&self, batch: &CommitBatch) {
         *self.commit_trace() = None;
         let now = self.node.now();
