The line of a service that is away names a probation again where all workers have one

Since suspects start on terms of their own, such a wait was told as a pool that takes no starts: the look asked for a worker without any probation. It now asks for one with room, whatever runs there. services_on_trial_are_told_of_as_such had failed since.

--- a/src/scheduler/waits.rs
+++ b/src/scheduler/waits.rs
@@ -223,7 +223,7 @@
         if self.find_worker(service, &query, waited_ms, now).is_some() {
             return "only workers that it avoids have room";
         }
-        let query = PlaceQuery { terms: PlaceTerms::Usual, ..query };
+        let query = PlaceQuery { terms: PlaceTerms::Anywhere, ..query };
         if self.suspect(key).is_some()
             && self.find_worker(service, &query, waited_ms, now).is_some()
         {
