Tests of lasting tasks in pools that go on losing workers, and of those that crash their workers while leaders change

While leaders change each second or each three, tasks that crash their workers after 10 ms, 0.7 s and 3 s cost five workers at most, and nobody else is given up.

--- a/tests/lasting_tasks.rs
+++ b/tests/lasting_tasks.rs
@@ -14,7 +14,7 @@
 use ibisweir::scheduler::SchedulerNote;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use support::stage::{Stage, config, job, job_id, service_step, step, task, worker};
 
 /// Time from its last run within which a task that lasts must run again, in milliseconds.
@@ -49,6 +49,8 @@
     term_ms: u64,
     /// Time between two starts of short tasks; 0 for none.
     arrivals_ms: u64,
+    /// Time between two losses of workers that host no task that lasts; 0 for none.
+    unrest_ms: u64,
     /// Tasks that last and crash their workers.
     bad: u64,
     /// Time from their starts to the crashes.
@@ -62,6 +64,7 @@
     gap_ms: 2_000,
     term_ms: 0,
     arrivals_ms: 0,
+    unrest_ms: 0,
     bad: 0,
     crash_after_ms: 0,
 };
@@ -98,6 +101,7 @@
     term: u64,
     next_term_ms: u64,
     next_short_ms: u64,
+    next_unrest_ms: u64,
 }
 
 fn one_pool() -> SiteConfig {
@@ -114,6 +118,7 @@
         LastingPool {
             next_term_ms: stage.now + scene.term_ms,
             next_short_ms: stage.now,
+            next_unrest_ms: stage.now + scene.unrest_ms,
             stage,
             scene,
             random: StdRng::seed_from_u64(seed),
@@ -155,15 +160,19 @@
         self.stage.crashers.contains(key)
     }
 
-    /// All workers that host tasks that last crash; their next lives are listed a while later.
-    fn lose_hosts(&mut self) {
-        let is_host = |(task, _): &(TaskKey, u32)| self.lasting.contains(task);
-        let hosts = self.stage.workers.iter().filter(|(_, worker)| !worker.is_silent);
-        let hosts: Vec<Arc<str>> = hosts
-            .filter(|(_, worker)| worker.running.keys().any(is_host))
+    /// Workers that host tasks that last, or the others.
+    fn workers_by(&self, are_hosts: bool) -> Vec<Arc<str>> {
+        let is_lasting = |(task, _): &(TaskKey, u32)| self.lasting.contains(task);
+        let workers = self.stage.workers.iter().filter(|(_, worker)| !worker.is_silent);
+        workers
+            .filter(|(_, worker)| worker.running.keys().any(is_lasting) == are_hosts)
             .map(|(id, _)| id.clone())
-            .collect();
-        for id in hosts {
+            .collect()
+    }
+
+    /// Workers crash; their next lives are listed a while later.
+    fn lose(&mut self, ids: Vec<Arc<str>>) {
+        for id in ids {
             let worker = self.stage.workers.get_mut(&id).expect("known");
             worker.is_silent = true;
             worker.running.clear();
@@ -192,6 +201,12 @@
                 self.term += 1;
                 self.stage.take_over(self.term, one_pool());
             }
+            if self.scene.unrest_ms > 0 && now >= self.next_unrest_ms {
+                self.next_unrest_ms += self.scene.unrest_ms;
+                let others = self.workers_by(false);
+                let lost = others.choose(&mut self.random).cloned();
+                self.lose(lost.into_iter().collect());
+            }
             if self.scene.arrivals_ms > 0 && now >= self.next_short_ms {
                 self.next_short_ms += self.scene.arrivals_ms;
                 let id = self.submit(step(1));
@@ -249,7 +264,7 @@
         self.submit_lasting();
         self.go_on(WARM_UP_MS);
         for _ in 0..self.scene.losses {
-            self.lose_hosts();
+            self.lose(self.workers_by(true));
             self.go_on(self.scene.gap_ms);
         }
         self.go_on(if self.scene.bad > 0 { BAD_SETTLE_MS } else { SETTLE_MS });
@@ -324,6 +339,15 @@
         LossScene { term_ms: 3_000, ..lone },
         LossScene { arrivals_ms: 20, term_ms: 3_000, ..lone },
         LossScene { arrivals_ms: 20, term_ms: 3_000, losses: 3, gap_ms: 2_500, ..lone },
+        LossScene { arrivals_ms: 20, unrest_ms: 900, losses: 3, gap_ms: 2_500, ..lone },
+        LossScene {
+            arrivals_ms: 20,
+            unrest_ms: 900,
+            term_ms: 3_000,
+            losses: 3,
+            gap_ms: 2_500,
+            ..lone
+        },
         LossScene { term_ms: 3_000, ..CALM },
         LossScene { term_ms: 1_000, ..CALM },
         LossScene { arrivals_ms: 20, term_ms: 3_000, ..CALM },
@@ -387,3 +411,16 @@
     };
     sizes.iter().flat_map(|size| [0, 100].map(|arrivals_ms| scene(*size, arrivals_ms))).collect()
 }
+
+/// Guards against the same where leaders change all the time: none sees how long a run has been at work.
+#[test]
+fn lasting_tasks_that_crash_their_workers_are_bounded_across_leaders() {
+    let mut scenes = Vec::new();
+    for term_ms in [1_000, 3_000] {
+        for crash_after_ms in [10, 700, 3_000] {
+            let scenes_of_a_term = bad_scenes(crash_after_ms, &[(4, 1), (12, 6)]);
+            scenes.extend(scenes_of_a_term.iter().map(|scene| LossScene { term_ms, ..*scene }));
+        }
+    }
+    check_bound(&scenes);
+}
