--- a/tests/lasting_tasks.rs
+++ b/tests/lasting_tasks.rs
@@ -424,3 +424,23 @@
     }
     check_bound(&scenes);
 }
+
+/// Guards against a pool that takes no start for seconds after a change of leaders, as lasting tasks that once lost
+/// workers are on all of its VMs.
+#[test]
+fn a_pool_of_lasting_tasks_takes_starts_from_the_next_leader() {
+    let mut pool = LastingPool::open(CALM, 1);
+    pool.submit_lasting();
+    pool.go_on(WARM_UP_MS);
+    for _ in 0..CALM.losses {
+        pool.lose(pool.workers_by(true));
+        pool.go_on(CALM.gap_ms);
+    }
+    pool.go_on(SETTLE_MS);
+    assert!(pool.workers_by(false).is_empty(), "they are on all VMs");
+    pool.stage.take_over(2, one_pool());
+    pool.stage.advance(100);
+    let id = pool.submit(step(1));
+    pool.stage.advance(300);
+    assert_eq!(pool.stage.starts(task(id, 0, 0)), 1);
+}
