The test of ends behind changes looks at the worker, with commits enough

As it stood it passed also where ends wait until nothing is left to commit, since workers are woken for other reasons. It looks at what the worker still lists now, after commits enough for all changes before the end, and fails with that condition put in.

--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -272,10 +272,12 @@
     stage.end(running, ExitKind::Done);
     stage.advance(200);
     for first in (240..CHANGED).step_by(40) {
-        // More than one commit takes, each time.
+        // More than the commits take, each time.
         cancel_waiting(&mut stage, first..first + 40);
-        let batch = stage.scheduler.take_commit_within(SMALL_ROOM / 8).expect("an append");
-        stage.scheduler.committed(&batch, stage.now);
+        for _ in 0..6 {
+            let batch = stage.scheduler.take_commit_within(SMALL_ROOM / 8).expect("an append");
+            stage.scheduler.committed(&batch, stage.now);
+        }
     }
     stage.advance(200);
     assert!(stage.scheduler.take_commit_within(SMALL_ROOM / 8).is_some(), "nothing was left");
