Leases last under workers whose every answer comes late

Callers saw tasks of services end together on sound workers, more of a step than it may miss (AVAIL), while the leader's link was full. A worker that has not answered a renewal in time is taken for silent, and the next renewal, sent 150 ms later, extends no lease. Its late answer ends the silence, but by then that next one is on its way; its answer is late too, and so each renewal is planned in a silence. The leases run out though the worker has taken every call.

Now a renewal extends leases also while a worker is silent whose last late answer is less than 2 s old, the time for which such an answer shows elsewhere that we are behind.

--- a/src/scheduler/exits.rs
+++ b/src/scheduler/exits.rs
@@ -11,7 +11,7 @@
 };
 use crate::scheduler::job::{LiveRun, RunPhase};
 use crate::scheduler::losses::{LifeEnd, PROOF_MS};
-use crate::scheduler::{Scheduler, SchedulerNote};
+use crate::scheduler::{LATE_AGE_MS, Scheduler, SchedulerNote};
 
 /// Longest wait for an exit in one renewal. Also the age at which a worker's silence is noticed and
 /// its gauges are read again; shorter waits cost a call each.
@@ -91,7 +91,9 @@
         }
         // Leases of a worker that doesn't answer must run out, or its tasks could never be started
         // elsewhere; so must those of runs that are all to be stopped, as each stop can be lost.
-        let extends = is_confirmed && !is_silent && is_wanted;
+        // One whose answers come late looks silent whenever a renewal is due.
+        let answers_late = worker.late_ms.is_some_and(|late| now < late + LATE_AGE_MS);
+        let extends = is_confirmed && is_wanted && (!is_silent || answers_late);
         let lease_until_ms = if extends { worker.lease_until(lease_ms, now) } else { None };
         // An exit that is listed already would end the wait at once.
         let waits = worker.is_fenced
--- a/tests/scheduler_silence.rs
+++ b/tests/scheduler_silence.rs
@@ -213,3 +213,21 @@
     }
     assert!(starts.iter().all(|(_, starts)| *starts == 1), "delay in ms, starts: {starts:?}");
 }
+
+/// Guards against leases without end under a worker that has gone silent after answers that came late.
+#[test]
+fn leases_run_out_once_late_answers_stop() {
+    let mut stage = Stage::open(config(), vec![worker("w0", "r0")]);
+    stage.submit(1, job(vec![service_step(1)]));
+    stage.advance(1_000);
+    renew_slowly(&mut stage, 600, 5_000);
+    let (id, mut lease_until_ms): (Arc<str>, _) = ("w0".into(), None);
+    for _ in 0..300 {
+        stage.advance(10);
+        if let RenewPlan::Call(_, call, _) = stage.scheduler.renew_plan(&id, stage.now) {
+            lease_until_ms = call.lease_until_ms;
+            stage.scheduler.renewed(&id, &call, CommandOutcome::Unknown, stage.now, stage.now);
+        }
+    }
+    assert_eq!(lease_until_ms, None, "a silent worker keeps its tasks for good");
+}
