An append has time for what stands in the buffers of its way

The system took it at once, so its time limit of 0.7 s ran from the start; the way needed longer, as its buffers stood full, and each lost try was followed by the same one.

Once all of a body was taken, a try now has as much more time as the way needs by what appends have carried. A lost try halves that measure, so that the next one has twice as long: no fixed size or time fits every link. A body that stops on its way is given up as before.

an_append_that_the_way_takes_at_once_gets_through failed before (six tries, no answer to any) and passes now.

--- a/src/decide/append_room.rs
+++ b/src/decide/append_room.rs
@@ -49,6 +49,15 @@
         self.bytes
     }
 
+    /// Time that the way needs for a body of this size, by what it has carried: what stands in the buffers of the way
+    /// counts as sent, so the answer may come that much later.
+    pub fn carry_time(self, bytes: usize) -> Duration {
+        let bytes = u128::try_from(bytes).unwrap_or(u128::MAX);
+        let room = u128::try_from(self.bytes).unwrap_or(u128::MAX).max(1);
+        let micros = SEND_TIME.as_micros().saturating_mul(bytes) / room;
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
     /// Takes in how an append went out.
     pub fn learn(&mut self, sent: SentBody) {
         let is_full = sent.bytes >= self.bytes / 2;
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -188,8 +188,8 @@
             headers: HeaderMap::new(),
             body: Bytes::from(body),
         };
-        let exchange =
-            self.transport.exchange_sending(leader, call, TAKEN_PATIENCE, STORE_PATIENCE);
+        let (taken, stored) = (TAKEN_PATIENCE, STORE_PATIENCE);
+        let exchange = self.transport.exchange_sending(leader, call, taken, stored, Duration::ZERO);
         let answer = tokio::select! {
             (answer, _) = exchange => answer,
             () = succeeded(node, leader) => Err(ExchangeFailure::NoAnswer),
--- a/src/progress.rs
+++ b/src/progress.rs
@@ -11,9 +11,17 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// When the system took the first and the last part of one request.
+/// What the system has taken of one request.
+#[derive(Clone, Copy, Debug)]
+struct TakenPart {
+    first: Instant,
+    last: Instant,
+    bytes: usize,
+}
+
+/// When the system took the first and the last part of one request, and how much it was.
 #[derive(Debug, Default)]
-pub struct SendProgress(Mutex<Option<(Instant, Instant)>>);
+pub struct SendProgress(Mutex<Option<TakenPart>>);
 
 impl SendProgress {
     /// A new request begins.
@@ -23,17 +31,23 @@
 
     /// Time from the first part that was taken to the last.
     pub fn span(&self) -> Duration {
-        self.lock().map_or(Duration::ZERO, |(first, last)| last - first)
+        self.lock().map_or(Duration::ZERO, |part| part.last - part.first)
+    }
+
+    /// Bytes that were taken.
+    pub fn bytes(&self) -> usize {
+        self.lock().map_or(0, |part| part.bytes)
     }
 
-    fn taken(&self) {
+    fn taken(&self, bytes: usize) {
         let now = Instant::now();
-        let mut span = self.lock();
-        let first = span.map_or(now, |(first, _)| first);
-        *span = Some((first, now));
+        let mut taken = self.lock();
+        let part = taken.get_or_insert(TakenPart { first: now, last: now, bytes: 0 });
+        part.last = now;
+        part.bytes += bytes;
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<(Instant, Instant)>> {
+    fn lock(&self) -> MutexGuard<'_, Option<TakenPart>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -69,7 +83,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let taken = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
-        self.progress.taken();
+        self.progress.taken(taken);
         Poll::Ready(Ok(taken))
     }
 
@@ -79,7 +93,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let taken = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
-        self.progress.taken();
+        self.progress.taken(taken);
         Poll::Ready(Ok(taken))
     }
 
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -110,8 +110,9 @@
 enum RequestLimit {
     /// All of it.
     Whole,
-    /// Not the time in which its body goes out: a large one takes as long as the link needs.
-    Unsent,
+    /// Not the time in which its body goes out: a large one takes as long as the link needs. Once the system has taken
+    /// all of it, so much more for what stands in the buffers of the way.
+    Unsent(Duration),
 }
 
 /// How long the body of an answer may take.
@@ -199,16 +200,18 @@
     }
 
     /// The same for a request of any size: the time limits count once its body has gone out, or no part of it goes
-    /// out any more. Also answers with how much went out, and how long that took.
+    /// out any more; once all of it was taken, `carry` is added for the way. Also answers with how much went out, and how
+    /// long that took.
     pub async fn exchange_sending(
         &self,
         address: SocketAddr,
         call: HttpCall,
         head: Duration,
         whole: Duration,
+        carry: Duration,
     ) -> (Result<HttpAnswer, ExchangeFailure>, SentBody) {
         let body = BodyLimit::Whole(whole);
-        self.carry(address, call, head, RequestLimit::Unsent, body, || true).await
+        self.carry(address, call, head, RequestLimit::Unsent(carry), body, || true).await
     }
 
     /// The same, sent only if `may_send` still holds when the connection is open: that can take as long
@@ -255,7 +258,8 @@
         let begun = Instant::now();
         let spared = || match request {
             RequestLimit::Whole => Duration::ZERO,
-            RequestLimit::Unsent => progress.span(),
+            RequestLimit::Unsent(carry) if progress.bytes() >= sent => progress.span() + carry,
+            RequestLimit::Unsent(_) => progress.span(),
         };
         let answered = async {
             let sending = send(&mut connection.sender, address, call);
--- a/tests/append_room.rs
+++ b/tests/append_room.rs
@@ -82,3 +82,17 @@
     room.learn(SentBody::default());
     assert_eq!(room.bytes(), before);
 }
+
+/// Guards against an append that is given the same short time again and again, though no try of it gets through.
+#[test]
+fn an_append_has_more_time_after_each_loss() {
+    let mut room = AppendRoom::default();
+    let bytes = room.bytes();
+    let before = room.carry_time(bytes);
+    room.learn(SentBody { bytes, took: Duration::ZERO, answered: None });
+    assert_eq!(room.carry_time(bytes), before * 2);
+    for _ in 0..20 {
+        room.learn(SentBody { bytes, took: Duration::ZERO, answered: None });
+    }
+    assert!(room.carry_time(ROOM_MAX) < Duration::from_secs(10), "the log may be back long before");
+}
--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -154,6 +154,53 @@
     appended.abort();
 }
 
+/// Size of a commit that the buffers of the way take whole, and the time until its answer is there.
+const BUFFERED_BYTES: usize = 120_000;
+const BUFFERED_TIME: Duration = Duration::from_millis(1_200);
+
+/// Reads whole requests and answers each late.
+async fn answer_late(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        tokio::spawn(async move {
+            let (mut read, mut buffer) = (0, vec![0; BUFFERED_BYTES]);
+            while read < BUFFERED_BYTES {
+                match stream.read(&mut buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(more) => read += more,
+                }
+            }
+            sleep(BUFFERED_TIME).await;
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 22\r\n\r\n{\"offset\":5,\"end\": 6 }";
+            // A caller that has given up is gone.
+            drop(tokio::io::AsyncWriteExt::write_all(&mut stream, answer).await);
+        });
+    }
+}
+
+/// Guards against a commit that is repeated without end as what stands in the buffers of a full link counts as sent.
+#[tokio::test(start_paused = true)]
+async fn an_append_that_the_way_takes_at_once_gets_through() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let log = PlatformLog::new(listener.local_addr().expect("bound"), HttpTransport::open());
+    let answering = tokio::spawn(answer_late(listener));
+    let record = KeyedRecord { key: "p1".to_owned(), value: vec![7; BUFFERED_BYTES] };
+    let stamp = WriterStamp { writer: "leader".into(), epoch: 1, sequence: 1 };
+    let call = AppendCall {
+        topic: LogTopic::Jobs,
+        records: vec![record],
+        expected_end: None,
+        stamp: Some(stamp),
+    };
+    let mut outcomes = Vec::new();
+    while outcomes.len() < 6 && outcomes.last() != Some(&AppendOutcome::Done { offset: 5, end: 6 })
+    {
+        outcomes.push(log.append(&call, PATIENCE).await);
+    }
+    assert_eq!(outcomes.last(), Some(&AppendOutcome::Done { offset: 5, end: 6 }), "{outcomes:?}");
+    answering.abort();
+}
+
 /// What the leader's link to the log carries, in bytes a second.
 const LINK_RATE: u32 = 200_000;
 /// Submissions that come at once, and the size of each: several times what the link carries in `PATIENCE`.
