Progress has a part of each commit, however large the records before it

Found by a review. Starts and records of other entries each have a part of a commit, and progress took what they left. A record larger than its part takes more: while submissions larger than the room kept coming over a narrow link, no end went to the log and none was acknowledged. Progress now has a sixth of the room in each commit.

ends_are_acknowledged_though_large_submissions_keep_coming failed before (20 commits, no end among them).

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -21,6 +21,8 @@
 const STARTS_PART: usize = 3;
 /// Part of it for records of other entries, whose callers wait; progress takes the rest.
 const RELAYED_PART: usize = 2;
+/// Part of it that progress has at least, however large the records before it: exits wait for it.
+const CHANGED_PART: usize = 6;
 /// Part of a commit's room that what nobody waits for may take: all else would stand behind it.
 const IDLE_PART: usize = 8;
 
@@ -200,14 +202,15 @@
         bytes += self.take_relayed(&mut batch, room / RELAYED_PART);
         // A submission stands before the progress of its job, and no task may start before the log has the job.
         let relayed = self.commits.relayed_jobs();
-        let mut place = 0;
-        while bytes < room
+        let (mut place, mut changed) = (0, 0);
+        while (bytes < room || changed < room / CHANGED_PART)
             && let Some((at, id)) = self.commits.jobs.next_from(place)
         {
             place = at + 1;
             if !relayed.contains(&id) {
                 self.commits.jobs.take(id);
-                bytes += self.push_progress(&mut batch, id);
+                let pushed = self.push_progress(&mut batch, id);
+                (bytes, changed) = (bytes + pushed, changed + pushed);
             }
         }
         let idle_room = room / IDLE_PART;
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -311,3 +311,21 @@
     assert!(commits > 3, "it fits");
     assert_eq!(stored.len(), usize::try_from(CHANGED).expect("few"));
 }
+
+/// Guards against ends that are never acknowledged while large submissions of other entries fill each append.
+#[test]
+fn ends_are_acknowledged_though_large_submissions_keep_coming() {
+    let (mut stage, running) = full_pool();
+    stage.end(running, ExitKind::Done);
+    stage.advance(200);
+    let spec = JobSpec { payload: "x".repeat(SMALL_ROOM + 1_000), ..job(vec![step(1)]) };
+    let submitted = Arc::new(submission(spec));
+    for id in 0..20 {
+        let record = JobRecord::Submitted(job_id(10_000 + id), submitted.clone());
+        stage.scheduler.relay(id, vec![record], stage.now);
+        let batch = stage.scheduler.take_commit_within(SMALL_ROOM).expect("an append");
+        stage.scheduler.committed(&batch, stage.now);
+    }
+    stage.advance(200);
+    assert!(stage.workers["w1"].exits.is_empty(), "no end was acknowledged");
+}
