Room is not promised to a service that does not go there

Found by a review. A service that waits for room beside its data was promised a far worker that had room for it at once; nothing was stopped there, it did not go there, and the free room was kept from all others for as long as it waited. Workers with room that the search has left out for another reason are now left out of displacement too, as they were before promises were made.

room_that_a_service_does_not_take_is_left_to_others failed before (0 of 8 tasks started on an empty worker).

--- a/src/scheduler/displace.rs
+++ b/src/scheduler/displace.rs
@@ -68,6 +68,10 @@
             {
                 continue;
             }
+            // Left out for another reason than room: nothing that is stopped there would help.
+            if self.unpromised(id, worker).holds(&query.spec.booked()) {
+                continue;
+            }
             let Some(room) = self.promisable(id, worker) else { continue };
             let Some(found) = self.displacement(worker, room, query.spec, rank) else { continue };
             if best.as_ref().is_none_or(|(least, _)| found.cost < least.cost) {
--- a/tests/service_return.rs
+++ b/tests/service_return.rs
@@ -243,3 +243,18 @@
         assert!(scene.worst_ms <= AWAY_MAX_MS, "{} ms, {refusing} refuse", scene.worst_ms);
     }
 }
+
+/// Guards against room that is kept for a service which does not go there, as it waits for room beside its data.
+#[test]
+fn room_that_a_service_does_not_take_is_left_to_others() {
+    let pool = [("w1", "r1"), ("w2", "r2")].map(|(name, rack)| worker(name, rack));
+    let mut stage = Stage::open(config(), pool.into());
+    let near = StepSpec { data_rack: Some("r1".into()), estimate_ms: 60_000, ..serving(8) };
+    stage.submit(1, job(vec![near.clone()]));
+    stage.advance(500);
+    stage.submit(2, job(vec![near]));
+    let usual = stage.submit(3, job(vec![step(8)]));
+    stage.advance(1_000);
+    let started = (0..8).filter(|index| stage.alive(task(usual, 0, *index)) > 0).count();
+    assert_eq!(started, 8, "the far worker is empty");
+}
