Each data centre has its turn with the executors

Batches were handed on by the centre's name, all of one before the next, and executors have room for the first few only.

Batches now go out one of each centre in turn, and another centre is first each time.

--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -127,18 +127,17 @@
     /// Hands orders on until nobody can give any more. Batches under way end with it.
     pub async fn run(mut self) {
         let mut batches = JoinSet::new();
+        let mut turn = 0_usize;
         while let Some(first) = self.orders.recv().await {
             sleep(GATHER).await;
             let mut orders = vec![first];
             while let Ok(order) = self.orders.try_recv() {
                 orders.push(order);
             }
-            orders.sort_by(|one, other| one.centre.cmp(&other.centre));
-            for group in orders.chunk_by(|one, other| one.centre == other.centre) {
-                for chunk in group.chunks(BATCH_MAX) {
-                    self.hand_on(chunk.to_vec(), &mut batches);
-                }
+            for batch in batches_in_turn(orders, turn) {
+                self.hand_on(batch, &mut batches);
             }
+            turn = turn.wrapping_add(1);
             while batches.try_join_next().is_some() {}
         }
     }
@@ -168,6 +167,27 @@
     }
 }
 
+/// Starts in batches of one data centre each, in the order in which they are handed on: one of each in turn, and another
+/// centre first each time. Executors may have room for the first few only.
+pub fn batches_in_turn(mut orders: Vec<StartOrder>, turn: usize) -> Vec<Vec<StartOrder>> {
+    orders.sort_by(|one, other| one.centre.cmp(&other.centre));
+    let mut centres: Vec<_> = orders
+        .chunk_by(|one, other| one.centre == other.centre)
+        .map(|group| group.chunks(BATCH_MAX))
+        .collect();
+    let first = turn % centres.len().max(1);
+    centres.rotate_left(first);
+    let mut batches = Vec::new();
+    while !centres.is_empty() {
+        centres.retain_mut(|chunks| {
+            let chunk = chunks.next();
+            batches.extend(chunk.map(<[StartOrder]>::to_vec));
+            chunk.is_some()
+        });
+    }
+    batches
+}
+
 /// Sends a batch and reads what became of its starts.
 async fn exchange(
     node: &JobNode,
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -2,14 +2,16 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ibisweir::control::ControlLoop;
-use ibisweir::decide::executor::{ExecutorOffer, ExecutorStamp};
+use ibisweir::decide::executor::{BATCH_MAX, ExecutorOffer, ExecutorStamp};
 use ibisweir::jobs::delegate::{
-    DelegatedOutcome, DelegatedStart, OfferLoop, StartBatch, StartDelegate, StartOrder, carry_out,
+    DelegatedOutcome, DelegatedStart, OfferLoop, StartBatch, StartDelegate, StartOrder,
+    batches_in_turn, carry_out,
 };
 use ibisweir::jobs::model::JobState;
 use ibisweir::jobs::node::JobNode;
@@ -303,3 +305,21 @@
     };
     timeout(PATIENCE, is_served).await.expect("the leader stores for it");
 }
+
+/// Guards against starts of the last data centre by name that wait for good, as executors have room for the others only.
+#[tokio::test]
+async fn each_data_centre_has_its_turn_with_executors() {
+    let (_, order) = leader();
+    let order = |centre: &str| StartOrder { centre: centre.into(), ..order.clone() };
+    let orders: Vec<_> =
+        ["c", "a", "b"].iter().flat_map(|centre| vec![order(centre); 3 * BATCH_MAX]).collect();
+    let firsts = (0..3).map(|turn| {
+        let batches = batches_in_turn(orders.clone(), turn);
+        assert_eq!(batches.iter().map(Vec::len).sum::<usize>(), orders.len());
+        assert!(batches.iter().all(|batch| batch.iter().all(|one| one.centre == batch[0].centre)));
+        let heads: BTreeSet<_> = batches[..3].iter().map(|batch| batch[0].centre.clone()).collect();
+        assert_eq!(heads.len(), 3, "one of each centre before the second of any");
+        batches[0][0].centre.clone()
+    });
+    assert_eq!(firsts.collect::<BTreeSet<_>>().len(), 3, "the same centre is first each time");
+}
