--- a/src/decide/append_room.rs
+++ b/src/decide/append_room.rs
@@ -13,11 +13,25 @@
 const ROOM_FIRST: usize = 64 << 10;
 /// Most that it takes in: with the last record it stays under the 2 MB that the platform takes.
 pub const ROOM_MAX: usize = 512 << 10;
+/// Times that the time for a body is doubled at most once the room can't shrink any more.
+const DOUBLINGS_MAX: u32 = 3;
 /// Size up to which the answer to an append tells of the log alone, in bytes.
 const SMALL: usize = 4 << 10;
 /// Part of the smoothed time of the log that one answer counts.
 const LOG_PART: u32 = 4;
 
+/// Bytes that the buffers of the way may take at once.
+const BUFFERED: usize = 64 << 10;
+
+/// Time that a way is given for a body beyond that for an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CarryTime {
+    /// Once the system has taken all of it: what stands in buffers counts as taken.
+    pub whole: Duration,
+    /// Before, between two parts: buffers take parts as large as they are.
+    pub part: Duration,
+}
+
 /// How a body went out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SentBody {
@@ -33,13 +47,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AppendRoom {
     bytes: usize,
+    /// Appends that were lost since `bytes` is at its least, and no answer came.
+    lost: u32,
     /// Smoothed time of the log for a small append.
     log: Option<Duration>,
 }
 
 impl Default for AppendRoom {
     fn default() -> Self {
-        AppendRoom { bytes: ROOM_FIRST, log: None }
+        AppendRoom { bytes: ROOM_FIRST, lost: 0, log: None }
     }
 }
 
@@ -49,12 +65,16 @@
         self.bytes
     }
 
-    /// Time that the way needs for a body of this size, by what it has carried: what stands in the buffers of the way
-    /// counts as sent, so the answer may come that much later.
-    pub fn carry_time(self, bytes: usize) -> Duration {
+    /// Time that the way needs for a body of this size, by what it has carried.
+    pub fn carry_time(self, bytes: usize) -> CarryTime {
+        CarryTime { whole: self.time_of(bytes), part: self.time_of(bytes.min(BUFFERED)) }
+    }
+
+    fn time_of(self, bytes: usize) -> Duration {
         let bytes = u128::try_from(bytes).unwrap_or(u128::MAX);
         let room = u128::try_from(self.bytes).unwrap_or(u128::MAX).max(1);
-        let micros = SEND_TIME.as_micros().saturating_mul(bytes) / room;
+        let doublings = 1 << self.lost.min(DOUBLINGS_MAX);
+        let micros = SEND_TIME.as_micros().saturating_mul(bytes).saturating_mul(doublings) / room;
         Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
@@ -62,11 +82,14 @@
     pub fn learn(&mut self, sent: SentBody) {
         let is_full = sent.bytes >= self.bytes / 2;
         let Some(answered) = sent.answered else {
-            if is_full {
+            if is_full && self.bytes == ROOM_MIN {
+                self.lost = self.lost.saturating_add(1);
+            } else if is_full {
                 self.bytes = (self.bytes / 2).max(ROOM_MIN);
             }
             return;
         };
+        self.lost = 0;
         if sent.bytes <= SMALL {
             let before = self.log.unwrap_or(answered);
             self.log = Some((before * (LOG_PART - 1) + answered) / LOG_PART);
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+use crate::decide::append_room::CarryTime;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::confirm::{self, QUESTION_BYTES_MAX, VIEW_PATH};
 use crate::jobs::delegate::{self, OFFER_PATH, STARTS_BYTES_MAX, STARTS_PATH};
@@ -189,7 +190,8 @@
             body: Bytes::from(body),
         };
         let (taken, stored) = (TAKEN_PATIENCE, STORE_PATIENCE);
-        let exchange = self.transport.exchange_sending(leader, call, taken, stored, Duration::ZERO);
+        let exchange =
+            self.transport.exchange_sending(leader, call, taken, stored, CarryTime::default());
         let answer = tokio::select! {
             (answer, _) = exchange => answer,
             () = succeeded(node, leader) => Err(ExchangeFailure::NoAnswer),
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -25,7 +25,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::decide::append_room::SentBody;
+use crate::decide::append_room::{CarryTime, SentBody};
 use crate::progress::{SendProgress, WatchedStream};
 use crate::traffic::TrafficMeter;
 
@@ -110,9 +110,8 @@
 enum RequestLimit {
     /// All of it.
     Whole,
-    /// Not the time in which its body goes out: a large one takes as long as the link needs. Once the system has taken
-    /// all of it, so much more for what stands in the buffers of the way.
-    Unsent(Duration),
+    /// Not the time in which its body goes out: a large one takes as long as the link needs.
+    Unsent(CarryTime),
 }
 
 /// How long the body of an answer may take.
@@ -200,15 +199,14 @@
     }
 
     /// The same for a request of any size: the time limits count once its body has gone out, or no part of it goes
-    /// out any more; once all of it was taken, `carry` is added for the way. Also answers with how much went out, and how
-    /// long that took.
+    /// out any more, and leave `carry` to the way. Also answers with how much went out, and how long that took.
     pub async fn exchange_sending(
         &self,
         address: SocketAddr,
         call: HttpCall,
         head: Duration,
         whole: Duration,
-        carry: Duration,
+        carry: CarryTime,
     ) -> (Result<HttpAnswer, ExchangeFailure>, SentBody) {
         let body = BodyLimit::Whole(whole);
         self.carry(address, call, head, RequestLimit::Unsent(carry), body, || true).await
@@ -258,8 +256,10 @@
         let begun = Instant::now();
         let spared = || match request {
             RequestLimit::Whole => Duration::ZERO,
-            RequestLimit::Unsent(carry) if progress.bytes() >= sent => progress.span() + carry,
-            RequestLimit::Unsent(_) => progress.span(),
+            RequestLimit::Unsent(carry) if progress.bytes() >= sent => {
+                progress.span() + carry.whole
+            }
+            RequestLimit::Unsent(carry) => progress.span() + carry.part,
         };
         let answered = async {
             let sending = send(&mut connection.sender, address, call);
--- a/tests/append_room.rs
+++ b/tests/append_room.rs
@@ -88,11 +88,14 @@
 fn an_append_has_more_time_after_each_loss() {
     let mut room = AppendRoom::default();
     let bytes = room.bytes();
-    let before = room.carry_time(bytes);
+    let before = room.carry_time(bytes).whole;
     room.learn(SentBody { bytes, took: Duration::ZERO, answered: None });
-    assert_eq!(room.carry_time(bytes), before * 2);
+    assert_eq!(room.carry_time(bytes).whole, before * 2);
     for _ in 0..20 {
         room.learn(SentBody { bytes, took: Duration::ZERO, answered: None });
     }
-    assert!(room.carry_time(ROOM_MAX) < Duration::from_secs(10), "the log may be back long before");
+    assert!(
+        room.carry_time(ROOM_MAX).whole < Duration::from_secs(10),
+        "the log may be back long before"
+    );
 }
