A service runs away from its data once it may wait no longer

A service with data in one rack waited for room there for as long as the way to its data costs, by its estimate: with the only worker of that rack silent and two others empty it was away for 26 s (estimate 10 s) and for over 90 s (60 s).

a_service_whose_data_is_out_of_reach_runs_elsewhere failed before (estimate 60 s).

--- a/src/scheduler/absence.rs
+++ b/src/scheduler/absence.rs
@@ -114,14 +114,20 @@
     ) -> Option<(Arc<str>, PlaceTerms)> {
         let is_overdue = terms.iter().any(|terms| terms.is_shared());
         let find = |query: &PlaceQuery<'_>| self.find_worker(service, query, waited_ms, now);
-        terms.iter().find_map(|terms| {
+        let found = terms.iter().find_map(|terms| {
             let query = PlaceQuery { terms: *terms, ..query.clone() };
             let mut worker = find(&query);
             if worker.is_none() && is_overdue {
                 worker = find(&PlaceQuery { avoided: &[], ..query });
             }
             Some((worker?, *terms))
-        })
+        });
+        // One that may wait no longer runs away from its data rather than not at all.
+        let is_anywhere = waited_ms < u64::MAX && terms.contains(&PlaceTerms::Anywhere);
+        match found {
+            None if is_anywhere => self.find_on_terms(service, query, terms, u64::MAX, now),
+            found => found,
+        }
     }
 
     /// On what terms a task may start, the best first; none if it has to wait.
--- a/tests/service_return.rs
+++ b/tests/service_return.rs
@@ -258,3 +258,26 @@
     let started = (0..8).filter(|index| stage.alive(task(usual, 0, *index)) > 0).count();
     assert_eq!(started, 8, "the far worker is empty");
 }
+
+/// Guards against a service that waits beside an empty pool, as the worker near its data is lost.
+#[test]
+fn a_service_whose_data_is_out_of_reach_runs_elsewhere() {
+    for estimate_ms in [1_000, 60_000] {
+        let pool =
+            [("w1", "r1"), ("w2", "r2"), ("w3", "r2")].map(|(name, rack)| worker(name, rack));
+        let mut stage = Stage::open(config(), pool.into());
+        let data_rack = Some("r1".into());
+        let id = stage.submit(1, job(vec![StepSpec { data_rack, estimate_ms, ..service_step(1) }]));
+        let key = task(id, 0, 0);
+        // Long enough not to count as a loss at its start.
+        for _ in 0..100 {
+            stage.advance(100);
+            let host = stage.workers.get_mut("w1").expect("known");
+            host.running.values_mut().for_each(|percent| *percent = 100);
+        }
+        assert_eq!(&*stage.place(key), "w1");
+        stage.workers.get_mut("w1").expect("known").is_silent = true;
+        stage.advance(AWAY_MAX_MS);
+        assert_eq!(stage.starts(key), 2, "estimated at {estimate_ms} ms");
+    }
+}
