--- a/src/decide/append_room.rs
+++ b/src/decide/append_room.rs
@@ -15,6 +15,8 @@
 pub const ROOM_MAX: usize = 512 << 10;
 /// Times that the time for a body is doubled at most once the room can't shrink any more.
 const DOUBLINGS_MAX: u32 = 3;
+/// Longest time for a body: a log that was away would be called so much later.
+const CARRY_MAX: Duration = Duration::from_secs(4);
 /// Size up to which the answer to an append tells of the log alone, in bytes.
 const SMALL: usize = 4 << 10;
 /// Part of the smoothed time of the log that one answer counts.
@@ -75,7 +77,7 @@
         let room = u128::try_from(self.bytes).unwrap_or(u128::MAX).max(1);
         let doublings = 1 << self.lost.min(DOUBLINGS_MAX);
         let micros = SEND_TIME.as_micros().saturating_mul(bytes).saturating_mul(doublings) / room;
-        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX)).min(CARRY_MAX)
     }
 
     /// Takes in how an append went out.
--- a/tests/append_room.rs
+++ b/tests/append_room.rs
@@ -98,4 +98,6 @@
         room.carry_time(ROOM_MAX).whole < Duration::from_secs(10),
         "the log may be back long before"
     );
+    room.learn(answered(bytes, LOG_TIME));
+    assert!(room.carry_time(ROOM_MIN).whole <= Duration::from_millis(200), "an answer ends it");
 }
