Keep learned run times and used shares over changes of leaders

A new leader began with full token buckets, declared run times and no marks on jobs beyond their shares, in the middle of an overload.

The leader now writes a record Learned to the job log: a key per queue with the fit of its run times, and one key for the 64 organisations with the fewest tokens. Each has a format version, the term and the wall clock; a record that is unreadable, of another version or from the future counts as absent, and a record of a lower term replaces none of a higher one. Marks of waiting jobs are reckoned anew from the arrivals on the log: buckets refill within a second for most weights, so tokens alone hand on little.

--- a/src/jobs/decision_log.rs
+++ b/src/jobs/decision_log.rs
@@ -2,7 +2,7 @@
 
 use slog::{info, warn};
 
-use crate::jobs::metrics::count;
+use crate::jobs::metrics::{count, count_many};
 use crate::jobs::node::JobNode;
 use crate::scheduler::SchedulerEvent;
 use crate::scheduler::losses::CRASH_WINDOW_MS;
@@ -85,6 +85,19 @@
         SchedulerEvent::Worker { worker, change, runs } => {
             info!(logger, "worker"; "worker" => &**worker, "change" => change, "runs" => runs);
         }
+        SchedulerEvent::LearnedRestored { queues, organisations, age_ms } => {
+            count_many(&node.metrics.learned_records, "restored", *queues);
+            info!(logger, "learned state restored"; "queues" => queues,
+                "organisations" => organisations, "age_ms" => age_ms);
+        }
+        SchedulerEvent::LearnedRejected { reason, records } => {
+            count_many(&node.metrics.learned_records, reason, *records);
+            warn!(logger, "learned state rejected"; "reason" => reason, "records" => records);
+        }
+        SchedulerEvent::LearnedWritten { records, bytes } => {
+            count_many(&node.metrics.learned_records, "written", *records);
+            node.metrics.learned_bytes.inc_by(u64::try_from(*bytes).unwrap_or(0));
+        }
         SchedulerEvent::Pool { pool, needed, usable, idle, booked } => {
             info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
                 "idle" => idle, "booked_permille" => booked);
--- a/src/jobs/job_table.rs
+++ b/src/jobs/job_table.rs
@@ -8,7 +8,7 @@
 
 use crate::decide::access::OrganisationDigest;
 use crate::jobs::model::{JobId, JobState, JobSubmission};
-use crate::jobs::record::{JobProgress, JobRecord, LostVm};
+use crate::jobs::record::{JobProgress, JobRecord, LearnedKey, LostVm, learned_term};
 
 /// State of one job according to the log.
 #[derive(Clone, Debug, Default)]
@@ -82,6 +82,8 @@
     waves: HashMap<u64, Arc<BTreeSet<Arc<str>>>>,
     /// VMs that lost their workers recently, by pool, with the offset of the record.
     losses: HashMap<Arc<str>, (u64, Arc<Vec<LostVm>>)>,
+    /// What leaders have learned, with the offset of the record; empty once dropped.
+    learned: BTreeMap<LearnedKey, (u64, Arc<[u8]>)>,
     /// Offsets at which jobs were dropped: a snapshot page that was made earlier may still contain
     /// them.
     dropped: HashMap<JobId, u64>,
@@ -113,6 +115,12 @@
         self.losses.iter().map(|(service, (_, lost))| (service, lost.as_slice()))
     }
 
+    /// What leaders have learned, encoded.
+    pub fn learned(&self) -> impl Iterator<Item = (&LearnedKey, &[u8])> {
+        let values = self.learned.iter().map(|(key, (_, value))| (key, &**value));
+        values.filter(|(_, value)| !value.is_empty())
+    }
+
     /// Replaces the table by the newest record of each key, read after the log ended at `end`: keys
     /// that are missing were dropped, unless they were appended later. Returns the records that
     /// changed something.
@@ -125,6 +133,7 @@
         for job in known {
             self.forget_before(job, end);
         }
+        self.learned.retain(|_, (offset, _)| *offset >= end);
         let is_new = |(offset, record): &&(u64, JobRecord)| self.fold(record, *offset);
         newest.iter().filter(is_new).cloned().collect()
     }
@@ -209,6 +218,18 @@
                 }
                 is_new
             }
+            JobRecord::Learned(key, value) => {
+                let is_new = self.learned.get(key).is_none_or(|(known, older)| {
+                    // A leader that was superseded knows less than its successor.
+                    let is_superseded = matches!((learned_term(older), learned_term(value)),
+                        (Some(newest), Some(term)) if term < newest);
+                    offset > *known && !is_superseded
+                });
+                if is_new {
+                    self.learned.insert(key.clone(), (offset, value.clone()));
+                }
+                is_new
+            }
         }
     }
 
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -66,6 +66,10 @@
     pub trials: Counter,
     /// Log lines about service tasks that are not running for a long time, by reason.
     pub service_waits: Reasons,
+    /// Records of learned state, by what was done with them.
+    pub learned_records: Reasons,
+    /// Bytes of learned state that were queued for the log.
+    pub learned_bytes: Counter,
     /// Runs that a worker first listed after their job had finished.
     pub begun_over: Counter,
     /// Starts that were rejected while another attempt had no outcome yet.
@@ -138,6 +142,8 @@
             cancellations: Family::default(),
             trials: Counter::default(),
             service_waits: Family::default(),
+            learned_records: Family::default(),
+            learned_bytes: Counter::default(),
             begun_over: Counter::default(),
             refused_open: Counter::default(),
             second_runs: Counter::default(),
@@ -215,6 +221,10 @@
         registry.register("trials", help, self.trials.clone());
         let help = "lines about tasks of services that are away for long, by what these wait for";
         registry.register("service_waits", help, self.service_waits.clone());
+        let help = "records of learned state that a leader wrote, restored or rejected, by reason";
+        registry.register("learned_records", help, self.learned_records.clone());
+        let help = "bytes of learned state that were queued for the log";
+        registry.register("learned_bytes", help, self.learned_bytes.clone());
         let help = "runs that a worker first listed after their job was over";
         registry.register("begun_over", help, self.begun_over.clone());
         let help = "starts that were refused while another try of them had no outcome yet";
@@ -284,6 +294,12 @@
     }
 }
 
+/// Adds a number to the counter for a reason.
+pub fn count_many(family: &Reasons, reason: &'static str, number: usize) {
+    let number = u64::try_from(number).unwrap_or(u64::MAX);
+    family.get_or_create(&ReasonLabel { reason }).inc_by(number);
+}
+
 /// Adds one to the counter for a reason.
 pub fn count(family: &Reasons, reason: &'static str) {
     family.get_or_create(&ReasonLabel { reason }).inc();
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -37,8 +37,22 @@
     /// VMs of a pool that lost their workers recently, probably for a reason other than a task; the
     /// latest last.
     Losses(Arc<str>, Arc<Vec<LostVm>>),
+    /// What a leader has learned, encoded by `scheduler/ledger.rs`; empty if its key was dropped.
+    Learned(LearnedKey, Arc<[u8]>),
 }
 
+/// What a learned state is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LearnedKey {
+    /// Run times of a queue.
+    Queue(Arc<str>),
+    /// Used shares of the organisations.
+    Shares,
+}
+
+/// Format of learned states, their first byte. The term follows in postcard.
+pub const LEARNED_VERSION: u8 = 1;
+
 /// A VM whose worker was lost.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostVm {
@@ -126,6 +140,10 @@
 const DIGEST_SEPARATOR: char = '.';
 const WAVE: &str = "w";
 const LOSSES: &str = "l";
+/// Prefix of learned states. Builds without them skip its keys: no other key begins like this.
+const LEARNED: &str = "r";
+const LEARNED_QUEUE: &str = "rq";
+const LEARNED_SHARES: &str = "rs";
 
 /// An encoded record of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -146,7 +164,7 @@
             | JobRecord::Progress(job, _)
             | JobRecord::Dropped(job)
             | JobRecord::TombstoneDropped(job, _) => Some(*job),
-            JobRecord::Wave(..) | JobRecord::Losses(..) => None,
+            JobRecord::Wave(..) | JobRecord::Losses(..) | JobRecord::Learned(..) => None,
         }
     }
 
@@ -160,6 +178,9 @@
             let value = postcard::to_stdvec(&**lost).ok()?;
             return Some(KeyedRecord { key: format!("{LOSSES}{service}"), value });
         }
+        if let JobRecord::Learned(subject, value) = self {
+            return Some(KeyedRecord { key: subject.key(), value: value.to_vec() });
+        }
         let (prefix, job, value) = match self {
             JobRecord::Submitted(job, submission) => {
                 (SUBMITTED, job, postcard::to_stdvec(&**submission).ok()?)
@@ -174,7 +195,8 @@
             JobRecord::Dropped(_)
             | JobRecord::TombstoneDropped(..)
             | JobRecord::Wave(..)
-            | JobRecord::Losses(..) => return None,
+            | JobRecord::Losses(..)
+            | JobRecord::Learned(..) => return None,
         };
         Some(KeyedRecord { key: format!("{prefix}{job}"), value })
     }
@@ -203,6 +225,9 @@
             let lost = postcard::from_bytes(value).ok()?;
             return Some(JobRecord::Losses(service.into(), Arc::new(lost)));
         }
+        if let Some(subject) = key.strip_prefix(LEARNED) {
+            return Some(JobRecord::Learned(LearnedKey::parse(subject)?, value.into()));
+        }
         if let Some((job, digest)) =
             key.strip_prefix(CANCELLED).and_then(|key| key.split_once(DIGEST_SEPARATOR))
         {
@@ -227,6 +252,41 @@
     }
 }
 
+impl LearnedKey {
+    /// Key of the record.
+    fn key(&self) -> String {
+        match self {
+            LearnedKey::Queue(queue) => format!("{LEARNED_QUEUE}{queue}"),
+            LearnedKey::Shares => LEARNED_SHARES.to_owned(),
+        }
+    }
+
+    /// Bytes of the key.
+    pub fn bytes(&self) -> usize {
+        match self {
+            LearnedKey::Queue(queue) => LEARNED_QUEUE.len() + queue.len(),
+            LearnedKey::Shares => LEARNED_SHARES.len(),
+        }
+    }
+
+    /// Parses a key without the prefix that all learned states share.
+    fn parse(subject: &str) -> Option<LearnedKey> {
+        let of_kind = |kind: &'static str| subject.strip_prefix(&kind[LEARNED.len()..]);
+        match (of_kind(LEARNED_QUEUE), of_kind(LEARNED_SHARES)) {
+            (Some(queue), _) => Some(LearnedKey::Queue(queue.into())),
+            (None, Some("")) => Some(LearnedKey::Shares),
+            _ => None,
+        }
+    }
+}
+
+/// Term of the leader that wrote a learned state; `None` for another version.
+pub fn learned_term(value: &[u8]) -> Option<u64> {
+    let (version, rest) = value.split_first()?;
+    let term = postcard::take_from_bytes(rest).ok().map(|(term, _)| term);
+    if *version == LEARNED_VERSION { term } else { None }
+}
+
 fn tombstone_key(job: JobId, digest: OrganisationDigest) -> String {
     format!("{CANCELLED}{job}{DIGEST_SEPARATOR}{digest}")
 }
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -438,7 +438,8 @@
             | JobRecord::Dropped(_)
             | JobRecord::TombstoneDropped(..)
             | JobRecord::Wave(..)
-            | JobRecord::Losses(..) => None,
+            | JobRecord::Losses(..)
+            | JobRecord::Learned(..) => None,
         })
         .collect()
 }
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -191,6 +191,29 @@
         /// Runs placed on it at that time.
         runs: usize,
     },
+    /// What earlier leaders have learned was restored.
+    LearnedRestored {
+        /// Queues with run times.
+        queues: usize,
+        /// Organisations that have used part of their share.
+        organisations: usize,
+        /// Age of the newest record, in milliseconds.
+        age_ms: u64,
+    },
+    /// Records of what earlier leaders have learned were not restored.
+    LearnedRejected {
+        /// Reason.
+        reason: &'static str,
+        /// Number of records.
+        records: usize,
+    },
+    /// What this leader has learned was queued for the log.
+    LearnedWritten {
+        /// Number of records.
+        records: usize,
+        /// Their size with keys.
+        bytes: usize,
+    },
     /// Periodic summary of a pool.
     Pool {
         /// Pool.
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -7,7 +7,7 @@
 use crate::decide::access::OrganisationDigest;
 use crate::decide::append_limit::APPEND_BYTES_MAX;
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
-use crate::jobs::record::{JobRecord, KeyedRecord, LostVm};
+use crate::jobs::record::{JobRecord, KeyedRecord, LearnedKey, LostVm};
 use crate::scheduler::job::RunPhase;
 use crate::scheduler::{RecordSource, Scheduler};
 
@@ -104,6 +104,7 @@
     spec_removals: VecDeque<(JobId, Arc<JobSubmission>)>,
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
     losses: BTreeMap<Arc<str>, Vec<LostVm>>,
+    learned: BTreeMap<LearnedKey, Arc<[u8]>>,
     relayed: VecDeque<(u64, VecDeque<JobRecord>)>,
 }
 
@@ -161,6 +162,11 @@
         self.losses.insert(service, lost);
     }
 
+    /// Queues what was learned, in place of an older record of the same key.
+    pub fn queue_learned(&mut self, key: LearnedKey, value: Arc<[u8]>) {
+        self.learned.insert(key, value);
+    }
+
     /// Jobs with relayed records that are not in a commit yet.
     fn relayed_jobs(&self) -> BTreeSet<JobId> {
         let records = self.relayed.iter().flat_map(|(_, records)| records);
@@ -176,6 +182,7 @@
             && self.spec_removals.is_empty()
             && self.waves.is_empty()
             && self.losses.is_empty()
+            && self.learned.is_empty()
             && self.relayed.is_empty()
     }
 }
@@ -250,6 +257,12 @@
         while let Some((service, lost)) = self.commits.losses.pop_first() {
             push_record(&mut batch, JobRecord::Losses(service, Arc::new(lost)));
         }
+        let mut learned_bytes = 0;
+        while learned_bytes < background_max
+            && let Some((key, value)) = self.commits.learned.pop_first()
+        {
+            learned_bytes += push_record(&mut batch, JobRecord::Learned(key, value));
+        }
         // Jobs that did not fit hold back their starts for the next append, and the exits that were
         // processed along with them.
         let left = &self.commits.jobs;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod gang;
 mod incarnations;
 pub mod job;
+pub mod ledger;
 mod loss_attribution;
 pub mod losses;
 pub mod maintenance;
@@ -59,6 +60,7 @@
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
+use crate::scheduler::ledger::LearnedLedger;
 use crate::scheduler::losses::LossTracker;
 use crate::scheduler::organisation::OrganisationLedger;
 use crate::scheduler::preemption::CapacityClaims;
@@ -167,6 +169,7 @@
     waits: WaitLog,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
+    learned: LearnedLedger,
     /// Time up to which the workers' reports of themselves have been read, in milliseconds.
     workers_read_ms: u64,
     /// Time up to which the job log has been applied here, in milliseconds.
@@ -226,6 +229,7 @@
             waits: WaitLog::open(now),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
+            learned: LearnedLedger::default(),
             workers_read_ms: start.workers_read_ms,
             jobs_read_ms: start.jobs_read_ms,
             is_view_stale: false,
@@ -243,12 +247,14 @@
         };
         scheduler.organisations.configure(&scheduler.config);
         scheduler.register_queues();
+        scheduler.restore_learned(job_table, now, wall_ms);
         for (service, lost) in job_table.losses() {
             scheduler.losses.restore(service, lost, now, wall_ms);
         }
         for (id, job) in job_table.iter() {
             scheduler.restore(*id, job, now, wall_ms);
         }
+        scheduler.restore_marks(job_table);
         scheduler
     }
 
@@ -480,7 +486,8 @@
             | JobRecord::Dropped(_)
             | JobRecord::TombstoneDropped(..)
             | JobRecord::Wave(..)
-            | JobRecord::Losses(..) => {}
+            | JobRecord::Losses(..)
+            | JobRecord::Learned(..) => {}
         }
     }
 
@@ -638,6 +645,7 @@
             self.dispatch(now);
         }
         self.send_due_commands(now);
+        self.write_learned(now);
     }
 
     fn begin_due_occurrences(&mut self, wall_ms: u64) {
--- a/tests/support/cancel_callers.rs
+++ b/tests/support/cancel_callers.rs
@@ -222,7 +222,7 @@
         | JobRecord::Progress(id, _)
         | JobRecord::Dropped(id)
         | JobRecord::TombstoneDropped(id, _) => *id,
-        JobRecord::Wave(..) | JobRecord::Losses(..) => job_id(0),
+        JobRecord::Wave(..) | JobRecord::Losses(..) | JobRecord::Learned(..) => job_id(0),
     }
 }
 
