Order jobs in time by the running work of their organisations

One organisation that sends several times its usual work into a pool at its limit takes capacity from all others in proportion to the number of its jobs: least work first does not tell organisations apart, and a share bounds only those that exceed what they bought.

Where the setting fair-shares is on (by itself off; on where the settings' contracts name pressure), jobs that can be in time are ordered by weighted max-min fairness: the organisation with the least running work in the pool for its weight goes first, in steps of an eighth of the pool, least work first within a step. Work that goes first in the same round counts. Running work is kept by pool, without services.

--- a/src/bin/ibisweirctl/jobs.rs
+++ b/src/bin/ibisweirctl/jobs.rs
@@ -79,7 +79,9 @@
         );
     }
     if !overview.organisations.is_empty() {
-        println!("\nORGANISATION         SHARE/S  RUNS  CORES  OF CAP  WAITING  BEYOND SHARE");
+        println!(
+            "\nORGANISATION         SHARE/S  USED  RUNS  CORES  OF CAP  WAITING  BEYOND SHARE"
+        );
     }
     for (name, organisation) in &overview.organisations {
         let cap = match organisation.cap.cpu {
@@ -87,8 +89,9 @@
             cap => (cap / 1_000).to_string(),
         };
         println!(
-            "{name:<20} {:>7} {:>5} {:>6} {cap:>7} {:>8} {:>13}",
+            "{name:<20} {:>7} {:>4}% {:>5} {:>6} {cap:>7} {:>8} {:>13}",
             organisation.weight,
+            organisation.share_used_permille / 10,
             organisation.runs,
             organisation.used.cpu / 1_000,
             organisation.waiting,
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -231,6 +231,7 @@
         let waves = self.node.waves();
         let job_table = self.node.job_table();
         let mut scheduler = Scheduler::open(start, &job_table);
+        scheduler.set_fair_shares(self.node.settings.has_fair_shares);
         scheduler.workers_listed(workers, now);
         for wave in waves.values() {
             scheduler.add_wave(wave.clone(), job_table.maintained(wave.number), now);
--- a/src/jobs/decision_log.rs
+++ b/src/jobs/decision_log.rs
@@ -98,6 +98,21 @@
             count_many(&node.metrics.learned_records, "written", *records);
             node.metrics.learned_bytes.inc_by(u64::try_from(*bytes).unwrap_or(0));
         }
+        SchedulerEvent::FairOrder {
+            pool,
+            organisations,
+            capacity,
+            last,
+            weight,
+            running,
+            step,
+            rounds,
+        } => {
+            node.metrics.fair_rounds.inc_by(u64::try_from(*rounds).unwrap_or(0));
+            info!(logger, "order by shares"; "pool" => &**pool, "organisations" => organisations,
+                "capacity" => capacity, "last" => &**last, "weight" => weight,
+                "running" => running, "step" => step, "rounds" => rounds);
+        }
         SchedulerEvent::Pool { pool, needed, usable, idle, booked } => {
             info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
                 "idle" => idle, "booked_permille" => booked);
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -70,6 +70,8 @@
     pub learned_records: Reasons,
     /// Bytes of learned state that were queued for the log.
     pub learned_bytes: Counter,
+    /// Placement rounds of a pool that were ordered by the shares of organisations.
+    pub fair_rounds: Counter,
     /// Runs that a worker first listed after their job had finished.
     pub begun_over: Counter,
     /// Starts that were rejected while another attempt had no outcome yet.
@@ -144,6 +146,7 @@
             service_waits: Family::default(),
             learned_records: Family::default(),
             learned_bytes: Counter::default(),
+            fair_rounds: Counter::default(),
             begun_over: Counter::default(),
             refused_open: Counter::default(),
             second_runs: Counter::default(),
@@ -225,6 +228,8 @@
         registry.register("learned_records", help, self.learned_records.clone());
         let help = "bytes of learned state that were queued for the log";
         registry.register("learned_bytes", help, self.learned_bytes.clone());
+        let help = "placement rounds of a pool that were ordered by the shares of organisations";
+        registry.register("fair_rounds", help, self.fair_rounds.clone());
         let help = "runs that a worker first listed after their job was over";
         registry.register("begun_over", help, self.begun_over.clone());
         let help = "starts that were refused while another try of them had no outcome yet";
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -264,6 +264,8 @@
     pub permits: Option<SocketAddr>,
     /// Largest submission that fits into one log record, in bytes.
     pub record_bytes_max: usize,
+    /// Whether jobs in time are ordered by the running work of their organisations.
+    pub has_fair_shares: bool,
     /// Time limits and guarantees of the platform.
     pub bounds: SiteBounds,
 }
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -214,6 +214,25 @@
         /// Their size with keys.
         bytes: usize,
     },
+    /// Jobs of a pool were ordered by the running work of their organisations.
+    FairOrder {
+        /// Pool.
+        pool: Arc<str>,
+        /// Organisations that compete for it.
+        organisations: usize,
+        /// Processor of its usable workers, in thousandths of a core.
+        capacity: u64,
+        /// The organisation that goes last.
+        last: Arc<str>,
+        /// Its weight.
+        weight: f64,
+        /// Processor of its running work in the pool, in thousandths of a core.
+        running: u64,
+        /// Step that this work has reached for its weight, in eighths of the pool.
+        step: u64,
+        /// Rounds with such an order since the last event about the pool.
+        rounds: usize,
+    },
     /// Periodic summary of a pool.
     Pool {
         /// Pool.
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -56,6 +56,7 @@
         let largest_free = self.largest_free(now);
         let mut ready = self.ready_steps(&largest_free, now);
         ready.sort_by_key(|step| (step.rank, step.key));
+        self.order_fairly(&mut ready, now);
         // Smallest request that each pool has refused. Larger ones are skipped without a search.
         let mut least_refused: BTreeMap<Arc<str>, ResourceVector> = BTreeMap::new();
         for step in ready {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 pub mod demand;
 pub mod dispatch;
 pub mod downtime;
+pub mod fair_share;
 pub mod fleet;
 mod gang;
 mod incarnations;
@@ -57,6 +58,7 @@
 use crate::scheduler::abandoned::AbandonedRuns;
 pub use crate::scheduler::action::{RecordSource, SchedulerAction, SchedulerEvent};
 use crate::scheduler::commit::CommitQueue;
+use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
@@ -170,6 +172,7 @@
     organisations: OrganisationLedger,
     shares: ShareLimiter,
     learned: LearnedLedger,
+    fair_order: FairOrder,
     /// Time up to which the workers' reports of themselves have been read, in milliseconds.
     workers_read_ms: u64,
     /// Time up to which the job log has been applied here, in milliseconds.
@@ -230,6 +233,7 @@
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
             learned: LearnedLedger::default(),
+            fair_order: FairOrder::default(),
             workers_read_ms: start.workers_read_ms,
             jobs_read_ms: start.jobs_read_ms,
             is_view_stale: false,
--- a/src/scheduler/organisation.rs
+++ b/src/scheduler/organisation.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use crate::decide::access::OrganisationSpec;
-use crate::jobs::model::ResourceVector;
+use crate::jobs::model::{JobSubmission, ResourceVector, StepSpec};
 use crate::jobs::site::SiteConfig;
 
 /// Usage of one organisation.
@@ -28,6 +28,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct OrganisationLedger {
     uses: BTreeMap<Arc<str>, OrganisationUse>,
+    /// Resources of the runs of batch tasks by pool and organisation; callers without one have no
+    /// name. The pool is that by which the job was accepted, which never changes.
+    running: HashMap<Arc<str>, HashMap<Arc<str>, ResourceVector>>,
     /// As last configured: jobs of an organisation that was removed run on under its last cap.
     specs: HashMap<Arc<str>, OrganisationSpec>,
 }
@@ -41,20 +44,44 @@
     }
 
     /// Counts a run that was placed or read from the log.
-    pub fn add_run(&mut self, organisation: Option<&Arc<str>>, need: &ResourceVector) {
-        let Some(organisation) = organisation else { return };
+    pub fn add_run(&mut self, job: &JobSubmission, spec: Option<&StepSpec>) {
+        let need = spec.map(|spec| spec.need).unwrap_or_default();
+        if is_batch(spec) {
+            let pool = self.running.entry(job.service.clone()).or_default();
+            let name = job.organisation.clone().unwrap_or_default();
+            pool.entry(name).or_default().add(&need);
+        }
+        let Some(organisation) = &job.organisation else { return };
         let entry = self.uses.entry(organisation.clone()).or_default();
-        entry.used.add(need);
+        entry.used.add(&need);
         entry.runs += 1;
     }
 
     /// Removes a run that is over.
-    pub fn remove_run(&mut self, organisation: Option<&Arc<str>>, need: &ResourceVector) {
-        let Some(entry) = organisation.and_then(|name| self.uses.get_mut(name)) else { return };
-        entry.used = entry.used.saturating_sub(need);
+    pub fn remove_run(&mut self, job: &JobSubmission, spec: Option<&StepSpec>) {
+        let need = spec.map(|spec| spec.need).unwrap_or_default();
+        let name = job.organisation.as_deref().unwrap_or_default();
+        if is_batch(spec)
+            && let Some(running) =
+                self.running.get_mut(&job.service).and_then(|pool| pool.get_mut(name))
+        {
+            *running = running.saturating_sub(&need);
+        }
+        if job.organisation.is_none() {
+            return;
+        }
+        let Some(entry) = self.uses.get_mut(name) else { return };
+        entry.used = entry.used.saturating_sub(&need);
         entry.runs = entry.runs.saturating_sub(1);
     }
 
+    /// Resources of an organisation's batch tasks in a pool; of callers without one if it has no
+    /// name.
+    pub fn running(&self, pool: &str, organisation: &str) -> ResourceVector {
+        let running = self.running.get(pool).and_then(|pool| pool.get(organisation));
+        running.copied().unwrap_or_default()
+    }
+
     /// Usage of an organisation.
     pub fn usage(&self, organisation: &str) -> OrganisationUse {
         self.uses.get(organisation).copied().unwrap_or_default()
@@ -124,6 +151,10 @@
     }
 }
 
+fn is_batch(spec: Option<&StepSpec>) -> bool {
+    spec.is_some_and(|spec| !spec.is_service)
+}
+
 /// Whether a task of this need may start under a cap with so much in use: it fits, or less than
 /// half of every limit is in use. Otherwise a task larger than half of a cap might never run.
 pub(crate) fn may_start(
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -40,6 +40,9 @@
     pub waiting: usize,
     /// Jobs that are not over and arrived beyond its share.
     pub beyond_share: usize,
+    /// Part of the jobs that it may send at once that it has sent, in thousandths.
+    #[serde(default)]
+    pub share_used_permille: u64,
 }
 
 /// Figures of one maintenance wave.
@@ -98,7 +101,7 @@
         LeaderOverview {
             term: self.term,
             pools: self.pool_overviews(now),
-            organisations: self.organisation_overviews(),
+            organisations: self.share_overviews(now),
             waves: waves.collect(),
             doubted: self.unavailable_workers(now),
             vm_commands: self.fleet.operations.len(),
@@ -134,6 +137,15 @@
         pools
     }
 
+    /// Known organisations, with what they have used of their shares as well.
+    fn share_overviews(&self, now: u64) -> BTreeMap<Arc<str>, OrganisationOverview> {
+        let mut organisations = self.organisation_overviews();
+        for (name, overview) in &mut organisations {
+            overview.share_used_permille = self.shares.used_permille(name, overview.weight, now);
+        }
+        organisations
+    }
+
     /// Known organisations with their running and waiting work.
     pub(crate) fn organisation_overviews(&self) -> BTreeMap<Arc<str>, OrganisationOverview> {
         let overview = |spec: &OrganisationSpec| {
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -55,10 +55,8 @@
         let runs: Vec<(Arc<str>, u32)> =
             task.live.iter().map(|live| (live.worker.clone(), live.run)).collect();
         let bound = self.predecessor_lease_bound_ms;
-        let organisation = job.submission.organisation.clone();
-        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
         for (worker, run) in runs {
-            self.organisations.add_run(organisation.as_ref(), &need);
+            self.organisations.add_run(&job.submission, job.spec(key));
             let entry = self
                 .workers
                 .entry(worker.clone())
@@ -79,8 +77,7 @@
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
-        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
-        self.organisations.add_run(job.submission.organisation.as_ref(), &need);
+        self.organisations.add_run(&job.submission, job.spec(key));
         let wanted_lease_ms = self.bounds.cancel_ms;
         if let Some(entry) = self.workers.get_mut(worker) {
             // The lease that comes with the start ends soon, and a worker without wanted runs has
@@ -105,8 +102,7 @@
         task.waiting_since_ms = now;
         self.record_last_alive(key, &live, now);
         let Some(job) = self.jobs.get(&key.job) else { return };
-        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
-        self.organisations.remove_run(job.submission.organisation.as_ref(), &need);
+        self.organisations.remove_run(&job.submission, job.spec(key));
         self.commits.mark_changed(key.job);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.remove_run(&(*key, run), now);
--- a/src/scheduler/share.rs
+++ b/src/scheduler/share.rs
@@ -88,6 +88,14 @@
         true
     }
 
+    /// Part of its burst that an organisation has used up, in thousandths.
+    pub fn used_permille(&self, organisation: &str, weight: f64, now: u64) -> u64 {
+        let rate = tokens_per_second(weight);
+        let Some(bucket) = self.buckets.get(organisation).filter(|_| rate > 0) else { return 0 };
+        let max = tokens_max(rate);
+        (max - bucket.tokens_at(rate, now)).saturating_mul(1_000) / max
+    }
+
     /// The `count_max` organisations with the fewest tokens, least first. Full buckets are left
     /// out: a new leader assumes them.
     pub fn lowest(
