--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -191,6 +191,48 @@
         /// Runs placed on it at that time.
         runs: usize,
     },
+    /// What earlier leaders have learned was restored.
+    LearnedRestored {
+        /// Queues with run times.
+        queues: usize,
+        /// Organisations that have used part of their share.
+        organisations: usize,
+        /// Age of the newest record, in milliseconds.
+        age_ms: u64,
+    },
+    /// Records of what earlier leaders have learned were not restored.
+    LearnedRejected {
+        /// Reason.
+        reason: &'static str,
+        /// Number of records.
+        records: usize,
+    },
+    /// What this leader has learned was queued for the log.
+    LearnedWritten {
+        /// Number of records.
+        records: usize,
+        /// Their size with keys.
+        bytes: usize,
+    },
+    /// Jobs of a pool were ordered by the running work of their organisations.
+    FairOrder {
+        /// Pool.
+        pool: Arc<str>,
+        /// Organisations that compete for it.
+        organisations: usize,
+        /// Processor of its usable workers, in thousandths of a core.
+        capacity: u64,
+        /// The organisation that goes last.
+        last: Arc<str>,
+        /// Its weight.
+        weight: f64,
+        /// Processor of its running work in the pool, in thousandths of a core.
+        running: u64,
+        /// Step that this work has reached for its weight, in eighths of the pool.
+        step: u64,
+        /// Rounds with such an order since the last event about the pool.
+        rounds: usize,
+    },
     /// Periodic summary of a pool.
     Pool {
         /// Pool.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,10 +19,12 @@
 pub mod demand;
 pub mod dispatch;
 pub mod downtime;
+pub mod fair_share;
 pub mod fleet;
 mod gang;
 mod incarnations;
 pub mod job;
+pub mod ledger;
 mod loss_attribution;
 pub mod losses;
 pub mod maintenance;
@@ -56,9 +58,11 @@
 use crate::scheduler::abandoned::AbandonedRuns;
 pub use crate::scheduler::action::{RecordSource, SchedulerAction, SchedulerEvent};
 use crate::scheduler::commit::CommitQueue;
+use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
+use crate::scheduler::ledger::LearnedLedger;
 use crate::scheduler::losses::LossTracker;
 use crate::scheduler::organisation::OrganisationLedger;
 use crate::scheduler::preemption::CapacityClaims;
@@ -167,6 +171,8 @@
     waits: WaitLog,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
+    learned: LearnedLedger,
+    fair_order: FairOrder,
     /// Time up to which the workers' reports of themselves have been read, in milliseconds.
     workers_read_ms: u64,
     /// Time up to which the job log has been applied here, in milliseconds.
@@ -226,6 +232,8 @@
             waits: WaitLog::open(now),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
+            learned: LearnedLedger::default(),
+            fair_order: FairOrder::default(),
             workers_read_ms: start.workers_read_ms,
             jobs_read_ms: start.jobs_read_ms,
             is_view_stale: false,
@@ -243,12 +251,14 @@
         };
         scheduler.organisations.configure(&scheduler.config);
         scheduler.register_queues();
+        scheduler.restore_learned(job_table, now, wall_ms);
         for (service, lost) in job_table.losses() {
             scheduler.losses.restore(service, lost, now, wall_ms);
         }
         for (id, job) in job_table.iter() {
             scheduler.restore(*id, job, now, wall_ms);
         }
+        scheduler.restore_marks(job_table);
         scheduler
     }
 
@@ -480,7 +490,8 @@
             | JobRecord::Dropped(_)
             | JobRecord::TombstoneDropped(..)
             | JobRecord::Wave(..)
-            | JobRecord::Losses(..) => {}
+            | JobRecord::Losses(..)
+            | JobRecord::Learned(..) => {}
         }
     }
 
@@ -638,6 +649,7 @@
             self.dispatch(now);
         }
         self.send_due_commands(now);
+        self.write_learned(now);
     }
 
     fn begin_due_occurrences(&mut self, wall_ms: u64) {
