Hold idle VMs between bursts of different pools

Cause: when a pool's burst ends, its VMs idle for 1.5 s and leave for the standby pool, and the next pool's burst begins 0 to 2 s later. A VM on its way there reaches the next pool one move later than it could.

Change: src/scheduler/turns.rs recognises the bursts of each pool by its need, and keeps the VMs that a burst has freed for the time of two moves, once bursts of two pools have followed each other or while another pool's need is rising. VMs whose move to the standby pool is not commanded yet go to the pool that rises. Beginning and end of a hold are logged; ibisweir_job_held_vms counts the VMs.

--- a/src/jobs/decision_log.rs
+++ b/src/jobs/decision_log.rs
@@ -89,6 +89,11 @@
             info!(logger, "pool"; "pool" => &**pool, "needed" => needed, "usable" => usable,
                 "idle" => idle, "booked_permille" => booked);
         }
+        SchedulerEvent::Hold(hold) => {
+            let change = if hold.is_begin { "begins" } else { "ends" };
+            info!(logger, "hold of idle VMs"; "pool" => &*hold.pool, "change" => change,
+                "vms" => hold.vms, "reason" => hold.reason);
+        }
         SchedulerEvent::Vm { vm, change } => {
             info!(logger, "vm"; "vm" => &**vm, "change" => change);
         }
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -110,6 +110,8 @@
     pub view_age_ms: Gauge,
     /// Workers that don't answer, if this entry leads.
     pub silent_workers: Gauge,
+    /// Idle VMs that are held between bursts, if this entry leads.
+    pub held_vms: Gauge,
     /// Age of the read that last confirmed the configuration, in milliseconds; decides whether API
     /// keys are honoured.
     pub config_age_ms: Gauge,
@@ -160,6 +162,7 @@
             live_runs: Gauge::default(),
             view_age_ms: Gauge::default(),
             silent_workers: Gauge::default(),
+            held_vms: Gauge::default(),
             config_age_ms: Gauge::default(),
             organisation_runs: Family::default(),
             organisation_waiting: Family::default(),
@@ -254,6 +257,8 @@
         registry.register("view_age_ms", help, self.view_age_ms.clone());
         let help = "workers that don't answer, at the leader";
         registry.register("silent_workers", help, self.silent_workers.clone());
+        let help = "idle VMs kept out of the standby pool between bursts, at the leader";
+        registry.register("held_vms", help, self.held_vms.clone());
         let help = "age of the reading by which keys are honoured, in ms";
         registry.register("config_age_ms", help, self.config_age_ms.clone());
         let help = "runs that may be alive by organisation, at the leader";
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -631,6 +631,7 @@
         let view_age_ms = self.with_scheduler(|scheduler| scheduler.view_age_ms(now));
         metrics.view_age_ms.set(view_age_ms.map_or(-1, gauge));
         metrics.silent_workers.set(size(stats.silent));
+        metrics.held_vms.set(size(stats.held_vms));
         metrics.executors.set(size(self.executors().counts(self.now()).0));
         metrics.config_age_ms.set(self.config_age_ms().map_or(-1, gauge));
         let organisations = self.with_scheduler(|scheduler| scheduler.organisation_overviews());
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -5,6 +5,7 @@
 use crate::jobs::model::{JobId, JobState, StepKey, TaskKey};
 use crate::jobs::ports::{RunCall, VmCommand, WorkerTarget};
 use crate::jobs::record::LossCount;
+use crate::scheduler::turns::HoldChange;
 
 /// Action to carry out for the scheduler.
 #[derive(Clone, Debug)]
@@ -204,6 +205,8 @@
         /// Allocated processor, in thousandths of that of the usable VMs.
         booked: u64,
     },
+    /// A hold of idle VMs between bursts began or ended.
+    Hold(HoldChange),
     /// A command to a VM was planned, or its outcome is known.
     Vm {
         /// VM.
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -15,6 +15,7 @@
 use crate::scheduler::losses::IncarnationEnd;
 use crate::scheduler::maintenance::WaveState;
 use crate::scheduler::needs::{NeedKind, PoolNeed, has_shortage, take_idle_vm};
+use crate::scheduler::turns::{PoolDemand, TurnTracker};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerEvent};
 
 /// Interval between requests of the VM list while an operation or a wave is in progress, in
@@ -80,6 +81,8 @@
     pub phase: OperationPhase,
     /// When it entered the phase, in milliseconds.
     pub since_ms: u64,
+    /// When the command was first sent, in milliseconds.
+    pub sent_ms: Option<u64>,
     /// Earliest time to send it, or to send it again, in milliseconds.
     pub retry_ms: u64,
     /// Worker that ran on the VM when the command was first sent; empty for none. A later worker
@@ -114,6 +117,8 @@
     pub operations: BTreeMap<Arc<str>, VmOperation>,
     /// Rate of arriving work, by pool.
     pub arrivals: BTreeMap<Arc<str>, ArrivalRate>,
+    /// Bursts of the pools, and the VMs that are held between them.
+    pub turns: TurnTracker,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveState>,
     /// Pools whose services must leave several VMs at a time for a wave to finish in time.
@@ -300,6 +305,10 @@
                 let is_back = vm.state == VmState::Up
                     && list_as_of_ms > operation.since_ms
                     && (vm.worker != operation.worker || vm.worker.is_empty());
+                let is_move = matches!(operation.command, VmCommand::Assign { .. });
+                if let Some(sent_ms) = operation.sent_ms.filter(|_| is_back && is_move) {
+                    self.fleet.turns.observe_move(now.saturating_sub(sent_ms));
+                }
                 if is_back || now > operation.since_ms + COMMAND_TIMEOUT_MS {
                     self.fleet.operations.remove(name);
                 }
@@ -320,6 +329,7 @@
                 if is_first {
                     operation.phase = OperationPhase::Sent;
                     operation.since_ms = now;
+                    operation.sent_ms = Some(now);
                     operation.worker = vm.worker.clone();
                 }
                 // An answer that has not come by then counts as lost.
@@ -392,6 +402,7 @@
             command,
             phase: OperationPhase::Draining,
             since_ms: now,
+            sent_ms: None,
             retry_ms: now,
             worker: worker.clone(),
             is_in_doubt: false,
@@ -412,7 +423,10 @@
                 needs.iter().map(|(pool, need)| (pool.clone(), need.shortage(kind))).collect();
             for (pool, count) in short {
                 for _ in 0..count {
-                    let donor = take_idle_vm(&mut needs, &pool, kind).or_else(|| spare.pop());
+                    let donor = take_idle_vm(&mut needs, &pool, kind)
+                        .or_else(|| self.take_leaving_vm(&needs, &pool, true))
+                        .or_else(|| spare.pop())
+                        .or_else(|| self.take_leaving_vm(&needs, &pool, false));
                     let Some(vm) = donor else { break };
                     if let Some(need) = needs.get_mut(&pool) {
                         need.arriving += 1;
@@ -422,6 +436,7 @@
             }
         }
         let Some(standby) = standby else { return };
+        self.update_turns(&needs, spare.len(), now);
         self.cancel_unneeded_moves(&needs, &standby);
         self.consolidate_services(&needs, &standby, now);
         let surplus = |need: &PoolNeed| need.surplus(NeedKind::Soon).min(need.idle.len());
@@ -431,9 +446,10 @@
         let available = idle + spare.len();
         let leaving = self.fleet.arriving(&standby);
         let mut allowed = (available / LEAVING_DIVISOR).max(1).saturating_sub(leaving);
-        for need in needs.values() {
+        for (pool, need) in &needs {
             let idle = need.idle.iter().filter(|(_, idle_ms)| *idle_ms >= IDLE_MIN_MS);
-            for (vm, _) in idle.take(surplus(need)) {
+            let held = self.fleet.turns.held(pool);
+            for (vm, _) in idle.take(surplus(need).saturating_sub(held)) {
                 if allowed == 0 {
                     return;
                 }
@@ -446,6 +462,58 @@
         }
     }
 
+    /// Updates the holds of VMs between bursts, and emits their changes.
+    fn update_turns(
+        &mut self,
+        needs: &BTreeMap<Arc<str>, PoolNeed>,
+        standby_count: usize,
+        now: u64,
+    ) {
+        let hold_ms = self.fleet.turns.hold_ms();
+        let demand = |need: &PoolNeed| PoolDemand {
+            needed: need.needed,
+            usable: need.usable,
+            idle: need.idle.len(),
+            fresh: need.idle.iter().filter(|(_, idle_ms)| *idle_ms < hold_ms).count(),
+        };
+        let demands = needs.iter().map(|(pool, need)| (pool.clone(), demand(need))).collect();
+        for change in self.fleet.turns.update(&demands, standby_count, now) {
+            self.emit(SchedulerEvent::Hold(change));
+        }
+    }
+
+    /// Takes a VM whose move to a standby pool is planned and not commanded yet. With `is_empty`,
+    /// nothing runs on it any more.
+    fn take_leaving_vm(
+        &mut self,
+        needs: &BTreeMap<Arc<str>, PoolNeed>,
+        to: &str,
+        is_empty: bool,
+    ) -> Option<Arc<str>> {
+        let is_standby = |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
+        let is_leaving = |operation: &VmOperation| {
+            let is_planned = operation.phase == OperationPhase::Draining;
+            is_planned
+                && matches!(&operation.command, VmCommand::Assign { pool, .. } if is_standby(pool))
+        };
+        let is_free = |name: &Arc<str>| {
+            let Some(vm) = self.fleet.vms.get(name) else { return false };
+            let is_drained = vm.worker.is_empty() || self.is_drained(&vm.worker);
+            // A pool that is short keeps its own VMs.
+            let is_short =
+                needs.get(&vm.pool).is_some_and(|need| need.shortage(NeedKind::Soon) > 0);
+            &*vm.pool != to && !is_short && (is_drained || !is_empty)
+        };
+        let (name, _) = self
+            .fleet
+            .operations
+            .iter()
+            .find(|(name, operation)| is_leaving(operation) && is_free(name))?;
+        let name = name.clone();
+        self.fleet.operations.remove(&name);
+        Some(name)
+    }
+
     fn emit_pools(&mut self, needs: &BTreeMap<Arc<str>, PoolNeed>, now: u64) {
         if now < self.fleet.pools_reported_ms + POOL_EVENT_INTERVAL_MS {
             return;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 pub mod stragglers;
 pub mod throttle;
 mod tombstones;
+pub mod turns;
 mod waits;
 pub mod worker;
 
@@ -659,7 +660,8 @@
 
     /// Counts for metrics and status.
     pub fn stats(&self) -> SchedulerStats {
-        let mut census = SchedulerStats { jobs: self.jobs.len(), ..Default::default() };
+        let held_vms = self.fleet.turns.held_vms();
+        let mut census = SchedulerStats { jobs: self.jobs.len(), held_vms, ..Default::default() };
         for worker in self.workers.values() {
             census.workers += usize::from(worker.is_listed);
             census.silent += usize::from(worker.silent_since_ms.is_some());
@@ -680,4 +682,6 @@
     pub silent: usize,
     /// Runs that may be alive.
     pub runs: usize,
+    /// Idle VMs that are held between bursts.
+    pub held_vms: usize,
 }
