--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -40,6 +40,7 @@
 pub mod stragglers;
 pub mod throttle;
 mod tombstones;
+pub mod turns;
 mod waits;
 pub mod worker;
 
@@ -671,7 +672,8 @@
 
     /// Counts for metrics and status.
     pub fn stats(&self) -> SchedulerStats {
-        let mut census = SchedulerStats { jobs: self.jobs.len(), ..Default::default() };
+        let held_vms = self.fleet.turns.held_vms();
+        let mut census = SchedulerStats { jobs: self.jobs.len(), held_vms, ..Default::default() };
         for worker in self.workers.values() {
             census.workers += usize::from(worker.is_listed);
             census.silent += usize::from(worker.silent_since_ms.is_some());
@@ -692,4 +694,6 @@
     pub silent: usize,
     /// Runs that may be alive.
     pub runs: usize,
+    /// Idle VMs that are held between bursts.
+    pub held_vms: usize,
 }
