Reject submissions that a pool's backlog makes useless

A burst of several times a pool's capacity stores jobs that end after they have lost their value, and each costs the leader processor time.

The leader sums up the backlog in the visit of all jobs that plans the pools, seals it after placement, encodes it once and sends it with the answers to relayed batches. Entries decide by it, before anything is stored.

--- a/src/bin/ibisweirctl/jobs.rs
+++ b/src/bin/ibisweirctl/jobs.rs
@@ -1,7 +1,9 @@
 //! The job side as operators see it: entries, the leader's figures, one job.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use ibisweir::error::{ResultCode, coded, explain};
 use ibisweir::jobs::model::JobId;
@@ -62,20 +64,35 @@
     // The one of two that think so which has the higher term is right.
     let leaders = statuses.iter().filter_map(|status| status.leading.as_ref());
     if let Some(overview) = leaders.max_by_key(|overview| overview.term) {
-        print_overview(overview);
+        print_overview(overview, &total_rejections(statuses));
     }
 }
 
-fn print_overview(overview: &LeaderOverview) {
-    println!("\nPOOL             WORKERS  RUNS  BOOKED  JOBS  LATE");
+/// Submissions that the entries rejected for the backlog, by pool.
+fn total_rejections(statuses: &[EntryStatus]) -> BTreeMap<Arc<str>, u64> {
+    let mut totals = BTreeMap::new();
+    for (pool, rejections) in statuses.iter().flat_map(|status| &status.rejections) {
+        *totals.entry(pool.clone()).or_default() += rejections;
+    }
+    totals
+}
+
+fn print_overview(overview: &LeaderOverview, rejections: &BTreeMap<Arc<str>, u64>) {
+    println!(
+        "\nPOOL             WORKERS  RUNS  BOOKED  JOBS  LATE  WAITING  BEGUN  CORES  REJECTED"
+    );
     for (name, pool) in &overview.pools {
         println!(
-            "{name:<16} {:>7} {:>5} {:>6}% {:>5} {:>5}",
+            "{name:<16} {:>7} {:>5} {:>6}% {:>5} {:>5} {:>8} {:>6} {:>6} {:>9}",
             pool.workers,
             pool.runs,
             pool.booked_permille / 10,
             pool.jobs,
-            pool.late
+            pool.late,
+            pool.waiting_work / 1_000,
+            pool.begun_work / 1_000,
+            pool.capacity / 1_000,
+            rejections.get(name).copied().unwrap_or_default()
         );
     }
     if !overview.organisations.is_empty() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,6 +4,7 @@
 //! can therefore drive it through any order of failures.
 
 pub mod access;
+pub mod admission;
 pub mod append_limit;
 pub mod estimate;
 pub mod executor;
--- a/src/error.rs
+++ b/src/error.rs
@@ -108,6 +108,8 @@
     KeyUnconfirmed = 129, 503, "the key can't be confirmed now; nothing was done";
     /// A job of another organisation has this id.
     JobIdTaken = 130, 409, "this job id can't be used";
+    /// The pool's backlog is so long that the job would end after it has lost its value.
+    LineTooLong = 131, 429, "the job would be done too late; nothing was stored";
     /// A path or method that no call has.
     UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use slog::{Logger, info};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::decide::access::{AccessRefusal, CallerAccess, OrganisationDigest, PresentedKey, admit};
+use crate::decide::admission::{JobDemand, LineRejection, reject};
 use crate::error::ResultCode;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
@@ -25,6 +26,9 @@
 /// Longest wait for the log before a caller is told that the outcome is unknown: by then it does
 /// better to try another entry, and has time left to do so.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a lookup of a job before it is rejected for the backlog; without an answer it is
+/// accepted.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 /// When a caller that was rejected because of an outage may retry.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 
@@ -126,6 +130,9 @@
         if self.node.is_log_unreachable() {
             return outage_reply();
         }
+        if let Some(reply) = self.reject_for_backlog(queue, caller, job, &spec, time_left).await {
+            return reply;
+        }
         let submission = JobSubmission {
             queue: queue.name.clone(),
             service: queue.service.clone(),
@@ -142,14 +149,79 @@
             return CallerReply::Refused(ResultCode::BodyTooLarge, None);
         }
         let begun = Instant::now();
+        let lifetime_ms = self.node.settings.bounds.status_ms;
+        // Noted before the submission is sent: a caller may break off at any time after that.
+        let is_first = self.node.attempts().begin(job, self.node.now(), lifetime_ms);
         let outcome = self.submitter.submit(record, deadline(queue, time_left)).await;
         log_outcome(&logger, "submission", job, outcome, begun);
+        match outcome {
+            SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
+            SubmitOutcome::Refused if is_first => self.node.attempts().end(job),
+            SubmitOutcome::Stored | SubmitOutcome::Refused | SubmitOutcome::Unknown => {}
+        }
         match outcome {
             SubmitOutcome::Stored => self.stored_reply(caller, job).await,
             outcome => outcome_reply(outcome),
         }
     }
 
+    /// The reply to a submission that the backlog of its pool makes useless, or that turns out to
+    /// be stored already; `None` to accept it. Whatever can't be told accepts it.
+    async fn reject_for_backlog(
+        &self,
+        queue: &QueueSpec,
+        caller: &CallerAccess,
+        job: JobId,
+        spec: &JobSpec,
+        time_left: Duration,
+    ) -> Option<CallerReply> {
+        self.judge(queue, job, spec)?;
+        let lifetime_ms = self.node.settings.bounds.status_ms;
+        if self.node.attempts().may_be_stored(job, self.node.now(), lifetime_ms) {
+            return None;
+        }
+        // Another entry may have stored an earlier attempt.
+        if self.node.asks_replicas() {
+            let query = JobQuery::Job(job);
+            let lookup = self.queries.ask(&self.node, &query);
+            match timeout(LOOKUP_TIMEOUT.min(time_left / 2), lookup).await.ok().flatten() {
+                Some(JobAnswer::Job(Some(known)) | JobAnswer::Stale(known)) => {
+                    return Some(reply_for_stored(caller, Some(&known)));
+                }
+                Some(JobAnswer::Job(None)) => {}
+                Some(JobAnswer::Waiting(_)) | None => return None,
+            }
+        } else if !self.node.is_current() {
+            return None;
+        }
+        // The digest may have expired during the lookup.
+        let rejection = self.judge(queue, job, spec)?;
+        self.record_rejection(queue, job, &rejection);
+        let wait = Duration::from_secs(rejection.line.retry_s);
+        Some(CallerReply::Refused(ResultCode::LineTooLong, Some(wait)))
+    }
+
+    /// Decides by the digest of the backlog; `None` accepts the job.
+    fn judge(&self, queue: &QueueSpec, job: JobId, spec: &JobSpec) -> Option<BacklogRejection> {
+        let (digest, age_ms) = self.node.line()?;
+        let pool = digest.pool(&queue.service)?;
+        let order = u64::from_str_radix(&job.to_string(), 16).ok()?;
+        let line = reject(&JobDemand::of(spec, order, queue, pool)?, pool)?;
+        Some(BacklogRejection { line, term: digest.term, number: digest.number, age_ms })
+    }
+
+    fn record_rejection(&self, queue: &QueueSpec, job: JobId, rejection: &BacklogRejection) {
+        let line = &rejection.line;
+        self.node.metrics.count_rejection(&queue.service);
+        info!(self.node.logger, "job rejected for the backlog of its pool"; "job" => %job,
+            "queue" => &*queue.name, "pool" => &*queue.service, "term" => rejection.term,
+            "digest" => rejection.number, "digest_age_ms" => rejection.age_ms,
+            "work_ahead" => line.work_ahead, "capacity" => line.capacity,
+            "end_ms" => line.end_ms, "value_end_ms" => line.value_end_ms,
+            "retry_after_ms" => line.retry_s * 1_000,
+            "code" => ResultCode::LineTooLong.number());
+    }
+
     /// The reply once a job with this id is stored. If jobs belong to organisations, a job of
     /// another organisation may have been stored under the id first; an entry without a replica
     /// asks the leader.
@@ -273,6 +345,14 @@
     }
 }
 
+/// A rejection and the digest that it is based on.
+struct BacklogRejection {
+    line: LineRejection,
+    term: u64,
+    number: u64,
+    age_ms: u64,
+}
+
 fn deadline(queue: &QueueSpec, time_left: Duration) -> Instant {
     let time_limit = match queue.timeout_ms {
         0 => SUBMIT_TIMEOUT,
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of an entry's job subsystem, exported as Prometheus text.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -10,7 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::metrics::ReasonLabel;
+use crate::metrics::{PoolLabel, ReasonLabel};
 use crate::traffic::TrafficMeter;
 
 type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
@@ -20,6 +22,8 @@
 /// Number of organisations that have their own series. The others share one, so that the operators'
 /// configurations can't overload a monitoring system.
 const ORGANISATIONS_MAX: usize = 64;
+/// The same for pools.
+const POOLS_MAX: usize = 64;
 /// Label of the shared series.
 const OTHERS: &str = "others";
 
@@ -117,6 +121,12 @@
     pub organisation_runs: Organisations,
     /// Jobs of which no task has started, by organisation, if this entry leads.
     pub organisation_waiting: Organisations,
+    /// Submissions that were rejected for the backlog of their pool, by pool.
+    admission_rejections: Family<PoolLabel, Counter>,
+    /// The same counts, for the status.
+    rejections: Mutex<BTreeMap<Arc<str>, u64>>,
+    /// Age of the digest of the backlog, in milliseconds; -1 without one.
+    pub line_digest_age_ms: Gauge,
 }
 
 impl Default for JobMetrics {
@@ -163,6 +173,9 @@
             config_age_ms: Gauge::default(),
             organisation_runs: Family::default(),
             organisation_waiting: Family::default(),
+            admission_rejections: Family::default(),
+            rejections: Mutex::default(),
+            line_digest_age_ms: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -260,6 +273,27 @@
         registry.register("organisation_runs", help, self.organisation_runs.clone());
         let help = "jobs of which no task has started by organisation, at the leader";
         registry.register("organisation_waiting", help, self.organisation_waiting.clone());
+        let help = "submissions rejected for the backlog of their pool, by pool";
+        registry.register("admission_rejections", help, self.admission_rejections.clone());
+        let help = "age of the digest of the backlog, in ms; -1 without one";
+        registry.register("line_digest_age_ms", help, self.line_digest_age_ms.clone());
+    }
+
+    /// Counts a submission that was rejected for the backlog of its pool.
+    pub fn count_rejection(&self, pool: &Arc<str>) {
+        let mut rejections = self.rejections.lock().unwrap_or_else(PoisonError::into_inner);
+        // Pools that no configuration names any more are few; those beyond the bound are not told
+        // apart.
+        let is_named = rejections.contains_key(pool) || rejections.len() < POOLS_MAX;
+        let name = if is_named { pool.clone() } else { Arc::from(OTHERS) };
+        let label = PoolLabel { pool: name.to_string() };
+        self.admission_rejections.get_or_create(&label).inc();
+        *rejections.entry(name).or_default() += 1;
+    }
+
+    /// Submissions that were rejected for the backlog of their pool, by pool.
+    pub fn rejections(&self) -> BTreeMap<Arc<str>, u64> {
+        self.rejections.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Replaces the gauges of all organisations by these counts: name, runs, waiting jobs.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! the leader ([`leadership`]) and runs the [`crate::scheduler`] against the log, the workers and
 //! the VMs ([`conductor`]). These external services are behind the traits of [`ports`].
 
+pub mod attempts;
 pub mod caller_service;
 pub mod catch_up;
 pub mod conductor;
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -10,13 +10,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
 use slog::Logger;
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::ProcessClock;
+use crate::decide::admission::{DIGEST_AGE_MAX_MS, DigestSlot, LineDigest};
 use crate::decide::executor::{ExecutorOffer, ExecutorTable};
 use crate::decide::leadership::claim_delay_ms;
 use crate::decide::replica::{ReplicaList, ReplicaPlanner};
+use crate::jobs::attempts::OpenAttempts;
 use crate::jobs::job_table::JobTable;
 use crate::jobs::metrics::JobMetrics;
 use crate::jobs::record::JobRecord;
@@ -89,7 +92,10 @@
     scheduler: Mutex<Option<Scheduler>>,
     leader: ArcSwapOption<SocketAddr>,
     leader_closed_ms: AtomicU64,
-    relay_waiters: Mutex<HashMap<u64, oneshot::Sender<()>>>,
+    relay_waiters: Mutex<HashMap<u64, oneshot::Sender<Bytes>>>,
+    /// The newest digest of the backlog that the leader has sent.
+    line: Mutex<DigestSlot>,
+    attempts: Mutex<OpenAttempts>,
     next_token: AtomicU64,
     log_answer_ms: AtomicU64,
     last_store_ms: AtomicU64,
@@ -129,6 +135,8 @@
             leader: ArcSwapOption::empty(),
             leader_closed_ms: AtomicU64::new(0),
             relay_waiters: Mutex::new(HashMap::new()),
+            line: Mutex::default(),
+            attempts: Mutex::default(),
             next_token: AtomicU64::new(0),
             log_answer_ms: AtomicU64::new(0),
             last_store_ms: AtomicU64::new(0),
@@ -490,9 +498,10 @@
     }
 
     /// Hands records to the scheduler if this entry leads; `None` if it does not. The receiver
-    /// completes once they are stored in the log. If the sender is dropped instead, the leadership
-    /// has ended and they may be stored or not.
-    pub fn relay(&self, records: Vec<JobRecord>) -> Option<oneshot::Receiver<()>> {
+    /// completes once they are stored in the log, with the encoded digest of the backlog, which is
+    /// empty if there is none. If the sender is dropped instead, the leadership has ended and they
+    /// may be stored or not.
+    pub fn relay(&self, records: Vec<JobRecord>) -> Option<oneshot::Receiver<Bytes>> {
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let now = self.now();
@@ -515,21 +524,66 @@
 
     /// Notifies the waiters of these batches that the log has stored them.
     pub fn complete_relays(&self, tokens: &[u64]) {
+        if tokens.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let report = self.with_scheduler(|scheduler| scheduler.line_report(now)).flatten();
+        let digest = report.map(|report| report.body).unwrap_or_default();
         let mut relay_waiters = self.relay_waiters();
         for sender in tokens.iter().filter_map(|token| relay_waiters.remove(token)) {
             // A waiter that is gone needs no answer.
-            let _ = sender.send(());
+            let _ = sender.send(digest.clone());
+        }
+    }
+
+    /// Takes the digest of the backlog from the body of the leader's answer, if it has one.
+    pub fn receive_line(&self, body: &[u8]) {
+        if !self.settings.admission {
+            return;
+        }
+        let now = self.now();
+        if let Some(digest) = LineDigest::decode(body) {
+            self.line_slot().receive(digest, now);
+        }
+    }
+
+    /// The digest of the backlog that may be used now, and its age in milliseconds. An entry that
+    /// leads uses its own.
+    pub fn line(&self) -> Option<(Arc<LineDigest>, u64)> {
+        if !self.settings.admission {
+            return None;
+        }
+        let now = self.now();
+        let own = self.with_scheduler(|scheduler| {
+            let report = (!scheduler.is_deposed()).then(|| scheduler.line_report(now)).flatten()?;
+            let age_ms = now.saturating_sub(report.computed_ms);
+            (age_ms < DIGEST_AGE_MAX_MS).then_some((report.digest, age_ms))
+        });
+        match own {
+            Some(own) => own,
+            None => self.line_slot().usable(now),
         }
     }
 
-    fn relay_waiters(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<()>>> {
+    fn line_slot(&self) -> MutexGuard<'_, DigestSlot> {
+        self.line.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Submissions that this entry has sent and whose outcome is not known.
+    pub fn attempts(&self) -> MutexGuard<'_, OpenAttempts> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn relay_waiters(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Bytes>>> {
         self.relay_waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets the scheduler when this entry starts to lead, and removes it when it stops.
-    pub fn set_scheduler(&self, scheduler: Option<Scheduler>) {
-        if scheduler.is_none() {
-            self.relay_waiters().clear();
+    pub fn set_scheduler(&self, mut scheduler: Option<Scheduler>) {
+        match &mut scheduler {
+            Some(scheduler) => scheduler.enable_line(self.settings.admission),
+            None => self.relay_waiters().clear(),
         }
         *self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) = scheduler;
     }
@@ -622,6 +676,7 @@
         metrics.log_age_ms.set(self.log_age_ms().map_or(-1, gauge));
         metrics.config_version.set(self.config().map_or(0, |config| gauge(config.version)));
         let stats = self.with_scheduler(|scheduler| scheduler.stats());
+        metrics.line_digest_age_ms.set(self.line().map_or(-1, |(_, age_ms)| gauge(age_ms)));
         metrics.replica.set(i64::from(self.has_replica()));
         metrics.leading.set(i64::from(stats.is_some()));
         let stats = stats.unwrap_or_default();
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -129,7 +129,7 @@
         if let Some(stored) = node.relay(records.clone()) {
             // Another append by this entry would only queue behind the leader's.
             return match timeout(STORE_TIMEOUT, stored).await {
-                Ok(Ok(())) => RelayOutcome::Stored,
+                Ok(Ok(_)) => RelayOutcome::Stored,
                 Ok(Err(_)) | Err(_) => RelayOutcome::Unknown,
             };
         }
@@ -209,7 +209,10 @@
             () = leader_replaced(node, leader) => Err(ExchangeFailure::NoAnswer),
         };
         match answer {
-            Ok(answer) if answer.status == StatusCode::OK => RelayOutcome::Stored,
+            Ok(answer) if answer.status == StatusCode::OK => {
+                node.receive_line(&answer.body);
+                RelayOutcome::Stored
+            }
             Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => RelayOutcome::NotSent,
             Err(ExchangeFailure::NotSent) => {
                 node.record_leader_closed();
@@ -276,10 +279,11 @@
     drop(connection.await);
 }
 
-/// Body of an answer: complete, or empty and ending once the log has stored the relayed records.
+/// Body of an answer: complete, or ending once the log has stored the relayed records, with the
+/// digest of the backlog.
 enum RelayBody {
     Whole(Full<Bytes>),
-    Stored(oneshot::Receiver<()>),
+    Stored(oneshot::Receiver<Bytes>),
 }
 
 /// The leadership has ended; the records may be stored or not.
@@ -308,7 +312,12 @@
             }
             RelayBody::Stored(stored) => match Pin::new(stored).poll(context) {
                 Poll::Pending => Poll::Pending,
-                Poll::Ready(Ok(())) => Poll::Ready(None),
+                Poll::Ready(Ok(digest)) => {
+                    let mut rest = Full::new(digest);
+                    let frame = Pin::new(&mut rest).poll_frame(context);
+                    *self = RelayBody::Whole(rest);
+                    frame.map_err(|never| match never {})
+                }
                 // Fails the body, so that the peer does not regard the batch as stored.
                 Poll::Ready(Err(_)) => Poll::Ready(Some(Err(LeadershipEnded))),
             },
@@ -414,7 +423,7 @@
 async fn store_batch(
     node: &JobNode,
     request: Request<Incoming>,
-) -> Result<oneshot::Receiver<()>, StatusCode> {
+) -> Result<oneshot::Receiver<Bytes>, StatusCode> {
     let body = read_body(request, BATCH_BYTES_MAX).await?;
     node.metrics.traffic.count(RECEIVED_BATCHES, 0, Some(body.len()));
     let Some(records) = decode(&body) else {
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -264,6 +264,8 @@
     pub permits: Option<SocketAddr>,
     /// Largest submission that fits into one log record, in bytes.
     pub record_bytes_max: usize,
+    /// Whether submissions are rejected that a pool's backlog makes useless.
+    pub admission: bool,
     /// Time limits and guarantees of the platform.
     pub bounds: SiteBounds,
 }
--- a/src/jobs/status.rs
+++ b/src/jobs/status.rs
@@ -1,5 +1,6 @@
 //! Status of an entry and of single jobs, for operators.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -42,6 +43,9 @@
     pub leader: Option<SocketAddr>,
     /// All queues.
     pub queues: Vec<QueueStatus>,
+    /// Submissions that this entry rejected for the backlog of their pool, by pool.
+    #[serde(default)]
+    pub rejections: BTreeMap<Arc<str>, u64>,
     /// State of the scheduler, if this entry leads.
     pub leading: Option<LeaderOverview>,
 }
@@ -101,6 +105,7 @@
         log_age_ms: node.log_age_ms(),
         leader: node.leader(),
         queues: queues.collect(),
+        rejections: node.metrics.rejections(),
         leading: node.with_scheduler(|scheduler| scheduler.overview(now)),
     }
 }
--- /dev/null
+++ b/src/scheduler/line.rs
@@ -0,0 +1,354 @@
+//! Digest of the backlog of each pool, which entries use to reject submissions.
+//!
+//! The planning of the pools visits every job ten times a second. The digest is summed up in the
+//! same visit and sealed after the next placement, when tasks that found capacity have taken it. It
+//! is encoded once; all answers until the next one share the bytes. Without a fresh VM list pools
+//! are not planned: then there is no digest, and nothing is rejected, since the capacity that is
+//! coming is unknown.
+//!
+//! Whatever the leader can't tell is left out, so that entries reject too little rather than too
+//! much: services, best-effort tasks, tasks that need a label, tasks that a cap holds back, and
+//! pools of which no capacity is known. Workers that do not answer yet count as capacity that is
+//! coming, and so do the VMs of the standby pool, which demand calls for within a tenth of a second.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::decide::admission::{
+    ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, is_counted,
+    size_class, task_work,
+};
+use crate::jobs::model::{JobSpec, StepSpec};
+use crate::jobs::site::{QueueSpec, VmState};
+use crate::scheduler::Scheduler;
+use crate::scheduler::job::{RunPhase, StepRun};
+use crate::scheduler::rank::{JobRank, RankTier};
+use crate::scheduler::runtime::RuntimeModel;
+
+/// Age from which the leader sends a digest no more, in milliseconds. A loop that is slower than
+/// this has not planned the pools for several intervals.
+const SEND_AGE_MAX_MS: u64 = 500;
+/// Window in which arrivals are counted, in milliseconds: rates are per second.
+const ARRIVAL_WINDOW_MS: u64 = 1_000;
+/// Queues of a pool whose run times the digest holds; submissions to others are accepted.
+const MODELS_MAX: usize = 16;
+
+/// A digest as the leader sends it.
+#[derive(Clone, Debug)]
+pub struct LineReport {
+    /// The digest.
+    pub digest: Arc<LineDigest>,
+    /// Its encoding.
+    pub body: Bytes,
+    /// When it was computed, in milliseconds.
+    pub computed_ms: u64,
+}
+
+/// State from which digests are computed.
+#[derive(Debug, Default)]
+pub(crate) struct LineTracker {
+    is_enabled: bool,
+    number: u64,
+    arrivals: HashMap<ArrivalKey, ArrivalWindow>,
+    /// Sums of the latest planning of the pools, until they are sealed.
+    sums: Option<LineSums>,
+    report: Option<LineReport>,
+}
+
+/// Pool, priority and size class of arrivals.
+type ArrivalKey = (Arc<str>, u32, u8);
+
+/// Work that arrived in the current window and in the one before.
+#[derive(Clone, Copy, Debug, Default)]
+struct ArrivalWindow {
+    begun_ms: u64,
+    current: u64,
+    previous: u64,
+}
+
+impl ArrivalWindow {
+    fn advance(&mut self, now: u64) {
+        let age_ms = now.saturating_sub(self.begun_ms);
+        if age_ms < ARRIVAL_WINDOW_MS {
+            return;
+        }
+        let is_next = age_ms < 2 * ARRIVAL_WINDOW_MS;
+        self.previous = if is_next { self.current } else { 0 };
+        self.current = 0;
+        self.begun_ms = now - age_ms % ARRIVAL_WINDOW_MS;
+    }
+
+    /// Work of about the last second. Of the earlier window, the part that is less than a second
+    /// old counts.
+    fn rate(&mut self, now: u64) -> u64 {
+        self.advance(now);
+        let left_ms = ARRIVAL_WINDOW_MS.saturating_sub(now.saturating_sub(self.begun_ms));
+        let earlier = u128::from(self.previous) * u128::from(left_ms) / 1_000;
+        self.current.saturating_add(u64::try_from(earlier).unwrap_or(u64::MAX))
+    }
+}
+
+/// Work of one job, summed up step by step.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct JobWork {
+    waiting: u64,
+    begun: u64,
+}
+
+impl JobWork {
+    /// Adds a step of which `waiting` tasks wait for capacity.
+    pub(crate) fn add_step(
+        &mut self,
+        spec: &StepSpec,
+        step: &StepRun,
+        waiting: usize,
+        model: &RuntimeModel,
+        now: u64,
+    ) {
+        if spec.is_service || spec.is_best_effort {
+            return;
+        }
+        let task_ms = model.expected_ms(spec.estimate_ms);
+        if is_counted(spec) {
+            let count = u64::try_from(waiting).unwrap_or(u64::MAX);
+            self.waiting = self.waiting.saturating_add(task_work(spec, count, task_ms));
+        }
+        for live in step.tasks.iter().flat_map(|task| &task.live) {
+            let left_ms = match live.phase {
+                RunPhase::Running => task_ms.saturating_sub(now.saturating_sub(live.begun_ms)),
+                RunPhase::Planned | RunPhase::Starting => task_ms,
+                // A new leader does not know how long a run has lasted.
+                RunPhase::Inherited | RunPhase::Stopping => 0,
+            };
+            let left = task_work(spec, 1, left_ms);
+            self.begun = self.begun.saturating_add(left);
+        }
+    }
+}
+
+/// Sums of one planning of the pools.
+#[derive(Debug, Default)]
+pub(crate) struct LineSums {
+    pools: BTreeMap<Arc<str>, PoolSums>,
+}
+
+#[derive(Debug, Default)]
+struct PoolSums {
+    begun: u64,
+    priorities: BTreeMap<u32, PrioritySums>,
+    models: Vec<QueueModel>,
+}
+
+#[derive(Debug, Default)]
+struct PrioritySums {
+    behind: u64,
+    classes: BTreeMap<u8, ClassLine>,
+}
+
+impl LineSums {
+    /// Adds an occurrence of a job.
+    pub(crate) fn add_job(
+        &mut self,
+        queue: &QueueSpec,
+        rank: &JobRank,
+        work: JobWork,
+        model: &RuntimeModel,
+    ) {
+        if work.waiting == 0 && work.begun == 0 {
+            return;
+        }
+        if !self.pools.contains_key(&queue.service) {
+            self.pools.insert(queue.service.clone(), PoolSums::default());
+        }
+        let Some(pool) = self.pools.get_mut(&queue.service) else { return };
+        pool.begun = pool.begun.saturating_add(work.begun);
+        if work.waiting == 0 {
+            return;
+        }
+        let is_known = pool.models.iter().any(|known| known.queue == queue.name);
+        if !is_known && pool.models.len() < MODELS_MAX {
+            let expected_ms = |declared_ms| model.expected_ms(declared_ms);
+            pool.models.push(QueueModel::sample(queue.name.clone(), expected_ms));
+        }
+        let sums = pool.priorities.entry(rank.priority).or_default();
+        let is_late = match rank.tier {
+            RankTier::Service | RankTier::InTime => false,
+            RankTier::Late => true,
+            RankTier::BeyondShare | RankTier::Overdue => {
+                sums.behind = sums.behind.saturating_add(work.waiting);
+                return;
+            }
+        };
+        let number = size_class(rank.work);
+        let class = sums.classes.entry(number).or_insert(ClassLine {
+            class: number,
+            least: u64::MAX,
+            ..ClassLine::default()
+        });
+        class.least = class.least.min(rank.work);
+        class.most = class.most.max(rank.work);
+        let sum = if is_late { &mut class.late } else { &mut class.in_time };
+        *sum = sum.saturating_add(work.waiting);
+    }
+}
+
+impl LineTracker {
+    /// Empty sums for a visit of all jobs; `None` if no digest is wanted.
+    pub(crate) fn open_sums(&self) -> Option<LineSums> {
+        self.is_enabled.then(LineSums::default)
+    }
+
+    /// Keeps the sums of a visit until they are sealed.
+    pub(crate) fn set_sums(&mut self, sums: Option<LineSums>) {
+        self.sums = sums;
+    }
+
+    /// Counts the work of a job that arrived.
+    pub(crate) fn record_arrival(
+        &mut self,
+        queue: &QueueSpec,
+        spec: &JobSpec,
+        model: &RuntimeModel,
+        now: u64,
+    ) {
+        if !self.is_enabled {
+            return;
+        }
+        let counted = spec.steps.iter().filter(|step| is_counted(step));
+        let work = counted
+            .map(|step| task_work(step, u64::from(step.count), model.expected_ms(step.estimate_ms)))
+            .fold(0, u64::saturating_add);
+        let key = (queue.service.clone(), queue.priority, size_class(work));
+        let window = self.arrivals.entry(key).or_default();
+        window.advance(now);
+        window.current = window.current.saturating_add(work);
+    }
+}
+
+/// Capacity of a pool's workers.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolCapacity {
+    present: u64,
+    coming: u64,
+    largest_free: crate::jobs::model::ResourceVector,
+}
+
+impl Scheduler {
+    /// Sets whether digests of the backlog are computed.
+    pub fn enable_line(&mut self, is_enabled: bool) {
+        self.line.is_enabled = is_enabled;
+    }
+
+    /// The newest digest, unless it is too old to be sent.
+    pub fn line_report(&self, now: u64) -> Option<LineReport> {
+        let report = self.line.report.as_ref()?;
+        (now < report.computed_ms + SEND_AGE_MAX_MS).then(|| report.clone())
+    }
+
+    /// Computes and encodes a digest, if the pools were planned since the last one.
+    pub(crate) fn seal_line(&mut self, now: u64) {
+        let Some(sums) = self.line.sums.take() else { return };
+        let capacities = self.pool_capacities(&sums, now);
+        self.line.arrivals.retain(|_, window| window.rate(now) > 0);
+        let mut pools = Vec::new();
+        for (name, sums) in sums.pools {
+            let capacity = capacities.get(&name).copied().unwrap_or_default();
+            // While no capacity is known, as after a takeover, nothing can be said about waits.
+            if sums.priorities.is_empty() || capacity.present == 0 {
+                continue;
+            }
+            pools.push(self.pool_line(name, sums, capacity, now));
+        }
+        self.line.number += 1;
+        let (term, number) = (self.term, self.line.number);
+        let digest = LineDigest { version: DIGEST_VERSION, term, number, pools };
+        let (digest, body) = digest.encode();
+        self.line.report = Some(LineReport {
+            digest: Arc::new(digest),
+            body: Bytes::from(body),
+            computed_ms: now,
+        });
+    }
+
+    fn pool_line(
+        &mut self,
+        pool: Arc<str>,
+        mut sums: PoolSums,
+        capacity: PoolCapacity,
+        now: u64,
+    ) -> PoolLine {
+        for ((_, priority, class), window) in
+            self.line.arrivals.iter_mut().filter(|((service, ..), _)| *service == pool)
+        {
+            let classes = &mut sums.priorities.entry(*priority).or_default().classes;
+            let line = classes
+                .entry(*class)
+                .or_insert_with(|| ClassLine { class: *class, ..ClassLine::default() });
+            line.arriving = window.rate(now);
+        }
+        let priorities = sums.priorities.into_iter().map(|(priority, sums)| PriorityLine {
+            priority,
+            behind: sums.behind,
+            classes: sums.classes.into_values().collect(),
+        });
+        PoolLine {
+            pool,
+            begun: sums.begun,
+            capacity: capacity.present,
+            coming: capacity.coming,
+            largest_free: capacity.largest_free,
+            models: sums.models,
+            priorities: priorities.collect(),
+        }
+    }
+
+    /// Capacity of the pools with waiting work.
+    fn pool_capacities(&self, sums: &LineSums, now: u64) -> HashMap<Arc<str>, PoolCapacity> {
+        let has_waiting = |(_, sums): &(&Arc<str>, &PoolSums)| !sums.priorities.is_empty();
+        let spare = self.spare_capacity();
+        let mut capacities: HashMap<Arc<str>, PoolCapacity> = sums
+            .pools
+            .iter()
+            .filter(has_waiting)
+            .map(|(pool, _)| {
+                let coming = self.moving_capacity(pool).saturating_add(spare);
+                (pool.clone(), PoolCapacity { coming, ..PoolCapacity::default() })
+            })
+            .collect();
+        if capacities.is_empty() {
+            return capacities;
+        }
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            let Some(pool) = capacities.get_mut(&worker.entry.service) else { continue };
+            let cpu = worker.entry.capacity.cpu;
+            if worker.is_available(now) {
+                pool.present = pool.present.saturating_add(cpu);
+                pool.largest_free = pool.largest_free.component_max(&worker.free());
+            } else if !worker.entry.is_draining && !worker.is_reserved {
+                pool.coming = pool.coming.saturating_add(cpu);
+            }
+        }
+        capacities
+    }
+
+    /// Capacity of the VMs that are on their way to a pool.
+    fn moving_capacity(&self, pool: &str) -> u64 {
+        let moving =
+            self.fleet.operations.iter().filter(|(_, operation)| operation.is_for_pool(pool));
+        let vms = moving.filter_map(|(vm, _)| self.fleet.vms.get(vm));
+        vms.map(|vm| vm.capacity.cpu).fold(0, u64::saturating_add)
+    }
+
+    /// Capacity of the VMs that any pool can call for.
+    fn spare_capacity(&self) -> u64 {
+        let is_standby = |pool: &str| self.config.pool(pool).is_some_and(|pool| pool.is_standby);
+        let spare = self.fleet.vms.values().filter(|vm| {
+            vm.state == VmState::Up
+                && is_standby(&vm.pool)
+                && !self.fleet.operations.contains_key(&vm.vm)
+        });
+        spare.map(|vm| vm.capacity.cpu).fold(0, u64::saturating_add)
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod gang;
 mod incarnations;
 pub mod job;
+pub mod line;
 mod loss_attribution;
 pub mod losses;
 pub mod maintenance;
@@ -59,6 +60,7 @@
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
+use crate::scheduler::line::LineTracker;
 use crate::scheduler::losses::LossTracker;
 use crate::scheduler::organisation::OrganisationLedger;
 use crate::scheduler::preemption::CapacityClaims;
@@ -177,6 +179,7 @@
     claims: CapacityClaims,
     commits: CommitQueue,
     fleet: FleetState,
+    line: LineTracker,
     pace: FlowPace,
     actions: Vec<SchedulerAction>,
     needs_dispatch: bool,
@@ -233,6 +236,7 @@
             claims: CapacityClaims::default(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
+            line: LineTracker::default(),
             pace: FlowPace::default(),
             actions: Vec::new(),
             needs_dispatch: true,
@@ -467,6 +471,11 @@
                 if submission.spec.schedule.is_none() {
                     let service = self.service_of(&run);
                     let model = self.queue_of(&run).map(|queue| self.runtime_model(queue));
+                    if let (Some(queue), Some(model)) = (self.queues.get(&submission.queue), &model)
+                        && !run.is_beyond_share
+                    {
+                        self.line.record_arrival(queue, &submission.spec, model, now);
+                    }
                     let arrivals = self.fleet.arrivals.entry(service).or_default();
                     arrivals.record_arrival(&submission.spec, &model.unwrap_or_default(), now);
                 }
@@ -637,6 +646,7 @@
         if std::mem::take(&mut self.needs_dispatch) || self.may_place_again() {
             self.dispatch(now);
         }
+        self.seal_line(now);
         self.send_due_commands(now);
     }
 
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -6,6 +6,7 @@
 use crate::jobs::model::ResourceVector;
 use crate::jobs::site::VmState;
 use crate::scheduler::Scheduler;
+use crate::scheduler::line::{JobWork, LineSums};
 use crate::scheduler::organisation::CapBudget;
 use crate::scheduler::rank::{RankTier, rank};
 
@@ -49,7 +50,9 @@
 
 impl Scheduler {
     pub(crate) fn pool_needs(&mut self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
-        let loads = self.pool_loads(now);
+        let mut sums = self.line.open_sums();
+        let loads = self.pool_loads(&mut sums, now);
+        self.line.set_sums(sums);
         let mut needs = BTreeMap::new();
         let config = self.config.clone();
         for pool in config.pools.iter().filter(|pool| !pool.is_standby) {
@@ -111,7 +114,8 @@
         self.fleet.vms.values().map(|vm| vm.capacity).next().unwrap_or_default()
     }
 
-    fn pool_loads(&self, now: u64) -> BTreeMap<Arc<str>, PoolLoad> {
+    /// Loads of the pools. Also sums up the backlog, which takes the same visit of all jobs.
+    fn pool_loads(&self, sums: &mut Option<LineSums>, now: u64) -> BTreeMap<Arc<str>, PoolLoad> {
         let mut loads: BTreeMap<Arc<str>, PoolLoad> = BTreeMap::new();
         let mut caps = CapBudget::default();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
@@ -120,7 +124,9 @@
             let model = self.runtime_model(queue);
             for (occurrence, run) in &job.occurrences {
                 let due = self.due_ms(job, *occurrence, now);
-                let tier = rank(job, queue, run, &model, due, now).tier;
+                let rank = rank(job, queue, run, &model, due, now);
+                let tier = rank.tier;
+                let mut work = JobWork::default();
                 for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
                     let open = step.tasks.len() - step.done;
                     if open == 0 {
@@ -131,6 +137,9 @@
                     let organisation = job.submission.organisation.as_ref();
                     let waiting = open.saturating_sub(live);
                     let waiting = caps.take(&self.organisations, organisation, &spec.need, waiting);
+                    if sums.is_some() {
+                        work.add_step(spec, step, waiting, &model, now);
+                    }
                     let is_begun = spec.after.iter().all(|before| {
                         run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
                     });
@@ -156,6 +165,9 @@
                         load.apart = load.apart.max(usize::try_from(apart).unwrap_or(0));
                     }
                 }
+                if let Some(sums) = sums {
+                    sums.add_job(queue, &rank, work, &model);
+                }
             }
         }
         loads
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -23,6 +23,15 @@
     pub jobs: usize,
     /// Jobs of these that have missed their objective, or are bound to.
     pub late: usize,
+    /// Waiting work by the newest digest of the backlog, in core-milliseconds.
+    #[serde(default)]
+    pub waiting_work: u64,
+    /// Work that has begun and is not done, in core-milliseconds; 0 if no work waits.
+    #[serde(default)]
+    pub begun_work: u64,
+    /// Capacity of the workers in use, in core-milliseconds a second; 0 if no work waits.
+    #[serde(default)]
+    pub capacity: u64,
 }
 
 /// Figures of one organisation.
@@ -131,6 +140,13 @@
             });
             pool.late += usize::from(is_late);
         }
+        let report = self.line_report(now);
+        for line in report.iter().flat_map(|report| &report.digest.pools) {
+            let pool = pools.entry(line.pool.clone()).or_default();
+            pool.waiting_work = line.waiting();
+            pool.begun_work = line.begun;
+            pool.capacity = line.capacity;
+        }
         pools
     }
 
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -61,11 +61,14 @@
         "unused queues",
         "starts a second",
         "ms of decisions a second",
+        "the same with digests of the backlog",
     ];
     let mut table = ExperimentTable::new("decisions of a leader", &head);
     for (workers, waiting, unused) in SIZES {
-        let mut stage = DecisionStage::open(workers, waiting, unused);
-        let (spent, starts) = stage.run();
+        let (spent, starts) = DecisionStage::open(workers, waiting, unused).run();
+        let mut with_digests = DecisionStage::open(workers, waiting, unused);
+        with_digests.scheduler.enable_line(true);
+        let (spent_with_digests, _) = with_digests.run();
         let seconds = number(usize::try_from(LENGTH_MS).unwrap_or(0)) / 1_000.0;
         table.row([
             workers.to_string(),
@@ -73,6 +76,7 @@
             unused.to_string(),
             format!("{:.0}", number(starts) / seconds),
             time_ms(spent.div_f64(seconds)),
+            time_ms(spent_with_digests.div_f64(seconds)),
         ]);
     }
     Ok(super::all_reached(&[table]))
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -103,6 +103,7 @@
     }
     jobs.traffic.count("/call", 1, None);
     jobs.update_traffic();
+    jobs.count_rejection(&"pool".into());
     jobs.set_organisations([("name", 1, 1)].into_iter());
     let coded: BTreeSet<String> = metrics
         .text()
--- a/tests/support/cancel_callers.rs
+++ b/tests/support/cancel_callers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use ibisweir::decide::access::OrganisationDigest;
 use ibisweir::jobs::follower::{TailStep, fold_step};
 use ibisweir::jobs::model::{JobId, StepSpec};
@@ -25,7 +26,7 @@
 
 /// A record that the leader has taken for an entry.
 pub struct TakenRecord {
-    stored: oneshot::Receiver<()>,
+    stored: oneshot::Receiver<Bytes>,
     request: StoreRequest,
 }
 
@@ -164,7 +165,7 @@
         for mut taken in std::mem::take(&mut self.entries[leader.0].taken) {
             let request = taken.request.clone();
             match taken.stored.try_recv() {
-                Ok(()) => {
+                Ok(_) => {
                     self.at_entry(HOP_MS, request.from, move |site| site.finish(&request, 0));
                 }
                 Err(oneshot::error::TryRecvError::Closed) => {
--- a/tests/support/fixtures.rs
+++ b/tests/support/fixtures.rs
@@ -49,6 +49,7 @@
         vms: None,
         permits: None,
         record_bytes_max: 262_144,
+        admission: false,
         bounds: bounds(),
     }
 }
