Find organisations once per ready step, with a bound on the order's cost

The order looked up pool and organisation by name twice for each ready step. Now once, and the second pass goes by position. A test bounds the cost with 500 organisations by twice that with 2.

--- a/src/scheduler/fair_share.rs
+++ b/src/scheduler/fair_share.rs
@@ -96,6 +96,7 @@
 
 /// Organisations with work that is ready in a pool.
 struct PoolClaims<'a> {
+    pool: &'a str,
     positions: HashMap<&'a str, usize>,
     accounts: Vec<FairAccount>,
 }
@@ -155,63 +156,72 @@
     /// Step of each ready step's organisation, 0 without competition, and the pools in which it
     /// decides.
     fn fair_steps(&self, ready: &[ReadyStep]) -> (Vec<u64>, Vec<OrderedPool>) {
-        let owner = |step: &ReadyStep| -> &str {
-            let job = self.jobs.get(&step.key.job);
-            job.and_then(|job| job.submission.organisation.as_deref()).unwrap_or_default()
-        };
-        let mut pools: HashMap<&str, PoolClaims<'_>> = HashMap::new();
-        for step in ready.iter().filter(|step| can_be_in_time(step.rank.tier)) {
-            let claims = pools
-                .entry(&step.service)
-                .or_insert_with(|| PoolClaims { positions: HashMap::new(), accounts: Vec::new() });
-            let name = owner(step);
-            claims.positions.entry(name).or_insert_with(|| {
-                claims.accounts.push(FairAccount {
-                    weight: self.organisations.weight(name),
-                    running: self.organisations.running(&step.service, name),
-                });
-                claims.accounts.len() - 1
-            });
-        }
-        let capacity = |name: &str| self.fair_order.capacities.get(name).copied();
-        pools.retain(|name, claims| claims.accounts.len() > 1 && capacity(name).is_some());
-        let mut fair_pools: HashMap<&str, FairPool> = pools
+        let (claims, places) = self.claims(ready);
+        let mut pools: Vec<Option<FairPool>> = claims
             .iter()
-            .filter_map(|(name, claims)| {
-                Some((*name, FairPool::new(capacity(name)?, &claims.accounts)))
+            .map(|claims| {
+                let capacity = *self.fair_order.capacities.get(claims.pool)?;
+                let is_contested = claims.accounts.len() > 1;
+                is_contested.then(|| FairPool::new(capacity, &claims.accounts))
             })
             .collect();
-        let ordered = pools.iter().filter_map(|(name, claims)| {
-            let pool = fair_pools.get(name)?;
-            let (last, position) = claims
-                .positions
-                .iter()
-                .max_by_key(|(name, position)| (pool.step(**position), **name))?;
+        let ordered = claims.iter().zip(&pools).filter_map(|(claims, pool)| {
+            let pool = pool.as_ref()?;
+            let step = |position: &usize| pool.step(*position);
+            let (last, position) =
+                claims.positions.iter().max_by_key(|(name, position)| (step(position), **name))?;
             Some(OrderedPool {
-                pool: (*name).into(),
+                pool: claims.pool.into(),
                 organisations: claims.accounts.len(),
                 last: (*last).into(),
                 account: *claims.accounts.get(*position)?,
-                step: pool.step(*position),
+                step: step(position),
             })
         });
-        let ordered = ordered.filter(|pool| pool.step > 0).collect();
-        let mut claim = |step: &ReadyStep| {
-            let pool = fair_pools.get_mut(&*step.service)?;
-            let position = *pools.get(&*step.service)?.positions.get(owner(step))?;
+        let ordered = ordered.filter(|ordered| ordered.step > 0).collect();
+        let mut claim = |step: &ReadyStep, place: Option<(usize, usize)>| {
+            let (pool, position) = place?;
+            let pool = pools.get_mut(pool)?.as_mut()?;
             let count = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
             let job = self.jobs.get(&step.key.job)?;
             let spec = job.submission.spec.steps.get(usize::from(step.key.step))?;
             Some(pool.claim(position, &spec.need.times(count)))
         };
-        let steps = ready
-            .iter()
-            .map(|step| match can_be_in_time(step.rank.tier) {
-                true => claim(step).unwrap_or(0),
-                false => 0,
-            })
-            .collect();
-        (steps, ordered)
+        let steps = ready.iter().zip(places).map(|(step, place)| claim(step, place).unwrap_or(0));
+        (steps.collect(), ordered)
+    }
+
+    /// Organisations with ready work by pool, and the pool and organisation of each ready step that
+    /// can be in time.
+    fn claims<'a>(
+        &'a self,
+        ready: &'a [ReadyStep],
+    ) -> (Vec<PoolClaims<'a>>, Vec<Option<(usize, usize)>>) {
+        let mut pools: Vec<PoolClaims<'a>> = Vec::new();
+        let mut pool_positions: HashMap<&str, usize> = HashMap::new();
+        let mut place = |step: &'a ReadyStep| {
+            if !can_be_in_time(step.rank.tier) {
+                return None;
+            }
+            let pool_position = *pool_positions.entry(&step.service).or_insert_with(|| {
+                let (positions, accounts) = (HashMap::new(), Vec::new());
+                pools.push(PoolClaims { pool: &step.service, positions, accounts });
+                pools.len() - 1
+            });
+            let job = self.jobs.get(&step.key.job)?;
+            let name = job.submission.organisation.as_deref().unwrap_or_default();
+            let claims = pools.get_mut(pool_position)?;
+            let position = *claims.positions.entry(name).or_insert_with(|| {
+                claims.accounts.push(FairAccount {
+                    weight: self.organisations.weight(name),
+                    running: self.organisations.running(&step.service, name),
+                });
+                claims.accounts.len() - 1
+            });
+            Some((pool_position, position))
+        };
+        let places = ready.iter().map(&mut place).collect();
+        (pools, places)
     }
 
     fn log_order(&mut self, ordered: OrderedPool, now: u64) {
--- a/tests/decision_cost.rs
+++ b/tests/decision_cost.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ibisweir::jobs::flow::FlowPace;
+use ibisweir::jobs::model::{JobSubmission, StepSpec};
+use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::site::{SiteConfig, WorkerEntry};
-use support::sim::{POOL, SchedulerSim, config, job, queue, step, worker};
+use support::sim::{POOL, SchedulerSim, config, job, job_id, queue, step, submission, worker};
 
 /// Jobs that wait for capacity.
 const JOBS: u64 = 200;
@@ -64,3 +68,38 @@
         "{with_unused:?} with {QUEUES} more queues, {without_unused:?} without"
     );
 }
+
+/// A pool in which nothing is placed, so that only the order of what is ready counts.
+fn held_pool(organisations: u64) -> SchedulerSim {
+    let mut sim = SchedulerSim::open(config(), workers());
+    sim.scheduler.set_pace(FlowPace { starts_max: Some(0), ..FlowPace::default() });
+    for id in 0..JOBS * 5 {
+        let submitted = JobSubmission {
+            organisation: Some(format!("o{}", id % organisations).into()),
+            ..submission(job(vec![StepSpec { estimate_ms: 3_600_000, ..step(8) }]))
+        };
+        sim.append(&JobRecord::Submitted(job_id(id + 1), Arc::new(submitted)));
+    }
+    sim.run_until_idle();
+    sim
+}
+
+/// Guards against an order between organisations that compares each job with each organisation: it
+/// is decided in every placement, when the leader's processor is scarce.
+#[test]
+fn the_order_between_organisations_follows_the_jobs_and_not_the_organisations() {
+    let (mut few, mut many) = (held_pool(2), held_pool(500));
+    let mut fastest = [Duration::MAX; 3];
+    let mut measure = |sim: &mut SchedulerSim, is_fair: bool, position: usize| {
+        sim.scheduler.set_fair_shares(is_fair);
+        fastest[position] = fastest[position].min(fastest_tick(sim));
+    };
+    for _ in 0..ROUNDS {
+        measure(&mut few, false, 0);
+        measure(&mut few, true, 1);
+        measure(&mut many, true, 2);
+    }
+    let [unordered, few, many] = fastest;
+    println!("{unordered:?} not ordered, {few:?} with 2 organisations, {many:?} with 500");
+    assert!(many < few * 2, "{many:?} with 500 organisations, {few:?} with 2");
+}
