Measure the leader's processor time for one task

The measurement of decisions had no case in which waiting tasks are as small as the running ones, so it did not show what placement costs in a burst. A second table measures placement to end for one task, at 350 and 1,000 workers with and without 10,000 waiting tasks. Both tables count thread time, so other processes on the machine do not distort them.

--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -4,11 +4,16 @@
 //! workers, starts are answered at once, tasks end after their run times, workers report their ends. Behind
 //! them stands a line of jobs that are far too late and find no room, as after a burst. Only the time within calls of the
 //! scheduler is counted.
+//!
+//! In a second table, waiting tasks are as small as the running ones, so that each takes the capacity that another frees:
+//! jobs arrive at the rate that fills all workers, and those that are too late for their objective wait behind them. Its
+//! figure is the processor time for one task, from the placement to the end, in thread time: other processes of a busy
+//! machine don't count.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ibisweir::decide::access::RevocationRule;
 use ibisweir::error::CodeResult;
@@ -25,6 +30,8 @@
 use ibisweir::scheduler::runs::RunCommand;
 use ibisweir::scheduler::{Scheduler, SchedulerAction, SchedulerStart};
 
+use nix::time::{ClockId, clock_gettime};
+
 use super::{ExperimentTable, number, time_ms};
 
 /// Workers, jobs that wait in vain, and queues without jobs.
@@ -37,6 +44,11 @@
     (1_000, 10_000, 0),
     (3_000, 0, 0),
 ];
+/// Workers, and tasks that wait for capacity that other tasks free.
+const BACKLOGS: [(usize, usize); 4] = [(350, 0), (350, 10_000), (1_000, 0), (1_000, 10_000)];
+/// Runs of each size in the second table; the fastest counts, since caches are shared with other
+/// processes.
+const ROUNDS: usize = 3;
 const POOLS: usize = 4;
 /// Time between two ticks, in milliseconds, as the leader's loop has them in a burst.
 const TICK_MS: u64 = 8;
@@ -64,8 +76,10 @@
     ];
     let mut table = ExperimentTable::new("decisions of a leader", &head);
     for (workers, waiting, unused) in SIZES {
-        let mut stage = DecisionStage::open(workers, waiting, unused);
-        let (spent, starts) = stage.run();
+        let mut stage = DecisionStage::open(workers, unused);
+        // As long as none of them can be in time, and each asks for more than any worker has left.
+        stage.submit_backlog(waiting, ResourceVector { cpu: ROOM.cpu - 1, ..TASK });
+        let (spent, starts) = stage.run(90);
         let seconds = number(usize::try_from(LENGTH_MS).unwrap_or(0)) / 1_000.0;
         table.row([
             workers.to_string(),
@@ -75,7 +89,53 @@
             time_ms(spent.div_f64(seconds)),
         ]);
     }
-    Ok(super::all_reached(&[table]))
+    Ok(super::all_reached(&[table, backlogs()]))
+}
+
+/// Processor time for one task where others of its size wait.
+fn backlogs() -> ExperimentTable {
+    let head =
+        ["workers", "waiting tasks", "starts a second", "us a task", "us a task, all rounds"];
+    let mut table = ExperimentTable::new("decisions of a leader for one task", &head);
+    let reading = reading_cost();
+    for (workers, waiting) in BACKLOGS {
+        let round = |_| {
+            let mut stage = DecisionStage::open(workers, 0);
+            stage.submit_backlog(waiting / STEP_TASKS as usize, TASK);
+            let (spent, starts) = stage.run(100);
+            let readings = reading * u32::try_from(stage.calls).unwrap_or(u32::MAX);
+            let us = spent.saturating_sub(readings).as_secs_f64() * 1e6 / number(starts.max(1));
+            (us, starts)
+        };
+        let mut rounds: Vec<(f64, usize)> = (0..ROUNDS).map(round).collect();
+        rounds.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let seconds = number(usize::try_from(LENGTH_MS).unwrap_or(0)) / 1_000.0;
+        let all: Vec<String> = rounds.iter().map(|(us, _)| format!("{us:.1}")).collect();
+        table.row([
+            workers.to_string(),
+            waiting.to_string(),
+            format!("{:.0}", number(rounds[0].1) / seconds),
+            format!("{:.1}", rounds[0].0),
+            all.join(", "),
+        ]);
+    }
+    table
+}
+
+/// Processor time of this thread so far.
+fn thread_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map(Duration::from).unwrap_or_default()
+}
+
+/// Processor time that one measured call adds by its two readings of the clock.
+fn reading_cost() -> Duration {
+    const PAIRS: u32 = 10_000;
+    let begun = thread_time();
+    for _ in 0..PAIRS {
+        std::hint::black_box(thread_time().saturating_sub(thread_time()));
+    }
+    // Of a pair, one whole reading lies between the two points in time that are compared.
+    (thread_time() - begun) / (PAIRS * 2)
 }
 
 fn pool(number: usize) -> Arc<str> {
@@ -162,11 +222,13 @@
     submitted: u64,
     starts: usize,
     spent: Duration,
+    /// Measured calls.
+    calls: usize,
     now: u64,
 }
 
 impl DecisionStage {
-    fn open(workers: usize, waiting: usize, unused: usize) -> DecisionStage {
+    fn open(workers: usize, unused: usize) -> DecisionStage {
         let entries: Vec<WorkerEntry> = (0..workers).map(worker).collect();
         let start = SchedulerStart {
             term: 1,
@@ -192,25 +254,29 @@
             submitted: 0,
             starts: 0,
             spent: Duration::ZERO,
+            calls: 0,
             now: 100_000,
         };
         stage.tick();
-        for _ in 0..waiting {
-            // As long as none of them can be in time, and each asks for more than any worker has left.
-            stage.submit(ResourceVector { cpu: ROOM.cpu - 1, ..TASK });
-        }
-        stage.now += 60_000;
         stage
     }
 
-    fn run(&mut self) -> (Duration, usize) {
-        let tasks = u64::try_from(self.running.len()).unwrap_or(0) * (ROOM.cpu / TASK.cpu) * 9 / 10;
+    /// Submits jobs, and lets so much time pass that they are far too late.
+    fn submit_backlog(&mut self, jobs: usize, need: ResourceVector) {
+        (0..jobs).for_each(|_| self.submit(need));
+        self.now += 60_000;
+    }
+
+    /// Runs with arrivals that take this share of the workers, in percent.
+    fn run(&mut self, load_percent: u64) -> (Duration, usize) {
+        let tasks = u64::try_from(self.running.len()).unwrap_or(0) * (ROOM.cpu / TASK.cpu);
+        let tasks = tasks * load_percent / 100;
         // Jobs of two steps, so many that this many tasks are at work.
         let gap_us = TASK_MS * 1_000 * u64::from(STEP_TASKS) / tasks.max(1);
         let (mut next_us, begun) = (self.now * 1_000, self.now);
         while self.now < begun + WARM_MS + LENGTH_MS {
             if self.now < begun + WARM_MS {
-                (self.spent, self.starts) = (Duration::ZERO, 0);
+                (self.spent, self.calls, self.starts) = (Duration::ZERO, 0, 0);
             }
             self.now += TICK_MS;
             while next_us < self.now * 1_000 {
@@ -226,9 +292,10 @@
 
     /// Counts the time of a call to the scheduler.
     fn call<T>(&mut self, call: impl FnOnce(&mut Scheduler, u64) -> T) -> T {
-        let begun = Instant::now();
+        let begun = thread_time();
         let told = call(&mut self.scheduler, self.now);
-        self.spent += begun.elapsed();
+        self.spent += thread_time().saturating_sub(begun);
+        self.calls += 1;
         told
     }
 
