Place tasks by pool, with one search for each step

Placement searched all workers of all pools for each task and compared pool names. Workers are now found by id through a hash table and by pool through an index. A round keeps a bound on each pool's free capacity, ranks the workers once for a step that needs nothing but capacity, lists a step's waiting tasks when its turn comes, and puts aside the steps that a refusal rules out. Whether a worker is due for maintenance or hosts a service is stored.

--- a/src/scheduler/capacity.rs
+++ b/src/scheduler/capacity.rs
@@ -37,10 +37,10 @@
     /// all starts if the worker is leaving.
     pub(crate) fn update_worker_entry(&mut self, entry: WorkerEntry, now: u64) {
         let id = entry.id.clone();
-        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let Some(worker) = self.workers.get(&id) else { return };
         let has_shrunk = !entry.capacity.covers(&worker.entry.capacity);
         let is_leaving = entry.is_draining;
-        worker.entry = entry;
+        self.workers.set_entry(entry);
         if is_leaving {
             self.revoke_starts(&id, "its worker is leaving", now);
             return;
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -1,12 +1,31 @@
 //! Places ready tasks on workers with free capacity.
-
-use std::collections::{BTreeMap, HashMap};
+//!
+//! Guards against bursts, in which thousands of tasks wait for the capacity that others free. The
+//! cost of a round follows the tasks that it places and the jobs that wait, not both times the
+//! workers:
+//!
+//! * Only workers of the step's pool are examined.
+//! * A bound on what any worker of a pool has free ([`PlacementRound`]) refuses a task that fits
+//!   nowhere without a search.
+//! * The workers for a step that requires nothing but capacity are ranked once
+//!   ([`CandidateQueue`]). A placement never makes its worker rank lower and changes no other
+//!   worker, so the best one stays the best until it is full.
+//! * Steps that a refusal rules out are put aside together, and no step's waiting tasks are listed
+//!   before its turn.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
-use crate::scheduler::losses::PoolView;
+use crate::jobs::site::QueueSpec;
+use crate::scheduler::job::{JobRun, OccurrenceRun};
+use crate::scheduler::losses::{PoolView, RecentAddresses};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
+use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::worker::{IsolationRule, WorkerState};
+use crate::scheduler::worker_table::{NameHashing, NameMap};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerEvent};
 
 /// Most workers named in one permit request; the platform allows no more.
@@ -16,13 +35,58 @@
 /// Permits that expire within this time are not used, in milliseconds: a start takes a while.
 const PERMIT_SLACK_MS: u64 = 300;
 
-/// A step with tasks to place.
-#[derive(Clone, Debug)]
+/// A step with tasks to place; the order is that of their turns.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ReadyStep {
     pub rank: JobRank,
     pub key: StepKey,
     pub service: Arc<str>,
-    pub waiting: Vec<TaskKey>,
+    /// Resources that each task reserves.
+    reservation: (u64, u64, u64),
+    /// Whether its tasks preempt others where no capacity is free.
+    may_preempt: bool,
+}
+
+impl ReadyStep {
+    fn reservation(&self) -> ResourceVector {
+        let (cpu, memory, accelerators) = self.reservation;
+        ResourceVector { cpu, memory, accelerators }
+    }
+
+    /// Whether the refusal of `least` in its pool holds for its tasks too.
+    fn is_refused(&self, least: &ResourceVector) -> bool {
+        !self.may_preempt && self.reservation().covers(least)
+    }
+}
+
+/// Facts that hold for one placement round.
+#[derive(Debug, Default)]
+pub(crate) struct PlacementRound {
+    /// For each pool and resource, at least the most that any one of its workers has free. A
+    /// request that exceeds it fits on no worker. `None` outside a round.
+    largest_free: Option<NameMap<ResourceVector>>,
+    /// Addresses of workers that were lost recently.
+    recent_losses: Option<RecentAddresses>,
+    /// Tasks whose runs were preempted: they wait for the next round.
+    pub displaced: BTreeSet<TaskKey>,
+}
+
+/// A queue, as far as its jobs' ranks depend on it.
+struct QueueView<'a> {
+    queue: &'a QueueSpec,
+    model: RuntimeModel,
+    /// The most that a worker of its pool has free.
+    largest_free: ResourceVector,
+}
+
+/// Cost of placing a task on a worker, compared in order; the least is best. Whether the worker has
+/// refused a start lately comes first.
+type PlacementCost = (bool, (u64, u64, u64, u64));
+
+/// Workers of a pool that may take a step's tasks, the best first.
+struct CandidateQueue {
+    /// The position in the pool decides between workers of equal cost.
+    ranked: BinaryHeap<Reverse<(PlacementCost, usize, Arc<str>)>>,
 }
 
 /// Requirements of a task on its worker, beside capacity.
@@ -36,7 +100,7 @@
     /// Workers on which the task should not start.
     pub avoided: &'a [Arc<str>],
     /// Workers that may run the step; `None` for all.
-    pub permitted: Option<Vec<Arc<str>>>,
+    pub permitted: Option<&'a [Arc<str>]>,
     /// Rack that the worker must be in.
     pub rack: Option<&'a str>,
     /// How far the start must keep apart from suspects.
@@ -54,39 +118,61 @@
         }
         self.clear_claims();
         let largest_free = self.largest_free(now);
-        let mut ready = self.ready_steps(&largest_free, now);
-        ready.sort_by_key(|step| (step.rank, step.key));
+        let mut ready = BinaryHeap::from(self.ready_steps(&largest_free, now));
+        self.round = PlacementRound {
+            largest_free: Some(largest_free),
+            recent_losses: Some(self.losses.recent_addresses(now)),
+            displaced: BTreeSet::new(),
+        };
         // Smallest request that each pool has refused. Larger ones are skipped without a search.
-        let mut least_refused: BTreeMap<Arc<str>, ResourceVector> = BTreeMap::new();
-        for step in ready {
+        let mut least_refused: NameMap<ResourceVector> = NameMap::default();
+        // Steps that these refusals rule out, by pool.
+        let mut ruled_out: NameMap<Vec<Reverse<ReadyStep>>> = NameMap::default();
+        while let Some(Reverse(step)) = ready.pop() {
             if !self.has_start_slot() {
                 break;
             }
+            if least_refused.get(&step.service).is_some_and(|least| step.is_refused(least)) {
+                continue;
+            }
             let submission = self.jobs.get(&step.key.job).map(|job| job.submission.clone());
             let Some(submission) = submission else { continue };
             let spec = &submission.spec.steps[usize::from(step.key.step)];
             if !self.is_capacity_view_fresh(&step.service, now) {
                 continue;
             }
-            let reservation = spec.reservation();
-            let is_refused =
-                least_refused.get(&step.service).is_some_and(|least| reservation.covers(least));
-            if is_refused && !may_preempt(spec) {
+            let waiting = self.waiting_tasks(&step.key, now);
+            if waiting.is_empty() {
                 continue;
             }
             let is_placed = if spec.is_gang {
-                self.place_gang(&step, spec, now)
+                self.place_gang(&step, &waiting, spec, now)
             } else {
-                self.place_tasks(&step, spec, now)
+                self.place_tasks(&step, &waiting, spec, now)
             };
-            if !is_placed && is_unconstrained(spec) {
-                least_refused.insert(step.service.clone(), reservation);
+            if is_placed || !is_unconstrained(spec) {
+                continue;
+            }
+            let least = step.reservation();
+            let previous = least_refused.insert(step.service.clone(), least);
+            let ruled_out = ruled_out.entry(step.service.clone()).or_default();
+            if previous.is_some_and(|previous| !previous.covers(&least)) {
+                // The former refusal no longer counts; steps whose turn has passed stay out.
+                let later = ruled_out.drain(..).filter(|Reverse(other)| *other > step);
+                ready.extend(later);
             }
+            let is_in_reach =
+                |other: &ReadyStep| !(other.service == step.service && other.is_refused(&least));
+            let (kept, out) = ready.into_vec().into_iter().partition(|r| is_in_reach(&r.0));
+            let out: Vec<Reverse<ReadyStep>> = out;
+            ruled_out.extend(out);
+            ready = BinaryHeap::<Reverse<ReadyStep>>::from(kept);
         }
         if std::mem::take(&mut self.is_copy_check_due) {
             self.place_copies(now);
         }
         self.clear_claims();
+        self.round = PlacementRound::default();
         self.is_start_queue_full = !self.has_start_slot();
     }
 
@@ -109,86 +195,147 @@
         job.submission.spec.steps.get(usize::from(key.step)).cloned()
     }
 
-    /// For each pool and resource, the most that any one of its workers has free. A request that
-    /// exceeds it fits on no worker, which saves most searches in a burst.
-    fn largest_free(&self, now: u64) -> HashMap<Arc<str>, ResourceVector> {
-        let mut largest_free: HashMap<Arc<str>, ResourceVector> = HashMap::new();
-        for worker in self.workers.values().filter(|worker| worker.is_available(now)) {
-            let free = worker.free();
-            match largest_free.get_mut(&worker.entry.service) {
-                Some(largest) => *largest = largest.component_max(&free),
-                None => {
-                    largest_free.insert(worker.entry.service.clone(), free);
-                }
-            }
+    /// For each pool and resource, the most that any one of its workers has free.
+    fn largest_free(&self, now: u64) -> NameMap<ResourceVector> {
+        let pools = self.workers.pool_names();
+        pools.map(|pool| (pool.clone(), self.largest_free_of(pool, now))).collect()
+    }
+
+    fn largest_free_of(&self, pool: &str, now: u64) -> ResourceVector {
+        let workers = self.workers.pool(pool).map(|(_, worker)| worker);
+        let available = workers.filter(|worker| worker.is_available(now));
+        available.fold(ResourceVector::default(), |most, worker| most.component_max(&worker.free()))
+    }
+
+    /// Whether a request may fit on a worker of a pool, as far as the bound on free capacity says.
+    fn may_fit(&self, pool: &str, reservation: &ResourceVector) -> bool {
+        let Some(largest_free) = &self.round.largest_free else { return true };
+        largest_free.get(pool).copied().unwrap_or_default().covers(reservation)
+    }
+
+    /// Renews the bound on what workers of a pool have free, after a search in vain or a change
+    /// other than a placement.
+    pub(crate) fn renew_largest_free(&mut self, pool: &str, now: u64) {
+        let largest = self.largest_free_of(pool, now);
+        let bounds = self.round.largest_free.as_mut();
+        if let Some(bound) = bounds.and_then(|largest_free| largest_free.get_mut(pool)) {
+            *bound = largest;
+        }
+    }
+
+    /// Whether a worker at this address was lost recently; only if no task is likely to be the
+    /// cause where `is_unexplained` is set.
+    pub(crate) fn was_lost_recently(
+        &self,
+        address: SocketAddr,
+        is_unexplained: bool,
+        now: u64,
+    ) -> bool {
+        match (&self.round.recent_losses, is_unexplained) {
+            (Some(recent), true) => recent.unexplained.contains(&address),
+            (Some(recent), false) => recent.all.contains(&address),
+            (None, true) => self.losses.has_unexplained_loss(address, now),
+            (None, false) => self.losses.has_recent_loss(address, now),
         }
-        largest_free
     }
 
     /// Steps with waiting tasks that may find a worker.
     fn ready_steps(
         &self,
-        largest_free: &HashMap<Arc<str>, ResourceVector>,
+        largest_free: &NameMap<ResourceVector>,
         now: u64,
-    ) -> Vec<ReadyStep> {
+    ) -> Vec<Reverse<ReadyStep>> {
         let mut ready = Vec::new();
-        let sizes = self.pool_sizes();
+        let mut views: HashMap<&str, Option<QueueView<'_>>, NameHashing> = HashMap::default();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
-            let Some(queue) = self.queue_of(job) else { continue };
+            let view = views.entry(&job.submission.queue).or_insert_with(|| {
+                let queue = self.queue_of(job)?;
+                let model = self.runtime_model(queue);
+                let largest_free = largest_free.get(&queue.service).copied().unwrap_or_default();
+                Some(QueueView { queue, model, largest_free })
+            });
+            let Some(QueueView { queue, model, largest_free }) = view else { continue };
             let specs = &job.submission.spec.steps;
-            let model = self.runtime_model(queue);
-            let largest = largest_free.get(&queue.service).copied().unwrap_or_default();
             for (occurrence, run) in &job.occurrences {
                 let mut cached_rank = None;
                 for (position, step) in run.steps.iter().enumerate() {
-                    if !may_preempt(&specs[position])
-                        && !largest.covers(&specs[position].reservation())
-                    {
+                    let spec = &specs[position];
+                    let reservation = spec.reservation();
+                    if !may_preempt(spec) && !largest_free.covers(&reservation) {
                         continue;
                     }
-                    let is_step_done = |before: &u16| {
-                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
-                    };
-                    if step.is_done() || !specs[position].after.iter().all(is_step_done) {
+                    if !is_ready(run, position, spec) {
                         continue;
                     }
-                    let waiting: Vec<TaskKey> = step
-                        .tasks
-                        .iter()
-                        .enumerate()
-                        .filter(|(_, task)| !task.is_done && !task.has_live_run())
-                        .filter(|(_, task)| {
-                            task.not_before_ms <= now && !task.losses.is_exhausted()
-                        })
-                        .filter(|(index, task)| {
-                            let key = job.key(*occurrence, position, *index);
-                            let pool = PoolView {
-                                service: &queue.service,
-                                vms: sizes.get(&queue.service).copied().unwrap_or_default(),
-                                is_for_service: specs[position].is_service,
-                            };
-                            !self.losses.has_to_wait(&key, task, &pool, now)
-                        })
-                        .map(|(index, _)| job.key(*occurrence, position, index))
-                        .collect();
-                    if waiting.is_empty() {
+                    let key = job.key(*occurrence, position, 0).step_key();
+                    let is_waiting = (0..step.tasks.len())
+                        .any(|index| self.is_waiting(job, *occurrence, position, index, now));
+                    if !is_waiting {
                         continue;
                     }
                     let due = self.due_ms(job, *occurrence, now);
                     let rank =
-                        *cached_rank.get_or_insert_with(|| rank(job, queue, run, &model, due, now));
-                    ready.push(ReadyStep {
+                        *cached_rank.get_or_insert_with(|| rank(job, queue, run, model, due, now));
+                    ready.push(Reverse(ReadyStep {
                         rank,
-                        key: waiting[0].step_key(),
+                        key,
                         service: queue.service.clone(),
-                        waiting,
-                    });
+                        reservation: (
+                            reservation.cpu,
+                            reservation.memory,
+                            reservation.accelerators,
+                        ),
+                        may_preempt: may_preempt(spec),
+                    }));
                 }
             }
         }
         ready
     }
 
+    /// Whether a task of a ready step waits to be placed.
+    fn is_waiting(
+        &self,
+        job: &JobRun,
+        occurrence: u32,
+        position: usize,
+        index: usize,
+        now: u64,
+    ) -> bool {
+        let step = job.occurrences.get(&occurrence).and_then(|run| run.steps.get(position));
+        let Some(task) = step.and_then(|step| step.tasks.get(index)) else { return false };
+        if task.is_done
+            || task.has_live_run()
+            || task.not_before_ms > now
+            || task.losses.is_exhausted()
+        {
+            return false;
+        }
+        if !task.losses.is_on_trial() {
+            return true;
+        }
+        let Some(queue) = self.queue_of(job) else { return false };
+        let pool = PoolView {
+            service: &queue.service,
+            vms: self.pool_size_on_trial(&queue.service),
+            is_for_service: job.submission.spec.steps[position].is_service,
+        };
+        !self.losses.has_to_wait(&job.key(occurrence, position, index), task, &pool, now)
+    }
+
+    /// Waiting tasks of a ready step, in order.
+    fn waiting_tasks(&self, step: &StepKey, now: u64) -> Vec<TaskKey> {
+        let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
+        let Some(run) = job.occurrences.get(&step.occurrence) else { return Vec::new() };
+        let position = usize::from(step.step);
+        let tasks = run.steps.get(position).map_or(0, |run| run.tasks.len());
+        (0..tasks)
+            .filter(|index| self.is_waiting(job, step.occurrence, position, *index, now))
+            .map(|index| job.key(step.occurrence, position, index))
+            .filter(|key| !self.round.displaced.contains(key))
+            .collect()
+    }
+
     /// When an occurrence was due, by the steady clock.
     pub(crate) fn due_ms(
         &self,
@@ -203,33 +350,58 @@
     }
 
     /// Places the waiting tasks of a step; returns false if one found no capacity.
-    fn place_tasks(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
+    fn place_tasks(
+        &mut self,
+        step: &ReadyStep,
+        waiting: &[TaskKey],
+        spec: &StepSpec,
+        now: u64,
+    ) -> bool {
         let Some(permitted) = self.permitted(step, now) else { return true };
         let (mut runs_by_worker, mut runs_by_rack) = self.relevant_sibling_counts(spec, &step.key);
+        let is_preemptor = may_preempt(spec);
+        // Whether tasks without losses and failures need nothing but capacity.
+        let is_plain_step = is_unconstrained(spec)
+            && permitted.is_none()
+            && !(is_preemptor && self.fleet.urgent_pools.contains(&step.service));
+        let mut candidates = None;
         // Tasks to be placed once the runs preempted for them have ended.
         let mut preempting = 0;
-        for key in &step.waiting {
+        for key in waiting {
             // The organisation's cap holds back its other tasks as well, but nobody else's.
             if !self.has_start_slot()
                 || !self.may_start_under_cap(key, &spec.need.times(preempting + 1))
             {
                 return preempting == 0;
             }
+            if is_plain_step && self.is_plain_task(key, spec, now) {
+                let queue = match &mut candidates {
+                    Some(queue) => queue,
+                    None => candidates.insert(self.candidates(&step.service, spec, now)),
+                };
+                if let Some(worker) = self.next_candidate(queue, spec, now) {
+                    let run = self.next_run(key);
+                    self.plan_isolated_run(IsolationRule::Normal, key, run, &worker, now);
+                    continue;
+                }
+            }
             let waited = self.waited_ms(key, now);
             let rules = self.isolation_rules(key, &step.service, spec, now);
             // A suspect that has to wait does not mean that the pool is full.
             let Some(last) = rules.last().copied() else { continue };
             let avoided = self.avoided_now(key, spec, &step.service, now);
-            let is_preemptor = may_preempt(spec);
             let query = PlaceQuery {
                 spec,
                 runs_by_worker: &runs_by_worker,
                 runs_by_rack: &runs_by_rack,
                 avoided: &avoided,
-                permitted: permitted.clone(),
+                permitted: permitted.as_deref(),
                 rack: None,
                 isolation: last,
             };
+            let may_fit = self.may_fit(&step.service, &spec.reservation());
+            // Candidates were ranked before this placement.
+            candidates = None;
             let mut found = self.find_isolated_worker(&step.service, &query, &rules, waited, now);
             if found.is_none()
                 && is_preemptor
@@ -251,6 +423,9 @@
                 found = self.find_isolated_worker(&step.service, &query, &rules, waited, now);
             }
             let Some((worker, isolation)) = found else {
+                if may_fit {
+                    self.renew_largest_free(&step.service, now);
+                }
                 if self.probation_job(key).is_some() {
                     continue;
                 }
@@ -266,12 +441,77 @@
         preempting == 0
     }
 
+    /// Whether a task may start on any worker without an exclusive probation, and avoids none
+    /// because of its past.
+    fn is_plain_task(&self, key: &TaskKey, spec: &StepSpec, now: u64) -> bool {
+        let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
+        task.is_some_and(|task| {
+            task.losses.total == 0
+                && task.losses.probation_ms() == 0
+                && task.failed_on.is_empty()
+                && !task.is_overdue(spec.is_service, now)
+        })
+    }
+
+    /// Ranks the workers of a pool for a step that requires nothing but capacity.
+    fn candidates(&self, service: &str, spec: &StepSpec, now: u64) -> CandidateQueue {
+        if !self.may_fit(service, &spec.reservation()) {
+            return CandidateQueue { ranked: BinaryHeap::new() };
+        }
+        let (runs_by_worker, runs_by_rack) = (BTreeMap::new(), BTreeMap::new());
+        let query = PlaceQuery {
+            spec,
+            runs_by_worker: &runs_by_worker,
+            runs_by_rack: &runs_by_rack,
+            avoided: &[],
+            permitted: None,
+            rack: None,
+            isolation: IsolationRule::Normal,
+        };
+        let workers = self.workers.pool(service).enumerate();
+        let fitting =
+            workers.filter(|(_, (id, worker))| self.may_take_plain(id, worker, spec, now));
+        let ranked: Vec<_> = fitting
+            .map(|(position, (id, worker))| {
+                let cost = (worker.has_refused(now), self.placement_cost(worker, &query, now));
+                Reverse((cost, position, id.clone()))
+            })
+            .collect();
+        CandidateQueue { ranked: ranked.into() }
+    }
+
+    /// The best of the ranked workers that still has capacity.
+    fn next_candidate(
+        &self,
+        queue: &mut CandidateQueue,
+        spec: &StepSpec,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        loop {
+            let Reverse((_, _, id)) = queue.ranked.peek()?;
+            let worker = self.workers.get(id);
+            if worker.is_some_and(|worker| self.may_take_plain(id, worker, spec, now)) {
+                return Some(id.clone());
+            }
+            queue.ranked.pop();
+        }
+    }
+
+    fn may_take_plain(
+        &self,
+        id: &Arc<str>,
+        worker: &WorkerState,
+        spec: &StepSpec,
+        now: u64,
+    ) -> bool {
+        self.unclaimed(id, worker).covers(&spec.reservation())
+            && worker.may_take(IsolationRule::Normal, now)
+    }
+
     /// Whether a pool has available workers other than `avoided`.
     fn has_other_available(&self, service: &str, avoided: &[Arc<str>], now: u64) -> bool {
         let is_other = |id: &Arc<str>| !avoided.contains(id);
-        self.workers.iter().any(|(id, worker)| {
-            &*worker.entry.service == service && worker.is_available(now) && is_other(id)
-        })
+        self.workers.pool(service).any(|(id, worker)| worker.is_available(now) && is_other(id))
     }
 
     /// Whether a task would rather wait than start on a VM that lost a worker recently.
@@ -325,21 +565,16 @@
     /// would lose the next one as well to a VM that keeps going down and up.
     fn recent_loss_workers(&self, service: &str, key: &TaskKey, now: u64) -> Vec<Arc<str>> {
         let is_on_trial = self.loss_count(key).is_on_trial();
-        let workers = self.workers.iter().filter(|(_, worker)| &*worker.entry.service == service);
         let has_recent_loss = |(_, worker): &(&Arc<str>, &WorkerState)| {
-            let address = worker.entry.address;
-            match is_on_trial {
-                true => self.losses.has_unexplained_loss(address, now),
-                false => self.losses.has_recent_loss(address, now),
-            }
+            self.was_lost_recently(worker.entry.address, is_on_trial, now)
         };
-        workers.filter(has_recent_loss).map(|(id, _)| id.clone()).collect()
+        self.workers.pool(service).filter(has_recent_loss).map(|(id, _)| id.clone()).collect()
     }
 
     /// Workers of a pool whose VMs are still to be maintained.
     fn due_workers(&self, service: &str) -> Vec<Arc<str>> {
-        let workers = self.workers.iter().filter(|(_, worker)| &*worker.entry.service == service);
-        workers.map(|(id, _)| id.clone()).filter(|id| self.fleet.is_due(id)).collect()
+        let workers = self.workers.pool(service).filter(|(id, _)| self.fleet.is_due(id));
+        workers.map(|(id, _)| id.clone()).collect()
     }
 
     /// Runs of a step by worker and by rack, for steps whose placement depends on them; empty for
@@ -399,11 +634,8 @@
     }
 
     fn pool_workers(&self, service: &str) -> Vec<Arc<str>> {
-        self.workers
-            .iter()
-            .filter(|(_, worker)| worker.is_listed && &*worker.entry.service == service)
-            .map(|(id, _)| id.clone())
-            .collect()
+        let listed = self.workers.pool(service).filter(|(_, worker)| worker.is_listed);
+        listed.map(|(id, _)| id.clone()).collect()
     }
 
     /// The worker that fits best, if any does.
@@ -416,11 +648,13 @@
     ) -> Option<Arc<str>> {
         let remote_ms = remote_cost_ms(query.spec, self.bounds.remote_factor);
         let reservation = query.spec.reservation();
+        if !self.may_fit(service, &reservation) {
+            return None;
+        }
         // The cheapest check goes first: in a burst few workers have free capacity.
         self.workers
-            .iter()
+            .pool(service)
             .filter(|(id, worker)| self.unclaimed(id, worker).covers(&reservation))
-            .filter(|(_, worker)| &*worker.entry.service == service)
             .filter(|(_, worker)| worker.may_take(query.isolation, now))
             .filter(|(id, worker)| is_allowed(id, worker, query))
             .filter(|(_, worker)| {
@@ -457,8 +691,8 @@
         let rank = JobRank { priority: queue.priority, tier: RankTier::Service, work: 0 };
         let hosts: Vec<(bool, &WorkerState)> = self
             .workers
-            .iter()
-            .filter(|(_, worker)| worker.entry.service == service && worker.may_take_starts(now))
+            .pool(&service)
+            .filter(|(_, worker)| worker.may_take_starts(now))
             .filter(|(id, worker)| is_allowed(id, worker, &query))
             .map(|(id, worker)| (self.fleet.is_due(id), worker))
             .collect();
@@ -479,14 +713,15 @@
     ) -> (u64, u64, u64, u64) {
         let spec = query.spec;
         let is_far = u64::from(!is_near(worker, spec));
-        let has_service = worker.runs.values().any(|run| run.is_service);
+        let has_service = worker.has_service();
         let due = u64::from(self.fleet.is_due(&worker.entry.id));
         let rack = query.runs_by_rack.get(worker.entry.rack()).copied().unwrap_or(0);
         let used_share = worker.used().dominant_share_of(&worker.entry.capacity);
         let free_share = 1_000 - used_share.min(1_000);
         if query.isolation.is_near_suspect() {
             // Cost of losing the worker, services first: each has a disruption budget.
-            let has_recent_loss = u64::from(self.losses.has_recent_loss(worker.entry.address, now));
+            let has_recent_loss =
+                u64::from(self.was_lost_recently(worker.entry.address, false, now));
             if query.isolation.is_shared() {
                 let (losses, suspects) = worker.risk();
                 let suspects = u64::try_from(suspects).unwrap_or(u64::MAX);
@@ -516,6 +751,12 @@
     spec.is_service && !spec.is_best_effort
 }
 
+/// Whether the steps that a step waits for are complete and it is not.
+fn is_ready(run: &OccurrenceRun, position: usize, spec: &StepSpec) -> bool {
+    let is_done = |step: &u16| run.steps.get(usize::from(*step)).is_some_and(|step| step.is_done());
+    !run.steps.get(position).is_none_or(|step| step.is_done()) && spec.after.iter().all(is_done)
+}
+
 /// Whether a step requires nothing but capacity, so that its refusal holds for the whole pool.
 fn is_unconstrained(spec: &StepSpec) -> bool {
     spec.required_label.is_none()
@@ -546,5 +787,5 @@
         && (spec.per_worker_max == 0 || runs_on_worker < spec.per_worker_max)
         && !query.avoided.contains(id)
         && query.rack.is_none_or(|rack| worker.entry.rack() == rack)
-        && query.permitted.as_ref().is_none_or(|allowed| allowed.contains(id))
+        && query.permitted.is_none_or(|allowed| allowed.contains(id))
 }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -15,6 +15,7 @@
 use crate::scheduler::losses::IncarnationEnd;
 use crate::scheduler::maintenance::WaveState;
 use crate::scheduler::needs::{NeedKind, PoolNeed, has_shortage, take_idle_vm};
+use crate::scheduler::worker_table::NameMap;
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerEvent};
 
 /// Interval between requests of the VM list while an operation or a wave is in progress, in
@@ -118,7 +119,9 @@
     pub waves: BTreeMap<u64, WaveState>,
     /// Pools whose services must leave several VMs at a time for a wave to finish in time.
     pub urgent_pools: BTreeSet<Arc<str>>,
-    vm_by_worker: HashMap<Arc<str>, Arc<str>>,
+    vm_by_worker: NameMap<Arc<str>>,
+    /// Workers whose VMs are still to be maintained.
+    due_workers: BTreeSet<Arc<str>>,
     list_requested_ms: Option<u64>,
     /// Earliest time of the next request of the list, in milliseconds.
     list_pause_end_ms: u64,
@@ -147,6 +150,20 @@
             self.vms.insert(vm.vm.clone(), vm);
         }
         self.list_as_of_ms = Some(requested_ms);
+        self.renew_due_workers();
+    }
+
+    /// Finds the workers that are due for maintenance anew, after a change of the list or a wave.
+    pub(crate) fn renew_due_workers(&mut self) {
+        let open: Vec<&WaveState> = self.waves.values().filter(|run| !run.is_completed).collect();
+        let is_due = |vm: &Arc<str>| open.iter().any(|run| run.is_due(vm));
+        self.due_workers = match open.is_empty() {
+            true => BTreeSet::new(),
+            false => {
+                let due = self.vm_by_worker.iter().filter(|(_, vm)| is_due(vm));
+                due.map(|(worker, _)| worker.clone()).collect()
+            }
+        };
     }
 
     /// Handles a restart of a worker under its name: its VM has the new incarnation now.
@@ -161,12 +178,21 @@
             operation.worker = id.clone();
         }
         self.vm_by_worker.insert(id.clone(), name);
+        match self.due_workers.remove(before) {
+            true => self.due_workers.insert(id.clone()),
+            false => self.due_workers.remove(id),
+        };
     }
 
     /// Adds a wave; one that is known keeps its progress.
     pub fn add_wave(&mut self, wave: MaintenanceWave, done: BTreeSet<Arc<str>>, now: u64) {
+        let count = self.waves.len();
         let known = self.waves.entry(wave.number).or_insert_with(|| WaveState::new(wave, now));
+        let done_before = known.done.len();
         known.done.extend(done);
+        if known.done.len() != done_before || self.waves.len() != count {
+            self.renew_due_workers();
+        }
     }
 
     /// State of the VM of each listed worker, by the worker's name; `None` before the first list.
@@ -183,8 +209,7 @@
 
     /// Whether the VM of a worker is still to be maintained.
     pub fn is_due(&self, worker: &str) -> bool {
-        let Some(vm) = self.vm_by_worker.get(worker) else { return false };
-        self.waves.values().any(|wave| wave.is_due(vm))
+        self.due_workers.contains(worker)
     }
 
     /// Number of VMs with an operation that moves them to a pool and that the list does not show
@@ -244,8 +269,8 @@
             .filter_map(|vm| self.fleet.vms.get(vm))
             .map(|vm| vm.worker.clone())
             .collect();
-        for (id, worker) in &mut self.workers {
-            let is_reserved = reserved.contains(id);
+        for worker in self.workers.values_mut() {
+            let is_reserved = reserved.contains(&worker.entry.id);
             self.needs_dispatch |= worker.is_reserved && !is_reserved;
             worker.is_reserved = is_reserved;
         }
@@ -505,8 +530,9 @@
             }
             let fewest = self
                 .workers
-                .values()
-                .filter(|worker| worker.entry.service == *pool && worker.may_take_starts(now))
+                .pool(pool)
+                .map(|(_, worker)| worker)
+                .filter(|worker| worker.may_take_starts(now))
                 .filter(|worker| worker.runs.values().all(|run| run.is_service))
                 .filter(|worker| !worker.runs.is_empty())
                 .min_by_key(|worker| worker.runs.len());
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -3,30 +3,35 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::jobs::model::{ResourceVector, StepSpec};
+use crate::jobs::model::{ResourceVector, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::scheduler::dispatch::{PlaceQuery, ReadyStep, is_allowed, is_near, remote_cost_ms};
-use crate::scheduler::worker::IsolationRule;
+use crate::scheduler::worker::{IsolationRule, WorkerState};
 
 impl Scheduler {
     /// Places all members of a gang or none; returns false if there is not enough capacity.
-    pub(crate) fn place_gang(&mut self, step: &ReadyStep, spec: &StepSpec, now: u64) -> bool {
-        let is_complete = step.waiting.len() == usize::try_from(spec.count).unwrap_or(0);
+    pub(crate) fn place_gang(
+        &mut self,
+        step: &ReadyStep,
+        waiting: &[TaskKey],
+        spec: &StepSpec,
+        now: u64,
+    ) -> bool {
+        let is_complete = waiting.len() == usize::try_from(spec.count).unwrap_or(0);
         if !is_complete {
             return true;
         }
-        let members = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
-        if !self.may_start_under_cap(&step.waiting[0], &spec.need.times(members)) {
+        let members = u64::try_from(waiting.len()).unwrap_or(u64::MAX);
+        if !self.may_start_under_cap(&waiting[0], &spec.need.times(members)) {
             return true;
         }
         let Some(permitted) = self.permitted(step, now) else { return true };
-        let suspect = step.waiting.iter().find(|key| self.probation_job(key).is_some());
-        let rules =
-            self.isolation_rules(suspect.unwrap_or(&step.waiting[0]), &step.service, spec, now);
+        let suspect = waiting.iter().find(|key| self.probation_job(key).is_some());
+        let rules = self.isolation_rules(suspect.unwrap_or(&waiting[0]), &step.service, spec, now);
         if rules.is_empty() {
             return true;
         }
-        let waited = self.waited_ms(&step.waiting[0], now);
+        let waited = self.waited_ms(&waiting[0], now);
         let racks = if spec.wants_one_rack { self.racks(&step.service) } else { Vec::new() };
         let remote_ms = remote_cost_ms(spec, self.bounds.remote_factor);
         let may_span_racks = !spec.wants_one_rack || waited >= remote_ms;
@@ -35,20 +40,29 @@
         let attempts =
             rules.iter().flat_map(|isolation| rack_choices.clone().map(|rack| (*isolation, rack)));
         let plan = attempts.into_iter().find_map(|(isolation, rack)| {
-            let plan = self.plan_gang(step, spec, permitted.clone(), rack, isolation, now)?;
+            let plan = self.plan_gang(
+                step,
+                waiting.len(),
+                spec,
+                permitted.as_deref(),
+                rack,
+                isolation,
+                now,
+            )?;
             Some((plan, isolation))
         });
         let Some((plan, isolation)) = plan else { return false };
-        let run = step.waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
-        for (key, worker) in step.waiting.iter().zip(plan) {
+        let run = waiting.iter().map(|key| self.next_run(key)).max().unwrap_or(1);
+        for (key, worker) in waiting.iter().zip(plan) {
             self.plan_isolated_run(isolation, key, run, &worker, now);
         }
         true
     }
 
     fn racks(&self, service: &str) -> Vec<String> {
-        let workers = self.workers.values().filter(|worker| &*worker.entry.service == service);
-        let mut racks: Vec<String> = workers.map(|worker| worker.entry.rack().to_owned()).collect();
+        let workers = self.workers.pool(service);
+        let mut racks: Vec<String> =
+            workers.map(|(_, worker)| worker.entry.rack().to_owned()).collect();
         racks.sort();
         racks.dedup();
         racks
@@ -58,50 +72,44 @@
     fn plan_gang(
         &self,
         step: &ReadyStep,
+        members: usize,
         spec: &StepSpec,
-        permitted: Option<Vec<Arc<str>>>,
+        permitted: Option<&[Arc<str>]>,
         rack: Option<&str>,
         isolation: IsolationRule,
         now: u64,
     ) -> Option<Vec<Arc<str>>> {
         let (mut runs_by_worker, runs_by_rack) = (BTreeMap::new(), BTreeMap::new());
-        let mut free: BTreeMap<&Arc<str>, ResourceVector> = self
+        let mut free: BTreeMap<&Arc<str>, (&WorkerState, ResourceVector)> = self
             .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.entry.service == step.service && worker.may_take(isolation, now)
-            })
-            .map(|(id, worker)| (id, self.unclaimed(id, worker)))
+            .pool(&step.service)
+            .filter(|(_, worker)| worker.may_take(isolation, now))
+            .map(|(id, worker)| (id, (worker, self.unclaimed(id, worker))))
             .collect();
-        let mut plan = Vec::with_capacity(step.waiting.len());
-        for _ in &step.waiting {
+        let mut plan = Vec::with_capacity(members);
+        for _ in 0..members {
             let query = PlaceQuery {
                 spec,
                 runs_by_worker: &runs_by_worker,
                 runs_by_rack: &runs_by_rack,
                 avoided: &[],
-                permitted: permitted.clone(),
+                permitted,
                 rack,
                 isolation,
             };
             let chosen = free
                 .iter()
-                .filter(|(id, available)| {
-                    available.covers(&spec.reservation())
-                        && self
-                            .workers
-                            .get(**id)
-                            .is_some_and(|worker| is_allowed(id, worker, &query))
+                .filter(|(id, (worker, available))| {
+                    available.covers(&spec.reservation()) && is_allowed(id, worker, &query)
                 })
-                .min_by_key(|(id, available)| {
-                    let worker = &self.workers[**id];
+                .min_by_key(|(_, (worker, available))| {
                     let has_recent_loss = isolation.is_near_suspect()
-                        && self.losses.has_recent_loss(worker.entry.address, now);
+                        && self.was_lost_recently(worker.entry.address, false, now);
                     let share = available.dominant_share_of(&worker.entry.capacity);
                     (!is_near(worker, spec), has_recent_loss, share)
                 })
                 .map(|(id, _)| (*id).clone())?;
-            if let Some(available) = free.get_mut(&chosen) {
+            if let Some((_, available)) = free.get_mut(&chosen) {
                 *available = available.saturating_sub(&spec.reservation());
             }
             *runs_by_worker.entry(chosen.clone()).or_insert(0) += 1;
--- a/src/scheduler/incarnations.rs
+++ b/src/scheduler/incarnations.rs
@@ -160,9 +160,8 @@
         // A start that is still in flight may carry any lease that was requested until now.
         let lease_ms = self.lease_ms() * 100 / 98 + self.bounds.stop_ms;
         let bound = self.predecessor_lease_bound_ms.max(now + lease_ms);
-        let next =
-            self.workers.entry(id.clone()).or_insert_with(|| WorkerState::new(entry, bound, now));
-        let target = next.target();
+        let next = self.workers.get_or_insert_with(&id, || WorkerState::new(entry, bound, now));
+        let Some(target) = next.map(|next| next.target()) else { return };
         for ((key, run), placed) in &old.runs {
             if !carried.iter().any(|(carried, _)| carried == &(*key, *run)) {
                 self.lose_run(previous, key, *run, placed.span, "its worker began anew", now);
--- a/src/scheduler/loss_attribution.rs
+++ b/src/scheduler/loss_attribution.rs
@@ -213,14 +213,19 @@
 
     /// Listed workers by pool; empty where no task can be on trial.
     pub(crate) fn pool_sizes(&self) -> HashMap<&Arc<str>, usize> {
-        let mut sizes = HashMap::new();
-        if self.losses.logged_jobs().is_empty() {
-            return sizes;
+        let pools = self.workers.pool_names();
+        match self.losses.logged_jobs().is_empty() {
+            true => HashMap::new(),
+            false => pools.map(|pool| (pool, self.pool_size_on_trial(pool))).collect(),
         }
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
-            *sizes.entry(&worker.entry.service).or_default() += 1;
+    }
+
+    /// Number of listed workers of a pool; 0 where no task can be on trial.
+    pub(crate) fn pool_size_on_trial(&self, pool: &str) -> usize {
+        match self.losses.logged_jobs().is_empty() {
+            true => 0,
+            false => self.workers.pool(pool).filter(|(_, worker)| worker.is_listed).count(),
         }
-        sizes
     }
 
     /// Job of a task that has to start on probation.
@@ -232,7 +237,7 @@
     /// other tasks.
     pub(crate) fn has_probation_capacity(&self, service: &Arc<str>, now: u64) -> bool {
         let (mut all, mut at_risk) = (0, 0);
-        for worker in self.workers.values().filter(|worker| worker.entry.service == *service) {
+        for (_, worker) in self.workers.pool(service) {
             all += usize::from(worker.is_available(now));
             at_risk += usize::from(worker.has_probation());
         }
--- a/src/scheduler/losses.rs
+++ b/src/scheduler/losses.rs
@@ -301,6 +301,15 @@
     vm: LostVm,
 }
 
+/// Addresses of workers that were lost recently.
+#[derive(Debug, Default)]
+pub(crate) struct RecentAddresses {
+    /// All.
+    pub all: BTreeSet<SocketAddr>,
+    /// Those with a loss that no task is likely to have caused.
+    pub unexplained: BTreeSet<SocketAddr>,
+}
+
 /// Workers that were lost recently, and the decisions that are still due about them.
 #[derive(Debug, Default)]
 pub(crate) struct LossTracker {
@@ -503,6 +512,26 @@
             || self.inherited.iter().any(is_inherited)
     }
 
+    /// Addresses for which [`LossTracker::has_recent_loss`] and
+    /// [`LossTracker::has_unexplained_loss`] hold, for decisions about many workers at one time.
+    pub fn recent_addresses(&self, now: u64) -> RecentAddresses {
+        let is_recent = |at_ms: u64| now <= at_ms + FLAPPING_MS;
+        let own = self.recent.iter().filter(|loss| is_recent(loss.at_ms));
+        let inherited = self.inherited.iter().filter(|loss| is_recent(loss.at_ms));
+        let mut addresses = RecentAddresses::default();
+        for loss in own {
+            addresses.all.insert(loss.entry.address);
+            if !loss.is_explained() {
+                addresses.unexplained.insert(loss.entry.address);
+            }
+        }
+        for loss in inherited {
+            addresses.all.insert(loss.vm.address);
+            addresses.unexplained.insert(loss.vm.address);
+        }
+        addresses
+    }
+
     /// The same for a loss that no task is likely to have caused: the VM may fail again by itself.
     pub fn has_unexplained_loss(&self, address: SocketAddr, now: u64) -> bool {
         let is_recent = |at_ms: u64| now <= at_ms + FLAPPING_MS;
--- a/src/scheduler/maintenance.rs
+++ b/src/scheduler/maintenance.rs
@@ -103,6 +103,7 @@
             .collect();
         if left.is_empty() {
             run.is_completed = true;
+            self.fleet.renew_due_workers();
             self.actions.push(SchedulerAction::PublishWaveStatus(number, true));
             return;
         }
@@ -181,9 +182,8 @@
     /// Number of a pool's VMs that have services and are still to be maintained.
     fn due_service_vms(&self, pool: &str) -> usize {
         self.workers
-            .iter()
-            .filter(|(_, worker)| &*worker.entry.service == pool)
-            .filter(|(_, worker)| worker.runs.values().any(|run| run.is_service))
+            .pool(pool)
+            .filter(|(_, worker)| worker.has_service())
             .filter(|(id, _)| self.fleet.is_due(id))
             .count()
     }
@@ -203,7 +203,7 @@
     }
 
     fn pool_size(&self, pool: &Arc<str>) -> usize {
-        self.workers.values().filter(|worker| worker.entry.service == *pool).count()
+        self.workers.pool(pool).count()
     }
 
     /// Whether the budgets allow the services of a VM to be down together with those that are down
@@ -268,7 +268,7 @@
     fn planned_vms(&self, number: u64) -> usize {
         let has_service = |operation: &VmOperation| {
             let worker = self.workers.get(&operation.worker);
-            worker.is_some_and(|worker| worker.runs.values().any(|run| run.is_service))
+            worker.is_some_and(|worker| worker.has_service())
         };
         let kept = self
             .fleet
@@ -311,7 +311,7 @@
             let is_wanted = now < worker.idle_since_ms + 300;
             return Some((DrainCost::Nothing, u64::from(is_wanted)));
         }
-        let has_service = worker.runs.values().any(|run| run.is_service);
+        let has_service = worker.has_service();
         let cost = if has_service { DrainCost::Evict } else { DrainCost::Wait };
         Some((cost, load))
     }
@@ -360,12 +360,14 @@
         let Some(run) = self.fleet.waves.get_mut(&number) else { return };
         run.done.insert(vm.clone());
         self.commits.queue_wave(number, run.done.clone());
+        self.fleet.renew_due_workers();
     }
 
     /// Removes a VM from a wave: the platform says that it does not belong to it.
     pub(crate) fn remove_from_wave(&mut self, number: u64, vm: &Arc<str>) {
         if let Some(run) = self.fleet.waves.get_mut(&number) {
             run.wave.vms.retain(|other| other != vm);
+            self.fleet.renew_due_workers();
         }
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -40,6 +40,7 @@
 mod tombstones;
 mod waits;
 pub mod worker;
+mod worker_table;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -56,6 +57,7 @@
 use crate::scheduler::abandoned::AbandonedRuns;
 pub use crate::scheduler::action::{RecordSource, SchedulerAction, SchedulerEvent};
 use crate::scheduler::commit::CommitQueue;
+use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fleet::FleetState;
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
@@ -67,6 +69,7 @@
 use crate::scheduler::tombstones::TombstoneTable;
 use crate::scheduler::waits::WaitLog;
 use crate::scheduler::worker::WorkerState;
+use crate::scheduler::worker_table::{NameHashing, NameMap, WorkerTable};
 
 /// Fencing tokens that one term may use, so that a leader can raise its own.
 pub const FENCING_TOKENS_PER_TERM: u64 = 1 << 10;
@@ -143,20 +146,20 @@
     config: Arc<SiteConfig>,
     /// Queues by name: as configured now, else as last configured, since jobs may still refer to
     /// them.
-    queues: HashMap<Arc<str>, QueueSpec>,
+    queues: NameMap<QueueSpec>,
     predecessor_lease_bound_ms: u64,
     predecessor_vm_bound_ms: u64,
     confirmed_ms: u64,
     is_deposed: bool,
-    jobs: HashMap<JobId, JobRun>,
+    jobs: HashMap<JobId, JobRun, NameHashing>,
     awaiting_occurrences: BTreeSet<JobId>,
     /// Run times by queue.
-    runtimes: HashMap<Arc<str>, RuntimeModel>,
+    runtimes: NameMap<RuntimeModel>,
     /// Jobs that are over, and when this process learned so, by the steady clock in milliseconds: a
     /// wall clock may be set forward.
     finished: BTreeMap<JobId, u64>,
     tombstones: TombstoneTable,
-    workers: BTreeMap<Arc<str>, WorkerState>,
+    workers: WorkerTable,
     /// Upper bounds of the leases of workers that were dropped because nothing runs there, in
     /// milliseconds: the workers may be listed again.
     dropped_lease_bounds: BTreeMap<Arc<str>, u64>,
@@ -175,6 +178,7 @@
     is_view_stale: bool,
     permits: HashMap<StepKey, StepPermits>,
     claims: CapacityClaims,
+    round: PlacementRound,
     commits: CommitQueue,
     fleet: FleetState,
     pace: FlowPace,
@@ -207,17 +211,17 @@
             term,
             bounds,
             config,
-            queues: HashMap::new(),
+            queues: NameMap::default(),
             predecessor_lease_bound_ms,
             predecessor_vm_bound_ms,
             confirmed_ms: start.confirmed_ms,
             is_deposed: false,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             awaiting_occurrences: BTreeSet::new(),
-            runtimes: HashMap::new(),
+            runtimes: NameMap::default(),
             finished: BTreeMap::new(),
             tombstones: TombstoneTable::default(),
-            workers: BTreeMap::new(),
+            workers: WorkerTable::default(),
             dropped_lease_bounds: BTreeMap::new(),
             pending_commands: BTreeSet::new(),
             abandoned: AbandonedRuns::default(),
@@ -231,6 +235,7 @@
             is_view_stale: false,
             permits: HashMap::new(),
             claims: CapacityClaims::default(),
+            round: PlacementRound::default(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
             pace: FlowPace::default(),
@@ -529,7 +534,7 @@
                 .max(self.predecessor_lease_bound_ms);
             let worker = WorkerState::new(entry, bound, now);
             let target = worker.target();
-            self.workers.insert(id.clone(), worker);
+            self.workers.insert(worker);
             self.emit(SchedulerEvent::Worker { worker: id, change: "listed", runs: 0 });
             self.actions.push(SchedulerAction::StartRenewals(target));
             return;
--- a/src/scheduler/overview.rs
+++ b/src/scheduler/overview.rs
@@ -159,7 +159,7 @@
 
     fn unavailable_workers(&self, now: u64) -> Vec<UnavailableWorker> {
         let mut doubted = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let reason = if worker.silent_since_ms.is_some() {
                 "does not answer"
             } else if !worker.is_listed {
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -64,11 +64,8 @@
             self.claims.releasing = Some(releasing.collect());
         }
         let mut best: Option<(Preemption, Arc<str>)> = None;
-        for (id, worker) in &self.workers {
-            if &*worker.entry.service != service
-                || !worker.may_take(query.isolation, now)
-                || !is_allowed(id, worker, query)
-            {
+        for (id, worker) in self.workers.pool(service) {
+            if !worker.may_take(query.isolation, now) || !is_allowed(id, worker, query) {
                 continue;
             }
             // It was rejected for another reason than capacity, so stopping runs there would not
@@ -85,6 +82,10 @@
         let (found, id) = best?;
         for (key, run) in &found.victims {
             self.stop_run(key, *run, "displaced by a service", now);
+            self.round.displaced.insert(*key);
+        }
+        if !found.victims.is_empty() {
+            self.renew_largest_free(service, now);
         }
         let releasing = self.workers.get(&id).and_then(|worker| self.releasing(worker, now));
         if let Some(releasing_by_worker) = &mut self.claims.releasing {
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -61,9 +61,10 @@
             self.organisations.add_run(organisation.as_ref(), &need);
             let entry = self
                 .workers
-                .entry(worker.clone())
-                .or_insert_with(|| WorkerState::unlisted(worker, bound, now));
-            entry.add_run((*key, run), placed);
+                .get_or_insert_with(&worker, || WorkerState::unlisted(worker.clone(), bound, now));
+            if let Some(entry) = entry {
+                entry.add_run((*key, run), placed);
+            }
         }
     }
 
--- a/src/scheduler/waits.rs
+++ b/src/scheduler/waits.rs
@@ -205,7 +205,7 @@
     ) -> &'static str {
         let (runs_by_worker, runs_by_rack) = self.sibling_counts(&key.step_key());
         let allowed = self.permits.get(&key.step_key()).map(|permits| &permits.allowed);
-        let permitted = allowed
+        let permitted: Option<Vec<Arc<str>>> = allowed
             .filter(|allowed| !allowed.is_empty())
             .map(|allowed| allowed.keys().cloned().collect());
         let rules = self.isolation_rules(key, service, spec, now);
@@ -215,7 +215,7 @@
             runs_by_worker: &runs_by_worker,
             runs_by_rack: &runs_by_rack,
             avoided: &avoided,
-            permitted,
+            permitted: permitted.as_deref(),
             rack: None,
             isolation: rules.last().copied().unwrap_or(IsolationRule::Normal),
         };
@@ -233,8 +233,7 @@
         {
             return "no worker with room takes a probation";
         }
-        let mut pool = self.workers.values().filter(|worker| worker.entry.service == *service);
-        match pool.any(|worker| worker.may_take_starts(now)) {
+        match self.workers.pool(service).any(|(_, worker)| worker.may_take_starts(now)) {
             true => "no worker has room",
             false => "no worker of its pool takes starts",
         }
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -204,6 +204,10 @@
     /// Second runs of tasks that it lists and that were reported already.
     pub second_runs: BTreeSet<(TaskKey, u32)>,
     used: ResourceVector,
+    /// Number of its runs that are services.
+    services: usize,
+    /// Number of its runs that are suspects, on probation or past it.
+    suspects: usize,
     clock: Option<ClockSample>,
     lease_bound_ms: u64,
     /// End of the longest lease that was requested, by the worker's clock.
@@ -241,6 +245,8 @@
             runs: BTreeMap::new(),
             second_runs: BTreeSet::new(),
             used: ResourceVector::default(),
+            services: 0,
+            suspects: 0,
             clock: None,
             lease_bound_ms,
             requested_lease_end_ms: 0,
@@ -292,9 +298,12 @@
 
     /// Adds a run and allocates its resources.
     pub fn add_run(&mut self, key: (TaskKey, u32), run: PlacedRun) {
-        if self.runs.insert(key, run).is_none() {
-            self.used.add(&run.need);
+        match self.runs.insert(key, run) {
+            None => self.used.add(&run.need),
+            Some(previous) => self.discount(&previous),
         }
+        self.services += usize::from(run.is_service);
+        self.suspects += usize::from(run.probation_ms > 0);
     }
 
     /// Records that the worker reported a run at this time of its clock.
@@ -314,12 +323,23 @@
     pub fn remove_run(&mut self, key: &(TaskKey, u32), now: u64) -> bool {
         let Some(run) = self.runs.remove(key) else { return false };
         self.used = self.used.saturating_sub(&run.need);
+        self.discount(&run);
         if self.runs.is_empty() {
             self.idle_since_ms = now;
         }
         true
     }
 
+    fn discount(&mut self, run: &PlacedRun) {
+        self.services -= usize::from(run.is_service);
+        self.suspects -= usize::from(run.probation_ms > 0);
+    }
+
+    /// Whether a service runs there.
+    pub fn has_service(&self) -> bool {
+        self.services > 0
+    }
+
     /// Resources allocated to its runs.
     pub fn used(&self) -> &ResourceVector {
         &self.used
@@ -391,17 +411,22 @@
 
     /// Whether a suspect waits there to be started until the worker has answered.
     pub fn has_waiting_suspect(&self) -> bool {
-        self.runs.values().any(|run| run.probation_ms > 0 && run.span.length_ms().is_none())
+        self.suspects > 0
+            && self.runs.values().any(|run| run.probation_ms > 0 && run.span.length_ms().is_none())
     }
 
     /// Whether a suspect there is still within the time in which most crashes come.
     pub fn has_starting_suspect(&self) -> bool {
-        self.runs.values().any(|run| run.probation_ms > 0 && !run.has_worked(CRASH_WINDOW_MS))
+        self.suspects > 0
+            && self
+                .runs
+                .values()
+                .any(|run| run.probation_ms > 0 && !run.has_worked(CRASH_WINDOW_MS))
     }
 
     /// Whether a suspect is on an exclusive probation there.
     pub fn has_probation(&self) -> bool {
-        self.runs.values().any(|run| run.is_on_probation() && !run.is_shared)
+        self.suspects > 0 && self.runs.values().any(|run| run.is_on_probation() && !run.is_shared)
     }
 
     /// Risk that a suspect crashes it, for comparison: the most workers that any one suspect has
