--- a/src/scheduler/fair_share.rs
+++ b/src/scheduler/fair_share.rs
@@ -117,19 +117,20 @@
         self.fair_order.is_on = is_on;
     }
 
-    /// Orders steps, which are in the order of their ranks, by the shares of their organisations.
-    pub(crate) fn order_fairly(&mut self, ready: &mut Vec<ReadyStep>, now: u64) {
+    /// Sorts steps by their ranks, and adds the shares of their organisations to the ranks.
+    pub(crate) fn order_fairly(&mut self, ready: &mut [ReadyStep], now: u64) {
         if !self.fair_order.is_on || ready.len() < 2 {
             return;
         }
+        ready.sort_unstable();
         self.sum_capacities(now);
         let (steps, ordered) = self.fair_steps(ready);
         if steps.iter().all(|step| *step == 0) {
             return;
         }
-        let mut keyed: Vec<(u64, ReadyStep)> = steps.into_iter().zip(ready.drain(..)).collect();
-        keyed.sort_by_key(|(step, ready)| (ready.rank.priority, ready.rank.tier, *step));
-        ready.extend(keyed.into_iter().map(|(_, ready)| ready));
+        for (step, ready) in steps.into_iter().zip(ready) {
+            ready.rank.share = step;
+        }
         for pool in ordered {
             self.log_order(pool, now);
         }
@@ -182,8 +183,11 @@
         let mut claim = |step: &ReadyStep, place: Option<(usize, usize)>| {
             let (pool, position) = place?;
             let pool = pools.get_mut(pool)?.as_mut()?;
-            let count = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
             let job = self.jobs.get(&step.key.job)?;
+            let run = job.occurrences.get(&step.key.occurrence)?;
+            let tasks = &run.steps.get(usize::from(step.key.step))?.tasks;
+            let waiting = tasks.iter().filter(|task| !task.is_done && !task.has_live_run()).count();
+            let count = u64::try_from(waiting).unwrap_or(u64::MAX);
             let spec = job.submission.spec.steps.get(usize::from(step.key.step))?;
             Some(pool.claim(position, &spec.need.times(count)))
         };
--- a/src/scheduler/ledger.rs
+++ b/src/scheduler/ledger.rs
@@ -21,6 +21,7 @@
 use crate::scheduler::organisation::OrganisationLedger;
 use crate::scheduler::runtime::{RuntimeModel, RuntimeSummary};
 use crate::scheduler::share::{ShareLimiter, TokenCount, has_changed};
+use crate::scheduler::worker_table::NameMap;
 use crate::scheduler::{Scheduler, SchedulerEvent};
 
 /// Shortest time between two writes, in milliseconds. A burst lasts some ten seconds, so a lost
@@ -112,7 +113,7 @@
 /// The state that is to be stored.
 pub(crate) struct LearnedView<'a> {
     /// Run times by queue.
-    pub runtimes: &'a HashMap<Arc<str>, RuntimeModel>,
+    pub runtimes: &'a NameMap<RuntimeModel>,
     /// Names of the configured queues.
     pub queues: BTreeSet<&'a str>,
     /// Used shares.
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -40,6 +40,9 @@
     pub priority: u32,
     /// Urgency.
     pub tier: RankTier,
+    /// Steps of a fair share that the organisation's running work has reached in the pool; 0 unless
+    /// organisations compete there.
+    pub share: u64,
     /// Processor time left, in core-milliseconds.
     pub work: u64,
 }
@@ -128,5 +131,5 @@
         RankTier::Overdue
     };
     debug_assert!(!job.state.is_final() || job.state == JobState::Running);
-    JobRank { priority: queue.priority, tier, work }
+    JobRank { priority: queue.priority, tier, share: 0, work }
 }
