Measure the leader's processor time for one task beside a backlog

No experiment counted what a task costs the leader from placement to end while thousands of others wait. `measure backlog` drives the scheduler through reports, commits and ticks in virtual time, with jobs of 1 to 4 steps of 8 tasks, and counts processor time instead of elapsed time, so that other processes don't distort it. It also prints a digest of all placements, stops and progress records.

--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -27,6 +27,7 @@
   measure path [NAME]   experiments on the request path, beside baselines
   measure fleet         experiments on planning and intent, beside baselines and lower bounds
   measure decisions     processor time of a leader's decisions, by workers and jobs
+  measure backlog       processor time of a leader's decisions for one task, beside a backlog
   measure leader        processor time of a whole leader for each start
   measure capacity      state, messages, processor time and memory of control, by size
   soak                  entries as processes under drawn faults, for jobs; promises checked
@@ -58,6 +59,8 @@
     },
     /// Processor time of a leader's decisions.
     MeasureDecisions,
+    /// Processor time of a leader's decisions for one task.
+    MeasureBacklog,
     /// Processor time of a whole leader.
     MeasureLeader,
     /// State, messages, processor time and memory of control.
@@ -119,6 +122,7 @@
         ["quickstart"] => Invocation::Run(Task::Quickstart),
         ["measure", "fleet"] => Invocation::Run(Task::MeasureFleet),
         ["measure", "decisions"] => Invocation::Run(Task::MeasureDecisions),
+        ["measure", "backlog"] => Invocation::Run(Task::MeasureBacklog),
         ["measure", "leader"] => Invocation::Run(Task::MeasureLeader),
         ["measure", "capacity"] => Invocation::Run(Task::MeasureCapacity),
         ["measure", "path"] => Invocation::Run(Task::MeasurePath { only: None }),
@@ -206,6 +210,7 @@
         Task::MeasurePath { only } => measure::path::run(only.as_deref()).await,
         Task::MeasureFleet => measure::fleet::run().await,
         Task::MeasureDecisions => measure::decisions::run(),
+        Task::MeasureBacklog => measure::backlog::run(),
         Task::MeasureLeader => measure::leader::run(&daemon_beside()).await,
         Task::MeasureCapacity => measure::capacity::run().await,
         Task::Soak(plan) => soak::run(&plan).await,
--- a/standin/src/measure.rs
+++ b/standin/src/measure.rs
@@ -1,5 +1,6 @@
 //! Experiments: ours beside its baselines, in one run, as tables.
 
+pub mod backlog;
 pub mod capacity;
 pub mod crash;
 pub mod decisions;
