Keep what a job's rank depends on with the job

Each round of placement recomputed the run times of all steps, the critical path and the work left of every waiting job, and sorted the run times of a step anew for each task that was compared with its siblings. Counts and run times of a step, and the inputs of an occurrence's rank, are now computed on first use and kept until the step is accessed for a change or the run times of the queue change. The part of the rank that depends on the time is computed each time.

--- a/src/scheduler/copies.rs
+++ b/src/scheduler/copies.rs
@@ -4,7 +4,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::dispatch::PlaceQuery;
 use crate::scheduler::job::{LiveRun, RunPhase, StepRun};
-use crate::scheduler::stragglers::{median_runtime_ms, projected_runtime_ms};
+use crate::scheduler::stragglers::projected_runtime_ms;
 use crate::scheduler::worker::IsolationRule;
 
 /// Runs of a task that may be alive at once.
@@ -27,6 +27,9 @@
                     if !spec.allows_copies || spec.is_gang || spec.is_service || step.is_done() {
                         continue;
                     }
+                    if step.counts().live == 0 {
+                        continue;
+                    }
                     for (index, task) in step.tasks.iter().enumerate() {
                         if !task.is_done && self.is_copy_due(step, index, now) {
                             stragglers.push(job.key(*occurrence, position, index));
@@ -85,7 +88,7 @@
         if task.live.iter().any(is_recent) {
             return false;
         }
-        let median_ms = median_runtime_ms(step, u32::try_from(index).ok());
+        let median_ms = step.median_without(index);
         task.live.iter().all(|live| {
             let is_silent = self.is_silent(&live.worker);
             let elapsed = now.saturating_sub(live.phase_since_ms);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -1,5 +1,11 @@
 //! A job whose tasks are being scheduled, and its conversion to and from the logged progress.
+//!
+//! A leader in a burst ranks thousands of waiting jobs in each round of placement, while few of them
+//! have changed since the last one. What these decisions need of a step, an occurrence or a job is
+//! therefore computed on first use and kept until the step is next accessed for a change. Every
+//! change goes through [`JobRun::step_mut`] or [`JobRun::task_mut`], which drop the kept values.
 
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -7,6 +13,8 @@
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
 use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskRestarts};
 use crate::scheduler::downtime::LastAlive;
+use crate::scheduler::rank::RankInputs;
+use crate::scheduler::stragglers::{RuntimeSample, sample_ms};
 
 /// Throttle that a new leader assumes for a run that it inherits, in percent of full speed: the
 /// value set by its predecessor is not known.
@@ -156,6 +164,30 @@
     }
 }
 
+/// Counts over the tasks of a step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StepCounts {
+    /// Tasks that are not done and have no run that may be alive.
+    pub waiting: usize,
+    /// Runs that may be alive.
+    pub live: usize,
+    /// When a run last entered its phase, in milliseconds; `None` if there is no run.
+    pub phase_since_ms: Option<u64>,
+}
+
+impl StepCounts {
+    fn of(tasks: &[TaskRun]) -> StepCounts {
+        let mut counts = StepCounts::default();
+        for task in tasks {
+            counts.waiting += usize::from(!task.is_done && !task.has_live_run());
+            counts.live += task.live.len();
+            let newest_ms = task.live.iter().map(|live| live.phase_since_ms).max();
+            counts.phase_since_ms = counts.phase_since_ms.max(newest_ms);
+        }
+        counts
+    }
+}
+
 /// State of a step in one occurrence.
 #[derive(Clone, Debug)]
 pub struct StepRun {
@@ -163,12 +195,45 @@
     pub tasks: Vec<TaskRun>,
     /// Number of tasks that are done.
     pub done: usize,
+    counts: Cell<Option<StepCounts>>,
+    runtimes: OnceCell<RuntimeSample>,
 }
 
 impl StepRun {
     fn new(spec: &StepSpec) -> StepRun {
         let count = usize::try_from(spec.count).unwrap_or(0);
-        StepRun { tasks: vec![TaskRun::default(); count], done: 0 }
+        StepRun {
+            tasks: vec![TaskRun::default(); count],
+            done: 0,
+            counts: Cell::default(),
+            runtimes: OnceCell::new(),
+        }
+    }
+
+    /// Counts over the tasks.
+    pub fn counts(&self) -> StepCounts {
+        let counts = self.counts.get().unwrap_or_else(|| StepCounts::of(&self.tasks));
+        debug_assert_eq!(counts, StepCounts::of(&self.tasks));
+        self.counts.set(Some(counts));
+        counts
+    }
+
+    /// Run times of the tasks that are done or well under way.
+    pub fn runtimes(&self) -> &RuntimeSample {
+        let sample = self.runtimes.get_or_init(|| RuntimeSample::of(&self.tasks));
+        debug_assert_eq!(*sample, RuntimeSample::of(&self.tasks));
+        sample
+    }
+
+    /// Median run time of the tasks that are done or well under way, except the one at `index`;
+    /// `None` if there are too few.
+    pub fn median_without(&self, index: usize) -> Option<u64> {
+        self.runtimes().median_without(self.tasks.get(index).and_then(sample_ms))
+    }
+
+    fn forget_counts(&mut self) {
+        self.counts.set(None);
+        self.runtimes.take();
     }
 
     /// Whether every task is done.
@@ -178,6 +243,7 @@
 
     /// Marks a task done; returns whether it was not done before.
     pub fn finish(&mut self, index: usize) -> bool {
+        self.forget_counts();
         let Some(task) = self.tasks.get_mut(index) else { return false };
         if std::mem::replace(&mut task.is_done, true) {
             return false;
@@ -192,11 +258,30 @@
 pub struct OccurrenceRun {
     /// Steps, in the order of the job's spec.
     pub steps: Vec<StepRun>,
+    rank_inputs: Cell<Option<RankInputs>>,
 }
 
 impl OccurrenceRun {
     fn new(submission: &JobSubmission) -> OccurrenceRun {
-        OccurrenceRun { steps: submission.spec.steps.iter().map(StepRun::new).collect() }
+        let steps = submission.spec.steps.iter().map(StepRun::new).collect();
+        OccurrenceRun { steps, rank_inputs: Cell::default() }
+    }
+
+    /// What its rank depends on beside the time, as kept by [`OccurrenceRun::keep_rank_inputs`].
+    pub(crate) fn rank_inputs(&self) -> Option<RankInputs> {
+        self.rank_inputs.get()
+    }
+
+    /// Keeps what its rank depends on until a step changes.
+    pub(crate) fn keep_rank_inputs(&self, inputs: RankInputs) {
+        self.rank_inputs.set(Some(inputs));
+    }
+
+    /// Whether every step before this one is done.
+    pub fn may_begin(&self, spec: &StepSpec) -> bool {
+        let is_step_done =
+            |before: &u16| self.steps.get(usize::from(*before)).is_some_and(StepRun::is_done);
+        spec.after.iter().all(is_step_done)
     }
 
     /// Whether every step is done.
@@ -224,6 +309,8 @@
     pub next_occurrence: u32,
     /// Whether the job arrived beyond its organisation's share.
     pub is_beyond_share: bool,
+    /// Whether a step that may begin has waiting tasks.
+    has_ready_step: Cell<Option<bool>>,
 }
 
 impl JobRun {
@@ -240,6 +327,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             is_beyond_share: false,
+            has_ready_step: Cell::default(),
         };
         if let Some(progress) = &job.progress {
             run.apply(progress);
@@ -312,6 +400,7 @@
     }
 
     fn occurrence(&mut self, number: u32, submission: &JobSubmission) -> &mut OccurrenceRun {
+        self.has_ready_step.set(None);
         self.next_occurrence = self.next_occurrence.max(number + 1);
         self.occurrences.entry(number).or_insert_with(|| OccurrenceRun::new(submission))
     }
@@ -379,7 +468,33 @@
 
     /// The mutable step of a task.
     pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepRun> {
-        self.occurrences.get_mut(&key.occurrence)?.steps.get_mut(usize::from(key.step))
+        self.has_ready_step.set(None);
+        let run = self.occurrences.get_mut(&key.occurrence)?;
+        run.rank_inputs.set(None);
+        let step = run.steps.get_mut(usize::from(key.step))?;
+        step.forget_counts();
+        Some(step)
+    }
+
+    /// Whether a step that may begin has waiting tasks.
+    pub fn has_ready_step(&self) -> bool {
+        let has_ready_step = self.has_ready_step.get().unwrap_or_else(|| self.find_ready_step());
+        debug_assert_eq!(has_ready_step, self.find_ready_step());
+        self.has_ready_step.set(Some(has_ready_step));
+        has_ready_step
+    }
+
+    fn find_ready_step(&self) -> bool {
+        self.occurrences.values().any(|run| {
+            let mut steps = self.submission.spec.steps.iter().zip(&run.steps);
+            steps.any(|(spec, step)| step.counts().waiting > 0 && run.may_begin(spec))
+        })
+    }
+
+    /// Whether a run of the job may be alive.
+    pub fn has_live_run(&self) -> bool {
+        let mut steps = self.occurrences.values().flat_map(|run| &run.steps);
+        steps.any(|step| step.counts().live > 0)
     }
 
     /// The spec of a task's step.
@@ -435,9 +550,9 @@
     /// Drops occurrences that are done; returns whether the whole job is done.
     pub fn sweep(&mut self) -> bool {
         let submission = self.submission.clone();
+        self.has_ready_step.set(None);
         let is_finished = |run: &OccurrenceRun| {
-            let has_no_runs =
-                run.steps.iter().all(|step| step.tasks.iter().all(|task| task.live.is_empty()));
+            let has_no_runs = run.steps.iter().all(|step| step.counts().live == 0);
             run.is_done() && has_no_runs
         };
         // Only from the front: the log keeps the number of leading occurrences that are done.
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -10,7 +10,6 @@
 use crate::jobs::site::QueueSpec;
 use crate::scheduler::job::{JobRun, OccurrenceRun, StepRun};
 use crate::scheduler::runtime::RuntimeModel;
-use crate::scheduler::stragglers::median_runtime_ms;
 
 /// A job counts as able to meet its objective if this share of its expected remaining run time fits
 /// before the objective, in percent: expected run times are off either way.
@@ -44,22 +43,87 @@
     pub work: u64,
 }
 
+/// Steps up to which the critical path is computed without an allocation.
+const SHORT_PATH_STEPS: usize = 16;
+
 /// Critical path through the steps, in milliseconds; `weight` gives the time that each step counts
 /// for.
 fn critical_path_ms(steps: &[StepSpec], weight: impl Fn(usize) -> u64) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    let (mut short, mut long) = ([0; SHORT_PATH_STEPS], Vec::new());
+    let ends = match short.get_mut(..steps.len()) {
+        Some(ends) => ends,
+        None => {
+            long.resize(steps.len(), 0);
+            &mut long[..]
+        }
+    };
     for (position, step) in steps.iter().enumerate() {
-        let earlier = step.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+        let (before_ends, _) = ends.split_at(position);
+        let earlier = step.after.iter().filter_map(|before| before_ends.get(usize::from(*before)));
         let start = earlier.copied().max().unwrap_or(0);
-        ends.push(start + weight(position));
+        ends[position] = start + weight(position);
     }
-    ends.into_iter().max().unwrap_or(0)
+    ends.iter().copied().max().unwrap_or(0)
+}
+
+/// What an occurrence's rank depends on beside the time, its queue and the state of its job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RankInputs {
+    /// Run times that the values were computed with.
+    model: RuntimeModel,
+    /// Length of the critical path, in milliseconds.
+    whole_path_ms: u64,
+    /// Length of what is left of the critical path, in milliseconds; `None` if it depends on the
+    /// time, since all open tasks of a step are under way.
+    left_path_ms: Option<u64>,
+    /// Processor time left, in core-milliseconds.
+    work: u64,
+    is_service: bool,
+}
+
+impl RankInputs {
+    /// The kept inputs of an occurrence, renewed if a step or the run times have changed.
+    fn of(steps: &[StepSpec], run: &OccurrenceRun, model: &RuntimeModel) -> RankInputs {
+        let kept = run.rank_inputs().filter(|inputs| inputs.model == *model);
+        let inputs = kept.unwrap_or_else(|| RankInputs::compute(steps, run, model));
+        debug_assert_eq!(inputs, RankInputs::compute(steps, run, model));
+        run.keep_rank_inputs(inputs);
+        inputs
+    }
+
+    fn compute(steps: &[StepSpec], run: &OccurrenceRun, model: &RuntimeModel) -> RankInputs {
+        let whole = |position: usize| step_ms(&steps[position], run.steps.get(position), model);
+        let mut work = 0;
+        for (position, (spec, step)) in steps.iter().zip(&run.steps).enumerate() {
+            let tasks = u64::try_from(step.tasks.len() - step.done).unwrap_or(0);
+            work += tasks * spec.need.cpu.max(1) * whole(position) / 1_000;
+        }
+        let has_waiting = |step: &StepRun| step.is_done() || step.counts().waiting > 0;
+        let is_constant = run.steps.iter().all(has_waiting);
+        RankInputs {
+            model: *model,
+            whole_path_ms: critical_path_ms(steps, whole),
+            left_path_ms: is_constant.then(|| left_path_ms(steps, run, model, 0)),
+            work,
+            is_service: steps.iter().any(|step| step.is_service),
+        }
+    }
+}
+
+/// What is left of the critical path, in milliseconds.
+fn left_path_ms(steps: &[StepSpec], run: &OccurrenceRun, model: &RuntimeModel, now: u64) -> u64 {
+    let left = |position: usize| {
+        let step = run.steps.get(position);
+        let whole_ms = step_ms(&steps[position], step, model);
+        step.map_or(0, |step| remaining_ms(step, whole_ms, now))
+    };
+    critical_path_ms(steps, left)
 }
 
 /// Run time of a step's tasks, in milliseconds: as shown by tasks that are done or well under way,
 /// else as expected of the queue.
 fn step_ms(spec: &StepSpec, run: Option<&StepRun>, model: &RuntimeModel) -> u64 {
-    let observed_ms = run.and_then(|run| median_runtime_ms(run, None));
+    let observed_ms = run.and_then(|run| run.runtimes().median());
     observed_ms.unwrap_or_else(|| model.expected_ms(spec.estimate_ms))
 }
 
@@ -68,13 +132,11 @@
     if run.is_done() {
         return 0;
     }
-    let is_waiting = run.tasks.iter().any(|task| !task.is_done && !task.has_live_run());
-    if is_waiting {
+    let counts = run.counts();
+    if counts.waiting > 0 {
         return whole_ms;
     }
-    let begun =
-        run.tasks.iter().flat_map(|task| task.live.iter()).map(|live| live.phase_since_ms).max();
-    let elapsed_ms = begun.map_or(0, |begun| now.saturating_sub(begun));
+    let elapsed_ms = counts.phase_since_ms.map_or(0, |since_ms| now.saturating_sub(since_ms));
     // A task that exceeds its run time is assumed to be nearly done.
     whole_ms.saturating_sub(elapsed_ms).max(whole_ms / 10)
 }
@@ -101,23 +163,10 @@
     now: u64,
 ) -> JobRank {
     let steps = &job.submission.spec.steps;
-    let whole: Vec<u64> = steps
-        .iter()
-        .enumerate()
-        .map(|(position, spec)| step_ms(spec, run.steps.get(position), model))
-        .collect();
-    let left = |position: usize| {
-        run.steps.get(position).map_or(0, |step| remaining_ms(step, whole[position], now))
-    };
-    let path_ms = critical_path_ms(steps, left);
-    let mut work = 0;
-    for (position, (spec, step)) in steps.iter().zip(&run.steps).enumerate() {
-        let tasks = u64::try_from(step.tasks.len() - step.done).unwrap_or(0);
-        work += tasks * spec.need.cpu.max(1) * whole[position] / 1_000;
-    }
-    let whole_path_ms = critical_path_ms(steps, |position| whole[position]);
+    let inputs = RankInputs::of(steps, run, model);
+    let RankInputs { whole_path_ms, work, is_service, .. } = inputs;
+    let path_ms = inputs.left_path_ms.unwrap_or_else(|| left_path_ms(steps, run, model, now));
     let (objective, value_end) = deadlines(queue, whole_path_ms, due_ms);
-    let is_service = steps.iter().any(|step| step.is_service);
     let tier = if is_service {
         RankTier::Service
     } else if now + path_ms * FEASIBLE_PERCENT / 100 <= objective {
--- a/src/scheduler/runtime.rs
+++ b/src/scheduler/runtime.rs
@@ -13,7 +13,7 @@
 const PRIOR_SPREAD: f64 = 0.5;
 
 /// Least-squares fit of observed over declared run times, for one queue.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RuntimeModel {
     weight: f64,
     declared: f64,
--- a/src/scheduler/stragglers.rs
+++ b/src/scheduler/stragglers.rs
@@ -3,7 +3,7 @@
 
 use crate::jobs::model::TaskKey;
 use crate::scheduler::Scheduler;
-use crate::scheduler::job::{JobRun, LiveRun, RunPhase, StepRun};
+use crate::scheduler::job::{LiveRun, RunPhase, StepRun, TaskRun};
 
 /// Time without progress after which a run counts as stalled, in milliseconds, in addition to its
 /// declared run time: several reports without a change.
@@ -50,36 +50,36 @@
     /// Why a run should be moved, if it should.
     fn straggler_reason(&self, key: &TaskKey, run: u32, now: u64) -> Option<&'static str> {
         let job = self.jobs.get(&key.job)?;
-        let spec = job.spec(key)?;
-        let live = job.task(key)?.live.iter().find(|live| live.run == run)?;
+        let (spec, step) = (job.spec(key)?, job.step(key)?);
+        let index = usize::try_from(key.index).ok()?;
+        let task = step.tasks.get(index)?;
+        let live = task.live.iter().find(|live| live.run == run)?;
         if live.phase != RunPhase::Running || spec.is_gang || spec.is_service {
             return None;
         }
-        let moves = job.task(key)?.moves;
-        if moves >= MOVES_MAX {
+        if task.moves >= MOVES_MAX {
             return None;
         }
         // A task that took long on several workers is itself long.
-        let timeout = (STALL_MS + spec.estimate_ms) << moves;
+        let timeout = (STALL_MS + spec.estimate_ms) << task.moves;
         if now.saturating_sub(live.progress_ms) > timeout {
             return Some("no progress");
         }
-        self.is_far_slower(job, key, live, now).then_some("far slower than its siblings")
+        is_far_slower(step, index, live, now).then_some("far slower than its siblings")
     }
+}
 
-    /// Whether a run's projected run time is far longer than that of the other tasks of its step:
-    /// they do the same kind of work, while declared run times are unreliable. A run without
-    /// siblings is left alone.
-    fn is_far_slower(&self, job: &JobRun, key: &TaskKey, live: &LiveRun, now: u64) -> bool {
-        let Some(step) = job.step(key) else { return false };
-        let Some(median) = median_runtime_ms(step, Some(key.index)) else { return false };
-        if live.percent == 0 {
-            return now.saturating_sub(live.begun_ms) > median * SLOW_FACTOR;
-        }
-        let projected = projected_runtime_ms(live);
-        let left = projected.saturating_sub(now.saturating_sub(live.begun_ms));
-        projected > median * SLOW_FACTOR && left > median + MOVE_COST_MS
+/// Whether a run's projected run time is far longer than that of the other tasks of its step: they
+/// do the same kind of work, while declared run times are unreliable. A run without siblings is left
+/// alone.
+fn is_far_slower(step: &StepRun, index: usize, live: &LiveRun, now: u64) -> bool {
+    let Some(median) = step.median_without(index) else { return false };
+    if live.percent == 0 {
+        return now.saturating_sub(live.begun_ms) > median * SLOW_FACTOR;
     }
+    let projected = projected_runtime_ms(live);
+    let left = projected.saturating_sub(now.saturating_sub(live.begun_ms));
+    projected > median * SLOW_FACTOR && left > median + MOVE_COST_MS
 }
 
 /// Run time of a run projected from its present pace, in milliseconds.
@@ -88,23 +88,41 @@
     elapsed * 100 / u64::from(live.percent.clamp(1, 100))
 }
 
-/// Median run time of a step's tasks that are done or well under way, except the one at `index`;
-/// `None` if there are too few.
-pub(crate) fn median_runtime_ms(step: &StepRun, index: Option<u32>) -> Option<u64> {
-    let mut times: Vec<u64> = Vec::new();
-    for (position, task) in step.tasks.iter().enumerate() {
-        if index.is_some_and(|index| u32::try_from(position) == Ok(index)) {
-            continue;
-        }
-        if let Some(took) = task.took_ms {
-            times.push(took);
-            continue;
+/// Run time that a task shows to the others of its step, in milliseconds: that of its last run if it
+/// is done, else projected from a run that is well under way.
+pub(crate) fn sample_ms(task: &TaskRun) -> Option<u64> {
+    let has_projection =
+        |live: &&LiveRun| live.phase == RunPhase::Running && live.percent >= PROJECTION_PERCENT_MIN;
+    task.took_ms.or_else(|| task.live.iter().find(has_projection).map(projected_runtime_ms))
+}
+
+/// Run times of a step's tasks, in milliseconds, the shortest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RuntimeSample {
+    times: Vec<u64>,
+}
+
+impl RuntimeSample {
+    /// Run times of those tasks that are done or well under way.
+    pub fn of(tasks: &[TaskRun]) -> RuntimeSample {
+        let mut times: Vec<u64> = tasks.iter().filter_map(sample_ms).collect();
+        times.sort_unstable();
+        RuntimeSample { times }
+    }
+
+    /// Median run time; `None` if there are too few.
+    pub fn median(&self) -> Option<u64> {
+        (self.times.len() >= SIBLINGS_MIN).then(|| self.times[self.times.len() / 2])
+    }
+
+    /// Median run time without a task that has this one; `None` if too few others are left.
+    pub fn median_without(&self, own_ms: Option<u64>) -> Option<u64> {
+        let Some(own_ms) = own_ms else { return self.median() };
+        let left = self.times.len().saturating_sub(1);
+        if left < SIBLINGS_MIN {
+            return None;
         }
-        let has_projection = |live: &&LiveRun| {
-            live.phase == RunPhase::Running && live.percent >= PROJECTION_PERCENT_MIN
-        };
-        times.extend(task.live.iter().find(has_projection).map(projected_runtime_ms));
+        let (middle, own) = (left / 2, self.times.partition_point(|time| *time < own_ms));
+        Some(self.times[middle + usize::from(middle >= own)])
     }
-    times.sort_unstable();
-    (times.len() >= SIBLINGS_MIN).then(|| times[times.len() / 2])
 }
