Skip jobs without waiting tasks in placement rounds

ready_steps looked at every task of every job, and pool_loads ranked jobs of which nothing waits. Both now use the kept counts: a job without a step that may begin and has waiting tasks is skipped, the stability of a pool is asked for only where a task is on trial, and the tier is computed only for steps with waiting tasks.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
+use crate::scheduler::job::TaskRun;
 use crate::scheduler::losses::PoolView;
 use crate::scheduler::rank::{JobRank, RankTier, rank};
 use crate::scheduler::worker::{IsolationRule, WorkerState};
@@ -133,56 +134,50 @@
     ) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         let sizes = self.pool_sizes();
-        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+        for job in self.jobs.values().filter(|job| !job.state.is_final() && job.has_ready_step()) {
             let Some(queue) = self.queue_of(job) else { continue };
-            let specs = &job.submission.spec.steps;
-            let model = self.runtime_model(queue);
             let largest = largest_free.get(&queue.service).copied().unwrap_or_default();
             for (occurrence, run) in &job.occurrences {
                 let mut cached_rank = None;
-                for (position, step) in run.steps.iter().enumerate() {
-                    if !may_preempt(&specs[position])
-                        && !largest.covers(&specs[position].reservation())
-                    {
+                for (position, (spec, step)) in
+                    job.submission.spec.steps.iter().zip(&run.steps).enumerate()
+                {
+                    if step.counts().waiting == 0 || !run.may_begin(spec) {
                         continue;
                     }
-                    let is_step_done = |before: &u16| {
-                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
-                    };
-                    if step.is_done() || !specs[position].after.iter().all(is_step_done) {
-                        continue;
-                    }
-                    let waiting: Vec<TaskKey> = step
-                        .tasks
-                        .iter()
-                        .enumerate()
-                        .filter(|(_, task)| !task.is_done && !task.has_live_run())
-                        .filter(|(_, task)| {
-                            task.not_before_ms <= now && !task.losses.is_exhausted()
-                        })
-                        .filter(|(index, task)| {
-                            let key = job.key(*occurrence, position, *index);
-                            let pool = PoolView {
-                                service: &queue.service,
-                                vms: sizes.get(&queue.service).copied().unwrap_or_default(),
-                                is_for_service: specs[position].is_service,
-                            };
-                            !self.losses.has_to_wait(&key, task, &pool, now)
-                        })
-                        .map(|(index, _)| job.key(*occurrence, position, index))
-                        .collect();
-                    if waiting.is_empty() {
+                    if !may_preempt(spec) && !largest.covers(&spec.reservation()) {
                         continue;
                     }
-                    let due = self.due_ms(job, *occurrence, now);
-                    let rank =
-                        *cached_rank.get_or_insert_with(|| rank(job, queue, run, &model, due, now));
-                    ready.push(ReadyStep {
-                        rank,
-                        key: waiting[0].step_key(),
-                        service: queue.service.clone(),
-                        waiting,
+                    let may_start = |(index, task): &(usize, &TaskRun)| {
+                        if task.is_done || task.has_live_run() {
+                            return false;
+                        }
+                        if task.not_before_ms > now || task.losses.is_exhausted() {
+                            return false;
+                        }
+                        // Most tasks have lost no worker, and such a task never waits for its pool.
+                        if !task.losses.is_on_trial() {
+                            return true;
+                        }
+                        let key = job.key(*occurrence, position, *index);
+                        let pool = PoolView {
+                            service: &queue.service,
+                            vms: sizes.get(&queue.service).copied().unwrap_or_default(),
+                            is_for_service: spec.is_service,
+                        };
+                        !self.losses.has_to_wait(&key, task, &pool, now)
+                    };
+                    let mut waiting = Vec::with_capacity(step.counts().waiting);
+                    let startable = step.tasks.iter().enumerate().filter(may_start);
+                    waiting
+                        .extend(startable.map(|(index, _)| job.key(*occurrence, position, index)));
+                    let Some(first) = waiting.first() else { continue };
+                    let key = first.step_key();
+                    let rank = *cached_rank.get_or_insert_with(|| {
+                        let due = self.due_ms(job, *occurrence, now);
+                        rank(job, queue, run, &self.runtime_model(queue), due, now)
                     });
+                    ready.push(ReadyStep { rank, key, service: queue.service.clone(), waiting });
                 }
             }
         }
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -116,30 +116,33 @@
         let mut caps = CapBudget::default();
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
             let Some(queue) = self.queue_of(job) else { continue };
-            let load = loads.entry(queue.service.clone()).or_default();
-            let model = self.runtime_model(queue);
+            if !loads.contains_key(&queue.service) {
+                loads.insert(queue.service.clone(), PoolLoad::default());
+            }
+            let Some(load) = loads.get_mut(&queue.service) else { continue };
             for (occurrence, run) in &job.occurrences {
-                let due = self.due_ms(job, *occurrence, now);
-                let tier = rank(job, queue, run, &model, due, now).tier;
+                // The tier counts only for steps with waiting tasks.
+                let mut cached_tier = None;
+                let mut tier = || {
+                    *cached_tier.get_or_insert_with(|| {
+                        let due = self.due_ms(job, *occurrence, now);
+                        rank(job, queue, run, &self.runtime_model(queue), due, now).tier
+                    })
+                };
                 for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
                     let open = step.tasks.len() - step.done;
                     if open == 0 {
                         continue;
                     }
-                    let live: usize = step.tasks.iter().map(|task| task.live.len()).sum();
+                    let live = step.counts().live;
                     // VMs for tasks that a cap holds back would stand idle.
                     let organisation = job.submission.organisation.as_ref();
                     let waiting = open.saturating_sub(live);
                     let waiting = caps.take(&self.organisations, organisation, &spec.need, waiting);
-                    let is_begun = spec.after.iter().all(|before| {
-                        run.steps.get(usize::from(*before)).is_some_and(|step| step.is_done())
-                    });
-                    // Late jobs have little value, and jobs beyond a share must not cost the others
-                    // anything: both use the VMs that are there.
-                    let counted = match (tier, is_begun) {
-                        (RankTier::BeyondShare | RankTier::Late | RankTier::Overdue, _) => 0,
-                        (_, true) => waiting * 100,
-                        (_, false) => waiting * usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
+                    let is_begun = run.may_begin(spec);
+                    let counted = match waiting {
+                        0 => 0,
+                        _ => counted_percent(tier(), is_begun) * waiting,
                     };
                     let wanted = u64::try_from(live * 100 + counted).unwrap_or(0);
                     let all = spec.reservation().times(wanted).hundredth();
@@ -162,6 +165,16 @@
     }
 }
 
+/// Weight of waiting tasks of a step, in percent. Late jobs have little value, and jobs beyond a
+/// share must not cost the others anything: both use the VMs that are there.
+fn counted_percent(tier: RankTier, is_begun: bool) -> usize {
+    match (tier, is_begun) {
+        (RankTier::BeyondShare | RankTier::Late | RankTier::Overdue, _) => 0,
+        (_, true) => 100,
+        (_, false) => usize::try_from(UPCOMING_PERCENT).unwrap_or(0),
+    }
+}
+
 /// VMs that a load fills.
 fn vms_for(load: &ResourceVector, vm_capacity: &ResourceVector) -> usize {
     let packed = load.times(100).dominant_share_of(&vm_capacity.times(PACKING_PERCENT));
