Look only at committed jobs when finished jobs are dropped

Each commit went through all jobs of the leader to find those that are over, and collected the jobs of all relayed records twice. A job becomes final, and loses its last run, with a change of its record, so that the jobs whose record was taken for a commit are enough; debug builds check that none is missed. The jobs of relayed records are counted as records come and go.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -1,4 +1,7 @@
 //! Changes that wait for the log, and the starts and acknowledgements of exits that they hold back.
+//!
+//! A leader in a burst commits ten times a second and more while it knows thousands of jobs. Each
+//! commit therefore goes only through the jobs whose records have changed.
 
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -8,7 +11,7 @@
 use crate::decide::append_limit::APPEND_BYTES_MAX;
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord, LostVm};
-use crate::scheduler::job::RunPhase;
+use crate::scheduler::job::{JobRun, RunPhase};
 use crate::scheduler::{RecordSource, Scheduler};
 
 /// Jobs dropped in one commit; each takes three small records.
@@ -105,6 +108,10 @@
     waves: BTreeMap<u64, BTreeSet<Arc<str>>>,
     losses: BTreeMap<Arc<str>, Vec<LostVm>>,
     relayed: VecDeque<(u64, VecDeque<JobRecord>)>,
+    /// Number of relayed records that are not in a commit yet, by job.
+    relayed_jobs: BTreeMap<JobId, usize>,
+    /// Jobs whose record was taken for a commit since the last search for jobs to drop.
+    taken: Vec<JobId>,
 }
 
 impl CommitQueue {
@@ -161,10 +168,27 @@
         self.losses.insert(service, lost);
     }
 
-    /// Jobs with relayed records that are not in a commit yet.
-    fn relayed_jobs(&self) -> BTreeSet<JobId> {
-        let records = self.relayed.iter().flat_map(|(_, records)| records);
-        records.filter_map(JobRecord::job).collect()
+    /// Queues a batch of relayed records.
+    fn queue_relayed(&mut self, token: u64, records: Vec<JobRecord>) {
+        for job in records.iter().filter_map(JobRecord::job) {
+            *self.relayed_jobs.entry(job).or_default() += 1;
+        }
+        self.relayed.push_back((token, records.into()));
+    }
+
+    /// Counts off a relayed record that is in a commit.
+    fn count_off_relayed(&mut self, record: &JobRecord) {
+        let Some(job) = record.job() else { return };
+        let Entry::Occupied(mut count) = self.relayed_jobs.entry(job) else { return };
+        *count.get_mut() -= 1;
+        if *count.get() == 0 {
+            count.remove();
+        }
+    }
+
+    /// Whether relayed records of a job are not in a commit yet.
+    fn has_relayed(&self, job: JobId) -> bool {
+        self.relayed_jobs.contains_key(&job)
     }
 
     fn is_empty(&self) -> bool {
@@ -188,7 +212,7 @@
         for record in &records {
             self.apply_record_from(RecordSource::Relayed, record, now);
         }
-        self.commits.relayed.push_back((token, records.into()));
+        self.commits.queue_relayed(token, records);
     }
 
     /// Takes the next append, of any size that the log accepts.
@@ -208,13 +232,12 @@
         bytes += self.take_relayed(&mut batch, bytes_max / RELAYED_DIVISOR);
         // A submission must precede the progress of its job, and no task may start before the log
         // has the job.
-        let relayed = self.commits.relayed_jobs();
         let (mut position, mut changed) = (0, 0);
         while (bytes < bytes_max || changed < bytes_max / PROGRESS_DIVISOR)
             && let Some((at, id)) = self.commits.jobs.next_from(position)
         {
             position = at + 1;
-            if !relayed.contains(&id) {
+            if !self.commits.has_relayed(id) {
                 self.commits.jobs.take(id);
                 let pushed = self.push_progress(&mut batch, id);
                 (bytes, changed) = (bytes + pushed, changed + pushed);
@@ -273,14 +296,13 @@
     /// Takes the progress of jobs whose starts wait for it, unless relayed records of the job are
     /// not in a commit yet.
     fn take_starts(&mut self, batch: &mut CommitBatch, bytes_max: usize) -> usize {
-        let relayed = self.commits.relayed_jobs();
         let waiting: Vec<JobId> = self.commits.starts.iter().map(|(task, _)| task.job).collect();
         let mut bytes = 0;
         for id in waiting {
             if bytes >= bytes_max {
                 break;
             }
-            if !relayed.contains(&id) && self.commits.jobs.take(id) {
+            if !self.commits.has_relayed(id) && self.commits.jobs.take(id) {
                 bytes += self.push_progress(batch, id);
             }
         }
@@ -290,22 +312,24 @@
     /// Takes relayed records. The token of a batch that does not fit goes with its last part.
     fn take_relayed(&mut self, batch: &mut CommitBatch, bytes_max: usize) -> usize {
         let mut bytes = 0;
-        while let Some((token, records)) = self.commits.relayed.front_mut() {
+        while let Some((token, mut records)) = self.commits.relayed.pop_front() {
             while bytes < bytes_max
                 && let Some(record) = records.pop_front()
             {
+                self.commits.count_off_relayed(&record);
                 bytes += push_record(batch, record);
             }
             if !records.is_empty() {
+                self.commits.relayed.push_front((token, records));
                 break;
             }
-            batch.relayed.push(*token);
-            self.commits.relayed.pop_front();
+            batch.relayed.push(token);
         }
         bytes
     }
 
-    fn push_progress(&self, batch: &mut CommitBatch, id: JobId) -> usize {
+    fn push_progress(&mut self, batch: &mut CommitBatch, id: JobId) -> usize {
+        self.commits.taken.push(id);
         let Some(job) = self.jobs.get(&id) else { return 0 };
         push_record(batch, JobRecord::Progress(id, Arc::new(job.progress(self.term))))
     }
@@ -345,17 +369,27 @@
     /// Their specs are removed from the log as well. Specs are nine tenths of the data that the log
     /// keeps of a job: an entry that restarts on a link of 2 Mbit/s would read useless data for ten
     /// seconds and more.
+    ///
+    /// The state of such a job became final, and its last run was removed, with a change of its
+    /// record. So only jobs whose record was taken for a commit are looked at.
     fn drop_finished(&mut self) {
-        let changed = &self.commits.jobs;
-        let spec_removals = &mut self.commits.spec_removals;
-        self.jobs.retain(|id, job| {
-            let is_kept =
-                !job.state.is_final() || changed.contains(*id) || !job.live_tasks().is_empty();
-            if !is_kept && !job.submission.has_no_spec() {
-                spec_removals.push_back((*id, Arc::new(job.submission.without_spec())));
+        for id in std::mem::take(&mut self.commits.taken) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if !self.may_drop(job) {
+                continue;
+            }
+            if !job.submission.has_no_spec() {
+                let stripped = Arc::new(job.submission.without_spec());
+                self.commits.spec_removals.push_back((id, stripped));
             }
-            is_kept
-        });
+            self.jobs.remove(&id);
+        }
+        debug_assert!(!self.jobs.values().any(|job| self.may_drop(job)));
+    }
+
+    /// Whether a job is over, has no runs left, and its last state is in a commit.
+    fn may_drop(&self, job: &JobRun) -> bool {
+        job.state.is_final() && !self.commits.jobs.contains(job.id) && !job.has_live_run()
     }
 }
 
