Look up jobs once for each exit and listed run

A report cloned the spec of a step for each run and exit, looked up the job up to nine times for an exit, and compared each listed run with all placed ones. The flags that count are copied, the lists are sorted and searched, and the checks of renew_plan that go through all runs of a worker are left until a renewal is due.

--- a/src/scheduler/downtime.rs
+++ b/src/scheduler/downtime.rs
@@ -79,18 +79,14 @@
 }
 
 impl Scheduler {
-    /// Records when a run that has ended was last known to be alive. A refused start does not
-    /// count.
-    pub(crate) fn record_last_alive(&mut self, key: &TaskKey, live: &LiveRun, now: u64) {
+    /// When a run that has ended was last known to be alive; `None` for a refused start.
+    pub(crate) fn last_alive(&self, live: &LiveRun, now: u64) -> Option<LastAlive> {
         if !live.is_listed && !live.is_loss_counted {
-            return;
+            return None;
         }
         let at_ms =
             live.last_listed_ms.max(live.phase_since_ms).max(self.losses.opened_ms()).min(now);
-        let last_alive = LastAlive { at_ms, wall_ms: self.wall_ms.saturating_sub(now - at_ms) };
-        if let Some(task) = self.task_mut(key) {
-            task.last_alive = Some(last_alive);
-        }
+        Some(LastAlive { at_ms, wall_ms: self.wall_ms.saturating_sub(now - at_ms) })
     }
 
     /// Plans a run on a worker under an isolation rule.
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -1,6 +1,5 @@
 //! Renewal of workers' leases, and handling of the reports that answer the renewals.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,8 +8,9 @@
     CommandOutcome, CommandRefusal, LATE_ANSWER_GRACE, RenewCall, RunningTask, TaskExit,
     WorkerReport, WorkerTarget,
 };
-use crate::scheduler::job::{LiveRun, RunPhase};
+use crate::scheduler::job::{LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::{CRASH_WINDOW_MS, IncarnationEnd};
+use crate::scheduler::worker::WorkerState;
 use crate::scheduler::{LATE_AGE_MS, Scheduler, SchedulerEvent};
 
 /// Longest wait for an exit in one renewal. It is also the interval at which a worker's silence is
@@ -69,12 +69,7 @@
         if self.is_deposed {
             return RenewPlan::Stop;
         }
-        let (fence, lease_ms, is_confirmed) =
-            (self.fence_of(id), self.lease_ms(), self.is_confirmed(now));
-        let (renew_wait, timeout) = (self.renew_wait(), self.renew_timeout());
-        let may_acknowledge = self.may_acknowledge(id);
-        let is_wanted = self.has_wanted_run(id);
-        let Some(worker) = self.workers.get_mut(id) else { return RenewPlan::Stop };
+        let Some(worker) = self.workers.get(id) else { return RenewPlan::Stop };
         if !worker.is_listed && worker.runs.is_empty() {
             return RenewPlan::Stop;
         }
@@ -97,7 +92,13 @@
         // elsewhere. So must those of a worker whose runs are all to be stopped, as each stop can
         // be lost. A worker whose answers come late looks silent whenever a renewal is due.
         let is_answering_late = worker.late_answer_ms.is_some_and(|late| now < late + LATE_AGE_MS);
-        let may_extend = is_confirmed && is_wanted && (!is_silent || is_answering_late);
+        let may_extend = self.is_confirmed(now)
+            && (!is_silent || is_answering_late)
+            && self.has_wanted_run(worker);
+        let may_acknowledge = self.may_acknowledge(id);
+        let (renew_wait, timeout) = (self.renew_wait(), self.renew_timeout());
+        let (fence, lease_ms) = (self.fence_of(id), self.lease_ms());
+        let Some(worker) = self.workers.get_mut(id) else { return RenewPlan::Stop };
         let lease_until_ms = if may_extend { worker.lease_until(lease_ms, now) } else { None };
         // An exit that is already listed would end the wait at once.
         let may_wait = worker.has_accepted_token
@@ -118,13 +119,13 @@
     }
 
     /// Whether a worker has a run that is not to be stopped.
-    fn has_wanted_run(&self, id: &str) -> bool {
+    fn has_wanted_run(&self, worker: &WorkerState) -> bool {
         let is_stopping = |(key, run): &(TaskKey, u32)| {
             let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
             let live = task.and_then(|task| task.live.iter().find(|live| live.run == *run));
             live.is_some_and(|live| live.phase == RunPhase::Stopping)
         };
-        self.workers.get(id).is_some_and(|worker| !worker.runs.keys().all(is_stopping))
+        !worker.runs.keys().all(is_stopping)
     }
 
     /// Requested wait for an exit. A congested link can best do without renewals that bring no
@@ -283,7 +284,8 @@
             return;
         }
         let Some(job) = self.jobs.get_mut(&exit.task.job) else { return };
-        let Some(spec) = job.spec(&exit.task).cloned() else { return };
+        let Some(spec) = job.spec(&exit.task) else { return };
+        let (is_service, is_resumable) = (spec.is_service, spec.is_resumable);
         let is_finished = job.state.is_final();
         let Some(task) = job.task_mut(&exit.task) else { return };
         let live = task
@@ -291,7 +293,7 @@
             .iter()
             .find(|live| live.run == exit.run && live.worker == *id)
             .map(|live| (live.phase, live.begun_ms));
-        if is_storable(&exit.checkpoint) && spec.is_resumable {
+        if is_resumable && is_storable(&exit.checkpoint) {
             task.checkpoint.clone_from(&exit.checkpoint);
         }
         if exit.kind == ExitKind::Done {
@@ -306,7 +308,7 @@
         match exit.kind {
             // This includes a run that had been considered ended: it did complete, and must not run
             // again.
-            ExitKind::Done if !spec.is_service => {
+            ExitKind::Done if !is_service => {
                 self.clear_suspect(&exit.task, now);
                 self.record_success(id, now);
                 self.complete_task(&exit.task, now);
@@ -321,7 +323,7 @@
             | ExitKind::LeaseExpired
             | ExitKind::GangBroken
             | ExitKind::GangIncomplete => {
-                if spec.is_service && !was_stopping && !is_finished {
+                if is_service && !was_stopping && !is_finished {
                     self.back_off(&exit.task, now);
                 }
             }
@@ -357,24 +359,29 @@
         let is_gang = job.spec(key).is_some_and(|spec| spec.is_gang);
         let Some(step) = job.step_mut(key) else { return };
         // The members of a gang end together, so one exit stands for all.
-        let done: Vec<usize> = match is_gang {
-            true => (0..step.tasks.len()).collect(),
-            false => vec![usize::try_from(key.index).unwrap_or(usize::MAX)],
+        let done = match is_gang {
+            true => 0..step.tasks.len(),
+            false => usize::try_from(key.index).map_or(0..0, |index| index..index + 1),
         };
         let mut is_new = false;
-        for index in &done {
-            is_new |= step.finish(*index);
+        for index in done {
+            is_new |= step.finish(index);
         }
         if !is_new {
             return;
         }
+        let has_copy = !is_gang
+            && usize::try_from(key.index)
+                .is_ok_and(|index| step.tasks.get(index).is_some_and(TaskRun::has_live_run));
+        let is_step_done = step.is_done();
+        let is_scheduled = job.submission.spec.schedule.is_some();
         self.commits.mark_changed(key.job);
         self.needs_dispatch = true;
-        for index in done {
-            let copy = TaskKey { index: u32::try_from(index).unwrap_or(u32::MAX), ..*key };
-            if !is_gang {
-                self.stop_task(&copy, "another copy is done", now);
-            }
+        if has_copy {
+            self.stop_task(key, "another copy is done", now);
+        }
+        if !is_step_done && !is_scheduled {
+            return;
         }
         self.learn_runtime(key);
         let is_finished = self.jobs.get_mut(&key.job).is_some_and(|job| job.sweep());
@@ -386,21 +393,18 @@
     /// Learns the run times of a queue's tasks from a step that is done. Tasks that were started
     /// more than once are left out: their times show a fault, or only part of their work.
     fn learn_runtime(&mut self, key: &TaskKey) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(declared_ms) = job.spec(key).map(|spec| spec.estimate_ms) else { return };
-        let Some(step) = job.step_mut(key) else { return };
-        if !step.is_done() {
-            return;
+        let Some(step) = job.step(key).filter(|step| step.is_done()) else { return };
+        let (mut count, mut sum_ms) = (0, 0);
+        for took_ms in step.tasks.iter().filter(|task| task.run == 1).filter_map(|t| t.took_ms) {
+            (count, sum_ms) = (count + 1, sum_ms + took_ms);
         }
-        let first_runs = step.tasks.iter().filter(|task| task.run == 1);
-        let times: Vec<u64> = first_runs.filter_map(|task| task.took_ms).collect();
-        let Ok(count) = u64::try_from(times.len()) else { return };
         if count == 0 {
             return;
         }
         let queue = job.submission.queue.clone();
-        let mean_ms = times.iter().sum::<u64>() / count;
-        self.runtimes.entry(queue).or_default().record(declared_ms, mean_ms);
+        self.runtimes.entry(queue).or_default().record(declared_ms, sum_ms / count);
     }
 
     /// Handles a failed run: the task is tried again, or its job has failed.
@@ -408,13 +412,14 @@
         let Some(job) = self.jobs.get(&key.job) else { return };
         let attempts = self.queue_of(job).map_or(1, |queue| queue.attempts);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let Some(spec) = job.spec(key).cloned() else { return };
-        if spec.is_service {
+        let Some(spec) = job.spec(key) else { return };
+        let (is_service, is_gang) = (spec.is_service, spec.is_gang);
+        if is_service {
             self.back_off(key, now);
             return;
         }
         let Some(step) = job.step_mut(key) else { return };
-        let failures = if spec.is_gang {
+        let failures = if is_gang {
             // The members share one run number, and their failures count once.
             let is_new = step.tasks.iter().all(|task| task.failed_run != run);
             for task in &mut step.tasks {
@@ -475,8 +480,21 @@
         is_full: bool,
         now: u64,
     ) {
-        let listed: BTreeMap<(TaskKey, u32), &RunningTask> =
+        let mut listed: Vec<((TaskKey, u32), &RunningTask)> =
             running.iter().map(|listed| ((listed.task, listed.run), listed)).collect();
+        listed.sort_by_key(|(key, _)| *key);
+        // Of two entries of one run the later one counts.
+        listed.dedup_by(|later, kept| {
+            let is_same = later.0 == kept.0;
+            if is_same {
+                kept.1 = later.1;
+            }
+            is_same
+        });
+        let find = |key: &(TaskKey, u32)| {
+            let position = listed.binary_search_by_key(key, |(key, _)| *key).ok()?;
+            Some(listed[position].1)
+        };
         let Some(worker) = self.workers.get(id) else { return };
         let placed: Vec<(TaskKey, u32)> = worker.runs.keys().copied().collect();
         // By then a stop that an earlier leader sent has been carried out. Until then the worker
@@ -485,17 +503,19 @@
         let settled_ms = worker.token_accepted_ms + self.bounds.stop_ms;
         let is_settled = sent_ms > settled_ms;
         for (key, run) in &placed {
-            match listed.get(&(*key, *run)) {
+            match find(&(*key, *run)) {
                 Some(listed) => self.handle_listed_run(id, key, *run, listed, is_settled, now),
                 None if is_full => {}
                 None => self.handle_missing_run(id, key, *run, sent_ms, now),
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.second_runs.retain(|run| listed.contains_key(run));
+            worker.second_runs.retain(|run| find(run).is_some());
         }
-        for (key, run) in listed.keys().filter(|key| !placed.contains(key)) {
-            self.stop_unknown_run(id, key, *run, now);
+        for ((key, run), _) in &listed {
+            if placed.binary_search(&(*key, *run)).is_err() {
+                self.stop_unknown_run(id, key, *run, now);
+            }
         }
     }
 
@@ -510,9 +530,10 @@
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let is_finished = job.state.is_final();
-        let Some(spec) = job.spec(key).cloned() else { return };
+        let Some(spec) = job.spec(key) else { return };
+        let (is_service, is_resumable) = (spec.is_service, spec.is_resumable);
         let Some(task) = job.task_mut(key) else { return };
-        if spec.is_resumable && is_storable(&listed.checkpoint) {
+        if is_resumable && is_storable(&listed.checkpoint) {
             task.checkpoint.clone_from(&listed.checkpoint);
         }
         let Some(live) = task.live.iter_mut().find(|live| live.run == run) else { return };
@@ -534,7 +555,7 @@
         }
         let was_at_work = live.percent >= 100;
         live.percent = listed.percent;
-        let is_at_work = spec.is_service && listed.percent >= 100;
+        let is_at_work = is_service && listed.percent >= 100;
         if is_at_work {
             task.last_serving_ms = now;
             if !was_at_work {
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -98,15 +98,17 @@
     pub(crate) fn remove_run(&mut self, key: &TaskKey, run: u32, now: u64) {
         self.pending_commands.remove(&(*key, run));
         self.needs_dispatch = true;
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(task) = job.task(key) else { return };
+        let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
+        let last_alive = self.last_alive(&task.live[position], now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
+        self.organisations.remove_run(job.submission.organisation.as_ref(), &need);
         let Some(task) = job.task_mut(key) else { return };
-        let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
         let live = task.live.remove(position);
         task.waiting_since_ms = now;
-        self.record_last_alive(key, &live, now);
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        let need = job.spec(key).map(|spec| spec.need).unwrap_or_default();
-        self.organisations.remove_run(job.submission.organisation.as_ref(), &need);
+        task.last_alive = last_alive.or(task.last_alive);
         self.commits.mark_changed(key.job);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.remove_run(&(*key, run), now);
--- a/src/scheduler/throttle.rs
+++ b/src/scheduler/throttle.rs
@@ -31,6 +31,9 @@
     /// tasks there.
     pub(crate) fn adjust_throttles(&mut self, id: &Arc<str>, running: &[RunningTask], now: u64) {
         let Some(worker) = self.workers.get(id) else { return };
+        if !worker.runs.values().any(|placed| placed.is_best_effort) {
+            return;
+        }
         let mut best_effort = Vec::new();
         let mut worst_percent = 0;
         for reported in running {
@@ -40,9 +43,10 @@
                 best_effort.push(key);
                 continue;
             }
+            let Some(tail) = reported.gauge else { continue };
             let spec = self.jobs.get(&reported.task.job).and_then(|job| job.spec(&reported.task));
             let target = spec.map_or(0, |spec| spec.target_ms);
-            if let (Some(tail), true) = (reported.gauge, target > 0) {
+            if target > 0 {
                 worst_percent = worst_percent.max(tail * 100 / target);
             }
         }
