List the tasks of a step that has not begun without looking at each

With 2,000 waiting jobs a round of placement read every waiting task, though nearly all of them belong to steps of which nothing has run. The counts of a step now say from when all its waiting tasks may start and whether one has lost a worker.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -142,12 +142,14 @@
                 for (position, (spec, step)) in
                     job.submission.spec.steps.iter().zip(&run.steps).enumerate()
                 {
-                    if step.counts().waiting == 0 || !run.may_begin(spec) {
+                    let counts = step.counts();
+                    if counts.waiting == 0 || !run.may_begin(spec) {
                         continue;
                     }
                     if !may_preempt(spec) && !largest.covers(&spec.reservation()) {
                         continue;
                     }
+                    let key = |index: usize| job.key(*occurrence, position, index);
                     let may_start = |(index, task): &(usize, &TaskRun)| {
                         if task.is_done || task.has_live_run() {
                             return false;
@@ -159,18 +161,22 @@
                         if !task.losses.is_on_trial() {
                             return true;
                         }
-                        let key = job.key(*occurrence, position, *index);
                         let pool = PoolView {
                             service: &queue.service,
                             vms: sizes.get(&queue.service).copied().unwrap_or_default(),
                             is_for_service: spec.is_service,
                         };
-                        !self.losses.has_to_wait(&key, task, &pool, now)
+                        !self.losses.has_to_wait(&key(*index), task, &pool, now)
                     };
-                    let mut waiting = Vec::with_capacity(step.counts().waiting);
-                    let startable = step.tasks.iter().enumerate().filter(may_start);
-                    waiting
-                        .extend(startable.map(|(index, _)| job.key(*occurrence, position, index)));
+                    // Most steps have not begun, and their tasks are not looked at one by one.
+                    let is_free = counts.startable_ms <= now && !counts.has_losses;
+                    let mut waiting = Vec::with_capacity(counts.waiting);
+                    if is_free && counts.waiting == step.tasks.len() {
+                        waiting.extend((0..step.tasks.len()).map(key));
+                    } else {
+                        let startable = step.tasks.iter().enumerate().filter(may_start);
+                        waiting.extend(startable.map(|(index, _)| key(index)));
+                    }
                     let Some(first) = waiting.first() else { continue };
                     let key = first.step_key();
                     let rank = *cached_rank.get_or_insert_with(|| {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -173,13 +173,21 @@
     pub live: usize,
     /// When a run last entered its phase, in milliseconds; `None` if there is no run.
     pub phase_since_ms: Option<u64>,
+    /// Earliest time at which every waiting task may start, in milliseconds.
+    pub startable_ms: u64,
+    /// Whether a waiting task has lost a worker.
+    pub has_losses: bool,
 }
 
 impl StepCounts {
     fn of(tasks: &[TaskRun]) -> StepCounts {
         let mut counts = StepCounts::default();
         for task in tasks {
-            counts.waiting += usize::from(!task.is_done && !task.has_live_run());
+            if !task.is_done && !task.has_live_run() {
+                counts.waiting += 1;
+                counts.startable_ms = counts.startable_ms.max(task.not_before_ms);
+                counts.has_losses |= task.losses != LossCount::default();
+            }
             counts.live += task.live.len();
             let newest_ms = task.live.iter().map(|live| live.phase_since_ms).max();
             counts.phase_since_ms = counts.phase_since_ms.max(newest_ms);
--- a/tests/kept_ranks.rs
+++ b/tests/kept_ranks.rs
@@ -6,6 +6,7 @@
 use ibisweir::jobs::model::{
     JobId, JobSchedule, JobSpec, JobSubmission, ResourceVector, StepSpec, TaskKey,
 };
+use ibisweir::jobs::record::LossCount;
 use ibisweir::jobs::site::QueueSpec;
 use ibisweir::scheduler::job::{JobRun, LiveRun, OccurrenceRun, RunPhase, StepRun};
 use ibisweir::scheduler::rank::{JobRank, RankTier, rank};
@@ -179,7 +180,7 @@
     let index = usize::try_from(key.index).expect("index");
     let phases = [RunPhase::Starting, RunPhase::Running, RunPhase::Running, RunPhase::Stopping];
     let phase = phases[random.random_range(0..phases.len())];
-    let change = random.random_range(0..6);
+    let change = random.random_range(0..8);
     if change == 0 {
         job.step_mut(key).expect("step").finish(index);
         job.sweep();
@@ -191,7 +192,9 @@
             task.run += 1;
             task.live.push(LiveRun::planned("worker".into(), task.run, now));
         }
-        3 if !task.live.is_empty() => {
+        3 => task.not_before_ms = now + random.random_range(0..400),
+        4 => task.losses.total += 1,
+        5 if !task.live.is_empty() => {
             let live = task.live.remove(0);
             task.took_ms = random.random_bool(0.5).then(|| now - live.begun_ms.min(now));
         }
@@ -214,6 +217,11 @@
                 step.tasks.iter().filter(|task| !task.is_done && task.live.is_empty()).count();
             let live = step.tasks.iter().map(|task| task.live.len()).sum::<usize>();
             assert_eq!((counts.waiting, counts.live), (waiting, live), "seed {seed}");
+            let open = || step.tasks.iter().filter(|task| !task.is_done && task.live.is_empty());
+            let startable_ms = open().map(|task| task.not_before_ms).max().unwrap_or(0);
+            assert_eq!(counts.startable_ms, startable_ms, "seed {seed}");
+            let has_losses = open().any(|task| task.losses != LossCount::default());
+            assert_eq!(counts.has_losses, has_losses, "seed {seed}");
             assert_eq!(step.runtimes().median(), plain_median(step, None), "seed {seed}");
             for index in 0..step.tasks.len() {
                 let median = plain_median(step, Some(index));
