Look up pending commands without dropping kept counts

Each tick looked up every pending start and stop with mutable access, several times each, which would also renew the counts of their steps. Commands that are not due are now only read.

--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -156,7 +156,7 @@
         }
         let due: Vec<(TaskKey, u32)> = self.pending_commands.iter().copied().collect();
         for (key, run) in due {
-            let Some(live) = self.live_mut(&key, run) else {
+            let Some(live) = self.live_run(&key, run) else {
                 self.pending_commands.remove(&(key, run));
                 continue;
             };
@@ -167,9 +167,9 @@
             if now < live.retry_ms {
                 continue;
             }
-            let (id, phase, since_ms) = (live.worker.clone(), live.phase, live.phase_since_ms);
+            let (phase, since_ms) = (live.phase, live.phase_since_ms);
             let stop_due_ms = live.retry_ms + stop_pause_ms(live.stops);
-            let Some(worker) = self.workers.get(&id) else { continue };
+            let Some(worker) = self.workers.get(&live.worker) else { continue };
             let is_silent = worker.silent_since_ms.is_some();
             let is_held = match phase {
                 // A stop extends no lease, and it arrives where only the answers are late.
@@ -182,6 +182,7 @@
                 continue;
             }
             if phase == RunPhase::Starting && !worker.may_start_now(&(key, run), since_ms) {
+                let id = live.worker.clone();
                 self.actions.push(SchedulerAction::RenewNow(id));
                 continue;
             }
@@ -200,8 +201,8 @@
     }
 
     /// Whether a run waits to be started.
-    pub fn is_starting(&mut self, key: &TaskKey, run: u32) -> bool {
-        self.live_mut(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
+    pub fn is_starting(&self, key: &TaskKey, run: u32) -> bool {
+        self.live_run(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
     }
 
     /// Starts that were decided and have no answer yet.
@@ -217,14 +218,13 @@
             return None;
         }
         let (lease_ms, deadline_ms) = (self.lease_ms(), self.start_deadline_ms());
-        let id = self.live_mut(key, run)?.worker.clone();
-        let fence = self.fence_of(&id);
         let live = self.live_mut(key, run)?;
-        let phase = live.phase;
         live.retry_ms = now + COMMAND_RETRY_MS;
+        let (id, phase) = (live.worker.clone(), live.phase);
         match phase {
             RunPhase::Starting => {}
             RunPhase::Stopping => {
+                let fence = self.fence_of(&id);
                 return Some(RunCommand::Stop(RunCall { task: *key, run, fence }));
             }
             RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return None,
@@ -238,6 +238,7 @@
             return None;
         }
         let lease_until_ms = worker.start_until(lease_ms, deadline_ms, now)?;
+        let fence = self.fence_of(&id);
         let permits = self.permits.get(&key.step_key());
         let permit = permits.and_then(|permits| permits.allowed.get(&id)).cloned();
         let job = self.jobs.get(&key.job)?;
@@ -452,6 +453,10 @@
         self.is_deposed |= self.workers.contains_key(id);
     }
 
+    fn live_run(&self, key: &TaskKey, run: u32) -> Option<&LiveRun> {
+        self.jobs.get(&key.job)?.task(key)?.live.iter().find(|live| live.run == run)
+    }
+
     fn live_mut(&mut self, key: &TaskKey, run: u32) -> Option<&mut LiveRun> {
         self.task_mut(key)?.live.iter_mut().find(|live| live.run == run)
     }
@@ -569,6 +574,7 @@
                     let is_gang = job.submission.spec.steps[position].is_gang;
                     if !is_gang
                         || step.is_done()
+                        || step.counts().live == 0
                         || step.tasks.iter().all(|task| task.has_live_run())
                     {
                         continue;
