--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -243,8 +243,9 @@
     /// Fences earlier leaders out of the job log by raising its epoch to this term. Returns the end
     /// of the log, or `None` if a later leader has fenced this one.
     async fn raise_epoch(&self) -> Option<u64> {
+        let call = self.append_call(Vec::new(), 0);
         loop {
-            match self.append(Vec::new(), 0).await {
+            match self.append(&call).await {
                 AppendOutcome::Done { end, .. } => {
                     *self.sequence() = 1;
                     return Some(end);
@@ -274,13 +275,15 @@
         self.pending_commit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn append(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendOutcome {
+    fn append_call(&self, records: Vec<KeyedRecord>, sequence: u64) -> AppendCall {
         let stamp = WriterStamp { writer: WRITER.into(), epoch: self.term, sequence };
-        let call =
-            AppendCall { topic: LogTopic::Jobs, records, expected_end: None, stamp: Some(stamp) };
+        AppendCall { topic: LogTopic::Jobs, records, expected_end: None, stamp: Some(stamp) }
+    }
+
+    async fn append(&self, call: &AppendCall) -> AppendOutcome {
         let started = Instant::now();
         let append_timeout = self.append_timeout().timeout();
-        let outcome = self.parts.log.append(&call, append_timeout).await;
+        let outcome = self.parts.log.append(call, append_timeout).await;
         self.node.metrics.append_seconds.observe(started.elapsed().as_secs_f64());
         self.append_timeout().record_outcome(outcome, started.elapsed());
         if matches!(outcome, AppendOutcome::Done { .. }) {
@@ -522,7 +525,7 @@
                 self.commit_wake.notified().await;
                 continue;
             };
-            if !self.commit_batch(&batch).await {
+            if !self.commit_batch(batch).await {
                 self.node.with_scheduler(Scheduler::depose);
                 self.node.wake.notify_one();
                 return;
@@ -536,26 +539,28 @@
     }
 
     /// Appends the batch until the log has stored it; false if a later leader has fenced this one.
-    async fn commit_batch(&self, batch: &CommitBatch) -> bool {
+    async fn commit_batch(&self, mut batch: CommitBatch) -> bool {
         let sequence = *self.sequence();
         if batch.records.is_empty() {
-            self.committed(batch);
+            self.committed(&batch);
             return true;
         }
         let sent_ms = self.node.now();
         let mut pending = PendingCommit { bytes: batch.bytes(), begun_ms: sent_ms, tries: 0 };
+        // Each try sends the same call; a large commit is not copied for it.
+        let call = self.append_call(std::mem::take(&mut batch.records), sequence);
         loop {
             pending.tries += 1;
             *self.pending_commit() = Some(pending);
-            let outcome = self.append(batch.records.clone(), sequence).await;
-            self.log_slow_commit(batch, pending);
+            let outcome = self.append(&call).await;
+            self.log_slow_commit(call.records.len(), pending);
             match outcome {
                 AppendOutcome::Done { offset, end } => {
                     *self.sequence() = sequence + 1;
                     if self.node.fold_appended(&batch.decoded, offset, end) {
                         self.node.record_jobs_read(sent_ms);
                     }
-                    self.committed(batch);
+                    self.committed(&batch);
                     return true;
                 }
                 AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return false,
@@ -569,13 +574,13 @@
     }
 
     /// Logs a commit that takes long.
-    fn log_slow_commit(&self, batch: &CommitBatch, pending: PendingCommit) {
+    fn log_slow_commit(&self, records: usize, pending: PendingCommit) {
         let age_ms = self.node.now().saturating_sub(pending.begun_ms);
         if age_ms < SLOW_COMMIT_MS {
             return;
         }
         info!(self.node.logger, "slow commit to the log"; "bytes" => pending.bytes,
-            "records" => batch.records.len(), "tries" => pending.tries, "age_ms" => age_ms,
+            "records" => records, "tries" => pending.tries, "age_ms" => age_ms,
             "room" => self.parts.log.append_limit());
     }
 
