--- a/src/scheduler/throttle.rs
+++ b/src/scheduler/throttle.rs
@@ -46,8 +46,8 @@
             let Some(tail) = reported.gauge else { continue };
             let spec = self.jobs.get(&reported.task.job).and_then(|job| job.spec(&reported.task));
             let target = spec.map_or(0, |spec| spec.target_ms);
-            if target > 0 {
-                worst_percent = worst_percent.max(tail * 100 / target);
+            if let Some(percent) = (tail * 100).checked_div(target) {
+                worst_percent = worst_percent.max(percent);
             }
         }
         if best_effort.is_empty() {
--- a/standin/src/measure/backlog.rs
+++ b/standin/src/measure/backlog.rs
@@ -408,7 +408,8 @@
                     self.started.insert(task);
                 }
                 Some(RunCommand::Stop(_)) => {
-                    if worker.running.remove(&(task, run)).is_some() {
+                    let stopped = worker.running.remove(&(task, run));
+                    if stopped.is_some() {
                         worker.add_exit(task, run, ExitKind::Stopped);
                         self.due.insert(id);
                     }
--- a/tests/kept_ranks.rs
+++ b/tests/kept_ranks.rs
@@ -29,7 +29,7 @@
         is_service: random.random_ratio(1, 20),
         ..StepSpec::default()
     };
-    let schedule = random.random_bool(0.3).then(|| JobSchedule {
+    let schedule = random.random_bool(0.3).then_some(JobSchedule {
         occurrences: 3,
         first_ms: WALL_MS,
         interval_ms: 700,
