--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -20,7 +20,7 @@
 
 use crate::jobs::model::{ResourceVector, StepKey, StepSpec, TaskKey};
 use crate::jobs::site::QueueSpec;
-use crate::scheduler::job::{JobRun, OccurrenceRun};
+use crate::scheduler::job::JobRun;
 use crate::scheduler::losses::{PoolView, RecentAddresses};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
 use crate::scheduler::runtime::RuntimeModel;
@@ -245,7 +245,7 @@
     fn ready_steps(&self, largest_free: &NameMap<ResourceVector>, now: u64) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         let mut views: HashMap<&str, Option<QueueView<'_>>, NameHashing> = HashMap::default();
-        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+        for job in self.jobs.values().filter(|job| !job.state.is_final() && job.has_ready_step()) {
             let view = views.entry(&job.submission.queue).or_insert_with(|| {
                 let queue = self.queue_of(job)?;
                 let model = self.runtime_model(queue);
@@ -253,27 +253,32 @@
                 Some(QueueView { queue, model, largest_free })
             });
             let Some(QueueView { queue, model, largest_free }) = view else { continue };
-            let specs = &job.submission.spec.steps;
             for (occurrence, run) in &job.occurrences {
                 let mut cached_rank = None;
-                for (position, step) in run.steps.iter().enumerate() {
-                    let spec = &specs[position];
-                    let reservation = spec.reservation();
-                    if !may_preempt(spec) && !largest_free.covers(&reservation) {
+                for (position, (spec, step)) in
+                    job.submission.spec.steps.iter().zip(&run.steps).enumerate()
+                {
+                    let counts = step.counts();
+                    if counts.waiting == 0 || !run.may_begin(spec) {
                         continue;
                     }
-                    if !is_ready(run, position, spec) {
+                    let reservation = spec.reservation();
+                    if !may_preempt(spec) && !largest_free.covers(&reservation) {
                         continue;
                     }
-                    let key = job.key(*occurrence, position, 0).step_key();
-                    let is_waiting = (0..step.tasks.len())
-                        .any(|index| self.is_waiting(job, *occurrence, position, index, now));
+                    // Most tasks have lost no worker and wait for nothing but capacity.
+                    let is_free = counts.startable_ms <= now && !counts.has_losses;
+                    let is_waiting = is_free
+                        || (0..step.tasks.len())
+                            .any(|index| self.is_waiting(job, *occurrence, position, index, now));
                     if !is_waiting {
                         continue;
                     }
-                    let due = self.due_ms(job, *occurrence, now);
-                    let rank =
-                        *cached_rank.get_or_insert_with(|| rank(job, queue, run, model, due, now));
+                    let key = job.key(*occurrence, position, 0).step_key();
+                    let rank = *cached_rank.get_or_insert_with(|| {
+                        let due = self.due_ms(job, *occurrence, now);
+                        rank(job, queue, run, model, due, now)
+                    });
                     ready.push(ReadyStep {
                         rank,
                         key,
@@ -749,12 +754,6 @@
     spec.is_service && !spec.is_best_effort
 }
 
-/// Whether the steps that a step waits for are complete and it is not.
-fn is_ready(run: &OccurrenceRun, position: usize, spec: &StepSpec) -> bool {
-    let is_done = |step: &u16| run.steps.get(usize::from(*step)).is_some_and(|step| step.is_done());
-    !run.steps.get(position).is_none_or(|step| step.is_done()) && spec.after.iter().all(is_done)
-}
-
 /// Whether a step requires nothing but capacity, so that its refusal holds for the whole pool.
 fn is_unconstrained(spec: &StepSpec) -> bool {
     spec.required_label.is_none()
--- a/src/scheduler/fair_share.rs
+++ b/src/scheduler/fair_share.rs
@@ -185,8 +185,7 @@
             let pool = pools.get_mut(pool)?.as_mut()?;
             let job = self.jobs.get(&step.key.job)?;
             let run = job.occurrences.get(&step.key.occurrence)?;
-            let tasks = &run.steps.get(usize::from(step.key.step))?.tasks;
-            let waiting = tasks.iter().filter(|task| !task.is_done && !task.has_live_run()).count();
+            let waiting = run.steps.get(usize::from(step.key.step))?.counts().waiting;
             let count = u64::try_from(waiting).unwrap_or(u64::MAX);
             let spec = job.submission.spec.steps.get(usize::from(step.key.step))?;
             Some(pool.claim(position, &spec.need.times(count)))
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -96,14 +96,16 @@
     pub(crate) fn remove_run(&mut self, key: &TaskKey, run: u32, now: u64) {
         self.pending_commands.remove(&(*key, run));
         self.needs_dispatch = true;
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(task) = job.task(key) else { return };
+        let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
+        let last_alive = self.last_alive(&task.live[position], now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        self.organisations.remove_run(&job.submission, job.spec(key));
         let Some(task) = job.task_mut(key) else { return };
-        let Some(position) = task.live.iter().position(|live| live.run == run) else { return };
         let live = task.live.remove(position);
         task.waiting_since_ms = now;
-        self.record_last_alive(key, &live, now);
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        self.organisations.remove_run(&job.submission, job.spec(key));
+        task.last_alive = last_alive.or(task.last_alive);
         self.commits.mark_changed(key.job);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.remove_run(&(*key, run), now);
@@ -151,7 +153,7 @@
         }
         let due: Vec<(TaskKey, u32)> = self.pending_commands.iter().copied().collect();
         for (key, run) in due {
-            let Some(live) = self.live_mut(&key, run) else {
+            let Some(live) = self.live_run(&key, run) else {
                 self.pending_commands.remove(&(key, run));
                 continue;
             };
@@ -162,9 +164,9 @@
             if now < live.retry_ms {
                 continue;
             }
-            let (id, phase, since_ms) = (live.worker.clone(), live.phase, live.phase_since_ms);
+            let (phase, since_ms) = (live.phase, live.phase_since_ms);
             let stop_due_ms = live.retry_ms + stop_pause_ms(live.stops);
-            let Some(worker) = self.workers.get(&id) else { continue };
+            let Some(worker) = self.workers.get(&live.worker) else { continue };
             let is_silent = worker.silent_since_ms.is_some();
             let is_held = match phase {
                 // A stop extends no lease, and it arrives where only the answers are late.
@@ -177,6 +179,7 @@
                 continue;
             }
             if phase == RunPhase::Starting && !worker.may_start_now(&(key, run), since_ms) {
+                let id = live.worker.clone();
                 self.actions.push(SchedulerAction::RenewNow(id));
                 continue;
             }
@@ -195,8 +198,8 @@
     }
 
     /// Whether a run waits to be started.
-    pub fn is_starting(&mut self, key: &TaskKey, run: u32) -> bool {
-        self.live_mut(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
+    pub fn is_starting(&self, key: &TaskKey, run: u32) -> bool {
+        self.live_run(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
     }
 
     /// Starts that were decided and have no answer yet.
@@ -212,14 +215,13 @@
             return None;
         }
         let (lease_ms, deadline_ms) = (self.lease_ms(), self.start_deadline_ms());
-        let id = self.live_mut(key, run)?.worker.clone();
-        let fence = self.fence_of(&id);
         let live = self.live_mut(key, run)?;
-        let phase = live.phase;
         live.retry_ms = now + COMMAND_RETRY_MS;
+        let (id, phase) = (live.worker.clone(), live.phase);
         match phase {
             RunPhase::Starting => {}
             RunPhase::Stopping => {
+                let fence = self.fence_of(&id);
                 return Some(RunCommand::Stop(RunCall { task: *key, run, fence }));
             }
             RunPhase::Planned | RunPhase::Running | RunPhase::Inherited => return None,
@@ -233,6 +235,7 @@
             return None;
         }
         let lease_until_ms = worker.start_until(lease_ms, deadline_ms, now)?;
+        let fence = self.fence_of(&id);
         let permits = self.permits.get(&key.step_key());
         let permit = permits.and_then(|permits| permits.allowed.get(&id)).cloned();
         let job = self.jobs.get(&key.job)?;
@@ -447,6 +450,10 @@
         self.is_deposed |= self.workers.contains_key(id);
     }
 
+    fn live_run(&self, key: &TaskKey, run: u32) -> Option<&LiveRun> {
+        self.jobs.get(&key.job)?.task(key)?.live.iter().find(|live| live.run == run)
+    }
+
     fn live_mut(&mut self, key: &TaskKey, run: u32) -> Option<&mut LiveRun> {
         self.task_mut(key)?.live.iter_mut().find(|live| live.run == run)
     }
@@ -564,6 +571,7 @@
                     let is_gang = job.submission.spec.steps[position].is_gang;
                     if !is_gang
                         || step.is_done()
+                        || step.counts().live == 0
                         || step.tasks.iter().all(|task| task.has_live_run())
                     {
                         continue;
--- a/src/scheduler/runtime.rs
+++ b/src/scheduler/runtime.rs
@@ -49,7 +49,7 @@
 }
 
 /// Least-squares fit of observed over declared run times, for one queue.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RuntimeModel {
     weight: f64,
     declared: f64,
