Walk workers by place and hash ids with a multiplication

The profile of the measurement showed 7% in hashing of names, 5% in iteration of the ordered tree of workers and 1 to 2% in hashing of job ids. The order of the workers is now a vector of places, and numbers are hashed by one multiplication with the seed of the table. The members of a gang are planned from one set of terms. Not measured yet.

--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -6,7 +6,7 @@
 use crate::jobs::model::{ResourceVector, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::scheduler::dispatch::{PlaceQuery, ReadyStep, is_allowed, is_near, remote_cost_ms};
-use crate::scheduler::worker::{IsolationRule, WorkerState};
+use crate::scheduler::worker::WorkerState;
 
 impl Scheduler {
     /// Places all members of a gang or none; returns false if there is not enough capacity.
@@ -39,16 +39,18 @@
             racks.iter().map(|rack| Some(&**rack)).chain(may_span_racks.then_some(None));
         let attempts =
             rules.iter().flat_map(|isolation| rack_choices.clone().map(|rack| (*isolation, rack)));
+        let no_runs = BTreeMap::new();
         let plan = attempts.into_iter().find_map(|(isolation, rack)| {
-            let plan = self.plan_gang(
-                step,
-                waiting.len(),
+            let terms = PlaceQuery {
                 spec,
-                permitted.as_deref(),
+                runs_by_worker: &no_runs,
+                runs_by_rack: &no_runs,
+                avoided: &[],
+                permitted: permitted.as_deref(),
                 rack,
                 isolation,
-                now,
-            )?;
+            };
+            let plan = self.plan_gang(step, waiting.len(), &terms, now)?;
             Some((plan, isolation))
         });
         let Some((plan, isolation)) = plan else { return false };
@@ -73,13 +75,11 @@
         &self,
         step: &ReadyStep,
         members: usize,
-        spec: &StepSpec,
-        permitted: Option<&[Arc<str>]>,
-        rack: Option<&str>,
-        isolation: IsolationRule,
+        terms: &PlaceQuery<'_>,
         now: u64,
     ) -> Option<Vec<Arc<str>>> {
-        let (mut runs_by_worker, runs_by_rack) = (BTreeMap::new(), BTreeMap::new());
+        let (spec, isolation) = (terms.spec, terms.isolation);
+        let mut runs_by_worker = BTreeMap::new();
         let mut free: BTreeMap<&Arc<str>, (&WorkerState, ResourceVector)> = self
             .workers
             .pool(&step.service)
@@ -88,15 +88,7 @@
             .collect();
         let mut plan = Vec::with_capacity(members);
         for _ in 0..members {
-            let query = PlaceQuery {
-                spec,
-                runs_by_worker: &runs_by_worker,
-                runs_by_rack: &runs_by_rack,
-                avoided: &[],
-                permitted,
-                rack,
-                isolation,
-            };
+            let query = PlaceQuery { runs_by_worker: &runs_by_worker, ..terms.clone() };
             let chosen = free
                 .iter()
                 .filter(|(id, (worker, available))| {
--- a/src/scheduler/worker_table.rs
+++ b/src/scheduler/worker_table.rs
@@ -6,7 +6,7 @@
 //! id to its place, and each pool has the places of its workers in the order of their ids, on which
 //! tie-breaking relies.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::sync::Arc;
 
@@ -15,7 +15,10 @@
 use crate::jobs::site::WorkerEntry;
 use crate::scheduler::worker::WorkerState;
 
-/// Hash function for short names, with a seed of its own for each table.
+/// Odd, with bits spread evenly: the fraction of the golden ratio.
+const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Hash function for short names and ids, with a seed of its own for each table.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NameHashing(u64);
 
@@ -38,11 +41,23 @@
 pub(crate) struct NameHasher(u64);
 
 impl Hasher for NameHasher {
+    #[inline]
     fn write(&mut self, bytes: &[u8]) {
         self.0 = xxh3_64_with_seed(bytes, self.0);
     }
 
+    // Job ids are chosen by callers: the seed is mixed in before the multiplication, whose halves
+    // both count.
+    #[inline]
+    fn write_u64(&mut self, number: u64) {
+        let product = u128::from(number ^ self.0) * u128::from(MULTIPLIER);
+        let halves = [product, product >> 64].map(|half| half & u128::from(u64::MAX));
+        self.0 =
+            halves.into_iter().filter_map(|half| u64::try_from(half).ok()).fold(0, |a, b| a ^ b);
+    }
+
     // A string ends with this byte, which matters only where several are hashed together.
+    #[inline]
     fn write_u8(&mut self, byte: u8) {
         self.0 = self.0.rotate_left(8) ^ u64::from(byte);
     }
@@ -61,7 +76,8 @@
     states: Vec<Option<WorkerState>>,
     free_places: Vec<usize>,
     place_by_id: NameMap<usize>,
-    ordered: BTreeMap<Arc<str>, usize>,
+    /// Places of all workers, in the order of their ids.
+    ordered: Vec<usize>,
     /// Places of each pool's workers, in the order of their ids.
     pools: NameMap<Vec<usize>>,
 }
@@ -89,17 +105,17 @@
 
     /// Ids, in order.
     pub fn keys(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.ordered.keys()
+        self.values().map(|worker| &worker.entry.id)
     }
 
     /// Workers, in the order of their ids.
     pub fn values(&self) -> impl Iterator<Item = &WorkerState> {
-        self.iter().map(|(_, worker)| worker)
+        self.ordered.iter().filter_map(|place| self.states[*place].as_ref())
     }
 
     /// Ids and workers, in the order of the ids.
     pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &WorkerState)> {
-        self.ordered.iter().filter_map(|(id, place)| Some((id, self.states[*place].as_ref()?)))
+        self.values().map(|worker| (&worker.entry.id, worker))
     }
 
     /// Workers in no certain order, to be changed; their entries stay as they are.
@@ -128,8 +144,9 @@
             Some(state) => *state = Some(worker),
             None => self.states.push(Some(worker)),
         }
-        self.place_by_id.insert(id.clone(), place);
-        self.ordered.insert(id, place);
+        self.place_by_id.insert(id, place);
+        let position = self.position(&self.ordered, place);
+        self.ordered.insert(position, place);
         self.join_pool(place, service);
     }
 
@@ -148,7 +165,7 @@
     /// Removes a worker.
     pub fn remove(&mut self, id: &str) -> Option<WorkerState> {
         let place = self.place_by_id.remove(id)?;
-        self.ordered.remove(id);
+        self.ordered.retain(|other| *other != place);
         self.leave_pool(place);
         self.free_places.push(place);
         self.states[place].take()
@@ -171,11 +188,16 @@
         }
     }
 
+    /// Where a worker belongs among others that are in the order of their ids.
+    fn position(&self, others: &[usize], place: usize) -> usize {
+        let id = |place: usize| self.states[place].as_ref().map(|worker| &worker.entry.id);
+        others.partition_point(|other| id(*other) < id(place))
+    }
+
     fn join_pool(&mut self, place: usize, service: Arc<str>) {
-        let id = |place: &usize| self.states[*place].as_ref().map(|worker| &worker.entry.id);
-        let places = self.pools.entry(service).or_default();
-        let position = places.partition_point(|other| id(other) < id(&place));
-        places.insert(position, place);
+        let members = self.pools.get(&service).map_or(&[][..], |places| places);
+        let position = self.position(members, place);
+        self.pools.entry(service).or_default().insert(position, place);
     }
 
     fn leave_pool(&mut self, place: usize) {
