--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -13,6 +13,7 @@
 //!
 //! All arithmetic saturates, because declared run times and sizes are of any magnitude.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -324,40 +325,56 @@
     pub retry_s: u64,
 }
 
-/// Work ahead of a job, in core-milliseconds.
+/// Work ahead of a job.
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkAhead {
-    /// While the job can meet its objective.
-    in_time: u64,
-    /// Once it can't: late jobs may go first too.
-    late: u64,
-    /// Work that arrives ahead of it, a second.
+    /// Waiting and begun, in core-milliseconds.
+    present: u64,
+    /// Arriving, in core-milliseconds a second.
     arriving: u64,
 }
 
 impl WorkAhead {
-    fn of(job: &JobDemand, line: &PoolLine) -> WorkAhead {
-        let mut ahead = WorkAhead { in_time: line.begun, ..WorkAhead::default() };
-        for group in &line.priorities {
+    fn add(&mut self, present: u64, arriving: u64) {
+        self.present = self.present.saturating_add(present);
+        self.arriving = self.arriving.saturating_add(arriving);
+    }
+
+    /// Work ahead of a job while it can meet its objective, and once it can't. Until then, smaller
+    /// jobs that can meet theirs go first; after that, all jobs that can, and smaller late ones.
+    /// Arrivals count only then: if they ended now, the job could still be in time.
+    fn of(job: &JobDemand, line: &PoolLine) -> (WorkAhead, WorkAhead) {
+        let (mut in_time, mut late) = (WorkAhead::default(), WorkAhead::default());
+        in_time.add(line.begun, 0);
+        late.add(line.begun, 0);
+        for group in line.priorities.iter().filter(|group| group.priority <= job.priority) {
             if group.priority < job.priority {
-                ahead.in_time = ahead.in_time.saturating_add(group.waiting());
-                ahead.arriving = ahead.arriving.saturating_add(group.arriving());
-            }
-            if group.priority != job.priority {
+                in_time.add(group.waiting(), 0);
+                late.add(group.waiting(), group.arriving());
                 continue;
             }
-            for class in group.classes.iter().filter(|class| class.class <= job.class()) {
-                let before = |work| match class.class < job.class() {
-                    true => work,
-                    false => job.share_ahead(class, work),
+            for class in &group.classes {
+                late.add(class.in_time, class.arriving);
+                let before = |work| match class.class.cmp(&job.class()) {
+                    Ordering::Less => work,
+                    Ordering::Equal => job.share_ahead(class, work),
+                    Ordering::Greater => 0,
                 };
-                ahead.in_time = ahead.in_time.saturating_add(before(class.in_time));
-                ahead.late = ahead.late.saturating_add(before(class.late));
-                ahead.arriving = ahead.arriving.saturating_add(before(class.arriving));
+                in_time.add(before(class.in_time), 0);
+                late.add(before(class.late), 0);
             }
         }
-        ahead.late = ahead.late.saturating_add(ahead.in_time);
-        ahead
+        (in_time, late)
+    }
+
+    /// When a job behind this work ends, in milliseconds from now, if a part of the work counts. It
+    /// takes `path_ms`, and must end by `limit_ms`: what arrives after it must have begun is not
+    /// ahead of it.
+    fn end_ms(self, present_divisor: u64, capacity: u64, path_ms: u64, limit_ms: u64) -> u64 {
+        let horizon_ms = limit_ms.saturating_sub(path_ms).min(ARRIVAL_HORIZON_MS);
+        let arriving = self.arriving / 1_000 * horizon_ms / AHEAD_DIVISOR;
+        let work = (self.present / present_divisor).saturating_add(arriving);
+        drain_ms(work, capacity).saturating_add(path_ms)
     }
 }
 
@@ -367,24 +384,20 @@
     if has_free_capacity || line.waiting() == 0 || job.path_ms == 0 || job.objective_ms == 0 {
         return None;
     }
-    let ahead = WorkAhead::of(job, line);
+    let (in_time, late) = WorkAhead::of(job, line);
     let capacity = line.capacity.saturating_add(line.coming);
-    let arriving = ahead.arriving.saturating_mul(ARRIVAL_HORIZON_MS) / 1_000;
     let path_ms = job.path_ms / 100 * PATH_PERCENT + job.path_ms % 100 * PATH_PERCENT / 100;
-    let end_ms = |work: u64| {
-        let counted = (work / AHEAD_DIVISOR).saturating_add(arriving / AHEAD_DIVISOR);
-        drain_ms(counted, capacity).saturating_add(path_ms)
-    };
-    let value_end_ms = job.objective_ms.saturating_mul(VALUE_FACTOR);
-    if end_ms(ahead.in_time) <= job.objective_ms || end_ms(ahead.late) <= value_end_ms {
+    if in_time.end_ms(1, capacity, path_ms, job.objective_ms) <= job.objective_ms {
         return None;
     }
-    Some(LineRejection {
-        work_ahead: ahead.late,
+    let value_end_ms = job.objective_ms.saturating_mul(VALUE_FACTOR);
+    let end_ms = late.end_ms(AHEAD_DIVISOR, capacity, path_ms, value_end_ms);
+    (end_ms > value_end_ms).then(|| LineRejection {
+        work_ahead: late.present,
         capacity,
-        end_ms: end_ms(ahead.late),
+        end_ms,
         value_end_ms,
-        retry_s: retry_s(job.order, drain_ms(ahead.late, capacity)),
+        retry_s: retry_s(job.order, drain_ms(late.present, capacity)),
     })
 }
 
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -537,15 +537,14 @@
         }
     }
 
-    /// Takes the digest of the backlog from the body of the leader's answer, if it has one.
-    pub fn receive_line(&self, body: &[u8]) {
+    /// Takes the digest of the backlog from the body of the leader's answer. Returns whether there
+    /// is one that is newer than the entry's.
+    pub fn receive_line(&self, body: &[u8]) -> bool {
         if !self.settings.admission {
-            return;
+            return false;
         }
         let now = self.now();
-        if let Some(digest) = LineDigest::decode(body) {
-            self.line_slot().receive(digest, now);
-        }
+        LineDigest::decode(body).is_some_and(|digest| self.line_slot().receive(digest, now))
     }
 
     /// The digest of the backlog that may be used now, and its age in milliseconds. An entry that
