--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -183,7 +183,7 @@
             "listen": { "front": callers, "ready": ready },
             "orders": "call",
             "platform": { "addr": log, "form": "log" },
-            "cloud": { "addr": vm_service },
+            "cloud": { "addr": vm_service }, "contracts": ["pressure"],
             "bounds": {
                 "max-hold-ms": LEASE_MAX_MS, "stop-ms": millis(STOP_TIME), "cancel_ms": CANCEL_MS,
                 "status_s": 120,
--- a/tests/admission_replay.rs
+++ b/tests/admission_replay.rs
@@ -253,7 +253,7 @@
         let server = &mut self.server;
         server.turn(|order| self.retried.contains(&order));
         let now = server.now;
-        if now % DIGEST_MS == 0 {
+        if now.is_multiple_of(DIGEST_MS) {
             self.line = server.line();
         }
         let is_held = |caller: &Caller| caller.attempts > 0 && caller.next_ms != u64::MAX;
@@ -314,7 +314,7 @@
     match gate {
         Gate::Open => None,
         Gate::Admission => reject(&demand, line).map(|rejection| rejection.retry_s),
-        Gate::Careless => (line.waiting() > 0 && caller.order % 2 == 0).then_some(8),
+        Gate::Careless => (line.waiting() > 0 && caller.order.is_multiple_of(2)).then_some(8),
     }
 }
 
@@ -386,7 +386,8 @@
         while !play.is_over() {
             let rejected = play.turn();
             // One in a turn is enough, and every tenth turn: each inspection plays some seconds.
-            if let Some(position) = rejected.first().filter(|_| play.server.now % 200 == 0) {
+            if let Some(position) = rejected.first().filter(|_| play.server.now.is_multiple_of(200))
+            {
                 inspected += 1;
                 if play.could_be_in_time(*position) {
                     wrong.push((play.server.now, play.callers[*position].order));
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -39,6 +39,23 @@
     assert_eq!(settings.bounds.grace_ms, 6_000);
 }
 
+/// Guards against admission control on sites that did not ask for it, and against a list of contracts
+/// that can't be read and goes unnoticed.
+#[test]
+fn admission_control_is_on_where_the_contracts_name_pressure() {
+    assert!(!settings::parse(SETTINGS).expect("good settings").admission);
+    let with = |contracts: &str| {
+        settings::parse(&SETTINGS.replacen('{', &format!("{{ \"contracts\": {contracts},"), 1))
+    };
+    for (contracts, expected) in
+        [("[]", false), (r#"["other"]"#, false), (r#"["other", "pressure"]"#, true)]
+    {
+        assert_eq!(with(contracts).expect("good settings").admission, expected, "{contracts}");
+    }
+    let report = with("7").expect_err("not a list");
+    assert_eq!(*report.current_context(), ResultCode::SettingUnreadable);
+}
+
 /// Workers that fetch their commands with their heartbeats are not supported. A process that started
 /// all the same would look healthy and run nothing; it says so, with a number, and does not start.
 #[test]
