Bound the starts that the leader sends itself by its processor

Cause: a leader with half a core sends 1,000 to 1,900 starts a second itself in a burst, as its link has room, while the processors of the other entries are idle; its loop falls to 30 rounds a second.

Change: direct starts have a tenth of the leader's processor, 0.1 ms each; what exceeds it goes to executors that have capacity, and goes from the leader where none has. The token bucket of the byte budget serves both.

--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -136,42 +136,87 @@
     }
 }
 
-/// Longest time for which unused bytes accumulate, in milliseconds.
+/// Longest time for which unused tokens accumulate, in milliseconds.
 const BURST_MS: u64 = 300;
 /// Bytes per millisecond at 1 Mbit/s.
 const BYTES_PER_MS: u64 = 125;
+/// Processor time of one start that the leader sends itself, in microseconds: a call over HTTP and
+/// its answer.
+const START_COST_US: u64 = 100;
+/// Share of the leader's processor that its own starts may take, in percent. Commits, renewals and
+/// placements need the rest when most tasks start.
+const START_SHARE_PERCENT: u64 = 10;
 
-/// Rate limit for sent bytes: a token bucket.
-#[derive(Clone, Debug)]
-pub struct ByteBudget {
-    bytes_per_ms: u64,
+/// Token bucket.
+#[derive(Clone, Debug, Default)]
+struct TokenBudget {
+    per_ms: u64,
     left: u64,
     debt: u64,
     filled_ms: u64,
 }
 
+impl TokenBudget {
+    fn has_capacity(&mut self, now: u64) -> bool {
+        let since = now.saturating_sub(self.filled_ms).min(BURST_MS);
+        self.filled_ms = now;
+        let filled = self.per_ms * since;
+        let paid = filled.min(self.debt);
+        self.debt -= paid;
+        self.left = (self.left + filled - paid).min(self.per_ms * BURST_MS);
+        self.left > 0
+    }
+
+    /// Spends tokens, even more than are left; the debt is repaid before new ones become available.
+    fn charge(&mut self, tokens: u64) {
+        self.debt += tokens.saturating_sub(self.left);
+        self.left = self.left.saturating_sub(tokens);
+    }
+}
+
+/// Rate limit for sent bytes.
+#[derive(Clone, Debug)]
+pub struct ByteBudget(TokenBudget);
+
 impl ByteBudget {
     /// A budget of `mbits` Mbit/s; with 0 it never allows anything.
     pub fn with_rate(mbits: u64) -> ByteBudget {
-        let bytes_per_ms = mbits * BYTES_PER_MS;
-        ByteBudget { bytes_per_ms, left: 0, debt: 0, filled_ms: 0 }
+        ByteBudget(TokenBudget { per_ms: mbits * BYTES_PER_MS, ..TokenBudget::default() })
     }
 
     /// Whether any bytes are left.
     pub fn has_capacity(&mut self, now: u64) -> bool {
-        let since = now.saturating_sub(self.filled_ms).min(BURST_MS);
-        self.filled_ms = now;
-        let filled = self.bytes_per_ms * since;
-        let paid = filled.min(self.debt);
-        self.debt -= paid;
-        self.left = (self.left + filled - paid).min(self.bytes_per_ms * BURST_MS);
-        self.left > 0
+        self.0.has_capacity(now)
     }
 
     /// Spends bytes, even more than are left; the debt is repaid before new bytes become available.
     pub fn charge(&mut self, bytes: usize) {
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.debt += bytes.saturating_sub(self.left);
-        self.left = self.left.saturating_sub(bytes);
+        self.0.charge(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+}
+
+/// Rate limit for the processor time of the starts that the leader sends itself.
+///
+/// Load: a burst of a thousand starts a second and more. The leader's processor is then the scarcest
+/// resource of the site, while those of the other entries are idle: they carry out what exceeds this
+/// budget.
+#[derive(Clone, Debug)]
+pub struct StartBudget(TokenBudget);
+
+impl StartBudget {
+    /// The budget of a processor of so many thousandths of a core.
+    pub fn with_processor(millicores: u64) -> StartBudget {
+        let per_ms = millicores * START_SHARE_PERCENT / 100;
+        StartBudget(TokenBudget { per_ms, ..TokenBudget::default() })
+    }
+
+    /// Whether another start fits.
+    pub fn has_capacity(&mut self, now: u64) -> bool {
+        self.0.has_capacity(now)
+    }
+
+    /// Spends the processor time of one start.
+    pub fn charge_start(&mut self) {
+        self.0.charge(START_COST_US);
     }
 }
--- a/src/jobs/lanes.rs
+++ b/src/jobs/lanes.rs
@@ -18,7 +18,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::window::ByteBudget;
+use crate::decide::window::{ByteBudget, StartBudget};
 use crate::jobs::delegate::{StartDelegate, StartOrder};
 use crate::jobs::flow::{CommandFlow, FlowPermit};
 use crate::jobs::metrics::count;
@@ -143,6 +143,8 @@
     flow: CommandFlow,
     /// Budget of the bytes of starts that the leader sends itself while there are executors.
     direct_bytes: Mutex<ByteBudget>,
+    /// Budget of the processor time that they take.
+    direct_starts: Mutex<StartBudget>,
     /// Starts that go to executors.
     orders: mpsc::UnboundedSender<StartOrder>,
 }
@@ -154,12 +156,14 @@
         let (delegate, orders) = StartDelegate::open(node.clone());
         let direct_bytes =
             Mutex::new(ByteBudget::with_rate(node.settings.link / DIRECT_LINK_DIVISOR));
+        let direct_starts = Mutex::new(StartBudget::with_processor(node.settings.processor));
         let lanes = WorkerLanes {
             node,
             workers,
             lanes: Mutex::new(HashMap::new()),
             flow: CommandFlow::default(),
             direct_bytes,
+            direct_starts,
             orders,
         };
         (Arc::new(lanes), delegate)
@@ -353,6 +357,7 @@
         match (self.command(id, task, run), route) {
             (Some((target, RunCommand::Start(call))), StartRoute::Direct(permit)) => {
                 self.direct_bytes().charge(call.payload.len() + START_BYTES);
+                self.direct_starts().charge_start();
                 let is_answered = self.send_start(&target, &call).await;
                 permit.end(is_answered, self.node.now());
             }
@@ -364,9 +369,9 @@
         }
     }
 
-    /// Chooses the route of the next start: direct while this entry's link and the command window
-    /// have spare capacity, otherwise through an executor. Without any executor the start waits for
-    /// the window.
+    /// Chooses the route of the next start: direct while this entry's link, its processor and the
+    /// command window have spare capacity, otherwise through an executor. Without any executor the
+    /// start waits for the window. The processor alone makes no start wait.
     ///
     /// While all executors are full or did not answer recently, the start waits for them, for
     /// [`EXECUTOR_WAIT_MAX`] at most: this entry's link may be the reason why they did not answer,
@@ -383,8 +388,12 @@
                 return StartRoute::Direct(self.flow.acquire(|| self.node.now()).await);
             }
             let has_bytes = self.direct_bytes().has_capacity(now);
+            let has_processor = self.direct_starts().has_capacity(now);
             match self.flow.try_acquire().filter(|_| has_bytes) {
-                Some(permit) => return StartRoute::Direct(permit),
+                Some(permit) if has_processor || !has_capacity => {
+                    return StartRoute::Direct(permit);
+                }
+                Some(_) => return StartRoute::Delegated,
                 None if has_capacity => return StartRoute::Delegated,
                 None => sleep(EXECUTOR_POLL_INTERVAL).await,
             }
@@ -398,6 +407,10 @@
         let _ = self.orders.send(StartOrder { target: target.clone(), centre, call });
     }
 
+    fn direct_starts(&self) -> MutexGuard<'_, StartBudget> {
+        self.direct_starts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn direct_bytes(&self) -> MutexGuard<'_, ByteBudget> {
         self.direct_bytes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/executor_table.rs
+++ b/tests/executor_table.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use ibisweir::decide::executor::{ExecutorOffer, ExecutorTable};
-use ibisweir::decide::window::ByteBudget;
+use ibisweir::decide::window::{ByteBudget, StartBudget};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -110,3 +110,19 @@
     assert!((600_000..=700_000).contains(&sent), "{sent}");
     assert!(!ByteBudget::with_rate(0).has_capacity(10_000));
 }
+
+/// A tenth of half a core pays for 500 starts of 0.1 ms a second. Guards against a leader whose own starts take the
+/// processor that commits and renewals need.
+#[test]
+fn a_start_budget_bounds_the_processor_time_of_starts() {
+    let mut budget = StartBudget::with_processor(500);
+    let mut starts = 0;
+    for now in 1_000..6_000 {
+        while budget.has_capacity(now) {
+            budget.charge_start();
+            starts += 1;
+        }
+    }
+    assert!((2_500..=2_700).contains(&starts), "{starts}");
+    assert!(!StartBudget::with_processor(0).has_capacity(10_000));
+}
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -178,6 +178,24 @@
     assert_eq!(sim.workers.starts().len(), 4);
 }
 
+/// A burst asks for more starts than a tenth of the leader's processor pays for, three here: another entry gets the
+/// rest. Guards against a leader that spends the burst on calls that others could make.
+#[tokio::test(start_paused = true)]
+async fn starts_beyond_the_processor_budget_go_through_others() {
+    let weak = || SiteSettings { processor: 10, ..site_settings() };
+    for (has_executor, direct) in [(true, 3), (false, 8)] {
+        let mut sim = LaneStage::open(weak(), AnswerMode::Done);
+        if has_executor {
+            sim.node.executors().record_offer(offer(), sim.node.now());
+        }
+        sleep(Duration::from_millis(300)).await;
+        sim.submit(8);
+        // Delegated starts are collected for 6 ms.
+        sleep(Duration::from_millis(4)).await;
+        assert_eq!(sim.workers.starts().len(), direct, "executor: {has_executor}");
+    }
+}
+
 /// The answers to renewals come a second after their time. They are read all the same, and show that we are behind.
 #[tokio::test(start_paused = true)]
 async fn answers_after_their_time_are_read() {
