Review case 1: an overtaken occurrence is lost at a change of leaders

Cause: the progress record of a scheduled job has no trace of an occurrence that has begun and of which nothing has started; a successor takes it for done once a later occurrence is in the record.

Change: a script with stand-ins of its own (standard library only) plays a job of 7 occurrences on one worker and a planned restart of the leader while occurrence 4 waits behind occurrence 5. No product code is changed.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,201 @@
+//! Plays the cases of the review: stand-ins for the platform, its workers and its clients in this
+//! process, the entries of the system as processes of their own, all on loopback addresses.
+//!
+//! Usage: standin CASE RECORD. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if
+//! the case could not run. Without trouble where the variable TROUBLE is 0.
+
+mod case_occurrences;
+mod entries;
+mod http;
+mod json;
+mod log;
+mod record;
+mod site;
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use entries::{Entry, Services};
+use json::{Value, number, object, text};
+use log::Store;
+use record::Record;
+use site::Site;
+
+/// Host that clients name, and the prefix of the queue.
+pub const HOST: &str = "desk.example";
+pub const PREFIX: &str = "/jobs/";
+/// Service that the queue uses, and the standby service.
+pub const POOL: &str = "desk";
+pub const SPARE: &str = "spare";
+
+/// What a case found.
+pub enum Verdict {
+    Held(String),
+    Broken(String),
+    NotRun(String),
+}
+
+/// A small deployment.
+pub struct Deployment {
+    pub record: Record,
+    pub store: Store,
+    pub site: Site,
+    pub entries: Vec<Entry>,
+    directory: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.entries.clear();
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts the store, the machines that `add` adds, and this many entries; `None` if they aren't
+    /// ready in time.
+    pub fn open(record: &Record, entries: u8, add: impl FnOnce(&Site)) -> Option<Deployment> {
+        let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).ok()?;
+        let (store, listeners) = (Store::default(), [bind()?, bind()?]);
+        let address = |at: usize| listeners[at].local_addr().unwrap();
+        let services = Services { store: address(0), cloud: address(1) };
+        let site = Site::open(&store, record);
+        add(&site);
+        store.put("keyed.op", "config", &config().to_string());
+        let [store_listener, cloud_listener] = listeners;
+        let (serving_store, serving_site) = (store.clone(), site.clone());
+        http::serve(store_listener, move |request| serving_store.answer(&request));
+        http::serve(cloud_listener, move |request| serving_site.answer_cloud(&request));
+        let entries = (1..=entries).map(|n| Entry::start(n, services, &directory, record));
+        let entries = entries.collect();
+        let record = record.clone();
+        let deployment = Deployment { record, store, site, entries, directory };
+        let is_up = || {
+            deployment.entries.iter().all(Entry::is_ready)
+                && deployment.entries.iter().any(Entry::leads)
+        };
+        if std::env::var_os("KEEP_LOGS").is_some() {
+            println!("logs are in {}", deployment.directory.display());
+        }
+        let up = wait_until(Duration::from_secs(15), is_up);
+        up.then_some(deployment)
+    }
+
+    /// A client's call, repeated at another entry while there is no response, or one that says to
+    /// try again.
+    pub fn client(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        for turn in 0..8 {
+            let entry = &self.entries[turn % self.entries.len()];
+            let headers = [("host", HOST), ("content-type", "application/json"), ("deadline-ms", "3000")];
+            let answer =
+                http::call(entry.front, method, path, &headers, body, Duration::from_secs(3));
+            let shown = answer.as_ref().map_or("no response".to_owned(), |(s, b)| format!("{s} {b}"));
+            self.record.line(&format!("client: {method} {path} {body} at {}: {shown}", entry.name));
+            match answer {
+                Some((status, body)) if !matches!(status, 429 | 502 | 503 | 504) => {
+                    return Some((status, body));
+                }
+                _ => std::thread::sleep(Duration::from_millis(300)),
+            }
+        }
+        None
+    }
+
+    /// State of a job as a client is shown it.
+    pub fn state(&self, job: &str) -> Option<String> {
+        let (status, body) = self.client("GET", &format!("{PREFIX}{job}"), "")?;
+        if status == 410 {
+            return Some("410".to_owned());
+        }
+        Some(Value::parse(&body)?.text("state"))
+    }
+
+    /// Position of the entry that leads.
+    pub fn leader(&self) -> Option<usize> {
+        self.entries.iter().position(Entry::leads)
+    }
+}
+
+fn bind() -> Option<TcpListener> {
+    TcpListener::bind("127.0.0.1:0").ok()
+}
+
+pub fn wait_until(time: Duration, mut is_so: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < time {
+        if is_so() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    false
+}
+
+/// One queue on one service, and the standby service.
+fn config() -> Value {
+    let service = |name: &str, is_standby: bool| {
+        object(vec![
+            ("name", text(name)),
+            ("health-path", text("/healthz")),
+            ("max-conns", number(64)),
+            ("admission-check", Value::Bool(true)),
+            ("standby", Value::Bool(is_standby)),
+        ])
+    };
+    let route = object(vec![
+        ("name", text("r-jobs")),
+        ("host", text(HOST)),
+        ("path-prefix", text(PREFIX)),
+        ("kind", text("unsafe")),
+        ("timeout-ms", number(3_000)),
+        ("slo-ms", number(600)),
+        ("priority", number(1)),
+        ("service", text(POOL)),
+        ("attempts", number(3)),
+        ("stretch", Value::Number(1.6)),
+    ]);
+    object(vec![
+        ("version", number(7)),
+        ("routes", Value::List(vec![route])),
+        ("services", Value::List(vec![service(POOL, false), service(SPARE, true)])),
+        (
+            "limits",
+            object(vec![
+                ("max-header-bytes", number(16_384)),
+                ("max-body-bytes", number(262_144)),
+                ("header-timeout-ms", number(3_000)),
+                ("idle-timeout-ms", number(15_000)),
+            ]),
+        ),
+    ])
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, path] = &arguments[..] else {
+        eprintln!("usage: standin CASE RECORD");
+        std::process::exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let Ok(record) = Record::create(path) else {
+        eprintln!("{path} can't be written");
+        std::process::exit(2);
+    };
+    record.line(&format!("case {case}, {} trouble", if has_trouble { "with" } else { "without" }));
+    let verdict = match case.as_str() {
+        "occurrences" => case_occurrences::play(&record, has_trouble),
+        _ => Verdict::NotRun(format!("there is no case {case}")),
+    };
+    let (code, text) = match verdict {
+        Verdict::Held(text) => (0, format!("the rule held: {text}")),
+        Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
+        Verdict::NotRun(text) => (2, format!("the case could not run: {text}")),
+    };
+    record.line(&text);
+    println!("{text}");
+    std::process::exit(code);
+}
