--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Usage: standin CASE RECORD. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if
 //! the case could not run. Without trouble where the variable TROUBLE is 0.
 
+mod case_crashes;
 mod case_occurrences;
 mod entries;
 mod http;
@@ -187,6 +188,7 @@
     };
     record.line(&format!("case {case}, {} trouble", if has_trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
+        "crashes" => case_crashes::play(&record, has_trouble),
         "occurrences" => case_occurrences::play(&record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -384,6 +384,39 @@
         Some((200, b"{}".to_vec()))
     }
 
+    /// Machine and life of the worker that runs a task now.
+    pub fn worker_of(&self, task: &str) -> Option<(String, String)> {
+        let state = self.state.0.lock().unwrap();
+        state.machines.iter().find_map(|machine| {
+            let life = machine.life.as_ref()?;
+            let is_there = life.running.iter().any(|run| run.task == task);
+            is_there.then(|| (machine.name.clone(), life.id.clone()))
+        })
+    }
+
+    /// The worker of a machine crashes: it sends nothing more, and another life begins after `down`.
+    pub fn crash(&self, name: &str, down: Duration) {
+        let mut state = self.state.0.lock().unwrap();
+        let Some(position) = state.machines.iter().position(|machine| machine.name == name) else {
+            return;
+        };
+        let Some(life) = state.machines[position].life.take() else { return };
+        self.record.line(&format!("worker {} crashes", life.id));
+        state.machines[position].state = "down";
+        self.state.1.notify_all();
+        let site = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(down);
+            let mut state = site.state.0.lock().unwrap();
+            state.machines[position].state = "up";
+            site.begin_life(&mut state.machines[position]);
+            // The entry of a life that is silent is removed after three heartbeats.
+            drop(state);
+            std::thread::sleep(Duration::from_millis(3 * 1_500).saturating_sub(down));
+            site.store.put("keyed.servers", &life.id, "");
+        });
+    }
+
     /// The operator asks for a wave.
     pub fn ask_wave(&self, wave: u64, machines: &[&str], within_s: u64, cap: usize) {
         self.state.0.lock().unwrap().caps.insert(wave, cap);
