Review case 3: a former leader's upkeep order takes a wave over its cap

Cause: orders to machines that are sent and unanswered are kept in the leader's memory alone; a successor counts only what the list shows, and its token bars the old order only on machines that it has called itself.

Change: a script with a late upkeep call and a planned restart of the leader that sent it. No product code is changed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 mod case_crashes;
 mod case_occurrences;
+mod case_upkeep;
 mod entries;
 mod http;
 mod json;
@@ -190,6 +191,7 @@
     let verdict = match case.as_str() {
         "crashes" => case_crashes::play(&record, has_trouble),
         "occurrences" => case_occurrences::play(&record, has_trouble),
+        "upkeep" => case_upkeep::play(&record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
     let (code, text) = match verdict {
