--- a/review/standin/case_occurrences.rs
+++ b/review/standin/case_occurrences.rs
@@ -5,7 +5,7 @@
 
 use crate::json::Value;
 use crate::record::Record;
-use crate::{Deployment, PREFIX, POOL, Verdict, wait_until};
+use crate::{Deployment, POOL, PREFIX, Verdict, wait_until};
 
 const JOB: &str = "5c0e7a21d94b36f8";
 const OCCURRENCES: u64 = 7;
@@ -76,7 +76,9 @@
     std::thread::sleep(Duration::from_secs(5));
     let missing: Vec<u64> = (0..OCCURRENCES).filter(|k| !is_done(record, *k)).collect();
     match (state.as_deref(), missing.is_empty()) {
-        (Some("completed"), true) => Verdict::Held("completed, and each task ended done".to_owned()),
+        (Some("completed"), true) => {
+            Verdict::Held("completed, and each task ended done".to_owned())
+        }
         (Some("completed"), false) => {
             let names: Vec<String> = missing.into_iter().map(task).collect();
             Verdict::Broken(format!("shown as completed, and never done: {}", names.join(", ")))
--- a/review/standin/case_upkeep.rs
+++ b/review/standin/case_upkeep.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::{Deployment, PREFIX, POOL, Verdict, wait_until};
+use crate::{Deployment, POOL, PREFIX, Verdict, wait_until};
 
 const WAVE: u64 = 1;
 const MACHINES: [&str; 2] = ["m-1", "m-2"];
--- a/review/standin/entries.rs
+++ b/review/standin/entries.rs
@@ -42,7 +42,12 @@
 }
 
 impl Entry {
-    pub fn start(number_: u8, services: Services, directory: &std::path::Path, record: &Record) -> Entry {
+    pub fn start(
+        number_: u8,
+        services: Services,
+        directory: &std::path::Path,
+        record: &Record,
+    ) -> Entry {
         let [.., high, low] = std::process::id().to_be_bytes();
         let ip = [127, 80 + number_, high, low.max(1)];
         let bind = || TcpListener::bind(SocketAddr::from((ip, 0))).unwrap();
@@ -88,7 +93,8 @@
             bounds.iter().map(|(name, value)| (*name, number(*value))).collect();
         bounds.push(("require-fence", Value::Bool(true)));
         let peer = u64::from(self.peer.port());
-        let contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform", "upkeep"];
+        let contracts =
+            ["base", "drain", "config", "cost", "recover", "sched", "platform", "upkeep"];
         object(vec![
             ("node", text(&self.name)),
             ("role", text("entry")),
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -4,11 +4,13 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request as it was read.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// When its connection was opened.
+    pub opened: Instant,
     pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
@@ -35,10 +37,7 @@
 pub type Response = Option<(u16, Vec<u8>)>;
 
 /// Answers requests on the listener until the process ends.
-pub fn serve(
-    listener: TcpListener,
-    answer: impl Fn(Request) -> Response + Send + Sync + 'static,
-) {
+pub fn serve(listener: TcpListener, answer: impl Fn(Request) -> Response + Send + Sync + 'static) {
     let answer = Arc::new(answer);
     std::thread::spawn(move || {
         for stream in listener.incoming() {
@@ -58,7 +57,8 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    while let Some(request) = read_request(&mut reader)? {
+    let opened = Instant::now();
+    while let Some(request) = read_request(&mut reader, opened)? {
         let Some((status, body)) = answer(request) else { return Ok(()) };
         let head = format!(
             "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
@@ -69,7 +69,10 @@
     Ok(())
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<Request>> {
+fn read_request(
+    reader: &mut BufReader<TcpStream>,
+    opened: Instant,
+) -> std::io::Result<Option<Request>> {
     let Some(first) = read_line(reader)? else { return Ok(None) };
     let mut words = first.split(' ');
     let method = words.next().unwrap_or("").to_owned();
@@ -78,7 +81,7 @@
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(key, value)| (key.to_owned(), unescape(value))).collect();
     let (headers, body) = read_rest(reader)?;
-    Ok(Some(Request { method, path: path.to_owned(), query, headers, body }))
+    Ok(Some(Request { opened, method, path: path.to_owned(), query, headers, body }))
 }
 
 fn read_line(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<String>> {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Usage: standin CASE RECORD. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if
 //! the case could not run. Without trouble where the variable TROUBLE is 0.
 
+mod case_attempts;
 mod case_crashes;
 mod case_occurrences;
 mod case_upkeep;
@@ -14,8 +15,10 @@
 mod record;
 mod site;
 
+use std::collections::HashMap;
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use entries::{Entry, Services};
@@ -31,6 +34,9 @@
 pub const POOL: &str = "desk";
 pub const SPARE: &str = "spare";
 
+/// Failed runs after which a task's job has failed.
+pub const ATTEMPTS: u64 = 3;
+
 /// What a case found.
 pub enum Verdict {
     Held(String),
@@ -44,6 +50,8 @@
     pub store: Store,
     pub site: Site,
     pub entries: Vec<Entry>,
+    /// Since when the connections are silent on which an entry waits for what operators write.
+    silent_since: Arc<Mutex<HashMap<usize, Instant>>>,
     directory: PathBuf,
 }
 
@@ -62,20 +70,37 @@
     pub fn open(record: &Record, entries: u8, add: impl FnOnce(&Site)) -> Option<Deployment> {
         let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).ok()?;
-        let (store, listeners) = (Store::default(), [bind()?, bind()?]);
-        let address = |at: usize| listeners[at].local_addr().unwrap();
-        let services = Services { store: address(0), cloud: address(1) };
+        let (store, cloud) = (Store::default(), bind()?);
+        let cloud_address = cloud.local_addr().ok()?;
         let site = Site::open(&store, record);
         add(&site);
-        store.put("keyed.op", "config", &config().to_string());
-        let [store_listener, cloud_listener] = listeners;
-        let (serving_store, serving_site) = (store.clone(), site.clone());
-        http::serve(store_listener, move |request| serving_store.answer(&request));
-        http::serve(cloud_listener, move |request| serving_site.answer_cloud(&request));
-        let entries = (1..=entries).map(|n| Entry::start(n, services, &directory, record));
+        store.put("keyed.op", "config", &config(7, &[PREFIX]).to_string());
+        let serving_site = site.clone();
+        http::serve(cloud, move |request| serving_site.answer_cloud(&request));
+        let silent_since: Arc<Mutex<HashMap<usize, Instant>>> = Arc::default();
+        let mut stores = Vec::new();
+        for position in 0..usize::from(entries) {
+            let listener = bind()?;
+            stores.push(listener.local_addr().ok()?);
+            let (store, silent_since) = (store.clone(), silent_since.clone());
+            http::serve(listener, move |request| {
+                let response = store.answer(&request);
+                let since = silent_since.lock().unwrap().get(&position).copied();
+                let is_silent = since.is_some_and(|since| request.opened < since);
+                if is_silent && request.query.get("topic").is_some_and(|name| name == "keyed.op") {
+                    std::thread::sleep(Duration::from_secs(30));
+                    return None;
+                }
+                response
+            });
+        }
+        let entries = (1..=entries).zip(stores).map(|(number, store)| {
+            let services = Services { store, cloud: cloud_address };
+            Entry::start(number, services, &directory, record)
+        });
         let entries = entries.collect();
         let record = record.clone();
-        let deployment = Deployment { record, store, site, entries, directory };
+        let deployment = Deployment { record, store, site, entries, silent_since, directory };
         let is_up = || {
             deployment.entries.iter().all(Entry::is_ready)
                 && deployment.entries.iter().any(Entry::leads)
@@ -90,12 +115,25 @@
     /// A client's call, repeated at another entry while there is no response, or one that says to
     /// try again.
     pub fn client(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-        for turn in 0..8 {
+        self.client_at(0, method, path, body)
+    }
+
+    /// The same, first at the entry in this position.
+    pub fn client_at(
+        &self,
+        first: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
+        for turn in first..first + 8 {
             let entry = &self.entries[turn % self.entries.len()];
-            let headers = [("host", HOST), ("content-type", "application/json"), ("deadline-ms", "3000")];
+            let headers =
+                [("host", HOST), ("content-type", "application/json"), ("deadline-ms", "3000")];
             let answer =
                 http::call(entry.front, method, path, &headers, body, Duration::from_secs(3));
-            let shown = answer.as_ref().map_or("no response".to_owned(), |(s, b)| format!("{s} {b}"));
+            let shown =
+                answer.as_ref().map_or("no response".to_owned(), |(s, b)| format!("{s} {b}"));
             self.record.line(&format!("client: {method} {path} {body} at {}: {shown}", entry.name));
             match answer {
                 Some((status, body)) if !matches!(status, 429 | 502 | 503 | 504) => {
@@ -107,9 +145,22 @@
         None
     }
 
+    /// The open connection on which an entry waits for what operators write goes silent; new ones
+    /// work.
+    pub fn silence(&self, entry: usize) {
+        let name = &self.entries[entry].name;
+        self.record.line(&format!("{name}: its connection for op/config goes silent"));
+        self.silent_since.lock().unwrap().insert(entry, Instant::now());
+    }
+
     /// State of a job as a client is shown it.
     pub fn state(&self, job: &str) -> Option<String> {
-        let (status, body) = self.client("GET", &format!("{PREFIX}{job}"), "")?;
+        self.state_at(0, PREFIX, job)
+    }
+
+    /// The same for a job of another queue, first at the entry in this position.
+    pub fn state_at(&self, first: usize, prefix: &str, job: &str) -> Option<String> {
+        let (status, body) = self.client_at(first, "GET", &format!("{prefix}{job}"), "")?;
         if status == 410 {
             return Some("410".to_owned());
         }
@@ -137,8 +188,8 @@
     false
 }
 
-/// One queue on one service, and the standby service.
-fn config() -> Value {
+/// A queue for each prefix, all on one service, and the standby service.
+pub fn config(version: u64, prefixes: &[&str]) -> Value {
     let service = |name: &str, is_standby: bool| {
         object(vec![
             ("name", text(name)),
@@ -148,21 +199,23 @@
             ("standby", Value::Bool(is_standby)),
         ])
     };
-    let route = object(vec![
-        ("name", text("r-jobs")),
-        ("host", text(HOST)),
-        ("path-prefix", text(PREFIX)),
-        ("kind", text("unsafe")),
-        ("timeout-ms", number(3_000)),
-        ("slo-ms", number(600)),
-        ("priority", number(1)),
-        ("service", text(POOL)),
-        ("attempts", number(3)),
-        ("stretch", Value::Number(1.6)),
-    ]);
+    let route = |prefix: &&str| {
+        object(vec![
+            ("name", text(&format!("r-{}", prefix.trim_matches('/')))),
+            ("host", text(HOST)),
+            ("path-prefix", text(prefix)),
+            ("kind", text("unsafe")),
+            ("timeout-ms", number(3_000)),
+            ("slo-ms", number(600)),
+            ("priority", number(1)),
+            ("service", text(POOL)),
+            ("attempts", number(ATTEMPTS)),
+            ("stretch", Value::Number(1.6)),
+        ])
+    };
     object(vec![
-        ("version", number(7)),
-        ("routes", Value::List(vec![route])),
+        ("version", number(version)),
+        ("routes", Value::List(prefixes.iter().map(route).collect())),
         ("services", Value::List(vec![service(POOL, false), service(SPARE, true)])),
         (
             "limits",
@@ -189,6 +242,7 @@
     };
     record.line(&format!("case {case}, {} trouble", if has_trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
+        "attempts" => case_attempts::play(&record, has_trouble),
         "crashes" => case_crashes::play(&record, has_trouble),
         "occurrences" => case_occurrences::play(&record, has_trouble),
         "upkeep" => case_upkeep::play(&record, has_trouble),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -31,6 +31,12 @@
         lines.iter().any(|line| words.iter().all(|word| line.contains(word)))
     }
 
+    /// Number of lines with all of these words.
+    pub fn count(&self, words: &[&str]) -> usize {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
+    }
+
     pub fn seconds(&self) -> f64 {
         self.begun.elapsed().as_secs_f64()
     }
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -1,6 +1,7 @@
 //! Workers and machines of a site, and the service that lists, moves and maintains machines.
 //!
-//! A task runs for the milliseconds that its job's `spec` names after `ms=`, and ends `done`.
+//! A task runs for the milliseconds that its job's `spec` names after `ms=`, and ends `done`; its first
+//! run ends `failed` if the `spec` begins with `fails-once`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -26,6 +27,7 @@
     begun: Instant,
     length: Duration,
     percent_ms: u64,
+    how: &'static str,
 }
 
 /// One life of a worker.
@@ -105,7 +107,8 @@
 
 impl Site {
     pub fn open(store: &Store, record: &Record) -> Site {
-        let state = SiteState { machines: Vec::new(), down: BTreeMap::new(), caps: BTreeMap::new() };
+        let state =
+            SiteState { machines: Vec::new(), down: BTreeMap::new(), caps: BTreeMap::new() };
         let site = Site {
             state: Arc::new((Mutex::new(state), Condvar::new())),
             store: store.clone(),
@@ -187,8 +190,9 @@
                 let Some(life) = &mut machine.life else { continue };
                 let has_lapsed = life.clock_ms() > life.lease_ms;
                 for position in (0..life.running.len()).rev() {
-                    if life.running[position].begun.elapsed() >= life.running[position].length {
-                        life.end(position, "done", &self.record);
+                    let run = &life.running[position];
+                    if run.begun.elapsed() >= run.length {
+                        life.end(position, run.how, &self.record);
                     } else if has_lapsed {
                         life.end(position, "lapsed", &self.record);
                     }
@@ -274,16 +278,16 @@
         }
         let spec = body.text("spec");
         let length = spec.split("ms=").nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
-        self.record.line(&format!(
-            "worker {}: starts {task} run {run} fence {}",
-            life.id, life.fence
-        ));
+        let how = if run == 1 && spec.starts_with("fails-once") { "failed" } else { "done" };
+        self.record
+            .line(&format!("worker {}: starts {task} run {run} fence {}", life.id, life.fence));
         life.running.push(Run {
             task,
             run,
             begun: Instant::now(),
             length: Duration::from_millis(length),
             percent_ms: length,
+            how,
         });
         json(200, object(vec![("clock-ms", number(life.clock_ms()))]))
     }
