--- a/review/standin/entries.rs
+++ b/review/standin/entries.rs
@@ -163,21 +163,12 @@
         answer.is_some_and(|(_, body)| body.lines().any(|line| line == LEADS))
     }
 
-    /// Sends SIGKILL, and starts the process again after a short delay, as the platform does.
-    pub fn kill(&mut self) {
-        let Some(mut child) = self.child.take() else { return };
-        self.record.line(&format!("SIGKILL to {}", self.name));
-        let _ = child.kill();
-        let _ = child.wait();
-        std::thread::sleep(Duration::from_millis(500));
-        self.spawn();
-    }
-
     /// Sends SIGTERM, SIGKILL after the grace time, and starts the process again.
     pub fn restart(&mut self) {
         let Some(mut child) = self.child.take() else { return };
         self.record.line(&format!("SIGTERM to {}", self.name));
-        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        // The shell's own kill: a program of that name may be missing.
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
         let begun = Instant::now();
         while begun.elapsed() < Duration::from_secs(6) && !matches!(child.try_wait(), Ok(Some(_))) {
             std::thread::sleep(Duration::from_millis(20));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod case_attempts;
 mod case_crashes;
 mod case_occurrences;
+mod case_removed_queue;
 mod case_upkeep;
 mod entries;
 mod http;
@@ -243,8 +244,10 @@
     record.line(&format!("case {case}, {} trouble", if has_trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "attempts" => case_attempts::play(&record, has_trouble),
+        "crashes-batch" => case_crashes::play_batch(&record, has_trouble),
         "crashes" => case_crashes::play(&record, has_trouble),
         "occurrences" => case_occurrences::play(&record, has_trouble),
+        "removed-queue" => case_removed_queue::play(&record, has_trouble),
         "upkeep" => case_upkeep::play(&record, has_trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
