--- a/review/standin/case_attempts.rs
+++ b/review/standin/case_attempts.rs
@@ -25,8 +25,8 @@
     let Some(leader) = deployment.leader() else {
         return Verdict::NotRun("no entry says that it leads".to_owned());
     };
-    if has_trouble {
-        deployment.silence(leader);
+    if has_trouble && !deployment.silence(leader) {
+        return Verdict::NotRun("the leader did not wait for what operators write".to_owned());
     }
     record.line("operator: version 8 adds a queue");
     deployment.store.put("keyed.op", "config", &config(8, &[PREFIX, ADDED]).to_string());
--- a/review/standin/entries.rs
+++ b/review/standin/entries.rs
@@ -29,6 +29,8 @@
     settings: PathBuf,
     output: PathBuf,
     child: Option<Child>,
+    /// Ends the process when this one has ended, however that came.
+    guard: Option<Child>,
     record: Record,
 }
 
@@ -38,6 +40,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.end_guard();
     }
 }
 
@@ -62,6 +65,7 @@
             output: directory.join(format!("{name}.log")),
             name,
             child: None,
+            guard: None,
             record: record.clone(),
         };
         drop(listeners);
@@ -146,12 +150,24 @@
         match child {
             Ok(child) => {
                 self.record.line(&format!("{} starts as process {}", self.name, child.id()));
+                // The pipe closes with this process; then the read ends.
+                let command = format!("read line; kill -KILL {}", child.id());
+                let mut guard = Command::new("sh");
+                guard.args(["-c", &command]).stdin(Stdio::piped());
+                self.guard = guard.stdout(Stdio::null()).stderr(Stdio::null()).spawn().ok();
                 self.child = Some(child);
             }
             Err(error) => self.record.line(&format!("{} can't be started: {error}", self.name)),
         }
     }
 
+    fn end_guard(&mut self) {
+        if let Some(mut guard) = self.guard.take() {
+            let _ = guard.kill();
+            let _ = guard.wait();
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = call(self.ready, "GET", "/readyz", &[], "", Duration::from_millis(500));
         answer.is_some_and(|(status, _)| status == 200)
@@ -176,6 +192,7 @@
         self.record.line(&format!("{} has ended", self.name));
         let _ = child.kill();
         let _ = child.wait();
+        self.end_guard();
         std::thread::sleep(Duration::from_millis(500));
         self.spawn();
     }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -4,13 +4,17 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Connections that were accepted so far.
+static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
 
 /// A request as it was read.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// When its connection was opened.
-    pub opened: Instant,
+    /// Number of its connection.
+    pub connection: u64,
     pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
@@ -57,8 +61,8 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    let opened = Instant::now();
-    while let Some(request) = read_request(&mut reader, opened)? {
+    let connection = CONNECTIONS.fetch_add(1, Ordering::Relaxed);
+    while let Some(request) = read_request(&mut reader, connection)? {
         let Some((status, body)) = answer(request) else { return Ok(()) };
         let head = format!(
             "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
@@ -71,7 +75,7 @@
 
 fn read_request(
     reader: &mut BufReader<TcpStream>,
-    opened: Instant,
+    connection: u64,
 ) -> std::io::Result<Option<Request>> {
     let Some(first) = read_line(reader)? else { return Ok(None) };
     let mut words = first.split(' ');
@@ -81,7 +85,7 @@
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(key, value)| (key.to_owned(), unescape(value))).collect();
     let (headers, body) = read_rest(reader)?;
-    Ok(Some(Request { opened, method, path: path.to_owned(), query, headers, body }))
+    Ok(Some(Request { connection, method, path: path.to_owned(), query, headers, body }))
 }
 
 fn read_line(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<String>> {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -16,7 +16,7 @@
 mod record;
 mod site;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -35,6 +35,8 @@
 pub const POOL: &str = "desk";
 pub const SPARE: &str = "spare";
 
+/// Time after which a case is given up.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
 /// Failed runs after which a task's job has failed.
 pub const ATTEMPTS: u64 = 3;
 
@@ -45,14 +47,22 @@
     NotRun(String),
 }
 
+/// Connections of the entries to the store.
+#[derive(Default)]
+struct StoreLinks {
+    /// Connection on which each entry waits for what operators write, while it waits.
+    waiting: HashMap<usize, u64>,
+    /// Connections that are silent.
+    silent: HashSet<u64>,
+}
+
 /// A small deployment.
 pub struct Deployment {
     pub record: Record,
     pub store: Store,
     pub site: Site,
     pub entries: Vec<Entry>,
-    /// Since when the connections are silent on which an entry waits for what operators write.
-    silent_since: Arc<Mutex<HashMap<usize, Instant>>>,
+    links: Arc<Mutex<StoreLinks>>,
     directory: PathBuf,
 }
 
@@ -69,7 +79,7 @@
     /// Starts the store, the machines that `add` adds, and this many entries; `None` if they aren't
     /// ready in time.
     pub fn open(record: &Record, entries: u8, add: impl FnOnce(&Site)) -> Option<Deployment> {
-        let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let directory = directory();
         std::fs::create_dir_all(&directory).ok()?;
         let (store, cloud) = (Store::default(), bind()?);
         let cloud_address = cloud.local_addr().ok()?;
@@ -78,20 +88,27 @@
         store.put("keyed.op", "config", &config(7, &[PREFIX]).to_string());
         let serving_site = site.clone();
         http::serve(cloud, move |request| serving_site.answer_cloud(&request));
-        let silent_since: Arc<Mutex<HashMap<usize, Instant>>> = Arc::default();
+        let links: Arc<Mutex<StoreLinks>> = Arc::default();
         let mut stores = Vec::new();
         for position in 0..usize::from(entries) {
             let listener = bind()?;
             stores.push(listener.local_addr().ok()?);
-            let (store, silent_since) = (store.clone(), silent_since.clone());
+            let (store, links) = (store.clone(), links.clone());
             http::serve(listener, move |request| {
+                let is_for_operator = request.query.get("topic").is_some_and(|t| t == "keyed.op");
+                if is_for_operator {
+                    links.lock().unwrap().waiting.insert(position, request.connection);
+                }
                 let response = store.answer(&request);
-                let since = silent_since.lock().unwrap().get(&position).copied();
-                let is_silent = since.is_some_and(|since| request.opened < since);
-                if is_silent && request.query.get("topic").is_some_and(|name| name == "keyed.op") {
-                    std::thread::sleep(Duration::from_secs(30));
+                let mut state = links.lock().unwrap();
+                if state.silent.contains(&request.connection) {
+                    drop(state);
+                    std::thread::sleep(Duration::from_secs(60));
                     return None;
                 }
+                if is_for_operator {
+                    state.waiting.remove(&position);
+                }
                 response
             });
         }
@@ -101,7 +118,7 @@
         });
         let entries = entries.collect();
         let record = record.clone();
-        let deployment = Deployment { record, store, site, entries, silent_since, directory };
+        let deployment = Deployment { record, store, site, entries, links, directory };
         let is_up = || {
             deployment.entries.iter().all(Entry::is_ready)
                 && deployment.entries.iter().any(Entry::leads)
@@ -146,12 +163,17 @@
         None
     }
 
-    /// The open connection on which an entry waits for what operators write goes silent; new ones
-    /// work.
-    pub fn silence(&self, entry: usize) {
+    /// The open connection on which an entry waits for what operators write goes silent for good; its
+    /// others, and new ones, work. Returns false if it does not wait in time.
+    pub fn silence(&self, entry: usize) -> bool {
+        let is_silent = wait_until(Duration::from_secs(3), || {
+            let mut links = self.links.lock().unwrap();
+            let Some(connection) = links.waiting.get(&entry).copied() else { return false };
+            links.silent.insert(connection)
+        });
         let name = &self.entries[entry].name;
-        self.record.line(&format!("{name}: its connection for op/config goes silent"));
-        self.silent_since.lock().unwrap().insert(entry, Instant::now());
+        self.record.line(&format!("{name}: its connection for op/config goes silent: {is_silent}"));
+        is_silent
     }
 
     /// State of a job as a client is shown it.
@@ -174,6 +196,22 @@
     }
 }
 
+/// Folder for the entries' settings and output.
+fn directory() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
+/// Ends the process in time. The entries end with it; see `entries.rs`.
+fn limit_time(record: &Record) {
+    let record = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(TIME_LIMIT);
+        record.line("the case could not run: it took too long");
+        let _ = std::fs::remove_dir_all(directory());
+        std::process::exit(2);
+    });
+}
+
 fn bind() -> Option<TcpListener> {
     TcpListener::bind("127.0.0.1:0").ok()
 }
@@ -242,6 +280,7 @@
         std::process::exit(2);
     };
     record.line(&format!("case {case}, {} trouble", if has_trouble { "with" } else { "without" }));
+    limit_time(&record);
     let verdict = match case.as_str() {
         "attempts" => case_attempts::play(&record, has_trouble),
         "crashes-batch" => case_crashes::play_batch(&record, has_trouble),
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -1,7 +1,8 @@
 //! Workers and machines of a site, and the service that lists, moves and maintains machines.
 //!
 //! A task runs for the milliseconds that its job's `spec` names after `ms=`, and ends `done`; its first
-//! run ends `failed` if the `spec` begins with `fails-once`.
+//! run ends `failed` if the `spec` begins with `fails-once`. If it begins with `lasts`, the task is at
+//! work, at 100 percent, from that time on until it is stopped.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -26,8 +27,47 @@
     run: u64,
     begun: Instant,
     length: Duration,
+    /// Time after which its percent is 100.
     percent_ms: u64,
     how: &'static str,
+    /// Its place in the history.
+    span: usize,
+}
+
+/// A run from its start to its end, if it has ended.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub task: String,
+    /// When it is at work, if it has not ended before.
+    pub at_work: Instant,
+    pub ended: Option<Ended>,
+}
+
+/// How and when a run ended, and the order among the ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub at: Instant,
+    pub how: &'static str,
+    pub order: usize,
+}
+
+#[derive(Default)]
+struct History {
+    spans: Vec<Span>,
+    ends: usize,
+}
+
+impl History {
+    fn begin(&mut self, task: &str, startup: Duration) -> usize {
+        let at_work = Instant::now() + startup;
+        self.spans.push(Span { task: task.to_owned(), at_work, ended: None });
+        self.spans.len() - 1
+    }
+
+    fn end(&mut self, span: usize, how: &'static str) {
+        self.ends += 1;
+        self.spans[span].ended = Some(Ended { at: Instant::now(), how, order: self.ends });
+    }
 }
 
 /// One life of a worker.
@@ -41,11 +81,13 @@
     /// Highest run of each task that was stopped or has ended here.
     past: BTreeMap<String, u64>,
     next_end: u64,
+    history: Arc<Mutex<History>>,
 }
 
 impl Life {
-    fn new(id: String) -> Life {
+    fn new(id: String, history: Arc<Mutex<History>>) -> Life {
         Life {
+            history,
             id,
             begun: Instant::now(),
             fence: 0,
@@ -64,12 +106,21 @@
     fn end(&mut self, position: usize, how: &'static str, record: &Record) {
         let run = self.running.remove(position);
         record.line(&format!("worker {}: {} run {} ends {how}", self.id, run.task, run.run));
+        self.history.lock().unwrap().end(run.span, how);
         self.past.insert(run.task.clone(), run.run);
         self.ended.push((self.next_end, run.task, run.run, how));
         self.next_end += 1;
     }
 }
 
+impl Drop for Life {
+    /// What runs on a worker ends with it.
+    fn drop(&mut self) {
+        let mut history = self.history.lock().unwrap();
+        self.running.iter().for_each(|run| history.end(run.span, "lost"));
+    }
+}
+
 struct Machine {
     name: String,
     address: SocketAddr,
@@ -99,6 +150,7 @@
     state: Arc<(Mutex<SiteState>, Condvar)>,
     store: Store,
     record: Record,
+    history: Arc<Mutex<History>>,
     /// Set if an upkeep began while `cap` machines of its wave were down.
     pub over_cap: Arc<Mutex<Vec<String>>>,
     /// Delay of an upkeep call, by holder and machine: it gets no response and is done later.
@@ -113,6 +165,7 @@
             state: Arc::new((Mutex::new(state), Condvar::new())),
             store: store.clone(),
             record: record.clone(),
+            history: Arc::default(),
             over_cap: Arc::default(),
             late_upkeep: Arc::default(),
         };
@@ -150,7 +203,7 @@
         machine.lives += 1;
         let id = format!("i-{}-{}", machine.name, machine.lives);
         self.record.line(&format!("worker {id} begins in pool {}", machine.pool));
-        machine.life = Some(Life::new(id));
+        machine.life = Some(Life::new(id, self.history.clone()));
         self.beat(machine);
     }
 
@@ -222,6 +275,7 @@
             "/run-start" => self.start(&mut state.machines[position], &body),
             "/run-stop" => {
                 let (task, run) = (body.text("task"), body.number("run").unwrap_or(0));
+                self.record.line(&format!("worker {}: told to stop {task} run {run}", life.id));
                 let found = life.running.iter().position(|r| r.task == task && r.run == run);
                 match found {
                     Some(found) => life.end(found, "stopped", &self.record),
@@ -277,7 +331,11 @@
             return refusal(life, "room");
         }
         let spec = body.text("spec");
-        let length = spec.split("ms=").nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
+        let ms = spec.split("ms=").nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
+        let lasts = spec.starts_with("lasts");
+        let length = if lasts { Duration::from_secs(3_600) } else { Duration::from_millis(ms) };
+        let startup = Duration::from_millis(if lasts { ms } else { 0 });
+        let span = life.history.lock().unwrap().begin(&task, startup);
         let how = if run == 1 && spec.starts_with("fails-once") { "failed" } else { "done" };
         self.record
             .line(&format!("worker {}: starts {task} run {run} fence {}", life.id, life.fence));
@@ -285,9 +343,10 @@
             task,
             run,
             begun: Instant::now(),
-            length: Duration::from_millis(length),
-            percent_ms: length,
+            length,
+            percent_ms: ms,
             how,
+            span,
         });
         json(200, object(vec![("clock-ms", number(life.clock_ms()))]))
     }
@@ -388,6 +447,18 @@
         Some((200, b"{}".to_vec()))
     }
 
+    /// The runs so far, in the order of their starts.
+    pub fn history(&self) -> Vec<Span> {
+        self.history.lock().unwrap().spans.clone()
+    }
+
+    /// Machines that belong to a pool, up or down.
+    pub fn pool_size(&self, pool: &str) -> usize {
+        let state = self.state.0.lock().unwrap();
+        let is_there = |machine: &&Machine| machine.pool == pool && machine.state != "moving";
+        state.machines.iter().filter(is_there).count()
+    }
+
     /// Machine and life of the worker that runs a task now.
     pub fn worker_of(&self, task: &str) -> Option<(String, String)> {
         let state = self.state.0.lock().unwrap();
