Restore occurrences that wait behind a later one

Seen by callers: a scheduled job was shown as completed, and one of its occurrences had never run.

JobRun::apply enters the occurrences that the record names, and entering 6 makes 7 the next to begin; nothing enters 5 any more, and the job is complete without it.

Change: restoring a job enters every occurrence from the first that is open to the last that the record names. Occurrences begin in order, so all of these had begun.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -346,6 +346,7 @@
     fn apply(&mut self, progress: &JobProgress) {
         self.ended_wall_ms = progress.ended_ms;
         self.next_occurrence = progress.occurrences_done;
+        self.restore_occurrences(progress);
         for (occurrence, step) in &progress.steps_done {
             let submission = self.submission.clone();
             let entry = self.occurrence(*occurrence, &submission);
@@ -367,6 +368,19 @@
         }
     }
 
+    /// Restores the occurrences that have begun. A record names only those of which a task has
+    /// started, which a later occurrence can do before an earlier one; as they begin in order, all
+    /// before the last that is named have begun as well.
+    fn restore_occurrences(&mut self, progress: &JobProgress) {
+        let submission = self.submission.clone();
+        let steps = progress.steps_done.iter().map(|(occurrence, _)| *occurrence);
+        let tasks = progress.tasks.iter().map(|task| task.occurrence);
+        let begun = steps.chain(tasks).max().map_or(0, |last| last.saturating_add(1));
+        for number in progress.occurrences_done..begun.min(submission.spec.occurrences()) {
+            self.occurrence(number, &submission);
+        }
+    }
+
     /// Restores when the tasks' runs were last known to be alive.
     pub(crate) fn restore_last_alive(&mut self, job: &LoggedJob, now: u64, wall_ms: u64) {
         let Some(progress) = &job.progress else { return };
--- /dev/null
+++ b/tests/job_progress.rs
@@ -0,0 +1,276 @@
+//! What a job still has to do is the same for the leader that logged its progress and for the
+//! leaders that read it.
+//!
+//! Drawn jobs go through drawn changes, as a leader makes them. Now and then the progress is
+//! encoded, read through a job table and restored, both from the records in order and from a
+//! snapshot that has only the newest record of each key. The same holds for whole schedulers on a
+//! simulated site. `IBISWEIR_TEST_SEED` and `IBISWEIR_TEST_RUNS` select other and more runs.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ibisweir::jobs::job_table::{JobTable, LoggedJob};
+use ibisweir::jobs::model::{
+    ExitKind, JobId, JobSchedule, JobSpec, JobState, JobSubmission, ResourceVector, StepSpec,
+    TaskKey,
+};
+use ibisweir::jobs::record::{JobRecord, LossCount};
+use ibisweir::scheduler::job::{JobRun, LiveRun, TaskRun};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::sim::{
+    START_MS, SchedulerSim, WALL_OFFSET_MS, config, job, job_id, step, submission, task, worker,
+};
+
+/// Histories in CI; thousands by hand.
+const RUNS: u64 = 60;
+/// Changes of a job in a history.
+const CHANGES: usize = 150;
+const WALL_MS: u64 = 1_700_000_000_000;
+
+fn env_number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).map_or(usual, |text| text.parse().expect("a number"))
+}
+
+fn seeds(first: u64) -> impl Iterator<Item = u64> {
+    let first = env_number("IBISWEIR_TEST_SEED", first);
+    first..first + env_number("IBISWEIR_TEST_RUNS", RUNS)
+}
+
+fn drawn_steps(random: &mut StdRng) -> Vec<StepSpec> {
+    let steps = random.random_range(1..=3u16);
+    let step = |position: u16, random: &mut StdRng| StepSpec {
+        count: random.random_range(1..=3),
+        need: ResourceVector {
+            cpu: random.random_range(1..=8) * 1_000,
+            memory: 1,
+            accelerators: 0,
+        },
+        estimate_ms: random.random_range(200..2_000),
+        after: (0..position).filter(|_| random.random_bool(0.6)).collect(),
+        is_gang: random.random_ratio(1, 5),
+        is_resumable: random.random_bool(0.5),
+        ..StepSpec::default()
+    };
+    (0..steps).map(|position| step(position, random)).collect()
+}
+
+fn drawn_schedule(first_ms: u64, random: &mut StdRng) -> Option<JobSchedule> {
+    random.random_bool(0.8).then(|| JobSchedule {
+        occurrences: random.random_range(1..=9),
+        first_ms,
+        interval_ms: random.random_range(100..1_500),
+    })
+}
+
+/// What a leader has to know of a task: it decides whether, where and as which run it starts, and
+/// when its job ends.
+#[derive(Debug, PartialEq)]
+struct OpenTask {
+    is_done: bool,
+    run: u32,
+    failures: u32,
+    live: Vec<(Arc<str>, u32)>,
+    losses: LossCount,
+    moves: u32,
+    checkpoint: String,
+}
+
+impl OpenTask {
+    fn of(task: &TaskRun) -> OpenTask {
+        let is_open = !task.is_done;
+        OpenTask {
+            is_done: task.is_done,
+            run: if is_open { task.run } else { 0 },
+            failures: if is_open { task.failures } else { 0 },
+            live: task.live.iter().map(|live| (live.worker.clone(), live.run)).collect(),
+            losses: if is_open { task.losses } else { LossCount::default() },
+            moves: if is_open { task.moves } else { 0 },
+            checkpoint: if is_open { task.checkpoint.clone() } else { String::new() },
+        }
+    }
+}
+
+/// What a job still has to do, by task.
+fn open_work(job: &JobRun) -> BTreeMap<TaskKey, OpenTask> {
+    let mut tasks = BTreeMap::new();
+    for (occurrence, run) in &job.occurrences {
+        for (position, step) in run.steps.iter().enumerate() {
+            for (index, task) in step.tasks.iter().enumerate() {
+                tasks.insert(job.key(*occurrence, position, index), OpenTask::of(task));
+            }
+        }
+    }
+    tasks
+}
+
+/// Asserts that a successor has the same open work; shows the tasks that differ.
+fn assert_same_work(restored: &JobRun, job: &JobRun, at: &str) {
+    let (mut found, mut expected) = (open_work(restored), open_work(job));
+    found.retain(|key, task| expected.get(key) != Some(&*task) || expected.remove(key).is_none());
+    assert_eq!(found, expected, "{at}");
+    let progress_of = |job: &JobRun| (job.state, job.next_occurrence);
+    assert_eq!(progress_of(restored), progress_of(job), "{at}");
+}
+
+/// The tasks of steps that may begin, or that are alive.
+fn tasks_in_turn(job: &JobRun) -> Vec<TaskKey> {
+    let mut keys = Vec::new();
+    for (occurrence, run) in &job.occurrences {
+        for (position, step) in run.steps.iter().enumerate() {
+            if run.may_begin(&job.submission.spec.steps[position]) {
+                keys.extend((0..step.tasks.len()).map(|i| job.key(*occurrence, position, i)));
+            }
+        }
+    }
+    keys
+}
+
+/// Starts a task that waits, or changes or ends a run of it, as a leader does.
+fn change_task(job: &mut JobRun, key: &TaskKey, random: &mut StdRng) {
+    let index = usize::try_from(key.index).expect("index");
+    let task = job.task_mut(key).expect("task");
+    if task.live.is_empty() {
+        if !task.is_done {
+            task.run += 1;
+            let worker = format!("w{}", random.random_range(0..5));
+            task.live.push(LiveRun::planned(worker.into(), task.run, 0));
+            job.state = JobState::Running;
+        }
+        return;
+    }
+    match random.random_range(0..6) {
+        0 => task.checkpoint = format!("{:04x}", random.random::<u16>()),
+        1 => task.moves += 1,
+        2 => {
+            task.live.remove(0);
+            task.failures += u32::from(!task.is_done);
+        }
+        3 => {
+            task.live.remove(0);
+            task.losses.total += 1;
+            task.losses.at_start += u32::from(random.random_bool(0.5));
+        }
+        _ => {
+            task.live.remove(0);
+            job.step_mut(key).expect("step").finish(index);
+            if job.sweep() {
+                job.state = JobState::Completed;
+            }
+        }
+    }
+}
+
+/// The records of a job as successors read them: in order, and from snapshots.
+struct DrawnLog {
+    end: u64,
+    in_order: JobTable,
+    submitted: JobRecord,
+}
+
+impl DrawnLog {
+    fn open(id: JobId, submission: &JobSubmission) -> DrawnLog {
+        let submitted = JobRecord::Submitted(id, Arc::new(submission.clone()));
+        let mut log = DrawnLog { end: 0, in_order: JobTable::default(), submitted };
+        log.in_order.fold(&decoded(&log.submitted), 0);
+        log.end = 1;
+        log
+    }
+
+    /// Appends the job's progress and restores the job, once for each way to read the log.
+    fn hand_on(&mut self, job: &JobRun, term: u64) -> [JobRun; 2] {
+        let progress = decoded(&JobRecord::Progress(job.id, Arc::new(job.progress(term))));
+        self.in_order.fold(&progress, self.end);
+        self.end += 1;
+        let mut compacted = JobTable::default();
+        let newest = [(0, decoded(&self.submitted)), (self.end - 1, progress)];
+        compacted.apply_snapshot(&newest, self.end);
+        let restore = |table: &JobTable| {
+            let logged: &LoggedJob = table.get(job.id).expect("job");
+            JobRun::restore(job.id, logged, 0).expect("state")
+        };
+        [restore(&self.in_order), restore(&compacted)]
+    }
+}
+
+fn decoded(record: &JobRecord) -> JobRecord {
+    let keyed = record.encode().expect("a record");
+    JobRecord::decode(&keyed.key, &keyed.value).expect("a record")
+}
+
+/// Guards against a successor for which a job has other open work than for its predecessor: tasks
+/// that it would never start, start again or give up too early.
+#[test]
+fn drawn_jobs_have_the_same_open_work_for_each_successor() {
+    for seed in seeds(1) {
+        let random = &mut StdRng::seed_from_u64(seed);
+        let spec =
+            JobSpec { schedule: drawn_schedule(WALL_MS, random), ..job(drawn_steps(random)) };
+        let submission = submission(spec);
+        let id = job_id(seed);
+        let logged = LoggedJob::submitted(Arc::new(submission.clone()));
+        let mut run = JobRun::restore(id, &logged, 0).expect("job");
+        let mut log = DrawnLog::open(id, &submission);
+        let mut wall_ms = WALL_MS;
+        for change in 0..CHANGES {
+            wall_ms += random.random_range(0..200);
+            run.begin_due(wall_ms);
+            let keys = tasks_in_turn(&run);
+            if !keys.is_empty() && !run.state.is_final() {
+                change_task(&mut run, &keys[random.random_range(0..keys.len())], random);
+            }
+            if random.random_ratio(1, 4) {
+                for mut restored in log.hand_on(&run, 1) {
+                    restored.begin_due(wall_ms);
+                    let at = format!("seed {seed}, change {change}");
+                    assert_same_work(&restored, &run, &at);
+                    run = restored;
+                }
+            }
+        }
+    }
+}
+
+/// A job of `occurrences` whose tasks take the only worker, one each two seconds.
+fn scheduled_job(occurrences: u32) -> JobSpec {
+    let whole = ResourceVector { cpu: 8_000, memory: 1_000, accelerators: 0 };
+    let first_ms = WALL_OFFSET_MS + START_MS + 500;
+    let schedule = Some(JobSchedule { occurrences, first_ms, interval_ms: 2_000 });
+    JobSpec { schedule, ..job(vec![StepSpec { need: whole, estimate_ms: 3_000, ..step(1) }]) }
+}
+
+fn occurrence_task(id: JobId, occurrence: u32) -> TaskKey {
+    TaskKey { occurrence, ..task(id, 0, 0) }
+}
+
+/// Guards against a job that is shown as completed though one of its occurrences never ran: it
+/// waited behind a later one when the leader changed.
+#[test]
+fn an_overtaken_occurrence_runs_under_the_next_leader() {
+    const OCCURRENCES: u32 = 7;
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1")]);
+    let id = sim.submit(1, scheduled_job(OCCURRENCES));
+    let tasks: Vec<TaskKey> = (0..OCCURRENCES).map(|k| occurrence_task(id, k)).collect();
+    let mut term = 1;
+    for _ in 0..OCCURRENCES {
+        sim.advance(3_000);
+        let is_overtaken = |k: usize| {
+            sim.starts(tasks[k]) == 0 && tasks[k + 1..].iter().any(|task| sim.starts(*task) > 0)
+        };
+        if term == 1 && (0..tasks.len()).any(is_overtaken) {
+            term += 1;
+            sim.take_over(term, config());
+        }
+        let running: Vec<TaskKey> =
+            tasks.iter().filter(|task| sim.alive(**task) > 0).copied().collect();
+        running.iter().for_each(|task| sim.end(*task, ExitKind::Done));
+        sim.advance(60);
+    }
+    assert_eq!(term, 2, "no occurrence was overtaken");
+    sim.advance(1_000);
+    let starts: Vec<usize> = tasks.iter().map(|task| sim.starts(*task)).collect();
+    assert_eq!(starts, vec![1; tasks.len()]);
+    assert_eq!(sim.state(id), Some(JobState::Completed));
+}
