Count a failed run of a gang once over a change of leaders

Seen by callers: a gang whose queue allows three attempts is shown as failed after two failed runs.

The members of a gang share a run, and its failure counts once: the leader keeps the number of the run that it has counted. A successor did not know it and counted the failure of a second member of the same run again.

Change: the progress record has one more list at its end, the runs of gangs that count as failed while a member may be alive. Records without the list are read as before, and earlier versions pass over it.

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -84,8 +84,22 @@
     /// Restart counts of tasks that have any. Records from before this field was added end here.
     pub restarts: Vec<TaskRestarts>,
     /// When a run of each task in `restarts` was last known to be alive, in milliseconds since the
-    /// epoch; 0 if unknown. Last field, since older records end before it.
+    /// epoch; 0 if unknown. Records from before this field was added end here.
     pub last_alive_ms: Vec<u64>,
+    /// Runs of gangs that count as failed while a member may be alive. Last field, since older
+    /// records end before it.
+    pub failed_gangs: Vec<FailedGang>,
+}
+
+/// A run of a gang that counts as failed: further members that fail in it count no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedGang {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+    /// Run number, which the members share.
+    pub run: u32,
 }
 
 /// Number of workers that were lost while a task ran on them.
@@ -291,13 +305,12 @@
     format!("{CANCELLED}{job}{DIGEST_SEPARATOR}{digest}")
 }
 
-/// Decodes a job's progress. Records of older versions lack one or both lists at the end; if these
+/// Decodes a job's progress. Records of older versions lack some of the lists at the end; if these
 /// were rejected, a leader of this version would lose track of jobs that are running.
 fn decode_progress(value: &[u8]) -> Option<JobProgress> {
-    const NO_LIST: u8 = 0;
+    const NO_LISTS: [u8; 3] = [0; 3];
     let decode_with = |lists: &[u8]| postcard::from_bytes(&[value, lists].concat());
     postcard::from_bytes(value)
-        .or_else(|_| decode_with(&[NO_LIST]))
-        .or_else(|_| decode_with(&[NO_LIST, NO_LIST]))
         .ok()
+        .or_else(|| (1..=NO_LISTS.len()).find_map(|lacking| decode_with(&NO_LISTS[..lacking]).ok()))
 }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -11,7 +11,7 @@
 
 use crate::jobs::job_table::LoggedJob;
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
-use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskRestarts};
+use crate::jobs::record::{FailedGang, JobProgress, LossCount, TaskProgress, TaskRestarts};
 use crate::scheduler::downtime::LastAlive;
 use crate::scheduler::rank::RankInputs;
 use crate::scheduler::stragglers::{RuntimeSample, sample_ms};
@@ -140,7 +140,7 @@
     pub moves: u32,
     /// Run time of the last run, in milliseconds; set once the task is done.
     pub took_ms: Option<u64>,
-    /// Latest run that failed.
+    /// Latest run of its gang that counts as failed.
     pub failed_run: u32,
     /// Workers on which the task failed.
     pub failed_on: Vec<Arc<str>>,
@@ -249,6 +249,12 @@
         self.done >= self.tasks.len()
     }
 
+    /// The run of a gang that counts as failed while a member of it may be alive.
+    fn failed_live_run(&self) -> Option<u32> {
+        let is_counted = |task: &&TaskRun| task.live.iter().any(|live| live.run == task.failed_run);
+        self.tasks.iter().find(is_counted).map(|task| task.failed_run)
+    }
+
     /// Marks a task done; returns whether it was not done before.
     pub fn finish(&mut self, index: usize) -> bool {
         self.forget_counts();
@@ -366,6 +372,17 @@
                 task.moves = logged.moves;
             }
         }
+        for failed in &progress.failed_gangs {
+            let key = TaskKey {
+                job: self.id,
+                occurrence: failed.occurrence,
+                step: failed.step,
+                index: 0,
+            };
+            if let Some(step) = self.step_mut(&key) {
+                step.tasks.iter_mut().for_each(|task| task.failed_run = failed.run);
+            }
+        }
     }
 
     /// Restores the occurrences that have begun. A record names only those of which a task has
@@ -455,6 +472,7 @@
             workers: Vec::new(),
             restarts: Vec::new(),
             last_alive_ms: Vec::new(),
+            failed_gangs: Vec::new(),
         };
         progress.occurrences_done =
             self.occurrences.keys().next().copied().unwrap_or(self.next_occurrence);
@@ -467,6 +485,12 @@
                     continue;
                 }
                 write_tasks(&mut progress, *occurrence, position, step);
+                let failed = step.failed_live_run();
+                progress.failed_gangs.extend(failed.map(|run| FailedGang {
+                    occurrence: *occurrence,
+                    step: position,
+                    run,
+                }));
             }
         }
         progress
--- a/tests/job_progress.rs
+++ b/tests/job_progress.rs
@@ -76,6 +76,8 @@
     losses: LossCount,
     moves: u32,
     checkpoint: String,
+    /// Whether a run that may be alive counts as failed already.
+    is_failure_counted: bool,
 }
 
 impl OpenTask {
@@ -89,6 +91,7 @@
             losses: if is_open { task.losses } else { LossCount::default() },
             moves: if is_open { task.moves } else { 0 },
             checkpoint: if is_open { task.checkpoint.clone() } else { String::new() },
+            is_failure_counted: task.live.iter().any(|live| live.run == task.failed_run),
         }
     }
 }
@@ -128,34 +131,51 @@
     keys
 }
 
-/// Starts a task that waits, or changes or ends a run of it, as a leader does.
+/// Starts a task that waits, or changes or ends a run of it, as a leader does. The members of a gang
+/// start together, fail together and are done together.
 fn change_task(job: &mut JobRun, key: &TaskKey, random: &mut StdRng) {
+    let is_gang = job.spec(key).expect("step").is_gang;
     let index = usize::try_from(key.index).expect("index");
-    let task = job.task_mut(key).expect("task");
-    if task.live.is_empty() {
-        if !task.is_done {
-            task.run += 1;
-            let worker = format!("w{}", random.random_range(0..5));
-            task.live.push(LiveRun::planned(worker.into(), task.run, 0));
+    let step = job.step_mut(key).expect("step");
+    let members = if is_gang { 0..step.tasks.len() } else { index..index + 1 };
+    let Some(live) = step.tasks[index].live.first().cloned() else {
+        let is_waiting = |task: &TaskRun| !task.is_done && task.live.is_empty();
+        if step.tasks[members.clone()].iter().all(is_waiting) {
+            let run =
+                step.tasks[members.clone()].iter().map(|task| task.run).max().unwrap_or(0) + 1;
+            for task in &mut step.tasks[members] {
+                let worker = format!("w{}", random.random_range(0..5));
+                task.run = run;
+                task.live.push(LiveRun::planned(worker.into(), run, 0));
+            }
             job.state = JobState::Running;
         }
         return;
-    }
+    };
     match random.random_range(0..6) {
-        0 => task.checkpoint = format!("{:04x}", random.random::<u16>()),
-        1 => task.moves += 1,
+        0 => step.tasks[index].checkpoint = format!("{:04x}", random.random::<u16>()),
+        1 => step.tasks[index].moves += 1,
         2 => {
-            task.live.remove(0);
-            task.failures += u32::from(!task.is_done);
+            step.tasks[index].live.remove(0);
+            if step.tasks[index].is_done {
+                return;
+            }
+            let is_new = !is_gang || step.tasks.iter().all(|task| task.failed_run != live.run);
+            for task in &mut step.tasks[members] {
+                task.failures += u32::from(is_new);
+                task.failed_run = if is_gang { live.run } else { task.failed_run };
+            }
         }
         3 => {
-            task.live.remove(0);
-            task.losses.total += 1;
-            task.losses.at_start += u32::from(random.random_bool(0.5));
+            step.tasks[index].live.remove(0);
+            step.tasks[index].losses.total += 1;
+            step.tasks[index].losses.at_start += u32::from(random.random_bool(0.5));
         }
         _ => {
-            task.live.remove(0);
-            job.step_mut(key).expect("step").finish(index);
+            step.tasks[index].live.remove(0);
+            members.for_each(|member| {
+                step.finish(member);
+            });
             if job.sweep() {
                 job.state = JobState::Completed;
             }
@@ -274,3 +294,30 @@
     assert_eq!(starts, vec![1; tasks.len()]);
     assert_eq!(sim.state(id), Some(JobState::Completed));
 }
+
+/// Guards against a gang that is given up with attempts left: the leader changes after it has
+/// read the failure of one member and before that of another one in the same run.
+#[test]
+fn a_failed_run_of_a_gang_counts_once_over_a_change_of_leaders() {
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let id = sim.submit(1, job(vec![StepSpec { is_gang: true, ..step(2) }]));
+    let members = [task(id, 0, 0), task(id, 0, 1)];
+    sim.advance(300);
+    sim.end(members[0], ExitKind::Failed);
+    sim.advance(60);
+    sim.are_renewals_muted = true;
+    sim.end(members[1], ExitKind::Failed);
+    sim.are_renewals_muted = false;
+    sim.take_over(2, config());
+    sim.advance(300);
+    sim.end(members[0], ExitKind::Failed);
+    sim.end(members[1], ExitKind::GangBroken);
+    sim.advance(300);
+    assert_eq!(sim.state(id), Some(JobState::Running));
+    for member in members {
+        assert_eq!(sim.starts(member), 3);
+        sim.end(member, ExitKind::Done);
+    }
+    sim.advance(300);
+    assert_eq!(sim.state(id), Some(JobState::Completed));
+}
--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -8,7 +8,7 @@
 use ibisweir::decide::access::OrganisationDigest;
 use ibisweir::jobs::model::JobState;
 use ibisweir::jobs::record::{
-    JobProgress, JobRecord, KeyedRecord, LossCount, LostVm, TaskProgress, TaskRestarts,
+    FailedGang, JobProgress, JobRecord, KeyedRecord, LossCount, LostVm, TaskProgress, TaskRestarts,
 };
 use support::sim::{job_id, task};
 
@@ -33,6 +33,7 @@
         workers: vec!["w1".into()],
         last_alive_ms: vec![1_700; restarts.len()],
         restarts,
+        failed_gangs: Vec::new(),
     }
 }
 
@@ -64,8 +65,8 @@
 fn a_record_without_restart_counts_can_be_decoded() {
     let record = JobRecord::Progress(job_id(1), Arc::new(progress(Vec::new())));
     let keyed = record.encode().expect("a record");
-    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 2);
-    assert_eq!(empty_lists, [0, 0], "each empty list is one byte");
+    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 3);
+    assert_eq!(empty_lists, [0, 0, 0], "each empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
 }
 
@@ -78,14 +79,31 @@
     let without_times = JobProgress { last_alive_ms: Vec::new(), ..progress(restarts) };
     let record = JobRecord::Progress(job_id(1), Arc::new(without_times));
     let keyed = record.encode().expect("a record");
-    let (last, before) = keyed.value.split_last().expect("not empty");
-    assert_eq!(*last, 0, "the empty list is one byte");
+    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 2);
+    assert_eq!(empty_lists, [0, 0], "each empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record.clone()));
-    // That version ignores the list as trailing bytes.
+    // That version ignores the lists as trailing bytes.
     let longer = [&keyed.value[..], &[1, 7]].concat();
     assert_eq!(JobRecord::decode(&keyed.key, &longer), Some(record));
 }
 
+/// Guards against a failed run of a gang that its successor counts again, and against records of
+/// earlier versions, without the list, that can't be decoded.
+#[test]
+fn a_record_with_failed_gangs_can_be_decoded_and_one_without() {
+    let failed_gangs = vec![FailedGang { occurrence: 0, step: 0, run: 2 }];
+    let with_gangs = JobProgress { failed_gangs, ..progress(Vec::new()) };
+    for progress in [with_gangs, progress(Vec::new())] {
+        let record = JobRecord::Progress(job_id(1), Arc::new(progress.clone()));
+        let keyed = record.encode().expect("a record");
+        assert_eq!(JobRecord::decode(&keyed.key, &keyed.value), Some(record.clone()));
+        if progress.failed_gangs.is_empty() {
+            let before = &keyed.value[..keyed.value.len() - 1];
+            assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
+        }
+    }
+}
+
 /// Guards against an incompatible cancellation record. Without API keys it must be the same as in
 /// earlier versions, so that each version reads those of the other.
 #[test]
--- a/tests/job_table_model.rs
+++ b/tests/job_table_model.rs
@@ -127,6 +127,7 @@
         workers: Vec::new(),
         restarts: Vec::new(),
         last_alive_ms: Vec::new(),
+        failed_gangs: Vec::new(),
     };
     JobRecord::Progress(id, Arc::new(progress))
 }
