Keep the run numbers of tasks that are done after several runs

Seen by callers: a task that is not to be repeated counts as run twice. Its first run was done on a worker that was cut off, its second run elsewhere; when the worker was back under the next leader, the end of the first run was acknowledged.

Cause: the record names steps that are done by their position alone, so a successor restores their tasks without run numbers. An end is withheld only where a later run is known to have started.

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -77,7 +77,8 @@
     pub occurrences_done: u32,
     /// Steps whose tasks are all complete, by occurrence and position.
     pub steps_done: Vec<(u32, u16)>,
-    /// Tasks of unfinished steps that differ from a task that never started.
+    /// Tasks of unfinished steps that differ from a task that never started, and tasks of finished
+    /// steps that were started more than once.
     pub tasks: Vec<TaskProgress>,
     /// Workers that the tasks refer to by position.
     pub workers: Vec<Arc<str>>,
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -482,9 +482,13 @@
                 let has_no_runs = step.tasks.iter().all(|task| task.live.is_empty());
                 if step.is_done() && has_no_runs {
                     progress.steps_done.push((*occurrence, position));
+                    // The end of an earlier run may become known after that of the last one, and
+                    // must not be acknowledged.
+                    write_tasks(&mut progress, *occurrence, position, step, |task| task.run > 1);
                     continue;
                 }
-                write_tasks(&mut progress, *occurrence, position, step);
+                let has_begun = |task: &TaskRun| task.run > 0 || task.is_done;
+                write_tasks(&mut progress, *occurrence, position, step, has_begun);
                 let failed = step.failed_live_run();
                 progress.failed_gangs.extend(failed.map(|run| FailedGang {
                     occurrence: *occurrence,
@@ -615,11 +619,15 @@
     }
 }
 
-fn write_tasks(progress: &mut JobProgress, occurrence: u32, step: u16, run: &StepRun) {
-    for (index, task) in run.tasks.iter().enumerate() {
-        if task.run == 0 && !task.is_done {
-            continue;
-        }
+/// Writes the tasks of a step for which `is_written` holds.
+fn write_tasks(
+    progress: &mut JobProgress,
+    occurrence: u32,
+    step: u16,
+    run: &StepRun,
+    is_written: impl Fn(&TaskRun) -> bool,
+) {
+    for (index, task) in run.tasks.iter().enumerate().filter(|(_, task)| is_written(task)) {
         let index = u32::try_from(index).unwrap_or(u32::MAX);
         let (losses, moves) = (task.losses, task.moves);
         if losses.total + moves > 0 && !task.is_done {
