Count a lost worker once for a start that is carried over, under any leader

Seen by callers: a job is shown as failed after five restarts of a worker that never ran it: one start without an answer, carried over from one incarnation of the worker to the next, counted as a lost worker under each new leader.

Cause: whether the loss was counted for a run that may still be alive was kept in the leader's memory alone. The same leader counts it once.

Change: the progress record has a list of such runs at its end. Records of earlier versions end before it, as before, and these versions pass over it.

The progress of the largest job, with all lists full, is within the size of a record (test).

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -87,9 +87,12 @@
     /// When a run of each task in `restarts` was last known to be alive, in milliseconds since the
     /// epoch; 0 if unknown. Records from before this field was added end here.
     pub last_alive_ms: Vec<u64>,
-    /// Runs of gangs that count as failed while a member may be alive. Last field, since older
-    /// records end before it.
+    /// Runs of gangs that count as failed while a member may be alive.
     pub failed_gangs: Vec<FailedGang>,
+    /// Runs that may be alive though the loss of a worker was counted for them: position of the
+    /// task in `tasks`, and run number. Last field; records from before it and the field above were
+    /// added lack both.
+    pub lost_runs: Vec<(u16, u32)>,
 }
 
 /// A run of a gang that counts as failed: further members that fail in it count no more.
@@ -309,7 +312,7 @@
 /// Decodes a job's progress. Records of older versions lack some of the lists at the end; if these
 /// were rejected, a leader of this version would lose track of jobs that are running.
 fn decode_progress(value: &[u8]) -> Option<JobProgress> {
-    const NO_LISTS: [u8; 3] = [0; 3];
+    const NO_LISTS: [u8; 4] = [0; 4];
     let decode_with = |lists: &[u8]| postcard::from_bytes(&[value, lists].concat());
     postcard::from_bytes(value)
         .ok()
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -372,6 +372,15 @@
                 task.moves = logged.moves;
             }
         }
+        for (position, run) in &progress.lost_runs {
+            let Some(logged) = progress.tasks.get(usize::from(*position)) else { continue };
+            let key = self.task_key(logged);
+            let task = self.task_mut(&key);
+            let live = task.and_then(|task| task.live.iter_mut().find(|live| live.run == *run));
+            if let Some(live) = live {
+                live.is_loss_counted = true;
+            }
+        }
         for failed in &progress.failed_gangs {
             let key = TaskKey {
                 job: self.id,
@@ -417,6 +426,11 @@
         TaskKey { job: self.id, occurrence, step, index }
     }
 
+    fn task_key(&self, logged: &TaskProgress) -> TaskKey {
+        let TaskProgress { occurrence, step, index, .. } = *logged;
+        TaskKey { job: self.id, occurrence, step, index }
+    }
+
     fn apply_task(&mut self, logged: &TaskProgress, workers: &[Arc<str>]) {
         let submission = self.submission.clone();
         let entry = self.occurrence(logged.occurrence, &submission);
@@ -473,6 +487,7 @@
             restarts: Vec::new(),
             last_alive_ms: Vec::new(),
             failed_gangs: Vec::new(),
+            lost_runs: Vec::new(),
         };
         progress.occurrences_done =
             self.occurrences.keys().next().copied().unwrap_or(self.next_occurrence);
@@ -634,6 +649,9 @@
             progress.restarts.push(TaskRestarts { occurrence, step, index, losses, moves });
             progress.last_alive_ms.push(task.last_alive.map_or(0, |last_alive| last_alive.wall_ms));
         }
+        let position = u16::try_from(progress.tasks.len()).unwrap_or(u16::MAX);
+        let lost = task.live.iter().filter(|live| live.is_loss_counted);
+        progress.lost_runs.extend(lost.map(|live| (position, live.run)));
         let live = task
             .live
             .iter()
--- a/tests/behind_log.rs
+++ b/tests/behind_log.rs
@@ -36,6 +36,7 @@
         restarts: Vec::new(),
         last_alive_ms: Vec::new(),
         failed_gangs: Vec::new(),
+        lost_runs: Vec::new(),
     };
     JobRecord::Progress(job_id(id), Arc::new(progress))
 }
--- a/tests/delegate.rs
+++ b/tests/delegate.rs
@@ -91,6 +91,7 @@
         restarts: Vec::new(),
         last_alive_ms: Vec::new(),
         failed_gangs: Vec::new(),
+        lost_runs: Vec::new(),
     };
     JobRecord::Progress(job_id(1), Arc::new(progress))
 }
--- a/tests/job_progress.rs
+++ b/tests/job_progress.rs
@@ -78,11 +78,14 @@
     checkpoint: String,
     /// Whether a run that may be alive counts as failed already.
     is_failure_counted: bool,
+    /// Runs that may be alive and whose lost worker counts already.
+    lost_runs: Vec<u32>,
 }
 
 impl OpenTask {
     fn of(task: &TaskRun) -> OpenTask {
         let is_open = !task.is_done;
+        let lost = task.live.iter().filter(|live| live.is_loss_counted);
         OpenTask {
             is_done: task.is_done,
             // Nothing has to be known of an earlier run where there was none.
@@ -93,6 +96,7 @@
             moves: if is_open { task.moves } else { 0 },
             checkpoint: if is_open { task.checkpoint.clone() } else { String::new() },
             is_failure_counted: task.live.iter().any(|live| live.run == task.failed_run),
+            lost_runs: lost.map(|live| live.run).collect(),
         }
     }
 }
@@ -168,9 +172,16 @@
             }
         }
         3 => {
-            step.tasks[index].live.remove(0);
-            step.tasks[index].losses.total += 1;
-            step.tasks[index].losses.at_start += u32::from(random.random_bool(0.5));
+            // The next incarnation of its worker may have the run, or it is lost.
+            let task = &mut step.tasks[index];
+            let is_counted = std::mem::replace(&mut task.live[0].is_loss_counted, true);
+            if !is_counted {
+                task.losses.total += 1;
+                task.losses.at_start += u32::from(random.random_bool(0.5));
+            }
+            if random.random_bool(0.5) {
+                task.live.remove(0);
+            }
         }
         _ => {
             step.tasks[index].live.remove(0);
--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use ibisweir::decide::access::OrganisationDigest;
-use ibisweir::jobs::model::JobState;
+use ibisweir::jobs::model::{JobState, OCCURRENCES_MAX, TASKS_MAX};
 use ibisweir::jobs::record::{
     FailedGang, JobProgress, JobRecord, KeyedRecord, LossCount, LostVm, TaskProgress, TaskRestarts,
 };
-use support::sim::{job_id, task};
+use support::sim::{job_id, site_settings, task};
 
 fn progress(restarts: Vec<TaskRestarts>) -> JobProgress {
     let task = TaskProgress {
@@ -34,6 +34,7 @@
         last_alive_ms: vec![1_700; restarts.len()],
         restarts,
         failed_gangs: Vec::new(),
+        lost_runs: Vec::new(),
     }
 }
 
@@ -65,8 +66,8 @@
 fn a_record_without_restart_counts_can_be_decoded() {
     let record = JobRecord::Progress(job_id(1), Arc::new(progress(Vec::new())));
     let keyed = record.encode().expect("a record");
-    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 3);
-    assert_eq!(empty_lists, [0, 0, 0], "each empty list is one byte");
+    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 4);
+    assert_eq!(empty_lists, [0; 4], "each empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
 }
 
@@ -79,29 +80,30 @@
     let without_times = JobProgress { last_alive_ms: Vec::new(), ..progress(restarts) };
     let record = JobRecord::Progress(job_id(1), Arc::new(without_times));
     let keyed = record.encode().expect("a record");
-    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 2);
-    assert_eq!(empty_lists, [0, 0], "each empty list is one byte");
+    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 3);
+    assert_eq!(empty_lists, [0; 3], "each empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record.clone()));
     // That version ignores the lists as trailing bytes.
     let longer = [&keyed.value[..], &[1, 7]].concat();
     assert_eq!(JobRecord::decode(&keyed.key, &longer), Some(record));
 }
 
-/// Guards against a failed run of a gang that its successor counts again, and against records of
-/// earlier versions, without the list, that can't be decoded.
+/// Guards against a failed run of a gang or a lost worker that a successor counts again, and against
+/// records of earlier versions, without these lists, that can't be decoded.
 #[test]
-fn a_record_with_failed_gangs_can_be_decoded_and_one_without() {
-    let failed_gangs = vec![FailedGang { occurrence: 0, step: 0, run: 2 }];
-    let with_gangs = JobProgress { failed_gangs, ..progress(Vec::new()) };
-    for progress in [with_gangs, progress(Vec::new())] {
-        let record = JobRecord::Progress(job_id(1), Arc::new(progress.clone()));
-        let keyed = record.encode().expect("a record");
-        assert_eq!(JobRecord::decode(&keyed.key, &keyed.value), Some(record.clone()));
-        if progress.failed_gangs.is_empty() {
-            let before = &keyed.value[..keyed.value.len() - 1];
-            assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
-        }
-    }
+fn a_record_with_counted_runs_can_be_decoded_and_one_without() {
+    let with_counted_runs = JobProgress {
+        failed_gangs: vec![FailedGang { occurrence: 0, step: 0, run: 2 }],
+        lost_runs: vec![(0, 2)],
+        ..progress(Vec::new())
+    };
+    let record = JobRecord::Progress(job_id(1), Arc::new(with_counted_runs));
+    let keyed = record.encode().expect("a record");
+    assert_eq!(JobRecord::decode(&keyed.key, &keyed.value), Some(record));
+    let record = JobRecord::Progress(job_id(1), Arc::new(progress(Vec::new())));
+    let keyed = record.encode().expect("a record");
+    let before = &keyed.value[..keyed.value.len() - 2];
+    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
 }
 
 /// Guards against an incompatible cancellation record. Without API keys it must be the same as in
@@ -136,3 +138,37 @@
         assert_eq!(JobRecord::decode(key, &[1]), None, "{key}");
     }
 }
+
+/// Guards against a progress record that the log refuses for its size, which would block every later
+/// commit: the largest job, with every list full and each task on a worker of its own.
+#[test]
+fn the_progress_of_the_largest_job_fits_into_a_record() {
+    let tasks = u32::try_from(TASKS_MAX).expect("few");
+    let (occurrence, step, run) = (OCCURRENCES_MAX, 255, 1_000);
+    let losses = LossCount { total: 4, at_start: 2 };
+    let largest = JobProgress {
+        tasks: (0..tasks)
+            .map(|index| TaskProgress {
+                occurrence,
+                step,
+                index,
+                run,
+                failures: 2,
+                is_done: false,
+                live: vec![(u16::try_from(index).expect("few"), run)],
+                checkpoint: "0123456789abcdef".to_owned(),
+            })
+            .collect(),
+        workers: (0..tasks).map(|index| format!("{index:026}@1700000000000").into()).collect(),
+        restarts: (0..tasks)
+            .map(|index| TaskRestarts { occurrence, step, index, losses, moves: 2 })
+            .collect(),
+        last_alive_ms: vec![1_700_000_000_000; TASKS_MAX],
+        failed_gangs: vec![FailedGang { occurrence, step, run }; TASKS_MAX / 2],
+        lost_runs: (0..tasks).map(|index| (u16::try_from(index).expect("few"), run)).collect(),
+        ..progress(Vec::new())
+    };
+    let record = JobRecord::Progress(job_id(1), Arc::new(largest)).encode().expect("a record");
+    let bytes = record.key.len() + record.value.len();
+    assert!(bytes <= site_settings().record_bytes_max, "{bytes} bytes");
+}
--- a/tests/job_table_model.rs
+++ b/tests/job_table_model.rs
@@ -128,6 +128,7 @@
         restarts: Vec::new(),
         last_alive_ms: Vec::new(),
         failed_gangs: Vec::new(),
+        lost_runs: Vec::new(),
     };
     JobRecord::Progress(id, Arc::new(progress))
 }
--- a/tests/order_bounds.rs
+++ b/tests/order_bounds.rs
@@ -190,6 +190,7 @@
         restarts: Vec::new(),
         last_alive_ms: Vec::new(),
         failed_gangs: Vec::new(),
+        lost_runs: Vec::new(),
     };
     let records = vec![
         (0, JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))))),
--- a/tests/scheduler_losses.rs
+++ b/tests/scheduler_losses.rs
@@ -710,6 +710,25 @@
     assert_eq!(logged_losses(&sim, task(id, 0, 0)).total, 1);
 }
 
+/// Guards against a start that counts as lost once for each leader that sees it carried over: a
+/// task would be given up for a single lost worker.
+#[test]
+fn a_start_that_is_carried_over_under_several_leaders_counts_one_loss() {
+    let mut sim = SchedulerSim::open_with_incarnations(config(), vec![worker("w1", "r1")]);
+    let first = sim.workers.keys().next().cloned().expect("one");
+    sim.workers.get_mut(&first).expect("known").is_late = true;
+    let id = sim.submit(1, job(vec![step(1)]));
+    sim.are_renewals_muted = true;
+    for term in 2..8 {
+        sim.advance(60);
+        let present = sim.workers.keys().next().cloned().expect("one");
+        sim.restart_worker(&present);
+        sim.show_restarts();
+        sim.take_over(term, config());
+    }
+    assert_eq!(logged_losses(&sim, task(id, 0, 0)).total, 1);
+}
+
 /// Guards against a neighbour that is given up for a loss at the moment when another task is
 /// identified as its cause.
 #[test]
