Keep the downtime of services that count no lost worker over a change of leaders

Cause: when a run was last known to be alive is on the log only for tasks with counted losses or moves. A service that has been at work for a while counts none, so its successor knew of no downtime and never took the task for overdue.

Change: the time is written for every open task that has lost a run, in the list that has it for the others.

--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -410,10 +410,11 @@
     /// Restores when the tasks' runs were last known to be alive.
     pub(crate) fn restore_last_alive(&mut self, job: &LoggedJob, now: u64, wall_ms: u64) {
         let Some(progress) = &job.progress else { return };
-        let lost =
-            progress.restarts.iter().enumerate().filter(|(_, logged)| logged.losses.total > 0);
-        for (position, logged) in lost {
+        for (position, logged) in progress.restarts.iter().enumerate() {
             let logged_ms = progress.last_alive_ms.get(position).copied().unwrap_or_default();
+            if logged_ms == 0 && logged.losses.total == 0 {
+                continue;
+            }
             let key = self.restarts_key(logged);
             if let Some(task) = self.task_mut(&key) {
                 task.last_alive = Some(LastAlive::restore(logged_ms, now, wall_ms));
@@ -645,7 +646,8 @@
     for (index, task) in run.tasks.iter().enumerate().filter(|(_, task)| is_written(task)) {
         let index = u32::try_from(index).unwrap_or(u32::MAX);
         let (losses, moves) = (task.losses, task.moves);
-        if losses.total + moves > 0 && !task.is_done {
+        let has_restarts = losses.total + moves > 0 || task.last_alive.is_some();
+        if has_restarts && !task.is_done {
             progress.restarts.push(TaskRestarts { occurrence, step, index, losses, moves });
             progress.last_alive_ms.push(task.last_alive.map_or(0, |last_alive| last_alive.wall_ms));
         }
--- a/tests/service_recovery.rs
+++ b/tests/service_recovery.rs
@@ -307,3 +307,26 @@
         assert_eq!(sim.starts(key), 2, "estimated at {estimate_ms} ms");
     }
 }
+
+/// Guards against a service that waits for the worker near its data, which is lost, for as long as
+/// its estimate says, because the leader changed while it was down.
+#[test]
+fn a_service_whose_data_is_out_of_reach_runs_elsewhere_under_the_next_leader() {
+    let mut scenario = RecoveryScenario::open_without_standby(5);
+    let data_rack = Some("r1".into());
+    let spec = StepSpec { data_rack, estimate_ms: 60_000, ..service_step(1) };
+    let key = scenario.submit_service(1, spec)[0];
+    // Long enough not to count as a loss at its start.
+    scenario.advance(10_000);
+    let host = scenario.sim.place(key);
+    assert_eq!(&*host, "w4");
+    scenario.power_off(std::slice::from_ref(&host));
+    scenario.advance(500);
+    assert_eq!(scenario.sim.starts(key), 1);
+    let mut config = config();
+    config.pools.retain(|pool| !pool.is_standby);
+    scenario.sim.take_over(2, config);
+    scenario.list_vms(&[host]);
+    scenario.advance(DOWN_MAX_MS);
+    assert_eq!(scenario.sim.starts(key), 2, "it still waits");
+}
