Acknowledge the end of a run beside which a later one was only planned

Seen by callers: nothing at once; as with counted failures, a worker takes no more work after a change of leaders.

Cause: the end of a run as done is accepted while the next run is planned and not yet logged. The task kept the number of the planned run, and the next leader took the listed end for one that came too late.

Change: a task that is done has the number of the run that did it, as later ones never start. Tasks with copies and services are not concerned.

--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -286,6 +286,7 @@
         let Some(job) = self.jobs.get_mut(&exit.task.job) else { return };
         let Some(spec) = job.spec(&exit.task) else { return };
         let (is_service, is_resumable) = (spec.is_service, spec.is_resumable);
+        let allows_copies = spec.allows_copies;
         let is_finished = job.state.is_final();
         let Some(task) = job.task_mut(&exit.task) else { return };
         let live = task
@@ -300,6 +301,11 @@
             // A run that was never seen at work has no known run time.
             let begun = live.map(|(_, begun_ms)| begun_ms).filter(|begun_ms| *begun_ms > 0);
             task.took_ms = begun.map(|begun_ms| now.saturating_sub(begun_ms));
+            // A later run was planned at most and never starts. If its number were kept, the next
+            // leader would take this exit for one that came too late.
+            if !is_service && !allows_copies {
+                task.run = task.run.min(exit.run);
+            }
         }
         let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
         if live.is_some() {
--- a/tests/job_progress.rs
+++ b/tests/job_progress.rs
@@ -17,6 +17,7 @@
     TaskKey,
 };
 use ibisweir::jobs::record::{JobRecord, LossCount};
+use ibisweir::scheduler::SchedulerEvent;
 use ibisweir::scheduler::job::{JobRun, LiveRun, TaskRun};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -510,3 +511,34 @@
     sim.advance(300);
     assert_eq!(sim.starts(task(other, 0, 0)), 1);
 }
+
+/// Guards against a worker that gets no more work because a run was planned, and never started, as
+/// the end of the run before it came to count.
+#[test]
+fn a_counted_end_is_acknowledged_though_a_later_run_was_planned() {
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let id = sim.submit(1, job(vec![step(1), StepSpec { after: vec![0], ..step(1) }]));
+    let key = task(id, 0, 0);
+    sim.advance(100);
+    let place = sim.place(key);
+    sim.workers.get_mut(&place).expect("known").is_silent = true;
+    sim.end(key, ExitKind::Done);
+    sim.is_log_up = false;
+    let is_planned =
+        |event: &SchedulerEvent| matches!(event, SchedulerEvent::Placed { run: 2, .. });
+    while !sim.events.iter().any(is_planned) {
+        sim.advance(100);
+    }
+    sim.workers.get_mut(&place).expect("known").is_silent = false;
+    sim.advance(400);
+    sim.are_renewals_muted = true;
+    sim.is_log_up = true;
+    sim.run_until_idle();
+    let logged = sim.job_table.get(id).and_then(|job| job.progress.clone()).expect("progress");
+    assert_eq!(logged.steps_done, vec![(0, 0)]);
+    sim.take_over(2, config());
+    sim.are_renewals_muted = false;
+    sim.advance(500);
+    assert_eq!(sim.starts(key), 1);
+    assert!(sim.workers[&place].exits.is_empty(), "{:?}", sim.workers[&place].exits);
+}
