--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -82,7 +82,8 @@
     pub tasks: Vec<TaskProgress>,
     /// Workers that the tasks refer to by position.
     pub workers: Vec<Arc<str>>,
-    /// Restart counts of tasks that have any, or have lost a run. Records from before this field was added end here.
+    /// Restart counts of tasks that have any, and of other open tasks that have lost a run. Records
+    /// from before this field was added end here.
     pub restarts: Vec<TaskRestarts>,
     /// When a run of each task in `restarts` was last known to be alive, in milliseconds since the
     /// epoch; 0 if unknown. Records from before this field was added end here.
