--- a/tests/job_progress.rs
+++ b/tests/job_progress.rs
@@ -236,36 +236,73 @@
     JobRecord::decode(&keyed.key, &keyed.value).expect("a record")
 }
 
+/// Plays a drawn history of a job. After some of its changes `hand_on` restores the job from the
+/// log, as the leader that goes on with it.
+fn play_history(seed: u64, mut hand_on: impl FnMut(&JobRun, &mut DrawnLog, u64, &str) -> JobRun) {
+    let random = &mut StdRng::seed_from_u64(seed);
+    let spec = JobSpec { schedule: drawn_schedule(WALL_MS, random), ..job(drawn_steps(random)) };
+    let submission = submission(spec);
+    let id = job_id(seed);
+    let logged = LoggedJob::submitted(Arc::new(submission.clone()));
+    let mut run = JobRun::restore(id, &logged, 0).expect("job");
+    let mut log = DrawnLog::open(id, &submission);
+    let mut wall_ms = WALL_MS;
+    for change in 0..CHANGES {
+        wall_ms += random.random_range(0..200);
+        run.begin_due(wall_ms);
+        let keys = tasks_in_turn(&run);
+        if !keys.is_empty() && !run.state.is_final() {
+            change_task(&mut run, &keys[random.random_range(0..keys.len())], random);
+        }
+        if random.random_ratio(1, 4) {
+            run = hand_on(&run, &mut log, wall_ms, &format!("seed {seed}, change {change}"));
+        }
+    }
+}
+
 /// Guards against a successor for which a job has other open work than for its predecessor: tasks
 /// that it would never start, start again or give up too early.
 #[test]
 fn drawn_jobs_have_the_same_open_work_for_each_successor() {
     for seed in seeds(RUNS) {
-        let random = &mut StdRng::seed_from_u64(seed);
-        let spec =
-            JobSpec { schedule: drawn_schedule(WALL_MS, random), ..job(drawn_steps(random)) };
-        let submission = submission(spec);
-        let id = job_id(seed);
-        let logged = LoggedJob::submitted(Arc::new(submission.clone()));
-        let mut run = JobRun::restore(id, &logged, 0).expect("job");
-        let mut log = DrawnLog::open(id, &submission);
-        let mut wall_ms = WALL_MS;
-        for change in 0..CHANGES {
-            wall_ms += random.random_range(0..200);
-            run.begin_due(wall_ms);
-            let keys = tasks_in_turn(&run);
-            if !keys.is_empty() && !run.state.is_final() {
-                change_task(&mut run, &keys[random.random_range(0..keys.len())], random);
-            }
-            if random.random_ratio(1, 4) {
-                for mut restored in log.hand_on(&run, 1) {
-                    restored.begin_due(wall_ms);
-                    let at = format!("seed {seed}, change {change}");
-                    assert_same_work(&restored, &run, &at);
-                    run = restored;
-                }
+        play_history(seed, |run, log, wall_ms, at| {
+            let [mut in_order, mut compacted] = log.hand_on(run, 1);
+            for restored in [&mut in_order, &mut compacted] {
+                restored.begin_due(wall_ms);
+                assert_same_work(restored, run, at);
             }
+            compacted
+        });
+    }
+}
+
+/// Guards against tasks that are forgotten when a leader of this version follows one of the version
+/// before, whose records end before the lists of counted runs.
+#[test]
+fn drawn_records_of_the_version_before_restore_the_same_tasks() {
+    let forget_counted_runs = |run: &JobRun| {
+        let mut run = run.clone();
+        for key in open_work(&run).into_keys() {
+            let task = run.task_mut(&key).expect("task");
+            task.failed_run = 0;
+            task.live.iter_mut().for_each(|live| live.is_loss_counted = false);
         }
+        run
+    };
+    for seed in seeds(RUNS) {
+        play_history(seed, |run, log, wall_ms, at| {
+            let run = forget_counted_runs(run);
+            let progress = JobRecord::Progress(run.id, Arc::new(run.progress(1)));
+            let keyed = progress.encode().expect("a record");
+            let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 2);
+            assert_eq!(empty_lists, [0, 0], "each empty list is one byte");
+            let decoded = JobRecord::decode(&keyed.key, before);
+            assert_eq!(decoded, Some(progress), "{at}");
+            let [mut restored, _] = log.hand_on(&run, 1);
+            restored.begin_due(wall_ms);
+            assert_same_work(&restored, &run, at);
+            restored
+        });
     }
 }
 
