Bring back checks of records as they were; bytes of the version before

The reason: with two more lists, the same versions end two bytes earlier. Both checks are as they were again, and the deeper cuts stand beside them.

--- a/tests/job_records.rs
+++ b/tests/job_records.rs
@@ -66,9 +66,12 @@
 fn a_record_without_restart_counts_can_be_decoded() {
     let record = JobRecord::Progress(job_id(1), Arc::new(progress(Vec::new())));
     let keyed = record.encode().expect("a record");
-    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 4);
+    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 2);
+    assert_eq!(empty_lists, [0, 0], "each empty list is one byte");
+    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record.clone()));
+    let (earliest, empty_lists) = keyed.value.split_at(keyed.value.len() - 4);
     assert_eq!(empty_lists, [0; 4], "each empty list is one byte");
-    assert_eq!(JobRecord::decode(&keyed.key, before), Some(record));
+    assert_eq!(JobRecord::decode(&keyed.key, earliest), Some(record));
 }
 
 /// Guards against a successor that does not know the jobs of which an earlier version wrote
@@ -80,9 +83,12 @@
     let without_times = JobProgress { last_alive_ms: Vec::new(), ..progress(restarts) };
     let record = JobRecord::Progress(job_id(1), Arc::new(without_times));
     let keyed = record.encode().expect("a record");
-    let (before, empty_lists) = keyed.value.split_at(keyed.value.len() - 3);
-    assert_eq!(empty_lists, [0; 3], "each empty list is one byte");
+    let (last, before) = keyed.value.split_last().expect("not empty");
+    assert_eq!(*last, 0, "the empty list is one byte");
     assert_eq!(JobRecord::decode(&keyed.key, before), Some(record.clone()));
+    let (earlier, empty_lists) = keyed.value.split_at(keyed.value.len() - 3);
+    assert_eq!(empty_lists, [0; 3], "each empty list is one byte");
+    assert_eq!(JobRecord::decode(&keyed.key, earlier), Some(record.clone()));
     // That version ignores the lists as trailing bytes.
     let longer = [&keyed.value[..], &[1, 7]].concat();
     assert_eq!(JobRecord::decode(&keyed.key, &longer), Some(record));
@@ -136,6 +142,35 @@
     }
 }
 
+/// Guards against a takeover from the version before in which jobs are read wrongly: bytes that it
+/// wrote.
+#[test]
+fn a_record_that_the_version_before_wrote_can_be_decoded() {
+    let written = [
+        7, 1, 0, 2, 1, 2, 1, 2, 4, 0, 0, 2, 1, 0, 1, 0, 2, 3, 48, 97, 102, 4, 0, 1, 1, 0, 1, 0, 3,
+        48, 97, 102, 1, 2, 119, 49, 1, 4, 0, 0, 2, 1, 1, 1, 164, 13,
+    ];
+    let task = |index, run, failures, is_done, live| TaskProgress {
+        occurrence: 4,
+        step: 0,
+        index,
+        run,
+        failures,
+        is_done,
+        live,
+        checkpoint: "0af".to_owned(),
+    };
+    let losses = LossCount { total: 2, at_start: 1 };
+    let expected = JobProgress {
+        occurrences_done: 2,
+        steps_done: vec![(2, 1)],
+        tasks: vec![task(0, 2, 1, false, vec![(0, 2)]), task(1, 1, 0, true, Vec::new())],
+        ..progress(vec![TaskRestarts { occurrence: 4, step: 0, index: 0, losses, moves: 1 }])
+    };
+    let decoded = JobRecord::decode("p0000000000000001", &written);
+    assert_eq!(decoded, Some(JobRecord::Progress(job_id(1), Arc::new(expected))));
+}
+
 /// Guards against a progress record that the log refuses for its size, which would block every later
 /// commit: the largest job, with every list full and each task on a worker of its own.
 #[test]
