Show a job failed after one of three attempts, as its route was away

Cause: a new leader makes up a queue with one attempt for jobs of a route that the newest configuration lacks.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,34 @@
+//! Stand-ins and cases of the second review. Exits with 1 if the rule was broken, 0 if it held, and
+//! 2 if the case couldn't run.
+
+mod case_route;
+mod http;
+mod json;
+mod record;
+mod site;
+mod store;
+mod worker;
+
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Verdict {
+    Broken,
+    Held,
+    NotRun,
+}
+
+fn main() -> ExitCode {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let folder = std::env::args().nth(2).unwrap_or_default();
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let verdict = match case.as_str() {
+        "route" => case_route::run(folder.as_ref(), has_trouble),
+        _ => Verdict::NotRun,
+    };
+    match verdict {
+        Verdict::Broken => ExitCode::from(1),
+        Verdict::Held => ExitCode::SUCCESS,
+        Verdict::NotRun => ExitCode::from(2),
+    }
+}
