--- a/review/standin-2/case_route.rs
+++ b/review/standin-2/case_route.rs
@@ -7,7 +7,7 @@
 
 use crate::Verdict;
 use crate::record::Record;
-use crate::site::{Site, wait_for};
+use crate::site::{Site, config, wait_for};
 
 const TASK: &str = "00000000000000a1.0.0.0";
 const JOB: &str = "/deeds/00000000000000a1";
@@ -29,24 +29,6 @@
     verdict
 }
 
-fn config(version: u64, has_deeds: bool) -> String {
-    let route = |name: &str, attempts: u32| {
-        format!(
-            "{{\"name\":\"r-{name}\",\"host\":\"shop.example\",\"path-prefix\":\"/{name}/\",\
-             \"kind\":\"unsafe\",\"timeout-ms\":3000,\"slo-ms\":2500,\"priority\":0,\
-             \"service\":\"desk\",\"attempts\":{attempts},\"stretch\":2.2}}"
-        )
-    };
-    let deeds = if has_deeds { format!("{},", route("deeds", 3)) } else { String::new() };
-    format!(
-        "{{\"version\":{version},\"routes\":[{deeds}{}],\"services\":[{{\"name\":\"desk\",\
-         \"health-path\":\"/healthz\",\"max-conns\":64,\"protocol\":\"h1\",\"tls\":false,\
-         \"admission-check\":true,\"standby\":false}}],\"limits\":{{\"max-header-bytes\":16384,\
-         \"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}}}",
-        route("holds", 3)
-    )
-}
-
 fn play(record: &Arc<Record>, has_trouble: bool) -> Option<Verdict> {
     let site = Site::open(record.clone(), &config(1, true), &["m-1", "m-2"], 3).ok()?;
     let held = |is_so: bool| is_so.then_some(());
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -141,6 +141,22 @@
         });
     }
 
+    /// Crashes a worker. Its machine has another life of it a second later, and its entry is taken
+    /// off the list after three heartbeats.
+    pub fn crash(&self, worker: &Worker, next_id: &str) {
+        worker.crash();
+        self.listed.lock().unwrap().remove(&worker.id);
+        self.workers.lock().unwrap().retain(|other| other.id != worker.id);
+        self.show_machines();
+        let (store, id) = (self.store.clone(), worker.id.clone());
+        std::thread::spawn(move || {
+            std::thread::sleep(HEARTBEAT * 3);
+            store.write("keyed.servers", &id, "");
+        });
+        std::thread::sleep(Duration::from_secs(1));
+        self.add_worker(next_id, &worker.machine);
+    }
+
     /// Writes a configuration.
     pub fn configure(&self, config: &str) {
         self.store.write("keyed.op", "config", config);
@@ -229,6 +245,25 @@
 }
 
 
+/// A configuration with the queues `holds` and, if so, `deeds`, of three attempts each.
+pub fn config(version: u64, has_deeds: bool) -> String {
+    let route = |name: &str, attempts: u32| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"shop.example\",\"path-prefix\":\"/{name}/\",\
+             \"kind\":\"unsafe\",\"timeout-ms\":3000,\"slo-ms\":2500,\"priority\":0,\
+             \"service\":\"desk\",\"attempts\":{attempts},\"stretch\":2.2}}"
+        )
+    };
+    let deeds = if has_deeds { format!("{},", route("deeds", 3)) } else { String::new() };
+    format!(
+        "{{\"version\":{version},\"routes\":[{deeds}{}],\"services\":[{{\"name\":\"desk\",\
+         \"health-path\":\"/healthz\",\"max-conns\":64,\"protocol\":\"h1\",\"tls\":false,\
+         \"admission-check\":true,\"standby\":false}}],\"limits\":{{\"max-header-bytes\":16384,\
+         \"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}}}",
+        route("holds", 3)
+    )
+}
+
 fn worker_entry(address: SocketAddr, seq: u64) -> String {
     format!(
         "{{\"service\":\"desk\",\"addr\":\"{address}\",\"zone\":\"north\",\"version\":\"v1\",\
