Show a job that waits for a rack without workers beside an idle pool

Cause: a task leaves its data only after est-ms x (remote-factor - 1), also if its pool has no worker in the rack of the data.

--- a/review/standin-2/case_pending.rs
+++ b/review/standin-2/case_pending.rs
@@ -47,6 +47,7 @@
 
 fn play(record: &Arc<Record>, has_trouble: bool) -> Option<Verdict> {
     let machines = ["m-0", "m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8", "m-9"];
+    let machines = machines.map(|machine| (machine, "r1-1"));
     let site = Site::open(record.clone(), &crate::site::config(1, true), &machines, 3).ok()?;
     let held = |is_so: bool| is_so.then_some(());
     held(wait_for(STEP, || site.is_ready() && site.leader().is_some()))?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! 2 if the case couldn't run.
 
 mod case_pending;
+mod case_rack;
 mod http;
 mod json;
 mod record;
@@ -23,6 +24,7 @@
     let folder = std::env::args().nth(2).unwrap_or_default();
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
+        "rack" => case_rack::run(folder.as_ref(), has_trouble),
         "pending" => case_pending::run(folder.as_ref(), has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -1,6 +1,5 @@
 //! A small deployment on loopback: the stand-ins, and the project's entries as processes.
 
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -30,10 +29,9 @@
 /// All of it; the processes end with it.
 pub struct Site {
     pub store: Arc<Store>,
-    pub workers: Mutex<Vec<Arc<Worker>>>,
+    pub workers: Arc<Mutex<Vec<Arc<Worker>>>>,
     pub entries: Vec<Entry>,
     pub record: Arc<Record>,
-    listed: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
     ended: Arc<AtomicBool>,
     folder: PathBuf,
 }
@@ -43,7 +41,7 @@
     pub fn open(
         record: Arc<Record>,
         config: &str,
-        workers: &[&str],
+        workers: &[(&str, &str)],
         entries: usize,
     ) -> std::io::Result<Site> {
         let folder = std::env::temp_dir().join(format!("ibisweir-review-{}", std::process::id()));
@@ -55,18 +53,16 @@
         let (log_addr, machine_addr) = (log_listener.local_addr()?, machine_listener.local_addr()?);
         http::serve(log_listener, Arc::new(move |call| log.answer(&call)));
         http::serve(machine_listener, Arc::new(move |call| machines.answer_machines(&call)));
-        let listed: Arc<Mutex<BTreeMap<String, SocketAddr>>> = Arc::default();
         let mut site = Site {
             store,
-            workers: Mutex::default(),
+            workers: Arc::default(),
             entries: Vec::new(),
             record,
-            listed,
             ended: Arc::default(),
             folder,
         };
-        for (number, machine) in workers.iter().enumerate() {
-            site.add_worker(&format!("i-{number:08x}"), machine);
+        for (number, (machine, rack)) in workers.iter().enumerate() {
+            site.add_worker(&format!("i-{number:08x}"), machine, rack);
         }
         site.store.write("keyed.op", "config", config);
         site.record.line(&format!("operator: wrote {config}"));
@@ -104,18 +100,22 @@
     }
 
     /// Starts a worker on a machine and lists it.
-    pub fn add_worker(&self, id: &str, machine: &str) -> Arc<Worker> {
-        let worker = Worker::open(id, machine, &self.record);
-        self.listed.lock().unwrap().insert(id.to_owned(), worker.address);
-        self.workers.lock().unwrap().push(worker.clone());
-        self.report(&worker.id, worker.address, 0);
+    fn add_worker(&self, id: &str, machine: &str, rack: &str) {
+        let worker = Worker::open(id, machine, rack, &self.record);
+        self.store.write("keyed.servers", id, &worker_entry(&worker, 0));
+        self.record.line(&format!("worker {id}: begun on {machine} in rack {rack}"));
+        self.workers.lock().unwrap().push(worker);
         self.show_machines();
-        self.record.line(&format!("worker {id}: begun on {machine}"));
-        worker
     }
 
-    fn report(&self, id: &str, address: SocketAddr, seq: u64) {
-        self.store.write("keyed.servers", id, &worker_entry(address, seq));
+    /// Crashes a worker for good; returns once its entry is off the list, after three heartbeats.
+    pub fn lose(&self, worker: &Worker) {
+        worker.crash();
+        self.workers.lock().unwrap().retain(|other| other.id != worker.id);
+        self.show_machines();
+        std::thread::sleep(HEARTBEAT * 3);
+        self.store.write("keyed.servers", &worker.id, "");
+        self.record.line(&format!("store: the entry of worker {} is removed", worker.id));
     }
 
     fn show_machines(&self) {
@@ -126,15 +126,16 @@
 
     /// Has the workers report themselves until the end.
     fn keep_listed(&self) {
-        let (store, listed, ended) = (self.store.clone(), self.listed.clone(), self.ended.clone());
+        let (store, workers, ended) =
+            (self.store.clone(), self.workers.clone(), self.ended.clone());
         std::thread::spawn(move || {
             for seq in 1.. {
                 std::thread::sleep(HEARTBEAT);
                 if ended.load(Ordering::Relaxed) {
                     return;
                 }
-                for (id, address) in listed.lock().unwrap().iter() {
-                    store.write("keyed.servers", id, &worker_entry(*address, seq));
+                for worker in workers.lock().unwrap().iter() {
+                    store.write("keyed.servers", &worker.id, &worker_entry(worker, seq));
                 }
             }
         });
@@ -232,21 +233,22 @@
     )
 }
 
-fn worker_entry(address: SocketAddr, seq: u64) -> String {
+fn worker_entry(worker: &Worker, seq: u64) -> String {
+    let (address, rack) = (worker.address, &worker.rack);
     format!(
         "{{\"service\":\"desk\",\"addr\":\"{address}\",\"zone\":\"north\",\"version\":\"v1\",\
          \"slots\":8,\"state\":\"ready\",\"cold-left-ms\":0,\
          \"capacity\":{{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0}},\
-         \"labels\":[\"a\",\"r1-1\"],\"seq\":{seq}}}"
+         \"labels\":[\"a\",\"{rack}\"],\"seq\":{seq}}}"
     )
 }
 
 fn machine_row(worker: &Worker) -> String {
     format!(
         "{{\"machine\":\"{}\",\"pool\":\"desk\",\"state\":\"up\",\"zone\":\"north\",\
-         \"labels\":[\"a\",\"r1-1\"],\"capacity\":{{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0}},\
+         \"labels\":[\"a\",\"{}\"],\"capacity\":{{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0}},\
          \"id\":\"{}\"}}",
-        worker.machine, worker.id
+        worker.machine, worker.rack, worker.id
     )
 }
 
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -41,24 +42,28 @@
 pub struct Worker {
     pub id: String,
     pub machine: String,
+    pub rack: String,
     pub address: SocketAddr,
     clock: Instant,
     state: Mutex<State>,
     changed: Condvar,
+    has_crashed: AtomicBool,
     record: Arc<Record>,
 }
 
 impl Worker {
     /// Starts a worker on a port of its own.
-    pub fn open(id: &str, machine: &str, record: &Arc<Record>) -> Arc<Worker> {
+    pub fn open(id: &str, machine: &str, rack: &str, record: &Arc<Record>) -> Arc<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let worker = Arc::new(Worker {
             id: id.to_owned(),
             machine: machine.to_owned(),
+            rack: rack.to_owned(),
             address: listener.local_addr().expect("an address"),
             clock: Instant::now(),
             state: Mutex::default(),
             changed: Condvar::new(),
+            has_crashed: AtomicBool::new(false),
             record: record.clone(),
         });
         let (served, lapsing) = (worker.clone(), worker.clone());
@@ -119,7 +124,16 @@
         self.state.lock().unwrap().running.get(task).map(|run| run.run)
     }
 
+    /// Crashes: no call is answered any more.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        self.record.line(&format!("worker {}: crashed", self.id));
+    }
+
     fn answer(&self, call: &Call) -> Answer {
+        if self.has_crashed.load(Ordering::SeqCst) {
+            return None;
+        }
         if call.method == "GET" {
             return Some((200, b"{}".to_vec()));
         }
