--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,6 +11,10 @@
 mod worker;
 
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// Time after which a case gives up; its entries end with it.
+const TIME_MAX: Duration = Duration::from_secs(110);
 
 /// How a case ended.
 pub enum Verdict {
@@ -22,6 +26,15 @@
 fn main() -> ExitCode {
     let case = std::env::args().nth(1).unwrap_or_default();
     let folder = std::env::args().nth(2).unwrap_or_default();
+    std::thread::spawn(|| {
+        std::thread::sleep(TIME_MAX);
+        std::process::exit(2);
+    });
+    // A stand-in that can't go on makes the case one that couldn't run.
+    std::panic::set_hook(Box::new(|fault| {
+        eprintln!("{fault}");
+        std::process::exit(2);
+    }));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
         "rack" => case_rack::run(folder.as_ref(), has_trouble),
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment on loopback: the stand-ins, and the project's entries as processes.
 
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -78,7 +79,10 @@
             let file = site.folder.join(format!("{name}.json"));
             std::fs::write(&file, settings(&name, ports, log_addr, machine_addr))?;
             let log = std::fs::File::create(site.folder.join(format!("{name}.log")))?;
-            let child = Command::new("target/release/ibisweird")
+            let mut command = Command::new("target/release/ibisweird");
+            // SAFETY: the closure makes one system call, which may be made between fork and exec.
+            unsafe { command.pre_exec(end_with_parent) };
+            let child = command
                 .env_clear()
                 .env("PATH", std::env::var("PATH").unwrap_or_default())
                 .env("HOME", std::env::var("HOME").unwrap_or_default())
@@ -202,6 +206,21 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Has the system kill the calling process once the one that started it has ended in whatever way.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: this option takes a number and touches no memory of the process.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Waits until something holds; `false` once the time is over.
 pub fn wait_for(time: Duration, mut holds: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + time;
