Count a job as begun from the first start that a worker carries out

Cause: a job became running as its first task was placed, before any worker was asked. The state went to the log with the placement, and nothing took it back when the start was refused, revoked, lost or never sent. All who show the state take it from there: callers, the counts of followers, the waiting jobs of organisations with their metric, and the next leader.

Ruled out: a view of the log that is too old, which the wait of 5.2 s excludes, and a count that loses jobs as records replace each other: with TROUBLE=0 the same jobs are counted down as they end. The log of the leader ("start refused") and the job's own state told these apart.

Change: a job has begun once a worker has answered a start with success, or lists a run or an exit of the job, also one that the leader has no record of. A run that is lost with its worker before any of this shows no begin. The log gets the begin with the next record of the job; if there is none, with a commit that is taken anyway 0.8 s after the start was sent, or with one of its own after 1 s. A leader that finds a run of its predecessor at work writes the begin at once. Starts wait for nothing that they did not wait for before.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -32,6 +32,13 @@
 /// behind them.
 const BACKGROUND_DIVISOR: usize = 8;
 
+/// Age from which the begin of a job goes with any commit, in milliseconds. A later record of the
+/// job, such as for the end of a short task, has the begin as well and makes its own needless.
+const BEGIN_JOIN_MS: u64 = 800;
+/// Age from which it causes a commit, in milliseconds. The rest of the 2 s for which callers may be
+/// shown a job as waiting is left for the append and for the readers of the log.
+const BEGIN_COMMIT_MS: u64 = 1_000;
+
 /// Records for one append, and the starts and exits that it releases.
 #[derive(Clone, Debug, Default)]
 pub struct CommitBatch {
@@ -98,6 +105,8 @@
 pub struct CommitQueue {
     jobs: ChangedJobs,
     starts: Vec<(TaskKey, u32)>,
+    /// Jobs of which a task has started, by the earliest time at which it can have, in milliseconds.
+    begins: BTreeSet<(u64, JobId)>,
     exits: BTreeMap<Arc<str>, u64>,
     /// Exits that wait until all changes before a position are in a commit.
     held_exits: VecDeque<(u64, BTreeMap<Arc<str>, u64>)>,
@@ -127,6 +136,27 @@
         self.starts.push((task, run));
     }
 
+    /// Queues that a task of a job has started, at `since_ms` at the earliest.
+    pub fn queue_begin(&mut self, job: JobId, since_ms: u64) {
+        self.begins.insert((since_ms, job));
+    }
+
+    /// Takes the begins that are to go with the next commit.
+    fn take_due_begins(&mut self, now: u64) -> Vec<JobId> {
+        let is_due = self.begins.first().is_some_and(|(since, _)| now >= since + BEGIN_COMMIT_MS);
+        if !is_due && self.is_empty() {
+            return Vec::new();
+        }
+        let mut jobs = Vec::new();
+        while let Some((_, job)) =
+            self.begins.first().filter(|(since, _)| now >= since + BEGIN_JOIN_MS)
+        {
+            jobs.push(*job);
+            self.begins.pop_first();
+        }
+        jobs
+    }
+
     /// Number of starts that wait for the log.
     pub fn pending_starts(&self) -> usize {
         self.starts.len()
@@ -341,9 +371,19 @@
         bytes
     }
 
+    /// Marks the jobs whose begin is due for the log and is in no record yet as changed.
+    pub(crate) fn queue_due_begins(&mut self, now: u64) {
+        for id in self.commits.take_due_begins(now) {
+            if self.jobs.get(&id).is_some_and(|job| job.is_begin_unlogged) {
+                self.commits.mark_changed(id);
+            }
+        }
+    }
+
     fn push_progress(&mut self, batch: &mut CommitBatch, id: JobId) -> usize {
         self.commits.taken.push(id);
-        let Some(job) = self.jobs.get(&id) else { return 0 };
+        let Some(job) = self.jobs.get_mut(&id) else { return 0 };
+        job.is_begin_unlogged = false;
         push_record(batch, JobRecord::Progress(id, Arc::new(job.progress(self.term))))
     }
 
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -58,6 +58,8 @@
     pub answered_ms: Option<u64>,
     /// Whether a start was handed out to be sent.
     pub is_sent: bool,
+    /// When a start was first handed out to be sent, in milliseconds; 0 if none was by this leader.
+    pub first_sent_ms: u64,
     /// Whether the worker has listed the run as running.
     pub is_listed: bool,
     /// When the worker last listed the run, in milliseconds.
@@ -92,6 +94,7 @@
             begun_ms: 0,
             answered_ms: None,
             is_sent: false,
+            first_sent_ms: 0,
             is_listed: false,
             last_listed_ms: 0,
             is_loss_counted: false,
@@ -317,6 +320,8 @@
     pub next_occurrence: u32,
     /// Whether the job arrived beyond its organisation's share.
     pub is_beyond_share: bool,
+    /// Whether the log lacks that a task has started.
+    pub is_begin_unlogged: bool,
     /// Whether a step that may begin has waiting tasks.
     has_ready_step: Cell<Option<bool>>,
 }
@@ -335,6 +340,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             is_beyond_share: false,
+            is_begin_unlogged: false,
             has_ready_step: Cell::default(),
         };
         if let Some(progress) = &job.progress {
@@ -343,6 +349,16 @@
         Some(run)
     }
 
+    /// Notes that a worker has started a task; returns whether none was known to have started.
+    pub(crate) fn begin(&mut self) -> bool {
+        let is_first = self.state == JobState::Queued;
+        if is_first {
+            self.state = JobState::Running;
+            self.is_begin_unlogged = true;
+        }
+        is_first
+    }
+
     fn apply(&mut self, progress: &JobProgress) {
         self.ended_wall_ms = progress.ended_ms;
         self.next_occurrence = progress.occurrences_done;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -664,6 +664,7 @@
         self.seal_line(now);
         self.send_due_commands(now);
         self.write_learned(now);
+        self.queue_due_begins(now);
     }
 
     fn begin_due_occurrences(&mut self, wall_ms: u64) {
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -279,6 +279,7 @@
         let how = exit_label(exit.kind);
         let (task, run) = (exit.task, exit.run);
         self.emit(SchedulerEvent::Ended { task, run, worker: id.clone(), how });
+        self.record_begin(task.job, 0);
         if self.must_withhold(id, exit) {
             self.withhold(id, exit.number);
             return;
@@ -535,6 +536,8 @@
         is_settled: bool,
         now: u64,
     ) {
+        let first_sent_ms = self.live_run(key, run).map_or(0, |live| live.first_sent_ms);
+        self.record_begin(key.job, first_sent_ms);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let is_finished = job.state.is_final();
         let Some(spec) = job.spec(key) else { return };
@@ -624,6 +627,7 @@
 
     /// Stops a run that is unknown to the leader. It was removed rightly, so it must not go on.
     fn stop_unknown_run(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, now: u64) {
+        self.record_begin(key.job, 0);
         let fence = self.fence_of(id);
         let placed = self.other_placed_run(key, run);
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::jobs::model::{JobState, StepSpec, TaskKey};
+use crate::jobs::model::{JobId, StepSpec, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, RunCall, StartCall, WorkerTarget, refusal_label,
 };
 use crate::jobs::site::{VmState, worker_name};
-use crate::scheduler::job::{LiveRun, RunPhase, TaskRun};
+use crate::scheduler::job::{JobRun, LiveRun, RunPhase, TaskRun};
 use crate::scheduler::losses::IncarnationEnd;
 use crate::scheduler::worker::{PlacedRun, WorkSpan, WorkerState};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerEvent};
@@ -75,9 +75,6 @@
         let Some(task) = job.task_mut(key) else { return };
         task.run = task.run.max(run);
         task.live.push(LiveRun::planned(worker.clone(), run, now));
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
         self.organisations.add_run(&job.submission, job.spec(key));
         let wanted_lease_ms = self.bounds.cancel_ms;
         if let Some(entry) = self.workers.get_mut(worker) {
@@ -92,6 +89,14 @@
         self.emit(SchedulerEvent::Placed { task: *key, run, worker: worker.clone(), age_ms });
     }
 
+    /// Records that a worker has started a task of a job, at `since_ms` at the earliest; 0 if this is
+    /// not known. A placed run does not show that: its start may be refused, revoked or lost.
+    pub(crate) fn record_begin(&mut self, id: JobId, since_ms: u64) {
+        if self.jobs.get_mut(&id).is_some_and(JobRun::begin) {
+            self.commits.queue_begin(id, since_ms);
+        }
+    }
+
     /// Removes a run that has ended or was never begun.
     pub(crate) fn remove_run(&mut self, key: &TaskKey, run: u32, now: u64) {
         self.pending_commands.remove(&(*key, run));
@@ -113,7 +118,7 @@
     }
 
     /// Stops every run of a job.
-    pub(crate) fn stop_job(&mut self, id: crate::jobs::model::JobId, now: u64) {
+    pub(crate) fn stop_job(&mut self, id: JobId, now: u64) {
         let Some(job) = self.jobs.get(&id) else { return };
         for key in job.live_tasks() {
             self.stop_task(&key, "job is over", now);
@@ -250,6 +255,9 @@
         let live = self.live_mut(key, run)?;
         live.retry_ms = now + START_RETRY_MS;
         live.is_sent = true;
+        if live.first_sent_ms == 0 {
+            live.first_sent_ms = now;
+        }
         live.open_tries += 1;
         Some(RunCommand::Start(call))
     }
@@ -327,6 +335,8 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.sample_clock(clock_ms, now);
         }
+        let first_sent_ms = self.live_run(key, run).map_or(0, |live| live.first_sent_ms);
+        self.record_begin(key.job, first_sent_ms);
         let Some(live) = self.live_mut(key, run) else { return };
         if live.phase == RunPhase::Starting {
             live.enter(RunPhase::Running, now);
@@ -450,7 +460,7 @@
         self.is_deposed |= self.workers.contains_key(id);
     }
 
-    fn live_run(&self, key: &TaskKey, run: u32) -> Option<&LiveRun> {
+    pub(crate) fn live_run(&self, key: &TaskKey, run: u32) -> Option<&LiveRun> {
         self.jobs.get(&key.job)?.task(key)?.live.iter().find(|live| live.run == run)
     }
 
--- a/tests/support/fixtures.rs
+++ b/tests/support/fixtures.rs
@@ -16,6 +16,8 @@
 pub const STANDBY: &str = "helpers";
 /// Start of the simulated time: a new leader without a predecessor needs no lease bound.
 pub const START_MS: u64 = 100_000;
+/// Age that the state of a job and a count of waiting jobs may have, in milliseconds.
+pub const COUNT_AGE_MAX_MS: u64 = 2_000;
 /// Wall clock at the simulated time 0, in milliseconds since the epoch.
 pub const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -44,6 +44,8 @@
     pub vm_commands: Vec<VmCommand>,
     /// Events that the scheduler emitted.
     pub events: Vec<SchedulerEvent>,
+    /// Number of appends to the log by leaders, and of records in them.
+    pub appends: (usize, usize),
     /// Number of requests of the VM list.
     pub list_requests: usize,
     /// Wave statuses published to operators.
@@ -134,6 +136,7 @@
             started_late: BTreeSet::new(),
             vm_commands: Vec::new(),
             events: Vec::new(),
+            appends: (0, 0),
             list_requests: 0,
             wave_statuses: Vec::new(),
             permits_requested: Vec::new(),
@@ -471,6 +474,8 @@
             return false;
         }
         let Some(batch) = self.scheduler.take_commit() else { return false };
+        self.appends.0 += usize::from(!batch.decoded.is_empty());
+        self.appends.1 += batch.decoded.len();
         for record in &batch.decoded {
             self.job_table.fold(record, self.end);
             self.end += 1;
