--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -34,10 +34,11 @@
 
 /// Age from which the begin of a job goes with any commit, in milliseconds. A later record of the
 /// job, such as for the end of a short task, has the begin as well and makes its own needless.
-const BEGIN_JOIN_MS: u64 = 800;
-/// Age from which it causes a commit, in milliseconds. The rest of the 2 s for which callers may be
-/// shown a job as waiting is left for the append and for the readers of the log.
-const BEGIN_COMMIT_MS: u64 = 1_000;
+const BEGIN_JOIN_MS: u64 = 400;
+/// Age from which it causes a commit, in milliseconds. Callers may be shown a begun job as waiting for
+/// 2 s; the rest of them is left for the append, for the readers of the log and, if the leader dies
+/// before, for its successor.
+const BEGIN_COMMIT_MS: u64 = 500;
 
 /// Records for one append, and the starts and exits that it releases.
 #[derive(Clone, Debug, Default)]
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -627,7 +627,6 @@
 
     /// Stops a run that is unknown to the leader. It was removed rightly, so it must not go on.
     fn stop_unknown_run(&mut self, id: &Arc<str>, key: &TaskKey, run: u32, now: u64) {
-        self.record_begin(key.job, 0);
         let fence = self.fence_of(id);
         let placed = self.other_placed_run(key, run);
         let Some(worker) = self.workers.get_mut(id) else { return };
