--- a/tests/job_begins.rs
+++ b/tests/job_begins.rs
@@ -100,9 +100,9 @@
     );
 }
 
-/// Guards against the same where the clocks of the workers are past the leases of the starts.
+/// Guards against the same where the starts wait at the leader and are not sent.
 #[test]
-fn a_job_whose_starts_come_too_late_waits() {
+fn a_job_whose_starts_are_not_sent_waits() {
     check_kept_waiting(
         |sim| sim.is_lane_held = true,
         |sim| {
