Accept no more than a leader short of processor can begin

Callers saw accepted jobs stand still with capacity free, also after the traffic. Admission compared the backlog with the capacity of the pools and let everything pass while a worker had room.

Cause: nothing compares what is accepted with what the leader can begin.

While the leader's loop has been 20 ms late or more for a second, its digest now tells how many tasks of accepted jobs have not begun and how many began in the last second. Entries reject at once, with 429 and Retry-After, what comes beyond 3 s of starts: users count a job that has capacity and does not begin for 3 s as lost. Services, scheduled jobs and best-effort tasks are accepted as before.

An entry that rejects all submissions relays nothing and would get no digest, so the answer to an offer carries it too, and what it tells of starts is used for 3 s. The digest has version 2; entries of the other version see none and reject nothing, as after a takeover.

Tests: admission, admission_service (fails before: the job is accepted), line_digest, relay_digest.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,6 +14,7 @@
 pub mod key;
 pub mod leadership;
 pub mod lease;
+pub mod loop_delay;
 pub mod replica;
 pub mod retry;
 pub mod roster;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -11,6 +11,12 @@
 //! it can neither begin while it goes before late jobs, nor end while it has value behind them.
 //! This is the order of [`crate::scheduler::rank`].
 //!
+//! A leader that is short of processor begins fewer tasks than its pools have capacity for. What it
+//! accepts beyond that waits however much capacity is free, and delays all that was accepted before.
+//! While its loop is late, the digest therefore tells how many tasks wait for a start and how many
+//! begin in a second, and submissions are rejected beyond what it can begin in time
+//! ([`reject_beyond_starts`]).
+//!
 //! All arithmetic saturates, because declared run times and sizes are of any magnitude.
 
 use std::cmp::Ordering;
@@ -23,9 +29,15 @@
 use crate::jobs::site::QueueSpec;
 
 /// Version of the digest's format.
-pub const DIGEST_VERSION: u8 = 1;
+pub const DIGEST_VERSION: u8 = 2;
 /// Largest encoded digest, in bytes.
 pub const DIGEST_BYTES_MAX: usize = 4_096;
+/// Time for which an entry uses what a digest tells of starts, in milliseconds. Entries that reject
+/// relay nothing and get a digest only with the answers to their offers, one or two seconds apart.
+pub const START_LINE_AGE_MAX_MS: u64 = 3_000;
+/// Longest time in which a leader that is short of processor must be able to begin all accepted
+/// tasks, in milliseconds; users count a job that has capacity and does not begin as lost after 3 s.
+pub const START_WAIT_MAX_MS: u64 = 3_000;
 /// Number of classes of job sizes.
 pub const SIZE_CLASSES: u8 = 16;
 /// Time for which an entry uses a digest, in milliseconds.
@@ -58,10 +70,28 @@
     pub term: u64,
     /// Number of the digest; increases within a term.
     pub number: u64,
+    /// Starts that wait for the leader; `None` unless it is short of processor.
+    pub starts: Option<StartLine>,
     /// Pools in which work waits.
     pub pools: Vec<PoolLine>,
 }
 
+/// Starts that a leader short of processor has still to bring about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartLine {
+    /// Tasks of accepted jobs that have not begun.
+    pub waiting: u64,
+    /// Tasks that began in the last second.
+    pub rate: u64,
+}
+
+impl StartLine {
+    /// Time in which all that waits begins, in milliseconds.
+    pub fn drain_ms(&self) -> u64 {
+        drain_ms(self.waiting, self.rate)
+    }
+}
+
 /// Backlog of one pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolLine {
@@ -155,8 +185,9 @@
     pub fn encode(mut self) -> (LineDigest, Vec<u8>) {
         self.pools.sort_by_key(|pool| std::cmp::Reverse(pool.waiting()));
         let pools = std::mem::take(&mut self.pools);
-        // Term, number and the count of pools take ten bytes each at most, and the version one.
-        let mut bytes = 31;
+        // Numbers take ten bytes each at most: term, number, count of pools and the two of the starts.
+        // The version and the mark of the starts take one byte each.
+        let mut bytes = 52;
         for pool in pools {
             let size = postcard::to_stdvec(&pool).map_or(usize::MAX, |pool| pool.len());
             if size <= DIGEST_BYTES_MAX.saturating_sub(bytes) {
@@ -238,9 +269,18 @@
 
     /// The digest and its age in milliseconds, while it may be used.
     pub fn usable(&self, now: u64) -> Option<(Arc<LineDigest>, u64)> {
+        self.younger_than(DIGEST_AGE_MAX_MS, now)
+    }
+
+    /// The same, while it may be used for what it tells of starts.
+    pub fn usable_for_starts(&self, now: u64) -> Option<(Arc<LineDigest>, u64)> {
+        self.younger_than(START_LINE_AGE_MAX_MS, now)
+    }
+
+    fn younger_than(&self, age_max_ms: u64, now: u64) -> Option<(Arc<LineDigest>, u64)> {
         let (digest, received_ms) = self.newest.as_ref()?;
         let age_ms = now.checked_sub(*received_ms)?;
-        (age_ms < DIGEST_AGE_MAX_MS).then(|| (digest.clone(), age_ms))
+        (age_ms < age_max_ms).then(|| (digest.clone(), age_ms))
     }
 }
 
@@ -401,6 +441,20 @@
     })
 }
 
+/// Whether a job's start may be put off: services and scheduled jobs are promised for a time, and
+/// best-effort tasks wait for leftover capacity anyway.
+pub fn is_deferrable(spec: &JobSpec) -> bool {
+    let is_prompt = |step: &StepSpec| step.is_service || step.is_best_effort;
+    spec.schedule.is_none() && !spec.steps.iter().any(is_prompt)
+}
+
+/// Seconds after which the caller of a job may retry because the leader can't begin in time what it
+/// has accepted; `None` accepts the job. `order` is the job's id as a number.
+pub fn reject_beyond_starts(line: &StartLine, order: u64) -> Option<u64> {
+    let drain_ms = line.drain_ms();
+    (drain_ms > START_WAIT_MAX_MS).then(|| retry_s(order, drain_ms))
+}
+
 /// Time in which work is done at a capacity, in milliseconds.
 fn drain_ms(work: u64, capacity: u64) -> u64 {
     match (work, capacity) {
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -8,7 +8,9 @@
 use tokio::time::{Instant, timeout};
 
 use crate::decide::access::{AccessRefusal, CallerAccess, OrganisationDigest, PresentedKey, admit};
-use crate::decide::admission::{JobDemand, LineRejection, reject};
+use crate::decide::admission::{
+    JobDemand, LineRejection, StartLine, is_deferrable, reject, reject_beyond_starts,
+};
 use crate::error::ResultCode;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
@@ -165,8 +167,8 @@
         }
     }
 
-    /// The reply to a submission that the backlog of its pool makes useless, or that turns out to
-    /// be stored already; `None` to accept it. Whatever can't be told accepts it.
+    /// The reply to a submission that the backlog of its pool makes useless, that the leader can't
+    /// begin in time, or that turns out to be stored already; `None` to accept it. Whatever can't be told accepts it.
     async fn reject_for_backlog(
         &self,
         queue: &QueueSpec,
@@ -197,29 +199,60 @@
         // The digest may have expired during the lookup.
         let rejection = self.judge(queue, job, spec)?;
         self.record_rejection(queue, job, &rejection);
-        let wait = Duration::from_secs(rejection.line.retry_s);
+        let wait = Duration::from_secs(rejection.cause.retry_s());
         Some(CallerReply::Refused(ResultCode::LineTooLong, Some(wait)))
     }
 
     /// Decides by the digest of the backlog; `None` accepts the job.
     fn judge(&self, queue: &QueueSpec, job: JobId, spec: &JobSpec) -> Option<BacklogRejection> {
+        self.judge_starts(job, spec).or_else(|| self.judge_work(queue, job, spec))
+    }
+
+    /// Decides by what the leader can begin.
+    fn judge_starts(&self, job: JobId, spec: &JobSpec) -> Option<BacklogRejection> {
+        let (digest, age_ms) = self.node.start_line()?;
+        let line = digest.starts.filter(|_| is_deferrable(spec))?;
+        let retry_s = reject_beyond_starts(&line, order(job))?;
+        let cause = RejectionCause::Starts { line, retry_s };
+        Some(BacklogRejection { cause, term: digest.term, number: digest.number, age_ms })
+    }
+
+    /// Decides by the capacity of the job's pool.
+    fn judge_work(
+        &self,
+        queue: &QueueSpec,
+        job: JobId,
+        spec: &JobSpec,
+    ) -> Option<BacklogRejection> {
         let (digest, age_ms) = self.node.line()?;
         let pool = digest.pool(&queue.service)?;
-        let order = u64::from_str_radix(&job.to_string(), 16).ok()?;
-        let line = reject(&JobDemand::of(spec, order, queue, pool)?, pool)?;
-        Some(BacklogRejection { line, term: digest.term, number: digest.number, age_ms })
+        let line = reject(&JobDemand::of(spec, order(job), queue, pool)?, pool)?;
+        let cause = RejectionCause::Work(line);
+        Some(BacklogRejection { cause, term: digest.term, number: digest.number, age_ms })
     }
 
     fn record_rejection(&self, queue: &QueueSpec, job: JobId, rejection: &BacklogRejection) {
-        let line = &rejection.line;
         self.node.metrics.count_rejection(&queue.service);
-        info!(self.node.logger, "job rejected for the backlog of its pool"; "job" => %job,
-            "queue" => &*queue.name, "pool" => &*queue.service, "term" => rejection.term,
-            "digest" => rejection.number, "digest_age_ms" => rejection.age_ms,
-            "work_ahead" => line.work_ahead, "capacity" => line.capacity,
-            "end_ms" => line.end_ms, "value_end_ms" => line.value_end_ms,
-            "retry_after_ms" => line.retry_s * 1_000,
-            "code" => ResultCode::LineTooLong.number());
+        let BacklogRejection { cause, term, number, age_ms } = rejection;
+        match cause {
+            RejectionCause::Work(line) => {
+                info!(self.node.logger, "job rejected for the backlog of its pool"; "job" => %job,
+                    "queue" => &*queue.name, "pool" => &*queue.service, "term" => term,
+                    "digest" => number, "digest_age_ms" => age_ms,
+                    "work_ahead" => line.work_ahead, "capacity" => line.capacity,
+                    "end_ms" => line.end_ms, "value_end_ms" => line.value_end_ms,
+                    "retry_after_ms" => line.retry_s * 1_000,
+                    "code" => ResultCode::LineTooLong.number());
+            }
+            RejectionCause::Starts { line, retry_s } => {
+                info!(self.node.logger, "job rejected for the starts that wait for the leader";
+                    "job" => %job, "queue" => &*queue.name, "pool" => &*queue.service,
+                    "term" => term, "digest" => number, "digest_age_ms" => age_ms,
+                    "waiting" => line.waiting, "rate" => line.rate, "drain_ms" => line.drain_ms(),
+                    "retry_after_ms" => retry_s * 1_000,
+                    "code" => ResultCode::LineTooLong.number());
+            }
+        }
     }
 
     /// The reply once a job with this id is stored. If jobs belong to organisations, a job of
@@ -345,14 +378,37 @@
     }
 }
 
-/// A rejection and the digest that it is based on.
+/// What a submission is rejected for.
+#[derive(Clone, Copy, Debug)]
+enum RejectionCause {
+    /// The work that waits in its pool.
+    Work(LineRejection),
+    /// The starts that wait for the leader; retry after so many seconds.
+    Starts { line: StartLine, retry_s: u64 },
+}
+
+impl RejectionCause {
+    fn retry_s(&self) -> u64 {
+        match self {
+            RejectionCause::Work(line) => line.retry_s,
+            RejectionCause::Starts { retry_s, .. } => *retry_s,
+        }
+    }
+}
+
+/// A rejection, and the digest that it rests on.
 struct BacklogRejection {
-    line: LineRejection,
+    cause: RejectionCause,
     term: u64,
     number: u64,
     age_ms: u64,
 }
 
+/// The id as a number, which spreads retries.
+fn order(job: JobId) -> u64 {
+    u64::from_str_radix(&job.to_string(), 16).unwrap_or(0)
+}
+
 fn deadline(queue: &QueueSpec, time_left: Duration) -> Instant {
     let time_limit = match queue.timeout_ms {
         0 => SUBMIT_TIMEOUT,
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::decide::leadership::PreviousLeader;
+use crate::decide::loop_delay::LoopDelay;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
 use crate::jobs::follower::{TailReader, TailStep, fold_step, read_as_of_ms};
@@ -407,6 +408,7 @@
     async fn run_ticks(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
+        let mut loop_delay = LoopDelay::default();
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
@@ -417,6 +419,7 @@
             }
             let tick_result = self.node.with_scheduler(|scheduler| {
                 scheduler.set_pace(pace);
+                scheduler.set_loop_delay(loop_delay.sustained_ms());
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
                 (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
@@ -435,7 +438,9 @@
             let paused_at = Instant::now();
             sleep(TICK_PAUSE).await;
             let commit = *self.pending_commit();
-            load.record_wake(&self.node, paused_at.elapsed().saturating_sub(TICK_PAUSE), commit);
+            let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
+            loop_delay.record_wake(late, self.node.now());
+            load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
             let _ = timeout(TICK_INTERVAL_MAX, self.node.wake.notified()).await;
         }
--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -380,8 +380,11 @@
                 self.transport.exchange(leader, post(OFFER_PATH, body), OFFER_TIMEOUT).await;
             // A failure needs no handling: the next offer follows anyway, and the leader is
             // determined elsewhere.
-            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            if let Ok(answer) = answer
+                && answer.status == StatusCode::OK
+            {
                 self.node.record_store();
+                self.node.receive_line(&answer.body);
             }
         }
         OFFER_CHECK_INTERVAL
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -527,9 +527,7 @@
         if tokens.is_empty() {
             return;
         }
-        let now = self.now();
-        let report = self.with_scheduler(|scheduler| scheduler.line_report(now)).flatten();
-        let digest = report.map(|report| report.body).unwrap_or_default();
+        let digest = self.line_body();
         let mut relay_waiters = self.relay_waiters();
         for sender in tokens.iter().filter_map(|token| relay_waiters.remove(token)) {
             // A waiter that is gone needs no answer.
@@ -550,6 +548,18 @@
     /// The digest of the backlog that may be used now, and its age in milliseconds. An entry that
     /// leads uses its own.
     pub fn line(&self) -> Option<(Arc<LineDigest>, u64)> {
+        self.usable_line(DigestSlot::usable)
+    }
+
+    /// The digest that may be used for what it tells of starts, and its age in milliseconds.
+    pub fn start_line(&self) -> Option<(Arc<LineDigest>, u64)> {
+        self.usable_line(DigestSlot::usable_for_starts)
+    }
+
+    fn usable_line(
+        &self,
+        usable: fn(&DigestSlot, u64) -> Option<(Arc<LineDigest>, u64)>,
+    ) -> Option<(Arc<LineDigest>, u64)> {
         if !self.settings.admission {
             return None;
         }
@@ -561,10 +571,17 @@
         });
         match own {
             Some(own) => own,
-            None => self.line_slot().usable(now),
+            None => usable(&self.line_slot(), now),
         }
     }
 
+    /// Encoding of the newest digest of this leader, empty if there is none.
+    pub fn line_body(&self) -> Bytes {
+        let now = self.now();
+        let report = self.with_scheduler(|scheduler| scheduler.line_report(now)).flatten();
+        report.map(|report| report.body).unwrap_or_default()
+    }
+
     fn line_slot(&self) -> MutexGuard<'_, DigestSlot> {
         self.line.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -72,6 +72,8 @@
 const LEADER_EXCLUSION_MS: u64 = 1_000;
 /// Timeout for reading the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Media type of answers in the entries' own encoding.
+const BINARY: &str = "application/octet-stream";
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -332,7 +334,9 @@
     let PeerService { node, workers, reader } = service;
     match request.uri().path() {
         OFFER_PATH => match read_body(request, STARTS_BYTES_MAX).await {
-            Ok(body) if delegate::take_offer(node, &body) => status_only(StatusCode::OK),
+            Ok(body) if delegate::take_offer(node, &body) => {
+                full_response(BINARY, node.line_body())
+            }
             Ok(_) => status_only(StatusCode::MISDIRECTED_REQUEST),
             Err(code) => status_only(code),
         },
@@ -358,7 +362,7 @@
         },
         METRICS_PATH => {
             node.update_gauges();
-            full_response("text/plain; version=1.0.0", node.metrics.text().into_bytes())
+            full_response("text/plain; version=1.0.0", node.metrics.text().into())
         }
         STATUS_PATH => json(&status::entry_status(node)),
         path if path.starts_with(LOOKUP_PATH) => answer_lookup(node, &path[LOOKUP_PATH.len()..]),
@@ -406,15 +410,15 @@
 
 fn json<T: Serialize>(value: &T) -> Response<RelayBody> {
     // Cannot fail: the types passed here hold no map with keys that JSON cannot represent.
-    full_response("application/json", serde_json::to_vec(value).unwrap_or_default())
+    full_response("application/json", serde_json::to_vec(value).unwrap_or_default().into())
 }
 
 fn binary(body: Vec<u8>) -> Response<RelayBody> {
-    full_response("application/octet-stream", body)
+    full_response(BINARY, Bytes::from(body))
 }
 
-fn full_response(kind: &'static str, body: Vec<u8>) -> Response<RelayBody> {
-    let mut response = Response::new(RelayBody::Whole(Full::new(Bytes::from(body))));
+fn full_response(kind: &'static str, body: Bytes) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Whole(Full::new(body)));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     response
 }
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -17,8 +17,8 @@
 use bytes::Bytes;
 
 use crate::decide::admission::{
-    ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, is_counted,
-    size_class, task_work,
+    ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
+    is_counted, size_class, task_work,
 };
 use crate::jobs::model::{JobSpec, StepSpec};
 use crate::jobs::site::{QueueSpec, VmState};
@@ -32,6 +32,9 @@
 const SEND_AGE_MAX_MS: u64 = 500;
 /// Window in which arrivals are counted, in milliseconds: rates are per second.
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
+/// Delay of the leader's loop from which it is short of processor, in milliseconds; with time to
+/// spare it is a few milliseconds late, also in a burst.
+const LOOP_DELAY_MAX_MS: u64 = 20;
 /// Queues of a pool whose run times the digest holds; submissions to others are accepted.
 const MODELS_MAX: usize = 16;
 
@@ -51,7 +54,9 @@
 pub(crate) struct LineTracker {
     is_enabled: bool,
     number: u64,
-    arrivals: HashMap<ArrivalKey, ArrivalWindow>,
+    arrivals: HashMap<ArrivalKey, RateWindow>,
+    /// Tasks that began.
+    begins: RateWindow,
     /// Sums of the latest planning of the pools, until they are sealed.
     sums: Option<LineSums>,
     report: Option<LineReport>,
@@ -60,15 +65,20 @@
 /// Pool, priority and size class of arrivals.
 type ArrivalKey = (Arc<str>, u32, u8);
 
-/// Work that arrived in the current window and in the one before.
+/// Amounts, such as work that arrived, in the current window and in the one before.
 #[derive(Clone, Copy, Debug, Default)]
-struct ArrivalWindow {
+struct RateWindow {
     begun_ms: u64,
     current: u64,
     previous: u64,
 }
 
-impl ArrivalWindow {
+impl RateWindow {
+    fn add(&mut self, amount: u64, now: u64) {
+        self.advance(now);
+        self.current = self.current.saturating_add(amount);
+    }
+
     fn advance(&mut self, now: u64) {
         let age_ms = now.saturating_sub(self.begun_ms);
         if age_ms < ARRIVAL_WINDOW_MS {
@@ -80,7 +90,7 @@
         self.begun_ms = now - age_ms % ARRIVAL_WINDOW_MS;
     }
 
-    /// Work of about the last second. Of the earlier window, the part that is less than a second
+    /// Amount of about the last second. Of the earlier window, the part that is less than a second
     /// old counts.
     fn rate(&mut self, now: u64) -> u64 {
         self.advance(now);
@@ -95,6 +105,8 @@
 pub(crate) struct JobWork {
     waiting: u64,
     begun: u64,
+    /// Tasks that have not begun.
+    starts: u64,
 }
 
 impl JobWork {
@@ -111,14 +123,18 @@
             return;
         }
         let task_ms = model.expected_ms(spec.estimate_ms);
+        let count = u64::try_from(waiting).unwrap_or(u64::MAX);
+        self.starts = self.starts.saturating_add(count);
         if is_counted(spec) {
-            let count = u64::try_from(waiting).unwrap_or(u64::MAX);
             self.waiting = self.waiting.saturating_add(task_work(spec, count, task_ms));
         }
         for live in step.tasks.iter().flat_map(|task| &task.live) {
             let left_ms = match live.phase {
                 RunPhase::Running => task_ms.saturating_sub(now.saturating_sub(live.begun_ms)),
-                RunPhase::Planned | RunPhase::Starting => task_ms,
+                RunPhase::Planned | RunPhase::Starting => {
+                    self.starts = self.starts.saturating_add(1);
+                    task_ms
+                }
                 // A new leader does not know how long a run has lasted.
                 RunPhase::Inherited | RunPhase::Stopping => 0,
             };
@@ -131,6 +147,8 @@
 /// Sums of one planning of the pools.
 #[derive(Debug, Default)]
 pub(crate) struct LineSums {
+    /// Tasks that have not begun.
+    starts: u64,
     pools: BTreeMap<Arc<str>, PoolSums>,
 }
 
@@ -156,6 +174,7 @@
         work: JobWork,
         model: &RuntimeModel,
     ) {
+        self.starts = self.starts.saturating_add(work.starts);
         if work.waiting == 0 && work.begun == 0 {
             return;
         }
@@ -205,6 +224,11 @@
         self.sums = sums;
     }
 
+    /// Counts a task that has begun.
+    pub(crate) fn record_begin(&mut self, now: u64) {
+        self.begins.add(1, now);
+    }
+
     /// Counts the work of a job that arrived.
     pub(crate) fn record_arrival(
         &mut self,
@@ -221,9 +245,7 @@
             .map(|step| task_work(step, u64::from(step.count), model.expected_ms(step.estimate_ms)))
             .fold(0, u64::saturating_add);
         let key = (queue.service.clone(), queue.priority, size_class(work));
-        let window = self.arrivals.entry(key).or_default();
-        window.advance(now);
-        window.current = window.current.saturating_add(work);
+        self.arrivals.entry(key).or_default().add(work, now);
     }
 }
 
@@ -251,6 +273,7 @@
     pub(crate) fn seal_line(&mut self, now: u64) {
         let Some(sums) = self.line.sums.take() else { return };
         let capacities = self.pool_capacities(&sums, now);
+        let starts = self.start_line(sums.starts, now);
         self.line.arrivals.retain(|_, window| window.rate(now) > 0);
         let mut pools = Vec::new();
         for (name, sums) in sums.pools {
@@ -263,7 +286,7 @@
         }
         self.line.number += 1;
         let (term, number) = (self.term, self.line.number);
-        let digest = LineDigest { version: DIGEST_VERSION, term, number, pools };
+        let digest = LineDigest { version: DIGEST_VERSION, term, number, starts, pools };
         let (digest, body) = digest.encode();
         self.line.report = Some(LineReport {
             digest: Arc::new(digest),
@@ -272,6 +295,14 @@
         });
     }
 
+    /// What waits for starts, while this entry is short of processor. Where nothing has begun lately,
+    /// as after a takeover, nothing can be said about waits.
+    fn start_line(&mut self, waiting: u64, now: u64) -> Option<StartLine> {
+        let rate = self.line.begins.rate(now);
+        let is_short = self.loop_delay_ms >= LOOP_DELAY_MAX_MS && rate > 0;
+        is_short.then_some(StartLine { waiting, rate })
+    }
+
     fn pool_line(
         &mut self,
         pool: Arc<str>,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -192,6 +192,8 @@
     fleet: FleetState,
     line: LineTracker,
     pace: FlowPace,
+    /// Sustained delay of the leader's loop, in milliseconds.
+    loop_delay_ms: u64,
     actions: Vec<SchedulerAction>,
     needs_dispatch: bool,
     /// Whether the next placement also checks which tasks need a copy; every tenth of a second is
@@ -252,6 +254,7 @@
             fleet: FleetState::default(),
             line: LineTracker::default(),
             pace: FlowPace::default(),
+            loop_delay_ms: 0,
             actions: Vec::new(),
             needs_dispatch: true,
             is_copy_check_due: false,
@@ -344,6 +347,11 @@
         self.pace = pace;
     }
 
+    /// Sets by how much the leader's loop has been late for a while, in milliseconds.
+    pub fn set_loop_delay(&mut self, delay_ms: u64) {
+        self.loop_delay_ms = delay_ms;
+    }
+
     /// Whether the leader itself lags: several workers' answers came after their timeout. Its view
     /// of the workers is then out of date, and their silence may be its own fault.
     pub(crate) fn is_lagging(&self, now: u64) -> bool {
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -309,6 +309,9 @@
             }
         }
         let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
+        if live.is_some_and(|(phase, _)| phase == RunPhase::Starting) {
+            self.line.record_begin(now);
+        }
         if live.is_some() {
             self.remove_run(&exit.task, exit.run, now);
         }
@@ -555,6 +558,9 @@
             RunPhase::Planned | RunPhase::Running | RunPhase::Stopping => false,
         };
         if is_confirmed {
+            if live.phase == RunPhase::Starting {
+                self.line.record_begin(now);
+            }
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
             live.begun_ms = now;
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -343,6 +343,7 @@
             live.answered_ms = Some(now);
             live.begun_ms = now;
             live.progress_ms = now;
+            self.line.record_begin(now);
             self.actions.push(SchedulerAction::RenewNow(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.last_refusal_ms = None;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,7 +4,8 @@
 
 use ibisweir::decide::admission::{
     ClassLine, DIGEST_AGE_MAX_MS, DIGEST_BYTES_MAX, DIGEST_VERSION, DigestSlot, JobDemand,
-    LineDigest, PoolLine, PriorityLine, QueueModel, SIZE_CLASSES, reject, size_class,
+    LineDigest, PoolLine, PriorityLine, QueueModel, SIZE_CLASSES, START_LINE_AGE_MAX_MS,
+    START_WAIT_MAX_MS, StartLine, is_deferrable, reject, reject_beyond_starts, size_class,
 };
 use ibisweir::jobs::model::{JobSchedule, JobSpec, ResourceVector, StepSpec};
 use ibisweir::jobs::site::QueueSpec;
@@ -323,8 +324,13 @@
 /// earlier state that arrives late and replaces a newer one.
 #[test]
 fn a_digest_expires_and_is_replaced_by_newer_ones_only() {
-    let digest =
-        |term, number| LineDigest { version: DIGEST_VERSION, term, number, pools: Vec::new() };
+    let digest = |term, number| LineDigest {
+        version: DIGEST_VERSION,
+        term,
+        number,
+        starts: None,
+        pools: Vec::new(),
+    };
     let mut slot = DigestSlot::default();
     assert!(slot.usable(0).is_none());
     assert!(slot.receive(digest(3, 7), 5_000));
@@ -344,8 +350,13 @@
 /// Guards against a body of any other kind that is taken for a digest, and against a panic on it.
 #[test]
 fn only_bodies_of_this_version_are_digests() {
-    let digest =
-        LineDigest { version: DIGEST_VERSION, term: 1, number: 1, pools: vec![busy_line(5, 6)] };
+    let digest = LineDigest {
+        version: DIGEST_VERSION,
+        term: 1,
+        number: 1,
+        starts: None,
+        pools: vec![busy_line(5, 6)],
+    };
     let (digest, body) = digest.encode();
     assert_eq!(LineDigest::decode(&body), Some(digest));
     assert_eq!(LineDigest::decode(&[]), None);
@@ -377,6 +388,7 @@
         version: DIGEST_VERSION,
         term: u64::MAX,
         number: u64::MAX,
+        starts: Some(StartLine { waiting: u64::MAX, rate: u64::MAX }),
         pools: pools.collect(),
     };
     let (digest, body) = digest.encode();
@@ -410,3 +422,47 @@
     assert_eq!([0, 999, 1_000, 1_999, 2_000, 4_000].map(size_class), [0, 0, 1, 1, 2, 3]);
     assert_eq!(size_class(u64::MAX), SIZE_CLASSES - 1);
 }
+
+/// Guards against a leader that accepts more than it can begin in time, and against rejections of
+/// what it can; no figures cause a panic or a retry out of bounds.
+#[test]
+fn submissions_are_rejected_from_the_backlog_that_the_leader_cannot_begin_in_time() {
+    let in_time = StartLine { waiting: 300 * START_WAIT_MAX_MS / 1_000, rate: 300 };
+    assert_eq!(reject_beyond_starts(&in_time, 1), None);
+    let beyond = StartLine { waiting: in_time.waiting + 1, ..in_time };
+    assert!(reject_beyond_starts(&beyond, 1).is_some());
+    check(
+        (|waiting: AnyFigure, rate: AnyFigure, more: AnyFigure, order: u64| {
+            let line = StartLine { waiting: waiting.0, rate: rate.0 };
+            let longer = StartLine { waiting: line.waiting.saturating_add(more.0), ..line };
+            let (retry_s, later_s) =
+                (reject_beyond_starts(&line, order), reject_beyond_starts(&longer, order));
+            retry_s.is_none_or(|wait| (1..=8).contains(&wait) && later_s.is_some())
+        }) as fn(AnyFigure, AnyFigure, AnyFigure, u64) -> bool,
+    );
+}
+
+/// Guards against a rejection of what was promised for a time, by a leader short of processor.
+#[test]
+fn services_schedules_and_best_effort_tasks_are_not_put_off() {
+    assert!(is_deferrable(&job(vec![step(8), step(2)])));
+    assert!(!is_deferrable(&job(vec![step(8), service_step(2)])));
+    assert!(!is_deferrable(&job(vec![StepSpec { is_best_effort: true, ..step(8) }])));
+    let schedule = Some(JobSchedule { first_ms: 1, interval_ms: 1_000, occurrences: 2 });
+    assert!(!is_deferrable(&JobSpec { schedule, ..job(vec![step(8)]) }));
+}
+
+/// Guards against an entry that accepts again at once because nothing was relayed for a second, and
+/// against one that rejects for ever by the last digest of a lost leader.
+#[test]
+fn what_a_digest_tells_of_starts_is_used_until_the_next_answer_to_an_offer() {
+    let mut slot = DigestSlot::default();
+    let starts = Some(StartLine { waiting: 9_000, rate: 300 });
+    let digest =
+        LineDigest { version: DIGEST_VERSION, term: 1, number: 1, starts, ..LineDigest::default() };
+    slot.receive(digest, 500);
+    let last_ms = 500 + START_LINE_AGE_MAX_MS - 1;
+    assert!(slot.usable(last_ms).is_none());
+    assert_eq!(slot.usable_for_starts(last_ms).and_then(|(digest, _)| digest.starts), starts);
+    assert!(slot.usable_for_starts(last_ms + 1).is_none());
+}
--- a/tests/admission_service.rs
+++ b/tests/admission_service.rs
@@ -10,7 +10,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use ibisweir::decide::access::CallerAccess;
 use ibisweir::decide::admission::{
-    ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel,
+    ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
 };
 use ibisweir::decide::replica::ReplicaList;
 use ibisweir::error::ResultCode;
@@ -64,6 +64,10 @@
     log: CountingLog,
     /// Number of the digest that the entry received last.
     number: u64,
+    /// Starts that wait for the leader, in the digests.
+    starts: Option<StartLine>,
+    /// Backlog of the pool, in the digests.
+    pools: Vec<PoolLine>,
 }
 
 /// A pool of 64 cores with a backlog of a quarter of an hour.
@@ -93,7 +97,7 @@
         let submitter = submitter::spawn(node.clone(), log.clone(), relay.clone(), 1);
         let reader = Arc::new(CatchUpReader::new(node.clone(), log.clone()));
         let service = CallerService { node, reader, submitter, relay, queries };
-        TestEntry { service, log, number: 0 }
+        TestEntry { service, log, number: 0, starts: None, pools: vec![backlog()] }
     }
 
     fn node(&self) -> &Arc<JobNode> {
@@ -104,7 +108,8 @@
     fn refresh(&mut self) {
         self.number += 1;
         let (version, term, number) = (DIGEST_VERSION, 1, self.number);
-        let digest = LineDigest { version, term, number, pools: vec![backlog()] };
+        let (starts, pools) = (self.starts, self.pools.clone());
+        let digest = LineDigest { version, term, number, starts, pools };
         self.node().record_log_answer();
         self.node().set_current();
         assert!(self.node().receive_line(&digest.encode().1));
@@ -167,6 +172,20 @@
     assert!(text.contains("ibisweir_job_line_digest_age_ms -1"), "{text}");
 }
 
+/// Guards against an entry that accepts what a leader short of processor can't begin: its pools have
+/// capacity for it, so that nothing waits for capacity.
+#[tokio::test]
+async fn what_the_leader_cannot_begin_in_time_is_rejected_though_its_pool_has_capacity() {
+    let mut entry = TestEntry::open();
+    (entry.pools, entry.starts) = (Vec::new(), Some(StartLine { waiting: 300, rate: 300 }));
+    entry.refresh();
+    assert_eq!(entry.submit(5_000).await, CallerReply::Stored);
+    entry.starts = Some(StartLine { waiting: 9_000, rate: 300 });
+    let (_, wait) = entry.reject_one().await;
+    assert!((1..=8).contains(&wait.as_secs()), "{wait:?}");
+    assert_eq!(entry.submit(5_000).await, CallerReply::Stored, "it is in the log");
+}
+
 /// Guards against a rejection of a job that runs: a caller that has lost the answer submits it
 /// again.
 #[tokio::test]
@@ -220,7 +239,13 @@
     entry.refresh();
     let behind = TestEntry::open();
     behind.node().record_log_answer();
-    let digest = LineDigest { version: DIGEST_VERSION, term: 1, number: 1, pools: vec![backlog()] };
+    let digest = LineDigest {
+        version: DIGEST_VERSION,
+        term: 1,
+        number: 1,
+        starts: None,
+        pools: vec![backlog()],
+    };
     assert!(behind.node().receive_line(&digest.encode().1));
     assert_eq!(behind.submit(1).await, CallerReply::Stored);
 }
--- a/tests/line_digest.rs
+++ b/tests/line_digest.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use ibisweir::decide::admission::{LineDigest, PoolLine, size_class};
+use std::time::Duration;
+
+use ibisweir::decide::admission::{LineDigest, PoolLine, StartLine, size_class};
+use ibisweir::decide::loop_delay::LoopDelay;
 use ibisweir::jobs::model::{ExitKind, ResourceVector, StepSpec};
 use ibisweir::jobs::site::{QueueSpec, SiteConfig};
 use ibisweir::scheduler::line::LineReport;
@@ -181,3 +184,41 @@
     sim.advance(300);
     assert!(sim.scheduler.line_report(sim.now).is_none());
 }
+
+/// Guards against rejections by a leader with processor to spare, and against a digest that does not
+/// tell of the starts that wait for one that is short of it.
+#[test]
+fn the_digest_tells_of_waiting_starts_while_the_loop_is_late() {
+    let mut sim = open_site(config());
+    sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(8) }]));
+    sim.submit(2, job(vec![step(4), StepSpec { after: vec![0], ..step(3) }]));
+    assert_eq!(plan(&mut sim).digest.starts, None, "the loop is not late");
+    sim.scheduler.set_loop_delay(60);
+    assert_eq!(plan(&mut sim).digest.starts, Some(StartLine { waiting: 7, rate: 8 }));
+    sim.scheduler.set_loop_delay(0);
+    assert_eq!(plan(&mut sim).digest.starts, None);
+    // Nothing has begun for two seconds.
+    sim.scheduler.set_loop_delay(60);
+    sim.advance(2_000);
+    assert_eq!(plan(&mut sim).digest.starts, None);
+}
+
+/// Guards against a leader that counts as short of processor after a single stall, and against one
+/// that does not although its loop stays late.
+#[test]
+fn a_loop_counts_as_late_once_it_has_been_for_a_second() {
+    let mut delay = LoopDelay::default();
+    let mut now = 10_000;
+    let mut wake = |late_ms: u64| {
+        now += 20 + late_ms;
+        delay.record_wake(Duration::from_millis(late_ms), now);
+        delay.sustained_ms()
+    };
+    assert!((0..100).all(|_| wake(1) <= 1));
+    assert_eq!(wake(3_000), 0);
+    assert!((0..200).all(|_| wake(1) < 20));
+    let late: Vec<u64> = (0..100).map(|_| wake(60)).collect();
+    assert!(late[..10].iter().all(|delay_ms| *delay_ms < 20), "{late:?}");
+    assert!(late[40..].iter().all(|delay_ms| *delay_ms >= 50), "{late:?}");
+    assert!((0..60).map(|_| wake(1)).last() < Some(20));
+}
--- a/tests/relay_digest.rs
+++ b/tests/relay_digest.rs
@@ -6,14 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibisweir::control::ControlLoop;
 use ibisweir::decide::admission::{DIGEST_VERSION, LineDigest, PoolLine};
+use ibisweir::jobs::delegate::OfferLoop;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay::{self, RelayClient, RelayOutcome};
 use ibisweir::jobs::site::SiteSettings;
 use ibisweir::transport::HttpTransport;
 use support::fakes::{RecordingWorkers, lead, node_with, peer_service};
-use support::sim::{POOL, job, job_id, site_settings, step, submission, vm, worker};
+use support::sim::{POOL, config, job, job_id, site_settings, step, submission, vm, worker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -79,7 +81,7 @@
 
 fn encoded(term: u64, number: u64) -> Vec<u8> {
     let pool = PoolLine { pool: POOL.into(), begun: 7, ..PoolLine::default() };
-    LineDigest { version: DIGEST_VERSION, term, number, pools: vec![pool] }.encode().1
+    LineDigest { version: DIGEST_VERSION, term, number, starts: None, pools: vec![pool] }.encode().1
 }
 
 /// Guards against an answer without the digest, and against an entry that does not read it. The
@@ -98,6 +100,23 @@
     }
 }
 
+/// Guards against an entry that knows no backlog once it rejects all submissions and relays nothing.
+#[tokio::test]
+async fn the_answer_to_an_offer_carries_the_digest() {
+    let (_leader, address) = working_leader(true).await;
+    let entry = entry(true);
+    entry.set_config(config());
+    entry.set_leader(Some(address));
+    let transport = HttpTransport::open();
+    let mut offers = OfferLoop { node: entry.clone(), transport, offered_ms: None };
+    // The first offers can be answered before pools are planned.
+    while entry.line().is_none() {
+        offers.offered_ms = None;
+        offers.step().await;
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against a body that an entry of an earlier build does not expect from a leader whose
 /// setting is off, and against an entry that uses a digest although its own setting is off.
 #[tokio::test]
