Soak: bursts in turns on many VMs, and a watch for accepted jobs that stand still

An observer at the stand-in platform tells of each accepted job that has nothing running for 3 s although its pool has capacity for a task of it twice over and is under half in use; what was refused must not run, what was accepted must end.

--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -14,7 +14,7 @@
 use ibisweir_standin::platform::{PlatformHandle, WorkerLine};
 use ibisweir_standin::quickstart;
 use ibisweir_standin::site::LOOPBACK;
-use ibisweir_standin::soak::{self, FaultMix, SoakPlan};
+use ibisweir_standin::soak::{self, BurstShape, FaultMix, SoakPlan, SoakShape};
 use ibisweir_standin::worker::{WorkerHandle, WorkerShape};
 
 const USAGE: &str = "\
@@ -95,6 +95,10 @@
     options.optopt("", "seconds", "time of a soak under faults, for each seed [10]", "SECONDS");
     options.optopt("", "entries", "entries of a soak, a process each, 180 at most [4]", "COUNT");
     options.optopt("", "faults", "faults of a soak: usual, late or all [all]", "MIX");
+    options.optopt("", "shape", "site and traffic of a soak: usual or bursts [usual]", "SHAPE");
+    options.optopt("", "vms", "VMs of a soak with bursts [350]", "COUNT");
+    options.optopt("", "load", "mean demand of a soak with bursts, of its VMs [60]", "PERCENT");
+    options.optopt("", "busy", "threads of a soak with bursts that keep a core busy [0]", "COUNT");
     options.optopt("", "daemon", "program of a soak's entries [ibisweird beside this one]", "PATH");
     options.optopt("", "logs", "directory for the logs of a soak that fails", "PATH");
     options.optflag("h", "help", "show this help");
@@ -162,6 +166,12 @@
         Some(Some(faults)) => faults,
         Some(None) => return Invocation::Refuse("--faults: usual, late or all\n".to_owned()),
     };
+    let shape = match (matches.opt_str("shape").as_deref(), burst_shape(matches)) {
+        (None | Some("usual"), _) => SoakShape::Usual,
+        (Some("bursts"), Ok(shape)) => SoakShape::Bursts(shape),
+        (Some("bursts"), Err(text)) => return Invocation::Refuse(text),
+        _ => return Invocation::Refuse("--shape: usual or bursts\n".to_owned()),
+    };
     let directory = std::env::temp_dir().join(format!("ibisweir-soak-{}", std::process::id()));
     Invocation::Run(Task::Soak(SoakPlan {
         daemon: matches.opt_str("daemon").map_or_else(daemon_beside, PathBuf::from),
@@ -170,10 +180,23 @@
         length: Duration::from_secs(seconds),
         entries,
         faults,
+        shape,
         directory: matches.opt_str("logs").map_or(directory, PathBuf::from),
     }))
 }
 
+fn burst_shape(matches: &Matches) -> Result<BurstShape, String> {
+    let number = |flag: &str, default: u16| match matches.opt_str(flag) {
+        None => Ok(default),
+        Some(text) => text.parse().map_err(|_| format!("--{flag}: {text:?} is no small number\n")),
+    };
+    Ok(BurstShape {
+        vms: usize::from(number("vms", 350)?),
+        busy: usize::from(number("busy", 0)?),
+        load: u32::from(number("load", 60)?),
+    })
+}
+
 fn document(shape: &str, base_port: Option<&str>) -> Invocation {
     let Some(fleet) = fleet(shape) else {
         return Invocation::Refuse(format!("{shape:?} is no shape\n"));
--- a/standin/src/jobs/ledger.rs
+++ b/standin/src/jobs/ledger.rs
@@ -244,15 +244,24 @@
         }
     }
 
+    fn tasks_of(&self, job: JobId) -> impl Iterator<Item = &TaskLedger> {
+        let first = TaskKey { job, occurrence: 0, step: 0, index: 0 };
+        let last = TaskKey { job, occurrence: u32::MAX, step: u16::MAX, index: u32::MAX };
+        self.tasks.range(first..=last).map(|(_, ledger)| ledger)
+    }
+
     /// Starts of a job's tasks.
     pub fn starts_of(&self, id: JobId) -> u32 {
-        let own = self.tasks.iter().filter(|(task, _)| task.job == id);
-        own.map(|(_, ledger)| ledger.starts).sum()
+        self.tasks_of(id).map(|ledger| ledger.starts).sum()
     }
 
     /// Runs of a job that are alive.
     pub fn live_of(&self, id: JobId) -> usize {
-        let own = self.tasks.iter().filter(|(task, _)| task.job == id);
-        own.map(|(_, ledger)| ledger.live.len()).sum()
+        self.tasks_of(id).map(|ledger| ledger.live.len()).sum()
+    }
+
+    /// Tasks of a job that are done.
+    pub fn done_of(&self, id: JobId) -> usize {
+        self.tasks_of(id).filter(|ledger| ledger.is_done).count()
     }
 }
--- a/standin/src/jobs/log.rs
+++ b/standin/src/jobs/log.rs
@@ -20,7 +20,7 @@
 use crate::jobs::http::{AskedCall, GivenAnswer, json, raw, serve};
 
 /// Records of a topic that are kept beside the newest of each key: a few seconds' worth.
-const HISTORY: usize = 400;
+pub const HISTORY: usize = 400;
 /// Appends of a writer whose answers are given again.
 const REPEATS: usize = 5;
 /// Keys on one page.
@@ -67,7 +67,7 @@
         self.first + self.records.len() as u64
     }
 
-    fn push(&mut self, record: &[u8], is_keyed: bool) {
+    fn push(&mut self, record: &[u8], is_keyed: bool, history: usize) {
         let offset = self.end();
         if let (true, Some((key, value))) = (is_keyed, split(record)) {
             match value.is_empty() {
@@ -76,7 +76,7 @@
             }
         }
         self.records.push_back(record.to_vec());
-        if self.records.len() > HISTORY {
+        if self.records.len() > history {
             self.records.pop_front();
             self.first += 1;
         }
@@ -94,6 +94,8 @@
     topics: Mutex<HashMap<String, TopicState>>,
     faults: Mutex<LogFaults>,
     appended: watch::Sender<u64>,
+    /// Records of a topic that are kept beside the newest of each key.
+    history: usize,
 }
 
 /// A running log; stops when dropped.
@@ -114,12 +116,18 @@
 impl LogStandin {
     /// Binds a port that the system chooses.
     pub async fn open() -> std::io::Result<LogStandin> {
+        LogStandin::open_with_history(HISTORY).await
+    }
+
+    /// The same, keeping this many records of a topic beside the newest of each key.
+    pub async fn open_with_history(history: usize) -> std::io::Result<LogStandin> {
         let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(LogShared {
             topics: Mutex::default(),
             faults: Mutex::default(),
             appended: watch::Sender::new(0),
+            history,
         });
         let serving = shared.clone();
         let server = tokio::spawn(serve(listener, move |call| answer(serving.clone(), call)));
@@ -136,7 +144,8 @@
         let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
-        self.shared.topics().entry(topic.to_owned()).or_default().push(&record, true);
+        let history = self.shared.history;
+        self.shared.topics().entry(topic.to_owned()).or_default().push(&record, true, history);
         self.shared.appended.send_modify(|count| *count += 1);
     }
 
@@ -232,7 +241,7 @@
     let mut rest = &call.body[..];
     while let Some((length, after)) = rest.split_first_chunk::<4>() {
         let length = usize::try_from(u32::from_be_bytes(*length)).ok()?;
-        topic.push(after.get(..length)?, name.starts_with("keyed."));
+        topic.push(after.get(..length)?, name.starts_with("keyed."), shared.history);
         rest = &after[length..];
     }
     let after = topic.end();
--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -12,10 +12,10 @@
 
 use crate::jobs::http::{AskedCall, GivenAnswer, json, serve};
 use crate::jobs::ledger::{CANCEL_MS, JobLedger};
-use crate::jobs::log::LogStandin;
+use crate::jobs::log::{HISTORY, LogStandin};
 use crate::jobs::organisation::{KeyRegister, REVOKE_MS};
 use crate::jobs::proxy::FaultProxy;
-use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VmStandin, WorkerLife};
+use crate::jobs::worker::{AWAY_TIME, LEASE_MAX_MS, STOP_TIME, VM_CPU, VmStandin, WorkerLife};
 
 /// Time between two reports of a worker.
 const HEARTBEAT: Duration = Duration::from_millis(300);
@@ -39,6 +39,26 @@
     pub vm: VmStandin,
     /// The link of all entries to it.
     pub link: FaultProxy,
+    /// Where entries reach its worker.
+    address: SocketAddr,
+}
+
+/// Pools, VMs and history of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteShape {
+    /// VMs, dealt to the pools and the standby pool in turn.
+    pub vms: usize,
+    /// Pools that have queues.
+    pub pools: &'static [&'static str],
+    /// Processor of a VM, in thousandths of a core.
+    pub vm_cpu: u64,
+    /// Records of a topic that the log keeps beside the newest of each key.
+    pub history: usize,
+    /// Whether the links to workers can be harmed; each connection then takes four descriptors of this process in
+    /// place of one.
+    pub has_links: bool,
+    /// Whether all queues are open to callers without a key.
+    pub is_open: bool,
 }
 
 #[derive(Debug)]
@@ -48,6 +68,9 @@
     ledger: Arc<Mutex<JobLedger>>,
     /// Waves that were asked for.
     waves: Mutex<Vec<u64>>,
+    pools: &'static [&'static str],
+    /// Whether all queues are open to callers without a key.
+    is_open: bool,
     /// Version of the newest configuration, and the keys in it.
     config: Mutex<(u64, KeyRegister)>,
 }
@@ -70,15 +93,32 @@
 impl JobPlatform {
     /// Starts a platform with this many VMs, spread over the pools and the standby pool.
     pub async fn open(vms: usize) -> std::io::Result<JobPlatform> {
+        JobPlatform::open_shape(SiteShape {
+            vms,
+            pools: &POOLS,
+            vm_cpu: VM_CPU,
+            history: HISTORY,
+            has_links: true,
+            is_open: false,
+        })
+        .await
+    }
+
+    /// Starts a platform of this shape.
+    pub async fn open_shape(shape: SiteShape) -> std::io::Result<JobPlatform> {
         let ledger = Arc::new(Mutex::new(JobLedger::default()));
-        let log = LogStandin::open().await?;
+        let log = LogStandin::open_with_history(shape.history).await?;
         let mut linked = Vec::new();
-        for number in 0..vms {
-            let pool = [POOLS[0], POOLS[1], STANDBY][number % 3];
+        for number in 0..shape.vms {
+            let pool = shape.pools.get(number % (shape.pools.len() + 1)).unwrap_or(&STANDBY);
             let (name, rack) = (format!("vm-{number}"), format!("r{}", number / 4));
             let vm = VmStandin::open(name, rack, pool, ledger.clone()).await?;
+            if shape.vm_cpu != VM_CPU {
+                vm.set_room(shape.vm_cpu);
+            }
             let link = FaultProxy::open(vm.address).await?;
-            linked.push(LinkedVm { vm, link });
+            let address = if shape.has_links { link.address } else { vm.address };
+            linked.push(LinkedVm { vm, link, address });
         }
         let listener = TcpListener::bind(crate::site::LOOPBACK).await?;
         let vm_service = listener.local_addr()?;
@@ -87,6 +127,8 @@
             vms: linked,
             ledger,
             waves: Mutex::default(),
+            pools: shape.pools,
+            is_open: shape.is_open,
             config: Mutex::default(),
         });
         let (serving, reporting) = (shared.clone(), shared.clone());
@@ -140,13 +182,15 @@
     }
 
     fn write_config(&self, version: u64, keys: &KeyRegister) {
+        let pools = self.shared.pools;
         let service = |name: &str| {
             value!({ "name": name, "admission-check": name != UNGUARDED,
             "standby": name == STANDBY })
         };
-        let routes: Vec<Value> = POOLS.iter().map(|pool| route(pool)).collect();
+        let routes: Vec<Value> =
+            pools.iter().map(|pool| route(pool, self.shared.is_open)).collect();
         let services: Vec<Value> =
-            POOLS.iter().chain([&STANDBY]).map(|name| service(name)).collect();
+            pools.iter().chain([&STANDBY]).map(|name| service(name)).collect();
         let config = value!({
             "version": version, "routes": routes, "services": services, "tenants": keys.tenants(),
         });
@@ -199,11 +243,11 @@
     u64::try_from(time.as_millis()).unwrap_or(0)
 }
 
-fn route(pool: &str) -> Value {
+fn route(pool: &str, is_open: bool) -> Value {
     value!({
         "name": pool, "host": CALLER_HOST, "path-prefix": format!("/{pool}/"),
         "service": pool, "timeout-ms": 3_000, "slo-ms": 600, "stretch": 1.6,
-        "attempts": ATTEMPTS, "public": pool == OPEN,
+        "attempts": ATTEMPTS, "public": is_open || pool == OPEN,
     })
 }
 
@@ -245,7 +289,7 @@
                 }
                 if let Some((incarnation, capacity)) = &incarnation {
                     let entry = value!({
-                        "service": incarnation.pool, "addr": linked.link.address, "zone": "dc-a",
+                        "service": incarnation.pool, "addr": linked.address, "zone": "dc-a",
                         "state": "ready", "capacity": capacity, "labels": ["a", linked.vm.rack],
                         "born": incarnation.started_ms,
                     });
--- a/standin/src/jobs/worker.rs
+++ b/standin/src/jobs/worker.rs
@@ -83,6 +83,17 @@
     pub started_ms: u64,
 }
 
+/// What a worker has and uses, in thousandths of a core.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmUsage {
+    /// Its pool.
+    pub pool: String,
+    /// Processor.
+    pub room: u64,
+    /// Processor in use.
+    pub used: u64,
+}
+
 /// What a VM's worker does wrong.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerFaults {
@@ -230,6 +241,13 @@
         state.room = room;
     }
 
+    /// What its worker has and uses; nothing while the VM is away.
+    pub fn usage(&self) -> Option<VmUsage> {
+        let state = self.shared.lock();
+        state.incarnation.as_ref()?;
+        Some(VmUsage { pool: state.pool.clone(), room: state.room, used: state.used() })
+    }
+
     /// What its worker says of its size.
     pub fn capacity(&self) -> Value {
         capacity(self.shared.lock().room)
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -4,13 +4,15 @@
 //! A seed draws faults and jobs. What it can't draw is how the processes interleave: a seed that failed
 //! once may pass the next time, so the logs of a run that fails are kept.
 
+mod bursts;
 mod callers;
 pub mod entry;
 mod faults;
 mod late;
 mod prompt;
+pub mod standing;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -81,6 +83,27 @@
     }
 }
 
+/// Shape of the site and its traffic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SoakShape {
+    /// A few VMs, and callers that wait for each other.
+    #[default]
+    Usual,
+    /// Pools whose demand comes in turns, without faults.
+    Bursts(BurstShape),
+}
+
+/// Size and load of a site with demand in turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BurstShape {
+    /// VMs.
+    pub vms: usize,
+    /// Threads of this process that keep a core busy.
+    pub busy: usize,
+    /// Mean demand, in percent of all VMs' processor.
+    pub load: u32,
+}
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct SoakPlan {
@@ -96,6 +119,8 @@
     pub entries: u8,
     /// Faults.
     pub faults: FaultMix,
+    /// Shape of the site and its traffic.
+    pub shape: SoakShape,
     /// Directory of the logs; those of runs that pass are removed.
     pub directory: PathBuf,
 }
@@ -164,6 +189,9 @@
 async fn one_run(plan: &SoakPlan, seed: u64) -> std::io::Result<SoakReport> {
     let directory = plan.directory.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&directory)?;
+    if let SoakShape::Bursts(shape) = plan.shape {
+        return bursts::run(plan, shape, seed, &directory).await;
+    }
     let platform = Arc::new(JobPlatform::open(VMS).await?);
     let mut entries = Vec::new();
     for number in 0..plan.entries {
@@ -218,13 +246,18 @@
     lag_watch.abort();
     report.lag = Duration::from_millis(lag.load(Ordering::Relaxed));
     report.broken.append(&mut platform.ledger().faults);
+    keep_logs(&report, &directory)?;
+    Ok(report)
+}
+
+/// Keeps the logs of a run that failed, with its broken promises.
+fn keep_logs(report: &SoakReport, directory: &Path) -> std::io::Result<()> {
     if report.broken.is_empty() {
         // A directory that can't be removed is only left over.
-        let _ = std::fs::remove_dir_all(&directory);
-    } else {
-        std::fs::write(directory.join(BROKEN_FILE), report.broken.join("\n"))?;
+        let _ = std::fs::remove_dir_all(directory);
+        return Ok(());
     }
-    Ok(report)
+    std::fs::write(directory.join(BROKEN_FILE), report.broken.join("\n"))
 }
 
 /// Notes by how much this process, whose platform and workers the entries are judged by, is late at most.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -59,3 +59,26 @@
 fn a_seed_in_which_the_next_life_of_a_worker_forgot_its_ends() {
     soak("9547", "10");
 }
+
+/// Queues whose demand comes in turns, more than their pools hold: no accepted job stands still for 3 s beside free
+/// capacity, also after the traffic, and each ends.
+#[test]
+fn accepted_jobs_of_bursts_do_not_stand_still() {
+    let daemon = env!("CARGO_BIN_EXE_ibisweird");
+    let run = run_standin(&[
+        "soak",
+        "--shape",
+        "bursts",
+        "--seed",
+        "1",
+        "--seconds",
+        "9",
+        "--vms",
+        "40",
+        "--entries",
+        "5",
+        "--daemon",
+        daemon,
+    ]);
+    assert_eq!(run.status, Some(0), "{}{}", run.out, run.err);
+}
