--- /dev/null
+++ b/tests/odd_entries.rs
@@ -0,0 +1,133 @@
+//! What another writer may leave among the entries, rows and records that an entry reads: nested deeply, figures and
+//! ports out of range, torn text, fields missing or of another type. It names nothing to use, and the others hold.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ibisweir::jobs::ports::{JobLog, LogTopic};
+use ibisweir::jobs::record::KeyedRecord;
+use ibisweir::platform_adapter::{log, log::PlatformLog};
+use ibisweir::transport::HttpTransport;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// Levels of a nested value: a parser that calls itself for each ends its process.
+const LEVELS: usize = 50_000;
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn nested(open: &str, close: &str) -> String {
+    format!("{}{}", open.repeat(LEVELS), close.repeat(LEVELS))
+}
+
+/// Values that no figure, text, port or list of an entry may have; raw, as some are no values of JSON.
+fn odd_values() -> Vec<String> {
+    let mut values: Vec<String> =
+        ["-1", "0.5", "1e400", "-1e400", "18446744073709551616", "null"].map(str::to_owned).into();
+    values.extend(
+        ["true", "{\"a\":", "\"torn", "\"\\ud800\"", "[[1]]", "{\"cpu\":-1}"].map(str::to_owned),
+    );
+    values.extend([nested("[", "]"), nested("{\"a\":", "}"), "[".repeat(LEVELS)]);
+    values
+}
+
+fn entry(key: &str, value: impl Into<Vec<u8>>) -> KeyedRecord {
+    KeyedRecord { key: key.to_owned(), value: value.into() }
+}
+
+/// The body of a read: end, first offset, records.
+fn read_body(records: &[&[u8]]) -> Vec<u8> {
+    let mut body = [100_u64.to_be_bytes(), 0_u64.to_be_bytes()].concat();
+    for record in records {
+        body.extend(u32::try_from(record.len()).expect("small").to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    body
+}
+
+/// Guards against a reader that asks for the same records for ever, as one of them is no record of a keyed topic.
+#[test]
+fn a_read_goes_on_after_a_record_that_is_none() {
+    for topic in [LogTopic::Workers, LogTopic::Operator, LogTopic::Jobs] {
+        for odd in [&b""[..], b"\x09short", b"\xff", b"\x02\xff\xfe\xff"] {
+            let body = read_body(&[b"\x01av", odd, b"\x01bw"]);
+            let batch = log::decode(topic, 7, &body).expect("a batch");
+            let of =
+                |offset| batch.records.iter().find(|(other, _)| *other == offset).map(|(_, r)| r);
+            assert_eq!((of(7), of(9)), (Some(&entry("a", *b"v")), Some(&entry("b", *b"w"))));
+            assert_eq!(batch.next, 10, "{odd:?}");
+        }
+        let mut torn = read_body(&[b"\x01av"]);
+        torn.extend([0, 0, 0, 9, 1, b'b']);
+        let batch = log::decode(topic, 7, &torn).expect("a batch");
+        assert_eq!((batch.records.len(), batch.next), (1, 8), "the torn one is read again");
+    }
+}
+
+/// Answers every request with this body.
+async fn answering(body: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 4_096];
+            // One request for each connection.
+            let _ = stream.read(&mut head).await;
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let _ = stream.write_all(&[head.as_bytes(), &body].concat()).await;
+        }
+    });
+    address
+}
+
+/// Rows that are none, put between two that are.
+fn odd_rows(good: &str) -> Vec<Vec<u8>> {
+    let mut rows: Vec<Vec<u8>> = ["null", "7", "[]", "{}", "\"\""].map(|row| row.into()).into();
+    let fields: Value = serde_json::from_str(good).expect("a row");
+    for name in fields.as_object().expect("an object").keys() {
+        for value in odd_values()
+            .iter()
+            .filter(|value| serde_json::from_str::<&serde_json::value::RawValue>(value).is_ok())
+        {
+            let mut row = fields.clone();
+            row[name] = json!("@");
+            rows.push(row.to_string().replacen("\"@\"", value, 1).into());
+        }
+    }
+    rows.push(
+        good.replace("two", "\u{1}")
+            .into_bytes()
+            .into_iter()
+            .map(|byte| if byte == 1 { 0xff } else { byte })
+            .collect(),
+    );
+    rows
+}
+
+fn page(before: &str, rows: [&[u8]; 3], after: &str) -> Vec<u8> {
+    [before.as_bytes(), &rows.join(&b","[..]), after.as_bytes()].concat()
+}
+
+/// Guards against a leader that never knows any worker, as one row of a page can't be read and the page is asked for
+/// for ever.
+#[tokio::test]
+async fn a_page_of_newest_records_is_read_past_an_odd_row() {
+    let row = |key: &str| json!({ "key": key, "value": "e30=", "offset": 3 }).to_string();
+    for odd in odd_rows(&row("two")) {
+        let rows = [row("one").into_bytes(), odd.clone(), row("three").into_bytes()];
+        let body = page("{\"items\":[", [&rows[0], &rows[1], &rows[2]], "],\"end\":9}");
+        let log = PlatformLog::new(answering(body).await, HttpTransport::open());
+        let page = timeout(PATIENCE, log.newest(LogTopic::Workers, None)).await.expect("in time");
+        let shown = String::from_utf8_lossy(&odd[..odd.len().min(100)]).into_owned();
+        let page = page.unwrap_or_else(|| panic!("no page: {shown}"));
+        let keys: Vec<&str> = page.records.iter().map(|(_, record)| record.key.as_str()).collect();
+        assert!(keys.contains(&"one") && keys.contains(&"three"), "{keys:?} {shown}");
+        assert_eq!(page.end, 9);
+    }
+}
