Go on after any key when pages of the log are read

Cause: the next page is asked for by the last key of the one before, which was put into the address as it is. A key with a space, a line feed or a letter beyond ASCII made no request at all, and one with `&` or `#` asked for another page; both for ever. It takes one such key at the end of a page.

The stand-in's log understands escapes; that the platform's does too was not tried. Keys of our own records have nothing to escape.

--- a/standin/src/jobs/http.rs
+++ b/standin/src/jobs/http.rs
@@ -84,7 +84,7 @@
                     let call = AskedCall {
                         method: head.method,
                         path: head.uri.path().to_owned(),
-                        query: pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect(),
+                        query: pairs.map(|(k, v)| (k.to_owned(), unescape(v))).collect(),
                         headers: head.headers,
                         body: body.unwrap_or_default(),
                     };
@@ -99,3 +99,17 @@
         });
     }
 }
+
+/// A value of a query as its sender meant it.
+fn unescape(value: &str) -> String {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.as_bytes();
+    while let [first, left @ ..] = rest {
+        let digits = left.get(..2).filter(|_| *first == b'%');
+        let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
+        let byte = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(byte.unwrap_or(if *first == b'+' { b' ' } else { *first }));
+        rest = if byte.is_some() { &left[2..] } else { left };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -6,10 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ibisweir::jobs::follower::{TailReader, TailStep};
 use ibisweir::jobs::ports::{JobLog, LogTopic};
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::platform_adapter::{log, log::PlatformLog};
 use ibisweir::transport::HttpTransport;
+use ibisweir_standin::jobs::log::LogStandin;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -131,3 +133,26 @@
         assert_eq!(page.end, 9);
     }
 }
+
+/// Guards against a reader that asks for the same page for ever, or reads from the wrong one, as the key at a page's
+/// end means something else in an address.
+#[tokio::test]
+async fn pages_go_on_after_an_odd_key() {
+    let odd = ["a b", "a&part=9", "a#b", "a%41", "a\u{e9}", "a\n", "a+b", "a=b", "", "\u{fffd}"];
+    for odd in odd {
+        let log = LogStandin::open().await.expect("a port");
+        // A page has fifty: this one is the last of the first.
+        let before =
+            |number| if odd < "a" { format!("m{number}") } else { format!("A{number:02}") };
+        for number in 0..49 {
+            log.put("keyed.servers", &before(number), b"{}");
+            log.put("keyed.servers", &format!("\u{fffe}z{number}"), b"{}");
+        }
+        log.put("keyed.servers", odd, b"{}");
+        let client = PlatformLog::new(log.address, HttpTransport::open());
+        let mut tail = TailReader::new(LogTopic::Workers);
+        let read = timeout(PATIENCE, tail.next(&client, Duration::ZERO)).await.expect("in time");
+        let TailStep::Snapshot(records) = read else { panic!("{odd:?}: {read:?}") };
+        assert_eq!(records.len(), 99, "{odd:?}");
+    }
+}
