Take no worker from an entry that can't be right

Cause: an entry was read with whatever it lacked filled in, and any figure that fits its type was believed. One without a state, or with an unknown one, named a worker that drains; one whose start lies at the end of time, over the id of a real worker, was its newest life for good; one with the largest capacity had every start and made sums of capacities overflow; port 0 means an unknown address elsewhere. A key with an `@` passes for a life of another worker, and one that is no text of a header would be called without the name that tells the worker whom the call is for.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -9,9 +9,10 @@
 use ibisweir::jobs::follower::{TailReader, TailStep};
 use ibisweir::jobs::ports::{JobLog, LogTopic};
 use ibisweir::jobs::record::KeyedRecord;
-use ibisweir::platform_adapter::{log, log::PlatformLog};
+use ibisweir::platform_adapter::{document, log, log::PlatformLog};
 use ibisweir::transport::HttpTransport;
 use ibisweir_standin::jobs::log::LogStandin;
+use quickcheck::Gen;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -19,6 +20,7 @@
 
 /// Levels of a nested value: a parser that calls itself for each ends its process.
 const LEVELS: usize = 50_000;
+const DRAWS: usize = 4_000;
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn nested(open: &str, close: &str) -> String {
@@ -36,10 +38,84 @@
     values
 }
 
+fn good_entry() -> Vec<(&'static str, String)> {
+    vec![
+        ("service", json!("tours").to_string()),
+        ("addr", json!("10.0.0.9:80").to_string()),
+        ("zone", json!("z").to_string()),
+        ("state", json!("ready").to_string()),
+        ("capacity", json!({ "cpu": 16_000, "mem-mb": 32_768 }).to_string()),
+        ("labels", json!(["a", "r1"]).to_string()),
+        ("born", "1750000000000".to_owned()),
+    ]
+}
+
+fn object(fields: &[(&str, String)]) -> String {
+    let fields: Vec<String> = fields.iter().map(|(k, v)| format!("\"{k}\":{v}")).collect();
+    format!("{{{}}}", fields.join(","))
+}
+
 fn entry(key: &str, value: impl Into<Vec<u8>>) -> KeyedRecord {
     KeyedRecord { key: key.to_owned(), value: value.into() }
 }
 
+/// An odd variant of a good entry, with the key under which it is left.
+fn odd_entry(draw: &mut Gen) -> KeyedRecord {
+    let mut fields = good_entry();
+    let values = odd_values();
+    let value = draw.choose(&values).expect("some").clone();
+    let place = *draw.choose(&[0, 1, 2, 3, 4, 5, 6]).expect("some");
+    let huge = u64::MAX.to_string();
+    match draw.choose(&[0, 1, 2, 3, 4, 5, 6, 7]).expect("some") {
+        0 => drop(fields.remove(place % 6)),
+        // A start that is left out is read: such workers have an id for each life.
+        1 if !(place == 6 && value == "null") => fields[place].1 = value,
+        2 => {
+            let port = draw.choose(&["0", "65536", "-1", "80.5", "", "99999999999"]).expect("some");
+            fields[1].1 = format!("\"10.0.0.9:{port}\"");
+        }
+        3 => {
+            let host = draw.choose(&["0.0.0.0", "255.255.255.255", "224.0.0.1", "x", ""]);
+            fields[1].1 = format!("\"{}:80\"", host.expect("some"));
+        }
+        4 => fields[6].1 = huge,
+        5 => {
+            let name = draw.choose(&["cpu", "mem-mb", "gpu"]).expect("some");
+            fields[4].1 = format!("{{\"{name}\":{huge}}}");
+        }
+        6 => {
+            let state = draw.choose(&["\"\"", "\"READY\"", "\"gone\""]).expect("some");
+            fields[3].1 = (*state).to_owned();
+        }
+        _ => {
+            // Also where no reader looks.
+            fields.insert(place, ("other", nested("[{\"a\":", "}]")));
+        }
+    }
+    let mut value = object(&fields).into_bytes();
+    match draw.choose(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]).expect("some") {
+        0 => value.truncate(value.len() / 2),
+        1 => value[2] = 0xff,
+        _ => {}
+    }
+    entry(draw.choose(&["i-1", "odd"]).expect("some"), value)
+}
+
+/// Guards against a worker that is used though its entry has a field that can't be right.
+#[test]
+fn an_odd_entry_names_no_worker_to_use() {
+    assert!(document::worker_entry(&entry("i-1", object(&good_entry()))).is_some());
+    let mut draw = Gen::from_size_and_seed(64, 7);
+    for _ in 0..DRAWS {
+        let record = odd_entry(&mut draw);
+        let shown = String::from_utf8_lossy(&record.value[..record.value.len().min(300)]);
+        assert_eq!(document::worker_entry(&record), None, "{} {shown}", record.key);
+    }
+    for key in ["", "i-1@7", "i 1", "i\u{fffd}", "i\n"] {
+        assert_eq!(document::worker_entry(&entry(key, object(&good_entry()))), None, "{key:?}");
+    }
+}
+
 /// The body of a read: end, first offset, records.
 fn read_body(records: &[&[u8]]) -> Vec<u8> {
     let mut body = [100_u64.to_be_bytes(), 0_u64.to_be_bytes()].concat();
