--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use ibisweir::jobs::follower::{TailReader, TailStep};
-use ibisweir::jobs::ports::{JobLog, LogTopic};
+use ibisweir::jobs::ports::{JobLog, LogTopic, VmClient};
 use ibisweir::jobs::record::KeyedRecord;
-use ibisweir::platform_adapter::{document, log, log::PlatformLog};
+use ibisweir::platform_adapter::{document, log, log::PlatformLog, vm::PlatformVms};
 use ibisweir::transport::HttpTransport;
 use ibisweir_standin::jobs::log::LogStandin;
 use quickcheck::Gen;
@@ -210,6 +210,29 @@
     }
 }
 
+/// Guards against a list of VMs that is never known, as one row can't be read.
+#[tokio::test]
+async fn a_list_of_vms_is_read_past_an_odd_row() {
+    let row = |name: &str| {
+        json!({ "machine": name, "pool": "tours", "state": "up", "zone": "z", "labels": ["a", "r"],
+            "capacity": { "cpu": 1, "mem-mb": 2 }, "id": name })
+        .to_string()
+    };
+    let huge = row("two").replace("\"cpu\":1", &format!("\"cpu\":{}", u64::MAX));
+    for odd in odd_rows(&row("two")).into_iter().chain([huge.into_bytes()]) {
+        let rows = [row("one").into_bytes(), odd.clone(), row("three").into_bytes()];
+        let body =
+            page("{\"machines\":[", [&rows[0], &rows[1], &rows[2]], "],\"next-token\":null}");
+        let vms = PlatformVms::new(Some(answering(body).await));
+        let list = timeout(PATIENCE, vms.list()).await.expect("in time");
+        let shown = String::from_utf8_lossy(&odd[..odd.len().min(100)]).into_owned();
+        let list = list.unwrap_or_else(|| panic!("no list: {shown}"));
+        let names: Vec<&str> = list.iter().map(|vm| &*vm.vm).collect();
+        assert!(names.contains(&"one") && names.contains(&"three"), "{names:?} {shown}");
+        assert!(list.iter().all(|vm| vm.capacity.cpu < u64::MAX), "{shown}");
+    }
+}
+
 /// Guards against a reader that asks for the same page for ever, or reads from the wrong one, as the key at a page's
 /// end means something else in an address.
 #[tokio::test]
