Sum amounts of any size

Cause: amounts of workers and tasks were added and multiplied without a bound. Sums beyond the largest number end the task that computes them in builds with checks, and wrap in those without. The needs of tasks come from callers.

Evidence, before: `amounts_of_any_size_are_summed` ended with "attempt to add with overflow" (src/jobs/model.rs:126).

Change: sums and products stop at the largest number, and so do the times at which occurrences are due.

After: it passes.

--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -121,11 +121,11 @@
             && self.accelerators >= other.accelerators
     }
 
-    /// Adds an amount.
+    /// Adds an amount, stopping at the largest number.
     pub fn add(&mut self, other: &ResourceVector) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts an amount, stopping at zero.
@@ -137,12 +137,12 @@
         }
     }
 
-    /// Multiplies each amount by `count`.
+    /// Multiplies each amount by `count`, stopping at the largest number.
     pub fn times(&self, count: u64) -> ResourceVector {
         ResourceVector {
-            cpu: self.cpu * count,
-            memory: self.memory * count,
-            accelerators: self.accelerators * count,
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
@@ -305,8 +305,10 @@
 
     /// When an occurrence is due, in milliseconds since the epoch; 0 for at once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
-        self.schedule
-            .map_or(0, |schedule| schedule.first_ms + u64::from(occurrence) * schedule.interval_ms)
+        self.schedule.map_or(0, |schedule| {
+            let later_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+            schedule.first_ms.saturating_add(later_ms)
+        })
     }
 }
 
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ibisweir::jobs::follower::{TailReader, TailStep};
+use ibisweir::jobs::model::{JobSchedule, JobSpec, ResourceVector};
 use ibisweir::jobs::ports::{JobLog, LogTopic, VmClient};
 use ibisweir::jobs::record::KeyedRecord;
 use ibisweir::platform_adapter::{document, log, log::PlatformLog, vm::PlatformVms};
@@ -116,6 +117,19 @@
     }
 }
 
+/// Guards against a process that ends, or counts on with a small sum, as an amount of some worker, VM or job is huge.
+#[test]
+fn amounts_of_any_size_are_summed() {
+    let huge = ResourceVector { cpu: u64::MAX, memory: u64::MAX - 1, accelerators: u64::MAX };
+    let mut sum = huge;
+    sum.add(&huge);
+    assert!(sum.covers(&huge) && huge.times(100).covers(&huge));
+    assert!(huge.times(u64::MAX).dominant_share_of(&huge) >= 1);
+    let schedule = JobSchedule { occurrences: 9, first_ms: u64::MAX - 5, interval_ms: u64::MAX };
+    let spec = JobSpec { payload: String::new(), steps: Vec::new(), schedule: Some(schedule) };
+    assert_eq!(spec.due_ms(8), u64::MAX);
+}
+
 /// The body of a read: end, first offset, records.
 fn read_body(records: &[&[u8]]) -> Vec<u8> {
     let mut body = [100_u64.to_be_bytes(), 0_u64.to_be_bytes()].concat();
