Take no job and no time from the log that no entry accepts

Cause: entries check a job before they store it, and readers of the job log believed what is there. By the code, a leader sets up a state for each task of a record by another writer, 4,294,967,295 at most. A wave with a time of 1e300 s has a deadline past the largest number.

Change: a stored job passes the same check when it is read, and the time of a wave is bounded. The remainder of a finished job, which has no steps, is read as before.

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -251,7 +251,11 @@
             (SUBMITTED, true) => Some(JobRecord::Dropped(job)),
             (CANCELLED | PROGRESS, true) => None,
             (SUBMITTED, false) => {
-                let submission = postcard::from_bytes(value).ok()?;
+                let submission: JobSubmission = postcard::from_bytes(value).ok()?;
+                // Entries check a job before they store it; another writer may not.
+                if !submission.has_no_spec() && submission.spec.check().is_err() {
+                    return None;
+                }
                 Some(JobRecord::Submitted(job, Arc::new(submission)))
             }
             (CANCELLED, false) => Some(JobRecord::Cancelled(job)),
