Count what can't be read, and log each once

Cause: a worker's entry or a record that can't be decoded had a line at each reading, and a row or page that can't be had none at all. Nothing counted them.

Change: `ibisweir_job_odd_entries` counts entries, rows and records by what they were to be (`worker`, `vm`, `operator`, `job`, `other`), and each has one line `odd entry left out` with its key, however often it is read. The transport carries the counts, as it does those of the traffic, so that the clients of the log and of the VMs reach them.

--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -333,7 +333,7 @@
         let decode = |(_, record): &(u64, KeyedRecord)| {
             let entry = (self.parts.worker_decoder)(record);
             if entry.is_none() && !record.value.is_empty() {
-                warn!(self.node.logger, "worker record can't be decoded"; "key" => &record.key);
+                self.node.metrics.noted.note("worker", &record.key, &record.value);
             }
             entry
         };
@@ -385,9 +385,7 @@
                 Some(entry) => {
                     self.node.with_scheduler(|scheduler| scheduler.worker_seen(entry, now));
                 }
-                None => {
-                    warn!(self.node.logger, "worker record can't be decoded"; "key" => &record.key)
-                }
+                None => self.node.metrics.noted.note("worker", &record.key, &record.value),
             }
         }
     }
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -106,7 +106,7 @@
         let address = callers
             .local_addr()
             .map_err(|error| coded(ResultCode::BindFailed, error.to_string()))?;
-        let metrics = Arc::new(JobMetrics::with_traffic(ports.transport.traffic().clone()));
+        let metrics = Arc::new(JobMetrics::of_transport(&ports.transport));
         let node = Arc::new(JobNode::new(settings, metrics, logger));
         let incarnation = node.incarnation;
         info!(node.logger, "starting"; "callers" => %address, "life" => format!("{incarnation:x}"),
--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -223,8 +223,7 @@
         match JobRecord::decode(&record.key, &record.value) {
             Some(record) => decoded.push((*offset, record)),
             None if record.value.is_empty() => {}
-            None => warn!(node.logger, "can't decode a record of the job log";
-                "key" => &record.key, "offset" => offset),
+            None => node.metrics.noted.note("job", &record.key, &record.value),
         }
     }
     decoded
@@ -322,8 +321,7 @@
                 self.node.add_wave(wave);
             }
             None if record.value.is_empty() => {}
-            None => warn!(self.node.logger, "can't decode an operator's record";
-                "key" => &record.key, "offset" => offset),
+            None => self.node.metrics.noted.note("operator", &record.key, &record.value),
         }
     }
 }
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -13,7 +13,9 @@
 use prometheus_client::registry::Registry;
 
 use crate::metrics::{PoolLabel, ReasonLabel};
+use crate::odd_entries::OddEntries;
 use crate::traffic::TrafficMeter;
+use crate::transport::HttpTransport;
 
 type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
 type CallBytes = Family<CallLabel, Counter>;
@@ -47,6 +49,10 @@
     registry: Registry,
     /// Counts the calls to other processes and the bytes of their bodies.
     pub traffic: TrafficMeter,
+    /// Entries that can't be read.
+    pub noted: OddEntries,
+    /// Number of these, by kind.
+    pub odd_entries: Reasons,
     bytes_sent: CallBytes,
     bytes_received: CallBytes,
     calls_unanswered: CallBytes,
@@ -143,6 +149,8 @@
         let mut metrics = JobMetrics {
             registry: Registry::with_prefix("ibisweir_job"),
             traffic: TrafficMeter::default(),
+            noted: OddEntries::default(),
+            odd_entries: Family::default(),
             bytes_sent: Family::default(),
             bytes_received: Family::default(),
             calls_unanswered: Family::default(),
@@ -195,12 +203,13 @@
 }
 
 impl JobMetrics {
-    /// Metrics that export the counts of `traffic`.
-    pub fn with_traffic(traffic: TrafficMeter) -> JobMetrics {
-        JobMetrics { traffic, ..JobMetrics::default() }
+    /// Metrics that export what a transport counts.
+    pub fn of_transport(transport: &HttpTransport) -> JobMetrics {
+        let (traffic, noted) = (transport.traffic().clone(), transport.odd_entries().clone());
+        JobMetrics { traffic, noted, ..JobMetrics::default() }
     }
 
-    /// Copies the traffic totals to the exported counters.
+    /// Copies the totals of the transport to the exported counters.
     pub fn update_traffic(&self) {
         for (call, traffic) in self.traffic.totals() {
             let label = CallLabel { call };
@@ -214,6 +223,10 @@
                 counter.inc_by(total.saturating_sub(counter.get()));
             }
         }
+        for (reason, total) in self.noted.totals() {
+            let counter = self.odd_entries.get_or_create(&ReasonLabel { reason });
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
     }
 
     fn register(&mut self) {
@@ -224,6 +237,8 @@
         registry.register("bytes_received", help, self.bytes_received.clone());
         let help = "calls to other processes without a whole answer, by call";
         registry.register("calls_unanswered", help, self.calls_unanswered.clone());
+        let help = "entries, rows and records that can't be read, by kind";
+        registry.register("odd_entries", help, self.odd_entries.clone());
         registry.register("replies", "answers to callers, by call and code", self.replies.clone());
         let help = "time to answer a caller, in seconds";
         registry.register("reply_seconds", help, self.reply_seconds.clone());
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -106,6 +106,7 @@
 impl JobNode {
     /// Creates the state of an entry that has read nothing yet.
     pub fn new(settings: SiteSettings, metrics: Arc<JobMetrics>, logger: Logger) -> JobNode {
+        metrics.noted.set_logger(&logger);
         JobNode {
             settings,
             clock: ProcessClock::start(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod name;
+pub mod odd_entries;
 pub mod peer;
 pub mod platform;
 #[path = "../platform/mod.rs"]
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -26,6 +26,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::decide::append_limit::{SendTimeout, SentBody};
+use crate::odd_entries::OddEntries;
 use crate::progress::{SendProgress, WatchedStream};
 use crate::traffic::TrafficMeter;
 
@@ -130,6 +131,7 @@
     idle: Arc<Mutex<HashMap<SocketAddr, VecDeque<IdleConnection>>>>,
     abandon: AbandonPolicy,
     traffic: TrafficMeter,
+    odd_entries: OddEntries,
 }
 
 impl HttpTransport {
@@ -156,6 +158,16 @@
         &self.traffic
     }
 
+    /// The same, noting parts of answers that can't be read in `odd_entries`.
+    pub fn noting(self, odd_entries: OddEntries) -> Self {
+        HttpTransport { odd_entries, ..self }
+    }
+
+    /// Where parts of answers that can't be read are noted.
+    pub fn odd_entries(&self) -> &OddEntries {
+        &self.odd_entries
+    }
+
     /// One request and its whole answer, within `patience`.
     ///
     /// # Errors
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -99,6 +99,7 @@
         &jobs.questions,
         &jobs.service_waits,
         &jobs.learned_records,
+        &jobs.odd_entries,
     ] {
         count(family, "reason");
     }
