--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -14,7 +14,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::access::OrganisationDigest;
-use crate::jobs::model::{JobId, JobState, JobSubmission, TaskKey};
+use crate::jobs::model::{
+    JobId, JobState, JobSubmission, OCCURRENCES_MAX, STEPS_MAX, TASKS_MAX, TaskKey,
+};
 
 /// One record of the job log.
 #[derive(Clone, Debug, PartialEq)]
@@ -97,6 +99,36 @@
     pub lost_runs: Vec<(u16, u32)>,
 }
 
+impl JobProgress {
+    /// Whether each figure is one that a leader can have written. A later leader counts on with
+    /// them.
+    fn is_plausible(&self) -> bool {
+        let is_task = |occurrence: u32, step: u16, index: u32| {
+            occurrence <= OCCURRENCES_MAX
+                && usize::from(step) < STEPS_MAX
+                && usize::try_from(index).is_ok_and(|index| index < TASKS_MAX)
+        };
+        let is_known = |worker: u16| usize::from(worker) < self.workers.len();
+        let are_tasks = self.tasks.iter().all(|task| {
+            is_task(task.occurrence, task.step, task.index)
+                && task.run.max(task.failures) <= COUNT_MAX
+                && task.live.iter().all(|(worker, run)| is_known(*worker) && *run <= COUNT_MAX)
+        });
+        let are_restarts = self.restarts.iter().all(|counts| {
+            let losses = counts.losses.total.max(counts.losses.at_start);
+            is_task(counts.occurrence, counts.step, counts.index)
+                && losses.max(counts.moves) <= COUNT_MAX
+        });
+        let mut runs = self.failed_runs.iter().chain(&self.lost_runs);
+        are_tasks
+            && are_restarts
+            && self.occurrences_done <= OCCURRENCES_MAX
+            && self.steps_done.iter().all(|(occurrence, step)| is_task(*occurrence, *step, 0))
+            && runs.all(|(task, run)| usize::from(*task) < self.tasks.len() && *run <= COUNT_MAX)
+            && self.last_alive_ms.iter().chain([&self.ended_ms]).all(|time| *time <= TIME_MAX_MS)
+    }
+}
+
 /// Number of workers that were lost while a task ran on them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LossCount {
@@ -142,6 +174,11 @@
     pub checkpoint: String,
 }
 
+/// Largest count of runs, failures or losses of a task that is read.
+const COUNT_MAX: u32 = 1_000_000_000;
+/// Latest time that is read, in milliseconds since the epoch.
+const TIME_MAX_MS: u64 = 10_000_000_000_000;
+
 const SUBMITTED: &str = "s";
 const CANCELLED: &str = "x";
 const PROGRESS: &str = "p";
@@ -231,7 +268,10 @@
             return Some(JobRecord::Wave(number.parse().ok()?, Arc::new(done)));
         }
         if let Some(service) = key.strip_prefix(LOSSES) {
-            let lost = postcard::from_bytes(value).ok()?;
+            let lost: Vec<LostVm> = postcard::from_bytes(value).ok()?;
+            if lost.iter().any(|vm| vm.lost_ms > TIME_MAX_MS) {
+                return None;
+            }
             return Some(JobRecord::Losses(service.into(), Arc::new(lost)));
         }
         if let Some(subject) = key.strip_prefix(LEARNED) {
@@ -259,7 +299,10 @@
                 Some(JobRecord::Submitted(job, Arc::new(submission)))
             }
             (CANCELLED, false) => Some(JobRecord::Cancelled(job)),
-            (PROGRESS, false) => Some(JobRecord::Progress(job, Arc::new(decode_progress(value)?))),
+            (PROGRESS, false) => {
+                let progress = decode_progress(value).filter(JobProgress::is_plausible)?;
+                Some(JobRecord::Progress(job, Arc::new(progress)))
+            }
             _ => None,
         }
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -11,18 +11,21 @@
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method};
 use ibisweir::jobs::follower::{TailReader, TailStep};
-use ibisweir::jobs::model::{JobSchedule, JobSpec, ResourceVector, StepSpec};
+use ibisweir::jobs::model::{ExitKind, JobSchedule, JobSpec, JobState, ResourceVector, StepSpec};
 use ibisweir::jobs::ports::{JobLog, LogTopic, VmClient};
-use ibisweir::jobs::record::{JobRecord, KeyedRecord};
+use ibisweir::jobs::record::{
+    JobProgress, JobRecord, KeyedRecord, LossCount, LostVm, TaskProgress, TaskRestarts,
+};
+use ibisweir::jobs::site::OperatorRecord;
 use ibisweir::platform_adapter::{document, log, log::PlatformLog, vm::PlatformVms};
 use ibisweir::transport::{HttpAnswer, HttpCall, HttpTransport};
 use ibisweir_standin::jobs::log::LogStandin;
 use ibisweir_standin::jobs::site::{CALLER_HOST, JobPlatform, OPEN};
 use ibisweir_standin::soak::entry::EntryProcess;
-use quickcheck::Gen;
+use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
 use support::WAIT_TIMEOUT;
-use support::sim::{job, job_id, step, submission};
+use support::sim::{SchedulerSim, config, job, job_id, step, submission, task, worker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout};
@@ -395,3 +398,103 @@
     // A directory that can't be removed is only left over.
     let _ = std::fs::remove_dir_all(&directory);
 }
+
+/// A figure of a record: of some records none is out of range, of others one or another is.
+fn figure(draw: &mut Gen) -> u64 {
+    let small = [0, 0, 1, 1, 2, 7, 255, 1_999];
+    let odd = [65_535, 65_536, u64::from(u32::MAX), u64::MAX / 2, u64::MAX];
+    let is_odd = u8::arbitrary(draw) < 8;
+    *draw.choose(if is_odd { &odd[..] } else { &small[..] }).expect("some")
+}
+
+fn odd_progress(draw: &mut Gen) -> JobProgress {
+    let small = |draw: &mut Gen| u32::try_from(figure(draw)).unwrap_or(u32::MAX);
+    let place = |draw: &mut Gen| u16::try_from(figure(draw)).unwrap_or(u16::MAX);
+    let states = [JobState::Queued, JobState::Running, JobState::Completed, JobState::Failed];
+    let tasks = (0..3).map(|_| TaskProgress {
+        occurrence: small(draw),
+        step: place(draw),
+        index: small(draw),
+        run: small(draw),
+        failures: small(draw),
+        is_done: figure(draw) == 0,
+        live: vec![(place(draw), small(draw)), (place(draw), small(draw))],
+        checkpoint: "x".repeat(usize::from(place(draw) % 99)),
+    });
+    let tasks = tasks.collect();
+    let losses = LossCount { total: small(draw), at_start: small(draw) };
+    let (occurrence, step, index) = (small(draw), place(draw), small(draw));
+    JobProgress {
+        term: figure(draw) % 3,
+        state: *draw.choose(&states).expect("some"),
+        ended_ms: figure(draw),
+        occurrences_done: small(draw),
+        steps_done: vec![(small(draw), place(draw))],
+        tasks,
+        workers: vec!["w1".into(), "".into(), "w1@9".into()],
+        restarts: vec![TaskRestarts { occurrence, step, index, losses, moves: small(draw) }],
+        last_alive_ms: vec![figure(draw), figure(draw)],
+        failed_runs: vec![(place(draw), small(draw))],
+        lost_runs: vec![(place(draw), small(draw))],
+    }
+}
+
+/// Appends a record if its readers make something of it.
+fn append(sim: &mut SchedulerSim, record: &JobRecord) {
+    let encoded = record.encode().expect("a record");
+    if let Some(record) = JobRecord::decode(&encoded.key, &encoded.value) {
+        sim.append(&record);
+    }
+}
+
+/// Guards against a leader that ends as it takes over from a job log with figures out of range: in the progress of a
+/// job, in that of one that nobody submitted, and in the losses of a pool.
+#[test]
+fn a_leader_takes_over_beside_odd_records_of_the_job_log() {
+    for seed in 0..400 {
+        let mut draw = Gen::from_size_and_seed(64, seed);
+        let workers = vec![worker("w1", "r1"), worker("w2", "r2")];
+        let mut sim = SchedulerSim::open(config(), workers);
+        let other = sim.submit(1, job(vec![step(2)]));
+        let odd = sim.submit(2, job(vec![step(2), step(1)]));
+        for job in [odd, job_id(3)] {
+            append(&mut sim, &JobRecord::Progress(job, odd_progress(&mut draw).into()));
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let lost = LostVm { address, lost_ms: figure(&mut draw), running_tasks: Vec::new() };
+        append(&mut sim, &JobRecord::Losses("tours".into(), Arc::new(vec![lost])));
+        sim.take_over(2, config());
+        sim.advance(1_000);
+        for index in 0..2 {
+            let key = task(other, 0, index);
+            assert_eq!(sim.alive(key), 1, "seed {seed}");
+            sim.end(key, ExitKind::Done);
+        }
+        sim.advance(500);
+        assert_eq!(sim.state(other), Some(JobState::Completed), "seed {seed}");
+    }
+}
+
+/// Guards against a configuration with figures that no entry can count with: it is in force within bounds.
+#[test]
+fn figures_of_a_configuration_are_bounded() {
+    let huge = u64::MAX;
+    let text = format!(
+        r#"{{"version":1,"routes":[{{"name":"r","host":"h","path-prefix":"/a/","service":"s",
+        "timeout-ms":{huge},"slo-ms":{huge},"stretch":1e308,
+        "hint":{{"decide-ms":{huge},"period-ms":{huge},"valid-ms":{huge}}}}}],
+        "limits":{{"max-header-bytes":{huge},"max-body-bytes":{huge},"header-timeout-ms":{huge},
+        "idle-timeout-ms":{huge}}}}}"#
+    );
+    let record = document::operator_record(&entry("config", text));
+    let Some(OperatorRecord::Config(config)) = record else { panic!("{record:?}") };
+    let (limits, queue) = (config.limits, &config.queues[0]);
+    let permits = queue.permits.expect("a policy");
+    let times = [limits.head_ms, limits.idle_ms, queue.timeout_ms, queue.objective_ms];
+    let times = times.into_iter().chain([permits.call_ms, permits.worker_ms, permits.valid_ms]);
+    assert!(times.into_iter().all(|time| time < u64::MAX / 1_000));
+    assert!(
+        [limits.head_bytes, limits.body_bytes].iter().all(|size| size.checked_mul(2).is_some())
+    );
+    assert!(queue.stretch < 1e100);
+}
