Test that runs go on while the entry of their worker is odd

A run on a worker whose entry counts as lost goes on for 30 s, several times its lease, and is started once; what comes meanwhile goes to the other worker, and the first is used again once its entry can be read.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -504,3 +504,25 @@
     );
     assert!(queue.stretch < 1e100);
 }
+
+/// Guards against runs that are lost, or started once more, as the entry of their worker can't be read for a while.
+#[test]
+fn runs_go_on_while_the_entry_of_their_worker_is_odd() {
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1"), worker("w2", "r2")]);
+    let key = task(sim.submit(1, job(vec![StepSpec { is_service: true, ..step(1) }])), 0, 0);
+    let place = sim.place(key);
+    sim.advance(500);
+    // What a record that can't be read amounts to.
+    sim.scheduler.worker_unlisted(&place, sim.now);
+    let before = sim.scheduled_on(&place);
+    let other = sim.submit(2, job(vec![StepSpec { is_service: true, ..step(2) }]));
+    sim.advance(30_000);
+    assert_eq!((sim.alive(key), sim.starts(key)), (1, 1));
+    assert_eq!(sim.scheduled_on(&place), before, "it is used on");
+    assert!((0..2).all(|index| sim.alive(task(other, 0, index)) == 1));
+    sim.report(worker(&place, if &*place == "w1" { "r1" } else { "r2" }));
+    let next = sim.submit(3, job(vec![step(10)]));
+    sim.advance(500);
+    assert!((0..10).all(|index| sim.alive(task(next, 0, index)) == 1), "it is not used again");
+    assert!(sim.scheduled_on(&place) > before);
+}
