Log why accepted jobs have nothing running, and what the leader places and begins

Callers saw accepted jobs stand with nothing running. The logs of a leader could not tell whether such a job waits for its turn, for room, for a start that is on its way, or for an earlier run: lines existed for services only.

New: a line `jobs are not running`, one a pool every two seconds, with the number of jobs, how many are overdue or have a run that is not at work, the longest waiting one with its tier and reason, and the booked share of the pool beside the share that is at work; the metric `idle_jobs` counts them by reason. `load of the leader` has the runs placed and begun in its period and the mean time between the two. Nothing is decided by either.

--- a/src/jobs/decision_log.rs
+++ b/src/jobs/decision_log.rs
@@ -49,6 +49,24 @@
                 "workers_lost" => losses.total, "lost_at_start" => losses.at_start,
                 "all_away" => all);
         }
+        SchedulerEvent::JobsIdle {
+            pool,
+            jobs,
+            overdue,
+            placed,
+            longest,
+            tier,
+            reason,
+            idle_ms,
+            booked,
+            at_work,
+        } => {
+            count(&node.metrics.idle_jobs, reason);
+            info!(logger, "jobs are not running"; "pool" => &**pool, "jobs" => jobs,
+                "overdue" => overdue, "placed" => placed, "job" => %longest, "tier" => tier,
+                "reason" => reason, "idle_ms" => idle_ms, "booked_permille" => booked,
+                "at_work_permille" => at_work);
+        }
         SchedulerEvent::OnTrial { task, lost } => {
             node.metrics.trials.inc();
             info!(logger, "task starts only while its pool is stable"; "job" => %task.job,
--- a/src/jobs/leader_load.rs
+++ b/src/jobs/leader_load.rs
@@ -10,7 +10,7 @@
 use slog::info;
 
 use crate::jobs::node::JobNode;
-use crate::scheduler::CONFIRMATION_TIMEOUT_MS;
+use crate::scheduler::{CONFIRMATION_TIMEOUT_MS, Scheduler};
 use crate::traffic::{CONNECTS, CallTraffic};
 
 /// Time between two log lines, in milliseconds.
@@ -74,8 +74,11 @@
         let totals = node.metrics.traffic.totals();
         let summary = TrafficSummary::since(&self.reported, &totals, period_ms);
         let mean_ms = crate::clock::millis(self.late / self.wakes);
+        let begins = node.with_scheduler(Scheduler::take_begin_counts).unwrap_or_default();
         info!(node.logger, "load of the leader"; "wakes" => self.wakes, "late_ms" => mean_ms,
-            "latest_ms" => crate::clock::millis(self.latest_wake), "sent_kbs" => summary.sent_kbs,
+            "latest_ms" => crate::clock::millis(self.latest_wake), "placed" => begins.placed,
+            "begun" => begins.begun, "begin_ms" => begins.wait_ms.checked_div(begins.begun),
+            "sent_kbs" => summary.sent_kbs,
             "received_kbs" => summary.received_kbs, "calls" => %summary,
             "connects" => summary.connects.calls, "connects_failed" => summary.connects.unanswered,
             "unconfirmed_ms" => self.unconfirmed_ms, "unconfirmed_wakes" => self.unconfirmed_wakes,
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -70,6 +70,8 @@
     pub trials: Counter,
     /// Log lines about service tasks that are not running for a long time, by reason.
     pub service_waits: Reasons,
+    /// Log lines about jobs of which nothing runs for a long time, by reason.
+    pub idle_jobs: Reasons,
     /// Records of learned state, by what was done with them.
     pub learned_records: Reasons,
     /// Bytes of learned state that were queued for the log.
@@ -156,6 +158,7 @@
             cancellations: Family::default(),
             trials: Counter::default(),
             service_waits: Family::default(),
+            idle_jobs: Family::default(),
             learned_records: Family::default(),
             learned_bytes: Counter::default(),
             fair_rounds: Counter::default(),
@@ -240,6 +243,8 @@
         registry.register("trials", help, self.trials.clone());
         let help = "lines about tasks of services that are away for long, by what these wait for";
         registry.register("service_waits", help, self.service_waits.clone());
+        let help = "lines about jobs of which nothing runs for long, by what the oldest waits for";
+        registry.register("idle_jobs", help, self.idle_jobs.clone());
         let help = "records of learned state that a leader wrote, restored or rejected, by reason";
         registry.register("learned_records", help, self.learned_records.clone());
         let help = "bytes of learned state that were queued for the log";
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -113,6 +113,29 @@
         /// Number of service tasks that have been away for long.
         all: usize,
     },
+    /// Jobs of a pool have had nothing running for long, although a step of each may begin.
+    JobsIdle {
+        /// Pool.
+        pool: Arc<str>,
+        /// Number of these jobs.
+        jobs: usize,
+        /// Those that are too late to be of value.
+        overdue: usize,
+        /// Those with a run that is placed but not at work.
+        placed: usize,
+        /// The job that has waited longest.
+        longest: JobId,
+        /// Its urgency.
+        tier: &'static str,
+        /// What it waits for.
+        reason: &'static str,
+        /// How long nothing of it has run, in milliseconds.
+        idle_ms: u64,
+        /// Allocated share of the pool's usable workers, in thousandths.
+        booked: u64,
+        /// Share of them that runs at work take, in thousandths.
+        at_work: u64,
+    },
     /// A job was given up because one of its tasks crashes its workers.
     GivenUp {
         /// Task.
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -46,6 +46,8 @@
     pub phase: RunPhase,
     /// When the run entered its phase, in milliseconds.
     pub phase_since_ms: u64,
+    /// When this leader placed the run or read it from the log, in milliseconds.
+    pub placed_ms: u64,
     /// When the start or stop may be sent again, in milliseconds.
     pub retry_ms: u64,
     /// Latest progress that the worker reported, in percent.
@@ -88,6 +90,7 @@
             run,
             phase: RunPhase::Planned,
             phase_since_ms: now,
+            placed_ms: now,
             retry_ms: now,
             percent: 0,
             progress_ms: now,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 pub mod fair_share;
 pub mod fleet;
 mod gang;
+pub mod idle_jobs;
 mod incarnations;
 pub mod job;
 pub mod ledger;
@@ -64,6 +65,7 @@
 use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
+use crate::scheduler::idle_jobs::{BeginCounts, IdleJobLog};
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::ledger::LearnedLedger;
@@ -175,6 +177,8 @@
     losses: LossTracker,
     incarnations: IncarnationTable,
     waits: WaitLog,
+    idle_jobs: IdleJobLog,
+    begins: BeginCounts,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
     learned: LearnedLedger,
@@ -238,6 +242,8 @@
             losses: LossTracker::open(now),
             incarnations: IncarnationTable::default(),
             waits: WaitLog::open(now),
+            idle_jobs: IdleJobLog::default(),
+            begins: BeginCounts::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
             learned: LearnedLedger::default(),
@@ -653,6 +659,7 @@
             self.stop_broken_gangs(now);
             self.drop_finished_jobs(now);
             self.log_waits(now);
+            self.log_idle_jobs(now);
             self.dropped_lease_bounds.retain(|_, bound| now < *bound);
             self.is_copy_check_due = true;
             self.needs_dispatch = true;
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -32,6 +32,19 @@
     Overdue,
 }
 
+impl RankTier {
+    /// Word for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            RankTier::Service => "service",
+            RankTier::InTime => "in time",
+            RankTier::BeyondShare => "beyond its share",
+            RankTier::Late => "late",
+            RankTier::Overdue => "overdue",
+        }
+    }
+}
+
 /// Position in the order; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -555,6 +555,9 @@
             RunPhase::Planned | RunPhase::Running | RunPhase::Stopping => false,
         };
         if is_confirmed {
+            if live.phase == RunPhase::Starting {
+                self.begins.record(now.saturating_sub(live.placed_ms));
+            }
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
             live.begun_ms = now;
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -86,6 +86,7 @@
             entry.add_run((*key, run), placed);
         }
         self.commits.queue_start(*key, run);
+        self.begins.placed += 1;
         self.emit(SchedulerEvent::Placed { task: *key, run, worker: worker.clone(), age_ms });
     }
 
@@ -343,6 +344,8 @@
             live.answered_ms = Some(now);
             live.begun_ms = now;
             live.progress_ms = now;
+            let wait_ms = now.saturating_sub(live.placed_ms);
+            self.begins.record(wait_ms);
             self.actions.push(SchedulerAction::RenewNow(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.last_refusal_ms = None;
--- a/src/scheduler/waits.rs
+++ b/src/scheduler/waits.rs
@@ -119,7 +119,7 @@
     }
 
     /// What a placed run waits for.
-    fn run_wait_reason(&self, key: &TaskKey, live: &LiveRun, now: u64) -> &'static str {
+    pub(crate) fn run_wait_reason(&self, key: &TaskKey, live: &LiveRun, now: u64) -> &'static str {
         let Some(worker) = self.workers.get(&live.worker) else { return "its worker is not known" };
         if worker.silent_since_ms.is_some() && live.phase != RunPhase::Planned {
             return "its worker does not answer";
@@ -145,7 +145,7 @@
     }
 
     /// Why a task is not placed.
-    fn placement_wait_reason(
+    pub(crate) fn placement_wait_reason(
         &self,
         key: &TaskKey,
         job: &JobRun,
@@ -159,7 +159,7 @@
         let pool = PoolView {
             service,
             vms: sizes.get(service).copied().unwrap_or_default(),
-            is_for_service: true,
+            is_for_service: spec.is_service,
         };
         let permits = self.permits.get(&key.step_key());
         let has_permits = queue.permits.is_none()
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -98,6 +98,7 @@
         &jobs.cancellations,
         &jobs.questions,
         &jobs.service_waits,
+        &jobs.idle_jobs,
         &jobs.learned_records,
     ] {
         count(family, "reason");
