Renew leases less often while the leader's loop is late

Callers saw accepted jobs stand with nothing running while the leader was short of processor (0.14 core). The wait and the interval of renewals grew with queues on the link only.

The loop's lateness, smoothed as in RFC 6298 and less 30 ms that busy leaders have too, now counts as time that answers queue: renewals wait longer at their workers, exits share a report, and their timeout grows alike, up to the bounds that a narrow link has had. A loop that is in time has no delay, and nothing changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod intent;
 pub mod key;
+pub mod lateness;
 pub mod leadership;
 pub mod lease;
 pub mod replica;
--- /dev/null
+++ b/src/decide/lateness.rs
@@ -0,0 +1,29 @@
+//! How late the leader's loop runs: the sign that it is short of processor.
+//!
+//! Answers, exits and commits wait in the process itself then, by about as much as the loop wakes
+//! late, whatever the link does.
+
+/// Lateness that a loop with enough processor has too, in microseconds: beside bursts of work on
+/// half a core.
+const USUAL_LATENESS_US: u64 = 30_000;
+/// Divisor for the weight of one wake-up in the smoothed lateness, as in RFC 6298.
+const SMOOTHING: u64 = 8;
+
+/// Smoothed lateness of a loop.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoopLateness {
+    smoothed_us: u64,
+}
+
+impl LoopLateness {
+    /// Records that the loop woke this much later than it had asked for, in microseconds.
+    pub fn record_wake(&mut self, late_us: u64) {
+        self.smoothed_us = (self.smoothed_us * (SMOOTHING - 1) + late_us) / SMOOTHING;
+    }
+
+    /// Time that events wait in the process beyond what is usual, in milliseconds; 0 with enough
+    /// processor.
+    pub fn delay_ms(&self) -> u64 {
+        self.smoothed_us.saturating_sub(USUAL_LATENESS_US) / 1_000
+    }
+}
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::decide::lateness::LoopLateness;
 use crate::decide::leadership::PreviousLeader;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
@@ -407,10 +408,11 @@
     async fn run_ticks(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
+        let mut lateness = LoopLateness::default();
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
-            let pace = self.lanes.flow().pace(now);
+            let pace = self.lanes.flow().pace(now).delayed_by(lateness.delay_ms());
             if now >= logged_ms + FLOW_LOG_INTERVAL_MS {
                 logged_ms = now;
                 self.log_flow();
@@ -435,7 +437,9 @@
             let paused_at = Instant::now();
             sleep(TICK_PAUSE).await;
             let commit = *self.pending_commit();
-            load.record_wake(&self.node, paused_at.elapsed().saturating_sub(TICK_PAUSE), commit);
+            let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
+            lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
+            load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
             let _ = timeout(TICK_INTERVAL_MAX, self.node.wake.notified()).await;
         }
--- a/src/jobs/flow.rs
+++ b/src/jobs/flow.rs
@@ -45,6 +45,17 @@
     pub starts_max: Option<usize>,
     /// Time that answers spend in queues of this process and its link, in milliseconds.
     pub queue_delay_ms: u64,
+    /// The part of it that shows as lateness of the leader's loop, in milliseconds; 0 with enough
+    /// processor.
+    pub loop_delay_ms: u64,
+}
+
+impl FlowPace {
+    /// The same while the loop is this late, in milliseconds.
+    pub fn delayed_by(self, loop_delay_ms: u64) -> FlowPace {
+        let queue_delay_ms = self.queue_delay_ms.max(loop_delay_ms);
+        FlowPace { queue_delay_ms, loop_delay_ms, ..self }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -116,6 +127,7 @@
         FlowPace {
             starts_max: is_full.then(|| usize::try_from(queued_max).unwrap_or(usize::MAX)),
             queue_delay_ms: state.window.queue_delay_ms(now),
+            loop_delay_ms: 0,
         }
     }
 
--- a/tests/scheduler_lag.rs
+++ b/tests/scheduler_lag.rs
@@ -122,7 +122,11 @@
 fn no_more_tasks_are_placed_than_can_be_sent_soon() {
     let mut sim = SchedulerSim::open(config(), workers(20));
     sim.is_lane_held = true;
-    sim.scheduler.set_pace(FlowPace { starts_max: Some(16), queue_delay_ms: 200 });
+    sim.scheduler.set_pace(FlowPace {
+        starts_max: Some(16),
+        queue_delay_ms: 200,
+        loop_delay_ms: 0,
+    });
     sim.submit(1, job(vec![step(100)]));
     assert_eq!(sim.scheduler.stats().runs, 16);
     sim.empty_lanes();
@@ -140,7 +144,7 @@
     let mut sim = SchedulerSim::open(config(), workers(1));
     sim.submit(1, job(vec![step(1)]));
     let mut plan = |queue_delay_ms| {
-        sim.scheduler.set_pace(FlowPace { starts_max: None, queue_delay_ms });
+        sim.scheduler.set_pace(FlowPace { starts_max: None, queue_delay_ms, loop_delay_ms: 0 });
         sim.now += 1_000;
         match sim.scheduler.renew_plan(&"w0".into(), sim.now) {
             RenewPlan::Call(_, call, timeout) => (call.wait, timeout),
