--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::lateness::LoopLateness;
+use crate::decide::lateness::{LoopLateness, StartBound, round_extra_ms};
 use crate::decide::leadership::PreviousLeader;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
@@ -409,6 +409,7 @@
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
         let mut lateness = LoopLateness::default();
+        let mut start_bound = StartBound::default();
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
@@ -418,7 +419,8 @@
                 self.log_flow();
             }
             let tick_result = self.node.with_scheduler(|scheduler| {
-                scheduler.set_pace(pace);
+                start_bound.record_begun(scheduler.begun_total(), now);
+                scheduler.set_pace(pace.bounded_by(start_bound.open_max(pace.loop_delay_ms)));
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
                 (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
@@ -439,6 +441,7 @@
             let commit = *self.pending_commit();
             let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
             lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
+            self.node.set_loop_delay(lateness.delay_ms());
             load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
             let _ = timeout(TICK_INTERVAL_MAX, self.node.wake.notified()).await;
@@ -515,7 +518,8 @@
             return;
         };
         let now = self.node.now();
-        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link);
+        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link)
+            .max(round_extra_ms(self.node.loop_delay_ms()));
         self.node.with_scheduler(|scheduler| {
             scheduler.update_vms(vms, asked_ms, now);
             scheduler.pause_vm_list(pause_ms, now);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -50,6 +50,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::lateness::round_extra_ms;
 use crate::decide::leadership::{PredecessorEnd, PreviousLeader};
 use crate::jobs::flow::FlowPace;
 use crate::jobs::job_table::{JobTable, LoggedJob};
@@ -65,7 +66,7 @@
 use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
-use crate::scheduler::idle_jobs::{BeginCounts, IdleJobLog};
+use crate::scheduler::idle_jobs::{BeginLog, IdleJobLog};
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::ledger::LearnedLedger;
@@ -178,7 +179,7 @@
     incarnations: IncarnationTable,
     waits: WaitLog,
     idle_jobs: IdleJobLog,
-    begins: BeginCounts,
+    begins: BeginLog,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
     learned: LearnedLedger,
@@ -243,7 +244,7 @@
             incarnations: IncarnationTable::default(),
             waits: WaitLog::open(now),
             idle_jobs: IdleJobLog::default(),
-            begins: BeginCounts::default(),
+            begins: BeginLog::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
             learned: LearnedLedger::default(),
@@ -652,7 +653,8 @@
         self.expire_silent_workers(now);
         self.give_up_due_jobs(now);
         if now >= self.next_sweep_ms {
-            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS;
+            let extra_ms = round_extra_ms(self.pace.loop_delay_ms);
+            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS + extra_ms;
             if !self.is_lagging(now) {
                 self.move_stragglers(now);
             }
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decide::lateness::answer_extra_ms;
 use crate::jobs::model::{CHECKPOINT_BYTES_MAX, ExitKind, JobState, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, LATE_ANSWER_GRACE, RenewCall, RunningTask, TaskExit,
@@ -84,9 +85,11 @@
         }
         // The worker would list the same exits again at once until the log has them.
         let is_waiting_for_log = worker.exits_seen > worker.exits_committed;
-        let is_recent = now < worker.report_ms + COMMIT_WAIT_MS;
+        // While the loop is late, a commit takes that much longer.
+        let commit_wait_ms = COMMIT_WAIT_MS + answer_extra_ms(self.pace.loop_delay_ms);
+        let is_recent = now < worker.report_ms + commit_wait_ms;
         if worker.has_accepted_token && is_waiting_for_log && is_recent {
-            return RenewPlan::Wait(Duration::from_millis(worker.report_ms + COMMIT_WAIT_MS - now));
+            return RenewPlan::Wait(Duration::from_millis(worker.report_ms + commit_wait_ms - now));
         }
         // Leases of a worker that doesn't answer must run out, or its tasks could never be started
         // elsewhere. So must those of a worker whose runs are all to be stopped, as each stop can
@@ -295,6 +298,11 @@
             .iter()
             .find(|live| live.run == exit.run && live.worker == *id)
             .map(|live| (live.phase, live.begun_ms));
+        let unconfirmed =
+            |live: &&LiveRun| live.run == exit.run && live.phase == RunPhase::Starting;
+        if let Some(live) = task.live.iter().find(unconfirmed) {
+            self.begins.record_begun(now.saturating_sub(live.placed_ms));
+        }
         if is_resumable && is_storable(&exit.checkpoint) {
             task.checkpoint.clone_from(&exit.checkpoint);
         }
@@ -556,7 +564,7 @@
         };
         if is_confirmed {
             if live.phase == RunPhase::Starting {
-                self.begins.record(now.saturating_sub(live.placed_ms));
+                self.begins.record_begun(now.saturating_sub(live.placed_ms));
             }
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::decide::lateness::answer_extra_ms;
 use crate::jobs::model::{JobId, StepSpec, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, RunCall, StartCall, WorkerTarget, refusal_label,
@@ -86,7 +87,7 @@
             entry.add_run((*key, run), placed);
         }
         self.commits.queue_start(*key, run);
-        self.begins.placed += 1;
+        self.begins.record_placed();
         self.emit(SchedulerEvent::Placed { task: *key, run, worker: worker.clone(), age_ms });
     }
 
@@ -253,8 +254,9 @@
         let payload = job.submission.spec.payload.as_str().into();
         let call =
             StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
+        let retry_ms = now + START_RETRY_MS + answer_extra_ms(self.pace.loop_delay_ms);
         let live = self.live_mut(key, run)?;
-        live.retry_ms = now + START_RETRY_MS;
+        live.retry_ms = retry_ms;
         live.is_sent = true;
         if live.first_sent_ms == 0 {
             live.first_sent_ms = now;
@@ -345,7 +347,7 @@
             live.begun_ms = now;
             live.progress_ms = now;
             let wait_ms = now.saturating_sub(live.placed_ms);
-            self.begins.record(wait_ms);
+            self.begins.record_begun(wait_ms);
             self.actions.push(SchedulerAction::RenewNow(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.last_refusal_ms = None;
