Give batches of starts longer while the leader's loop is late

Callers saw accepted jobs stand with nothing running.

While the loop is late, a batch has up to 900 ms more, ten times the loop's delay, and a start is repeated that much later. An executor still begins no batch that is older than 1.2 s, so nothing starts later than before. A loop in time gives what it gave.

Tests: tests/loop_lateness.rs, tests/delegate.rs pass.

--- a/src/decide/lateness.rs
+++ b/src/decide/lateness.rs
@@ -9,6 +9,17 @@
 /// Divisor for the weight of one wake-up in the smoothed lateness, as in RFC 6298.
 const SMOOTHING: u64 = 8;
 
+/// Additional time for an answer that passes the loop, as a multiple of its delay, and the most in
+/// milliseconds: the call, its start, its answer and the handling of it each wait for a turn.
+const ANSWER_TURNS: u64 = 10;
+const ANSWER_EXTRA_MAX_MS: u64 = 900;
+
+/// Additional time for the answer to a batch of starts, in milliseconds, while the leader's loop is
+/// this late: a batch that is given up is sent once more, which costs a late leader the most.
+pub fn answer_extra_ms(loop_delay_ms: u64) -> u64 {
+    (loop_delay_ms * ANSWER_TURNS).min(ANSWER_EXTRA_MAX_MS)
+}
+
 /// Smoothed lateness of a loop.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoopLateness {
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -439,6 +439,7 @@
             let commit = *self.pending_commit();
             let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
             lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
+            self.node.set_loop_delay(lateness.delay_ms());
             load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
             let _ = timeout(TICK_INTERVAL_MAX, self.node.wake.notified()).await;
--- a/src/jobs/delegate.rs
+++ b/src/jobs/delegate.rs
@@ -26,6 +26,7 @@
 
 use crate::control::ControlLoop;
 use crate::decide::executor::{BATCH_MAX, ExecutorOffer, ExecutorStamp};
+use crate::decide::lateness::answer_extra_ms;
 use crate::decide::replica::{OFFER_INTERVAL_MS, offer_interval_ms};
 use crate::jobs::metrics::count;
 use crate::jobs::model::TaskKey;
@@ -52,7 +53,7 @@
 const BATCH_DELAY: Duration = Duration::from_millis(6);
 /// Timeout of a start that an executor sends to a worker.
 const START_TIMEOUT: Duration = Duration::from_millis(450);
-/// Timeout of a batch.
+/// Timeout of a batch while the leader's loop is in time.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Age above which an executor does not begin a batch, in milliseconds: the leader has given it up
 /// and may have sent its starts another way.
@@ -206,7 +207,8 @@
     let starts = orders.iter().map(delegated_start).collect();
     let body = postcard::to_stdvec(&StartBatch { stamp, starts }).unwrap_or_default();
     let call = post(STARTS_PATH, body);
-    let answer = transport.exchange(address, call, BATCH_TIMEOUT).await;
+    let timeout = BATCH_TIMEOUT + Duration::from_millis(answer_extra_ms(node.loop_delay_ms()));
+    let answer = transport.exchange(address, call, timeout).await;
     let outcomes = match &answer {
         Ok(answer) if answer.status == StatusCode::OK => {
             let outcomes: Option<Vec<DelegatedOutcome>> = postcard::from_bytes(&answer.body).ok();
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -92,6 +92,8 @@
     scheduler: Mutex<Option<Scheduler>>,
     leader: ArcSwapOption<SocketAddr>,
     leader_closed_ms: AtomicU64,
+    /// How late the loop of this entry as leader is beyond what is usual, in milliseconds.
+    loop_delay_ms: AtomicU64,
     relay_waiters: Mutex<HashMap<u64, oneshot::Sender<Bytes>>>,
     /// The newest digest of the backlog that the leader has sent.
     line: Mutex<DigestSlot>,
@@ -134,6 +136,7 @@
             scheduler: Mutex::new(None),
             leader: ArcSwapOption::empty(),
             leader_closed_ms: AtomicU64::new(0),
+            loop_delay_ms: AtomicU64::new(0),
             relay_waiters: Mutex::new(HashMap::new()),
             line: Mutex::default(),
             attempts: Mutex::default(),
@@ -480,6 +483,16 @@
         self.leader.load().as_ref().map(|address| **address)
     }
 
+    /// Sets how late the leader's loop is beyond what is usual, in milliseconds.
+    pub fn set_loop_delay(&self, delay_ms: u64) {
+        self.loop_delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// How late the leader's loop is beyond what is usual, in milliseconds.
+    pub fn loop_delay_ms(&self) -> u64 {
+        self.loop_delay_ms.load(Ordering::Relaxed)
+    }
+
     /// Records that the leader's address was found closed.
     pub fn record_leader_closed(&self) {
         self.leader_closed_ms.store(self.now().max(1), Ordering::Relaxed);
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::decide::lateness::answer_extra_ms;
 use crate::jobs::model::{JobId, StepSpec, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, RunCall, StartCall, WorkerTarget, refusal_label,
@@ -253,8 +254,9 @@
         let payload = job.submission.spec.payload.as_str().into();
         let call =
             StartCall { task: *key, run, payload, lease_until_ms, fence, checkpoint, permit };
+        let retry_ms = now + START_RETRY_MS + answer_extra_ms(self.pace.loop_delay_ms);
         let live = self.live_mut(key, run)?;
-        live.retry_ms = now + START_RETRY_MS;
+        live.retry_ms = retry_ms;
         live.is_sent = true;
         if live.first_sent_ms == 0 {
             live.first_sent_ms = now;
--- a/tests/loop_lateness.rs
+++ b/tests/loop_lateness.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ibisweir::decide::lateness::LoopLateness;
+use ibisweir::decide::lateness::{LoopLateness, answer_extra_ms};
 use ibisweir::jobs::flow::FlowPace;
 use ibisweir::scheduler::renewals::RenewPlan;
 use support::sim::{SchedulerSim, bounds, config, job, step, worker};
@@ -51,3 +51,12 @@
     let lease = Duration::from_millis(bounds().lease_max_ms);
     assert!((longest + timeout) * 3 / 2 < lease, "{longest:?} {timeout:?}");
 }
+
+/// Guards against a late leader that gives up and repeats starts whose outcome has arrived and
+/// waits for its turn.
+#[test]
+fn a_late_loop_waits_longer_for_starts_and_no_longer_than_a_bound() {
+    assert_eq!(answer_extra_ms(delay_after(25, 100)), 0);
+    assert!(answer_extra_ms(delay_after(90, 100)) >= 500);
+    assert_eq!(answer_extra_ms(delay_after(60_000, 100)), 900);
+}
