Bound the starts on their way by what a late leader begins

Callers saw accepted jobs stand with nothing running.

While the loop is late, starts on their way are bounded by what began in 1.5 s, and by 200 at least; the bound on starts that queue for the link is used for it. Placed runs that were over before they were listed count as begun. A loop in time has no bound.

--- a/src/decide/lateness.rs
+++ b/src/decide/lateness.rs
@@ -38,3 +38,46 @@
         self.smoothed_us.saturating_sub(USUAL_LATENESS_US) / 1_000
     }
 }
+
+/// Time for which a late leader's starts may be on their way, in milliseconds: longer than one takes
+/// through the log and an executor. A placed run holds capacity of its worker meanwhile.
+const START_TIME_MAX_MS: u64 = 1_500;
+/// Starts that may always be on their way, however few begin.
+const OPEN_STARTS_MIN: u64 = 200;
+/// Length of the interval in which begun runs are counted, in milliseconds.
+const BEGIN_INTERVAL_MS: u64 = 1_000;
+
+/// Bounds the starts that are on their way by what a late leader begins.
+///
+/// Load: more tasks fit their pools than the leader can record and send in seconds. Placed at once,
+/// they fill the pools with runs that have not begun, while what is placed last begins first as
+/// often as not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StartBound {
+    per_interval: u64,
+    counted: u64,
+    since_ms: u64,
+}
+
+impl StartBound {
+    /// Records how many runs have begun in this term.
+    pub fn record_begun(&mut self, begun: u64, now: u64) {
+        let period_ms = now.saturating_sub(self.since_ms);
+        if period_ms < BEGIN_INTERVAL_MS {
+            return;
+        }
+        let new = begun.saturating_sub(self.counted);
+        *self = StartBound {
+            per_interval: new * BEGIN_INTERVAL_MS / period_ms,
+            counted: begun,
+            since_ms: now,
+        };
+    }
+
+    /// Most starts that may be on their way while the loop is this late; `None` for no limit.
+    pub fn open_max(&self, loop_delay_ms: u64) -> Option<usize> {
+        let most = self.per_interval * START_TIME_MAX_MS / BEGIN_INTERVAL_MS;
+        (loop_delay_ms > 0)
+            .then(|| usize::try_from(most.max(OPEN_STARTS_MIN)).unwrap_or(usize::MAX))
+    }
+}
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::lateness::LoopLateness;
+use crate::decide::lateness::{LoopLateness, StartBound};
 use crate::decide::leadership::PreviousLeader;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
@@ -409,6 +409,7 @@
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
         let mut lateness = LoopLateness::default();
+        let mut start_bound = StartBound::default();
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
@@ -418,7 +419,8 @@
                 self.log_flow();
             }
             let tick_result = self.node.with_scheduler(|scheduler| {
-                scheduler.set_pace(pace);
+                start_bound.record_begun(scheduler.begun_total(), now);
+                scheduler.set_pace(pace.bounded_by(start_bound.open_max(pace.loop_delay_ms)));
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
                 (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
--- a/src/scheduler/idle_jobs.rs
+++ b/src/scheduler/idle_jobs.rs
@@ -59,18 +59,36 @@
     pub wait_ms: u64,
 }
 
-impl BeginCounts {
-    /// Records that a run was confirmed this long after its placement.
-    pub(crate) fn record(&mut self, wait_ms: u64) {
-        self.begun += 1;
-        self.wait_ms += wait_ms;
+/// Placements and begins of a term.
+#[derive(Debug, Default)]
+pub(crate) struct BeginLog {
+    counts: BeginCounts,
+    total: u64,
+}
+
+impl BeginLog {
+    /// Records a placement.
+    pub fn record_placed(&mut self) {
+        self.counts.placed += 1;
+    }
+
+    /// Records that a run was confirmed this long after its placement, in milliseconds.
+    pub fn record_begun(&mut self, wait_ms: u64) {
+        self.counts.begun += 1;
+        self.counts.wait_ms += wait_ms;
+        self.total += 1;
     }
 }
 
 impl Scheduler {
     /// Takes the counts of placements and begins.
     pub fn take_begin_counts(&mut self) -> BeginCounts {
-        std::mem::take(&mut self.begins)
+        std::mem::take(&mut self.begins.counts)
+    }
+
+    /// Runs that workers have confirmed in this term.
+    pub fn begun_total(&self) -> u64 {
+        self.begins.total
     }
 
     /// Logs which jobs have had nothing running for long.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -65,7 +65,7 @@
 use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
-use crate::scheduler::idle_jobs::{BeginCounts, IdleJobLog};
+use crate::scheduler::idle_jobs::{BeginLog, IdleJobLog};
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::ledger::LearnedLedger;
@@ -178,7 +178,7 @@
     incarnations: IncarnationTable,
     waits: WaitLog,
     idle_jobs: IdleJobLog,
-    begins: BeginCounts,
+    begins: BeginLog,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
     learned: LearnedLedger,
@@ -243,7 +243,7 @@
             incarnations: IncarnationTable::default(),
             waits: WaitLog::open(now),
             idle_jobs: IdleJobLog::default(),
-            begins: BeginCounts::default(),
+            begins: BeginLog::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
             learned: LearnedLedger::default(),
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -295,6 +295,11 @@
             .iter()
             .find(|live| live.run == exit.run && live.worker == *id)
             .map(|live| (live.phase, live.begun_ms));
+        let unconfirmed =
+            |live: &&LiveRun| live.run == exit.run && live.phase == RunPhase::Starting;
+        if let Some(live) = task.live.iter().find(unconfirmed) {
+            self.begins.record_begun(now.saturating_sub(live.placed_ms));
+        }
         if is_resumable && is_storable(&exit.checkpoint) {
             task.checkpoint.clone_from(&exit.checkpoint);
         }
@@ -556,7 +561,7 @@
         };
         if is_confirmed {
             if live.phase == RunPhase::Starting {
-                self.begins.record(now.saturating_sub(live.placed_ms));
+                self.begins.record_begun(now.saturating_sub(live.placed_ms));
             }
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -87,7 +87,7 @@
             entry.add_run((*key, run), placed);
         }
         self.commits.queue_start(*key, run);
-        self.begins.placed += 1;
+        self.begins.record_placed();
         self.emit(SchedulerEvent::Placed { task: *key, run, worker: worker.clone(), age_ms });
     }
 
@@ -347,7 +347,7 @@
             live.begun_ms = now;
             live.progress_ms = now;
             let wait_ms = now.saturating_sub(live.placed_ms);
-            self.begins.record(wait_ms);
+            self.begins.record_begun(wait_ms);
             self.actions.push(SchedulerAction::RenewNow(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.last_refusal_ms = None;
