Leave longer between rounds of periodic work while the leader's loop is late

Callers saw accepted jobs stand with nothing running.

While the loop is late, checks of all runs, plans of the pools and VM lists wait eight times its delay longer, 800 ms at most. A loop in time has no addition.

--- a/src/decide/lateness.rs
+++ b/src/decide/lateness.rs
@@ -20,6 +20,17 @@
     (loop_delay_ms * ANSWER_TURNS).min(ANSWER_EXTRA_MAX_MS)
 }
 
+/// Additional time between two rounds of periodic work, as a multiple of the loop's delay, and the
+/// most in milliseconds: a late loop is due for all such work at each wake-up.
+const ROUND_TURNS: u64 = 8;
+const ROUND_EXTRA_MAX_MS: u64 = 800;
+
+/// Additional time between two checks of all runs, plans of all pools or lists of all VMs, in
+/// milliseconds, while the leader's loop is this late.
+pub fn round_extra_ms(loop_delay_ms: u64) -> u64 {
+    (loop_delay_ms * ROUND_TURNS).min(ROUND_EXTRA_MAX_MS)
+}
+
 /// Smoothed lateness of a loop.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoopLateness {
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::lateness::{LoopLateness, StartBound};
+use crate::decide::lateness::{LoopLateness, StartBound, round_extra_ms};
 use crate::decide::leadership::PreviousLeader;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
@@ -518,7 +518,8 @@
             return;
         };
         let now = self.node.now();
-        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link);
+        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link)
+            .max(round_extra_ms(self.node.loop_delay_ms()));
         self.node.with_scheduler(|scheduler| {
             scheduler.update_vms(vms, asked_ms, now);
             scheduler.pause_vm_list(pause_ms, now);
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::lateness::round_extra_ms;
 use crate::jobs::ports::{VmCommand, VmOutcome};
 use crate::jobs::site::{MaintenanceWave, VmEntry, VmState, worker_name};
 use crate::scheduler::demand::ArrivalRate;
@@ -237,7 +238,8 @@
     pub(crate) fn plan_fleet(&mut self, now: u64) {
         self.request_list(now);
         self.advance_operations(now);
-        if now < self.fleet.pools_planned_ms + PLAN_INTERVAL_MS || !self.is_confirmed(now) {
+        let interval_ms = PLAN_INTERVAL_MS + round_extra_ms(self.pace.loop_delay_ms);
+        if now < self.fleet.pools_planned_ms + interval_ms || !self.is_confirmed(now) {
             return;
         }
         self.fleet.pools_planned_ms = now;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -50,6 +50,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::lateness::round_extra_ms;
 use crate::decide::leadership::{PredecessorEnd, PreviousLeader};
 use crate::jobs::flow::FlowPace;
 use crate::jobs::job_table::{JobTable, LoggedJob};
@@ -652,7 +653,8 @@
         self.expire_silent_workers(now);
         self.give_up_due_jobs(now);
         if now >= self.next_sweep_ms {
-            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS;
+            let extra_ms = round_extra_ms(self.pace.loop_delay_ms);
+            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS + extra_ms;
             if !self.is_lagging(now) {
                 self.move_stragglers(now);
             }
--- a/tests/loop_lateness.rs
+++ b/tests/loop_lateness.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ibisweir::decide::lateness::{LoopLateness, StartBound, answer_extra_ms};
+use ibisweir::decide::lateness::{LoopLateness, StartBound, answer_extra_ms, round_extra_ms};
 use ibisweir::jobs::flow::FlowPace;
 use ibisweir::scheduler::renewals::RenewPlan;
 use support::sim::{SchedulerSim, bounds, config, job, step, worker};
@@ -78,3 +78,11 @@
     assert_eq!(FlowPace::default().bounded_by(Some(600)).starts_max, Some(600));
     assert_eq!(FlowPace::default().bounded_by(None).starts_max, None);
 }
+
+/// Guards against a late leader that goes through all runs, pools and VMs at each wake-up.
+#[test]
+fn a_late_loop_has_longer_between_two_rounds_and_no_longer_than_a_bound() {
+    assert_eq!(round_extra_ms(delay_after(25, 100)), 0);
+    assert!(round_extra_ms(delay_after(90, 100)) >= 300);
+    assert_eq!(round_extra_ms(delay_after(60_000, 100)), 800);
+}
