Let exits wait longer for the log while the leader's loop is late

Callers saw accepted jobs stand with nothing running.

While the loop is late, these renewals wait as much longer as its answers take, 900 ms at most: 1.3 s in all, less than the 1.6 s that a renewal without news may wait at its worker.

--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decide::lateness::answer_extra_ms;
 use crate::jobs::model::{CHECKPOINT_BYTES_MAX, ExitKind, JobState, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, LATE_ANSWER_GRACE, RenewCall, RunningTask, TaskExit,
@@ -84,9 +85,11 @@
         }
         // The worker would list the same exits again at once until the log has them.
         let is_waiting_for_log = worker.exits_seen > worker.exits_committed;
-        let is_recent = now < worker.report_ms + COMMIT_WAIT_MS;
+        // While the loop is late, a commit takes that much longer.
+        let commit_wait_ms = COMMIT_WAIT_MS + answer_extra_ms(self.pace.loop_delay_ms);
+        let is_recent = now < worker.report_ms + commit_wait_ms;
         if worker.has_accepted_token && is_waiting_for_log && is_recent {
-            return RenewPlan::Wait(Duration::from_millis(worker.report_ms + COMMIT_WAIT_MS - now));
+            return RenewPlan::Wait(Duration::from_millis(worker.report_ms + commit_wait_ms - now));
         }
         // Leases of a worker that doesn't answer must run out, or its tasks could never be started
         // elsewhere. So must those of a worker whose runs are all to be stopped, as each stop can
