Show jobs that stand still under a leader that begins too little

A model of a leader that sends a fixed number of starts a second (30 to 80), begins them 0.3 to 2 s after their placement and acts 5 to 10 times a second; four pools and a standby pool with VMs that move, bursts in turns of 1.1 to 1.5 times what it can begin, a leader change that loses the starts in its lanes. Judged from what workers run: a job with nothing running although its pool has room for its task twice over and less than half of it is in use, and the time from the end of the traffic to the end of the last job. A task whose start was lost with its leader is not judged until its lease is over.

The simulation's lanes drop commands that are no longer due, as the real ones do: repeats that counted as sent took up the rate.

--- /dev/null
+++ b/tests/slow_leader.rs
@@ -0,0 +1,461 @@
+//! A leader that can begin fewer tasks than arrive: what it accepted must not stand still.
+//!
+//! Starts leave the leader at a fixed rate, and begin up to two seconds after their placement. What
+//! stands still is judged from the workers' side: a job has nothing running although its pool has
+//! room for its task twice over and less than half of the pool is in use.
+//!
+//! `IBISWEIR_TEST_SEED` and `IBISWEIR_TEST_RUNS` select other and longer runs.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ibisweir::jobs::flow::FlowPace;
+use ibisweir::jobs::model::{
+    ExitKind, JobId, JobSpec, JobSubmission, ResourceVector, StepSpec, TaskKey,
+};
+use ibisweir::jobs::ports::VmCommand;
+use ibisweir::jobs::record::JobRecord;
+use ibisweir::jobs::site::{PoolSpec, QueueSpec, SiteConfig, VmEntry, VmState, WorkerEntry};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::sim::{
+    STANDBY, START_MS, SchedulerSim, WALL_OFFSET_MS, config, job, job_id, queue, step, submission,
+    vm, worker,
+};
+
+/// Runs in CI; hundreds by hand.
+const RUNS: u64 = 6;
+const POOLS: [&str; 4] = ["first", "second", "third", "fourth"];
+const VMS: usize = 32;
+/// Duration of a move, in milliseconds.
+const MOVE_MS: u64 = 1_500;
+/// Longest time for which a job may stand with nothing running, beside the time that a start takes
+/// to begin, in milliseconds.
+const STAND_MAX_MS: u64 = 3_000;
+
+/// Time after which a run that an earlier leader placed and did not send is over, in milliseconds.
+const LAPSE_MS: u64 = 8_000;
+
+/// How fast a leader is.
+#[derive(Clone, Copy, Debug)]
+struct LeaderSpeed {
+    /// Starts that leave it in a second.
+    starts_per_s: u64,
+    /// Starts that it may have placed and not sent.
+    starts_max: usize,
+    /// Time between its rounds, in milliseconds.
+    round_ms: u64,
+}
+
+/// A job that was accepted.
+struct OpenJob {
+    pool: usize,
+    spec: JobSpec,
+    /// Since when it has had nothing running although there was room, in milliseconds.
+    stands_since_ms: Option<u64>,
+    /// Longest such time, in milliseconds.
+    stood_ms: u64,
+    /// Until when starts that an earlier leader placed may still begin, in milliseconds.
+    held_until_ms: u64,
+}
+
+/// A site whose leader is slow, with VMs that move.
+struct SlowSite {
+    sim: SchedulerSim,
+    speed: LeaderSpeed,
+    config: SiteConfig,
+    vms: Vec<(VmEntry, Option<u64>)>,
+    commands_seen: usize,
+    starts_seen: usize,
+    next_job: u64,
+    next_worker: usize,
+    term: u64,
+    ending: Vec<(u64, TaskKey, u32, Arc<str>)>,
+    task_ms: u64,
+    open: BTreeMap<JobId, OpenJob>,
+    /// Longest standstill of a job that is over, in milliseconds.
+    stood_ms: u64,
+    sent: u64,
+}
+
+fn site_config(priorities: [u32; 4]) -> SiteConfig {
+    let pool = |name: &str, is_standby| PoolSpec {
+        name: name.into(),
+        has_admission_check: true,
+        is_standby,
+    };
+    let mut pools: Vec<PoolSpec> = POOLS.iter().map(|name| pool(name, false)).collect();
+    pools.push(pool(STANDBY, true));
+    let queues = POOLS.iter().zip(priorities).map(|(name, priority)| QueueSpec {
+        priority,
+        objective_ms: 1_500,
+        ..queue(&format!("{name}-queue"), name)
+    });
+    SiteConfig { queues: queues.collect(), pools, ..config() }
+}
+
+impl SlowSite {
+    /// Opens a site with `workers` in each pool; the other VMs stand by.
+    fn open(speed: LeaderSpeed, priorities: [u32; 4], workers: [usize; 4]) -> SlowSite {
+        let hosts = workers.iter().enumerate().flat_map(|(pool, count)| vec![pool; *count]);
+        let entries: Vec<WorkerEntry> = hosts
+            .enumerate()
+            .map(|(n, pool)| WorkerEntry {
+                service: POOLS[pool].into(),
+                ..worker(&format!("w{n}"), &format!("r{}", n % 4))
+            })
+            .collect();
+        let mut vms: Vec<(VmEntry, Option<u64>)> =
+            entries.iter().map(|worker| (vm(worker, &worker.service), None)).collect();
+        for n in entries.len()..VMS {
+            let off = WorkerEntry { id: "".into(), ..worker("", &format!("r{}", n % 4)) };
+            vms.push((VmEntry { vm: format!("s{n}").into(), ..vm(&off, STANDBY) }, None));
+        }
+        let config = site_config(priorities);
+        let mut sim = SchedulerSim::open(config.clone(), entries);
+        sim.is_lane_held = true;
+        sim.round_ms = speed.round_ms;
+        let mut site = SlowSite {
+            sim,
+            speed,
+            config,
+            vms,
+            commands_seen: 0,
+            starts_seen: 0,
+            next_job: 0,
+            next_worker: VMS,
+            term: 1,
+            ending: Vec::new(),
+            task_ms: 500,
+            open: BTreeMap::new(),
+            stood_ms: 0,
+            sent: 0,
+        };
+        site.set_pace();
+        site
+    }
+
+    fn set_pace(&mut self) {
+        let starts_max = Some(self.speed.starts_max);
+        self.sim.scheduler.set_pace(FlowPace { starts_max, queue_delay_ms: 0 });
+    }
+
+    /// Advances the time by rounds of the leader.
+    fn run(&mut self, ms: u64) {
+        let end = self.sim.now + ms;
+        while self.sim.now < end {
+            self.move_vms();
+            self.end_tasks();
+            let list = self.vms.iter().map(|(entry, _)| entry.clone()).collect();
+            self.sim.scheduler.update_vms(list, self.sim.now, self.sim.now);
+            self.sim.advance(self.speed.round_ms);
+            let due = (self.sim.now - START_MS) * self.speed.starts_per_s / 1_000;
+            let count = due.saturating_sub(self.sent);
+            self.sent = due;
+            self.sim.send_some(usize::try_from(count).expect("a small count"));
+            self.judge();
+        }
+    }
+
+    fn move_vms(&mut self) {
+        let now = self.sim.now;
+        let commands = self.sim.vm_commands[self.commands_seen..].to_vec();
+        self.commands_seen += commands.len();
+        for command in commands {
+            let VmCommand::Assign { vm, pool } = command else { continue };
+            let known = self.vms.iter_mut().find(|(known, _)| known.vm == vm);
+            let (moved, arrives) = known.expect("the VM exists");
+            let before = std::mem::take(&mut moved.worker);
+            (moved.pool, moved.state, *arrives) = (pool, VmState::Moving, Some(now + MOVE_MS));
+            if !before.is_empty() {
+                self.sim.workers.remove(&before);
+                self.sim.scheduler.worker_unlisted(&before, now);
+            }
+        }
+        for (moved, arrives) in &mut self.vms {
+            if arrives.is_none_or(|arrives| now < arrives) {
+                continue;
+            }
+            (moved.state, *arrives) = (VmState::Up, None);
+            if &*moved.pool != STANDBY {
+                self.next_worker += 1;
+                let service = moved.pool.clone();
+                let name = format!("w{}", self.next_worker);
+                let fresh = WorkerEntry { service, ..worker(&name, &moved.rack) };
+                moved.worker = fresh.id.clone();
+                self.sim.workers.insert(fresh.id.clone(), Default::default());
+                self.sim.scheduler.worker_seen(fresh, now);
+            }
+        }
+    }
+
+    fn end_tasks(&mut self) {
+        let now = self.sim.now;
+        for (key, run, worker) in &self.sim.started[self.starts_seen..] {
+            self.ending.push((now + self.task_ms, *key, *run, worker.clone()));
+        }
+        self.starts_seen = self.sim.started.len();
+        let (due, left) =
+            std::mem::take(&mut self.ending).into_iter().partition(|end| end.0 <= now);
+        self.ending = left;
+        let due: Vec<(u64, TaskKey, u32, Arc<str>)> = due;
+        for (_, key, run, worker) in due {
+            let host = self.sim.workers.get_mut(&worker);
+            if let Some(host) = host.filter(|host| host.running.contains_key(&(key, run))) {
+                host.exit(key, run, ExitKind::Done);
+            }
+        }
+    }
+
+    /// Replaces the leader; the commands that wait in its lanes are lost with it.
+    fn take_over(&mut self) {
+        self.term += 1;
+        for task in self.sim.drop_lanes() {
+            if let Some(open) = self.open.get_mut(&task.job) {
+                open.held_until_ms = self.sim.now + LAPSE_MS;
+            }
+        }
+        self.sim.take_over(self.term, self.config.clone());
+        let now = self.sim.now;
+        let entries: Vec<WorkerEntry> = self
+            .vms
+            .iter()
+            .filter(|(vm, _)| !vm.worker.is_empty())
+            .map(|(vm, _)| WorkerEntry { service: vm.pool.clone(), ..worker(&vm.worker, &vm.rack) })
+            .collect();
+        self.sim.workers.retain(|id, _| entries.iter().any(|entry| entry.id == *id));
+        self.sim.scheduler.workers_listed(entries, now);
+        self.set_pace();
+    }
+
+    /// Submits a job that was accepted some time ago.
+    fn submit(&mut self, pool: usize, steps: Vec<StepSpec>, age_ms: u64) -> JobId {
+        let spec = job(steps);
+        let submitted = JobSubmission {
+            queue: format!("{}-queue", POOLS[pool]).as_str().into(),
+            service: POOLS[pool].into(),
+            accepted_ms: WALL_OFFSET_MS + self.sim.now - age_ms,
+            ..submission(spec.clone())
+        };
+        self.next_job += 1;
+        let id = job_id(self.next_job);
+        self.sim.append(&JobRecord::Submitted(id, Arc::new(submitted)));
+        self.open.insert(
+            id,
+            OpenJob { pool, spec, stands_since_ms: None, stood_ms: 0, held_until_ms: 0 },
+        );
+        id
+    }
+
+    /// Judges from what workers run which jobs stand still.
+    fn judge(&mut self) {
+        let now = self.sim.now;
+        let mut running: BTreeMap<JobId, usize> = BTreeMap::new();
+        // Processor free on each worker, capacity and use, by pool.
+        let mut rooms: BTreeMap<&str, (Vec<u64>, u64, u64)> = BTreeMap::new();
+        for (vm, _) in self.vms.iter().filter(|(vm, _)| !vm.worker.is_empty()) {
+            let (free, capacity, used) = rooms.entry(&vm.pool).or_default();
+            let keys = self.sim.workers[&vm.worker].running.keys();
+            let cpu = |key: &TaskKey| {
+                self.open
+                    .get(&key.job)
+                    .map_or(0, |job| job.spec.steps[usize::from(key.step)].need.cpu)
+            };
+            let on: u64 = keys
+                .map(|(key, _)| {
+                    *running.entry(key.job).or_default() += 1;
+                    cpu(key)
+                })
+                .sum();
+            free.push(vm.capacity.cpu.saturating_sub(on));
+            *capacity += vm.capacity.cpu;
+            *used += on;
+        }
+        let is_over = |id: &JobId| self.sim.state(*id).is_some_and(|state| state.is_final());
+        let mut stood_ms = self.stood_ms;
+        self.open.retain(|id, job| {
+            let room = rooms.get(POOLS[job.pool]);
+            let need = job.spec.steps[0].need.cpu;
+            let has_room = room.is_some_and(|(free, capacity, used)| {
+                free.iter().map(|free| free / need).sum::<u64>() >= 2 && used * 2 < *capacity
+            });
+            let stands =
+                has_room && now >= job.held_until_ms && !running.contains_key(id) && !is_over(id);
+            job.stands_since_ms = stands.then(|| job.stands_since_ms.unwrap_or(now));
+            job.stood_ms = job.stood_ms.max(job.stands_since_ms.map_or(0, |since| now - since));
+            stood_ms = stood_ms.max(job.stood_ms);
+            !is_over(id)
+        });
+        self.stood_ms = stood_ms;
+    }
+
+    fn has_begun(&self, id: JobId) -> bool {
+        self.sim.started.iter().any(|(key, ..)| key.job == id)
+    }
+}
+
+const SLOW: LeaderSpeed = LeaderSpeed { starts_per_s: 40, starts_max: 16, round_ms: 100 };
+
+/// Submits jobs of six tasks to the first pool at one and a half times the rate of starts.
+fn stream(site: &mut SlowSite, ms: u64) {
+    for _ in 0..ms / 100 {
+        site.submit(0, vec![step(6)], 0);
+        site.run(100);
+    }
+}
+
+/// Guards against an overdue job that a leader with few start slots never reaches, as jobs that
+/// arrive later keep taking them, though the pool has room.
+#[test]
+fn an_overdue_job_is_begun_while_later_jobs_take_the_start_slots() {
+    let mut site = SlowSite::open(SLOW, [0; 4], [20, 0, 0, 0]);
+    stream(&mut site, 1_000);
+    let old = site.submit(0, vec![StepSpec { estimate_ms: 500, ..step(40) }], 60_000);
+    let before = site.sim.now;
+    while !site.has_begun(old) && site.sim.now < before + 10_000 {
+        stream(&mut site, 100);
+    }
+    let waited_ms = site.sim.now - before;
+    assert!(site.has_begun(old) && waited_ms <= STAND_MAX_MS, "{waited_ms} ms");
+}
+
+/// Guards against a job of a queue that comes second and is never reached behind a stream of one
+/// that comes first, in another pool.
+#[test]
+fn a_job_of_lower_priority_is_begun_behind_a_stream_of_a_higher_one() {
+    let mut site = SlowSite::open(SLOW, [0, 1, 1, 1], [20, 4, 0, 0]);
+    stream(&mut site, 1_000);
+    let second = site.submit(1, vec![step(1)], 0);
+    let before = site.sim.now;
+    while !site.has_begun(second) && site.sim.now < before + 10_000 {
+        stream(&mut site, 100);
+    }
+    let waited_ms = site.sim.now - before;
+    assert!(site.has_begun(second) && waited_ms <= STAND_MAX_MS, "{waited_ms} ms");
+}
+
+/// Guards against overdue jobs that wait one behind the other for the one VM that their pool has
+/// left, while all other VMs stand by.
+#[test]
+fn overdue_jobs_that_wait_get_vms_that_stand_by() {
+    let mut site = SlowSite::open(SLOW, [0; 4], [1, 1, 1, 1]);
+    site.task_ms = 2_000;
+    let spec = StepSpec { estimate_ms: 2_000, ..step(8) };
+    let jobs: Vec<JobId> = (0..40).map(|_| site.submit(0, vec![spec.clone()], 60_000)).collect();
+    // The next leader knows no rate of arrivals.
+    site.take_over();
+    site.run(1_500 + MOVE_MS + 3_000);
+    let begun = jobs.iter().filter(|id| site.has_begun(**id)).count();
+    assert_eq!(begun, jobs.len(), "jobs begun");
+}
+
+/// Guards against jobs whose workers have crashed again and again and that stay overdue in a pool
+/// of one VM: all of them start alone for as long as their tasks may be the cause.
+#[test]
+fn jobs_that_lost_their_workers_get_vms_that_stand_by() {
+    let mut site = SlowSite::open(SLOW, [0; 4], [10, 1, 1, 1]);
+    let spec = StepSpec { estimate_ms: 500, ..step(2) };
+    let jobs: Vec<JobId> = (0..30).map(|_| site.submit(0, vec![spec.clone()], 20_000)).collect();
+    for _ in 0..4 {
+        site.run(700);
+        for (vm, _) in site.vms.iter_mut().filter(|(vm, _)| &*vm.pool == POOLS[0]) {
+            if vm.worker.is_empty() {
+                continue;
+            }
+            site.sim.workers.remove(&vm.worker);
+            site.sim.scheduler.worker_unlisted(&vm.worker, site.sim.now);
+            site.next_worker += 1;
+            let name = format!("w{}", site.next_worker);
+            let fresh = WorkerEntry { service: POOLS[0].into(), ..worker(&name, &vm.rack) };
+            vm.worker = fresh.id.clone();
+            site.sim.workers.insert(fresh.id.clone(), Default::default());
+            site.sim.scheduler.worker_seen(fresh, site.sim.now);
+        }
+    }
+    let before = site.sim.now;
+    while !site.open.is_empty() && site.sim.now < before + 60_000 {
+        if site.term == 1 {
+            site.take_over();
+        }
+        site.run(100);
+    }
+    let taken_ms = site.sim.now - before;
+    println!("{} of {} open after {taken_ms} ms", site.open.len(), jobs.len());
+    assert!(site.open.is_empty() && taken_ms <= 15_000, "{} open, {taken_ms} ms", site.open.len());
+}
+
+/// Plays bursts in turns, and what is left of them after the traffic. Returns the longest
+/// standstill and its bound, the time to the end of the last job, and its bound, in milliseconds.
+fn play(seed: u64) -> [u64; 4] {
+    let mut random = StdRng::seed_from_u64(seed);
+    let starts_per_s = random.random_range(30..=80);
+    let delay_ms = random.random_range(300..=2_000);
+    let starts_max = usize::try_from((starts_per_s * delay_ms / 1_000).max(16)).expect("small");
+    let round_ms = random.random_range(5..=10) * 20;
+    let speed = LeaderSpeed { starts_per_s, starts_max, round_ms };
+    let priorities = [0, 0, random.random_range(0..=1), random.random_range(0..=1)];
+    let mut site = SlowSite::open(speed, priorities, [4; 4]);
+    let begin = site.sim.now;
+    let traffic_ms = random.random_range(10_000..=16_000);
+    let change_ms = begin + random.random_range(4_000..traffic_ms + 4_000);
+    let period_ms = random.random_range(1_500..=4_000);
+    let load = random.random_range(1.1..1.5) * starts_per_s as f64;
+    let mut due = 0.0;
+    while site.sim.now < begin + traffic_ms {
+        due += load * round_ms as f64 / 1_000.0;
+        let turn =
+            usize::try_from((site.sim.now - begin) / period_ms).expect("small") % POOLS.len();
+        while due > 0.0 {
+            let pool = match random.random_bool(0.8) {
+                true => turn,
+                false => random.random_range(0..POOLS.len()),
+            };
+            let count = random.random_range(4..=12);
+            let need = ResourceVector { cpu: 1_000, memory: 500, accelerators: 0 };
+            let first = StepSpec { need, estimate_ms: 500, ..step(count) };
+            let second = StepSpec { after: vec![0], ..StepSpec { count: 2, ..first.clone() } };
+            due -= f64::from(count + 2);
+            site.submit(pool, vec![first, second], 0);
+        }
+        advance(&mut site, round_ms, change_ms);
+    }
+    let tasks: u64 = site.open.values().map(|job| u64::from(job.spec.steps[0].count + 2)).sum();
+    let end = site.sim.now;
+    // All that is left goes out at the rate of starts; a leader that changes loses the starts on
+    // their way until their leases are over.
+    let drained_max_ms = tasks * 1_000 / starts_per_s * 3 / 2 + delay_ms + 10_000;
+    while !site.open.is_empty() && site.sim.now < end + 2 * drained_max_ms {
+        advance(&mut site, round_ms, change_ms);
+    }
+    [site.stood_ms, STAND_MAX_MS + delay_ms, site.sim.now - end, drained_max_ms]
+}
+
+fn advance(site: &mut SlowSite, ms: u64, change_ms: u64) {
+    if site.term == 1 && site.sim.now >= change_ms {
+        site.take_over();
+    }
+    site.run(ms);
+}
+
+/// Guards against accepted jobs that stand with nothing running although there is room, during the
+/// traffic and after it.
+#[test]
+fn accepted_jobs_are_begun_and_done_at_the_rate_of_a_slow_leader() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let first = number("IBISWEIR_TEST_SEED").unwrap_or(1);
+    let runs = number("IBISWEIR_TEST_RUNS").unwrap_or(RUNS);
+    let mut broken = Vec::new();
+    for seed in first..first + runs {
+        let [stood_ms, stood_max_ms, drained_ms, drained_max_ms] = play(seed);
+        let line = format!(
+            "seed {seed}: stood {stood_ms} of {stood_max_ms} ms, done after {drained_ms} of {drained_max_ms} ms"
+        );
+        println!("{line}");
+        if stood_ms > stood_max_ms || drained_ms > drained_max_ms {
+            broken.push(line);
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -68,6 +68,8 @@
     pub are_throttles_lost: bool,
     /// Whether commands wait in their lanes until the test empties them.
     pub is_lane_held: bool,
+    /// Time between two rounds of the leader, in milliseconds.
+    pub round_ms: u64,
     lane: Vec<(Arc<str>, TaskKey, u32)>,
     /// Whether the workers' reports of themselves are read.
     pub is_reading_workers: bool,
@@ -148,6 +150,7 @@
             throttles: Vec::new(),
             are_throttles_lost: false,
             is_lane_held: false,
+            round_ms: 20,
             lane: Vec::new(),
             is_reading_workers: true,
             is_reading_jobs: true,
@@ -263,7 +266,7 @@
     pub fn advance(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
-            self.now = (self.now + 20).min(end);
+            self.now = (self.now + self.round_ms).min(end);
             self.crash_due();
             self.expire_leases();
             self.scheduler.confirm(self.now);
@@ -489,7 +492,9 @@
             SchedulerAction::SendCommand(target, task, run) if self.is_lane_held => {
                 self.lane.push((target.id, task, run));
             }
-            SchedulerAction::SendCommand(target, task, run) => self.send(&target.id, task, run),
+            SchedulerAction::SendCommand(target, task, run) => {
+                self.send(&target.id, task, run);
+            }
             SchedulerAction::StopUntracked(target, call) => self.stop(&target.id, &call),
             SchedulerAction::Throttle(_, call, percent) => {
                 self.throttles.push((call.task, percent));
@@ -534,8 +539,26 @@
         self.run_until_idle();
     }
 
-    fn send(&mut self, id: &Arc<str>, task: TaskKey, run: u32) {
-        match self.scheduler.command(&task, run, self.now) {
+    /// Sends the first `count` commands of the lanes that are still due.
+    pub fn send_some(&mut self, count: usize) {
+        let mut sent = 0;
+        while sent < count && !self.lane.is_empty() {
+            let (id, task, run) = self.lane.remove(0);
+            sent += usize::from(self.send(&id, task, run));
+        }
+        self.run_until_idle();
+    }
+
+    /// Drops the commands that wait in the lanes, as when their leader ends; returns their tasks.
+    pub fn drop_lanes(&mut self) -> Vec<TaskKey> {
+        self.lane.drain(..).map(|(_, task, _)| task).collect()
+    }
+
+    /// Sends what a run needs now; returns whether it needs anything.
+    fn send(&mut self, id: &Arc<str>, task: TaskKey, run: u32) -> bool {
+        let command = self.scheduler.command(&task, run, self.now);
+        let is_due = command.is_some();
+        match command {
             Some(RunCommand::Start(call)) => {
                 self.permits_used.push(call.permit.clone());
                 let outcome = self.start(id, &call);
@@ -544,6 +567,7 @@
             Some(RunCommand::Stop(call)) => self.stop(id, &call),
             None => {}
         }
+        is_due
     }
 
     fn stop(&mut self, id: &Arc<str>, call: &RunCall) {
