Count late jobs that stand still for the size of their pool

Callers saw overdue jobs wait one behind the other for the one VM that their pool had left while all others stood by.

The cause, second part: tasks of late and overdue jobs count nothing for the size of a pool, so that a pool of which nothing else is asked, or whose arrivals the next leader has not seen, stays at one VM however many of them wait.

Of a late or overdue job that has had nothing running for 1.5 s one task now counts, as much as it takes to begin it. Late jobs that are being served count as before, since they drain as bursts end and VM-seconds in pools are priced. Jobs beyond a share still count nothing: they become late.

--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -138,6 +138,7 @@
                     })
                 };
                 let mut work = JobWork::default();
+                let mut is_idle_counted = false;
                 for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
                     let open = step.tasks.len() - step.done;
                     if open == 0 {
@@ -158,6 +159,15 @@
                         0 => 0,
                         _ => counted_percent(rank().tier, is_begun) * waiting,
                     };
+                    let is_uncounted = counted == 0 && waiting > 0 && is_begun;
+                    let is_idle = is_uncounted
+                        && is_late(rank().tier)
+                        && !std::mem::replace(&mut is_idle_counted, true)
+                        && {
+                            let due = self.due_ms(job, *occurrence, now);
+                            self.long_idle_since_ms(job, due, now).is_some()
+                        };
+                    let counted = if is_idle { 100 } else { counted };
                     let wanted = u64::try_from(live * 100 + counted).unwrap_or(0);
                     let all = spec.reservation().times(wanted).hundredth();
                     load.expected.add(&all);
@@ -182,8 +192,13 @@
     }
 }
 
+fn is_late(tier: RankTier) -> bool {
+    matches!(tier, RankTier::Late | RankTier::Overdue)
+}
+
 /// Weight of waiting tasks of a step, in percent. Late jobs have little value, and jobs beyond a
-/// share must not cost the others anything: both use the VMs that are there.
+/// share must not cost the others anything: both use the VMs that are there. Of a late job that has
+/// had nothing running for long, one task counts beside this, so that it is begun.
 fn counted_percent(tier: RankTier, is_begun: bool) -> usize {
     match (tier, is_begun) {
         (RankTier::BeyondShare | RankTier::Late | RankTier::Overdue, _) => 0,
