--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -81,7 +81,7 @@
 pub struct StartLine {
     /// Tasks of accepted jobs that have not begun.
     pub waiting: u64,
-    /// Tasks that began in the last second.
+    /// Tasks that the leader can begin in a second, by the busiest of the last seconds.
     pub rate: u64,
 }
 
@@ -277,6 +277,15 @@
         self.younger_than(START_LINE_AGE_MAX_MS, now)
     }
 
+    /// Forgets what the digest tells of starts, as the leader that sent it has been replaced.
+    pub fn forget_starts(&mut self) {
+        if let Some((digest, _)) = &mut self.newest
+            && digest.starts.is_some()
+        {
+            Arc::make_mut(digest).starts = None;
+        }
+    }
+
     fn younger_than(&self, age_max_ms: u64, now: u64) -> Option<(Arc<LineDigest>, u64)> {
         let (digest, received_ms) = self.newest.as_ref()?;
         let age_ms = now.checked_sub(*received_ms)?;
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::decide::lateness::{LoopLateness, StartBound, round_extra_ms};
 use crate::decide::leadership::PreviousLeader;
 use crate::decide::loop_delay::LoopDelay;
 use crate::jobs::decision_log;
@@ -27,7 +28,7 @@
     WriterStamp,
 };
 use crate::jobs::record::KeyedRecord;
-use crate::jobs::site::WorkerEntry;
+use crate::jobs::site::{WorkerEntry, worker_name};
 use crate::jobs::timeout_estimator::TimeoutEstimator;
 use crate::jobs::wave_reporter::WaveReporter;
 use crate::scheduler::commit::CommitBatch;
@@ -334,7 +335,7 @@
         let decode = |(_, record): &(u64, KeyedRecord)| {
             let entry = (self.parts.worker_decoder)(record);
             if entry.is_none() && !record.value.is_empty() {
-                warn!(self.node.logger, "worker record can't be decoded"; "key" => &record.key);
+                self.node.metrics.noted.note("worker", &record.key, &record.value);
             }
             entry
         };
@@ -386,8 +387,14 @@
                 Some(entry) => {
                     self.node.with_scheduler(|scheduler| scheduler.worker_seen(entry, now));
                 }
+                // As in a snapshot, which does not list the worker then: it gets nothing new, and
+                // its runs go on.
                 None => {
-                    warn!(self.node.logger, "worker record can't be decoded"; "key" => &record.key)
+                    self.node.metrics.noted.note("worker", &record.key, &record.value);
+                    if worker_name(&record.key) == record.key {
+                        let id: Arc<str> = record.key.as_str().into();
+                        self.node.with_scheduler(|scheduler| scheduler.worker_unlisted(&id, now));
+                    }
                 }
             }
         }
@@ -409,16 +416,19 @@
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
         let mut loop_delay = LoopDelay::default();
+        let mut lateness = LoopLateness::default();
+        let mut start_bound = StartBound::default();
         loop {
             let now = self.node.now();
             let wall_ms = self.node.clock.wall_ms();
-            let pace = self.lanes.flow().pace(now);
+            let pace = self.lanes.flow().pace(now).delayed_by(lateness.delay_ms());
             if now >= logged_ms + FLOW_LOG_INTERVAL_MS {
                 logged_ms = now;
                 self.log_flow();
             }
             let tick_result = self.node.with_scheduler(|scheduler| {
-                scheduler.set_pace(pace);
+                start_bound.record_begun(scheduler.begun_total(), now);
+                scheduler.set_pace(pace.bounded_by(start_bound.open_max(pace.loop_delay_ms)));
                 scheduler.set_loop_delay(loop_delay.sustained_ms());
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
@@ -440,6 +450,8 @@
             let commit = *self.pending_commit();
             let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
             loop_delay.record_wake(late, self.node.now());
+            lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
+            self.node.set_loop_delay(lateness.delay_ms());
             load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
             let _ = timeout(TICK_INTERVAL_MAX, self.node.wake.notified()).await;
@@ -516,7 +528,8 @@
             return;
         };
         let now = self.node.now();
-        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link);
+        let pause_ms = vm_list_pause_ms(vms.len(), self.node.settings.link)
+            .max(round_extra_ms(self.node.loop_delay_ms()));
         self.node.with_scheduler(|scheduler| {
             scheduler.update_vms(vms, asked_ms, now);
             scheduler.pause_vm_list(pause_ms, now);
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -13,7 +13,9 @@
 use prometheus_client::registry::Registry;
 
 use crate::metrics::{PoolLabel, ReasonLabel};
+use crate::odd_entries::OddEntries;
 use crate::traffic::TrafficMeter;
+use crate::transport::HttpTransport;
 
 type Reasons = Family<ReasonLabel, Counter<u64, AtomicU64>>;
 type CallBytes = Family<CallLabel, Counter>;
@@ -47,6 +49,10 @@
     registry: Registry,
     /// Counts the calls to other processes and the bytes of their bodies.
     pub traffic: TrafficMeter,
+    /// Entries that can't be read.
+    pub noted: OddEntries,
+    /// Number of these, by kind.
+    pub odd_entries: Reasons,
     bytes_sent: CallBytes,
     bytes_received: CallBytes,
     calls_unanswered: CallBytes,
@@ -70,6 +76,8 @@
     pub trials: Counter,
     /// Log lines about service tasks that are not running for a long time, by reason.
     pub service_waits: Reasons,
+    /// Log lines about jobs of which nothing runs for a long time, by reason.
+    pub idle_jobs: Reasons,
     /// Records of learned state, by what was done with them.
     pub learned_records: Reasons,
     /// Bytes of learned state that were queued for the log.
@@ -143,6 +151,8 @@
         let mut metrics = JobMetrics {
             registry: Registry::with_prefix("ibisweir_job"),
             traffic: TrafficMeter::default(),
+            noted: OddEntries::default(),
+            odd_entries: Family::default(),
             bytes_sent: Family::default(),
             bytes_received: Family::default(),
             calls_unanswered: Family::default(),
@@ -156,6 +166,7 @@
             cancellations: Family::default(),
             trials: Counter::default(),
             service_waits: Family::default(),
+            idle_jobs: Family::default(),
             learned_records: Family::default(),
             learned_bytes: Counter::default(),
             fair_rounds: Counter::default(),
@@ -195,12 +206,13 @@
 }
 
 impl JobMetrics {
-    /// Metrics that export the counts of `traffic`.
-    pub fn with_traffic(traffic: TrafficMeter) -> JobMetrics {
-        JobMetrics { traffic, ..JobMetrics::default() }
+    /// Metrics that export what a transport counts.
+    pub fn of_transport(transport: &HttpTransport) -> JobMetrics {
+        let (traffic, noted) = (transport.traffic().clone(), transport.odd_entries().clone());
+        JobMetrics { traffic, noted, ..JobMetrics::default() }
     }
 
-    /// Copies the traffic totals to the exported counters.
+    /// Copies the totals of the transport to the exported counters.
     pub fn update_traffic(&self) {
         for (call, traffic) in self.traffic.totals() {
             let label = CallLabel { call };
@@ -214,6 +226,10 @@
                 counter.inc_by(total.saturating_sub(counter.get()));
             }
         }
+        for (reason, total) in self.noted.totals() {
+            let counter = self.odd_entries.get_or_create(&ReasonLabel { reason });
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
     }
 
     fn register(&mut self) {
@@ -224,6 +240,8 @@
         registry.register("bytes_received", help, self.bytes_received.clone());
         let help = "calls to other processes without a whole answer, by call";
         registry.register("calls_unanswered", help, self.calls_unanswered.clone());
+        let help = "entries, rows and records that can't be read, by kind";
+        registry.register("odd_entries", help, self.odd_entries.clone());
         registry.register("replies", "answers to callers, by call and code", self.replies.clone());
         let help = "time to answer a caller, in seconds";
         registry.register("reply_seconds", help, self.reply_seconds.clone());
@@ -240,6 +258,8 @@
         registry.register("trials", help, self.trials.clone());
         let help = "lines about tasks of services that are away for long, by what these wait for";
         registry.register("service_waits", help, self.service_waits.clone());
+        let help = "lines about jobs of which nothing runs for long, by what the oldest waits for";
+        registry.register("idle_jobs", help, self.idle_jobs.clone());
         let help = "records of learned state that a leader wrote, restored or rejected, by reason";
         registry.register("learned_records", help, self.learned_records.clone());
         let help = "bytes of learned state that were queued for the log";
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -34,7 +34,7 @@
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
 /// Delay of the leader's loop from which it is short of processor, in milliseconds; with time to
 /// spare it is a few milliseconds late, also in a burst.
-const LOOP_DELAY_MAX_MS: u64 = 20;
+const LOOP_DELAY_MAX_MS: u64 = 30;
 /// Queues of a pool whose run times the digest holds; submissions to others are accepted.
 const MODELS_MAX: usize = 16;
 
@@ -55,8 +55,7 @@
     is_enabled: bool,
     number: u64,
     arrivals: HashMap<ArrivalKey, RateWindow>,
-    /// Tasks that began.
-    begins: RateWindow,
+    begins: BeginRate,
     /// Sums of the latest planning of the pools, until they are sealed.
     sums: Option<LineSums>,
     report: Option<LineReport>,
@@ -100,6 +99,37 @@
     }
 }
 
+/// Tasks that began, by seconds. The busiest of the last seconds shows what the leader can begin: in
+/// the others its workers or the log may have kept it waiting.
+#[derive(Debug, Default)]
+struct BeginRate {
+    begun_ms: u64,
+    current: u64,
+    recent: [u64; 4],
+}
+
+impl BeginRate {
+    fn record(&mut self, now: u64) {
+        self.advance(now);
+        self.current += 1;
+    }
+
+    fn advance(&mut self, now: u64) {
+        let windows = now.saturating_sub(self.begun_ms) / ARRIVAL_WINDOW_MS;
+        for _ in 0..windows.min(5) {
+            self.recent.rotate_right(1);
+            self.recent[0] = std::mem::take(&mut self.current);
+        }
+        self.begun_ms += windows * ARRIVAL_WINDOW_MS;
+    }
+
+    /// The most in one second.
+    fn peak(&mut self, now: u64) -> u64 {
+        self.advance(now);
+        self.recent.iter().copied().fold(self.current, u64::max)
+    }
+}
+
 /// Work of one job, summed up step by step.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct JobWork {
@@ -147,14 +177,14 @@
 /// Sums of one planning of the pools.
 #[derive(Debug, Default)]
 pub(crate) struct LineSums {
-    /// Tasks that have not begun.
-    starts: u64,
     pools: BTreeMap<Arc<str>, PoolSums>,
 }
 
 #[derive(Debug, Default)]
 struct PoolSums {
     begun: u64,
+    /// Tasks that have not begun.
+    starts: u64,
     priorities: BTreeMap<u32, PrioritySums>,
     models: Vec<QueueModel>,
 }
@@ -174,8 +204,7 @@
         work: JobWork,
         model: &RuntimeModel,
     ) {
-        self.starts = self.starts.saturating_add(work.starts);
-        if work.waiting == 0 && work.begun == 0 {
+        if work.waiting == 0 && work.begun == 0 && work.starts == 0 {
             return;
         }
         if !self.pools.contains_key(&queue.service) {
@@ -183,6 +212,7 @@
         }
         let Some(pool) = self.pools.get_mut(&queue.service) else { return };
         pool.begun = pool.begun.saturating_add(work.begun);
+        pool.starts = pool.starts.saturating_add(work.starts);
         if work.waiting == 0 {
             return;
         }
@@ -226,7 +256,7 @@
 
     /// Counts a task that has begun.
     pub(crate) fn record_begin(&mut self, now: u64) {
-        self.begins.add(1, now);
+        self.begins.record(now);
     }
 
     /// Counts the work of a job that arrived.
@@ -273,7 +303,7 @@
     pub(crate) fn seal_line(&mut self, now: u64) {
         let Some(sums) = self.line.sums.take() else { return };
         let capacities = self.pool_capacities(&sums, now);
-        let starts = self.start_line(sums.starts, now);
+        let starts = self.start_line(&sums, now);
         self.line.arrivals.retain(|_, window| window.rate(now) > 0);
         let mut pools = Vec::new();
         for (name, sums) in sums.pools {
@@ -295,12 +325,17 @@
         });
     }
 
-    /// What waits for starts, while this entry is short of processor. Where nothing has begun lately,
-    /// as after a takeover, nothing can be said about waits.
-    fn start_line(&mut self, waiting: u64, now: u64) -> Option<StartLine> {
-        let rate = self.line.begins.rate(now);
-        let is_short = self.loop_delay_ms >= LOOP_DELAY_MAX_MS && rate > 0;
-        is_short.then_some(StartLine { waiting, rate })
+    /// What waits for starts while this entry is short of processor, in pools of which less than half
+    /// is in use: elsewhere tasks wait for capacity. Where nothing has begun lately, as after a
+    /// takeover, nothing can be said about waits.
+    fn start_line(&mut self, sums: &LineSums, now: u64) -> Option<StartLine> {
+        let rate = self.line.begins.peak(now);
+        if self.loop_delay_ms < LOOP_DELAY_MAX_MS || rate == 0 {
+            return None;
+        }
+        let slack = sums.pools.iter().filter(|(pool, _)| self.slack_pools.is_slack(pool, now));
+        let waiting = slack.map(|(_, sums)| sums.starts).fold(0, u64::saturating_add);
+        Some(StartLine { waiting, rate })
     }
 
     fn pool_line(
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -22,6 +22,8 @@
 pub mod fair_share;
 pub mod fleet;
 mod gang;
+mod idle_jobs;
+pub mod idle_log;
 mod incarnations;
 pub mod job;
 pub mod ledger;
@@ -49,6 +51,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::decide::lateness::round_extra_ms;
 use crate::decide::leadership::{PredecessorEnd, PreviousLeader};
 use crate::jobs::flow::FlowPace;
 use crate::jobs::job_table::{JobTable, LoggedJob};
@@ -64,6 +67,8 @@
 use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
+use crate::scheduler::idle_jobs::{IdleCredit, SlackPools};
+use crate::scheduler::idle_log::{BeginLog, IdleJobLog};
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
 use crate::scheduler::ledger::LearnedLedger;
@@ -175,6 +180,8 @@
     losses: LossTracker,
     incarnations: IncarnationTable,
     waits: WaitLog,
+    idle_log: IdleJobLog,
+    begins: BeginLog,
     organisations: OrganisationLedger,
     shares: ShareLimiter,
     learned: LearnedLedger,
@@ -188,6 +195,8 @@
     permits: HashMap<StepKey, StepPermits>,
     claims: CapacityClaims,
     round: PlacementRound,
+    idle_credit: IdleCredit,
+    slack_pools: SlackPools,
     commits: CommitQueue,
     fleet: FleetState,
     line: LineTracker,
@@ -240,6 +249,8 @@
             losses: LossTracker::open(now),
             incarnations: IncarnationTable::default(),
             waits: WaitLog::open(now),
+            idle_log: IdleJobLog::default(),
+            begins: BeginLog::default(),
             organisations: OrganisationLedger::default(),
             shares: ShareLimiter::default(),
             learned: LearnedLedger::default(),
@@ -250,6 +261,8 @@
             permits: HashMap::new(),
             claims: CapacityClaims::default(),
             round: PlacementRound::default(),
+            idle_credit: IdleCredit::default(),
+            slack_pools: SlackPools::default(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
             line: LineTracker::default(),
@@ -654,13 +667,15 @@
         self.expire_silent_workers(now);
         self.give_up_due_jobs(now);
         if now >= self.next_sweep_ms {
-            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS;
+            let extra_ms = round_extra_ms(self.pace.loop_delay_ms);
+            self.next_sweep_ms = now + runs::SWEEP_INTERVAL_MS + extra_ms;
             if !self.is_lagging(now) {
                 self.move_stragglers(now);
             }
             self.stop_broken_gangs(now);
             self.drop_finished_jobs(now);
             self.log_waits(now);
+            self.log_idle_jobs(now);
             self.dropped_lease_bounds.retain(|_, bound| now < *bound);
             self.is_copy_check_due = true;
             self.needs_dispatch = true;
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -6,6 +6,7 @@
 use crate::jobs::model::ResourceVector;
 use crate::jobs::site::VmState;
 use crate::scheduler::Scheduler;
+use crate::scheduler::job::StepCounts;
 use crate::scheduler::line::{JobWork, LineSums};
 use crate::scheduler::organisation::CapBudget;
 use crate::scheduler::rank::{RankTier, rank};
@@ -26,6 +27,8 @@
     waiting: ResourceVector,
     /// The same, and the upcoming requests of its jobs.
     expected: ResourceVector,
+    /// Of runs that workers have confirmed.
+    used: ResourceVector,
     /// Part of `expected` that is for services.
     services: ResourceVector,
     /// Least number of VMs for services whose tasks must be apart.
@@ -89,8 +92,9 @@
             if vm_capacity == ResourceVector::default() {
                 vm_capacity = self.default_capacity();
             }
-            let PoolLoad { waiting, mut expected, services, apart } =
+            let PoolLoad { waiting, mut expected, used, services, apart } =
                 loads.get(&pool.name).cloned().unwrap_or_default();
+            self.slack_pools.record(&pool.name, &used, &need.capacity, now);
             if let Some(arrivals) = self.fleet.arrivals.get_mut(&pool.name) {
                 let mut upcoming = arrivals.load(now);
                 upcoming.add(&services);
@@ -134,12 +138,15 @@
                     })
                 };
                 let mut work = JobWork::default();
+                let mut is_idle_counted = false;
                 for (spec, step) in job.submission.spec.steps.iter().zip(&run.steps) {
                     let open = step.tasks.len() - step.done;
                     if open == 0 {
                         continue;
                     }
-                    let live = step.counts().live;
+                    let StepCounts { live, booked, .. } = step.counts();
+                    let running = u64::try_from(live - booked).unwrap_or(0);
+                    load.used.add(&spec.reservation().times(running));
                     // VMs for tasks that a cap holds back would stand idle.
                     let organisation = job.submission.organisation.as_ref();
                     let waiting = open.saturating_sub(live);
@@ -152,6 +159,15 @@
                         0 => 0,
                         _ => counted_percent(rank().tier, is_begun) * waiting,
                     };
+                    let is_uncounted = counted == 0 && waiting > 0 && is_begun;
+                    let is_idle = is_uncounted
+                        && is_late(rank().tier)
+                        && !std::mem::replace(&mut is_idle_counted, true)
+                        && {
+                            let due = self.due_ms(job, *occurrence, now);
+                            self.long_idle_since_ms(job, due, now).is_some()
+                        };
+                    let counted = if is_idle { 100 } else { counted };
                     let wanted = u64::try_from(live * 100 + counted).unwrap_or(0);
                     let all = spec.reservation().times(wanted).hundredth();
                     load.expected.add(&all);
@@ -176,8 +192,13 @@
     }
 }
 
+fn is_late(tier: RankTier) -> bool {
+    matches!(tier, RankTier::Late | RankTier::Overdue)
+}
+
 /// Weight of waiting tasks of a step, in percent. Late jobs have little value, and jobs beyond a
-/// share must not cost the others anything: both use the VMs that are there.
+/// share must not cost the others anything: both use the VMs that are there. Of a late job that has
+/// had nothing running for long, one task counts beside this, so that it is begun.
 fn counted_percent(tier: RankTier, is_begun: bool) -> usize {
     match (tier, is_begun) {
         (RankTier::BeyondShare | RankTier::Late | RankTier::Overdue, _) => 0,
--- a/standin/src/jobs/site.rs
+++ b/standin/src/jobs/site.rs
@@ -73,6 +73,8 @@
     is_open: bool,
     /// Version of the newest configuration, and the keys in it.
     config: Mutex<(u64, KeyRegister)>,
+    /// Rows of the list of VMs that are left by another writer.
+    odd_rows: Mutex<Vec<Value>>,
 }
 
 /// A running platform; stops when dropped.
@@ -130,6 +132,7 @@
             pools: shape.pools,
             is_open: shape.is_open,
             config: Mutex::default(),
+            odd_rows: Mutex::default(),
         });
         let (serving, reporting) = (shared.clone(), shared.clone());
         let server = tokio::spawn(serve(listener, move |call| {
@@ -152,6 +155,11 @@
         &self.shared.vms
     }
 
+    /// Leaves these rows in the list of VMs.
+    pub fn leave_rows(&self, rows: Vec<Value>) {
+        *self.shared.odd_rows.lock().unwrap_or_else(PoisonError::into_inner) = rows;
+    }
+
     /// What was seen.
     pub fn ledger(&self) -> MutexGuard<'_, JobLedger> {
         self.shared.ledger.lock().unwrap_or_else(PoisonError::into_inner)
@@ -254,7 +262,10 @@
 impl SiteShared {
     fn answer(&self, call: &AskedCall) -> GivenAnswer {
         if call.method == Method::GET {
-            let rows: Vec<Value> = self.vms.iter().map(|linked| linked.vm.row()).collect();
+            let odd_rows = self.odd_rows.lock().unwrap_or_else(PoisonError::into_inner);
+            let rows =
+                self.vms.iter().map(|linked| linked.vm.row()).chain(odd_rows.iter().cloned());
+            let rows: Vec<Value> = rows.collect();
             return json(200, &value!({ "machines": rows }));
         }
         let body = call.json();
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -465,4 +465,6 @@
     assert!(slot.usable(last_ms).is_none());
     assert_eq!(slot.usable_for_starts(last_ms).and_then(|(digest, _)| digest.starts), starts);
     assert!(slot.usable_for_starts(last_ms + 1).is_none());
+    slot.forget_starts();
+    assert_eq!(slot.usable_for_starts(last_ms).and_then(|(digest, _)| digest.starts), None);
 }
