Count only starts that can be sent against the bound on open starts

Stops, and starts for workers that can't be reached, stay among the pending commands until leases have lapsed, and took the slots of all others. They count no longer.

Services that are away don't wait for slots. A gang that is placed ahead of the order counts with all its starts.

Test: starts_for_silent_workers_hold_no_slots.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -134,8 +134,9 @@
         // Smallest request that each pool has refused. Larger ones are skipped without a search.
         let mut least_refused: NameMap<ResourceVector> = NameMap::default();
         for step in &steps {
-            if !self.has_start_slot() {
-                break;
+            // Services that are away don't wait for slots: each second of downtime counts.
+            if !self.has_start_slot() && step.rank.tier != RankTier::Service {
+                continue;
             }
             if least_refused.get(&step.service).is_some_and(|least| step.is_refused(least)) {
                 continue;
@@ -152,6 +153,9 @@
         self.clear_claims();
         self.round = PlacementRound::default();
         self.is_start_queue_full = !self.has_start_slot();
+        if self.is_start_queue_full {
+            self.start_queue_full_ms = Some(now);
+        }
     }
 
     /// Places up to `count_max` waiting tasks of a step, all of a gang. Returns false if one that
@@ -381,7 +385,7 @@
         let mut preempting = 0;
         for key in waiting {
             // The organisation's cap holds back its other tasks as well, but nobody else's.
-            if !self.has_start_slot()
+            if !self.has_start_slot() && !spec.is_service
                 || !self.may_start_under_cap(key, &spec.need.times(preempting + 1))
             {
                 return preempting == 0;
--- a/src/scheduler/idle_jobs.rs
+++ b/src/scheduler/idle_jobs.rs
@@ -119,8 +119,10 @@
             }
             let before = self.open_starts();
             self.place_step(step, 1, now);
-            if self.open_starts() > before {
-                placed += 1;
+            // A gang is placed whole.
+            let started = self.open_starts().saturating_sub(before);
+            if started > 0 {
+                placed += started;
                 last = Some(step.key.job);
             }
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -176,6 +176,10 @@
     /// milliseconds: the workers may be listed again.
     dropped_lease_bounds: BTreeMap<Arc<str>, u64>,
     pending_commands: BTreeSet<(TaskKey, u32)>,
+    /// Pending commands that are stops or for workers that can't be reached, as of the last tick.
+    held_commands: usize,
+    /// When starts last had to wait because too many were open, in milliseconds.
+    start_queue_full_ms: Option<u64>,
     abandoned: AbandonedRuns,
     losses: LossTracker,
     incarnations: IncarnationTable,
@@ -245,6 +249,8 @@
             workers: WorkerTable::default(),
             dropped_lease_bounds: BTreeMap::new(),
             pending_commands: BTreeSet::new(),
+            held_commands: 0,
+            start_queue_full_ms: None,
             abandoned: AbandonedRuns::default(),
             losses: LossTracker::open(now),
             incarnations: IncarnationTable::default(),
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -159,6 +159,7 @@
             return;
         }
         let due: Vec<(TaskKey, u32)> = self.pending_commands.iter().copied().collect();
+        let mut held = 0;
         for (key, run) in due {
             let Some(live) = self.live_run(&key, run) else {
                 self.pending_commands.remove(&(key, run));
@@ -168,19 +169,22 @@
                 self.pending_commands.remove(&(key, run));
                 continue;
             }
-            if now < live.retry_ms {
-                continue;
-            }
             let (phase, since_ms) = (live.phase, live.phase_since_ms);
             let stop_due_ms = live.retry_ms + stop_pause_ms(live.stops);
+            let is_due = now >= live.retry_ms;
             let Some(worker) = self.workers.get(&live.worker) else { continue };
             let is_silent = worker.silent_since_ms.is_some();
+            let is_unreachable = is_silent || !worker.is_listed;
+            held += usize::from(phase == RunPhase::Stopping || is_unreachable);
+            if !is_due {
+                continue;
+            }
             let is_held = match phase {
                 // A stop extends no lease, and it arrives where only the answers are late.
                 RunPhase::Stopping => !worker.may_take_stops() || is_silent && now < stop_due_ms,
                 // A start to a worker that doesn't answer would delay the time at which its runs
                 // are known to have ended.
-                _ => is_silent || !worker.is_listed,
+                _ => is_unreachable,
             };
             if is_held {
                 continue;
@@ -197,6 +201,7 @@
             }
             self.actions.push(SchedulerAction::SendCommand(target, key, run));
         }
+        self.held_commands = held;
     }
 
     /// Address of a worker for calls; `None` while it is known only from the log.
@@ -209,9 +214,12 @@
         self.live_run(key, run).is_some_and(|live| live.phase == RunPhase::Starting)
     }
 
-    /// Starts that were decided and have no answer yet.
+    /// Starts that were decided and have no answer yet. Stops, and starts for workers that can't be
+    /// reached, are not counted: they may be held until leases have lapsed, and would take the slots
+    /// of starts that can be sent.
     pub(crate) fn open_starts(&self) -> usize {
-        self.commits.pending_starts() + self.pending_commands.len()
+        let sendable = self.pending_commands.len().saturating_sub(self.held_commands);
+        self.commits.pending_starts() + sendable
     }
 
     /// The command that a run needs now, at the moment when it can be sent. It may have waited
--- a/tests/scheduler_lag.rs
+++ b/tests/scheduler_lag.rs
@@ -312,3 +312,17 @@
     sim.advance(1_000);
     assert_eq!(sim.starts(task(id, 0, 0)), 1);
 }
+
+/// Guards against starts for workers that can't be reached that take the slots of all others, until
+/// the leases of those workers have lapsed.
+#[test]
+fn starts_for_silent_workers_hold_no_slots() {
+    let mut sim = SchedulerSim::open(config(), workers(96));
+    sim.scheduler.set_pace(FlowPace { starts_max: Some(64), ..FlowPace::default() });
+    for (position, host) in sim.workers.values_mut().enumerate() {
+        host.is_silent = position % 3 == 0;
+    }
+    sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(640) }]));
+    sim.advance(2_000);
+    assert!(sim.started.len() >= 64 * 8, "{} tasks run on 64 workers", sim.started.len());
+}
