Reject for starts only while starts wait for slots

With a late loop they had submissions of all pools rejected.

Tasks count once their step may begin, and if their capacity is counted at all. The digest tells of starts only while the bound on open starts has been reached within a second, which shows that the leader is what they wait for. It is sent for longer while pools are planned less often. Late jobs that stand still count for the size of a pool only if they need no label.

--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -575,7 +575,7 @@
 
     fn usable_line(
         &self,
-        usable: fn(&DigestSlot, u64) -> Option<(Arc<LineDigest>, u64)>,
+        usable: impl Fn(&DigestSlot, u64) -> Option<(Arc<LineDigest>, u64)>,
     ) -> Option<(Arc<LineDigest>, u64)> {
         if !self.settings.admission {
             return None;
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -20,6 +20,7 @@
     ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
     is_counted, size_class, task_work,
 };
+use crate::decide::lateness::round_extra_ms;
 use crate::jobs::model::{JobSpec, StepSpec};
 use crate::jobs::site::{QueueSpec, VmState};
 use crate::scheduler::Scheduler;
@@ -35,6 +36,9 @@
 /// Delay of the leader's loop from which it is short of processor, in milliseconds; with time to
 /// spare it is a few milliseconds late, also in a burst.
 const LOOP_DELAY_MAX_MS: u64 = 30;
+/// Time for which a full queue of starts shows that the leader begins too little, in milliseconds:
+/// it drains and fills again with each commit.
+const START_QUEUE_AGE_MAX_MS: u64 = 1_000;
 /// Queues of a pool whose run times the digest holds; submissions to others are accepted.
 const MODELS_MAX: usize = 16;
 
@@ -153,9 +157,8 @@
             return;
         }
         let task_ms = model.expected_ms(spec.estimate_ms);
-        let count = u64::try_from(waiting).unwrap_or(u64::MAX);
-        self.starts = self.starts.saturating_add(count);
         if is_counted(spec) {
+            let count = u64::try_from(waiting).unwrap_or(u64::MAX);
             self.waiting = self.waiting.saturating_add(task_work(spec, count, task_ms));
         }
         for live in step.tasks.iter().flat_map(|task| &task.live) {
@@ -174,6 +177,15 @@
     }
 }
 
+impl JobWork {
+    /// Adds the waiting tasks of a step that may begin.
+    pub(crate) fn add_starts(&mut self, spec: &StepSpec, waiting: usize) {
+        if is_counted(spec) {
+            self.starts = self.starts.saturating_add(u64::try_from(waiting).unwrap_or(u64::MAX));
+        }
+    }
+}
+
 /// Sums of one planning of the pools.
 #[derive(Debug, Default)]
 pub(crate) struct LineSums {
@@ -296,7 +308,9 @@
     /// The newest digest, unless it is too old to be sent.
     pub fn line_report(&self, now: u64) -> Option<LineReport> {
         let report = self.line.report.as_ref()?;
-        (now < report.computed_ms + SEND_AGE_MAX_MS).then(|| report.clone())
+        // Pools are planned less often while the loop is late.
+        let age_max_ms = SEND_AGE_MAX_MS + round_extra_ms(self.pace.loop_delay_ms);
+        (now < report.computed_ms + age_max_ms).then(|| report.clone())
     }
 
     /// Computes and encodes a digest, if the pools were planned since the last one.
@@ -330,7 +344,9 @@
     /// takeover, nothing can be said about waits.
     fn start_line(&mut self, sums: &LineSums, now: u64) -> Option<StartLine> {
         let rate = self.line.begins.peak(now);
-        if self.loop_delay_ms < LOOP_DELAY_MAX_MS || rate == 0 {
+        let is_full =
+            self.start_queue_full_ms.is_some_and(|full_ms| now < full_ms + START_QUEUE_AGE_MAX_MS);
+        if self.loop_delay_ms < LOOP_DELAY_MAX_MS || !is_full || rate == 0 {
             return None;
         }
         let slack = sums.pools.iter().filter(|(pool, _)| self.slack_pools.is_slack(pool, now));
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -155,12 +155,17 @@
                         work.add_step(spec, step, waiting, &self.runtime_model(queue), now);
                     }
                     let is_begun = run.may_begin(spec);
+                    if is_begun {
+                        work.add_starts(spec, waiting);
+                    }
                     let counted = match waiting {
                         0 => 0,
                         _ => counted_percent(rank().tier, is_begun) * waiting,
                     };
                     let is_uncounted = counted == 0 && waiting > 0 && is_begun;
+                    // VMs don't help where no worker may have the label.
                     let is_idle = is_uncounted
+                        && spec.required_label.is_none()
                         && is_late(rank().tier)
                         && !std::mem::replace(&mut is_idle_counted, true)
                         && {
