Bound starts by the busiest of the last seconds; fit three renewals into a lease

A bound that follows what began in the last second shrinks with each second that it made poorer: a model of 700 possible starts a second falls to 500 where a start takes 1.4 s. The busiest of four seconds counts. The test of the bound now has the poor second first, which must not shrink it, and then four of them.

Suspected, not proved: a renewal may wait for 1.6 s and have 1.5 s for its answer, so that a lost answer or two end a lease of 6 s. While the loop is late they are 1 s and 0.9 s now; the test asks for three tries within a lease, where it asked for one and a half.

--- a/src/decide/lateness.rs
+++ b/src/decide/lateness.rs
@@ -65,7 +65,9 @@
 /// often as not.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StartBound {
-    per_interval: u64,
+    /// Runs begun in the last intervals. The busiest one counts: a bound that followed the latest
+    /// would shrink further with each interval that it made poorer.
+    recent: [u64; 4],
     counted: u64,
     since_ms: u64,
 }
@@ -78,16 +80,15 @@
             return;
         }
         let new = begun.saturating_sub(self.counted);
-        *self = StartBound {
-            per_interval: new * BEGIN_INTERVAL_MS / period_ms,
-            counted: begun,
-            since_ms: now,
-        };
+        self.recent.rotate_right(1);
+        self.recent[0] = new * BEGIN_INTERVAL_MS / period_ms;
+        (self.counted, self.since_ms) = (begun, now);
     }
 
     /// Most starts that may be on their way while the loop is this late; `None` for no limit.
     pub fn open_max(&self, loop_delay_ms: u64) -> Option<usize> {
-        let most = self.per_interval * START_TIME_MAX_MS / BEGIN_INTERVAL_MS;
+        let busiest = self.recent.iter().copied().max().unwrap_or(0);
+        let most = busiest * START_TIME_MAX_MS / BEGIN_INTERVAL_MS;
         (loop_delay_ms > 0)
             .then(|| usize::try_from(most.max(OPEN_STARTS_MIN)).unwrap_or(usize::MAX))
     }
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -26,6 +26,10 @@
 /// the queueing delay.
 const RENEW_WAIT_MAX: Duration = Duration::from_millis(1_600);
 const RENEW_WAIT_FACTOR: u32 = 10;
+/// Limits of both while the leader's loop is late. Its calls and answers are then lost more often,
+/// and three tries must fit into a lease of six seconds.
+const LATE_WAIT_MAX: Duration = Duration::from_millis(1_000);
+const LATE_TIMEOUT_MAX: Duration = Duration::from_millis(900);
 const RENEW_TIMEOUT_MAX: Duration = Duration::from_millis(1_500);
 /// Longest time that an answer can have been in flight when it is read, in milliseconds.
 pub(crate) const ANSWER_AGE_MAX_MS: u64 =
@@ -135,14 +139,17 @@
     /// change: at the shortest wait, those of a hundred workers take half of 2 Mbit/s.
     fn renew_wait(&self) -> Duration {
         let queue_delay = Duration::from_millis(self.pace.queue_delay_ms);
-        (RENEW_WAIT + queue_delay * RENEW_WAIT_FACTOR).min(RENEW_WAIT_MAX)
+        let wait_max = if self.pace.loop_delay_ms > 0 { LATE_WAIT_MAX } else { RENEW_WAIT_MAX };
+        (RENEW_WAIT + queue_delay * RENEW_WAIT_FACTOR).min(wait_max)
     }
 
     /// Time for an answer beyond that wait. Queueing delay on the leader's own link must not count
     /// as the worker's silence.
     fn renew_timeout(&self) -> Duration {
         let queue_delay = Duration::from_millis(self.pace.queue_delay_ms);
-        (RENEW_TIMEOUT + queue_delay * 2).min(RENEW_TIMEOUT_MAX)
+        let is_late = self.pace.loop_delay_ms > 0;
+        let timeout_max = if is_late { LATE_TIMEOUT_MAX } else { RENEW_TIMEOUT_MAX };
+        (RENEW_TIMEOUT + queue_delay * 2).min(timeout_max)
     }
 
     /// Handles a late answer to a renewal that was sent at `sent_ms` and timed out.
--- a/tests/loop_lateness.rs
+++ b/tests/loop_lateness.rs
@@ -49,7 +49,7 @@
     assert!(late >= usual * 2, "{usual:?} {late:?}");
     let (longest, timeout) = plan(delay_after(60_000, 100));
     let lease = Duration::from_millis(bounds().lease_max_ms);
-    assert!((longest + timeout) * 3 / 2 < lease, "{longest:?} {timeout:?}");
+    assert!((longest + timeout) * 3 < lease, "{longest:?} {timeout:?}");
 }
 
 /// Guards against a late leader that gives up and repeats starts whose outcome has arrived and
@@ -72,6 +72,8 @@
     assert_eq!(bound.open_max(0), None);
     assert_eq!(bound.open_max(60), Some(600));
     bound.record_begun(4_000, 12_000);
+    assert_eq!(bound.open_max(60), Some(600), "a poor second does not shrink the next");
+    (13..=15).for_each(|second| bound.record_begun(4_000, second * 1_000));
     assert_eq!(bound.open_max(60), Some(200), "some may always be on their way");
     let pace = FlowPace { starts_max: Some(300), ..FlowPace::default() };
     assert_eq!(pace.bounded_by(Some(600)).starts_max, Some(300));
