--- a/tests/standing_jobs.rs
+++ b/tests/standing_jobs.rs
@@ -22,7 +22,11 @@
     let vm = VmUsage { pool: "north".to_owned(), room: 64_000, used };
     let times =
         (0..=time.as_millis() / GAP.as_millis()).map(|n| GAP * u32::try_from(n).unwrap_or(0));
-    times.map(|time| watch.look(from + time, &[job.clone()], &[vm.clone(), vm.clone()]).len()).sum()
+    times
+        .map(|time| {
+            watch.look(from + time, std::slice::from_ref(&job), &[vm.clone(), vm.clone()]).len()
+        })
+        .sum()
 }
 
 #[test]
