--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,6 @@
 pub mod lateness;
 pub mod leadership;
 pub mod lease;
-pub mod loop_delay;
 pub mod replica;
 pub mod retry;
 pub mod roster;
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,9 +13,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::lateness::{LoopLateness, StartBound, round_extra_ms};
+use crate::decide::lateness::{LastingLateness, LoopLateness, StartBound, round_extra_ms};
 use crate::decide::leadership::PreviousLeader;
-use crate::decide::loop_delay::LoopDelay;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
 use crate::jobs::follower::{TailReader, TailStep, fold_step, read_as_of_ms};
@@ -415,8 +414,8 @@
     async fn run_ticks(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
-        let mut loop_delay = LoopDelay::default();
         let mut lateness = LoopLateness::default();
+        let mut lasting_lateness = LastingLateness::default();
         let mut start_bound = StartBound::default();
         loop {
             let now = self.node.now();
@@ -429,7 +428,7 @@
             let tick_result = self.node.with_scheduler(|scheduler| {
                 start_bound.record_begun(scheduler.begun_total(), now);
                 scheduler.set_pace(pace.bounded_by(start_bound.open_max(pace.loop_delay_ms)));
-                scheduler.set_loop_delay(loop_delay.sustained_ms());
+                scheduler.set_lasting_lateness(lasting_lateness.lasting_ms());
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
                 (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
@@ -449,8 +448,8 @@
             sleep(TICK_PAUSE).await;
             let commit = *self.pending_commit();
             let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
-            loop_delay.record_wake(late, self.node.now());
             lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
+            lasting_lateness.record_wake(late, self.node.now());
             self.node.set_loop_delay(lateness.delay_ms());
             load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -33,9 +33,9 @@
 const SEND_AGE_MAX_MS: u64 = 500;
 /// Window in which arrivals are counted, in milliseconds: rates are per second.
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
-/// Delay of the leader's loop from which it is short of processor, in milliseconds; with time to
+/// Lasting lateness of the leader's loop from which it is short of processor, in milliseconds; with time to
 /// spare it is a few milliseconds late, also in a burst.
-const LOOP_DELAY_MAX_MS: u64 = 30;
+const LATENESS_MAX_MS: u64 = 30;
 /// Time for which a full queue of starts shows that the leader begins too little, in milliseconds:
 /// it drains and fills again with each commit.
 const START_QUEUE_AGE_MAX_MS: u64 = 1_000;
@@ -59,6 +59,7 @@
     is_enabled: bool,
     number: u64,
     arrivals: HashMap<ArrivalKey, RateWindow>,
+    /// Tasks that began.
     begins: BeginRate,
     /// Sums of the latest planning of the pools, until they are sealed.
     sums: Option<LineSums>,
@@ -346,7 +347,7 @@
         let rate = self.line.begins.peak(now);
         let is_full =
             self.start_queue_full_ms.is_some_and(|full_ms| now < full_ms + START_QUEUE_AGE_MAX_MS);
-        if self.loop_delay_ms < LOOP_DELAY_MAX_MS || !is_full || rate == 0 {
+        if self.lasting_late_ms < LATENESS_MAX_MS || !is_full || rate == 0 {
             return None;
         }
         let slack = sums.pools.iter().filter(|(pool, _)| self.slack_pools.is_slack(pool, now));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -205,8 +205,8 @@
     fleet: FleetState,
     line: LineTracker,
     pace: FlowPace,
-    /// Sustained delay of the leader's loop, in milliseconds.
-    loop_delay_ms: u64,
+    /// Lateness of the leader's loop that has lasted, in milliseconds.
+    lasting_late_ms: u64,
     actions: Vec<SchedulerAction>,
     needs_dispatch: bool,
     /// Whether the next placement also checks which tasks need a copy; every tenth of a second is
@@ -273,7 +273,7 @@
             fleet: FleetState::default(),
             line: LineTracker::default(),
             pace: FlowPace::default(),
-            loop_delay_ms: 0,
+            lasting_late_ms: 0,
             actions: Vec::new(),
             needs_dispatch: true,
             is_copy_check_due: false,
@@ -367,8 +367,8 @@
     }
 
     /// Sets by how much the leader's loop has been late for a while, in milliseconds.
-    pub fn set_loop_delay(&mut self, delay_ms: u64) {
-        self.loop_delay_ms = delay_ms;
+    pub fn set_lasting_lateness(&mut self, late_ms: u64) {
+        self.lasting_late_ms = late_ms;
     }
 
     /// Whether the leader itself lags: several workers' answers came after their timeout. Its view
--- a/tests/line_digest.rs
+++ b/tests/line_digest.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ibisweir::decide::admission::{LineDigest, PoolLine, StartLine, size_class};
-use ibisweir::decide::loop_delay::LoopDelay;
+use ibisweir::decide::lateness::LastingLateness;
 use ibisweir::jobs::flow::FlowPace;
 use ibisweir::jobs::model::{ExitKind, ResourceVector, StepSpec};
 use ibisweir::jobs::site::{QueueSpec, SiteConfig};
@@ -194,7 +194,7 @@
     sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(8) }]));
     sim.submit(2, job(vec![step(12), StepSpec { after: vec![0], ..step(3) }]));
     let waiting = |sim: &mut SchedulerSim| plan(sim).digest.starts;
-    sim.scheduler.set_loop_delay(60);
+    sim.scheduler.set_lasting_lateness(60);
     (0..8).for_each(|_| assert_eq!(waiting(&mut sim), None, "its pool is full"));
     // Four starts are on their way, as many as may be, and hold half of the pool.
     sim.is_lane_held = true;
@@ -202,10 +202,10 @@
     (0..8).for_each(|index| sim.end(task(job_id(1), 0, index), ExitKind::Done));
     (0..10).for_each(|_| drop(plan(&mut sim)));
     assert_eq!(waiting(&mut sim), Some(StartLine { waiting: 12, rate: 8 }));
-    sim.scheduler.set_loop_delay(0);
+    sim.scheduler.set_lasting_lateness(0);
     assert_eq!(waiting(&mut sim), None, "the loop is not late");
     // Nothing has begun for five seconds.
-    sim.scheduler.set_loop_delay(60);
+    sim.scheduler.set_lasting_lateness(60);
     (0..60).for_each(|_| drop(plan(&mut sim)));
     assert_eq!(waiting(&mut sim), None);
 }
@@ -214,12 +214,12 @@
 /// that does not although its loop stays late.
 #[test]
 fn a_loop_counts_as_late_once_it_has_been_for_two_seconds() {
-    let mut delay = LoopDelay::default();
+    let mut lateness = LastingLateness::default();
     let mut now = 10_000;
     let mut wake = |late_ms: u64| {
         now += 20 + late_ms;
-        delay.record_wake(Duration::from_millis(late_ms), now);
-        delay.sustained_ms()
+        lateness.record_wake(Duration::from_millis(late_ms), now);
+        lateness.lasting_ms()
     };
     assert!((0..100).all(|_| wake(1) <= 1));
     assert!(wake(5_000) <= 1);
