Fill all workers in the test of starts for silent workers

Of its 640 tasks 216 were placed on workers that had fallen silent and were not known to be, and 424 ran: none was left to wait, so the check failed on sound code.

--- a/tests/scheduler_lag.rs
+++ b/tests/scheduler_lag.rs
@@ -322,7 +322,7 @@
     for (position, host) in sim.workers.values_mut().enumerate() {
         host.is_silent = position % 3 == 0;
     }
-    sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(640) }]));
+    sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(1_200) }]));
     sim.advance(2_000);
     assert!(sim.started.len() >= 64 * 8, "{} tasks run on 64 workers", sim.started.len());
 }
