--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,7 @@
 pub mod retry;
 pub mod roster;
 pub mod slot;
+pub mod start_rate;
 pub mod table;
 pub mod wave;
 pub mod window;
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -11,11 +11,11 @@
 //! it can neither begin while it goes before late jobs, nor end while it has value behind them.
 //! This is the order of [`crate::scheduler::rank`].
 //!
-//! A leader that is short of processor begins fewer tasks than its pools have capacity for. What it
-//! accepts beyond that waits however much capacity is free, and delays all that was accepted before.
-//! While its loop is late, the digest therefore tells how many tasks wait for a start and how many
-//! begin in a second, and submissions are rejected beyond what it can begin in time
-//! ([`reject_beyond_starts`]).
+//! A leader may begin fewer tasks than its pools have capacity for. What it accepts beyond that waits
+//! however much capacity is free, and delays all that was accepted before. While starts are slow
+//! ([`crate::decide::start_rate`]), submissions are rejected beyond what begins in time
+//! ([`reject_beyond_starts`]): by the leader, as entries relay them, and by entries themselves, since
+//! the digest tells how many tasks have not begun and how many begin in a second.
 //!
 //! All arithmetic saturates, because declared run times and sizes are of any magnitude.
 
@@ -35,8 +35,11 @@
 /// Time for which an entry uses what a digest tells of starts, in milliseconds. Entries that reject
 /// relay nothing and get a digest only with the answers to their offers, one or two seconds apart.
 pub const START_LINE_AGE_MAX_MS: u64 = 3_000;
-/// Longest time in which a leader that is short of processor must be able to begin all accepted
-/// tasks, in milliseconds; users count a job that has capacity and does not begin as lost after 3 s.
+/// Time for which the rate of a leader's starts is of use to its successor, in milliseconds: a digest
+/// that came with an offer, and the time until the successor leads.
+const RATE_AGE_MAX_MS: u64 = 2 * START_LINE_AGE_MAX_MS;
+/// Longest time in which a leader whose starts are slow must be able to begin all accepted tasks, in
+/// milliseconds; users count a job that has capacity and does not begin as lost after 3 s.
 pub const START_WAIT_MAX_MS: u64 = 3_000;
 /// Number of classes of job sizes.
 pub const SIZE_CLASSES: u8 = 16;
@@ -70,18 +73,18 @@
     pub term: u64,
     /// Number of the digest; increases within a term.
     pub number: u64,
-    /// Starts that wait for the leader; `None` unless it is short of processor.
+    /// Starts that the leader owes; `None` unless they are slow.
     pub starts: Option<StartLine>,
     /// Pools in which work waits.
     pub pools: Vec<PoolLine>,
 }
 
-/// Starts that a leader short of processor has still to bring about.
+/// Starts that a leader has still to bring about.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartLine {
-    /// Tasks of accepted jobs that have not begun.
+    /// Tasks of accepted jobs that have not begun, whatever they wait for.
     pub waiting: u64,
-    /// Tasks that the leader can begin in a second, by the busiest of the last seconds.
+    /// Tasks that begin in a second.
     pub rate: u64,
 }
 
@@ -253,6 +256,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct DigestSlot {
     newest: Option<(Arc<LineDigest>, u64)>,
+    /// Rate of starts in the newest digest that told one, and when that came, in milliseconds.
+    rate: Option<(u64, u64)>,
 }
 
 impl DigestSlot {
@@ -262,6 +267,7 @@
         let is_newer =
             self.newest.as_ref().is_none_or(|(newest, _)| newest.order() < digest.order());
         if is_newer {
+            self.rate = digest.starts.map(|line| (line.rate, now));
             self.newest = Some((Arc::new(digest), now));
         }
         is_newer
@@ -286,6 +292,13 @@
         }
     }
 
+    /// Rate of the starts of a leader that was short of them when it was last heard of, for its
+    /// successor.
+    pub fn inherited_rate(&self, now: u64) -> Option<u64> {
+        let (rate, received_ms) = self.rate?;
+        (now < received_ms + RATE_AGE_MAX_MS).then_some(rate)
+    }
+
     fn younger_than(&self, age_max_ms: u64, now: u64) -> Option<(Arc<LineDigest>, u64)> {
         let (digest, received_ms) = self.newest.as_ref()?;
         let age_ms = now.checked_sub(*received_ms)?;
--- a/src/decide/lateness.rs
+++ b/src/decide/lateness.rs
@@ -3,10 +3,6 @@
 //! Answers, exits and commits wait in the process itself then, by about as much as the loop wakes
 //! late, whatever the link does.
 
-use std::time::Duration;
-
-use crate::clock::millis;
-
 /// Lateness that a loop with enough processor has too, in microseconds: beside bursts of work on
 /// half a core.
 const USUAL_LATENESS_US: u64 = 30_000;
@@ -54,39 +50,6 @@
     }
 }
 
-/// Length of the windows over which lateness is averaged, in milliseconds.
-const WINDOW_MS: u64 = 1_000;
-
-/// Lateness of a loop that lasts, for decisions that callers notice. A single stall says little: the
-/// entry may have been frozen, or may have handled one large answer. So lateness counts once it has
-/// lasted for two whole windows.
-#[derive(Clone, Debug, Default)]
-pub struct LastingLateness {
-    begun_ms: u64,
-    sum_ms: u64,
-    wakes: u64,
-    /// Means of the last two whole windows, in milliseconds.
-    means_ms: [u64; 2],
-}
-
-impl LastingLateness {
-    /// Records that the loop woke this much later than it had asked for.
-    pub fn record_wake(&mut self, late: Duration, now: u64) {
-        if now >= self.begun_ms + WINDOW_MS {
-            let mean_ms = self.sum_ms.checked_div(self.wakes).unwrap_or(0);
-            self.means_ms = [self.means_ms[1], mean_ms];
-            (self.begun_ms, self.sum_ms, self.wakes) = (now, 0, 0);
-        }
-        self.sum_ms = self.sum_ms.saturating_add(millis(late));
-        self.wakes += 1;
-    }
-
-    /// Mean lateness that the loop has had for two windows, in milliseconds: the lower one of the two.
-    pub fn lasting_ms(&self) -> u64 {
-        self.means_ms[0].min(self.means_ms[1])
-    }
-}
-
 /// Time for which a late leader's starts may be on their way, in milliseconds: longer than one takes
 /// through the log and an executor. A placed run holds capacity of its worker meanwhile.
 const START_TIME_MAX_MS: u64 = 1_500;
--- /dev/null
+++ b/src/decide/start_rate.rs
@@ -0,0 +1,120 @@
+//! How many tasks a leader begins, and how long that takes from their placement.
+//!
+//! Guards against a leader that takes in more than it can bring about. What holds it up differs: its
+//! processor, the entries that send starts for it, the log. All of them show in the time from the
+//! placement of a task until its worker has begun it, while the lateness of the leader's loop shows
+//! only a part: a loop that spends its time in long rounds wakes in time after each.
+//!
+//! While starts are slow, no more of them are on their way than begin in [`START_TIME_MAX_MS`]
+//! (Little's law): a placed task holds capacity of its worker, and more starts on their way make none
+//! of them faster.
+
+/// Time in which a placed task is to begin, in milliseconds. Callers accept that nothing of a job runs
+/// for three seconds; half of them may pass before its turn.
+pub const START_TIME_MAX_MS: u64 = 1_000;
+/// Time from placement to begin from which a start is slow, in milliseconds: what waits then takes up
+/// half of that time before anything goes wrong.
+const SLOW_START_MS: u64 = START_TIME_MAX_MS / 2;
+/// Starts that may always be on their way, so that there is something to measure.
+const OPEN_STARTS_MIN: u64 = 16;
+
+/// Length of the intervals in which begins are counted, in milliseconds, and their number.
+const INTERVAL_MS: u64 = 250;
+const INTERVALS: usize = 16;
+/// Intervals in a second.
+const PER_SECOND: usize = 4;
+/// Whole intervals, beside the current one, of whose starts half must be slow.
+const RECENT: usize = 2;
+/// Growth of the limit in each interval in which it was reached without slow starts, in percent.
+const GROWTH_PERCENT: u64 = 150;
+
+/// Begins within one interval.
+#[derive(Clone, Copy, Debug, Default)]
+struct BeginCount {
+    begun: u64,
+    slow: u64,
+}
+
+/// Measures the begins of the last seconds, and limits the starts on their way.
+#[derive(Clone, Debug, Default)]
+pub struct StartMeter {
+    /// Number of the current interval.
+    current: u64,
+    /// Begins of the last intervals, the current one first.
+    recent: [BeginCount; INTERVALS],
+    /// Most starts that may be on their way.
+    limit: Option<u64>,
+    /// Number of the interval in which the limit was last reached.
+    reached: u64,
+}
+
+impl StartMeter {
+    /// Records that a task has begun this long after its placement, in milliseconds.
+    pub fn record_begin(&mut self, wait_ms: u64, now: u64) {
+        self.advance(now);
+        self.recent[0].begun += 1;
+        self.recent[0].slow += u64::from(wait_ms >= SLOW_START_MS);
+    }
+
+    /// Records that a task could be placed and waits for the limit.
+    pub fn record_limited(&mut self, now: u64) {
+        self.reached = self.reached.max(now / INTERVAL_MS);
+    }
+
+    /// Ends the intervals before this time, and adapts the limit.
+    pub fn advance(&mut self, now: u64) {
+        let number = now / INTERVAL_MS;
+        if number <= self.current {
+            return;
+        }
+        self.adapt_limit();
+        let passed = usize::try_from(number - self.current).unwrap_or(INTERVALS);
+        for _ in 0..passed.min(INTERVALS) {
+            self.recent.rotate_right(1);
+            self.recent[0] = BeginCount::default();
+        }
+        self.current = number;
+    }
+
+    fn adapt_limit(&mut self) {
+        if self.is_slow() {
+            let most = self.best_second() * START_TIME_MAX_MS / 1_000;
+            self.limit = Some(most.max(OPEN_STARTS_MIN));
+        } else if self.reached >= self.current {
+            self.limit = self.limit.map(|limit| limit * GROWTH_PERCENT / 100);
+        } else if self.current > self.reached + u64::try_from(PER_SECOND).unwrap_or(0) {
+            self.limit = None;
+        }
+    }
+
+    /// Tasks begun in a second, in the mean of up to two seconds until now: the rate that lasts. Shorter
+    /// means count where they are higher, since the work may just have come.
+    pub fn lasting_rate(&self) -> u64 {
+        let mean = |intervals: usize| -> u64 {
+            let begun: u64 = self.recent[1..=intervals].iter().map(|count| count.begun).sum();
+            begun * 1_000 / (INTERVAL_MS * u64::try_from(intervals).unwrap_or(1))
+        };
+        [RECENT, PER_SECOND, 2 * PER_SECOND].into_iter().map(mean).max().unwrap_or(0)
+    }
+
+    /// Most starts that may be on their way; `None` while they are not slow.
+    pub fn open_max(&self) -> Option<usize> {
+        self.limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX))
+    }
+
+    /// Whether half of the tasks that began lately were slow to begin.
+    fn is_slow(&self) -> bool {
+        let recent = &self.recent[..=RECENT];
+        let (begun, slow) = recent
+            .iter()
+            .fold((0, 0), |(begun, slow), count| (begun + count.begun, slow + count.slow));
+        slow > 0 && slow * 2 >= begun
+    }
+
+    /// Most begins within a second. A limit that followed the latest second would shrink further with
+    /// each one that it made poorer.
+    fn best_second(&self) -> u64 {
+        let begun = |second: &[BeginCount]| second.iter().map(|count| count.begun).sum::<u64>();
+        self.recent.windows(PER_SECOND).map(begun).max().unwrap_or(0)
+    }
+}
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -158,11 +158,24 @@
         log_outcome(&logger, "submission", job, outcome, begun);
         match outcome {
             SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
-            SubmitOutcome::Refused if is_first => self.node.attempts().end(job),
-            SubmitOutcome::Stored | SubmitOutcome::Refused | SubmitOutcome::Unknown => {}
+            SubmitOutcome::Refused | SubmitOutcome::Rejected(_) if is_first => {
+                self.node.attempts().end(job);
+            }
+            SubmitOutcome::Stored
+            | SubmitOutcome::Refused
+            | SubmitOutcome::Rejected(_)
+            | SubmitOutcome::Unknown => {}
         }
         match outcome {
             SubmitOutcome::Stored => self.stored_reply(caller, job).await,
+            // An earlier attempt at this entry may be stored.
+            SubmitOutcome::Rejected(_) if !is_first => {
+                CallerReply::Unknown(ResultCode::JobOutcomeUnknown)
+            }
+            SubmitOutcome::Rejected(_) => {
+                self.node.metrics.count_rejection(&queue.service);
+                outcome_reply(outcome)
+            }
             outcome => outcome_reply(outcome),
         }
     }
@@ -212,7 +225,7 @@
     fn judge_starts(&self, job: JobId, spec: &JobSpec) -> Option<BacklogRejection> {
         let (digest, age_ms) = self.node.start_line()?;
         let line = digest.starts.filter(|_| is_deferrable(spec))?;
-        let retry_s = reject_beyond_starts(&line, order(job))?;
+        let retry_s = reject_beyond_starts(&line, job.number())?;
         let cause = RejectionCause::Starts { line, retry_s };
         Some(BacklogRejection { cause, term: digest.term, number: digest.number, age_ms })
     }
@@ -226,7 +239,7 @@
     ) -> Option<BacklogRejection> {
         let (digest, age_ms) = self.node.line()?;
         let pool = digest.pool(&queue.service)?;
-        let line = reject(&JobDemand::of(spec, order(job), queue, pool)?, pool)?;
+        let line = reject(&JobDemand::of(spec, job.number(), queue, pool)?, pool)?;
         let cause = RejectionCause::Work(line);
         Some(BacklogRejection { cause, term: digest.term, number: digest.number, age_ms })
     }
@@ -404,11 +417,6 @@
     age_ms: u64,
 }
 
-/// The id as a number, which spreads retries.
-fn order(job: JobId) -> u64 {
-    u64::from_str_radix(&job.to_string(), 16).unwrap_or(0)
-}
-
 fn deadline(queue: &QueueSpec, time_left: Duration) -> Instant {
     let time_limit = match queue.timeout_ms {
         0 => SUBMIT_TIMEOUT,
@@ -433,6 +441,10 @@
     match outcome {
         SubmitOutcome::Stored => CallerReply::Stored,
         SubmitOutcome::Refused => outage_reply(),
+        SubmitOutcome::Rejected(retry_s) => {
+            let wait = Duration::from_secs(retry_s);
+            CallerReply::Refused(ResultCode::LineTooLong, Some(wait))
+        }
         SubmitOutcome::Unknown => CallerReply::Unknown(ResultCode::JobOutcomeUnknown),
     }
 }
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -13,7 +13,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::decide::lateness::{LastingLateness, LoopLateness, StartBound, round_extra_ms};
+use crate::decide::lateness::{LoopLateness, StartBound, round_extra_ms};
 use crate::decide::leadership::PreviousLeader;
 use crate::jobs::decision_log;
 use crate::jobs::delegate::StartDelegate;
@@ -234,6 +234,9 @@
         let mut scheduler = Scheduler::open(start, &job_table);
         scheduler.set_fair_shares(self.node.settings.has_fair_shares);
         scheduler.set_burst_holds(self.node.settings.holds_vms);
+        if let Some(rate) = self.node.inherited_start_rate() {
+            scheduler.inherit_start_rate(rate, now);
+        }
         if self.node.settings.keeps_learned {
             scheduler.keep_learned(&job_table, now, wall_ms);
         }
@@ -415,7 +418,6 @@
         let mut logged_ms = 0;
         let mut load = LeaderLoad::open(&self.node);
         let mut lateness = LoopLateness::default();
-        let mut lasting_lateness = LastingLateness::default();
         let mut start_bound = StartBound::default();
         loop {
             let now = self.node.now();
@@ -428,7 +430,6 @@
             let tick_result = self.node.with_scheduler(|scheduler| {
                 start_bound.record_begun(scheduler.begun_total(), now);
                 scheduler.set_pace(pace.bounded_by(start_bound.open_max(pace.loop_delay_ms)));
-                scheduler.set_lasting_lateness(lasting_lateness.lasting_ms());
                 scheduler.tick(now, wall_ms);
                 let age_ms = scheduler.confirmation_age_ms(now);
                 (scheduler.take_actions(), scheduler.is_deposed(), age_ms)
@@ -449,7 +450,6 @@
             let commit = *self.pending_commit();
             let late = paused_at.elapsed().saturating_sub(TICK_PAUSE);
             lateness.record_wake(u64::try_from(late.as_micros()).unwrap_or(u64::MAX));
-            lasting_lateness.record_wake(late, self.node.now());
             self.node.set_loop_delay(lateness.delay_ms());
             load.record_wake(&self.node, late, commit);
             // A timeout without a wake-up is the usual case.
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -33,6 +33,11 @@
         }
         u64::from_str_radix(text, 16).ok().map(JobId)
     }
+
+    /// The id as a number, by which retries are spread.
+    pub fn number(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for JobId {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -25,6 +25,7 @@
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{MaintenanceWave, SiteConfig, SiteSettings};
 use crate::scheduler::Scheduler;
+use crate::scheduler::line::StartRejection;
 
 /// Age of the log's last answer from which an entry is not ready, in milliseconds: other entries of
 /// its data centre may still reach the log.
@@ -50,6 +51,23 @@
 /// than the renewal timeout that then applies.
 const CLOSED_AGE_MAX_MS: u64 = 2_000;
 
+/// Records that were handed to the scheduler.
+pub struct RelayReceipt {
+    /// Completes once they are stored in the log, with the encoded digest of the backlog, which is
+    /// empty if there is none. If the sender is dropped instead, the leadership has ended and they may
+    /// be stored or not.
+    pub stored: oneshot::Receiver<Bytes>,
+    /// Submissions that the leader can't begin in time. Nothing of them is stored.
+    pub rejections: Vec<StartRejection>,
+}
+
+impl RelayReceipt {
+    /// A receipt of all records.
+    pub fn whole(stored: oneshot::Receiver<Bytes>) -> RelayReceipt {
+        RelayReceipt { stored, rejections: Vec::new() }
+    }
+}
+
 /// State shared by the loops and listeners of one entry.
 pub struct JobNode {
     /// Settings of the process.
@@ -514,29 +532,40 @@
         self.leader.store(other.map(Arc::new));
     }
 
-    /// Hands records to the scheduler if this entry leads; `None` if it does not. The receiver
-    /// completes once they are stored in the log, with the encoded digest of the backlog, which is
-    /// empty if there is none. If the sender is dropped instead, the leadership has ended and they
-    /// may be stored or not.
+    /// Hands records to the scheduler if this entry leads; `None` if it does not. The receiver is that
+    /// of a [`RelayReceipt`].
     pub fn relay(&self, records: Vec<JobRecord>) -> Option<oneshot::Receiver<Bytes>> {
+        self.relay_as(records, false).map(|receipt| receipt.stored)
+    }
+
+    /// The same for records of which the leader may reject some.
+    pub fn relay_admitted(&self, records: Vec<JobRecord>) -> Option<RelayReceipt> {
+        self.relay_as(records, true)
+    }
+
+    fn relay_as(&self, records: Vec<JobRecord>, may_reject: bool) -> Option<RelayReceipt> {
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let now = self.now();
         // Inserted before the scheduler knows the token, so that no commit can come first.
         self.relay_waiters().insert(token, sender);
-        let is_taken = self.with_scheduler(|scheduler| {
-            let leads = !scheduler.is_deposed();
-            if leads {
-                scheduler.relay(token, records, now);
+        let rejections = self.with_scheduler(|scheduler| {
+            if scheduler.is_deposed() {
+                return None;
             }
-            leads
+            let (records, rejections) = match may_reject {
+                true => scheduler.reject_unbegun(records, now),
+                false => (records, Vec::new()),
+            };
+            scheduler.relay(token, records, now);
+            Some(rejections)
         });
-        if is_taken != Some(true) {
+        let Some(rejections) = rejections.flatten() else {
             self.relay_waiters().remove(&token);
             return None;
-        }
+        };
         self.wake.notify_one();
-        Some(receiver)
+        Some(RelayReceipt { stored: receiver, rejections })
     }
 
     /// Notifies the waiters of these batches that the log has stored them.
@@ -599,6 +628,11 @@
         report.map(|report| report.body).unwrap_or_default()
     }
 
+    /// Rate of the starts of the last leader, if it was short of them.
+    pub fn inherited_start_rate(&self) -> Option<u64> {
+        self.line_slot().inherited_rate(self.now())
+    }
+
     fn line_slot(&self) -> MutexGuard<'_, DigestSlot> {
         self.line.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -33,15 +33,21 @@
 use crate::jobs::confirm::{self, CONFIRM_PATH, QUERY_BYTES_MAX};
 use crate::jobs::delegate::{self, OFFER_PATH, STARTS_BYTES_MAX, STARTS_PATH};
 use crate::jobs::model::{JobId, JobState};
-use crate::jobs::node::JobNode;
+use crate::jobs::node::{JobNode, RelayReceipt};
 use crate::jobs::ports::{JobLog, WorkerClient};
 use crate::jobs::query::{self, QUERY_PATH};
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::jobs::status;
+use crate::scheduler::line::StartRejection;
 use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
 
 /// Path to which an entry posts a batch of records.
 const RELAY_PATH: &str = "/relay";
+/// Header of a batch whose sender understands that the leader rejects a part of it.
+const TAKES_REJECTIONS: HeaderName = HeaderName::from_static("x-ibisweir-takes-rejections");
+/// Header of the answer to a batch: the positions of rejected submissions, and when their callers may
+/// retry.
+const REJECTIONS: HeaderName = HeaderName::from_static("x-ibisweir-rejections");
 /// Path under which the traffic metrics count the batches received from other entries.
 const RECEIVED_BATCHES: &str = "/relay-taken";
 /// Path of the metrics.
@@ -78,10 +84,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Outcome of relaying a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RelayOutcome {
     /// The log has stored the batch.
     Stored,
+    /// The log has stored the batch except for these submissions, which the leader can't begin in time.
+    StoredExcept(Vec<StartRejection>),
     /// No leader was reached, or the entry reached does not lead any more. The batch is not stored.
     NotSent,
     /// The batch may be stored, now or later.
@@ -128,10 +136,10 @@
 
     /// Has the leader, which may be this entry, store records.
     pub async fn store(&self, node: &JobNode, records: Vec<JobRecord>) -> RelayOutcome {
-        if let Some(stored) = node.relay(records.clone()) {
+        if let Some(RelayReceipt { stored, rejections }) = node.relay_admitted(records.clone()) {
             // Another append by this entry would only queue behind the leader's.
             return match timeout(STORE_TIMEOUT, stored).await {
-                Ok(Ok(_)) => RelayOutcome::Stored,
+                Ok(Ok(_)) => RelayOutcome::stored_except(rejections),
                 Ok(Err(_)) | Err(_) => RelayOutcome::Unknown,
             };
         }
@@ -140,7 +148,7 @@
             return RelayOutcome::NotSent;
         }
         let outcome = self.send(node, leader, &records).await;
-        if outcome != RelayOutcome::Stored {
+        if matches!(outcome, RelayOutcome::NotSent | RelayOutcome::Unknown) {
             info!(node.logger, "leader did not store a batch of records"; "leader" => %leader,
                 "records" => records.len(), "outcome" => ?outcome);
             self.leader_excluded_until_ms
@@ -192,10 +200,13 @@
         let Ok(body) = postcard::to_stdvec(&RelayBatch { records }) else {
             return RelayOutcome::NotSent;
         };
+        // A sender of an earlier build would take a rejected submission for stored.
+        let mut headers = HeaderMap::new();
+        headers.insert(TAKES_REJECTIONS, HeaderValue::from_static("1"));
         let call = HttpCall {
             method: Method::POST,
             path: RELAY_PATH.to_owned(),
-            headers: HeaderMap::new(),
+            headers,
             body: Bytes::from(body),
         };
         let (receipt_timeout, store_timeout) = (RECEIPT_TIMEOUT, STORE_TIMEOUT);
@@ -213,7 +224,11 @@
         match answer {
             Ok(answer) if answer.status == StatusCode::OK => {
                 node.receive_line(&answer.body);
-                RelayOutcome::Stored
+                match answer.headers.get(REJECTIONS).map(decode_rejections) {
+                    None => RelayOutcome::Stored,
+                    Some(Some(rejections)) => RelayOutcome::stored_except(rejections),
+                    Some(None) => RelayOutcome::Unknown,
+                }
             }
             Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => RelayOutcome::NotSent,
             Err(ExchangeFailure::NotSent) => {
@@ -225,6 +240,33 @@
     }
 }
 
+impl RelayOutcome {
+    fn stored_except(rejections: Vec<StartRejection>) -> RelayOutcome {
+        match rejections.is_empty() {
+            true => RelayOutcome::Stored,
+            false => RelayOutcome::StoredExcept(rejections),
+        }
+    }
+}
+
+/// Writes rejections as `position:seconds`, separated by commas.
+fn encode_rejections(rejections: &[StartRejection]) -> Option<HeaderValue> {
+    let parts = rejections
+        .iter()
+        .map(|StartRejection { position, retry_s }| format!("{position}:{retry_s}"));
+    HeaderValue::try_from(parts.collect::<Vec<_>>().join(",")).ok()
+}
+
+/// Reads rejections; `None` if one is malformed.
+fn decode_rejections(value: &HeaderValue) -> Option<Vec<StartRejection>> {
+    let parts = value.to_str().ok()?.split(',');
+    let rejections = parts.map(|part| {
+        let (position, retry_s) = part.split_once(':')?;
+        Some(StartRejection { position: position.parse().ok()?, retry_s: retry_s.parse().ok()? })
+    });
+    rejections.collect()
+}
+
 /// Completes when `leader` is no longer the leader. A leader that has lost power does not answer,
 /// and its successor could store the records that wait for it.
 async fn leader_replaced(node: &JobNode, leader: SocketAddr) {
@@ -345,7 +387,15 @@
             Err(code) => status_only(code),
         },
         RELAY_PATH => match store_batch(node, request).await {
-            Ok(stored) => Response::new(RelayBody::Stored(stored)),
+            Ok(RelayReceipt { stored, rejections }) => {
+                let mut response = Response::new(RelayBody::Stored(stored));
+                if !rejections.is_empty()
+                    && let Some(value) = encode_rejections(&rejections)
+                {
+                    response.headers_mut().insert(REJECTIONS, value);
+                }
+                response
+            }
             Err(code) => status_only(code),
         },
         CONFIRM_PATH => match read_body(request, QUERY_BYTES_MAX).await {
@@ -427,14 +477,19 @@
 async fn store_batch(
     node: &JobNode,
     request: Request<Incoming>,
-) -> Result<oneshot::Receiver<Bytes>, StatusCode> {
+) -> Result<RelayReceipt, StatusCode> {
+    let takes_rejections = request.headers().contains_key(TAKES_REJECTIONS);
     let body = read_body(request, BATCH_BYTES_MAX).await?;
     node.metrics.traffic.count(RECEIVED_BATCHES, 0, Some(body.len()));
     let Some(records) = decode(&body) else {
         warn!(node.logger, "malformed batch of records from an entry");
         return Err(StatusCode::BAD_REQUEST);
     };
-    node.relay(records).ok_or(StatusCode::MISDIRECTED_REQUEST)
+    let receipt = match takes_rejections {
+        true => node.relay_admitted(records),
+        false => node.relay(records).map(RelayReceipt::whole),
+    };
+    receipt.ok_or(StatusCode::MISDIRECTED_REQUEST)
 }
 
 /// Decodes a batch. Returns `None` if it is malformed or has a record that entries do not relay.
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -20,6 +20,7 @@
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::jobs::relay::{RelayClient, RelayOutcome};
 use crate::jobs::timeout_estimator::TimeoutEstimator;
+use crate::scheduler::line::StartRejection;
 
 /// Largest number of records in one append.
 const BATCH_MAX: usize = 128;
@@ -54,6 +55,8 @@
     Stored,
     /// It is not in the log, and never will be.
     Refused,
+    /// The same, since the leader can't begin it in time; its caller may retry after so many seconds.
+    Rejected(u64),
     /// It may or may not be in the log.
     Unknown,
 }
@@ -137,6 +140,9 @@
         for _ in 0..LEADERS_TRIED {
             match self.relay.store(&self.node, records.clone()).await {
                 RelayOutcome::Stored => return self.complete(batch, None),
+                RelayOutcome::StoredExcept(rejections) => {
+                    return self.complete_except(batch, &rejections, is_in_doubt);
+                }
                 RelayOutcome::NotSent => {}
                 // The leader may have made the append, or may still make it: after that, a
                 // rejection by the log does not mean that the batch was not stored.
@@ -226,6 +232,27 @@
         }
     }
 
+    /// Completes a batch that the leader has stored except for these submissions. If the batch was sent
+    /// before, an earlier leader may have stored them.
+    fn complete_except(
+        &self,
+        batch: Vec<SubmitRequest>,
+        rejections: &[StartRejection],
+        is_in_doubt: bool,
+    ) {
+        let mut stored = Vec::with_capacity(batch.len());
+        for (position, request) in batch.into_iter().enumerate() {
+            match rejections.iter().find(|rejection| rejection.position == position) {
+                None => stored.push(request),
+                Some(_) if is_in_doubt => answer_all(vec![request], SubmitOutcome::Unknown),
+                Some(rejection) => {
+                    answer_all(vec![request], SubmitOutcome::Rejected(rejection.retry_s));
+                }
+            }
+        }
+        self.complete(stored, None);
+    }
+
     /// Adds the entry's own submissions to its table before they are read back. Records that
     /// another entry appended get offset 0, so that everything that is read counts as newer.
     fn complete(&self, batch: Vec<SubmitRequest>, offset: Option<u64>) {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -154,7 +154,7 @@
         self.round = PlacementRound::default();
         self.is_start_queue_full = !self.has_start_slot();
         if self.is_start_queue_full {
-            self.start_queue_full_ms = Some(now);
+            self.line.starts.record_limited(now);
         }
     }
 
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -10,6 +10,10 @@
 //! much: services, best-effort tasks, tasks that need a label, tasks that a cap holds back, and
 //! pools of which no capacity is known. Workers that do not answer yet count as capacity that is
 //! coming, and so do the VMs of the standby pool, which demand calls for within a tenth of a second.
+//!
+//! Beside this the leader keeps count of the tasks that it owes a start, and rejects relayed submissions
+//! itself while its starts are slow: by the digest alone, entries would go on accepting for as long as it
+//! takes to reach them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,10 +22,12 @@
 
 use crate::decide::admission::{
     ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
-    is_counted, size_class, task_work,
+    is_counted, is_deferrable, reject_beyond_starts, size_class, task_work,
 };
 use crate::decide::lateness::round_extra_ms;
-use crate::jobs::model::{JobSpec, StepSpec};
+use crate::decide::start_rate::StartMeter;
+use crate::jobs::model::{JobId, JobSpec, JobSubmission, StepSpec};
+use crate::jobs::record::JobRecord;
 use crate::jobs::site::{QueueSpec, VmState};
 use crate::scheduler::Scheduler;
 use crate::scheduler::job::{RunPhase, StepRun};
@@ -33,12 +39,12 @@
 const SEND_AGE_MAX_MS: u64 = 500;
 /// Window in which arrivals are counted, in milliseconds: rates are per second.
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
-/// Lasting lateness of the leader's loop from which it is short of processor, in milliseconds; with time to
-/// spare it is a few milliseconds late, also in a burst.
-const LATENESS_MAX_MS: u64 = 30;
-/// Time for which a full queue of starts shows that the leader begins too little, in milliseconds:
-/// it drains and fills again with each commit.
-const START_QUEUE_AGE_MAX_MS: u64 = 1_000;
+/// Age from which the count of tasks that have not begun is used no more, in milliseconds: without a VM
+/// list nothing renews it.
+const COUNT_AGE_MAX_MS: u64 = 3_000;
+/// Time for which a new leader goes by the rate of its predecessor, in milliseconds: it has to reach its
+/// workers before it has a rate of its own.
+const INHERITED_RATE_MS: u64 = 2_000;
 /// Queues of a pool whose run times the digest holds; submissions to others are accepted.
 const MODELS_MAX: usize = 16;
 
@@ -60,7 +66,14 @@
     number: u64,
     arrivals: HashMap<ArrivalKey, RateWindow>,
     /// Tasks that began.
-    begins: BeginRate,
+    pub starts: StartMeter,
+    /// Tasks of accepted jobs that have not begun: as of the last planning of the pools, and what has
+    /// come and begun since.
+    unbegun: u64,
+    /// When the pools were last planned, in milliseconds.
+    planned_ms: u64,
+    /// Rate of the predecessor's starts, and until when it counts, in milliseconds.
+    inherited: Option<(u64, u64)>,
     /// Sums of the latest planning of the pools, until they are sealed.
     sums: Option<LineSums>,
     report: Option<LineReport>,
@@ -104,37 +117,6 @@
     }
 }
 
-/// Tasks that began, by seconds. The busiest of the last seconds shows what the leader can begin: in
-/// the others its workers or the log may have kept it waiting.
-#[derive(Debug, Default)]
-struct BeginRate {
-    begun_ms: u64,
-    current: u64,
-    recent: [u64; 4],
-}
-
-impl BeginRate {
-    fn record(&mut self, now: u64) {
-        self.advance(now);
-        self.current += 1;
-    }
-
-    fn advance(&mut self, now: u64) {
-        let windows = now.saturating_sub(self.begun_ms) / ARRIVAL_WINDOW_MS;
-        for _ in 0..windows.min(5) {
-            self.recent.rotate_right(1);
-            self.recent[0] = std::mem::take(&mut self.current);
-        }
-        self.begun_ms += windows * ARRIVAL_WINDOW_MS;
-    }
-
-    /// The most in one second.
-    fn peak(&mut self, now: u64) -> u64 {
-        self.advance(now);
-        self.recent.iter().copied().fold(self.current, u64::max)
-    }
-}
-
 /// Work of one job, summed up step by step.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct JobWork {
@@ -179,7 +161,7 @@
 }
 
 impl JobWork {
-    /// Adds the waiting tasks of a step that may begin.
+    /// Adds the tasks of a step that wait for capacity or for an earlier step.
     pub(crate) fn add_starts(&mut self, spec: &StepSpec, waiting: usize) {
         if is_counted(spec) {
             self.starts = self.starts.saturating_add(u64::try_from(waiting).unwrap_or(u64::MAX));
@@ -263,13 +245,25 @@
     }
 
     /// Keeps the sums of a visit until they are sealed.
-    pub(crate) fn set_sums(&mut self, sums: Option<LineSums>) {
+    pub(crate) fn set_sums(&mut self, sums: Option<LineSums>, now: u64) {
+        if let Some(sums) = &sums {
+            self.planned_ms = now;
+            self.unbegun = sums.pools.values().map(|pool| pool.starts).fold(0, u64::saturating_add);
+        }
         self.sums = sums;
     }
 
-    /// Counts a task that has begun.
-    pub(crate) fn record_begin(&mut self, now: u64) {
-        self.begins.record(now);
+    /// Counts a task that has begun this long after its placement, in milliseconds.
+    pub(crate) fn record_begin(&mut self, wait_ms: u64, now: u64) {
+        self.starts.record_begin(wait_ms, now);
+        self.unbegun = self.unbegun.saturating_sub(1);
+    }
+
+    /// Counts the tasks of a job that was accepted.
+    pub(crate) fn record_accepted(&mut self, spec: &JobSpec) {
+        let counted = spec.steps.iter().filter(|step| is_counted(step));
+        let tasks = counted.map(|step| u64::from(step.count)).fold(0, u64::saturating_add);
+        self.unbegun = self.unbegun.saturating_add(tasks);
     }
 
     /// Counts the work of a job that arrived.
@@ -292,6 +286,15 @@
     }
 }
 
+/// A submission that the leader can't begin in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartRejection {
+    /// Its position in the batch.
+    pub position: usize,
+    /// Seconds after which its caller may retry.
+    pub retry_s: u64,
+}
+
 /// Capacity of a pool's workers.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolCapacity {
@@ -318,7 +321,7 @@
     pub(crate) fn seal_line(&mut self, now: u64) {
         let Some(sums) = self.line.sums.take() else { return };
         let capacities = self.pool_capacities(&sums, now);
-        let starts = self.start_line(&sums, now);
+        let starts = self.start_line(now);
         self.line.arrivals.retain(|_, window| window.rate(now) > 0);
         let mut pools = Vec::new();
         for (name, sums) in sums.pools {
@@ -340,19 +343,56 @@
         });
     }
 
-    /// What waits for starts while this entry is short of processor, in pools of which less than half
-    /// is in use: elsewhere tasks wait for capacity. Where nothing has begun lately, as after a
-    /// takeover, nothing can be said about waits.
-    fn start_line(&mut self, sums: &LineSums, now: u64) -> Option<StartLine> {
-        let rate = self.line.begins.peak(now);
-        let is_full =
-            self.start_queue_full_ms.is_some_and(|full_ms| now < full_ms + START_QUEUE_AGE_MAX_MS);
-        if self.lasting_late_ms < LATENESS_MAX_MS || !is_full || rate == 0 {
+    /// What waits for starts while they are slow, in all pools: what a full one holds back is owed as
+    /// well. Where nothing has begun lately, nothing can be said about waits.
+    fn start_line(&self, now: u64) -> Option<StartLine> {
+        let own = self.line.starts.open_max().map(|_| self.line.starts.lasting_rate());
+        let inherited = self.line.inherited.filter(|(_, until_ms)| now < *until_ms);
+        let rate = own.max(inherited.map(|(rate, _)| rate)).filter(|rate| *rate > 0)?;
+        Some(StartLine { waiting: self.line.unbegun, rate })
+    }
+
+    /// Goes by the rate of the predecessor's starts until this leader has one of its own.
+    pub fn inherit_start_rate(&mut self, rate: u64, now: u64) {
+        self.line.inherited = Some((rate, now + INHERITED_RATE_MS));
+    }
+
+    /// Takes the submissions out of a batch that this leader can't begin in time. Jobs that are known
+    /// stay: a caller that has lost the answer submits them again.
+    pub fn reject_unbegun(
+        &mut self,
+        records: Vec<JobRecord>,
+        now: u64,
+    ) -> (Vec<JobRecord>, Vec<StartRejection>) {
+        if !self.line.is_enabled || now >= self.line.planned_ms + COUNT_AGE_MAX_MS {
+            return (records, Vec::new());
+        }
+        let (mut accepted, mut rejections) = (Vec::with_capacity(records.len()), Vec::new());
+        for (position, record) in records.into_iter().enumerate() {
+            let retry_s = match &record {
+                JobRecord::Submitted(job, submission) => self.start_retry_s(*job, submission, now),
+                _ => None,
+            };
+            match retry_s {
+                Some(retry_s) => rejections.push(StartRejection { position, retry_s }),
+                None => {
+                    // Jobs of the same batch count as ahead of the next.
+                    if let JobRecord::Submitted(_, submission) = &record {
+                        self.line.record_accepted(&submission.spec);
+                    }
+                    accepted.push(record);
+                }
+            }
+        }
+        (accepted, rejections)
+    }
+
+    fn start_retry_s(&self, job: JobId, submission: &JobSubmission, now: u64) -> Option<u64> {
+        let is_known = self.jobs.contains_key(&job) || self.finished.contains_key(&job);
+        if is_known || !is_deferrable(&submission.spec) {
             return None;
         }
-        let slack = sums.pools.iter().filter(|(pool, _)| self.slack_pools.is_slack(pool, now));
-        let waiting = slack.map(|(_, sums)| sums.starts).fold(0, u64::saturating_add);
-        Some(StartLine { waiting, rate })
+        reject_beyond_starts(&self.start_line(now)?, job.number())
     }
 
     fn pool_line(
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -178,8 +178,6 @@
     pending_commands: BTreeSet<(TaskKey, u32)>,
     /// Pending commands that are stops or for workers that can't be reached, as of the last tick.
     held_commands: usize,
-    /// When starts last had to wait because too many were open, in milliseconds.
-    start_queue_full_ms: Option<u64>,
     abandoned: AbandonedRuns,
     losses: LossTracker,
     incarnations: IncarnationTable,
@@ -205,8 +203,6 @@
     fleet: FleetState,
     line: LineTracker,
     pace: FlowPace,
-    /// Lateness of the leader's loop that has lasted, in milliseconds.
-    lasting_late_ms: u64,
     actions: Vec<SchedulerAction>,
     needs_dispatch: bool,
     /// Whether the next placement also checks which tasks need a copy; every tenth of a second is
@@ -250,7 +246,6 @@
             dropped_lease_bounds: BTreeMap::new(),
             pending_commands: BTreeSet::new(),
             held_commands: 0,
-            start_queue_full_ms: None,
             abandoned: AbandonedRuns::default(),
             losses: LossTracker::open(now),
             incarnations: IncarnationTable::default(),
@@ -273,7 +268,6 @@
             fleet: FleetState::default(),
             line: LineTracker::default(),
             pace: FlowPace::default(),
-            lasting_late_ms: 0,
             actions: Vec::new(),
             needs_dispatch: true,
             is_copy_check_due: false,
@@ -366,11 +360,6 @@
         self.pace = pace;
     }
 
-    /// Sets by how much the leader's loop has been late for a while, in milliseconds.
-    pub fn set_lasting_lateness(&mut self, late_ms: u64) {
-        self.lasting_late_ms = late_ms;
-    }
-
     /// Whether the leader itself lags: several workers' answers came after their timeout. Its view
     /// of the workers is then out of date, and their silence may be its own fault.
     pub(crate) fn is_lagging(&self, now: u64) -> bool {
@@ -669,6 +658,7 @@
             return;
         }
         self.wall_ms = wall_ms;
+        self.line.starts.advance(now);
         self.begin_due_occurrences(wall_ms);
         self.expire_silent_workers(now);
         self.give_up_due_jobs(now);
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -55,7 +55,7 @@
     pub(crate) fn pool_needs(&mut self, now: u64) -> BTreeMap<Arc<str>, PoolNeed> {
         let mut sums = self.line.open_sums();
         let loads = self.pool_loads(&mut sums, now);
-        self.line.set_sums(sums);
+        self.line.set_sums(sums, now);
         let mut needs = BTreeMap::new();
         let config = self.config.clone();
         for pool in config.pools.iter().filter(|pool| !pool.is_standby) {
@@ -155,9 +155,7 @@
                         work.add_step(spec, step, waiting, &self.runtime_model(queue), now);
                     }
                     let is_begun = run.may_begin(spec);
-                    if is_begun {
-                        work.add_starts(spec, waiting);
-                    }
+                    work.add_starts(spec, waiting);
                     let counted = match waiting {
                         0 => 0,
                         _ => counted_percent(rank().tier, is_begun) * waiting,
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -304,7 +304,7 @@
             .live
             .iter()
             .find(|live| live.run == exit.run && live.worker == *id)
-            .map(|live| (live.phase, live.begun_ms));
+            .map(|live| (live.phase, live.begun_ms, live.placed_ms));
         let unconfirmed =
             |live: &&LiveRun| live.run == exit.run && live.phase == RunPhase::Starting;
         if let Some(live) = task.live.iter().find(unconfirmed) {
@@ -315,7 +315,7 @@
         }
         if exit.kind == ExitKind::Done {
             // A run that was never seen at work has no known run time.
-            let begun = live.map(|(_, begun_ms)| begun_ms).filter(|begun_ms| *begun_ms > 0);
+            let begun = live.map(|(_, begun_ms, _)| begun_ms).filter(|begun_ms| *begun_ms > 0);
             task.took_ms = begun.map(|begun_ms| now.saturating_sub(begun_ms));
             // A later run was planned at most and never starts. If its number were kept, the next
             // leader would take this exit for one that came too late.
@@ -323,9 +323,9 @@
                 task.run = task.run.min(exit.run);
             }
         }
-        let was_stopping = live.is_some_and(|(phase, _)| phase == RunPhase::Stopping);
-        if live.is_some_and(|(phase, _)| phase == RunPhase::Starting) {
-            self.line.record_begin(now);
+        let was_stopping = live.is_some_and(|(phase, ..)| phase == RunPhase::Stopping);
+        if let Some((RunPhase::Starting, _, placed_ms)) = live {
+            self.line.record_begin(now.saturating_sub(placed_ms), now);
         }
         if live.is_some() {
             self.remove_run(&exit.task, exit.run, now);
@@ -574,8 +574,9 @@
         };
         if is_confirmed {
             if live.phase == RunPhase::Starting {
-                self.line.record_begin(now);
-                self.begins.record_begun(now.saturating_sub(live.placed_ms));
+                let wait_ms = now.saturating_sub(live.placed_ms);
+                self.line.record_begin(wait_ms, now);
+                self.begins.record_begun(wait_ms);
             }
             live.enter(RunPhase::Running, now);
             live.answered_ms = Some(now);
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -356,7 +356,7 @@
             live.progress_ms = now;
             let wait_ms = now.saturating_sub(live.placed_ms);
             self.begins.record_begun(wait_ms);
-            self.line.record_begin(now);
+            self.line.record_begin(wait_ms, now);
             self.actions.push(SchedulerAction::RenewNow(id.clone()));
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.last_refusal_ms = None;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -51,6 +51,8 @@
 pub struct HttpAnswer {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -432,8 +434,7 @@
     stall: Option<Duration>,
 ) -> Result<HttpAnswer, ExchangeFailure> {
     let no_answer = |_| ExchangeFailure::NoAnswer;
-    let status = response.status();
-    let mut incoming = response.into_body();
+    let (head, mut incoming) = response.into_parts();
     let mut body = BytesMut::new();
     let stall = stall.unwrap_or(Duration::MAX);
     while let Some(frame) = timeout(stall, incoming.frame()).await.map_err(no_answer)? {
@@ -446,5 +447,5 @@
     }
     // The connection can carry the next request only once it has read this answer's end.
     drop(sender.ready().await);
-    Ok(HttpAnswer { status, body: body.freeze() })
+    Ok(HttpAnswer { status: head.status, headers: head.headers, body: body.freeze() })
 }
--- a/tests/line_digest.rs
+++ b/tests/line_digest.rs
@@ -2,11 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
-
 use ibisweir::decide::admission::{LineDigest, PoolLine, StartLine, size_class};
-use ibisweir::decide::lateness::LastingLateness;
-use ibisweir::jobs::flow::FlowPace;
 use ibisweir::jobs::model::{ExitKind, ResourceVector, StepSpec};
 use ibisweir::jobs::site::{QueueSpec, SiteConfig};
 use ibisweir::scheduler::line::LineReport;
@@ -186,47 +182,33 @@
     assert!(sim.scheduler.line_report(sim.now).is_none());
 }
 
-/// Guards against rejections by a leader with processor to spare, or of work that waits for capacity;
-/// and against a digest that does not tell of the starts that wait for a leader short of processor.
+/// Begins a task a round whose start takes `wait_ms`, and returns the last digest's line of starts.
+fn begin_after(sim: &mut SchedulerSim, first: u64, wait_ms: u64) -> Option<StartLine> {
+    let mut line = None;
+    for id in first..first + 10 {
+        sim.is_lane_held = true;
+        sim.submit(id, job(vec![StepSpec { need: NOTHING, ..step(1) }]));
+        (0..wait_ms / 100).for_each(|_| drop(plan(sim)));
+        sim.empty_lanes();
+        sim.end(task(job_id(id), 0, 0), ExitKind::Done);
+        line = plan(sim).digest.starts;
+    }
+    line
+}
+
+const NOTHING: ResourceVector = ResourceVector { cpu: 0, memory: 1, accelerators: 0 };
+
+/// Guards against rejections by a leader whose starts are in time, and against a digest that leaves out
+/// what a leader with slow starts owes to jobs of a full pool, or to steps that come later.
 #[test]
-fn the_digest_tells_of_waiting_starts_while_the_loop_is_late() {
+fn the_digest_tells_of_all_tasks_that_have_not_begun_while_starts_are_slow() {
     let mut sim = open_site(config());
     sim.submit(1, job(vec![StepSpec { estimate_ms: 60_000, ..step(8) }]));
     sim.submit(2, job(vec![step(12), StepSpec { after: vec![0], ..step(3) }]));
-    let waiting = |sim: &mut SchedulerSim| plan(sim).digest.starts;
-    sim.scheduler.set_lasting_lateness(60);
-    (0..8).for_each(|_| assert_eq!(waiting(&mut sim), None, "its pool is full"));
-    // Four starts are on their way, as many as may be, and hold half of the pool.
-    sim.is_lane_held = true;
-    sim.scheduler.set_pace(FlowPace { starts_max: Some(4), ..FlowPace::default() });
-    (0..8).for_each(|index| sim.end(task(job_id(1), 0, index), ExitKind::Done));
-    (0..10).for_each(|_| drop(plan(&mut sim)));
-    assert_eq!(waiting(&mut sim), Some(StartLine { waiting: 12, rate: 8 }));
-    sim.scheduler.set_lasting_lateness(0);
-    assert_eq!(waiting(&mut sim), None, "the loop is not late");
+    assert_eq!(begin_after(&mut sim, 10, 100), None, "starts are in time");
+    let line = begin_after(&mut sim, 30, 600).expect("starts are slow");
+    assert_eq!(line.waiting, 15, "its pool is full, and three tasks wait for twelve");
+    assert!((1..=2).contains(&line.rate), "{line:?}");
     // Nothing has begun for five seconds.
-    sim.scheduler.set_lasting_lateness(60);
-    (0..60).for_each(|_| drop(plan(&mut sim)));
-    assert_eq!(waiting(&mut sim), None);
-}
-
-/// Guards against a leader that counts as short of processor after a single stall, and against one
-/// that does not although its loop stays late.
-#[test]
-fn a_loop_counts_as_late_once_it_has_been_for_two_seconds() {
-    let mut lateness = LastingLateness::default();
-    let mut now = 10_000;
-    let mut wake = |late_ms: u64| {
-        now += 20 + late_ms;
-        lateness.record_wake(Duration::from_millis(late_ms), now);
-        lateness.lasting_ms()
-    };
-    assert!((0..100).all(|_| wake(1) <= 1));
-    assert!(wake(5_000) <= 1);
-    assert!((0..200).all(|_| wake(1) <= 1));
-    let late: Vec<u64> = (0..100).map(|_| wake(60)).collect();
-    assert!(late[..10].iter().all(|delay_ms| *delay_ms <= 1), "{late:?}");
-    assert!(late[60..].iter().all(|delay_ms| *delay_ms >= 50), "{late:?}");
-    assert!((0..20).all(|_| wake(2_500) > 50), "a loop that wakes less than once in a window");
-    assert!((0..150).map(|_| wake(1)).last() <= Some(1));
+    assert_eq!((0..50).map(|_| plan(&mut sim).digest.starts).last(), Some(None));
 }
--- a/tests/relay_digest.rs
+++ b/tests/relay_digest.rs
@@ -6,20 +6,49 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
 use ibisweir::control::ControlLoop;
+use ibisweir::decide::access::CallerAccess;
 use ibisweir::decide::admission::{DIGEST_VERSION, LineDigest, PoolLine};
+use ibisweir::error::ResultCode;
+use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::delegate::OfferLoop;
 use ibisweir::jobs::node::JobNode;
+use ibisweir::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, NewestPage, ReadOutcome};
+use ibisweir::jobs::query::QueryClient;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay::{self, RelayClient, RelayOutcome};
 use ibisweir::jobs::site::SiteSettings;
-use ibisweir::transport::HttpTransport;
+use ibisweir::jobs::submitter;
+use ibisweir::transport::{HttpCall, HttpTransport};
 use support::fakes::{RecordingWorkers, lead, node_with, peer_service};
-use support::sim::{POOL, config, job, job_id, site_settings, step, submission, vm, worker};
+use support::sim::{
+    POOL, QUEUE, config, job, job_id, queue, site_settings, step, submission, vm, worker,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+/// A log that nothing reaches.
+#[derive(Clone, Copy)]
+struct SilentLog;
+
+impl JobLog for SilentLog {
+    async fn append(&self, _: &AppendCall, _: Duration) -> AppendOutcome {
+        AppendOutcome::Refused
+    }
+
+    async fn read(&self, _: LogTopic, _: u64, _: Duration) -> ReadOutcome {
+        ReadOutcome::Unknown
+    }
+
+    async fn newest(&self, _: LogTopic, _: Option<&str>) -> Option<NewestPage> {
+        None
+    }
+}
+
 fn entry(admission: bool) -> Arc<JobNode> {
     node_with(SiteSettings { admission, ..site_settings() })
 }
@@ -186,3 +215,78 @@
     sleep(Duration::from_millis(1_000)).await;
     assert!(entry.line().is_none());
 }
+
+/// A leader that owes 80 starts and begins one in a second, as its predecessor did.
+async fn slow_leader() -> (Arc<JobNode>, SocketAddr) {
+    let (leader, address) = working_leader(true).await;
+    assert_eq!(hand_over(&entry(true), address, 1).await, RelayOutcome::Stored);
+    // The pools are planned before anything is rejected.
+    while leader.line().is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let now = leader.now();
+    leader.with_scheduler(|scheduler| scheduler.inherit_start_rate(1, now));
+    (leader, address)
+}
+
+/// Guards against a leader that takes in what it can't begin in time until all entries have its digest,
+/// and against a rejection that leaves the job behind or concerns a job that is known.
+#[tokio::test]
+async fn a_leader_rejects_relayed_jobs_that_it_cannot_begin_in_time() {
+    let (leader, address) = slow_leader().await;
+    let entry = entry(true);
+    entry.set_leader(Some(address));
+    let relay = RelayClient::new(HttpTransport::open());
+    let outcome = relay.store(&entry, vec![record(2), record(1), record(3)]).await;
+    let RelayOutcome::StoredExcept(rejections) = outcome else { panic!("{outcome:?}") };
+    let positions: Vec<usize> = rejections.iter().map(|rejection| rejection.position).collect();
+    assert_eq!(positions, [0, 2], "the second one is known");
+    assert!(rejections.iter().all(|rejection| (1..=8).contains(&rejection.retry_s)));
+    assert_eq!(leader.with_scheduler(|scheduler| scheduler.stats().jobs), Some(1));
+    // The rate of the predecessor counts for a while only.
+    sleep(Duration::from_millis(2_100)).await;
+    assert_eq!(hand_over(&entry, address, 2).await, RelayOutcome::Stored);
+}
+
+/// Guards against a caller that is told of a stored job although the leader has rejected it.
+#[tokio::test]
+async fn what_the_leader_rejects_is_rejected_to_its_caller() {
+    let (_leader, address) = slow_leader().await;
+    let entry = entry(true);
+    entry.set_config(config());
+    entry.set_leader(Some(address));
+    entry.record_log_answer();
+    let log = SilentLog;
+    let relay = RelayClient::new(HttpTransport::open());
+    let service = CallerService {
+        submitter: submitter::spawn(entry.clone(), log, relay.clone(), 1),
+        reader: Arc::new(CatchUpReader::new(entry.clone(), log)),
+        relay,
+        queries: QueryClient::new(HttpTransport::open()),
+        node: entry,
+    };
+    let (queue, caller) = (queue(QUEUE, POOL), CallerAccess::default());
+    let time_left = Duration::from_secs(3);
+    let reply = service.submit(&queue, &caller, job_id(2), job(vec![step(8)]), time_left).await;
+    let CallerReply::Refused(ResultCode::LineTooLong, Some(wait)) = reply else {
+        panic!("{reply:?}")
+    };
+    assert!((1..=8).contains(&wait.as_secs()), "{wait:?}");
+}
+
+/// Guards against an entry of an earlier build that takes a rejected submission for stored.
+#[tokio::test]
+async fn an_entry_that_knows_no_rejections_gets_none() {
+    let (leader, address) = slow_leader().await;
+    let keyed = record(2).encode().expect("valid");
+    let body = postcard::to_stdvec(&vec![(keyed.key, keyed.value)]).expect("valid");
+    let call = HttpCall {
+        method: Method::POST,
+        path: "/relay".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from(body),
+    };
+    let answer = HttpTransport::open().exchange(address, call, Duration::from_secs(5)).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    assert_eq!(leader.with_scheduler(|scheduler| scheduler.stats().jobs), Some(2));
+}
--- a/tests/slow_leader.rs
+++ b/tests/slow_leader.rs
@@ -136,6 +136,7 @@
         let config = site_config(priorities);
         let mut sim = SchedulerSim::open(config.clone(), entries);
         sim.is_lane_held = true;
+        sim.scheduler.enable_line(true);
         sim.round_ms = speed.round_ms;
         let mut site = SlowSite {
             sim,
@@ -244,8 +245,13 @@
                 open.lost_starts.insert(task, until_ms);
             }
         }
-        self.sim.take_over(self.term, self.config.clone());
         let now = self.sim.now;
+        let line = self.sim.scheduler.line_report(now).and_then(|report| report.digest.starts);
+        self.sim.take_over(self.term, self.config.clone());
+        self.sim.scheduler.enable_line(true);
+        if let Some(line) = line {
+            self.sim.scheduler.inherit_start_rate(line.rate, now);
+        }
         let entries: Vec<WorkerEntry> = self
             .vms
             .iter()
@@ -257,15 +263,19 @@
         self.set_pace();
     }
 
-    /// Submits a job that was accepted some time ago.
-    fn submit(&mut self, pool: usize, steps: Vec<StepSpec>, age_ms: u64) -> JobId {
-        let spec = job(steps);
-        let submitted = JobSubmission {
+    fn submission(&self, pool: usize, spec: JobSpec, age_ms: u64) -> JobSubmission {
+        JobSubmission {
             queue: format!("{}-queue", POOLS[pool]).as_str().into(),
             service: POOLS[pool].into(),
             accepted_ms: WALL_OFFSET_MS + self.sim.now - age_ms,
-            ..submission(spec.clone())
-        };
+            ..submission(spec)
+        }
+    }
+
+    /// Submits a job that was accepted some time ago.
+    fn submit(&mut self, pool: usize, steps: Vec<StepSpec>, age_ms: u64) -> JobId {
+        let spec = job(steps);
+        let submitted = self.submission(pool, spec.clone(), age_ms);
         self.next_job += 1;
         let id = job_id(self.next_job);
         self.sim.append(&JobRecord::Submitted(id, Arc::new(submitted)));
@@ -284,7 +294,16 @@
 
     /// Submits a job that the leader may reject.
     fn offer(&mut self, pool: usize, steps: Vec<StepSpec>) {
-        self.submit(pool, steps, 0);
+        self.next_job += 1;
+        let id = job_id(self.next_job);
+        let submitted = Arc::new(self.submission(pool, job(steps.clone()), 0));
+        let record = JobRecord::Submitted(id, submitted);
+        self.next_job -= 1;
+        let (accepted, _) = self.sim.scheduler.reject_unbegun(vec![record], self.sim.now);
+        match accepted.is_empty() {
+            true => self.rejected += 1,
+            false => drop(self.submit(pool, steps, 0)),
+        }
     }
 
     /// Loses a worker with all that runs on it; its VM comes back with another one.
@@ -557,6 +576,7 @@
 }
 
 impl DrawnRun {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn of(random: &mut StdRng) -> DrawnRun {
         let mut draw = |least: f64, most: f64| {
             let drawn = random.random_range(least.ln()..most.ln()).exp();
