Pause between rounds of placement by the steps that wait

Cause: each exit and answer began a round over all jobs that wait, so that what a start costs the leader grew with what waits.

--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -23,11 +23,14 @@
 use crate::scheduler::job::JobRun;
 use crate::scheduler::losses::{PoolView, RecentAddresses};
 use crate::scheduler::rank::{JobRank, RankTier, rank};
+use crate::scheduler::runs::SWEEP_INTERVAL_MS;
 use crate::scheduler::runtime::RuntimeModel;
 use crate::scheduler::worker::{IsolationRule, WorkerState};
 use crate::scheduler::worker_table::{NameHashing, NameMap};
 use crate::scheduler::{Scheduler, SchedulerAction, SchedulerEvent};
 
+/// Steps of a round for each millisecond of the pause after it.
+const STEPS_PER_PAUSE_MS: usize = 50;
 /// Most workers named in one permit request; the platform allows no more.
 const PERMIT_WORKERS_MAX: usize = 100;
 /// Time after which an unanswered permit request is sent again, in milliseconds.
@@ -152,6 +155,7 @@
         }
         self.clear_claims();
         self.round = PlacementRound::default();
+        self.next_dispatch_ms = now + round_pause_ms(steps.len());
         self.is_start_queue_full = !self.has_start_slot();
         if self.is_start_queue_full {
             self.line.starts.record_limited(now);
@@ -770,6 +774,12 @@
     }
 }
 
+/// Pause after a round over so many steps, in milliseconds. A round takes about half a microsecond for
+/// each step that waits, so that rounds take a few percent of a core however much waits.
+fn round_pause_ms(steps: usize) -> u64 {
+    u64::try_from(steps / STEPS_PER_PAUSE_MS).unwrap_or(u64::MAX).min(SWEEP_INTERVAL_MS)
+}
+
 /// Whether tasks of a step preempt others where no capacity is free.
 fn may_preempt(spec: &StepSpec) -> bool {
     spec.is_service && !spec.is_best_effort
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -211,6 +211,8 @@
     /// Whether tasks that fit on a worker wait only because too many starts are queued.
     is_start_queue_full: bool,
     next_sweep_ms: u64,
+    /// Earliest time of the next placement, in milliseconds.
+    next_dispatch_ms: u64,
     wall_ms: u64,
 }
 
@@ -273,6 +275,7 @@
             is_copy_check_due: false,
             is_start_queue_full: false,
             next_sweep_ms: now,
+            next_dispatch_ms: now,
             wall_ms,
         };
         scheduler.organisations.configure(&scheduler.config);
@@ -677,7 +680,9 @@
             self.needs_dispatch = true;
         }
         self.plan_fleet(now);
-        if std::mem::take(&mut self.needs_dispatch) || self.may_place_again() {
+        let is_wanted = self.needs_dispatch || self.may_place_again();
+        if is_wanted && now >= self.next_dispatch_ms {
+            self.needs_dispatch = false;
             self.dispatch(now);
         }
         self.seal_line(now);
