Give turns by what is at work, and bound the jobs that need them

Callers saw accepted jobs with nothing running for tens of seconds while a start of theirs was on its way, lost or of a former leader. Cause: any run that may be alive hid its job; the wait was counted anew when a lost start was removed and by each new leader, so that under leaders that change every few seconds no job reached 1.5 s; one start in four and 16 a round went to such jobs, whatever their number; what is overdue was ordered by work left, so that the same jobs came last.

Now only what workers have confirmed counts as at work; a start on its way does for the second that it may take, and so do runs of a former leader. The wait lasts over lost starts and changes of leaders. Turns begin earlier the more jobs need one, take all free slots once a job has waited for 1.5 s and half of them before. What is overdue goes by age. Admission also rejects beyond the jobs that can have a turn in 1.5 s, and for half a minute after starts were short beyond twice 3 s of starts, so that full pools don't collect what the leader can't begin once they have room.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -41,6 +41,9 @@
 /// Longest time in which a leader whose starts are slow must be able to begin all accepted tasks, in
 /// milliseconds; users count a job that has capacity and does not begin as lost after 3 s.
 pub const START_WAIT_MAX_MS: u64 = 3_000;
+/// Longest time in which each job of which nothing is at work gets a start, in milliseconds: the other
+/// half passes before a job has a turn ahead of the order.
+const TURN_WAIT_MAX_MS: u64 = START_WAIT_MAX_MS / 2;
 /// Number of classes of job sizes.
 pub const SIZE_CLASSES: u8 = 16;
 /// Time for which an entry uses a digest, in milliseconds.
@@ -477,6 +480,20 @@
     (drain_ms > START_WAIT_MAX_MS).then(|| retry_s(order, drain_ms))
 }
 
+/// The same while starts are in time and tasks wait for full pools, at the rate that lasts when they are
+/// slow: what has begun leaves as soon, so that a job ends in twice the time.
+pub fn reject_beyond_pools(line: &StartLine, order: u64) -> Option<u64> {
+    let drain_ms = line.drain_ms();
+    (drain_ms > 2 * START_WAIT_MAX_MS).then(|| retry_s(order, drain_ms))
+}
+
+/// Seconds after which the caller of a job may retry because not each of the `idle_jobs`, of which
+/// nothing is at work, has a turn in time; `None` accepts the job. `rate` is that of starts, in a second.
+pub fn reject_beyond_turns(idle_jobs: u64, rate: u64, order: u64) -> Option<u64> {
+    let turn_ms = drain_ms(idle_jobs, rate);
+    (turn_ms > TURN_WAIT_MAX_MS).then(|| retry_s(order, turn_ms))
+}
+
 /// Time in which work is done at a capacity, in milliseconds.
 fn drain_ms(work: u64, capacity: u64) -> u64 {
     match (work, capacity) {
--- a/src/decide/start_rate.rs
+++ b/src/decide/start_rate.rs
@@ -25,6 +25,8 @@
 const PER_SECOND: usize = 4;
 /// Whole intervals, beside the current one, of whose starts half must be slow.
 const RECENT: usize = 2;
+/// Intervals for which the rate of slow starts is of use: half a minute, in which several bursts come.
+const SHORT_INTERVALS: u64 = 120;
 /// Growth of the limit in each interval in which it was reached without slow starts, in percent.
 const GROWTH_PERCENT: u64 = 150;
 
@@ -46,6 +48,10 @@
     limit: Option<u64>,
     /// Number of the interval in which the limit was last reached.
     reached: u64,
+    /// Whether a task has begun under this leader.
+    has_begun: bool,
+    /// Rate that lasted while tasks waited for the limit, and the number of the last such interval.
+    short: Option<(u64, u64)>,
 }
 
 impl StartMeter {
@@ -60,6 +66,7 @@
     /// Records that a task has begun this long after its placement, in milliseconds.
     pub fn record_begin(&mut self, wait_ms: u64, now: u64) {
         self.advance(now);
+        self.has_begun = true;
         self.recent[0].begun += 1;
         self.recent[0].slow += u64::from(wait_ms >= SLOW_START_MS);
     }
@@ -88,6 +95,7 @@
         if self.is_slow() {
             let most = self.best_second() * START_TIME_MAX_MS / 1_000;
             self.limit = Some(most.max(OPEN_STARTS_MIN));
+            self.note_short_rate();
         } else if self.reached >= self.current {
             self.limit = self.limit.map(|limit| limit * GROWTH_PERCENT / 100);
         } else if self.current > self.reached + u64::try_from(PER_SECOND).unwrap_or(0) {
@@ -95,6 +103,16 @@
         }
     }
 
+    /// Notes what begins in a second while tasks wait for the limit: otherwise little may have come. The
+    /// best of such rates counts for as long as they are of use.
+    fn note_short_rate(&mut self) {
+        if !self.has_begun || self.reached < self.current {
+            return;
+        }
+        let rate = self.lasting_rate().max(self.short_rate().unwrap_or(0));
+        self.short = Some((rate, self.current));
+    }
+
     /// Tasks begun in a second, in the mean of up to two seconds until now: the rate that lasts. Shorter
     /// means count where they are higher, since the work may just have come.
     pub fn lasting_rate(&self) -> u64 {
@@ -105,6 +123,12 @@
         [RECENT, PER_SECOND, 2 * PER_SECOND].into_iter().map(mean).max().unwrap_or(0)
     }
 
+    /// The rate that lasted while tasks waited for the limit, if that was a short time ago.
+    pub fn short_rate(&self) -> Option<u64> {
+        let (rate, number) = self.short?;
+        (self.current <= number + SHORT_INTERVALS && rate > 0).then_some(rate)
+    }
+
     /// Most starts that may be on their way; `None` while they are not slow.
     pub fn open_max(&self) -> Option<usize> {
         self.limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX))
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -48,8 +48,7 @@
     reservation: (u64, u64, u64),
     /// Whether its tasks preempt others where no capacity is free.
     may_preempt: bool,
-    /// Since when its job has had nothing running, if that is long and starts are short, in
-    /// milliseconds.
+    /// Since when its job has had nothing at work, if starts are short, in milliseconds.
     pub idle_since_ms: Option<u64>,
 }
 
@@ -133,7 +132,6 @@
             displaced: BTreeSet::new(),
         };
         self.place_idle_jobs(&steps, now);
-        let open_before = self.open_starts();
         // Smallest request that each pool has refused. Larger ones are skipped without a search.
         let mut least_refused: NameMap<ResourceVector> = NameMap::default();
         for step in &steps {
@@ -148,8 +146,6 @@
                 least_refused.insert(step.service.clone(), step.reservation());
             }
         }
-        let usual = self.open_starts().saturating_sub(open_before);
-        self.idle_credit.record(0, usual);
         if std::mem::take(&mut self.is_copy_check_due) {
             self.place_copies(now);
         }
@@ -299,7 +295,7 @@
                     let idle_since_ms = match is_short && rank.tier != RankTier::Service {
                         true => *cached_idle.get_or_insert_with(|| {
                             let due = self.due_ms(job, *occurrence, now);
-                            self.long_idle_since_ms(job, due, now)
+                            self.job_idle_since_ms(job, due, now)
                         }),
                         false => None,
                     };
--- a/src/scheduler/idle_jobs.rs
+++ b/src/scheduler/idle_jobs.rs
@@ -1,10 +1,11 @@
 //! Jobs that stand still because the leader begins fewer tasks than wait.
 //!
-//! Guards against a leader that is short of processor: its rounds end as its start slots are used
-//! up, always before the same jobs, those that are overdue or of a queue that comes later, for as
-//! long as anything goes before them, whatever room their pool has. So a job that has had nothing
-//! running for [`IDLE_MAX_MS`] gets one start ahead of the order, the longest wait first, across
-//! pools. At most one start in four goes this way, so that jobs in time keep the rest.
+//! Guards against a leader whose rounds end as its start slots are used up, always before the same
+//! jobs, those that are overdue or of a queue that comes later, for as long as anything goes before
+//! them, whatever room their pool has. So a job of which nothing has been at work for
+//! [`IDLE_MAX_MS`] gets one start ahead of the order, the longest wait first, across pools. Until a job
+//! has waited that long, half of the free slots go this way at most: the others bring jobs to their end.
+//! Admission bounds the jobs that need turns ([`crate::decide::admission`]).
 //!
 //! This is done only where the leader is short: its start slots are limited, or most of a pool that
 //! counts as full is booked for runs that have not begun. Otherwise whatever has room is placed in
@@ -18,13 +19,9 @@
 use crate::scheduler::rank::RankTier;
 use crate::scheduler::{Scheduler, job::JobRun};
 
-/// Time with nothing running after which a job is begun ahead of the order, in milliseconds.
-/// Callers accept three seconds; a start takes up to half of that at a slow leader.
+/// Time with nothing at work after which a job is begun ahead of the order, in milliseconds, less the time
+/// until all that wait have had a turn. Callers accept three seconds; a start takes one at most.
 pub(crate) const IDLE_MAX_MS: u64 = 1_500;
-/// Starts in the usual order for each one ahead of it.
-const STARTS_PER_IDLE: usize = 3;
-/// Most starts ahead of the order in one round.
-const IDLE_STARTS_MAX: usize = 16;
 
 /// Time for which a pool must have been slack, in milliseconds: while a burst begins or VMs arrive,
 /// much is booked for a moment.
@@ -61,41 +58,29 @@
     }
 }
 
-/// Starts that may go ahead of the order.
-#[derive(Debug)]
-pub(crate) struct IdleCredit {
-    /// Starts in the usual order that were not counted against one ahead of it.
-    usual: usize,
-}
-
-impl Default for IdleCredit {
-    fn default() -> Self {
-        IdleCredit { usual: STARTS_PER_IDLE }
-    }
-}
-
-impl IdleCredit {
-    /// Starts that may go ahead of the order now.
-    pub fn starts(&self) -> usize {
-        self.usual / STARTS_PER_IDLE
+impl Scheduler {
+    /// Since when nothing of a job has been at work; `None` if something is.
+    pub(crate) fn job_idle_since_ms(&self, job: &JobRun, due_ms: u64, now: u64) -> Option<u64> {
+        job.idle_since_ms(self.waits.opened_ms(), now).map(|since_ms| since_ms.max(due_ms))
     }
 
-    /// Counts the starts of a round.
-    pub fn record(&mut self, ahead: usize, usual: usize) {
-        self.usual = self.usual.saturating_sub(ahead * STARTS_PER_IDLE).saturating_add(usual);
-        self.usual = self.usual.min(IDLE_STARTS_MAX * STARTS_PER_IDLE);
+    /// Whether nothing of a job has been at work for [`IDLE_MAX_MS`].
+    pub(crate) fn is_long_idle(&self, job: &JobRun, due_ms: u64, now: u64) -> bool {
+        self.job_idle_since_ms(job, due_ms, now)
+            .is_some_and(|since_ms| now >= since_ms + IDLE_MAX_MS)
     }
-}
 
-impl Scheduler {
-    /// Since when a job has had nothing running, if that is longer than [`IDLE_MAX_MS`].
-    pub(crate) fn long_idle_since_ms(&self, job: &JobRun, due_ms: u64, now: u64) -> Option<u64> {
-        let since_ms = job.idle_since_ms(self.waits.opened_ms())?.max(due_ms);
-        (now >= since_ms + IDLE_MAX_MS).then_some(since_ms)
+    /// Time with nothing at work after which one of `jobs` such jobs has a turn, in milliseconds: with
+    /// more of them, turns have to begin earlier for the last one to be in time.
+    fn turn_after_ms(&self, jobs: usize) -> u64 {
+        let rate = self.line.starts.lasting_rate();
+        let jobs = u64::try_from(jobs).unwrap_or(u64::MAX);
+        let all_ms = jobs.saturating_mul(1_000).checked_div(rate).unwrap_or(0);
+        IDLE_MAX_MS.saturating_sub(all_ms)
     }
 
-    /// Places one task of each job that has had nothing running for long, the longest wait first,
-    /// as far as the credit goes. `steps` are in the usual order.
+    /// Places one task of each job of which nothing has been at work for long, the longest wait first.
+    /// `steps` are in the usual order.
     pub(crate) fn place_idle_jobs(&mut self, steps: &[ReadyStep], now: u64) {
         let mut idle: Vec<&ReadyStep> =
             steps.iter().filter(|step| step.idle_since_ms.is_some()).collect();
@@ -103,11 +88,23 @@
             return;
         }
         idle.sort_by_key(|step| (step.idle_since_ms, step.key));
+        let jobs = idle.chunk_by(|one, other| one.key.job == other.key.job).count();
+        let after_ms = self.turn_after_ms(jobs);
+        let is_due = |since_ms: u64, wait_ms: u64| now >= since_ms + wait_ms;
+        let is_urgent = |step: &&ReadyStep| {
+            step.idle_since_ms.is_some_and(|since_ms| is_due(since_ms, IDLE_MAX_MS))
+        };
+        let has_urgent = idle.first().is_some_and(is_urgent);
+        idle.retain(|step| step.idle_since_ms.is_some_and(|since_ms| is_due(since_ms, after_ms)));
         // Services go first.
         for step in steps.iter().filter(|step| step.rank.tier == RankTier::Service) {
             self.place_step(step, usize::MAX, now);
         }
-        let allowed = self.idle_credit.starts();
+        let free = self.starts_max().map(|most| most.saturating_sub(self.open_starts()));
+        let allowed = match free {
+            Some(free) if !has_urgent => free.div_ceil(2),
+            free => free.unwrap_or(usize::MAX),
+        };
         let mut placed = 0;
         let mut last = None;
         for step in idle {
@@ -126,6 +123,5 @@
                 last = Some(step.key.job);
             }
         }
-        self.idle_credit.record(placed, 0);
     }
 }
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::decide::start_rate::START_TIME_MAX_MS;
 use crate::jobs::job_table::LoggedJob;
 use crate::jobs::model::{JobId, JobState, JobSubmission, StepSpec, TASKS_MAX, TaskKey};
 use crate::jobs::record::{JobProgress, LossCount, TaskProgress, TaskRestarts};
@@ -120,6 +121,15 @@
         matches!(self.phase, RunPhase::Planned | RunPhase::Starting)
     }
 
+    /// Whether it is at work, by what its worker has told this leader.
+    pub fn is_at_work(&self) -> bool {
+        match self.phase {
+            RunPhase::Planned | RunPhase::Starting => false,
+            RunPhase::Inherited => self.is_listed,
+            RunPhase::Running | RunPhase::Stopping => true,
+        }
+    }
+
     /// Enters a phase.
     pub fn enter(&mut self, phase: RunPhase, now: u64) {
         self.phase = phase;
@@ -157,6 +167,8 @@
     pub failed_on: Vec<Arc<str>>,
     /// Workers that were lost while they ran the task.
     pub losses: LossCount,
+    /// Until when a run of it was at work under this leader, in milliseconds; 0 if none was.
+    pub worked_ms: u64,
     /// When the task was last serving, in milliseconds; services only.
     pub last_serving_ms: u64,
     /// When the last run was last known to be alive.
@@ -190,10 +202,14 @@
     pub startable_ms: u64,
     /// Whether a waiting task has lost a worker.
     pub has_losses: bool,
-    /// Whether a run was ever placed.
-    pub has_begun: bool,
-    /// When a run last ended under this leader, in milliseconds; 0 if none has.
-    pub ended_ms: u64,
+    /// Those that are at work, by their workers' word.
+    pub at_work: usize,
+    /// Those that an earlier leader placed and that no worker has confirmed.
+    pub inherited: usize,
+    /// When a run that no worker has confirmed was last placed, in milliseconds; `None` for none.
+    pub placed_ms: Option<u64>,
+    /// Until when a run was at work under this leader, in milliseconds; 0 if none was.
+    pub worked_ms: u64,
 }
 
 impl StepCounts {
@@ -207,8 +223,16 @@
             }
             counts.live += task.live.len();
             counts.booked += task.live.iter().filter(|live| live.is_booked()).count();
-            counts.has_begun |= task.run > 0 || task.is_done;
-            counts.ended_ms = counts.ended_ms.max(task.waiting_since_ms);
+            for live in &task.live {
+                if live.is_at_work() {
+                    counts.at_work += 1;
+                } else if live.is_booked() {
+                    counts.placed_ms = counts.placed_ms.max(Some(live.placed_ms));
+                } else {
+                    counts.inherited += 1;
+                }
+            }
+            counts.worked_ms = counts.worked_ms.max(task.worked_ms);
             let newest_ms = task.live.iter().map(|live| live.phase_since_ms).max();
             counts.phase_since_ms = counts.phase_since_ms.max(newest_ms);
         }
@@ -578,21 +602,30 @@
         steps.any(|step| step.counts().live > 0)
     }
 
-    /// Since when the job has had no run that may be alive, by what a leader since `opened_ms`
-    /// knows, in milliseconds; `None` if it has one.
-    pub(crate) fn idle_since_ms(&self, opened_ms: u64) -> Option<u64> {
-        let (mut has_begun, mut ended_ms) = (false, 0);
+    /// Whether a run of the job is at work, by its worker's word.
+    pub(crate) fn is_at_work(&self) -> bool {
+        let mut steps = self.occurrences.values().flat_map(|run| &run.steps);
+        steps.any(|step| step.counts().at_work > 0)
+    }
+
+    /// Since when nothing of the job has been at work, by the word of workers to a leader since
+    /// `opened_ms`, in milliseconds; `None` if something is.
+    ///
+    /// A start that is on its way counts as work for as long as a start may take: later it may be lost,
+    /// or wait for a worker that is gone. The log does not tell when a run under an earlier leader has
+    /// ended, so a job that has nothing at work counts from its arrival.
+    pub(crate) fn idle_since_ms(&self, opened_ms: u64, now: u64) -> Option<u64> {
+        let mut since_ms = self.arrived_ms;
         for step in self.occurrences.values().flat_map(|run| &run.steps) {
-            let counts = step.counts();
-            if counts.live > 0 {
+            let StepCounts { at_work, inherited, placed_ms, worked_ms, .. } = step.counts();
+            let inherited_ms = (inherited > 0).then_some(opened_ms);
+            let is_starting = |placed_ms: u64| now < placed_ms + START_TIME_MAX_MS;
+            if at_work > 0 || placed_ms.max(inherited_ms).is_some_and(is_starting) {
                 return None;
             }
-            has_begun |= counts.has_begun;
-            ended_ms = ended_ms.max(counts.ended_ms);
+            since_ms = since_ms.max(worked_ms);
         }
-        // The log does not tell when a run under an earlier leader has ended.
-        let since_ms = if has_begun { ended_ms.max(opened_ms) } else { ended_ms };
-        Some(since_ms.max(self.arrived_ms))
+        Some(since_ms)
     }
 
     /// The spec of a task's step.
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -22,7 +22,8 @@
 
 use crate::decide::admission::{
     ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
-    is_counted, is_deferrable, reject_beyond_starts, size_class, task_work,
+    is_counted, is_deferrable, reject_beyond_pools, reject_beyond_starts, reject_beyond_turns,
+    size_class, task_work,
 };
 use crate::decide::lateness::round_extra_ms;
 use crate::decide::start_rate::StartMeter;
@@ -67,6 +68,8 @@
     /// Tasks of accepted jobs that have not begun: as of the last planning of the pools, and what has
     /// come and begun since.
     unbegun: u64,
+    /// Jobs of which nothing is at work, likewise.
+    idle_jobs: u64,
     /// When the pools were last planned, in milliseconds.
     planned_ms: u64,
     /// Sums of the latest planning of the pools, until they are sealed.
@@ -156,6 +159,11 @@
 }
 
 impl JobWork {
+    /// Whether a task has not begun.
+    pub(crate) fn owes_starts(&self) -> bool {
+        self.starts > 0
+    }
+
     /// Adds the tasks of a step that wait for capacity or for an earlier step.
     pub(crate) fn add_starts(&mut self, spec: &StepSpec, waiting: usize) {
         if is_counted(spec) {
@@ -168,6 +176,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct LineSums {
     pools: BTreeMap<Arc<str>, PoolSums>,
+    /// Jobs of which nothing is at work.
+    idle_jobs: u64,
 }
 
 #[derive(Debug, Default)]
@@ -186,6 +196,11 @@
 }
 
 impl LineSums {
+    /// Counts a job that is owed starts and of which nothing is at work.
+    pub(crate) fn add_idle_job(&mut self) {
+        self.idle_jobs += 1;
+    }
+
     /// Adds an occurrence of a job.
     pub(crate) fn add_job(
         &mut self,
@@ -244,6 +259,7 @@
         if let Some(sums) = &sums {
             self.planned_ms = now;
             self.unbegun = sums.pools.values().map(|pool| pool.starts).fold(0, u64::saturating_add);
+            self.idle_jobs = sums.idle_jobs;
         }
         self.sums = sums;
     }
@@ -259,6 +275,7 @@
         let counted = spec.steps.iter().filter(|step| is_counted(step));
         let tasks = counted.map(|step| u64::from(step.count)).fold(0, u64::saturating_add);
         self.unbegun = self.unbegun.saturating_add(tasks);
+        self.idle_jobs = self.idle_jobs.saturating_add(1);
     }
 
     /// Counts the work of a job that arrived.
@@ -386,7 +403,16 @@
         if is_known || !is_deferrable(&submission.spec) {
             return None;
         }
-        reject_beyond_starts(&self.start_line()?, job.number())
+        let order = job.number();
+        if let Some(line) = self.start_line() {
+            return reject_beyond_starts(&line, order)
+                .or_else(|| reject_beyond_turns(self.line.idle_jobs, line.rate, order));
+        }
+        // Pools hold the tasks back now; once they have room, the leader will.
+        let rate = self.line.starts.short_rate()?;
+        let line = StartLine { waiting: self.line.unbegun, rate };
+        reject_beyond_pools(&line, order)
+            .or_else(|| reject_beyond_turns(self.line.idle_jobs, rate, order))
     }
 
     fn pool_line(
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -67,7 +67,7 @@
 use crate::scheduler::dispatch::PlacementRound;
 use crate::scheduler::fair_share::FairOrder;
 use crate::scheduler::fleet::FleetState;
-use crate::scheduler::idle_jobs::{IdleCredit, SlackPools};
+use crate::scheduler::idle_jobs::SlackPools;
 use crate::scheduler::idle_log::{BeginLog, IdleJobLog};
 use crate::scheduler::incarnations::IncarnationTable;
 use crate::scheduler::job::JobRun;
@@ -197,7 +197,6 @@
     permits: HashMap<StepKey, StepPermits>,
     claims: CapacityClaims,
     round: PlacementRound,
-    idle_credit: IdleCredit,
     slack_pools: SlackPools,
     commits: CommitQueue,
     fleet: FleetState,
@@ -264,7 +263,6 @@
             permits: HashMap::new(),
             claims: CapacityClaims::default(),
             round: PlacementRound::default(),
-            idle_credit: IdleCredit::default(),
             slack_pools: SlackPools::default(),
             commits: CommitQueue::default(),
             fleet: FleetState::default(),
--- a/src/scheduler/needs.rs
+++ b/src/scheduler/needs.rs
@@ -128,6 +128,7 @@
                 loads.insert(queue.service.clone(), PoolLoad::default());
             }
             let Some(load) = loads.get_mut(&queue.service) else { continue };
+            let mut owes_starts = false;
             for (occurrence, run) in &job.occurrences {
                 // The rank counts only for steps with waiting tasks.
                 let mut cached_rank = None;
@@ -168,7 +169,7 @@
                         && !std::mem::replace(&mut is_idle_counted, true)
                         && {
                             let due = self.due_ms(job, *occurrence, now);
-                            self.long_idle_since_ms(job, due, now).is_some()
+                            self.is_long_idle(job, due, now)
                         };
                     let counted = if is_idle { 100 } else { counted };
                     let wanted = u64::try_from(live * 100 + counted).unwrap_or(0);
@@ -186,10 +187,17 @@
                         load.apart = load.apart.max(usize::try_from(apart).unwrap_or(0));
                     }
                 }
+                owes_starts |= work.owes_starts();
                 if let Some(sums) = sums {
                     sums.add_job(queue, &rank(), work, &self.runtime_model(queue));
                 }
             }
+            if let Some(sums) = sums
+                && owes_starts
+                && !job.is_at_work()
+            {
+                sums.add_idle_job();
+            }
         }
         loads
     }
--- a/src/scheduler/rank.rs
+++ b/src/scheduler/rank.rs
@@ -55,7 +55,8 @@
     /// Steps of a fair share that the organisation's running work has reached in the pool; 0 unless
     /// organisations compete there.
     pub share: u64,
-    /// Processor time left, in core-milliseconds.
+    /// Processor time left, in core-milliseconds; for what is overdue, when it was due, in
+    /// milliseconds.
     pub work: u64,
 }
 
@@ -193,5 +194,7 @@
         RankTier::Overdue
     };
     debug_assert!(!job.state.is_final() || job.state == JobState::Running);
+    // The oldest first, so that what has begun ends before more is begun.
+    let work = if tier == RankTier::Overdue { due_ms } else { work };
     JobRank { priority: queue.priority, tier, share: 0, work }
 }
--- a/src/scheduler/renewals.rs
+++ b/src/scheduler/renewals.rs
@@ -329,6 +329,9 @@
         }
         if live.is_some() {
             self.remove_run(&exit.task, exit.run, now);
+            if let Some(task) = self.task_mut(&exit.task) {
+                task.worked_ms = now;
+            }
         }
         match exit.kind {
             // This includes a run that had been considered ended: it did complete, and must not run
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -112,6 +112,9 @@
         let Some(task) = job.task_mut(key) else { return };
         let live = task.live.remove(position);
         task.waiting_since_ms = now;
+        if live.is_at_work() {
+            task.worked_ms = now;
+        }
         task.last_alive = last_alive.or(task.last_alive);
         self.commits.mark_changed(key.job);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
--- a/tests/kept_ranks.rs
+++ b/tests/kept_ranks.rs
@@ -148,6 +148,8 @@
     } else {
         RankTier::Overdue
     };
+    // Of what is overdue the oldest goes first.
+    let work = if tier == RankTier::Overdue { due_ms } else { work };
     JobRank { priority: queue.priority, tier, share: 0, work }
 }
 
@@ -217,6 +219,11 @@
                 step.tasks.iter().filter(|task| !task.is_done && task.live.is_empty()).count();
             let live = step.tasks.iter().map(|task| task.live.len()).sum::<usize>();
             assert_eq!((counts.waiting, counts.live), (waiting, live), "seed {seed}");
+            let runs = || step.tasks.iter().flat_map(|task| &task.live);
+            let at_work = runs().filter(|live| !live.is_booked()).count();
+            assert_eq!((counts.at_work, counts.inherited), (at_work, 0), "seed {seed}");
+            let placed_ms = runs().filter(|live| live.is_booked()).map(|live| live.placed_ms).max();
+            assert_eq!(counts.placed_ms, placed_ms, "seed {seed}");
             let open = || step.tasks.iter().filter(|task| !task.is_done && task.live.is_empty());
             let startable_ms = open().map(|task| task.not_before_ms).max().unwrap_or(0);
             assert_eq!(counts.startable_ms, startable_ms, "seed {seed}");
--- a/tests/start_rate.rs
+++ b/tests/start_rate.rs
@@ -77,3 +77,21 @@
     begin(&mut meter, now, 750, 1_000, 700);
     assert!(meter.lasting_rate() >= 900, "{}", meter.lasting_rate());
 }
+
+/// Guards against a leader that goes on rejecting by what began beside little work, once it was late.
+#[test]
+fn only_what_begins_while_tasks_wait_for_the_limit_is_remembered() {
+    let mut meter = StartMeter::default();
+    let now = begin(&mut meter, 10_000, 2_000, 40, 900);
+    assert_eq!(meter.short_rate(), None, "little has come");
+    let mut now = now;
+    for _ in 0..8 {
+        meter.record_limited(now);
+        now = begin(&mut meter, now, 250, 400, 900);
+    }
+    assert!(meter.short_rate().is_some_and(|rate| rate >= 360), "{:?}", meter.short_rate());
+    let now = begin(&mut meter, now, 20_000, 40, 50);
+    assert!(meter.short_rate().is_some());
+    begin(&mut meter, now, 20_000, 40, 50);
+    assert_eq!(meter.short_rate(), None);
+}
