--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::ProcessClock;
@@ -560,13 +560,19 @@
                 true => scheduler.reject_unbegun(records, now),
                 false => (records, Vec::new()),
             };
+            let owed = scheduler.owed_starts();
             scheduler.relay(token, records, now);
-            Some(rejections)
+            Some((rejections, owed))
         });
-        let Some(rejections) = rejections.flatten() else {
+        let Some((rejections, owed)) = rejections.flatten() else {
             self.relay_waiters().remove(&token);
             return None;
         };
+        if !rejections.is_empty() {
+            info!(self.logger, "submissions rejected for starts that are owed";
+                "rejected" => rejections.len(), "tasks" => owed.tasks, "jobs" => owed.jobs,
+                "rate" => owed.rate);
+        }
         self.wake.notify_one();
         Some(RelayReceipt { stored: receiver, rejections })
     }
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -307,6 +307,17 @@
     pub retry_s: u64,
 }
 
+/// What a leader owes to accepted jobs, and how fast it brings it about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwedStarts {
+    /// Tasks that have not begun.
+    pub tasks: u64,
+    /// Jobs of which nothing is at work.
+    pub jobs: u64,
+    /// Tasks that begin in a second, if that is known.
+    pub rate: Option<u64>,
+}
+
 /// Capacity of a pool's workers.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolCapacity {
@@ -398,6 +409,15 @@
         (accepted, rejections)
     }
 
+    /// What is owed to accepted jobs, for log lines.
+    pub fn owed_starts(&self) -> OwedStarts {
+        let rate = match self.line.starts.open_max() {
+            Some(_) => Some(self.line.starts.lasting_rate()),
+            None => self.line.starts.short_rate(),
+        };
+        OwedStarts { tasks: self.line.unbegun, jobs: self.line.idle_jobs, rate }
+    }
+
     fn start_retry_s(&self, job: JobId, submission: &JobSubmission) -> Option<u64> {
         let is_known = self.jobs.contains_key(&job) || self.finished.contains_key(&job);
         if is_known || !is_deferrable(&submission.spec) {
