--- a/tests/start_rate.rs
+++ b/tests/start_rate.rs
@@ -95,3 +95,16 @@
     begin(&mut meter, now, 20_000, 40, 50);
     assert_eq!(meter.short_rate(), None);
 }
+
+/// Guards against a leader that stays limited, or goes on rejecting, after a single stall: its entry may
+/// have been frozen.
+#[test]
+fn a_single_stall_limits_for_a_moment_only() {
+    let mut meter = StartMeter::default();
+    let now = begin(&mut meter, 10_000, 4_000, 300, 50) + 5_000;
+    (0..50).for_each(|_| meter.record_begin(5_000, now));
+    let now = begin(&mut meter, now, 2_500, 300, 50);
+    assert_eq!(meter.open_max(), None);
+    assert_eq!(meter.short_rate(), None);
+    assert!(meter.lasting_rate() >= 270, "{} at {now}", meter.lasting_rate());
+}
