Limit open starts by the rate that was measured, and see late ones before they begin

The first starts of a new leader are always in time, so 38 allowed starts became 90 at 38 starts a second, more than two seconds. - The rate that a leader inherits was counted for the current quarter of a second too, on top of what began in it: 74 for 54 a second, and more with each change of leaders. - Starts were slow only once half of what had begun was; what was on its way and late did not count, so that everything was accepted for as long. - Starts in a commit that was under way counted nowhere, so that twice the limit was placed.

The limit is now what begins in half a second at the measured rate, beside what waits for the log (Little's law); it follows the rate, and grows without one only where nothing begins. Starts that are on their way for half a second tell that starts are slow, if they are 16 and half of all. Half a second, since what is placed ahead of the order waits behind all others, and full pools are booked for as long.

--- a/src/decide/start_rate.rs
+++ b/src/decide/start_rate.rs
@@ -5,16 +5,19 @@
 //! placement of a task until its worker has begun it, while the lateness of the leader's loop shows
 //! only a part: a loop that spends its time in long rounds wakes in time after each.
 //!
-//! While starts are slow, no more of them are on their way than begin in [`START_TIME_MAX_MS`]
-//! (Little's law): a placed task holds capacity of its worker, and more starts on their way make none
-//! of them faster.
+//! While starts are slow, no more of them are on their way than begin in half a second, beside those that
+//! wait for the log (Little's law): a placed task holds capacity of its worker, and more starts on their
+//! way make none of them faster.
 
 /// Time in which a placed task is to begin, in milliseconds. Callers accept that nothing of a job runs
 /// for three seconds; half of them may pass before its turn.
 pub const START_TIME_MAX_MS: u64 = 1_000;
 /// Time from placement to begin from which a start is slow, in milliseconds: what waits then takes up
 /// half of that time before anything goes wrong.
-const SLOW_START_MS: u64 = START_TIME_MAX_MS / 2;
+pub const SLOW_START_MS: u64 = START_TIME_MAX_MS / 2;
+/// Time that starts may take to begin at the measured rate once they are on the log, in milliseconds: as
+/// long as they are not slow. Those placed ahead of the order wait behind all of them.
+const OPEN_TIME_MAX_MS: u64 = SLOW_START_MS;
 /// Starts that may always be on their way, so that there is something to measure.
 const OPEN_STARTS_MIN: u64 = 16;
 
@@ -27,7 +30,8 @@
 const RECENT: usize = 2;
 /// Intervals for which the rate of slow starts is of use: half a minute, in which several bursts come.
 const SHORT_INTERVALS: u64 = 120;
-/// Growth of the limit in each interval in which it was reached without slow starts, in percent.
+/// Growth of the limit in each interval in which it was reached and nothing has begun for a second, in
+/// percent: the starts on their way wait for something else, and must not hold up all others.
 const GROWTH_PERCENT: u64 = 150;
 
 /// Begins within one interval.
@@ -35,6 +39,9 @@
 struct BeginCount {
     begun: u64,
     slow: u64,
+    /// Starts whose runs came to the log, and the time that they had waited for it, in milliseconds.
+    logged: u64,
+    log_ms: u64,
 }
 
 /// Measures the begins of the last seconds, and limits the starts on their way.
@@ -50,6 +57,8 @@
     reached: u64,
     /// Whether a task has begun under this leader.
     has_begun: bool,
+    /// Whether most of the starts on their way are late by now.
+    is_open_late: bool,
     /// Rate that lasted while tasks waited for the limit, and the number of the last such interval.
     short: Option<(u64, u64)>,
 }
@@ -59,8 +68,12 @@
     pub fn inherit(&mut self, rate: u64, now: u64) {
         self.advance(now);
         let begun = rate.div_ceil(1_000 / INTERVAL_MS);
-        self.recent[..=2 * PER_SECOND].fill(BeginCount { begun, slow: begun });
-        self.limit = Some(rate.max(OPEN_STARTS_MIN));
+        self.recent[1..=2 * PER_SECOND].fill(BeginCount {
+            begun,
+            slow: begun,
+            ..BeginCount::default()
+        });
+        self.limit = Some(self.open_at(rate));
     }
 
     /// Records that a task has begun this long after its placement, in milliseconds.
@@ -71,6 +84,21 @@
         self.recent[0].slow += u64::from(wait_ms >= SLOW_START_MS);
     }
 
+    /// Records that a run came to the log this long after its placement, in milliseconds: its start may
+    /// be sent.
+    pub fn record_logged(&mut self, wait_ms: u64, now: u64) {
+        self.advance(now);
+        self.recent[0].logged += 1;
+        self.recent[0].log_ms += wait_ms;
+    }
+
+    /// Records how many starts are on their way, and how many of them were placed at least
+    /// [`SLOW_START_MS`] ago. They tell of a hold-up before any of them has begun.
+    pub fn record_open(&mut self, late: usize, open: usize) {
+        let has_enough = u64::try_from(late).is_ok_and(|late| late >= OPEN_STARTS_MIN);
+        self.is_open_late = has_enough && late * 2 >= open;
+    }
+
     /// Records that a task could be placed and waits for the limit.
     pub fn record_limited(&mut self, now: u64) {
         self.reached = self.reached.max(now / INTERVAL_MS);
@@ -92,12 +120,19 @@
     }
 
     fn adapt_limit(&mut self) {
+        let most = self.open_at(self.best_second().max(self.lasting_rate()));
         if self.is_slow() {
-            let most = self.best_second() * START_TIME_MAX_MS / 1_000;
-            self.limit = Some(most.max(OPEN_STARTS_MIN));
+            self.limit = Some(most);
             self.note_short_rate();
         } else if self.reached >= self.current {
-            self.limit = self.limit.map(|limit| limit * GROWTH_PERCENT / 100);
+            let grown = |limit: u64| match self.has_begun_lately() {
+                true => limit.max(most),
+                false => limit * GROWTH_PERCENT / 100,
+            };
+            self.limit = self.limit.map(grown);
+            if self.limit.is_some() {
+                self.note_short_rate();
+            }
         } else if self.current > self.reached + u64::try_from(PER_SECOND).unwrap_or(0) {
             self.limit = None;
         }
@@ -134,13 +169,19 @@
         self.limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX))
     }
 
-    /// Whether half of the tasks that began lately were slow to begin.
+    /// Whether half of the tasks that began lately were slow to begin, or half of the starts on their way
+    /// are late.
     fn is_slow(&self) -> bool {
         let recent = &self.recent[..=RECENT];
         let (begun, slow) = recent
             .iter()
             .fold((0, 0), |(begun, slow), count| (begun + count.begun, slow + count.slow));
-        slow > 0 && slow * 2 >= begun
+        self.is_open_late || slow > 0 && slow * 2 >= begun
+    }
+
+    /// Whether a task has begun in about the last second.
+    fn has_begun_lately(&self) -> bool {
+        self.recent[..=PER_SECOND].iter().any(|count| count.begun > 0)
     }
 
     /// Most begins within a second. A limit that followed the latest second would shrink further with
@@ -149,4 +190,17 @@
         let begun = |second: &[BeginCount]| second.iter().map(|count| count.begun).sum::<u64>();
         self.recent.windows(PER_SECOND).map(begun).max().unwrap_or(0)
     }
+
+    /// Starts that may be on their way at a rate of begins in a second.
+    fn open_at(&self, rate: u64) -> u64 {
+        let time_ms = OPEN_TIME_MAX_MS + self.log_wait_ms().min(START_TIME_MAX_MS);
+        (rate * time_ms / 1_000).max(OPEN_STARTS_MIN)
+    }
+
+    /// Mean time that starts have waited for the log in about the last second, in milliseconds.
+    fn log_wait_ms(&self) -> u64 {
+        let recent = &self.recent[..=PER_SECOND];
+        let log_ms: u64 = recent.iter().map(|count| count.log_ms).sum();
+        log_ms.checked_div(recent.iter().map(|count| count.logged).sum()).unwrap_or(0)
+    }
 }
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -106,6 +106,8 @@
 pub struct CommitQueue {
     jobs: ChangedJobs,
     starts: Vec<(TaskKey, u32)>,
+    /// Number of starts in the commit that was taken last, until it is on the log.
+    starts_in_flight: usize,
     /// Jobs of which a task has started, by the earliest time at which it can have, in milliseconds.
     begins: BTreeSet<(u64, JobId)>,
     exits: BTreeMap<Arc<str>, u64>,
@@ -160,7 +162,7 @@
 
     /// Number of starts that wait for the log.
     pub fn pending_starts(&self) -> usize {
-        self.starts.len()
+        self.starts.len() + self.starts_in_flight
     }
 
     /// Queues the acknowledgement of a worker's exits up to this number, which have been processed.
@@ -322,6 +324,7 @@
         let left = &self.commits.jobs;
         let (later, now): (Vec<_>, Vec<_>) =
             self.commits.starts.drain(..).partition(|(task, _)| left.contains(task.job));
+        self.commits.starts_in_flight = now.len();
         batch.starts = now;
         self.commits.starts = later;
         let exits = std::mem::take(&mut self.commits.exits);
@@ -390,6 +393,7 @@
 
     /// Handles that an append is on the log: releases its starts and acknowledges its exits.
     pub fn committed(&mut self, batch: &CommitBatch, now: u64) {
+        self.commits.starts_in_flight = 0;
         for (task, run) in &batch.starts {
             self.release_start(task, *run, now);
         }
@@ -414,6 +418,7 @@
             self.remove_run(task, run, now);
             return;
         }
+        self.line.starts.record_logged(now.saturating_sub(live.placed_ms), now);
         live.enter(RunPhase::Starting, now);
         self.pending_commands.insert((*task, run));
     }
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::decide::lateness::answer_extra_ms;
+use crate::decide::start_rate::SLOW_START_MS;
 use crate::jobs::model::{JobId, StepSpec, TaskKey};
 use crate::jobs::ports::{
     CommandOutcome, CommandRefusal, RunCall, StartCall, WorkerTarget, refusal_label,
@@ -162,7 +163,7 @@
             return;
         }
         let due: Vec<(TaskKey, u32)> = self.pending_commands.iter().copied().collect();
-        let mut held = 0;
+        let (mut held, mut late) = (0, 0);
         for (key, run) in due {
             let Some(live) = self.live_run(&key, run) else {
                 self.pending_commands.remove(&(key, run));
@@ -172,13 +173,15 @@
                 self.pending_commands.remove(&(key, run));
                 continue;
             }
-            let (phase, since_ms) = (live.phase, live.phase_since_ms);
+            let (phase, since_ms, placed_ms) = (live.phase, live.phase_since_ms, live.placed_ms);
             let stop_due_ms = live.retry_ms + stop_pause_ms(live.stops);
             let is_due = now >= live.retry_ms;
             let Some(worker) = self.workers.get(&live.worker) else { continue };
             let is_silent = worker.silent_since_ms.is_some();
             let is_unreachable = is_silent || !worker.is_listed;
-            held += usize::from(phase == RunPhase::Stopping || is_unreachable);
+            let is_open = phase == RunPhase::Starting && !is_unreachable;
+            held += usize::from(!is_open);
+            late += usize::from(is_open && now >= placed_ms + SLOW_START_MS);
             if !is_due {
                 continue;
             }
@@ -205,6 +208,7 @@
             self.actions.push(SchedulerAction::SendCommand(target, key, run));
         }
         self.held_commands = held;
+        self.line.starts.record_open(late, self.open_starts());
     }
 
     /// Address of a worker for calls; `None` while it is known only from the log.
