Withdraw starts beyond the limit, and send in the order of placement

And what became due in one round was sent in the order of job ids, so that a job which had waited longest could be the last of its round.

Starts that were not handed out are withdrawn beyond the limit, first those of jobs with the most runs at work or to be started before them, so that each job keeps one as far as possible. No worker knows of such a start; services and gangs keep theirs. Due starts are sent in the order in which they were placed. A log line and a counter tell how many were withdrawn.

--- a/src/jobs/decision_log.rs
+++ b/src/jobs/decision_log.rs
@@ -79,6 +79,10 @@
             info!(logger, "start refused"; "job" => %task.job, "task" => %task, "run" => run,
                 "worker" => &**worker, "reason" => reason, "open_tries" => open_tries);
         }
+        SchedulerEvent::StartsWithdrawn { count, most } => {
+            node.metrics.starts_withdrawn.inc_by(u64::try_from(*count).unwrap_or(0));
+            info!(logger, "starts withdrawn"; "starts" => count, "limit" => most);
+        }
         SchedulerEvent::SecondRun { task, run, worker, booked } => {
             node.metrics.second_runs.inc();
             warn!(logger, "worker lists a second run of a task"; "job" => %task.job,
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -88,6 +88,8 @@
     pub begun_over: Counter,
     /// Starts that were rejected while another attempt had no outcome yet.
     pub refused_open: Counter,
+    /// Starts that were withdrawn before they were sent.
+    pub starts_withdrawn: Counter,
     /// Unrecorded runs that a worker listed in addition to another run of the same task.
     pub second_runs: Counter,
     /// Queries to entries with a replica of the job log, by outcome.
@@ -172,6 +174,7 @@
             fair_rounds: Counter::default(),
             begun_over: Counter::default(),
             refused_open: Counter::default(),
+            starts_withdrawn: Counter::default(),
             second_runs: Counter::default(),
             questions: Family::default(),
             replica: Gauge::default(),
@@ -270,6 +273,8 @@
         registry.register("begun_over", help, self.begun_over.clone());
         let help = "starts that were refused while another try of them had no outcome yet";
         registry.register("refused_open", help, self.refused_open.clone());
+        let help = "starts that were withdrawn before they were sent";
+        registry.register("starts_withdrawn", help, self.starts_withdrawn.clone());
         let help = "runs on no book that a worker listed beside another run of their task";
         registry.register("second_runs", help, self.second_runs.clone());
         let help = "questions to entries with a copy of the job log, by what became of them";
--- a/src/scheduler/action.rs
+++ b/src/scheduler/action.rs
@@ -158,6 +158,13 @@
         /// Other attempts to start it whose outcome is not known yet.
         open_tries: u32,
     },
+    /// Starts beyond the limit were withdrawn before they were sent.
+    StartsWithdrawn {
+        /// Number of starts.
+        count: usize,
+        /// The limit.
+        most: usize,
+    },
     /// A worker lists a run that the leader has no record of, while it has a record of another run
     /// of the task.
     SecondRun {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -121,6 +121,7 @@
             }
             return;
         }
+        self.withdraw_starts(now);
         self.clear_claims();
         let largest_free = self.largest_free(now);
         let mut steps = self.ready_steps(&largest_free, now);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -49,6 +49,8 @@
     pub phase_since_ms: u64,
     /// When this leader placed the run or read it from the log, in milliseconds.
     pub placed_ms: u64,
+    /// Position in the order in which this leader placed runs; 0 for those of an earlier leader.
+    pub order: u64,
     /// When the start or stop may be sent again, in milliseconds.
     pub retry_ms: u64,
     /// Latest progress that the worker reported, in percent.
@@ -92,6 +94,7 @@
             phase: RunPhase::Planned,
             phase_since_ms: now,
             placed_ms: now,
+            order: 0,
             retry_ms: now,
             percent: 0,
             progress_ms: now,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -45,6 +45,7 @@
 mod tombstones;
 pub mod turns;
 mod waits;
+mod withdrawal;
 pub mod worker;
 mod worker_table;
 
@@ -176,6 +177,8 @@
     /// milliseconds: the workers may be listed again.
     dropped_lease_bounds: BTreeMap<Arc<str>, u64>,
     pending_commands: BTreeSet<(TaskKey, u32)>,
+    /// Runs that this leader has placed.
+    runs_placed: u64,
     /// Pending commands that are stops or for workers that can't be reached, as of the last tick.
     held_commands: usize,
     abandoned: AbandonedRuns,
@@ -246,6 +249,7 @@
             workers: WorkerTable::default(),
             dropped_lease_bounds: BTreeMap::new(),
             pending_commands: BTreeSet::new(),
+            runs_placed: 0,
             held_commands: 0,
             abandoned: AbandonedRuns::default(),
             losses: LossTracker::open(now),
--- a/src/scheduler/runs.rs
+++ b/src/scheduler/runs.rs
@@ -76,7 +76,9 @@
         let age_ms = now.saturating_sub(job.arrived_ms);
         let Some(task) = job.task_mut(key) else { return };
         task.run = task.run.max(run);
-        task.live.push(LiveRun::planned(worker.clone(), run, now));
+        self.runs_placed += 1;
+        let order = self.runs_placed;
+        task.live.push(LiveRun { order, ..LiveRun::planned(worker.clone(), run, now) });
         self.organisations.add_run(&job.submission, job.spec(key));
         let wanted_lease_ms = self.bounds.cancel_ms;
         if let Some(entry) = self.workers.get_mut(worker) {
@@ -164,6 +166,7 @@
         }
         let due: Vec<(TaskKey, u32)> = self.pending_commands.iter().copied().collect();
         let (mut held, mut late) = (0, 0);
+        let mut sendable = Vec::new();
         for (key, run) in due {
             let Some(live) = self.live_run(&key, run) else {
                 self.pending_commands.remove(&(key, run));
@@ -201,12 +204,16 @@
                 continue;
             }
             let target = worker.target();
-            if let Some(live) = self.live_mut(&key, run) {
-                live.retry_ms = now + COMMAND_RETRY_MS;
-                live.stops += u32::from(phase == RunPhase::Stopping);
-            }
-            self.actions.push(SchedulerAction::SendCommand(target, key, run));
-        }
+            let Some(live) = self.live_mut(&key, run) else { continue };
+            live.retry_ms = now + COMMAND_RETRY_MS;
+            live.stops += u32::from(phase == RunPhase::Stopping);
+            sendable.push((live.order, target, key, run));
+        }
+        // In the order of placement, which is that of urgency.
+        sendable.sort_by_key(|(order, ..)| *order);
+        let sent = sendable.into_iter();
+        self.actions
+            .extend(sent.map(|(_, id, key, run)| SchedulerAction::SendCommand(id, key, run)));
         self.held_commands = held;
         self.line.starts.record_open(late, self.open_starts());
     }
--- /dev/null
+++ b/src/scheduler/withdrawal.rs
@@ -0,0 +1,77 @@
+//! Withdraws starts that can't be sent in time.
+//!
+//! Guards against tasks that were placed before starts were known to be slow, or under a higher limit:
+//! they would be sent first come, first served, and a job that has nothing at work would wait behind all
+//! of them. A start that was not handed out yet can be taken back, since no worker knows of it.
+
+use std::cmp::Reverse;
+
+use crate::jobs::model::TaskKey;
+use crate::scheduler::job::{JobRun, LiveRun, RunPhase};
+use crate::scheduler::{Scheduler, SchedulerEvent};
+
+/// A start that can be taken back; the order is that in which starts are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct UnsentStart {
+    /// Runs of its job that are at work or are to start before it.
+    before: usize,
+    placed_ms: u64,
+    task: TaskKey,
+    run: u32,
+}
+
+impl Scheduler {
+    /// Withdraws the starts beyond the limit: those of jobs with the most runs at work or to be started
+    /// before them, and of these the latest.
+    pub(crate) fn withdraw_starts(&mut self, now: u64) {
+        let Some(most) = self.starts_max() else { return };
+        let excess = self.open_starts().saturating_sub(most);
+        if excess == 0 {
+            return;
+        }
+        let mut unsent: Vec<UnsentStart> = self.jobs.values().flat_map(unsent_starts).collect();
+        unsent.sort_unstable_by_key(|start| Reverse(*start));
+        unsent.truncate(excess);
+        if unsent.is_empty() {
+            return;
+        }
+        for start in &unsent {
+            self.remove_run(&start.task, start.run, now);
+        }
+        self.emit(SchedulerEvent::StartsWithdrawn { count: unsent.len(), most });
+    }
+}
+
+/// The starts of a job that were not handed out. Those of services and gangs stay.
+fn unsent_starts(job: &JobRun) -> Vec<UnsentStart> {
+    let mut unsent = Vec::new();
+    if job.state.is_final() {
+        return unsent;
+    }
+    // Runs at work and starts on their way.
+    let mut ahead = 0;
+    for (occurrence, run) in &job.occurrences {
+        for (position, (spec, step)) in job.submission.spec.steps.iter().zip(&run.steps).enumerate()
+        {
+            let counts = step.counts();
+            ahead += counts.at_work + counts.booked;
+            if counts.booked == 0 || spec.is_service || spec.is_gang {
+                continue;
+            }
+            for (index, task) in step.tasks.iter().enumerate() {
+                let is_unsent = |live: &&LiveRun| live.phase == RunPhase::Starting && !live.is_sent;
+                for live in task.live.iter().filter(is_unsent) {
+                    let key = job.key(*occurrence, position, index);
+                    let (placed_ms, run) = (live.placed_ms, live.run);
+                    unsent.push(UnsentStart { before: 0, placed_ms, task: key, run });
+                }
+            }
+        }
+    }
+    unsent.sort_unstable();
+    ahead -= unsent.len();
+    for (position, start) in unsent.iter_mut().enumerate() {
+        start.before = ahead + position;
+    }
+    unsent
+}
--- a/tests/slow_leader.rs
+++ b/tests/slow_leader.rs
@@ -399,6 +399,19 @@
     assert!(site.has_begun(old) && waited_ms <= STAND_MAX_MS, "{waited_ms} ms");
 }
 
+/// Guards against jobs that wait behind all that was placed before starts were known to be slow.
+#[test]
+fn jobs_are_begun_in_turn_though_more_was_placed_than_can_begin() {
+    let speed = LeaderSpeed { starts_per_s: 60, starts_max: usize::MAX, round_ms: 50 };
+    let mut site = SlowSite::open(speed, [0; 4], [24, 0, 0, 0]);
+    let need = ResourceVector { cpu: 100, memory: 10, accelerators: 0 };
+    let spec = StepSpec { need, estimate_ms: 500, ..step(12) };
+    let jobs: Vec<JobId> = (0..60).map(|_| site.submit(0, vec![spec.clone()], 0)).collect();
+    site.run(STAND_MAX_MS);
+    let begun = jobs.iter().filter(|id| site.has_begun(**id)).count();
+    assert_eq!(begun, jobs.len(), "jobs begun");
+}
+
 /// Guards against a pool that counts as full, as most of it is booked for tasks that have not begun,
 /// and whose overdue jobs therefore never have a turn.
 #[test]
@@ -556,8 +569,9 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
-/// Runs of the drawn leaders in CI.
+/// Runs of the drawn leaders in CI, and seeds that have broken the bound.
 const DRAWN_RUNS: u64 = 8;
+const DRAWN_SEEDS: [u64; 5] = [22, 23, 34, 344, 385];
 /// Time from the end of the traffic in which what was accepted has to end, in milliseconds.
 const ENDED_MAX_MS: u64 = 30_000;
 
@@ -643,10 +657,14 @@
 #[test]
 fn accepted_jobs_do_not_stand_still_under_any_leader() {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    let first = number("IBISWEIR_TEST_SEED").unwrap_or(1);
+    let first = number("IBISWEIR_TEST_SEED");
     let runs = number("IBISWEIR_TEST_RUNS").unwrap_or(DRAWN_RUNS);
+    let seeds: Vec<u64> = match first {
+        Some(first) => (first..first + runs).collect(),
+        None => (1..=runs).chain(DRAWN_SEEDS).collect(),
+    };
     let mut broken = Vec::new();
-    for seed in first..first + runs {
+    for seed in seeds {
         let drawn = DrawnRun::of(&mut StdRng::seed_from_u64(seed));
         let (stood_ms, ended_ms, rejected, accepted) = play_drawn(seed, &drawn);
         let line = format!(
