Soak with bursts: leaders that change

What stands still is judged from 10 s after the traffic on, so that the change itself and the leases of workers out of reach don't count.

--- a/standin/src/app.rs
+++ b/standin/src/app.rs
@@ -98,6 +98,12 @@
     options.optopt("", "shape", "site and traffic of a soak: usual or bursts [usual]", "SHAPE");
     options.optopt("", "vms", "VMs of a soak with bursts [350]", "COUNT");
     options.optopt("", "load", "mean demand of a soak with bursts, of its VMs [60]", "PERCENT");
+    options.optopt(
+        "",
+        "leader-gap",
+        "seconds between two ends of leaderships of a soak with bursts [none]",
+        "COUNT",
+    );
     options.optopt("", "busy", "threads of a soak with bursts that keep a core busy [0]", "COUNT");
     options.optopt("", "daemon", "program of a soak's entries [ibisweird beside this one]", "PATH");
     options.optopt("", "logs", "directory for the logs of a soak that fails", "PATH");
@@ -192,6 +198,7 @@
     };
     Ok(BurstShape {
         vms: usize::from(number("vms", 350)?),
+        leader_gap: Duration::from_secs(u64::from(number("leader-gap", 0)?)),
         busy: usize::from(number("busy", 0)?),
         load: u32::from(number("load", 60)?),
     })
--- a/standin/src/soak/bursts.rs
+++ b/standin/src/soak/bursts.rs
@@ -1,5 +1,6 @@
 //! A site of many VMs whose pools are asked in turns: in its turn each queue asks for more than its pool holds, between
-//! its turns for little. Nothing is harmed; entries get as much processor as the machine has left beside busy threads.
+//! its turns for little. Entries get as much processor as the machine has left beside busy threads. Nothing is harmed,
+//! unless leaders are to change: then what stands is judged once they have not changed for a while.
 //!
 //! Callers don't wait for each other, so more may be accepted at a time than a leader can begin at once.
 
@@ -34,6 +35,8 @@
 const POOLS: [&str; 4] = ["north", "east", "south", "west"];
 /// Processor of a VM, in thousandths of a core.
 const VM_CPU: u64 = 64_000;
+/// Changes of leaders are drawn by a seed of their own.
+const LEADER_SEED: u64 = 0x6c65_6164;
 /// Records of a topic that the log keeps: a few seconds' worth at this load.
 const HISTORY: usize = 20_000;
 /// Time from one turn of a queue to its next, and length of a turn.
@@ -45,6 +48,9 @@
 const RETRY_GAP: Duration = Duration::from_secs(1);
 /// Time between two looks at what stands.
 const LOOK_GAP: Duration = Duration::from_millis(100);
+/// Time without a change of leaders from which jobs may not stand still: the change, and the leases of workers that
+/// the next leader can't reach.
+const CALM_TIME: Duration = Duration::from_secs(10);
 /// Tasks of a step.
 const WIDTH: u32 = 8;
 
@@ -182,7 +188,13 @@
     let busy = BusyThreads::spawn(shape.busy);
     let begun = Instant::now();
     let end = begun + plan.length;
-    let watch = tokio::spawn(traffic.clone().watch(begun, end));
+    let changes_leaders = !shape.leader_gap.is_zero();
+    let calm = if changes_leaders { end + CALM_TIME } else { begun };
+    let watch = tokio::spawn(traffic.clone().watch(begun, end, calm));
+    let changes = changes_leaders.then(|| {
+        let random = StdRng::seed_from_u64(seed ^ LEADER_SEED);
+        tokio::spawn(faults::change_leaders(random, shape.leader_gap, end, entries.clone()))
+    });
     let mut queues = JoinSet::new();
     for number in 0..POOLS.len() {
         let random = StdRng::seed_from_u64(seed * 1_000 + number as u64);
@@ -193,6 +205,9 @@
     let length = plan.length + SETTLE_TIME * 2;
     let keeper = tokio::spawn(async move { faults::look_after(length, &looked_after).await });
     while queues.join_next().await.is_some() {}
+    if let Some(changes) = changes {
+        report.faults = changes.await.unwrap_or(0);
+    }
     report.broken.extend(watch.await.unwrap_or_else(|error| vec![error.to_string()]));
     keeper.abort();
     drop(busy);
@@ -358,7 +373,7 @@
     }
 
     /// Watches what stands still until nothing is open after the traffic.
-    async fn watch(self: Arc<Self>, begun: Instant, end: Instant) -> Vec<String> {
+    async fn watch(self: Arc<Self>, begun: Instant, end: Instant, calm: Instant) -> Vec<String> {
         let mut watch = StandingWatch::default();
         let mut broken = Vec::new();
         let mut tally = StandingTally::default();
@@ -367,6 +382,9 @@
             let vms: Vec<_> =
                 self.platform.vms().iter().filter_map(|linked| linked.vm.usage()).collect();
             let (now, open) = (Instant::now(), self.open_jobs());
+            if now < calm {
+                continue;
+            }
             let standing = watch.look(now, &open, &vms);
             let count = watch.count();
             tally.most = tally.most.max(count);
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -78,6 +78,41 @@
     }
 }
 
+/// Ends leaderships until `end`, each after `gap` and a half more at most: the leading entry is killed, frozen for a
+/// while, or stopped. How many were ended.
+pub async fn change_leaders(
+    mut random: StdRng,
+    gap: Duration,
+    end: Instant,
+    entries: Vec<Arc<EntryProcess>>,
+) -> usize {
+    let mut count = 0;
+    loop {
+        let pause = gap.mul_f64(random.random_range(1.0..1.5));
+        if Instant::now() + pause >= end {
+            return count;
+        }
+        sleep(pause).await;
+        let mut leader = None;
+        for entry in &entries {
+            if entry.leads().await {
+                leader = Some(entry);
+            }
+        }
+        let Some(leader) = leader else { continue };
+        count += 1;
+        match random.random_range(0..3) {
+            0 => leader.signal("-KILL").await,
+            1 => leader.signal("-TERM").await,
+            _ => {
+                leader.signal("-STOP").await;
+                sleep(Duration::from_millis(random.random_range(500..LENGTH_MS))).await;
+                leader.signal("-CONT").await;
+            }
+        }
+    }
+}
+
 /// Lets rooms shrink and grow for `length`, drawn by a seed of their own.
 pub async fn resize(mut random: StdRng, length: Duration, platform: Arc<JobPlatform>) {
     let begun = Instant::now();
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -89,7 +89,7 @@
     /// A few VMs, and callers that wait for each other.
     #[default]
     Usual,
-    /// Pools whose demand comes in turns, without faults.
+    /// Pools whose demand comes in turns, without faults but for leaders that change.
     Bursts(BurstShape),
 }
 
@@ -102,6 +102,8 @@
     pub busy: usize,
     /// Mean demand, in percent of all VMs' processor.
     pub load: u32,
+    /// Time between two ends of leaderships, until the traffic is over; zero for none.
+    pub leader_gap: Duration,
 }
 
 /// What to run.
