Reject what no leader takes after one that was short of starts

Callers saw thousands of accepted jobs stand with nothing running after leaders had changed under load: 4,835 in a soak of real processes, 3,167 at a time, 10 s and more after the traffic.

- The digest tells of starts for as long as the leader rejects for them, so for 30 s after they were slow as well, and whether they are slow now (version 3).
Entries reject by the same rule as the leader.
- Entries keep the last such line for 6 s, whoever leads.
While no leader takes a submission, they reject it then.
- A successor starts from that line, and counts what is owed to the jobs that it restores at once.

what_the_leader_cannot_begin_in_time_is_rejected_though_its_pool_has_capacity had an entry without a leader store a job beside a line of one second of starts; that is rejected now. Its first check has no such line any more; that one second is in time is checked in tests/admission.rs. no_job_is_stored_past_leaders_after_one_that_was_short_of_starts fails with the rejection taken out.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -29,15 +29,15 @@
 use crate::jobs::site::QueueSpec;
 
 /// Version of the digest's format.
-pub const DIGEST_VERSION: u8 = 2;
+pub const DIGEST_VERSION: u8 = 3;
 /// Largest encoded digest, in bytes.
 pub const DIGEST_BYTES_MAX: usize = 4_096;
 /// Time for which an entry uses what a digest tells of starts, in milliseconds. Entries that reject
 /// relay nothing and get a digest only with the answers to their offers, one or two seconds apart.
 pub const START_LINE_AGE_MAX_MS: u64 = 3_000;
-/// Time for which the rate of a leader's starts is of use to its successor, in milliseconds: a digest
-/// that came with an offer, and the time until the successor leads.
-const RATE_AGE_MAX_MS: u64 = 2 * START_LINE_AGE_MAX_MS;
+/// Time for which it is of use once that leader is gone, in milliseconds: a digest that came with an offer,
+/// and the time until a successor leads.
+const LAST_LINE_AGE_MAX_MS: u64 = 2 * START_LINE_AGE_MAX_MS;
 /// Longest time in which a leader whose starts are slow must be able to begin all accepted tasks, in
 /// milliseconds; users count a job that has capacity and does not begin as lost after 3 s.
 pub const START_WAIT_MAX_MS: u64 = 3_000;
@@ -76,7 +76,7 @@
     pub term: u64,
     /// Number of the digest; increases within a term.
     pub number: u64,
-    /// Starts that the leader owes; `None` unless they are slow.
+    /// Starts that the leader owes; `None` unless they are slow, or were a short time ago.
     pub starts: Option<StartLine>,
     /// Pools in which work waits.
     pub pools: Vec<PoolLine>,
@@ -89,6 +89,9 @@
     pub waiting: u64,
     /// Tasks that begin in a second.
     pub rate: u64,
+    /// Whether starts are slow; otherwise full pools hold the tasks back, and the rate is that which lasted
+    /// when they were.
+    pub is_slow: bool,
 }
 
 impl StartLine {
@@ -259,8 +262,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct DigestSlot {
     newest: Option<(Arc<LineDigest>, u64)>,
-    /// Rate of starts in the newest digest that told one, and when that came, in milliseconds.
-    rate: Option<(u64, u64)>,
+    /// Starts that the newest digest told of, and when that came, in milliseconds.
+    last_line: Option<(StartLine, u64)>,
 }
 
 impl DigestSlot {
@@ -270,7 +273,7 @@
         let is_newer =
             self.newest.as_ref().is_none_or(|(newest, _)| newest.order() < digest.order());
         if is_newer {
-            self.rate = digest.starts.map(|line| (line.rate, now));
+            self.last_line = digest.starts.map(|line| (line, now));
             self.newest = Some((Arc::new(digest), now));
         }
         is_newer
@@ -295,11 +298,10 @@
         }
     }
 
-    /// Rate of the starts of a leader that was short of them when it was last heard of, for its
-    /// successor.
-    pub fn inherited_rate(&self, now: u64) -> Option<u64> {
-        let (rate, received_ms) = self.rate?;
-        (now < received_ms + RATE_AGE_MAX_MS).then_some(rate)
+    /// What a leader that was short of starts owed when it was last heard of, whether it still leads or not.
+    pub fn last_line(&self, now: u64) -> Option<StartLine> {
+        let (line, received_ms) = self.last_line?;
+        (now < received_ms + LAST_LINE_AGE_MAX_MS).then_some(line)
     }
 
     fn younger_than(&self, age_max_ms: u64, now: u64) -> Option<(Arc<LineDigest>, u64)> {
@@ -475,16 +477,19 @@
 
 /// Seconds after which the caller of a job may retry because the leader can't begin in time what it
 /// has accepted; `None` accepts the job. `order` is the job's id as a number.
+///
+/// Where full pools hold the tasks back, what has begun leaves as soon, so that a job ends in twice the
+/// time.
 pub fn reject_beyond_starts(line: &StartLine, order: u64) -> Option<u64> {
     let drain_ms = line.drain_ms();
-    (drain_ms > START_WAIT_MAX_MS).then(|| retry_s(order, drain_ms))
+    let wait_max_ms = if line.is_slow { START_WAIT_MAX_MS } else { 2 * START_WAIT_MAX_MS };
+    (drain_ms > wait_max_ms).then(|| retry_s(order, drain_ms))
 }
 
-/// The same while starts are in time and tasks wait for full pools, at the rate that lasts when they are
-/// slow: what has begun leaves as soon, so that a job ends in twice the time.
-pub fn reject_beyond_pools(line: &StartLine, order: u64) -> Option<u64> {
-    let drain_ms = line.drain_ms();
-    (drain_ms > 2 * START_WAIT_MAX_MS).then(|| retry_s(order, drain_ms))
+/// Seconds after which the caller of a job may retry because nobody leads and the last leader was short of
+/// starts: nothing begins until the next one does, and no entry knows what the others accept meanwhile.
+pub fn retry_without_leader_s(line: &StartLine, order: u64) -> u64 {
+    retry_s(order, line.drain_ms().max(START_WAIT_MAX_MS))
 }
 
 /// Seconds after which the caller of a job may retry because not each of the `idle_jobs`, of which
--- a/src/decide/start_rate.rs
+++ b/src/decide/start_rate.rs
@@ -76,6 +76,12 @@
         self.limit = Some(self.open_at(rate));
     }
 
+    /// Remembers the rate of a predecessor whose starts were slow a short time ago.
+    pub fn inherit_short(&mut self, rate: u64, now: u64) {
+        self.advance(now);
+        self.short = Some((rate, self.current));
+    }
+
     /// Records that a task has begun this long after its placement, in milliseconds.
     pub fn record_begin(&mut self, wait_ms: u64, now: u64) {
         self.advance(now);
--- a/src/jobs/conductor.rs
+++ b/src/jobs/conductor.rs
@@ -234,8 +234,8 @@
         let mut scheduler = Scheduler::open(start, &job_table);
         scheduler.set_fair_shares(self.node.settings.has_fair_shares);
         scheduler.set_burst_holds(self.node.settings.holds_vms);
-        if let Some(rate) = self.node.inherited_start_rate() {
-            scheduler.inherit_start_rate(rate, now);
+        if let Some(line) = self.node.last_start_line() {
+            scheduler.inherit_starts(&line, now);
         }
         if self.node.settings.keeps_learned {
             scheduler.keep_learned(&job_table, now, wall_ms);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::ProcessClock;
-use crate::decide::admission::{DIGEST_AGE_MAX_MS, DigestSlot, LineDigest};
+use crate::decide::admission::{DIGEST_AGE_MAX_MS, DigestSlot, LineDigest, StartLine};
 use crate::decide::executor::{ExecutorOffer, ExecutorTable};
 use crate::decide::leadership::claim_delay_ms;
 use crate::decide::replica::{ReplicaList, ReplicaPlanner};
@@ -637,9 +637,9 @@
         report.map(|report| report.body).unwrap_or_default()
     }
 
-    /// Rate of the starts of the last leader, if it was short of them.
-    pub fn inherited_start_rate(&self) -> Option<u64> {
-        self.line_slot().inherited_rate(self.now())
+    /// What the last leader owed when it was last heard of, if it was short of starts.
+    pub fn last_start_line(&self) -> Option<StartLine> {
+        self.line_slot().last_line(self.now())
     }
 
     fn line_slot(&self) -> MutexGuard<'_, DigestSlot> {
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::decide::admission::{is_deferrable, retry_without_leader_s};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
 use crate::jobs::record::{JobRecord, KeyedRecord};
@@ -151,6 +152,10 @@
             if self.node.own_queue_delay_ms() <= OWN_QUEUE_DELAY_MAX_MS
                 || !self.node.is_leader_silent()
             {
+                let batch = if is_in_doubt { batch } else { self.reject_beyond_leader(batch) };
+                if batch.is_empty() {
+                    return;
+                }
                 return self.append(batch, is_in_doubt).await;
             }
             if !self.relay.wait_for_leader(&self.node, LEADER_WAIT).await {
@@ -165,6 +170,23 @@
         self.reject_waiting();
     }
 
+    /// Rejects the submissions of a batch that no leader has seen if the last one was short of starts: what
+    /// is appended past leaders is bounded by nobody.
+    fn reject_beyond_leader(&self, batch: Vec<SubmitRequest>) -> Vec<SubmitRequest> {
+        let Some(line) = self.node.last_start_line() else { return batch };
+        let mut kept = Vec::with_capacity(batch.len());
+        for request in batch {
+            match &request.record {
+                JobRecord::Submitted(job, submission) if is_deferrable(&submission.spec) => {
+                    let retry_s = retry_without_leader_s(&line, job.number());
+                    answer_all(vec![request], SubmitOutcome::Rejected(retry_s));
+                }
+                _ => kept.push(request),
+            }
+        }
+        kept
+    }
+
     async fn append(&mut self, batch: Vec<SubmitRequest>, is_relayed: bool) {
         let call = AppendCall {
             topic: LogTopic::Jobs,
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -22,8 +22,7 @@
 
 use crate::decide::admission::{
     ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
-    is_counted, is_deferrable, reject_beyond_pools, reject_beyond_starts, reject_beyond_turns,
-    size_class, task_work,
+    is_counted, is_deferrable, reject_beyond_starts, reject_beyond_turns, size_class, task_work,
 };
 use crate::decide::lateness::round_extra_ms;
 use crate::decide::start_rate::StartMeter;
@@ -31,7 +30,7 @@
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{QueueSpec, VmState};
 use crate::scheduler::Scheduler;
-use crate::scheduler::job::{RunPhase, StepRun};
+use crate::scheduler::job::{JobRun, RunPhase, StepRun};
 use crate::scheduler::rank::{JobRank, RankTier};
 use crate::scheduler::runtime::RuntimeModel;
 
@@ -366,17 +365,33 @@
         });
     }
 
-    /// What waits for starts while they are slow, in all pools: what a full one holds back is owed as
-    /// well. Where nothing has begun lately, nothing can be said about waits.
+    /// What waits for starts while they are slow, or were a short time ago, in all pools: what a full one holds
+    /// back is owed as well. Where nothing has begun lately, nothing can be said about waits.
     fn start_line(&self) -> Option<StartLine> {
-        self.line.starts.open_max()?;
-        let rate = self.line.starts.lasting_rate();
-        (rate > 0).then_some(StartLine { waiting: self.line.unbegun, rate })
+        let waiting = self.line.unbegun;
+        if self.line.starts.open_max().is_some() {
+            let rate = self.line.starts.lasting_rate();
+            return (rate > 0).then_some(StartLine { waiting, rate, is_slow: true });
+        }
+        // Pools hold the tasks back now; once they have room, the leader will.
+        let rate = self.line.starts.short_rate()?;
+        Some(StartLine { waiting, rate, is_slow: false })
     }
 
-    /// Goes by the rate of the predecessor's starts until this leader has one of its own.
-    pub fn inherit_start_rate(&mut self, rate: u64, now: u64) {
-        self.line.starts.inherit(rate, now);
+    /// Goes by the starts of a predecessor that was short of them until this leader knows its own, and counts
+    /// what is owed before the pools are planned.
+    pub fn inherit_starts(&mut self, line: &StartLine, now: u64) {
+        match line.is_slow {
+            true => self.line.starts.inherit(line.rate, now),
+            false => self.line.starts.inherit_short(line.rate, now),
+        }
+        let (mut tasks, mut idle_jobs) = (0_u64, 0_u64);
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            let owed = unbegun_tasks(job);
+            tasks = tasks.saturating_add(owed);
+            idle_jobs += u64::from(owed > 0 && !job.has_live_run());
+        }
+        (self.line.unbegun, self.line.idle_jobs, self.line.planned_ms) = (tasks, idle_jobs, now);
     }
 
     /// Takes the submissions out of a batch that this leader can't begin in time. Jobs that are known
@@ -424,15 +439,9 @@
             return None;
         }
         let order = job.number();
-        if let Some(line) = self.start_line() {
-            return reject_beyond_starts(&line, order)
-                .or_else(|| reject_beyond_turns(self.line.idle_jobs, line.rate, order));
-        }
-        // Pools hold the tasks back now; once they have room, the leader will.
-        let rate = self.line.starts.short_rate()?;
-        let line = StartLine { waiting: self.line.unbegun, rate };
-        reject_beyond_pools(&line, order)
-            .or_else(|| reject_beyond_turns(self.line.idle_jobs, rate, order))
+        let line = self.start_line()?;
+        reject_beyond_starts(&line, order)
+            .or_else(|| reject_beyond_turns(self.line.idle_jobs, line.rate, order))
     }
 
     fn pool_line(
@@ -515,3 +524,17 @@
         spare.map(|vm| vm.capacity.cpu).fold(0, u64::saturating_add)
     }
 }
+
+/// Tasks of a job that have no run, of steps that count.
+fn unbegun_tasks(job: &JobRun) -> u64 {
+    let spec = &job.submission.spec;
+    let counted = |steps: &[StepRun]| -> u64 {
+        let steps = spec.steps.iter().zip(steps).filter(|(spec, _)| is_counted(spec));
+        steps.map(|(_, step)| u64::try_from(step.counts().waiting).unwrap_or(u64::MAX)).sum()
+    };
+    if job.occurrences.is_empty() && spec.schedule.is_none() {
+        let counted = spec.steps.iter().filter(|step| is_counted(step));
+        return counted.map(|step| u64::from(step.count)).sum();
+    }
+    job.occurrences.values().map(|run| counted(&run.steps)).sum()
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -388,7 +388,7 @@
         version: DIGEST_VERSION,
         term: u64::MAX,
         number: u64::MAX,
-        starts: Some(StartLine { waiting: u64::MAX, rate: u64::MAX }),
+        starts: Some(StartLine { waiting: u64::MAX, rate: u64::MAX, is_slow: true }),
         pools: pools.collect(),
     };
     let (digest, body) = digest.encode();
@@ -427,13 +427,13 @@
 /// what it can; no figures cause a panic or a retry out of bounds.
 #[test]
 fn submissions_are_rejected_from_the_backlog_that_the_leader_cannot_begin_in_time() {
-    let in_time = StartLine { waiting: 300 * START_WAIT_MAX_MS / 1_000, rate: 300 };
+    let in_time = StartLine { waiting: 300 * START_WAIT_MAX_MS / 1_000, rate: 300, is_slow: true };
     assert_eq!(reject_beyond_starts(&in_time, 1), None);
     let beyond = StartLine { waiting: in_time.waiting + 1, ..in_time };
     assert!(reject_beyond_starts(&beyond, 1).is_some());
     check(
         (|waiting: AnyFigure, rate: AnyFigure, more: AnyFigure, order: u64| {
-            let line = StartLine { waiting: waiting.0, rate: rate.0 };
+            let line = StartLine { waiting: waiting.0, rate: rate.0, is_slow: true };
             let longer = StartLine { waiting: line.waiting.saturating_add(more.0), ..line };
             let (retry_s, later_s) =
                 (reject_beyond_starts(&line, order), reject_beyond_starts(&longer, order));
@@ -457,7 +457,7 @@
 #[test]
 fn what_a_digest_tells_of_starts_is_used_until_the_next_answer_to_an_offer() {
     let mut slot = DigestSlot::default();
-    let starts = Some(StartLine { waiting: 9_000, rate: 300 });
+    let starts = Some(StartLine { waiting: 9_000, rate: 300, is_slow: true });
     let digest =
         LineDigest { version: DIGEST_VERSION, term: 1, number: 1, starts, ..LineDigest::default() };
     slot.receive(digest, 500);
@@ -465,6 +465,9 @@
     assert!(slot.usable(last_ms).is_none());
     assert_eq!(slot.usable_for_starts(last_ms).and_then(|(digest, _)| digest.starts), starts);
     assert!(slot.usable_for_starts(last_ms + 1).is_none());
+    // Its successor, and entries without a leader, know it for longer.
     slot.forget_starts();
+    assert_eq!(slot.last_line(last_ms + 1), starts);
+    assert_eq!(slot.last_line(500 + 2 * START_LINE_AGE_MAX_MS), None);
     assert_eq!(slot.usable_for_starts(last_ms).and_then(|(digest, _)| digest.starts), None);
 }
--- a/tests/admission_service.rs
+++ b/tests/admission_service.rs
@@ -177,15 +177,35 @@
 #[tokio::test]
 async fn what_the_leader_cannot_begin_in_time_is_rejected_though_its_pool_has_capacity() {
     let mut entry = TestEntry::open();
-    (entry.pools, entry.starts) = (Vec::new(), Some(StartLine { waiting: 300, rate: 300 }));
+    entry.pools = Vec::new();
     entry.refresh();
     assert_eq!(entry.submit(5_000).await, CallerReply::Stored);
-    entry.starts = Some(StartLine { waiting: 9_000, rate: 300 });
+    entry.starts = Some(StartLine { waiting: 9_000, rate: 300, is_slow: true });
     let (_, wait) = entry.reject_one().await;
     assert!((1..=8).contains(&wait.as_secs()), "{wait:?}");
     assert_eq!(entry.submit(5_000).await, CallerReply::Stored, "it is in the log");
 }
 
+/// Guards against entries that go on storing jobs by themselves while nobody leads, after a leader that was
+/// short of starts: each accepts as if it were alone, and nothing begins meanwhile.
+#[tokio::test]
+async fn no_job_is_stored_past_leaders_after_one_that_was_short_of_starts() {
+    for is_slow in [true, false] {
+        let mut entry = TestEntry::open();
+        entry.pools = Vec::new();
+        entry.starts = Some(StartLine { waiting: 300, rate: 300, is_slow });
+        let before = entry.appended();
+        let (first, wait) = entry.reject_one().await;
+        assert_eq!(first, 1);
+        assert!((1..=8).contains(&wait.as_secs()), "{wait:?}");
+        assert_eq!(entry.appended(), before);
+        // The next leader knows of none that was short.
+        entry.starts = None;
+        entry.refresh();
+        assert_eq!(entry.submit(5_001).await, CallerReply::Stored);
+    }
+}
+
 /// Guards against a rejection of a job that runs: a caller that has lost the answer submits it
 /// again.
 #[tokio::test]
--- a/tests/relay_digest.rs
+++ b/tests/relay_digest.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use ibisweir::control::ControlLoop;
 use ibisweir::decide::access::CallerAccess;
-use ibisweir::decide::admission::{DIGEST_VERSION, LineDigest, PoolLine};
+use ibisweir::decide::admission::{DIGEST_VERSION, LineDigest, PoolLine, StartLine};
 use ibisweir::error::ResultCode;
 use ibisweir::jobs::caller_service::{CallerReply, CallerService};
 use ibisweir::jobs::catch_up::CatchUpReader;
@@ -224,8 +224,9 @@
     while leader.line().is_none() {
         sleep(Duration::from_millis(5)).await;
     }
+    let line = StartLine { waiting: 80, rate: 1, is_slow: true };
     let now = leader.now();
-    leader.with_scheduler(|scheduler| scheduler.inherit_start_rate(1, now));
+    leader.with_scheduler(|scheduler| scheduler.inherit_starts(&line, now));
     (leader, address)
 }
 
--- a/tests/slow_leader.rs
+++ b/tests/slow_leader.rs
@@ -250,7 +250,7 @@
         self.sim.take_over(self.term, self.config.clone());
         self.sim.scheduler.enable_line(true);
         if let Some(line) = line {
-            self.sim.scheduler.inherit_start_rate(line.rate, now);
+            self.sim.scheduler.inherit_starts(&line, now);
         }
         let entries: Vec<WorkerEntry> = self
             .vms
