Withdraw placed starts that a lowered cap has no room for

A cap held back placement only. Now the first tick under a new configuration withdraws starts of organisations beyond their caps that were not handed out, the latest first. Runs at work go on.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -210,6 +210,8 @@
     /// Whether the next placement also checks which tasks need a copy; every tenth of a second is
     /// enough.
     is_copy_check_due: bool,
+    /// Whether caps have changed since starts were last compared with them.
+    is_cap_check_due: bool,
     /// Whether tasks that fit on a worker wait only because too many starts are queued.
     is_start_queue_full: bool,
     next_sweep_ms: u64,
@@ -275,6 +277,7 @@
             actions: Vec::new(),
             needs_dispatch: true,
             is_copy_check_due: false,
+            is_cap_check_due: true,
             is_start_queue_full: false,
             next_sweep_ms: now,
             next_dispatch_ms: now,
@@ -434,6 +437,7 @@
     /// Puts a new configuration into force.
     pub fn set_config(&mut self, config: Arc<SiteConfig>) {
         self.organisations.configure(&config);
+        self.is_cap_check_due = true;
         self.config = config;
         self.register_queues();
         self.needs_dispatch = true;
@@ -681,6 +685,9 @@
             self.is_copy_check_due = true;
             self.needs_dispatch = true;
         }
+        if std::mem::take(&mut self.is_cap_check_due) {
+            self.withdraw_beyond_caps(now);
+        }
         self.plan_fleet(now);
         let is_wanted = self.needs_dispatch || self.may_place_again();
         if is_wanted && now >= self.next_dispatch_ms {
--- a/src/scheduler/organisation.rs
+++ b/src/scheduler/organisation.rs
@@ -104,6 +104,22 @@
         may_start(&spec.cap, &self.usage(&spec.name).used, need)
     }
 
+    /// Organisations whose runs take more than their caps allow.
+    pub fn beyond_caps(&self) -> impl Iterator<Item = Arc<str>> {
+        let names = self.uses.keys().filter(|name| self.is_beyond_cap(name));
+        names.cloned()
+    }
+
+    /// Whether an organisation's runs take more than its cap allows.
+    pub fn is_beyond_cap(&self, organisation: &str) -> bool {
+        let Some(spec) = self.specs.get(organisation) else { return false };
+        let used = self.usage(organisation).used;
+        let is_beyond = |cap: u64, used: u64| cap > 0 && used > cap;
+        is_beyond(spec.cap.cpu, used.cpu)
+            || is_beyond(spec.cap.memory, used.memory)
+            || is_beyond(spec.cap.accelerators, used.accelerators)
+    }
+
     /// What an organisation's cap leaves of each resource, `u64::MAX` where it has no limit; `None`
     /// for an unknown organisation.
     pub fn remaining(&self, organisation: &Arc<str>) -> Option<ResourceVector> {
--- a/src/scheduler/withdrawal.rs
+++ b/src/scheduler/withdrawal.rs
@@ -1,10 +1,12 @@
-//! Withdraws starts that can't be sent in time.
+//! Withdraws starts that can't be sent in time, or that a lowered cap has no room for.
 //!
 //! Guards against tasks that were placed before starts were known to be slow, or under a higher limit:
 //! they would be sent first come, first served, and a job that has nothing at work would wait behind all
 //! of them. A start that was not handed out yet can be taken back, since no worker knows of it.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use crate::jobs::model::TaskKey;
 use crate::scheduler::job::{JobRun, LiveRun, RunPhase};
@@ -42,6 +44,36 @@
     }
 }
 
+impl Scheduler {
+    /// Withdraws starts of organisations that have more placed than their caps allow, the latest first: what
+    /// is at work goes on, and nothing is added to it.
+    pub(crate) fn withdraw_beyond_caps(&mut self, now: u64) {
+        let over: BTreeSet<Arc<str>> = self.organisations.beyond_caps().collect();
+        if over.is_empty() {
+            return;
+        }
+        let of_organisation = |job: &&JobRun| {
+            job.submission.organisation.as_ref().is_some_and(|name| over.contains(name))
+        };
+        let mut unsent: Vec<(u64, TaskKey, u32)> = Vec::new();
+        for job in self.jobs.values().filter(of_organisation) {
+            for key in job.live_tasks() {
+                let live = job.task(&key).into_iter().flat_map(|task| &task.live);
+                let booked = live.filter(|live| live.is_booked() && !live.is_sent);
+                unsent.extend(booked.map(|live| (live.order, key, live.run)));
+            }
+        }
+        unsent.sort_unstable_by_key(|start| Reverse(*start));
+        for (_, key, run) in unsent {
+            let job = self.jobs.get(&key.job);
+            let organisation = job.and_then(|job| job.submission.organisation.as_deref());
+            if organisation.is_some_and(|name| self.organisations.is_beyond_cap(name)) {
+                self.remove_run(&key, run, now);
+            }
+        }
+    }
+}
+
 /// The starts of a job that were not handed out. Those of services and gangs stay.
 fn unsent_starts(job: &JobRun) -> Vec<UnsentStart> {
     let mut unsent = Vec::new();
