--- a/tests/relay_digest.rs
+++ b/tests/relay_digest.rs
@@ -275,6 +275,33 @@
     assert!((1..=8).contains(&wait.as_secs()), "{wait:?}");
 }
 
+/// Guards against an entry that rejects what its leader, though its starts are slow, begins in time.
+#[tokio::test]
+async fn what_the_leader_can_begin_in_time_is_stored() {
+    let (_leader, address) = working_leader(true).await;
+    let entry = entry(true);
+    entry.set_config(config());
+    entry.set_leader(Some(address));
+    entry.record_log_answer();
+    let starts = Some(StartLine { waiting: 300, rate: 300, is_slow: true });
+    let digest =
+        LineDigest { version: DIGEST_VERSION, term: 1, number: 1, starts, ..LineDigest::default() };
+    assert!(entry.receive_line(&digest.encode().1));
+    let log = SilentLog;
+    let relay = RelayClient::new(HttpTransport::open());
+    let service = CallerService {
+        submitter: submitter::spawn(entry.clone(), log, relay.clone(), 1),
+        reader: Arc::new(CatchUpReader::new(entry.clone(), log)),
+        relay,
+        queries: QueryClient::new(HttpTransport::open()),
+        node: entry,
+    };
+    let (queue, caller) = (queue(QUEUE, POOL), CallerAccess::default());
+    let time_left = Duration::from_secs(3);
+    let reply = service.submit(&queue, &caller, job_id(2), job(vec![step(8)]), time_left).await;
+    assert_eq!(reply, CallerReply::Stored);
+}
+
 /// Guards against an entry of an earlier build that takes a rejected submission for stored.
 #[tokio::test]
 async fn an_entry_that_knows_no_rejections_gets_none() {
