--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -55,7 +55,10 @@
     let (mut sender, driver) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(driver);
-    let mut request = Request::builder().method(method).uri(path).header("host", "site");
+    let mut request = Request::builder().method(method).uri(path);
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", "site");
+    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -10,16 +10,25 @@
 
 /// A running entry.
 pub struct EntryProcess {
-    child: Child,
+    child: Option<Child>,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
 }
 
 impl Drop for EntryProcess {
     fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if let Some(child) = &mut self.child {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl EntryProcess {
+    /// Hands the process over to whoever watches it.
+    pub fn into_parts(mut self) -> (Child, SocketAddr) {
+        (self.child.take().expect("it is handed over once"), self.callers)
     }
 }
 
@@ -65,6 +74,17 @@
 
     /// Starts an entry with times fit for a test.
     pub fn entry(&self, name: &str, centre: &str, platform: &str) -> EntryProcess {
+        self.entry_with(name, centre, platform, &[])
+    }
+
+    /// The same with these variables in its environment.
+    pub fn entry_with(
+        &self,
+        name: &str,
+        centre: &str,
+        platform: &str,
+        variables: &[(&str, &str)],
+    ) -> EntryProcess {
         let keys = self.authority.entry().expect("keys");
         let any = "127.0.0.1:0";
         let arguments = [
@@ -97,18 +117,20 @@
             "--log-level",
             "error",
         ];
-        let (child, line) = start(PathBuf::from(env!("CARGO_BIN_EXE_ibisweird")), &arguments);
+        let daemon = PathBuf::from(env!("CARGO_BIN_EXE_ibisweird"));
+        let (child, line) = start_with(daemon, &arguments, variables);
         let words: Vec<&str> = line.split_whitespace().collect();
         let address = |index: usize| words[index].parse().expect("an address");
-        EntryProcess { child, callers: address(2), admin: address(4) }
+        EntryProcess { child: Some(child), callers: address(2), admin: address(4) }
     }
 
     /// Sends SIGTERM and waits for the exit status.
     pub fn terminate(&self, mut entry: EntryProcess, patience: Duration) -> Option<i32> {
-        signal(&entry.child, "-TERM");
+        let child = entry.child.as_mut().expect("it was not handed over");
+        signal(child, "-TERM");
         let started = Instant::now();
         while started.elapsed() < patience {
-            if let Some(status) = entry.child.try_wait().expect("the process can be waited for") {
+            if let Some(status) = child.try_wait().expect("the process can be waited for") {
                 return status.code();
             }
             std::thread::sleep(Duration::from_millis(20));
@@ -118,7 +140,8 @@
 
     /// Freezes an entry, or lets it go on.
     pub fn freeze(&self, entry: &EntryProcess, frozen: bool) {
-        signal(&entry.child, if frozen { "-STOP" } else { "-CONT" });
+        let child = entry.child.as_ref().expect("it was not handed over");
+        signal(child, if frozen { "-STOP" } else { "-CONT" });
     }
 }
 
@@ -144,8 +167,13 @@
 
 /// Starts a program and reads the line that it prints when it is open.
 fn start(program: PathBuf, arguments: &[&str]) -> (Child, String) {
+    start_with(program, arguments, &[])
+}
+
+fn start_with(program: PathBuf, arguments: &[&str], variables: &[(&str, &str)]) -> (Child, String) {
     let mut child = Command::new(&program)
         .args(arguments)
+        .envs(variables.iter().copied())
         .stdout(Stdio::piped())
         .spawn()
         .expect("the program starts");
