Bound the way to the log in bytes, with a lane for large jobs

Cause, by reading: submissions wait in one queue of 2,048 records, 512 MB at that size, first come, first served. What its callers have given up on is sent all the same, so a minute of the log's time goes to jobs that nobody waits for. The leader appends the batches of all entries in the order in which they came, so an ordinary job waits for the large ones of every entry.

Now submissions over 16 KB have a lane of their own, from the entry to the log, and the leader appends ordinary batches first. A queue takes a sixteenth of the memory in the settings; beyond, a submission is refused at once with 132. So do the large ones that wait at the leader, which rejects more of them the way it rejects what it can't begin. A submission whose caller has gone is not sent, and one whose time is over is taken back and refused instead of ending as unknown: it never runs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,6 +10,7 @@
 pub mod executor;
 pub mod fleet;
 pub mod health;
+pub mod intake;
 pub mod intent;
 pub mod key;
 pub mod lateness;
--- a/src/error.rs
+++ b/src/error.rs
@@ -110,6 +110,8 @@
     JobIdTaken = 130, 409, "this job id can't be used";
     /// The pool's backlog is so long that the job would end after it has lost its value.
     LineTooLong = 131, 429, "the job would be done too late; nothing was stored";
+    /// Callers hold as much of the entry's memory as they may.
+    EntryFull = 132, 503, "this entry has no room for the request now; nothing was done";
     /// A path or method that no call has.
     UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -158,11 +158,14 @@
         log_outcome(&logger, "submission", job, outcome, begun);
         match outcome {
             SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
-            SubmitOutcome::Refused | SubmitOutcome::Rejected(_) if is_first => {
+            SubmitOutcome::Refused | SubmitOutcome::Full | SubmitOutcome::Rejected(_)
+                if is_first =>
+            {
                 self.node.attempts().end(job);
             }
             SubmitOutcome::Stored
             | SubmitOutcome::Refused
+            | SubmitOutcome::Full
             | SubmitOutcome::Rejected(_)
             | SubmitOutcome::Unknown => {}
         }
@@ -441,6 +444,7 @@
     match outcome {
         SubmitOutcome::Stored => CallerReply::Stored,
         SubmitOutcome::Refused => outage_reply(),
+        SubmitOutcome::Full => CallerReply::Refused(ResultCode::EntryFull, Some(OUTAGE_RETRY)),
         SubmitOutcome::Rejected(retry_s) => {
             let wait = Duration::from_secs(retry_s);
             CallerReply::Refused(ResultCode::LineTooLong, Some(wait))
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -145,6 +145,10 @@
     rejections: Mutex<BTreeMap<Arc<str>, u64>>,
     /// Age of the digest of the backlog, in milliseconds; -1 without one.
     pub line_digest_age_ms: Gauge,
+    /// Submissions that were not sent to the log, by reason.
+    pub submissions_unsent: Reasons,
+    /// Bytes of large submissions that wait for an append, if this entry leads.
+    pub waiting_large_bytes: Gauge,
 }
 
 impl Default for JobMetrics {
@@ -202,6 +206,8 @@
             admission_rejections: Family::default(),
             rejections: Mutex::default(),
             line_digest_age_ms: Gauge::default(),
+            submissions_unsent: Family::default(),
+            waiting_large_bytes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -322,6 +328,10 @@
         registry.register("admission_rejections", help, self.admission_rejections.clone());
         let help = "age of the digest of the backlog, in ms; -1 without one";
         registry.register("line_digest_age_ms", help, self.line_digest_age_ms.clone());
+        let help = "submissions that were not sent to the log, by reason";
+        registry.register("submissions_unsent", help, self.submissions_unsent.clone());
+        let help = "bytes of large submissions that wait for an append, at the leader";
+        registry.register("waiting_large_bytes", help, self.waiting_large_bytes.clone());
     }
 
     /// Counts a submission that was rejected for the backlog of its pool.
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::intake::ORDINARY_BYTES;
+
 /// Largest number of steps of a job; a job with more is rejected as malformed.
 pub const STEPS_MAX: usize = 256;
 /// Largest number of unfinished tasks of a job, over all steps and occurrences that have begun.
@@ -303,6 +305,25 @@
         self.steps.iter().map(count).fold(0, usize::saturating_add)
     }
 
+    /// Memory that the job takes, about, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.text_bytes() + self.steps.len() * size_of::<StepSpec>()
+    }
+
+    /// Whether the job is larger than an ordinary one.
+    pub fn is_large(&self) -> bool {
+        self.text_bytes() > ORDINARY_BYTES
+    }
+
+    /// Bytes of its texts and lists; an encoded job is no smaller.
+    fn text_bytes(&self) -> usize {
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            step.image.len() + text(&step.required_label) + text(&step.data_rack) + step.after.len()
+        });
+        self.payload.len() + steps.sum::<usize>()
+    }
+
     /// Number of times that the steps run; 1 without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -557,7 +557,11 @@
                 return None;
             }
             let (records, rejections) = match may_reject {
-                true => scheduler.reject_unbegun(records, now),
+                true => {
+                    let waiting = scheduler.waiting_large_bytes();
+                    let room = self.settings.limits.waiting_jobs().saturating_sub(waiting);
+                    scheduler.reject_relayed(records, now, room)
+                }
                 false => (records, Vec::new()),
             };
             let owed = scheduler.owed_starts();
@@ -756,6 +760,8 @@
         metrics.replica.set(i64::from(self.has_replica()));
         metrics.leading.set(i64::from(stats.is_some()));
         let stats = stats.unwrap_or_default();
+        let waiting = self.with_scheduler(|scheduler| scheduler.waiting_large_bytes());
+        metrics.waiting_large_bytes.set(size(waiting.unwrap_or(0)));
         metrics.open_jobs.set(size(stats.jobs));
         metrics.live_runs.set(size(stats.runs));
         let now = self.now();
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -43,6 +43,18 @@
     Learned(LearnedKey, Arc<[u8]>),
 }
 
+impl JobRecord {
+    /// Bytes of a submission that is larger than an ordinary one; 0 for any other record.
+    pub fn large_bytes(&self) -> usize {
+        match self {
+            JobRecord::Submitted(_, submission) if submission.spec.is_large() => {
+                submission.spec.bytes()
+            }
+            _ => 0,
+        }
+    }
+}
+
 /// What a learned state is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LearnedKey {
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -134,6 +134,11 @@
         RelayClient { transport, leader_excluded_until_ms: Arc::new(AtomicU64::new(0)) }
     }
 
+    /// The same client for other batches: a leader that stores none of them is excluded for them alone.
+    pub fn separate(&self) -> RelayClient {
+        RelayClient::new(self.transport.clone())
+    }
+
     /// Has the leader, which may be this entry, store records.
     pub async fn store(&self, node: &JobNode, records: Vec<JobRecord>) -> RelayOutcome {
         if let Some(RelayReceipt { stored, rejections }) = node.relay_admitted(records.clone()) {
--- a/src/jobs/site.rs
+++ b/src/jobs/site.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::access::{AccessTable, RevocationRule};
+use crate::decide::intake::ProcessLimits;
 use crate::jobs::model::ResourceVector;
 
 /// Placement policy of a queue whose starts need permits.
@@ -256,6 +257,8 @@
     pub processor: u64,
     /// Bandwidth of the VM's link, in Mbit/s.
     pub link: u64,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Address of the log service.
     pub log: SocketAddr,
     /// Address of the VM service, if there is one.
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -1,4 +1,6 @@
-//! Appends submissions and cancellations to the log, in batches and one append at a time.
+//! Appends submissions and cancellations to the log, in batches and, for each lane, one append at a
+//! time. Large submissions have a lane of their own; what waits in a lane is bounded in bytes, and
+//! what nobody waits for any more is not sent.
 //!
 //! An append without an answer may have been done, or may be done seconds later. It is repeated
 //! with the same sequence number, and the log performs it once. Only an outcome that the log has
@@ -8,17 +10,20 @@
 //! decisions. A slow log performs appends one after the other, so with an append from each entry
 //! every caller would wait for all of them.
 
-use std::sync::Arc;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::decide::admission::{is_deferrable, retry_without_leader_s};
+use crate::decide::intake::ORDINARY_BYTES;
+use crate::jobs::metrics::{JobMetrics, count, count_many};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
-use crate::jobs::record::{JobRecord, KeyedRecord};
+use crate::jobs::record::JobRecord;
 use crate::jobs::relay::{RelayClient, RelayOutcome};
 use crate::jobs::timeout_estimator::TimeoutEstimator;
 use crate::scheduler::line::StartRejection;
@@ -28,7 +33,7 @@
 /// Size in bytes from which an append takes no more records. Together with the last record and what
 /// the leader adds, it stays below the 2 MB that the platform accepts.
 const BATCH_BYTES_MAX: usize = 256 << 10;
-/// Largest number of waiting submissions; beyond, callers are rejected at once.
+/// Largest number of waiting submissions of a lane; beyond, callers are rejected at once.
 const QUEUE_MAX: usize = 2_048;
 /// Longest timeout of an append, after which it is repeated: a slow log takes 300 ms.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(700);
@@ -56,6 +61,8 @@
     Stored,
     /// It is not in the log, and never will be.
     Refused,
+    /// The same, since too many wait for the log.
+    Full,
     /// The same, since the leader can't begin it in time; its caller may retry after so many seconds.
     Rejected(u64),
     /// It may or may not be in the log.
@@ -63,29 +70,147 @@
 }
 
 struct SubmitRequest {
+    number: u64,
     record: JobRecord,
-    keyed: KeyedRecord,
+    /// Size of the encoded record.
+    bytes: usize,
     answer: oneshot::Sender<SubmitOutcome>,
 }
 
-/// Sends records to the submitter's task.
+/// Submissions that wait to be sent.
+#[derive(Default)]
+struct WaitingRequests {
+    requests: VecDeque<SubmitRequest>,
+    bytes: usize,
+    next: u64,
+}
+
+/// The queue of one lane.
+struct SubmitQueue {
+    waiting: Mutex<WaitingRequests>,
+    added: Notify,
+    bytes_max: usize,
+    metrics: Arc<JobMetrics>,
+}
+
+impl SubmitQueue {
+    fn new(bytes_max: usize, metrics: Arc<JobMetrics>) -> SubmitQueue {
+        SubmitQueue { waiting: Mutex::default(), added: Notify::new(), bytes_max, metrics }
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, WaitingRequests> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a request, unless the queue is full; returns its number.
+    fn push(&self, mut request: SubmitRequest) -> Option<u64> {
+        let mut waiting = self.waiting();
+        let is_full = |waiting: &WaitingRequests| {
+            waiting.requests.len() >= QUEUE_MAX || waiting.bytes + request.bytes > self.bytes_max
+        };
+        if is_full(&waiting) {
+            let dropped = waiting.drop_abandoned();
+            count_many(&self.metrics.submissions_unsent, "abandoned", dropped);
+        }
+        // A single request always fits, as does the first one of the largest size.
+        if is_full(&waiting) && !waiting.requests.is_empty() {
+            count(&self.metrics.submissions_unsent, "full");
+            return None;
+        }
+        let number = waiting.next;
+        waiting.next += 1;
+        waiting.bytes += request.bytes;
+        request.number = number;
+        waiting.requests.push_back(request);
+        drop(waiting);
+        self.added.notify_one();
+        Some(number)
+    }
+
+    /// Takes a request back that was not sent; returns whether there was one.
+    fn withdraw(&self, number: u64) -> bool {
+        let mut waiting = self.waiting();
+        let Ok(position) = waiting.requests.binary_search_by_key(&number, |request| request.number)
+        else {
+            return false;
+        };
+        let Some(request) = waiting.requests.remove(position) else { return false };
+        waiting.bytes -= request.bytes;
+        count(&self.metrics.submissions_unsent, "late");
+        true
+    }
+
+    /// Waits for requests, and takes those of one batch.
+    async fn take(&self, bytes_max: impl Fn() -> usize) -> Vec<SubmitRequest> {
+        loop {
+            let (batch, abandoned) = self.waiting().take(bytes_max());
+            count_many(&self.metrics.submissions_unsent, "abandoned", abandoned);
+            if !batch.is_empty() {
+                return batch;
+            }
+            self.added.notified().await;
+        }
+    }
+}
+
+impl WaitingRequests {
+    /// Drops requests that nobody waits for, and that were not sent; returns how many.
+    fn drop_abandoned(&mut self) -> usize {
+        let before = self.requests.len();
+        self.requests.retain(|request| !request.answer.is_closed());
+        self.bytes = self.requests.iter().map(|request| request.bytes).sum();
+        before - self.requests.len()
+    }
+
+    fn drain(&mut self) -> Vec<SubmitRequest> {
+        self.bytes = 0;
+        std::mem::take(&mut self.requests).into()
+    }
+
+    /// Takes the requests of one batch, and how many nobody waited for.
+    fn take(&mut self, bytes_max: usize) -> (Vec<SubmitRequest>, usize) {
+        let (mut batch, mut bytes, mut abandoned) = (Vec::new(), 0, 0);
+        while batch.len() < BATCH_MAX
+            && let Some(next) = self.requests.front()
+            && (batch.is_empty() || bytes + next.bytes <= bytes_max)
+            && let Some(next) = self.requests.pop_front()
+        {
+            self.bytes -= next.bytes;
+            if next.answer.is_closed() {
+                abandoned += 1;
+            } else {
+                bytes += next.bytes;
+                batch.push(next);
+            }
+        }
+        (batch, abandoned)
+    }
+}
+
+/// Sends records to the submitter's tasks. Ordinary ones have a lane of their own, so that they do
+/// not wait for large ones.
 #[derive(Clone)]
 pub struct SubmitHandle {
-    requests: mpsc::Sender<SubmitRequest>,
+    ordinary: Arc<SubmitQueue>,
+    large: Arc<SubmitQueue>,
 }
 
 impl SubmitHandle {
-    /// Stores a record in the log; `Unknown` if there is no outcome by `deadline`.
+    /// Stores a record in the log; `Unknown` if it was sent and there is no outcome by `deadline`.
     pub async fn submit(&self, record: JobRecord, deadline: Instant) -> SubmitOutcome {
-        let Some(keyed) = record.encode() else { return SubmitOutcome::Refused };
+        let Some(bytes) = record.encode().map(|keyed| keyed.value.len()) else {
+            return SubmitOutcome::Refused;
+        };
+        let queue = if bytes <= ORDINARY_BYTES { &self.ordinary } else { &self.large };
         let (answer, outcome) = oneshot::channel();
+        let request = SubmitRequest { number: 0, record, bytes, answer };
         // A full queue means that the log is far behind; nothing was sent.
-        if self.requests.try_send(SubmitRequest { record, keyed, answer }).is_err() {
-            return SubmitOutcome::Refused;
-        }
+        let Some(number) = queue.push(request) else { return SubmitOutcome::Full };
         match timeout_at(deadline, outcome).await {
             Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => SubmitOutcome::Unknown,
+            Ok(Err(_)) => SubmitOutcome::Unknown,
+            Err(_) if queue.withdraw(number) => SubmitOutcome::Full,
+            Err(_) => SubmitOutcome::Unknown,
         }
     }
 }
@@ -94,7 +219,7 @@
 struct Submitter<L> {
     node: Arc<JobNode>,
     log: L,
-    requests: mpsc::Receiver<SubmitRequest>,
+    requests: Arc<SubmitQueue>,
     relay: RelayClient,
     writer: Arc<str>,
     epoch: u64,
@@ -102,34 +227,40 @@
     append_timeout: TimeoutEstimator,
 }
 
-/// Starts the submitter's task.
+/// Starts the submitter's tasks, one for each lane.
 pub fn spawn<L: JobLog>(
     node: Arc<JobNode>,
     log: L,
     relay: RelayClient,
     incarnation: u64,
 ) -> SubmitHandle {
-    let (sender, requests) = mpsc::channel(QUEUE_MAX);
-    // A restarted process has lost its sequence numbers, so it needs another writer name.
-    let writer = format!("{}-{incarnation:x}", node.settings.node).into();
-    let append_timeout = TimeoutEstimator::new(APPEND_TIMEOUT);
-    let submitter =
-        Submitter { node, log, requests, relay, writer, epoch: 1, sequence: 0, append_timeout };
-    tokio::spawn(submitter.run());
-    SubmitHandle { requests: sender }
+    let bytes_max = node.settings.limits.waiting_jobs();
+    let spawn_lane = |relay: RelayClient, name: &str| {
+        let requests = Arc::new(SubmitQueue::new(bytes_max, node.metrics.clone()));
+        let submitter = Submitter {
+            node: node.clone(),
+            log: log.clone(),
+            requests: requests.clone(),
+            relay,
+            // A restarted process has lost its sequence numbers, so it needs another writer name.
+            writer: format!("{}-{incarnation:x}{name}", node.settings.node).into(),
+            epoch: 1,
+            sequence: 0,
+            append_timeout: TimeoutEstimator::new(APPEND_TIMEOUT),
+        };
+        tokio::spawn(submitter.run());
+        requests
+    };
+    // A leader that takes too long for a large batch may take ordinary ones.
+    let large = spawn_lane(relay.separate(), "-large");
+    SubmitHandle { ordinary: spawn_lane(relay, ""), large }
 }
 
 impl<L: JobLog> Submitter<L> {
     async fn run(mut self) {
-        while let Some(first) = self.requests.recv().await {
-            let mut bytes = first.keyed.value.len();
-            let mut batch = vec![first];
-            let bytes_max = self.log.append_limit().min(BATCH_BYTES_MAX);
-            while batch.len() < BATCH_MAX && bytes < bytes_max {
-                let Ok(next) = self.requests.try_recv() else { break };
-                bytes += next.keyed.value.len();
-                batch.push(next);
-            }
+        loop {
+            let bytes_max = || self.log.append_limit().min(BATCH_BYTES_MAX);
+            let batch = self.requests.take(bytes_max).await;
             self.store(batch).await;
         }
     }
@@ -190,7 +321,7 @@
     async fn append(&mut self, batch: Vec<SubmitRequest>, is_relayed: bool) {
         let call = AppendCall {
             topic: LogTopic::Jobs,
-            records: batch.iter().map(|request| request.keyed.clone()).collect(),
+            records: batch.iter().filter_map(|request| request.record.encode()).collect(),
             expected_end: None,
             stamp: Some(WriterStamp {
                 writer: self.writer.clone(),
@@ -249,9 +380,8 @@
     }
 
     fn reject_waiting(&mut self) {
-        while let Ok(request) = self.requests.try_recv() {
-            answer_all(vec![request], SubmitOutcome::Refused);
-        }
+        let waiting = self.requests.waiting().drain();
+        answer_all(waiting, SubmitOutcome::Refused);
     }
 
     /// Completes a batch that the leader has stored except for these submissions. If the batch was sent
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -121,6 +121,10 @@
     losses: BTreeMap<Arc<str>, Vec<LostVm>>,
     learned: BTreeMap<LearnedKey, Arc<[u8]>>,
     relayed: VecDeque<(u64, VecDeque<JobRecord>)>,
+    /// Batches with submissions that are larger than ordinary ones; they come after all others.
+    relayed_large: VecDeque<(u64, VecDeque<JobRecord>)>,
+    /// Bytes of these submissions.
+    large_bytes: usize,
     /// Number of relayed records that are not in a commit yet, by job.
     relayed_jobs: BTreeMap<JobId, usize>,
     /// Jobs whose record was taken for a commit since the last search for jobs to drop.
@@ -212,11 +216,34 @@
         for job in records.iter().filter_map(JobRecord::job) {
             *self.relayed_jobs.entry(job).or_default() += 1;
         }
-        self.relayed.push_back((token, records.into()));
+        let large_bytes: usize = records.iter().map(JobRecord::large_bytes).sum();
+        self.large_bytes += large_bytes;
+        let queue = if large_bytes > 0 { &mut self.relayed_large } else { &mut self.relayed };
+        queue.push_back((token, records.into()));
+    }
+
+    /// Bytes of relayed submissions that are larger than ordinary ones and wait for an append.
+    pub fn large_bytes(&self) -> usize {
+        self.large_bytes
+    }
+
+    /// Takes the next relayed batch, and whether it is a large one.
+    fn next_relayed(&mut self) -> Option<(u64, VecDeque<JobRecord>, bool)> {
+        let ordinary = self.relayed.pop_front().map(|(token, records)| (token, records, false));
+        ordinary.or_else(|| {
+            self.relayed_large.pop_front().map(|(token, records)| (token, records, true))
+        })
+    }
+
+    /// Puts the rest of a batch back to the front.
+    fn return_relayed(&mut self, token: u64, records: VecDeque<JobRecord>, is_large: bool) {
+        let queue = if is_large { &mut self.relayed_large } else { &mut self.relayed };
+        queue.push_front((token, records));
     }
 
     /// Counts off a relayed record that is in a commit.
     fn count_off_relayed(&mut self, record: &JobRecord) {
+        self.large_bytes = self.large_bytes.saturating_sub(record.large_bytes());
         let Some(job) = record.job() else { return };
         let Entry::Occupied(mut count) = self.relayed_jobs.entry(job) else { return };
         *count.get_mut() -= 1;
@@ -241,6 +268,7 @@
             && self.losses.is_empty()
             && self.learned.is_empty()
             && self.relayed.is_empty()
+            && self.relayed_large.is_empty()
     }
 }
 
@@ -248,6 +276,8 @@
     /// Applies records that another entry wants on the log. They go into the next append together
     /// with the decisions about them: a job is accepted and placed with a single wait for the log,
     /// and the log gets one append where each entry would make its own.
+    ///
+    /// Batches with large submissions come after the others.
     pub fn relay(&mut self, token: u64, records: Vec<JobRecord>, now: u64) {
         for record in &records {
             self.apply_record_from(RecordSource::Relayed, record, now);
@@ -255,6 +285,11 @@
         self.commits.queue_relayed(token, records);
     }
 
+    /// Bytes of relayed submissions that are larger than ordinary ones and wait for an append.
+    pub fn waiting_large_bytes(&self) -> usize {
+        self.commits.large_bytes()
+    }
+
     /// Takes the next append, of any size that the log accepts.
     pub fn take_commit(&mut self) -> Option<CommitBatch> {
         self.take_commit_within(APPEND_BYTES_MAX)
@@ -359,7 +394,7 @@
     /// Takes relayed records. The token of a batch that does not fit goes with its last part.
     fn take_relayed(&mut self, batch: &mut CommitBatch, bytes_max: usize) -> usize {
         let mut bytes = 0;
-        while let Some((token, mut records)) = self.commits.relayed.pop_front() {
+        while let Some((token, mut records, is_large)) = self.commits.next_relayed() {
             while bytes < bytes_max
                 && let Some(record) = records.pop_front()
             {
@@ -367,7 +402,7 @@
                 bytes += push_record(batch, record);
             }
             if !records.is_empty() {
-                self.commits.relayed.push_front((token, records));
+                self.commits.return_relayed(token, records, is_large);
                 break;
             }
             batch.relayed.push(token);
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -37,6 +37,8 @@
 /// Age from which the leader sends a digest no more, in milliseconds. A loop that is slower than
 /// this has not planned the pools for several intervals.
 const SEND_AGE_MAX_MS: u64 = 500;
+/// Time after which a caller may retry whose job is too large beside those that wait, in seconds.
+const LARGE_RETRY_S: u64 = 5;
 /// Window in which arrivals are counted, in milliseconds: rates are per second.
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
 /// Age from which the count of tasks that have not begun is used no more, in milliseconds: without a VM
@@ -401,20 +403,37 @@
         records: Vec<JobRecord>,
         now: u64,
     ) -> (Vec<JobRecord>, Vec<StartRejection>) {
-        if !self.line.is_enabled || now >= self.line.planned_ms + COUNT_AGE_MAX_MS {
-            return (records, Vec::new());
-        }
+        self.reject_relayed(records, now, usize::MAX)
+    }
+
+    /// The same, and those larger than ordinary ones for which `large_room` bytes are not enough.
+    pub fn reject_relayed(
+        &mut self,
+        records: Vec<JobRecord>,
+        now: u64,
+        mut large_room: usize,
+    ) -> (Vec<JobRecord>, Vec<StartRejection>) {
+        let is_line_usable = self.line.is_enabled && now < self.line.planned_ms + COUNT_AGE_MAX_MS;
         let (mut accepted, mut rejections) = (Vec::with_capacity(records.len()), Vec::new());
         for (position, record) in records.into_iter().enumerate() {
+            let large_bytes = record.large_bytes();
             let retry_s = match &record {
-                JobRecord::Submitted(job, submission) => self.start_retry_s(*job, submission),
+                JobRecord::Submitted(job, _) if large_bytes > large_room => {
+                    (!self.knows(*job)).then_some(LARGE_RETRY_S)
+                }
+                JobRecord::Submitted(job, submission) if is_line_usable => {
+                    self.start_retry_s(*job, submission)
+                }
                 _ => None,
             };
+            if retry_s.is_none() {
+                large_room = large_room.saturating_sub(large_bytes);
+            }
             match retry_s {
                 Some(retry_s) => rejections.push(StartRejection { position, retry_s }),
                 None => {
                     // Jobs of the same batch count as ahead of the next.
-                    if let JobRecord::Submitted(_, submission) = &record {
+                    if is_line_usable && let JobRecord::Submitted(_, submission) = &record {
                         self.line.record_accepted(&submission.spec);
                     }
                     accepted.push(record);
@@ -433,9 +452,12 @@
         OwedStarts { tasks: self.line.unbegun, jobs: self.line.idle_jobs, rate }
     }
 
+    fn knows(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job) || self.finished.contains_key(&job)
+    }
+
     fn start_retry_s(&self, job: JobId, submission: &JobSubmission) -> Option<u64> {
-        let is_known = self.jobs.contains_key(&job) || self.finished.contains_key(&job);
-        if is_known || !is_deferrable(&submission.spec) {
+        if self.knows(job) || !is_deferrable(&submission.spec) {
             return None;
         }
         let order = job.number();
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -101,6 +101,7 @@
         &jobs.idle_jobs,
         &jobs.learned_records,
         &jobs.odd_entries,
+        &jobs.submissions_unsent,
     ] {
         count(family, "reason");
     }
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use ibisweir::jobs::model::{ExitKind, JobSpec, JobState};
+use ibisweir::jobs::model::{ExitKind, JobSpec, JobState, StepSpec};
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::scheduler::SchedulerEvent;
 use support::sim::{SchedulerSim, config, job, job_id, step, submission, task, worker};
@@ -336,3 +336,39 @@
     sim.advance(200);
     assert!(sim.workers["w1"].exits.is_empty(), "no exit was acknowledged");
 }
+
+/// A submission of this many bytes.
+fn large_submission(id: u64, bytes: usize) -> JobRecord {
+    let large = StepSpec { image: "i".repeat(bytes), ..step(1) };
+    JobRecord::Submitted(job_id(id), Arc::new(submission(job(vec![large]))))
+}
+
+/// Guards against ordinary jobs that wait behind the large ones of other entries.
+#[test]
+fn relayed_batches_with_large_jobs_come_after_the_others() {
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1")]);
+    for token in 1..=3 {
+        sim.scheduler.relay(token, vec![large_submission(token, 250_000)], sim.now);
+    }
+    let ordinary = JobRecord::Submitted(job_id(9), Arc::new(submission(job(vec![step(1)]))));
+    sim.scheduler.relay(9, vec![ordinary], sim.now);
+    let mut relayed = Vec::new();
+    while let Some(batch) = sim.scheduler.take_commit_within(SMALL_COMMIT_BYTES) {
+        assert!(batch.bytes() < 2 * 250_000, "one large job an append: {}", batch.bytes());
+        relayed.extend_from_slice(&batch.relayed);
+        sim.scheduler.committed(&batch, sim.now);
+    }
+    assert_eq!(relayed, [9, 1, 2, 3]);
+    assert_eq!(sim.scheduler.waiting_large_bytes(), 0);
+}
+
+/// Guards against large jobs of all entries that wait at the leader without a bound.
+#[test]
+fn large_jobs_beyond_the_room_are_rejected_and_others_are_not() {
+    let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1")]);
+    let ordinary = JobRecord::Submitted(job_id(9), Arc::new(submission(job(vec![step(1)]))));
+    let records = vec![large_submission(1, 250_000), large_submission(2, 250_000), ordinary];
+    let (accepted, rejections) = sim.scheduler.reject_relayed(records, sim.now, 300_000);
+    assert_eq!(accepted.len(), 2);
+    assert_eq!(rejections.iter().map(|rejection| rejection.position).collect::<Vec<_>>(), [1]);
+}
--- a/tests/support/fixtures.rs
+++ b/tests/support/fixtures.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use ibisweir::decide::access::RevocationRule;
+use ibisweir::decide::intake::ProcessLimits;
 use ibisweir::jobs::model::{JobId, JobSpec, JobSubmission, ResourceVector, StepSpec, TaskKey};
 use ibisweir::jobs::site::{
     CallerLimits, PoolSpec, QueueSpec, SiteBounds, SiteConfig, SiteSettings, VmEntry, VmState,
@@ -47,6 +48,7 @@
         peer: nowhere,
         processor: 250,
         link: 1_000,
+        limits: ProcessLimits { memory: 256 << 20, descriptors: 4_096 },
         log: nowhere,
         vms: None,
         permits: None,
