Refuse large jobs once accepted ones take an eighth of the memory

Each replica of the job log holds the specification of each job until it is over, without a bound: valid jobs of 262 KB that are never placed, at the 1.3 MB/s that the log takes here, are 120 MB in the 120 s of their status. The fault is known by reading; it was not shown apart from the queue on the way to the log, and no crowd of real processes fills it in a test's time.

Now the job table counts what it holds. One whose earlier attempt may be stored is not refused, and nothing is dropped that was accepted.

--- a/src/error.rs
+++ b/src/error.rs
@@ -112,6 +112,8 @@
     LineTooLong = 131, 429, "the job would be done too late; nothing was stored";
     /// Callers hold as much of the entry's memory as they may.
     EntryFull = 132, 503, "this entry has no room for the request now; nothing was done";
+    /// Accepted jobs hold as much memory as they may.
+    JobsFull = 133, 429, "accepted jobs leave no room for one of this size; nothing was stored";
     /// A path or method that no call has.
     UnknownCall = 125, 405, "the queue has no such call";
     /// Sent, and no answer came in time or the connection died.
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -34,6 +34,9 @@
 /// When a caller that was rejected because of an outage may retry.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 
+/// When a caller may retry whose job is too large beside those that are accepted.
+const KEPT_RETRY: Duration = Duration::from_secs(5);
+
 /// Reply to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallerReply {
@@ -135,6 +138,9 @@
         if let Some(reply) = self.reject_for_backlog(queue, caller, job, &spec, time_left).await {
             return reply;
         }
+        if let Some(reply) = self.reject_for_memory(job, &spec) {
+            return reply;
+        }
         let submission = JobSubmission {
             queue: queue.name.clone(),
             service: queue.service.clone(),
@@ -183,6 +189,22 @@
         }
     }
 
+    /// The reply to a large submission for which this replica has no room; `None` to accept it.
+    fn reject_for_memory(&self, job: JobId, spec: &JobSpec) -> Option<CallerReply> {
+        let room = self.node.large_room();
+        // A replica that is behind may not know that an earlier attempt is stored.
+        if !spec.is_large() || spec.bytes() <= room || !self.node.is_current() {
+            return None;
+        }
+        let lifetime_ms = self.node.settings.bounds.status_ms;
+        if self.node.attempts().may_be_stored(job, self.node.now(), lifetime_ms) {
+            return None;
+        }
+        info!(self.node.logger, "job rejected for the memory of accepted jobs"; "job" => %job,
+            "bytes" => spec.bytes(), "room" => room, "code" => ResultCode::JobsFull.number());
+        Some(CallerReply::Refused(ResultCode::JobsFull, Some(KEPT_RETRY)))
+    }
+
     /// The reply to a submission that the backlog of its pool makes useless, that the leader can't
     /// begin in time, or that turns out to be stored already; `None` to accept it. Whatever can't be told accepts it.
     async fn reject_for_backlog(
--- a/src/jobs/job_table.rs
+++ b/src/jobs/job_table.rs
@@ -79,6 +79,8 @@
 pub struct JobTable {
     jobs: HashMap<JobId, LoggedJob>,
     waiting: HashMap<Arc<str>, u64>,
+    /// Memory that the specifications of all jobs take, about, in bytes.
+    kept_bytes: usize,
     waves: HashMap<u64, Arc<BTreeSet<Arc<str>>>>,
     /// VMs that lost their workers recently, by pool, with the offset of the record.
     losses: HashMap<Arc<str>, (u64, Arc<Vec<LostVm>>)>,
@@ -105,6 +107,11 @@
         self.waiting.get(queue).copied().unwrap_or(0)
     }
 
+    /// Memory that the specifications of all jobs take, about, in bytes.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
     /// VMs of a wave whose maintenance is complete.
     pub fn maintained(&self, wave: u64) -> BTreeSet<Arc<str>> {
         self.waves.get(&wave).map(|done| (**done).clone()).unwrap_or_default()
@@ -235,14 +242,14 @@
 
     /// Removes a job's records from before `end`; returns whether none are left.
     fn forget_before(&mut self, job: JobId, end: u64) -> bool {
-        self.count_waiting(job, false);
+        self.count(job, false);
         let Some(entry) = self.jobs.get_mut(&job) else { return false };
         entry.forget_before(end);
         let is_removed = entry.is_empty();
         if is_removed {
             self.jobs.remove(&job);
         }
-        self.count_waiting(job, true);
+        self.count(job, true);
         is_removed
     }
 
@@ -255,16 +262,21 @@
         if self.dropped.get(&job).is_some_and(|dropped| offset < *dropped) {
             return false;
         }
-        self.count_waiting(job, false);
+        self.count(job, false);
         let is_new = edit(self.jobs.entry(job).or_default());
-        self.count_waiting(job, true);
+        self.count(job, true);
         is_new
     }
 
-    /// Adds a waiting job to the count of its queue, or removes it.
-    fn count_waiting(&mut self, job: JobId, is_added: bool) {
+    /// Adds a job to what is counted of all jobs and of the waiting ones of its queue, or removes it.
+    fn count(&mut self, job: JobId, is_added: bool) {
         let Some(entry) = self.jobs.get(&job) else { return };
         let Some(submission) = &entry.submission else { return };
+        let bytes = submission.spec.bytes();
+        self.kept_bytes = match is_added {
+            true => self.kept_bytes + bytes,
+            false => self.kept_bytes.saturating_sub(bytes),
+        };
         if entry.state() != Some(JobState::Queued) {
             return;
         }
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -147,6 +147,8 @@
     pub line_digest_age_ms: Gauge,
     /// Submissions that were not sent to the log, by reason.
     pub submissions_unsent: Reasons,
+    /// Memory that the specifications of accepted jobs take here, in bytes.
+    pub kept_bytes: Gauge,
     /// Bytes of large submissions that wait for an append, if this entry leads.
     pub waiting_large_bytes: Gauge,
 }
@@ -207,6 +209,7 @@
             rejections: Mutex::default(),
             line_digest_age_ms: Gauge::default(),
             submissions_unsent: Family::default(),
+            kept_bytes: Gauge::default(),
             waiting_large_bytes: Gauge::default(),
         };
         metrics.register();
@@ -330,6 +333,8 @@
         registry.register("line_digest_age_ms", help, self.line_digest_age_ms.clone());
         let help = "submissions that were not sent to the log, by reason";
         registry.register("submissions_unsent", help, self.submissions_unsent.clone());
+        let help = "bytes that the specifications of accepted jobs take in memory";
+        registry.register("kept_bytes", help, self.kept_bytes.clone());
         let help = "bytes of large submissions that wait for an append, at the leader";
         registry.register("waiting_large_bytes", help, self.waiting_large_bytes.clone());
     }
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -550,6 +550,7 @@
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let now = self.now();
+        let large_room = self.large_room();
         // Inserted before the scheduler knows the token, so that no commit can come first.
         self.relay_waiters().insert(token, sender);
         let rejections = self.with_scheduler(|scheduler| {
@@ -559,7 +560,9 @@
             let (records, rejections) = match may_reject {
                 true => {
                     let waiting = scheduler.waiting_large_bytes();
-                    let room = self.settings.limits.waiting_jobs().saturating_sub(waiting);
+                    let room = large_room
+                        .saturating_sub(waiting)
+                        .min(self.settings.limits.waiting_jobs().saturating_sub(waiting));
                     scheduler.reject_relayed(records, now, room)
                 }
                 false => (records, Vec::new()),
@@ -581,6 +584,11 @@
         Some(RelayReceipt { stored: receiver, rejections })
     }
 
+    /// Bytes that more accepted jobs that are larger than ordinary ones may take here.
+    pub fn large_room(&self) -> usize {
+        self.settings.limits.kept_jobs().saturating_sub(self.job_table().kept_bytes())
+    }
+
     /// Notifies the waiters of these batches that the log has stored them.
     pub fn complete_relays(&self, tokens: &[u64]) {
         if tokens.is_empty() {
@@ -760,6 +768,7 @@
         metrics.replica.set(i64::from(self.has_replica()));
         metrics.leading.set(i64::from(stats.is_some()));
         let stats = stats.unwrap_or_default();
+        metrics.kept_bytes.set(size(self.job_table().kept_bytes()));
         let waiting = self.with_scheduler(|scheduler| scheduler.waiting_large_bytes());
         metrics.waiting_large_bytes.set(size(waiting.unwrap_or(0)));
         metrics.open_jobs.set(size(stats.jobs));
--- a/tests/caller_service.rs
+++ b/tests/caller_service.rs
@@ -10,6 +10,7 @@
 use ibisweir::error::ResultCode;
 use ibisweir::jobs::caller_service::{CallerReply, CallerService};
 use ibisweir::jobs::catch_up::CatchUpReader;
+use ibisweir::jobs::model::StepSpec;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::ports::{
     AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
@@ -92,6 +93,34 @@
     assert!(is_counted);
 }
 
+/// Guards against accepted large jobs that fill the memory of each replica: one more is refused before it
+/// is stored, an ordinary one is not.
+#[tokio::test(start_paused = true)]
+async fn large_jobs_are_refused_once_accepted_ones_take_their_part_of_the_memory() {
+    let (service, queue) = (service(), queue(QUEUE, POOL));
+    let spec = |bytes| job(vec![StepSpec { image: "i".repeat(bytes), ..step(1) }]);
+    let submit = async |id, bytes| {
+        // Time does not go on, but the clock of the process does.
+        service.node.record_log_answer();
+        service.node.set_current();
+        let caller = CallerAccess::default();
+        let time_left = Duration::from_secs(3);
+        service.submit(&queue, &caller, job_id(id), spec(bytes), time_left).await
+    };
+    let most = service.node.settings.limits.kept_jobs() as u64 / 250_000;
+    let mut stored = 0;
+    let refused = loop {
+        match submit(stored + 1, 250_000).await {
+            CallerReply::Stored => stored += 1,
+            reply => break reply,
+        }
+        assert!(stored <= most + 1, "{stored} of {most}");
+    };
+    assert!(stored.abs_diff(most) <= 1, "{stored} of {most}");
+    assert!(matches!(refused, CallerReply::Refused(ResultCode::JobsFull, Some(_))), "{refused:?}");
+    assert_eq!(submit(2_001, 4_000).await, CallerReply::Stored);
+}
+
 /// A leader that does not know the job that it is asked for.
 async fn leader_without_the_job() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/tests/job_table_model.rs
+++ b/tests/job_table_model.rs
@@ -245,5 +245,9 @@
             site.expected.waiting_jobs(QUEUE),
             "seed {seed}"
         );
+        let table = node.job_table();
+        let submissions = table.iter().filter_map(|(_, job)| job.submission.as_ref());
+        let bytes: usize = submissions.map(|submission| submission.spec.bytes()).sum();
+        assert_eq!(table.kept_bytes(), bytes, "seed {seed}");
     }
 }
