Bound connections, heads and bodies of callers by one account

Operators saw an entry end, out of memory, or take no connection any more: 1,000 bodies that stop one byte short took 287 MB, 30 bodies in chunks of one byte 246 MB, 1,000 idle connections all descriptors. What is freed later does not go back to the system, so the peak is what counts.

One account (src/intake.rs) now has a place for each connection and body, and src/decide/intake.rs decides who gives way: whoever made no progress for longest, so that stalled clients that open again at once keep no newcomer out. A body is one buffer and counts as it arrives, until its job is stored or dropped; a displaced one is answered with 132 and a closed connection. Connections take a quarter of the descriptors beyond 200, bytes a quarter of memory-mb and less beside a process that needs it. Heads have the configured time from their first byte. Receive buffers of callers are 16 KB.

--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,651 @@
+//! The account of what callers make this process hold: connections, heads, and bodies from their
+//! first byte until their job is stored or dropped.
+//!
+//! [`IntakeTable`] decides who gives way. A body is kept in one buffer, whatever its chunks, and the
+//! table takes the buffer of a displaced body back at once; its reader then learns of it. A displaced
+//! connection ends with its task.
+
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use slog::{Logger, info};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, yield_now};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::decide::intake::{IntakeTable, PROGRESS_BYTES, PlaceId, ProcessLimits};
+use crate::error::ResultCode;
+use crate::metrics::ReasonLabel;
+
+/// Time between two searches for slow heads.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Sweeps between two readings of the memory of the process, and between two log lines.
+const SWEEPS_PER_REFIT: u32 = 4;
+/// Least capacity of a body's buffer, in bytes.
+const BUFFER_BYTES_MIN: usize = 2 << 10;
+/// Largest buffer that the connection of a body may hold beside it, in bytes.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// First bytes of an HTTP/2 connection (RFC 9113, 3.4). Its heads are bounded by its own settings.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
+
+/// Reasons for which a caller gave way.
+const DISPLACED_BODY: &str = "body";
+const DISPLACED_CONNECTION: &str = "connection";
+const SLOW_HEAD: &str = "slow_head";
+const NO_ROOM: &str = "no_room";
+
+/// Metrics of the account.
+#[derive(Clone, Debug, Default)]
+pub struct IntakeMetrics {
+    /// Connections of callers that are open.
+    pub connections: Gauge,
+    /// Bytes that callers make the process hold.
+    pub bytes: Gauge,
+    /// Most bytes that they may make it hold now.
+    pub bytes_max: Gauge,
+    /// Callers that gave way or found no room, by reason.
+    pub displaced: Family<ReasonLabel, Counter>,
+}
+
+impl IntakeMetrics {
+    /// Registers the metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        let help = "connections of callers in the account of what they hold";
+        registry.register("intake_connections", help, self.connections.clone());
+        let help = "bytes that callers make the process hold";
+        registry.register("intake_bytes", help, self.bytes.clone());
+        let help = "most bytes that callers may make the process hold now";
+        registry.register("intake_bytes_max", help, self.bytes_max.clone());
+        let help = "callers that gave way to others or found no room, by reason";
+        registry.register("intake_displaced", help, self.displaced.clone());
+        // Each reason is there from the start, at zero.
+        self.total();
+    }
+
+    fn count(&self, reason: &'static str) {
+        self.displaced.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    fn total(&self) -> u64 {
+        let reasons = [DISPLACED_BODY, DISPLACED_CONNECTION, SLOW_HEAD, NO_ROOM];
+        let counts = reasons
+            .iter()
+            .map(|reason| self.displaced.get_or_create(&ReasonLabel { reason }).get());
+        counts.sum()
+    }
+}
+
+/// What a place's owner and the table share.
+#[derive(Debug, Default)]
+struct PlaceSignal {
+    is_displaced: AtomicBool,
+    displaced: Notify,
+    buffer: Mutex<Vec<u8>>,
+    head: Mutex<HeadProgress>,
+}
+
+/// The head that a connection is sending.
+#[derive(Debug, Default)]
+struct HeadProgress {
+    bytes: usize,
+    since: Option<Instant>,
+    is_multiplexed: bool,
+}
+
+impl PlaceSignal {
+    fn displace(&self) {
+        self.is_displaced.store(true, Ordering::Release);
+        drop(std::mem::take(&mut *lock(&self.buffer)));
+        self.displaced.notify_one();
+    }
+
+    fn is_displaced(&self) -> bool {
+        self.is_displaced.load(Ordering::Acquire)
+    }
+
+    async fn wait(&self) {
+        while !self.is_displaced() {
+            self.displaced.notified().await;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct IntakeState {
+    table: IntakeTable,
+    signals: HashMap<PlaceId, Arc<PlaceSignal>>,
+    /// Time for a head; slower ones are closed.
+    head_time: Duration,
+}
+
+/// The account of one process.
+#[derive(Debug)]
+pub struct CallerIntake {
+    limits: ProcessLimits,
+    state: Mutex<IntakeState>,
+    /// A connection was closed.
+    freed: Notify,
+    opened: Instant,
+    metrics: IntakeMetrics,
+    sweeper: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Drop for CallerIntake {
+    fn drop(&mut self) {
+        if let Some(sweeper) = lock(&self.sweeper).take() {
+            sweeper.abort();
+        }
+    }
+}
+
+/// Why the body of a request is not there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFailure {
+    /// It is larger than a body may be.
+    TooLarge,
+    /// It ended early.
+    Cut,
+    /// It took too long.
+    TooSlow,
+    /// It gave way to others, or there was no room for it.
+    Displaced,
+}
+
+impl BodyFailure {
+    /// The code that tells a caller of it.
+    pub fn code(self) -> ResultCode {
+        match self {
+            BodyFailure::TooLarge => ResultCode::BodyTooLarge,
+            BodyFailure::Cut => ResultCode::BodyCut,
+            BodyFailure::TooSlow => ResultCode::BodyTooSlow,
+            BodyFailure::Displaced => ResultCode::EntryFull,
+        }
+    }
+}
+
+/// A body that is whole.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// Its place in the account.
+    pub lease: BodyLease,
+}
+
+impl CallerIntake {
+    /// Opens the account of a process with these limits, of which at most `connections_max` connections
+    /// are for callers.
+    pub fn open(
+        limits: ProcessLimits,
+        connections_max: usize,
+        metrics: IntakeMetrics,
+        logger: &Logger,
+    ) -> Arc<CallerIntake> {
+        let connections_max = limits.connections().min(connections_max);
+        let bytes_max = limits.bytes(resident_bytes().unwrap_or(0), 0);
+        metrics.bytes_max.set(gauge(bytes_max));
+        info!(logger, "account of callers"; "connections" => connections_max, "bytes" => bytes_max,
+            "memory" => limits.memory, "descriptors" => limits.descriptors);
+        let state = IntakeState {
+            table: IntakeTable::new(connections_max, bytes_max),
+            signals: HashMap::new(),
+            head_time: Duration::MAX,
+        };
+        let intake = Arc::new(CallerIntake {
+            limits,
+            state: Mutex::new(state),
+            freed: Notify::new(),
+            opened: Instant::now(),
+            metrics,
+            sweeper: Mutex::new(None),
+        });
+        let (swept, logger) = (Arc::downgrade(&intake), logger.clone());
+        *lock(&intake.sweeper) = Some(tokio::spawn(async move {
+            let (mut sweeps, mut told) = (0_u32, 0);
+            loop {
+                sleep(SWEEP_INTERVAL).await;
+                let Some(intake) = swept.upgrade() else { return };
+                intake.close_slow_heads();
+                sweeps = sweeps.wrapping_add(1);
+                if sweeps.is_multiple_of(SWEEPS_PER_REFIT) {
+                    intake.refit(&mut told, &logger);
+                }
+            }
+        }));
+        intake
+    }
+
+    /// Sets the time for a head, from its first byte.
+    pub fn set_head_time(&self, head_time: Duration) {
+        self.state().head_time = head_time;
+    }
+
+    /// Waits for a place for one more connection; the quietest one gives way.
+    pub async fn admit(self: &Arc<Self>) -> Arc<ConnectionPlace> {
+        loop {
+            let freed = self.freed.notified();
+            if let Some((place, has_displaced)) = self.try_admit() {
+                if has_displaced {
+                    // Until its task has run, the displaced connection keeps its descriptor.
+                    yield_now().await;
+                }
+                return place;
+            }
+            freed.await;
+        }
+    }
+
+    fn try_admit(self: &Arc<Self>) -> Option<(Arc<ConnectionPlace>, bool)> {
+        let now = self.now();
+        let mut state = self.state();
+        let (id, displaced) = state.table.open_connection(now).ok()?;
+        if let Some(signal) = displaced.and_then(|id| state.signals.remove(&id)) {
+            self.metrics.count(DISPLACED_CONNECTION);
+            signal.displace();
+        }
+        let signal = Arc::new(PlaceSignal::default());
+        state.signals.insert(id, signal.clone());
+        self.metrics.connections.set(gauge(state.table.connections()));
+        let requests = AtomicUsize::new(0);
+        let place = ConnectionPlace { intake: self.clone(), id, signal, requests };
+        Some((Arc::new(place), displaced.is_some()))
+    }
+
+    /// Reads a body into the account, within `time`; the `head_bytes` of its request count with it. If
+    /// there is no room, those that made no progress for longest give way, this one maybe among them.
+    ///
+    /// # Errors
+    /// Why the body is not there; nothing of it is kept.
+    pub async fn read_body<B>(
+        self: &Arc<Self>,
+        mut body: B,
+        head_bytes: usize,
+        bytes_max: usize,
+        time: Duration,
+    ) -> Result<HeldBody, BodyFailure>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        if body.size_hint().lower() > u64::try_from(bytes_max).unwrap_or(u64::MAX) {
+            return Err(BodyFailure::TooLarge);
+        }
+        let lease = self.open_body(head_bytes);
+        self.resize(lease.id, head_bytes)?;
+        let read = async {
+            let mut received = 0;
+            while let Some(frame) = body.frame().await {
+                let Ok(data) = frame.map_err(|_| BodyFailure::Cut)?.into_data() else { continue };
+                received += data.len();
+                if received >= PROGRESS_BYTES {
+                    self.state().table.receive(lease.id, received, self.now());
+                    received = 0;
+                }
+                lease.append(&data, bytes_max)?;
+            }
+            Ok(())
+        };
+        let read = tokio::select! {
+            biased;
+            () = lease.signal.wait() => Err(BodyFailure::Displaced),
+            read = timeout(time, read) => read.unwrap_or(Err(BodyFailure::TooSlow)),
+        };
+        read?;
+        let bytes = lease.settle()?;
+        Ok(HeldBody { bytes, lease })
+    }
+
+    fn open_body(self: &Arc<Self>, head_bytes: usize) -> BodyLease {
+        let signal = Arc::new(PlaceSignal::default());
+        let mut state = self.state();
+        let id = state.table.open_body(self.now());
+        state.signals.insert(id, signal.clone());
+        BodyLease { intake: self.clone(), id, signal, head_bytes }
+    }
+
+    fn resize(&self, id: PlaceId, bytes: usize) -> Result<(), BodyFailure> {
+        let mut state = self.state();
+        let displaced = state.table.resize(id, bytes).map_err(|_| {
+            self.metrics.count(NO_ROOM);
+            BodyFailure::Displaced
+        })?;
+        for id in displaced {
+            if let Some(signal) = state.signals.remove(&id) {
+                self.metrics.count(DISPLACED_BODY);
+                signal.displace();
+            }
+        }
+        self.metrics.bytes.set(gauge(state.table.bytes()));
+        Ok(())
+    }
+
+    fn remove(&self, id: PlaceId) {
+        let mut state = self.state();
+        state.table.remove(id);
+        state.signals.remove(&id);
+        self.metrics.bytes.set(gauge(state.table.bytes()));
+        self.metrics.connections.set(gauge(state.table.connections()));
+        drop(state);
+        self.freed.notify_one();
+    }
+
+    fn close_slow_heads(&self) {
+        let mut state = self.state();
+        let head_time = state.head_time;
+        let is_slow = |signal: &PlaceSignal| {
+            lock(&signal.head).since.is_some_and(|since| since.elapsed() > head_time)
+        };
+        let slow: Vec<PlaceId> =
+            state.signals.iter().filter(|(_, signal)| is_slow(signal)).map(|(id, _)| *id).collect();
+        for id in slow {
+            state.table.remove(id);
+            if let Some(signal) = state.signals.remove(&id) {
+                self.metrics.count(SLOW_HEAD);
+                signal.displace();
+            }
+        }
+    }
+
+    /// Fits the account to what the rest of the process needs, and logs what gave way.
+    fn refit(&self, told: &mut u64, logger: &Logger) {
+        let mut state = self.state();
+        let (connections, bytes) = (state.table.connections(), state.table.bytes());
+        if let Some(resident) = resident_bytes() {
+            let bytes_max = self.limits.bytes(resident, bytes);
+            state.table.set_bytes_max(bytes_max);
+            self.metrics.bytes_max.set(gauge(bytes_max));
+        }
+        drop(state);
+        let total = self.metrics.total();
+        if total > *told {
+            info!(logger, "callers gave way to others"; "since" => total - *told,
+                "connections" => connections, "bytes" => bytes,
+                "bytes_max" => self.metrics.bytes_max.get());
+            *told = total;
+        }
+    }
+
+    fn now(&self) -> u64 {
+        crate::clock::millis(self.opened.elapsed())
+    }
+
+    fn state(&self) -> MutexGuard<'_, IntakeState> {
+        lock(&self.state)
+    }
+}
+
+/// The place of a connection; given back when dropped.
+#[derive(Debug)]
+pub struct ConnectionPlace {
+    intake: Arc<CallerIntake>,
+    id: PlaceId,
+    signal: Arc<PlaceSignal>,
+    /// Requests that are served, without those whose bodies arrive.
+    requests: AtomicUsize,
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        self.intake.remove(self.id);
+    }
+}
+
+impl ConnectionPlace {
+    /// The account that the place belongs to.
+    pub fn intake(&self) -> &Arc<CallerIntake> {
+        &self.intake
+    }
+
+    /// Completes once the connection has to give way.
+    pub async fn displaced(&self) {
+        self.signal.wait().await;
+    }
+
+    /// Begins to serve a request whose head is whole: until the guard is dropped, the connection does
+    /// not give way.
+    pub fn serve(self: &Arc<Self>) -> ServingGuard {
+        let mut head = lock(&self.signal.head);
+        let had_head = std::mem::take(&mut head.bytes) > 0;
+        head.since = None;
+        drop(head);
+        if had_head {
+            // A place that holds less never lacks room.
+            let _ = self.intake.resize(self.id, 0);
+        }
+        let guard = ServingGuard { place: self.clone() };
+        guard.resume();
+        guard
+    }
+
+    /// Counts bytes that the connection has received.
+    fn receive(&self, received: &[u8]) {
+        let is_idle = self.requests.load(Ordering::Acquire) == 0;
+        let held = {
+            let mut head = lock(&self.signal.head);
+            if head.bytes == 0 && received.starts_with(HTTP2_PREFACE) {
+                head.is_multiplexed = true;
+            }
+            let is_head = is_idle && !head.is_multiplexed;
+            if is_head {
+                head.bytes += received.len();
+                head.since.get_or_insert_with(Instant::now);
+            }
+            // hyper's buffer doubles as it fills.
+            is_head.then(|| head.bytes * 2)
+        };
+        self.intake.state().table.receive(self.id, received.len(), self.intake.now());
+        if let Some(held) = held
+            && self.intake.resize(self.id, held).is_err()
+        {
+            self.intake.remove(self.id);
+            self.signal.displace();
+        }
+    }
+}
+
+/// A request that is being served.
+#[derive(Debug)]
+pub struct ServingGuard {
+    place: Arc<ConnectionPlace>,
+}
+
+impl Drop for ServingGuard {
+    fn drop(&mut self) {
+        self.pause();
+    }
+}
+
+impl ServingGuard {
+    /// Reads the request's body; meanwhile the connection may give way. See
+    /// [`CallerIntake::read_body`].
+    ///
+    /// # Errors
+    /// As [`CallerIntake::read_body`].
+    pub async fn read_body<B>(
+        &self,
+        body: B,
+        head_bytes: usize,
+        bytes_max: usize,
+        time: Duration,
+    ) -> Result<HeldBody, BodyFailure>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        self.pause();
+        let body = self.place.intake.read_body(body, head_bytes, bytes_max, time).await;
+        self.resume();
+        body
+    }
+
+    fn pause(&self) {
+        if self.place.requests.fetch_sub(1, Ordering::AcqRel) == 1 {
+            let now = self.place.intake.now();
+            self.place.intake.state().table.unsettle(self.place.id, now);
+        }
+    }
+
+    fn resume(&self) {
+        self.place.requests.fetch_add(1, Ordering::AcqRel);
+        // A connection without a body has no bytes for which it could lack room.
+        let _ = self.place.intake.state().table.settle(self.place.id);
+    }
+}
+
+/// The bytes of a body or of the job that it was decoded to; given back when dropped.
+#[derive(Debug)]
+pub struct BodyLease {
+    intake: Arc<CallerIntake>,
+    id: PlaceId,
+    signal: Arc<PlaceSignal>,
+    head_bytes: usize,
+}
+
+impl Drop for BodyLease {
+    fn drop(&mut self) {
+        self.intake.remove(self.id);
+    }
+}
+
+impl BodyLease {
+    fn append(&self, data: &[u8], bytes_max: usize) -> Result<(), BodyFailure> {
+        let (length, capacity) = {
+            let buffer = lock(&self.signal.buffer);
+            (buffer.len(), buffer.capacity())
+        };
+        let needed = length + data.len();
+        if needed > bytes_max {
+            return Err(BodyFailure::TooLarge);
+        }
+        let grown = (capacity * 2).max(BUFFER_BYTES_MIN).min(bytes_max).max(needed);
+        if needed > capacity {
+            // The buffer moves as it grows, and its connection has one of its own.
+            let buffers = grown + grown.min(READ_BUFFER_BYTES);
+            self.intake.resize(self.id, self.head_bytes + buffers)?;
+        }
+        // Others displace a body under the lock of its buffer.
+        let mut buffer = lock(&self.signal.buffer);
+        if self.signal.is_displaced() {
+            return Err(BodyFailure::Displaced);
+        }
+        if needed > capacity {
+            buffer.reserve_exact(grown - length);
+        }
+        buffer.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Takes the bytes of a whole body, which does not give way any more.
+    fn settle(&self) -> Result<Bytes, BodyFailure> {
+        let mut state = self.intake.state();
+        if self.signal.is_displaced() {
+            return Err(BodyFailure::Displaced);
+        }
+        if state.table.settle(self.id).is_err() {
+            self.intake.metrics.count(NO_ROOM);
+            return Err(BodyFailure::Displaced);
+        }
+        Ok(Bytes::from(std::mem::take(&mut *lock(&self.signal.buffer))))
+    }
+
+    /// Counts what a body was decoded to in its place.
+    pub fn recount(&self, bytes: usize) {
+        // If there is no room for more, it counts as before.
+        let _ = self.intake.resize(self.id, bytes);
+    }
+}
+
+/// A caller's connection, whose bytes are counted as they are received.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    place: Arc<ConnectionPlace>,
+}
+
+impl CallerStream {
+    /// Counts the bytes of an accepted connection in its place.
+    pub fn new(stream: TcpStream, place: Arc<ConnectionPlace>) -> CallerStream {
+        // Answers are small; a socket that refuses the option still works.
+        let _ = stream.set_nodelay(true);
+        CallerStream { stream, place }
+    }
+
+    /// Its place.
+    pub fn place(&self) -> &Arc<ConnectionPlace> {
+        &self.place
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let received = &buffer.filled()[before..];
+        if !received.is_empty() {
+            self.place.receive(received);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Memory that the process has now, in bytes; `None` where the system does not tell.
+fn resident_bytes() -> Option<usize> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kb: usize = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kb * 1_024)
+}
+
+fn gauge(number: usize) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -12,6 +12,7 @@
     JobDemand, LineRejection, StartLine, is_deferrable, reject, reject_beyond_starts,
 };
 use crate::error::ResultCode;
+use crate::intake::BodyLease;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
 use crate::jobs::node::JobNode;
@@ -121,6 +122,19 @@
         job: JobId,
         spec: JobSpec,
         time_left: Duration,
+    ) -> CallerReply {
+        self.submit_held(queue, caller, job, spec, time_left, None).await
+    }
+
+    /// The same for a job whose bytes are in the account of callers, until it is stored or dropped.
+    pub async fn submit_held(
+        &self,
+        queue: &QueueSpec,
+        caller: &CallerAccess,
+        job: JobId,
+        spec: JobSpec,
+        time_left: Duration,
+        lease: Option<BodyLease>,
     ) -> CallerReply {
         let logger = self.node.logger.clone();
         if let Err(fault) = spec.check() {
@@ -160,7 +174,7 @@
         let lifetime_ms = self.node.settings.bounds.status_ms;
         // Noted before the submission is sent: a caller may break off at any time after that.
         let is_first = self.node.attempts().begin(job, self.node.now(), lifetime_ms);
-        let outcome = self.submitter.submit(record, deadline(queue, time_left)).await;
+        let outcome = self.submitter.submit_held(record, deadline(queue, time_left), lease).await;
         log_outcome(&logger, "submission", job, outcome, begun);
         match outcome {
             SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -15,6 +15,7 @@
 use crate::decide::leadership::{HolderId, LeadershipView, claim_delay_ms};
 use crate::decide::replica::ReplicaList;
 use crate::error::{CodeResult, ResultCode, coded};
+use crate::intake::{CallerIntake, CallerStream};
 use crate::jobs::caller_service::CallerService;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::conductor::ConductorParts;
@@ -48,7 +49,7 @@
     /// Serves a caller's requests until the connection ends or `watcher` asks for a graceful close.
     fn serve(
         &self,
-        stream: TcpStream,
+        stream: CallerStream,
         service: CallerService<L>,
         watcher: Watcher,
     ) -> impl Future<Output = ()> + Send;
@@ -100,7 +101,7 @@
         P: PermitClient,
         C: CallerProtocol<L>,
     {
-        let callers = bind(settings.callers).await?;
+        let callers = listener::bind_callers(settings.callers)?;
         let ready = bind(settings.ready).await?;
         let peers = bind(settings.peer).await?;
         let address = callers
@@ -126,12 +127,19 @@
         };
         let service = CallerService { node: node.clone(), reader, submitter, relay, queries };
         let connections = Arc::new(CallerConnections::open());
+        let intake = CallerIntake::open(
+            node.settings.limits,
+            usize::MAX,
+            node.metrics.intake.clone(),
+            &node.logger,
+        );
         let accepting = vec![
             tokio::spawn(accept_callers(
                 callers,
                 service,
                 ports.callers.clone(),
                 connections.clone(),
+                intake,
             )),
             tokio::spawn(accept_probes(ready, node.clone(), ports.callers)),
             tokio::spawn(relay::accept(peers, peer_service)),
@@ -187,11 +195,13 @@
     service: CallerService<L>,
     protocol: C,
     connections: Arc<CallerConnections>,
+    intake: Arc<CallerIntake>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(watcher) = connections.watcher() else { return };
+                let stream = CallerStream::new(stream, intake.admit().await);
                 let (service, protocol) = (service.clone(), protocol.clone());
                 tokio::spawn(async move { protocol.serve(stream, service, watcher).await });
             }
--- a/src/jobs/metrics.rs
+++ b/src/jobs/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::intake::IntakeMetrics;
 use crate::metrics::{PoolLabel, ReasonLabel};
 use crate::odd_entries::OddEntries;
 use crate::traffic::TrafficMeter;
@@ -145,6 +146,8 @@
     rejections: Mutex<BTreeMap<Arc<str>, u64>>,
     /// Age of the digest of the backlog, in milliseconds; -1 without one.
     pub line_digest_age_ms: Gauge,
+    /// What callers make the process hold.
+    pub intake: IntakeMetrics,
     /// Submissions that were not sent to the log, by reason.
     pub submissions_unsent: Reasons,
     /// Memory that the specifications of accepted jobs take here, in bytes.
@@ -208,6 +211,7 @@
             admission_rejections: Family::default(),
             rejections: Mutex::default(),
             line_digest_age_ms: Gauge::default(),
+            intake: IntakeMetrics::default(),
             submissions_unsent: Family::default(),
             kept_bytes: Gauge::default(),
             waiting_large_bytes: Gauge::default(),
@@ -331,6 +335,7 @@
         registry.register("admission_rejections", help, self.admission_rejections.clone());
         let help = "age of the digest of the backlog, in ms; -1 without one";
         registry.register("line_digest_age_ms", help, self.line_digest_age_ms.clone());
+        self.intake.register(registry);
         let help = "submissions that were not sent to the log, by reason";
         registry.register("submissions_unsent", help, self.submissions_unsent.clone());
         let help = "bytes that the specifications of accepted jobs take in memory";
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -20,6 +20,7 @@
 
 use crate::decide::admission::{is_deferrable, retry_without_leader_s};
 use crate::decide::intake::ORDINARY_BYTES;
+use crate::intake::BodyLease;
 use crate::jobs::metrics::{JobMetrics, count, count_many};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
@@ -75,6 +76,8 @@
     /// Size of the encoded record.
     bytes: usize,
     answer: oneshot::Sender<SubmitOutcome>,
+    /// Bytes of the job in the account of callers.
+    _lease: Option<BodyLease>,
 }
 
 /// Submissions that wait to be sent.
@@ -198,12 +201,22 @@
 impl SubmitHandle {
     /// Stores a record in the log; `Unknown` if it was sent and there is no outcome by `deadline`.
     pub async fn submit(&self, record: JobRecord, deadline: Instant) -> SubmitOutcome {
+        self.submit_held(record, deadline, None).await
+    }
+
+    /// The same for a record whose bytes are in the account of callers.
+    pub async fn submit_held(
+        &self,
+        record: JobRecord,
+        deadline: Instant,
+        lease: Option<BodyLease>,
+    ) -> SubmitOutcome {
         let Some(bytes) = record.encode().map(|keyed| keyed.value.len()) else {
             return SubmitOutcome::Refused;
         };
         let queue = if bytes <= ORDINARY_BYTES { &self.ordinary } else { &self.large };
         let (answer, outcome) = oneshot::channel();
-        let request = SubmitRequest { number: 0, record, bytes, answer };
+        let request = SubmitRequest { number: 0, record, bytes, answer, _lease: lease };
         // A full queue means that the log is far behind; nothing was sent.
         let Some(number) = queue.push(request) else { return SubmitOutcome::Full };
         match timeout_at(deadline, outcome).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 pub mod gate;
 pub mod gossip;
+pub mod intake;
 pub mod jobs;
 pub mod keyring;
 pub mod keys;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
 
@@ -42,6 +42,11 @@
 /// code, one that doesn't fit the buffer hyper's bare 431.
 const HEAD_BUFFER: usize = 8;
 
+/// Receive buffer of a caller's connection, in bytes.
+const RECEIVE_BYTES: u32 = 16 << 10;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Sizes and times of callers' connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenerLimits {
@@ -107,6 +112,28 @@
         .map_err(|error| coded(ResultCode::BindFailed, format!("{address}: {error}")))
 }
 
+/// Binds a TCP address for callers, whose connections get a small receive buffer: what they have
+/// sent and nobody has read yet takes memory as well.
+///
+/// # Errors
+/// `BindFailed` if the address can't be bound.
+pub fn bind_callers(address: SocketAddr) -> CodeResult<TcpListener> {
+    let bound = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        // Connections take the size over from the listener.
+        socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|error: std::io::Error| {
+        coded(ResultCode::BindFailed, format!("{address}: {error}"))
+    })
+}
+
 impl<P: SlotPolicy, C: PeerClient> ControlLoop for CallerListener<P, C> {
     const NAME: &'static str = "listener";
 
@@ -199,7 +226,7 @@
 ) -> Result<CallerRequest, ResultCode> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    if head_size(&head) > limits.head_max {
+    if head_size(&head.uri, &head.headers) > limits.head_max {
         return Err(ResultCode::HeadTooLarge);
     }
     let service = service(&head.uri, &head.headers).ok_or(ResultCode::UnknownService)?;
@@ -240,9 +267,10 @@
     })
 }
 
-fn head_size(head: &http::request::Parts) -> usize {
-    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
-    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+/// Size of a request's path and headers, in bytes.
+pub fn head_size(uri: &http::Uri, headers: &HeaderMap) -> usize {
+    let path = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let headers = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
     headers.sum::<usize>() + path
 }
 
--- a/tests/admission_service.rs
+++ b/tests/admission_service.rs
@@ -14,6 +14,7 @@
 };
 use ibisweir::decide::replica::ReplicaList;
 use ibisweir::error::ResultCode;
+use ibisweir::intake::{CallerIntake, CallerStream};
 use ibisweir::jobs::caller_service::{CallerReply, CallerService};
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::entry::CallerProtocol;
@@ -312,8 +313,11 @@
     let service = entry.service.clone();
     tokio::spawn(async move {
         let graceful = GracefulShutdown::new();
+        let (node, metrics) = (&service.node, service.node.metrics.intake.clone());
+        let intake = CallerIntake::open(node.settings.limits, 16, metrics, &node.logger);
         loop {
             let (stream, _) = listener.accept().await.expect("a caller");
+            let stream = CallerStream::new(stream, intake.admit().await);
             tokio::spawn(PlatformCallers.serve(stream, service.clone(), graceful.watcher()));
         }
     });
