Bound callers of the other mode by the same account

The other mode took 4,096 callers with bodies of 1 MiB each, kept chunk by chunk, and left HTTP/2 at 200 streams a connection with a window of 1 MiB for each connection.

It now has the same account of connections and bytes; a body counts until its request is answered. HTTP/2: 100 streams a connection, as RFC 9113 recommends at least, and 64 KB under way for a connection. The buffer for heads of HTTP/1.1 is two of the largest, as in the jobs' mode, in place of eight: a connection also reads bodies through it.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,7 +7,6 @@
 
 use ractor::ActorRef;
 use slog::{Logger, info, o, warn};
-use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
@@ -16,6 +15,7 @@
 use crate::connection::ConnectionLimits;
 use crate::control::{LoopSupervisor, SupervisedLoop, SupervisorCall};
 use crate::decide::fleet::FleetBody;
+use crate::decide::intake::ProcessLimits;
 use crate::decide::key::KeyLimits;
 use crate::decide::retry::RetryBudget;
 use crate::decide::roster::LeaseTimes;
@@ -24,8 +24,9 @@
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::follower::LogFollower;
 use crate::gossip::{GossipBook, GossipContext, GossipSender};
+use crate::intake::CallerIntake;
 use crate::keyring::KeyRing;
-use crate::listener::{CallerConnections, CallerListener, ListenerLimits, bind};
+use crate::listener::{CallerConnections, CallerListener, ListenerLimits, bind, bind_callers};
 use crate::member::{RosterMember, append, is_ready, record, send_hand_over};
 use crate::membership::EntryMembership;
 use crate::metrics::EntryMetrics;
@@ -89,7 +90,7 @@
         platform: L,
         logger: &Logger,
     ) -> CodeResult<EntryController<P, L>> {
-        let listener = Arc::new(bind(settings.address("listen")).await?);
+        let listener = Arc::new(bind_callers(settings.address("listen"))?);
         let admin_listener = Arc::new(bind(settings.address("admin")).await?);
         let callers = local(&listener)?;
         let admin = local(&admin_listener)?;
@@ -335,13 +336,19 @@
     ) -> SupervisedLoop {
         let router = self.router.clone();
         let limits = listener_limits(settings);
-        let places = Arc::new(Semaphore::new(limits.callers_max));
+        let intake = CallerIntake::open(
+            process_limits(settings),
+            settings.count("callers-max"),
+            self.metrics.intake.clone(),
+            &self.logger,
+        );
+        intake.set_head_time(limits.head_timeout);
         SupervisedLoop::new(move || CallerListener {
             listener: listener.clone(),
             limits,
             router: router.clone(),
             connections: connections.clone(),
-            places: places.clone(),
+            intake: intake.clone(),
         })
     }
 
@@ -473,7 +480,13 @@
         head_max: settings.count("head-max"),
         head_timeout: settings.time("head-timeout"),
         body_timeout: settings.time("body-timeout"),
-        callers_max: settings.count("callers-max"),
+    }
+}
+
+fn process_limits(settings: &EntrySettings) -> ProcessLimits {
+    ProcessLimits {
+        memory: settings.count("memory-mb").saturating_mul(1 << 20),
+        descriptors: settings.count("max-fds"),
     }
 }
 
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -115,7 +115,7 @@
             let dropped = waiting.drop_abandoned();
             count_many(&self.metrics.submissions_unsent, "abandoned", dropped);
         }
-        // A single request always fits, as does the first one of the largest size.
+        // An empty queue takes a request of any size.
         if is_full(&waiting) && !waiting.requests.is_empty() {
             count(&self.metrics.submissions_unsent, "full");
             return None;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -12,14 +12,13 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, timeout};
 
 use crate::control::ControlLoop;
@@ -27,6 +26,7 @@
 use crate::decide::slot::SlotPolicy;
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::gate::WorkClass;
+use crate::intake::{BodyFailure, BodyLease, CallerIntake, CallerStream, HeldBody, ServingGuard};
 use crate::name::{ServiceName, TeamName, is_well_formed};
 use crate::peer::PeerClient;
 use crate::request::{
@@ -40,13 +40,22 @@
 
 /// Size of the buffer for heads, in largest heads: one that is somewhat over the limit gets its
 /// code, one that doesn't fit the buffer hyper's bare 431.
-const HEAD_BUFFER: usize = 8;
+const HEAD_BUFFER: usize = 2;
 
 /// Receive buffer of a caller's connection, in bytes.
 const RECEIVE_BYTES: u32 = 16 << 10;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Requests at a time on an HTTP/2 connection: the least that RFC 9113 recommends (6.5.2).
+const STREAMS_MAX: u32 = 100;
+/// Bytes that an HTTP/2 connection may have under way for all its streams, and for each.
+const WINDOW_BYTES: u32 = 64 << 10;
+/// Bytes of an answer that wait to be sent on a stream.
+const SEND_BYTES: usize = 64 << 10;
+/// When a caller may retry whose body found no room.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
 /// Sizes and times of callers' connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenerLimits {
@@ -58,8 +67,6 @@
     pub head_timeout: Duration,
     /// Time for a request's body.
     pub body_timeout: Duration,
-    /// Connections at a time.
-    pub callers_max: usize,
 }
 
 /// Connections of callers, to be closed gracefully.
@@ -101,8 +108,8 @@
     pub router: Arc<RequestRouter<P, C>>,
     /// Connections to be closed gracefully.
     pub connections: Arc<CallerConnections>,
-    /// Places for connections.
-    pub places: Arc<Semaphore>,
+    /// The account of connections and bodies.
+    pub intake: Arc<CallerIntake>,
 }
 
 /// Binds a TCP address.
@@ -138,10 +145,9 @@
     const NAME: &'static str = "listener";
 
     async fn step(&mut self) -> Duration {
-        let Ok(place) = self.places.clone().acquire_owned().await else { return ACCEPT_PAUSE };
         match self.listener.accept().await {
             Ok((stream, _)) => {
-                self.serve(stream, place);
+                self.serve(CallerStream::new(stream, self.intake.admit().await));
                 Duration::ZERO
             }
             Err(_) => ACCEPT_PAUSE,
@@ -150,10 +156,10 @@
 }
 
 impl<P: SlotPolicy, C: PeerClient> CallerListener<P, C> {
-    fn serve(&self, stream: TcpStream, place: OwnedSemaphorePermit) {
-        // Answers are small; a socket that refuses the option still works.
-        let _ = stream.set_nodelay(true);
+    fn serve(&self, stream: CallerStream) {
         let (router, limits) = (self.router.clone(), self.limits);
+        let place = stream.place().clone();
+        let serving = place.clone();
         let mut server = auto::Builder::new(TokioExecutor::new());
         server
             .http1()
@@ -163,10 +169,14 @@
         server
             .http2()
             .timer(TokioTimer::new())
+            .max_concurrent_streams(STREAMS_MAX)
+            .initial_stream_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .max_send_buf_size(SEND_BYTES)
             .max_header_list_size(u32::try_from(limits.head_max).unwrap_or(u32::MAX));
         let service = service_fn(move |request| {
-            let router = router.clone();
-            async move { Ok::<_, Infallible>(answer(&router, request, &limits).await) }
+            let (router, guard) = (router.clone(), serving.serve());
+            async move { Ok::<_, Infallible>(answer(&router, request, &limits, &guard).await) }
         });
         let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let watcher = self.connections.watcher.lock().unwrap_or_else(PoisonError::into_inner);
@@ -175,10 +185,12 @@
         let gauge = self.router.metrics.caller_connections.clone();
         tokio::spawn(async move {
             gauge.inc();
-            // A caller that breaks off ends its connection with an error; its requests are gone.
-            let _ = connection.await;
+            tokio::select! {
+                // A caller that breaks off ends its connection with an error; its requests are gone.
+                _ = connection => {}
+                () = place.displaced() => {}
+            }
             gauge.dec();
-            drop(place);
         });
     }
 }
@@ -200,20 +212,24 @@
     router: &Arc<RequestRouter<P, C>>,
     request: Request<Incoming>,
     limits: &ListenerLimits,
+    serving: &ServingGuard,
 ) -> Response<Full<Bytes>> {
     let mut guard = GoneGuard { gone: Some(&router.metrics.callers_gone) };
-    let answer = match decode(request, limits).await {
-        Ok(request) => router.handle(request).await,
+    let answer = match decode(request, limits, serving).await {
+        // The body counts for as long as the request is in the house.
+        Ok((request, _lease)) => router.handle(request).await,
         Err(code) => {
             router.metrics.answer(Some(code));
-            CallerAnswer::coded(code, None)
+            let retry = (code == ResultCode::EntryFull).then_some(FULL_RETRY);
+            CallerAnswer::coded(code, retry)
         }
     };
     guard.gone = None;
     let mut response = Response::new(Full::new(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
-    if matches!(answer.code, Some(ResultCode::BodyTooLarge | ResultCode::BodyTooSlow)) {
+    let left = [ResultCode::BodyTooLarge, ResultCode::BodyTooSlow, ResultCode::EntryFull];
+    if answer.code.is_some_and(|code| left.contains(&code)) {
         // What is left of the body would be read as the next request.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -223,10 +239,12 @@
 async fn decode(
     request: Request<Incoming>,
     limits: &ListenerLimits,
-) -> Result<CallerRequest, ResultCode> {
+    serving: &ServingGuard,
+) -> Result<(CallerRequest, BodyLease), ResultCode> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    if head_size(&head.uri, &head.headers) > limits.head_max {
+    let head_bytes = head_size(&head.uri, &head.headers);
+    if head_bytes > limits.head_max {
         return Err(ResultCode::HeadTooLarge);
     }
     let service = service(&head.uri, &head.headers).ok_or(ResultCode::UnknownService)?;
@@ -247,12 +265,13 @@
         Some(key) => Some(RequestKey::parse(key).ok_or(ResultCode::BadKey)?),
         None => None,
     };
-    let body = read_body(body, limits).await?;
+    let body = serving.read_body(body, head_bytes, limits.body_max, limits.body_timeout);
+    let HeldBody { bytes: body, lease } = body.await.map_err(BodyFailure::code)?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let (method, headers) = (head.method, end_to_end(&head.headers));
     let limit = limit.map(Duration::from_millis);
     let forwarded = false;
-    Ok(CallerRequest {
+    let request = CallerRequest {
         service,
         class,
         team,
@@ -264,7 +283,8 @@
         limit,
         arrived,
         forwarded,
-    })
+    };
+    Ok((request, lease))
 }
 
 /// Size of a request's path and headers, in bytes.
@@ -274,16 +294,6 @@
     headers.sum::<usize>() + path
 }
 
-async fn read_body(body: Incoming, limits: &ListenerLimits) -> Result<Bytes, ResultCode> {
-    let collect = Limited::new(body, limits.body_max).collect();
-    match timeout(limits.body_timeout, collect).await {
-        Err(_) => Err(ResultCode::BodyTooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Ok(Err(_)) => Err(ResultCode::BodyCut),
-    }
-}
-
 /// The first segment of the path names the service; where the path has none, the first label of the
 /// host does.
 fn service(uri: &http::Uri, headers: &HeaderMap) -> Option<ServiceName> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::decide::retry::{NotRunReason, UnknownReason};
 use crate::error::ResultCode;
+use crate::intake::IntakeMetrics;
 
 /// Label of a metric that is split by one word.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -97,6 +98,8 @@
     pub steward_acts: Reasons,
     /// Times that this entry joined the roster.
     pub joins: Counter,
+    /// What callers make the process hold.
+    pub intake: IntakeMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -111,8 +114,11 @@
         }
         let buckets = exponential_buckets(0.000_5, 2.0, 18);
         let answers = register!("answers", "Answers by result code", Family::default());
+        let intake = IntakeMetrics::default();
+        intake.register(&mut registry);
         let metrics = EntryMetrics {
             answers,
+            intake,
             request_seconds: register!(
                 "request_seconds",
                 "Time to the answer",
