Don't take a connection whose body follows its head for a slow head

A caller whose body came in a segment of its own lost its connection a few seconds after its answer, or while its request was served.

Cause: the account counts received bytes as a head while no request of the connection is served, and while a body is read its request was not counted as served. The body's first bytes started the time of a head, and nothing stopped it.

Requests whose heads are whole are now counted apart from those whose bodies are. The new case sends body and head apart and uses the connection again after a slow head was closed beside it. It fails on the code before (broken pipe) and passes.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -260,8 +260,8 @@
         let signal = Arc::new(PlaceSignal::default());
         state.signals.insert(id, signal.clone());
         self.metrics.connections.set(gauge(state.table.connections()));
-        let requests = AtomicUsize::new(0);
-        let place = ConnectionPlace { intake: self.clone(), id, signal, requests };
+        let (requests, served) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        let place = ConnectionPlace { intake: self.clone(), id, signal, requests, served };
         Some((Arc::new(place), displaced.is_some()))
     }
 
@@ -393,8 +393,10 @@
     intake: Arc<CallerIntake>,
     id: PlaceId,
     signal: Arc<PlaceSignal>,
-    /// Requests that are served, without those whose bodies arrive.
+    /// Requests whose heads are whole and that are not answered yet.
     requests: AtomicUsize,
+    /// Those of them whose bodies are whole.
+    served: AtomicUsize,
 }
 
 impl Drop for ConnectionPlace {
@@ -417,6 +419,7 @@
     /// Begins to serve a request whose head is whole: until the guard is dropped, the connection does
     /// not give way.
     pub fn serve(self: &Arc<Self>) -> ServingGuard {
+        self.requests.fetch_add(1, Ordering::AcqRel);
         let mut head = lock(&self.signal.head);
         let had_head = std::mem::take(&mut head.bytes) > 0;
         head.since = None;
@@ -465,6 +468,7 @@
 impl Drop for ServingGuard {
     fn drop(&mut self) {
         self.pause();
+        self.place.requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -491,14 +495,14 @@
     }
 
     fn pause(&self) {
-        if self.place.requests.fetch_sub(1, Ordering::AcqRel) == 1 {
+        if self.place.served.fetch_sub(1, Ordering::AcqRel) == 1 {
             let now = self.place.intake.now();
             self.place.intake.state().table.unsettle(self.place.id, now);
         }
     }
 
     fn resume(&self) {
-        self.place.requests.fetch_add(1, Ordering::AcqRel);
+        self.place.served.fetch_add(1, Ordering::AcqRel);
         // A connection without a body has no bytes for which it could lack room.
         let _ = self.place.intake.state().table.settle(self.place.id);
     }
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -22,6 +22,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use support::wait;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 
@@ -312,6 +313,27 @@
     site.check("slow-heads").await;
 }
 
+/// Guards against connections that are closed as slow heads though their requests were answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_whose_body_came_after_its_head_stays_open() {
+    let case = CrowdCase::open(8_121).await;
+    let limits = json!({ "header-timeout-ms": 300, "idle-timeout-ms": 3_600_000 });
+    let site = CrowdSite::open("kept-open", 1, case.size, limits).await;
+    let callers = site.entries[0].callers;
+    let mut stream = tokio::net::TcpStream::connect(callers).await.expect("a connection");
+    let script = sized(1_024);
+    for number in 1..=2 {
+        stream.write_all((script.head)(number).as_bytes()).await.expect("it is open");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stream.write_all(&script.body).await.expect("it is open");
+        let mut answer = [0; 1_024];
+        let count = stream.read(&mut answer).await.expect("an answer");
+        assert!(answer[..count].starts_with(b"HTTP/1.1 200"), "answer {number}");
+        // Once a head that is slow by now is closed, this connection would be as well.
+        CallerCrowd::spawn(callers, vec![endless_head(4_096)]).be_closed().await;
+    }
+}
+
 /// Guards against a body whose steps take a hundred times its size once they are decoded.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_of_empty_steps_stay_within_memory() {
