Send ordinary submissions whose caller's time is over

Cause: what was taken back is refused with 503, and its caller comes back a second later to wait for the same log anew. Before, the record went out with the next batch, and the retry, at any entry, found the job.

Only large submissions are dropped now once nobody waits for them. Ordinary ones are sent as before, and dropped when their queue, which is bounded, is full.

--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -1,6 +1,7 @@
 //! Appends submissions and cancellations to the log, in batches and, for each lane, one append at a
-//! time. Large submissions have a lane of their own; what waits in a lane is bounded in bytes, and
-//! what nobody waits for any more is not sent.
+//! time. Large submissions have a lane of their own; what waits in a lane is bounded in bytes. Large ones
+//! that nobody waits for any more are not sent; ordinary ones are, unless their queue is full: a caller
+//! whose time is over tries again, and finds its job stored.
 //!
 //! An append without an answer may have been done, or may be done seconds later. It is repeated
 //! with the same sequence number, and the log performs it once. Only an outcome that the log has
@@ -93,12 +94,15 @@
     waiting: Mutex<WaitingRequests>,
     added: Notify,
     bytes_max: usize,
+    /// Whether requests are sent whose callers' time is over.
+    keeps_late: bool,
     metrics: Arc<JobMetrics>,
 }
 
 impl SubmitQueue {
-    fn new(bytes_max: usize, metrics: Arc<JobMetrics>) -> SubmitQueue {
-        SubmitQueue { waiting: Mutex::default(), added: Notify::new(), bytes_max, metrics }
+    fn new(bytes_max: usize, keeps_late: bool, metrics: Arc<JobMetrics>) -> SubmitQueue {
+        let (waiting, added) = (Mutex::default(), Notify::new());
+        SubmitQueue { waiting, added, bytes_max, keeps_late, metrics }
     }
 
     fn waiting(&self) -> MutexGuard<'_, WaitingRequests> {
@@ -130,8 +134,11 @@
         Some(number)
     }
 
-    /// Takes a request back that was not sent; returns whether there was one.
+    /// Takes a request back whose caller's time is over and that was not sent; returns whether it was.
     fn withdraw(&self, number: u64) -> bool {
+        if self.keeps_late {
+            return false;
+        }
         let mut waiting = self.waiting();
         let Ok(position) = waiting.requests.binary_search_by_key(&number, |request| request.number)
         else {
@@ -146,7 +153,7 @@
     /// Waits for requests, and takes those of one batch.
     async fn take(&self, bytes_max: impl Fn() -> usize) -> Vec<SubmitRequest> {
         loop {
-            let (batch, abandoned) = self.waiting().take(bytes_max());
+            let (batch, abandoned) = self.waiting().take(bytes_max(), self.keeps_late);
             count_many(&self.metrics.submissions_unsent, "abandoned", abandoned);
             if !batch.is_empty() {
                 return batch;
@@ -170,8 +177,8 @@
         std::mem::take(&mut self.requests).into()
     }
 
-    /// Takes the requests of one batch, and how many nobody waited for.
-    fn take(&mut self, bytes_max: usize) -> (Vec<SubmitRequest>, usize) {
+    /// Takes the requests of one batch, and how many were dropped as nobody waits for them.
+    fn take(&mut self, bytes_max: usize, keeps_late: bool) -> (Vec<SubmitRequest>, usize) {
         let (mut batch, mut bytes, mut abandoned) = (Vec::new(), 0, 0);
         while batch.len() < BATCH_MAX
             && let Some(next) = self.requests.front()
@@ -179,7 +186,7 @@
             && let Some(next) = self.requests.pop_front()
         {
             self.bytes -= next.bytes;
-            if next.answer.is_closed() {
+            if !keeps_late && next.answer.is_closed() {
                 abandoned += 1;
             } else {
                 bytes += next.bytes;
@@ -199,7 +206,8 @@
 }
 
 impl SubmitHandle {
-    /// Stores a record in the log; `Unknown` if it was sent and there is no outcome by `deadline`.
+    /// Stores a record in the log; `Unknown` if there is no outcome by `deadline`, and it was sent or
+    /// will be.
     pub async fn submit(&self, record: JobRecord, deadline: Instant) -> SubmitOutcome {
         self.submit_held(record, deadline, None).await
     }
@@ -248,8 +256,9 @@
     incarnation: u64,
 ) -> SubmitHandle {
     let bytes_max = node.settings.limits.waiting_jobs();
-    let spawn_lane = |relay: RelayClient, name: &str| {
-        let requests = Arc::new(SubmitQueue::new(bytes_max, node.metrics.clone()));
+    let spawn_lane = |relay: RelayClient, name: &str, keeps_late: bool| {
+        let queue = SubmitQueue::new(bytes_max, keeps_late, node.metrics.clone());
+        let requests = Arc::new(queue);
         let submitter = Submitter {
             node: node.clone(),
             log: log.clone(),
@@ -265,8 +274,8 @@
         requests
     };
     // A leader that takes too long for a large batch may take ordinary ones.
-    let large = spawn_lane(relay.separate(), "-large");
-    SubmitHandle { ordinary: spawn_lane(relay, ""), large }
+    let large = spawn_lane(relay.separate(), "-large", false);
+    SubmitHandle { ordinary: spawn_lane(relay, "", true), large }
 }
 
 impl<L: JobLog> Submitter<L> {
--- a/tests/submitter.rs
+++ b/tests/submitter.rs
@@ -193,3 +193,17 @@
     assert_eq!(submitter.submit(sized(3, 100_000), in_a_second()).await, SubmitOutcome::Stored);
     assert_eq!(log.appended.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against ordinary jobs that are dropped while the log is slow: their callers try again at once,
+/// and would wait for the log anew.
+#[tokio::test(start_paused = true)]
+async fn an_ordinary_job_is_stored_though_its_caller_has_tried_in_vain() {
+    let (_node, log, submitter) = held_entry(256 << 20).await;
+    for id in 1..=2 {
+        let outcome = submitter.submit(sized(id, 1_000), in_a_second()).await;
+        assert_eq!(outcome, SubmitOutcome::Unknown);
+    }
+    log.is_held.store(false, Ordering::Relaxed);
+    assert_eq!(submitter.submit(sized(3, 1_000), in_a_second()).await, SubmitOutcome::Stored);
+    assert_eq!(log.appended.load(Ordering::Relaxed), 3);
+}
