Give bodies in the account a module of their own, and streams one watcher

src/intake.rs had grown to hold the account, the bodies in it and a second stream type that counts bytes. Bodies with their leases are in src/held_body.rs, `WatchedStream` tells any `StreamWatcher` what goes over a connection, and a submission with its lease is one `SubmittedJob`, in place of two methods.

The tests are the same but for the arguments of `submit` and `admit`.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -6,43 +6,35 @@
 //! connection ends with its task.
 
 use std::collections::HashMap;
-use std::io;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Body;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use slog::{Logger, info};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, yield_now};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-use crate::decide::intake::{IntakeTable, PROGRESS_BYTES, PlaceId, ProcessLimits};
-use crate::error::ResultCode;
+use crate::decide::intake::{IntakeTable, PlaceId, ProcessLimits};
+use crate::held_body::{self, BodyBounds, BodyFailure, HeldBody};
 use crate::metrics::ReasonLabel;
+use crate::progress::{StreamWatcher, WatchedStream};
 
 /// Time between two searches for slow heads.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Sweeps between two readings of the memory of the process, and between two log lines.
 const SWEEPS_PER_REFIT: u32 = 4;
-/// Least capacity of a body's buffer, in bytes.
-const BUFFER_BYTES_MIN: usize = 2 << 10;
-/// Largest buffer that the connection of a body may hold beside it, in bytes.
-const READ_BUFFER_BYTES: usize = 32 << 10;
 /// First bytes of an HTTP/2 connection (RFC 9113, 3.4). Its heads are bounded by its own settings.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
-/// Reasons for which a caller gave way.
+/// Reasons for which a caller was displaced or found no room.
 const DISPLACED_BODY: &str = "body";
 const DISPLACED_CONNECTION: &str = "connection";
 const SLOW_HEAD: &str = "slow_head";
@@ -57,7 +49,7 @@
     pub bytes: Gauge,
     /// Most bytes that they may make it hold now.
     pub bytes_max: Gauge,
-    /// Callers that gave way or found no room, by reason.
+    /// Callers that were displaced or found no room, by reason.
     pub displaced: Family<ReasonLabel, Counter>,
 }
 
@@ -70,7 +62,7 @@
         registry.register("intake_bytes", help, self.bytes.clone());
         let help = "most bytes that callers may make the process hold now";
         registry.register("intake_bytes_max", help, self.bytes_max.clone());
-        let help = "callers that gave way to others or found no room, by reason";
+        let help = "callers that were displaced or found no room, by reason";
         registry.register("intake_displaced", help, self.displaced.clone());
         // Each reason is there from the start, at zero.
         self.total();
@@ -91,10 +83,10 @@
 
 /// What a place's owner and the table share.
 #[derive(Debug, Default)]
-struct PlaceSignal {
+pub(crate) struct PlaceSignal {
     is_displaced: AtomicBool,
     displaced: Notify,
-    buffer: Mutex<Vec<u8>>,
+    pub(crate) buffer: Mutex<Vec<u8>>,
     head: Mutex<HeadProgress>,
 }
 
@@ -113,11 +105,11 @@
         self.displaced.notify_one();
     }
 
-    fn is_displaced(&self) -> bool {
+    pub(crate) fn is_displaced(&self) -> bool {
         self.is_displaced.load(Ordering::Acquire)
     }
 
-    async fn wait(&self) {
+    pub(crate) async fn wait(&self) {
         while !self.is_displaced() {
             self.displaced.notified().await;
         }
@@ -152,40 +144,6 @@
     }
 }
 
-/// Why the body of a request is not there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyFailure {
-    /// It is larger than a body may be.
-    TooLarge,
-    /// It ended early.
-    Cut,
-    /// It took too long.
-    TooSlow,
-    /// It gave way to others, or there was no room for it.
-    Displaced,
-}
-
-impl BodyFailure {
-    /// The code that tells a caller of it.
-    pub fn code(self) -> ResultCode {
-        match self {
-            BodyFailure::TooLarge => ResultCode::BodyTooLarge,
-            BodyFailure::Cut => ResultCode::BodyCut,
-            BodyFailure::TooSlow => ResultCode::BodyTooSlow,
-            BodyFailure::Displaced => ResultCode::EntryFull,
-        }
-    }
-}
-
-/// A body that is whole.
-#[derive(Debug)]
-pub struct HeldBody {
-    /// Its bytes.
-    pub bytes: Bytes,
-    /// Its place in the account.
-    pub lease: BodyLease,
-}
-
 impl CallerIntake {
     /// Opens the account of a process with these limits, of which at most `connections_max` connections
     /// are for callers.
@@ -234,8 +192,14 @@
         self.state().head_time = head_time;
     }
 
-    /// Waits for a place for one more connection; the quietest one gives way.
-    pub async fn admit(self: &Arc<Self>) -> Arc<ConnectionPlace> {
+    /// Waits for a place for a connection that was accepted; the quietest one gives way.
+    pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> CallerStream {
+        // Answers are small; a socket that refuses the option still works.
+        let _ = stream.set_nodelay(true);
+        WatchedStream::new(stream, self.place().await)
+    }
+
+    async fn place(self: &Arc<Self>) -> Arc<ConnectionPlace> {
         loop {
             let freed = self.freed.notified();
             if let Some((place, has_displaced)) = self.try_admit() {
@@ -265,58 +229,32 @@
         Some((Arc::new(place), displaced.is_some()))
     }
 
-    /// Reads a body into the account, within `time`; the `head_bytes` of its request count with it. If
-    /// there is no room, those that made no progress for longest give way, this one maybe among them.
-    ///
-    /// # Errors
-    /// Why the body is not there; nothing of it is kept.
-    pub async fn read_body<B>(
-        self: &Arc<Self>,
-        mut body: B,
-        head_bytes: usize,
-        bytes_max: usize,
-        time: Duration,
-    ) -> Result<HeldBody, BodyFailure>
-    where
-        B: Body<Data = Bytes> + Unpin,
-    {
-        if body.size_hint().lower() > u64::try_from(bytes_max).unwrap_or(u64::MAX) {
-            return Err(BodyFailure::TooLarge);
-        }
-        let lease = self.open_body(head_bytes);
-        self.resize(lease.id, head_bytes)?;
-        let read = async {
-            let mut received = 0;
-            while let Some(frame) = body.frame().await {
-                let Ok(data) = frame.map_err(|_| BodyFailure::Cut)?.into_data() else { continue };
-                received += data.len();
-                if received >= PROGRESS_BYTES {
-                    self.state().table.receive(lease.id, received, self.now());
-                    received = 0;
-                }
-                lease.append(&data, bytes_max)?;
-            }
-            Ok(())
-        };
-        let read = tokio::select! {
-            biased;
-            () = lease.signal.wait() => Err(BodyFailure::Displaced),
-            read = timeout(time, read) => read.unwrap_or(Err(BodyFailure::TooSlow)),
-        };
-        read?;
-        let bytes = lease.settle()?;
-        Ok(HeldBody { bytes, lease })
-    }
-
-    fn open_body(self: &Arc<Self>, head_bytes: usize) -> BodyLease {
+    pub(crate) fn open_body(&self) -> (PlaceId, Arc<PlaceSignal>) {
         let signal = Arc::new(PlaceSignal::default());
         let mut state = self.state();
         let id = state.table.open_body(self.now());
         state.signals.insert(id, signal.clone());
-        BodyLease { intake: self.clone(), id, signal, head_bytes }
+        (id, signal)
+    }
+
+    /// Counts bytes that were received for a place.
+    pub(crate) fn receive(&self, id: PlaceId, bytes: usize) {
+        self.state().table.receive(id, bytes, self.now());
+    }
+
+    /// Settles a body that is whole; returns whether it is still there and has room as such.
+    pub(crate) fn settle(&self, id: PlaceId) -> bool {
+        let mut state = self.state();
+        let is_there = state.signals.contains_key(&id);
+        let is_settled = is_there && state.table.settle(id).is_ok();
+        if is_there && !is_settled {
+            self.metrics.count(NO_ROOM);
+        }
+        is_settled
     }
 
-    fn resize(&self, id: PlaceId, bytes: usize) -> Result<(), BodyFailure> {
+    /// Sets how many bytes a place holds; others give way if there is no room.
+    pub(crate) fn resize(&self, id: PlaceId, bytes: usize) -> Result<(), BodyFailure> {
         let mut state = self.state();
         let displaced = state.table.resize(id, bytes).map_err(|_| {
             self.metrics.count(NO_ROOM);
@@ -332,7 +270,7 @@
         Ok(())
     }
 
-    fn remove(&self, id: PlaceId) {
+    pub(crate) fn remove(&self, id: PlaceId) {
         let mut state = self.state();
         state.table.remove(id);
         state.signals.remove(&id);
@@ -449,7 +387,7 @@
             // hyper's buffer doubles as it fills.
             is_head.then(|| head.bytes * 2)
         };
-        self.intake.state().table.receive(self.id, received.len(), self.intake.now());
+        self.intake.receive(self.id, received.len());
         if let Some(held) = held
             && self.intake.resize(self.id, held).is_err()
         {
@@ -459,6 +397,17 @@
     }
 }
 
+impl StreamWatcher for ConnectionPlace {
+    fn sent(&self, _: usize) {}
+
+    fn received(&self, bytes: &[u8]) {
+        self.receive(bytes);
+    }
+}
+
+/// The stream of a caller's connection, whose bytes are counted in its place.
+pub type CallerStream = WatchedStream<ConnectionPlace>;
+
 /// A request that is being served.
 #[derive(Debug)]
 pub struct ServingGuard {
@@ -473,23 +422,17 @@
 }
 
 impl ServingGuard {
-    /// Reads the request's body; meanwhile the connection may give way. See
-    /// [`CallerIntake::read_body`].
+    /// Reads the request's body into the account; meanwhile the connection may give way. If there is no
+    /// room, what made no progress for longest gives way, this body maybe among it.
     ///
     /// # Errors
-    /// As [`CallerIntake::read_body`].
-    pub async fn read_body<B>(
-        &self,
-        body: B,
-        head_bytes: usize,
-        bytes_max: usize,
-        time: Duration,
-    ) -> Result<HeldBody, BodyFailure>
+    /// Why the body is not there; nothing of it is kept.
+    pub async fn read_body<B>(&self, body: B, bounds: BodyBounds) -> Result<HeldBody, BodyFailure>
     where
         B: Body<Data = Bytes> + Unpin,
     {
         self.pause();
-        let body = self.place.intake.read_body(body, head_bytes, bytes_max, time).await;
+        let body = held_body::read(&self.place.intake, body, bounds).await;
         self.resume();
         body
     }
@@ -508,136 +451,6 @@
     }
 }
 
-/// The bytes of a body or of the job that it was decoded to; given back when dropped.
-#[derive(Debug)]
-pub struct BodyLease {
-    intake: Arc<CallerIntake>,
-    id: PlaceId,
-    signal: Arc<PlaceSignal>,
-    head_bytes: usize,
-}
-
-impl Drop for BodyLease {
-    fn drop(&mut self) {
-        self.intake.remove(self.id);
-    }
-}
-
-impl BodyLease {
-    fn append(&self, data: &[u8], bytes_max: usize) -> Result<(), BodyFailure> {
-        let (length, capacity) = {
-            let buffer = lock(&self.signal.buffer);
-            (buffer.len(), buffer.capacity())
-        };
-        let needed = length + data.len();
-        if needed > bytes_max {
-            return Err(BodyFailure::TooLarge);
-        }
-        let grown = (capacity * 2).max(BUFFER_BYTES_MIN).min(bytes_max).max(needed);
-        if needed > capacity {
-            // The buffer moves as it grows, and its connection has one of its own.
-            let buffers = grown + grown.min(READ_BUFFER_BYTES);
-            self.intake.resize(self.id, self.head_bytes + buffers)?;
-        }
-        // Others displace a body under the lock of its buffer.
-        let mut buffer = lock(&self.signal.buffer);
-        if self.signal.is_displaced() {
-            return Err(BodyFailure::Displaced);
-        }
-        if needed > capacity {
-            buffer.reserve_exact(grown - length);
-        }
-        buffer.extend_from_slice(data);
-        Ok(())
-    }
-
-    /// Takes the bytes of a whole body, which does not give way any more.
-    fn settle(&self) -> Result<Bytes, BodyFailure> {
-        let mut state = self.intake.state();
-        if self.signal.is_displaced() {
-            return Err(BodyFailure::Displaced);
-        }
-        if state.table.settle(self.id).is_err() {
-            self.intake.metrics.count(NO_ROOM);
-            return Err(BodyFailure::Displaced);
-        }
-        Ok(Bytes::from(std::mem::take(&mut *lock(&self.signal.buffer))))
-    }
-
-    /// Counts what a body was decoded to in its place.
-    pub fn recount(&self, bytes: usize) {
-        // If there is no room for more, it counts as before.
-        let _ = self.intake.resize(self.id, bytes);
-    }
-}
-
-/// A caller's connection, whose bytes are counted as they are received.
-#[derive(Debug)]
-pub struct CallerStream {
-    stream: TcpStream,
-    place: Arc<ConnectionPlace>,
-}
-
-impl CallerStream {
-    /// Counts the bytes of an accepted connection in its place.
-    pub fn new(stream: TcpStream, place: Arc<ConnectionPlace>) -> CallerStream {
-        // Answers are small; a socket that refuses the option still works.
-        let _ = stream.set_nodelay(true);
-        CallerStream { stream, place }
-    }
-
-    /// Its place.
-    pub fn place(&self) -> &Arc<ConnectionPlace> {
-        &self.place
-    }
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let received = &buffer.filled()[before..];
-        if !received.is_empty() {
-            self.place.receive(received);
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
-
 /// Memory that the process has now, in bytes; `None` where the system does not tell.
 fn resident_bytes() -> Option<usize> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
@@ -650,6 +463,6 @@
     i64::try_from(number).unwrap_or(i64::MAX)
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -12,7 +12,7 @@
     JobDemand, LineRejection, StartLine, is_deferrable, reject, reject_beyond_starts,
 };
 use crate::error::ResultCode;
-use crate::intake::BodyLease;
+use crate::held_body::BodyLease;
 use crate::jobs::catch_up::CatchUpReader;
 use crate::jobs::model::{JobId, JobSpec, JobState, JobSubmission};
 use crate::jobs::node::JobNode;
@@ -53,6 +53,17 @@
     Unknown(ResultCode),
 }
 
+/// A job that a caller submits.
+#[derive(Debug)]
+pub struct SubmittedJob {
+    /// Its id.
+    pub job: JobId,
+    /// What it is made of.
+    pub spec: JobSpec,
+    /// Its bytes in the account of callers, until it is stored or dropped; `None` if they don't count.
+    pub lease: Option<BodyLease>,
+}
+
 /// Serves the requests of callers.
 #[derive(Clone)]
 pub struct CallerService<L> {
@@ -119,23 +130,10 @@
         &self,
         queue: &QueueSpec,
         caller: &CallerAccess,
-        job: JobId,
-        spec: JobSpec,
-        time_left: Duration,
-    ) -> CallerReply {
-        self.submit_held(queue, caller, job, spec, time_left, None).await
-    }
-
-    /// The same for a job whose bytes are in the account of callers, until it is stored or dropped.
-    pub async fn submit_held(
-        &self,
-        queue: &QueueSpec,
-        caller: &CallerAccess,
-        job: JobId,
-        spec: JobSpec,
+        submitted: SubmittedJob,
         time_left: Duration,
-        lease: Option<BodyLease>,
     ) -> CallerReply {
+        let SubmittedJob { job, spec, lease } = submitted;
         let logger = self.node.logger.clone();
         if let Err(fault) = spec.check() {
             info!(logger, "job refused"; "job" => %job, "fault" => ?fault,
--- a/src/jobs/entry.rs
+++ b/src/jobs/entry.rs
@@ -201,7 +201,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Some(watcher) = connections.watcher() else { return };
-                let stream = CallerStream::new(stream, intake.admit().await);
+                let stream = intake.admit(stream).await;
                 let (service, protocol) = (service.clone(), protocol.clone());
                 tokio::spawn(async move { protocol.serve(stream, service, watcher).await });
             }
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -21,7 +21,7 @@
 
 use crate::decide::admission::{is_deferrable, retry_without_leader_s};
 use crate::decide::intake::ORDINARY_BYTES;
-use crate::intake::BodyLease;
+use crate::held_body::BodyLease;
 use crate::jobs::metrics::{JobMetrics, count, count_many};
 use crate::jobs::node::JobNode;
 use crate::jobs::ports::{AppendCall, AppendOutcome, JobLog, LogTopic, WriterStamp};
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -26,7 +26,8 @@
 use crate::decide::slot::SlotPolicy;
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::gate::WorkClass;
-use crate::intake::{BodyFailure, BodyLease, CallerIntake, CallerStream, HeldBody, ServingGuard};
+use crate::held_body::{BodyBounds, BodyFailure, BodyLease, HeldBody};
+use crate::intake::{CallerIntake, CallerStream, ServingGuard};
 use crate::name::{ServiceName, TeamName, is_well_formed};
 use crate::peer::PeerClient;
 use crate::request::{
@@ -147,7 +148,7 @@
     async fn step(&mut self) -> Duration {
         match self.listener.accept().await {
             Ok((stream, _)) => {
-                self.serve(CallerStream::new(stream, self.intake.admit().await));
+                self.serve(self.intake.admit(stream).await);
                 Duration::ZERO
             }
             Err(_) => ACCEPT_PAUSE,
@@ -158,7 +159,7 @@
 impl<P: SlotPolicy, C: PeerClient> CallerListener<P, C> {
     fn serve(&self, stream: CallerStream) {
         let (router, limits) = (self.router.clone(), self.limits);
-        let place = stream.place().clone();
+        let place = stream.watcher().clone();
         let serving = place.clone();
         let mut server = auto::Builder::new(TokioExecutor::new());
         server
@@ -265,8 +266,9 @@
         Some(key) => Some(RequestKey::parse(key).ok_or(ResultCode::BadKey)?),
         None => None,
     };
-    let body = serving.read_body(body, head_bytes, limits.body_max, limits.body_timeout);
-    let HeldBody { bytes: body, lease } = body.await.map_err(BodyFailure::code)?;
+    let (bytes_max, time) = (limits.body_max, limits.body_timeout);
+    let body = serving.read_body(body, BodyBounds { head_bytes, bytes_max, time }).await;
+    let HeldBody { bytes: body, lease } = body.map_err(BodyFailure::code)?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let (method, headers) = (head.method, end_to_end(&head.headers));
     let limit = limit.map(Duration::from_millis);
--- a/src/progress.rs
+++ b/src/progress.rs
@@ -1,4 +1,4 @@
-//! Sees how the bytes of a connection go out.
+//! Sees the bytes that go over a connection.
 
 use std::io;
 use std::pin::Pin;
@@ -52,38 +52,66 @@
     }
 }
 
-/// A stream that tells its progress.
+impl StreamWatcher for SendProgress {
+    fn sent(&self, bytes: usize) {
+        self.taken(bytes);
+    }
+
+    fn received(&self, _: &[u8]) {}
+}
+
+/// Sees what goes over a stream.
+pub trait StreamWatcher: Send + Sync {
+    /// The system has taken bytes to send.
+    fn sent(&self, bytes: usize);
+
+    /// Bytes were received.
+    fn received(&self, bytes: &[u8]);
+}
+
+/// A stream whose bytes are seen by a watcher.
 #[derive(Debug)]
-pub struct WatchedStream {
+pub struct WatchedStream<W> {
     stream: TcpStream,
-    progress: Arc<SendProgress>,
+    watcher: Arc<W>,
 }
 
-impl WatchedStream {
-    /// Tells what `stream` takes to `progress`.
-    pub fn new(stream: TcpStream, progress: Arc<SendProgress>) -> WatchedStream {
-        WatchedStream { stream, progress }
+impl<W> WatchedStream<W> {
+    /// Tells `watcher` what goes over `stream`.
+    pub fn new(stream: TcpStream, watcher: Arc<W>) -> WatchedStream<W> {
+        WatchedStream { stream, watcher }
+    }
+
+    /// Who sees its bytes.
+    pub fn watcher(&self) -> &Arc<W> {
+        &self.watcher
     }
 }
 
-impl AsyncRead for WatchedStream {
+impl<W: StreamWatcher> AsyncRead for WatchedStream<W> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let received = &buffer.filled()[before..];
+        if !received.is_empty() {
+            self.watcher.received(received);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for WatchedStream {
+impl<W: StreamWatcher> AsyncWrite for WatchedStream<W> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let taken = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
-        self.progress.taken(taken);
+        self.watcher.sent(taken);
         Poll::Ready(Ok(taken))
     }
 
@@ -93,7 +121,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let taken = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
-        self.progress.taken(taken);
+        self.watcher.sent(taken);
         Poll::Ready(Ok(taken))
     }
 
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -12,7 +12,7 @@
     AccessTable, CallerAccess, KeyDigest, OrganisationSpec, PresentedKey, RevocationRule,
 };
 use ibisweir::error::ResultCode;
-use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::jobs::caller_service::{CallerReply, CallerService, SubmittedJob};
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::confirm::{self, ConfirmAnswer, ConfirmQuery};
 use ibisweir::jobs::follower::{OperatorFollower, TailReader};
@@ -352,15 +352,15 @@
     let (service, queue) = (&entry.service, keyed_queue());
     let east = entry.admit(key("taken")).expect("admitted");
     let west = entry.admit(key("spare")).expect("admitted");
-    let spec = || job(vec![step(1)]);
+    let submitted = |id| SubmittedJob { job: id, spec: job(vec![step(1)]), lease: None };
     entry.node().record_log_answer();
     let (id, unknown) = (job_id(1), CallerReply::Refused(ResultCode::UnknownJob, None));
-    assert_eq!(service.submit(&queue, &east, id, spec(), TIME_LEFT).await, CallerReply::Stored);
+    assert_eq!(service.submit(&queue, &east, submitted(id), TIME_LEFT).await, CallerReply::Stored);
     assert_eq!(service.job_state(&west, id).await, unknown);
     assert_eq!(service.job_state(&CallerAccess::default(), id).await, unknown);
     assert_eq!(service.cancel(&queue, &west, id, TIME_LEFT).await, unknown);
     let id_taken = CallerReply::Refused(ResultCode::JobIdTaken, None);
-    assert_eq!(service.submit(&queue, &west, id, spec(), TIME_LEFT).await, id_taken);
+    assert_eq!(service.submit(&queue, &west, submitted(id), TIME_LEFT).await, id_taken);
     entry.node().set_config(keyed_config(2, &["key"], &["spare"]));
     let east = entry.admit(key("key")).expect("admitted");
     assert_eq!(service.job_state(&east, id).await, CallerReply::State(JobState::Queued));
@@ -368,7 +368,7 @@
     // A job of a queue without API keys belongs to no organisation.
     let open = CallerAccess::default();
     assert_eq!(
-        service.submit(&queue, &open, job_id(2), spec(), TIME_LEFT).await,
+        service.submit(&queue, &open, submitted(job_id(2)), TIME_LEFT).await,
         CallerReply::Stored
     );
     assert_eq!(service.job_state(&west, job_id(2)).await, CallerReply::State(JobState::Queued));
--- a/tests/admission_service.rs
+++ b/tests/admission_service.rs
@@ -14,8 +14,8 @@
 };
 use ibisweir::decide::replica::ReplicaList;
 use ibisweir::error::ResultCode;
-use ibisweir::intake::{CallerIntake, CallerStream};
-use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::intake::CallerIntake;
+use ibisweir::jobs::caller_service::{CallerReply, CallerService, SubmittedJob};
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::entry::CallerProtocol;
 use ibisweir::jobs::node::JobNode;
@@ -122,7 +122,8 @@
         loop {
             // On a busy machine the log's last answer can become too old between two lines.
             service.node.record_log_answer();
-            let reply = service.submit(&queue, &caller, job_id(id), spec.clone(), TIME_LEFT).await;
+            let submitted = SubmittedJob { job: job_id(id), spec: spec.clone(), lease: None };
+            let reply = service.submit(&queue, &caller, submitted, TIME_LEFT).await;
             if !matches!(reply, CallerReply::Refused(ResultCode::LogAway, _)) {
                 return reply;
             }
@@ -317,7 +318,7 @@
         let intake = CallerIntake::open(node.settings.limits, 16, metrics, &node.logger);
         loop {
             let (stream, _) = listener.accept().await.expect("a caller");
-            let stream = CallerStream::new(stream, intake.admit().await);
+            let stream = intake.admit(stream).await;
             tokio::spawn(PlatformCallers.serve(stream, service.clone(), graceful.watcher()));
         }
     });
--- a/tests/caller_service.rs
+++ b/tests/caller_service.rs
@@ -8,9 +8,9 @@
 
 use ibisweir::decide::access::CallerAccess;
 use ibisweir::error::ResultCode;
-use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::jobs::caller_service::{CallerReply, CallerService, SubmittedJob};
 use ibisweir::jobs::catch_up::CatchUpReader;
-use ibisweir::jobs::model::StepSpec;
+use ibisweir::jobs::model::{JobSpec, StepSpec};
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::ports::{
     AppendCall, AppendOutcome, JobLog, LogBatch, LogTopic, NewestPage, ReadOutcome,
@@ -48,6 +48,10 @@
     }
 }
 
+fn submitted(id: u64, spec: JobSpec) -> SubmittedJob {
+    SubmittedJob { job: job_id(id), spec, lease: None }
+}
+
 fn service() -> CallerService<WorkingLog> {
     let logger = ibisweir::logging::silent();
     let node = Arc::new(JobNode::new(site_settings(), Arc::default(), logger));
@@ -66,7 +70,8 @@
     let queue = queue(QUEUE, POOL);
     let time_left = Duration::from_millis(100);
     let caller = CallerAccess::default();
-    let reply = service().submit(&queue, &caller, job_id(1), job(vec![step(1)]), time_left).await;
+    let submitted = submitted(1, job(vec![step(1)]));
+    let reply = service().submit(&queue, &caller, submitted, time_left).await;
     assert_eq!(reply, CallerReply::Stored);
 }
 
@@ -105,7 +110,7 @@
         service.node.set_current();
         let caller = CallerAccess::default();
         let time_left = Duration::from_secs(3);
-        service.submit(&queue, &caller, job_id(id), spec(bytes), time_left).await
+        service.submit(&queue, &caller, submitted(id, spec(bytes)), time_left).await
     };
     let most = service.node.settings.limits.kept_jobs() as u64 / 250_000;
     let mut stored = 0;
--- a/tests/relay_digest.rs
+++ b/tests/relay_digest.rs
@@ -12,7 +12,7 @@
 use ibisweir::decide::access::CallerAccess;
 use ibisweir::decide::admission::{DIGEST_VERSION, LineDigest, PoolLine, StartLine};
 use ibisweir::error::ResultCode;
-use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::jobs::caller_service::{CallerReply, CallerService, SubmittedJob};
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::delegate::OfferLoop;
 use ibisweir::jobs::node::JobNode;
@@ -249,6 +249,11 @@
     assert_eq!(hand_over(&entry, address, 2).await, RelayOutcome::Stored);
 }
 
+/// A job that needs a start for each of its tasks.
+fn submitted() -> SubmittedJob {
+    SubmittedJob { job: job_id(2), spec: job(vec![step(8)]), lease: None }
+}
+
 /// Guards against a caller that is told of a stored job although the leader has rejected it.
 #[tokio::test]
 async fn what_the_leader_rejects_is_rejected_to_its_caller() {
@@ -268,7 +273,7 @@
     };
     let (queue, caller) = (queue(QUEUE, POOL), CallerAccess::default());
     let time_left = Duration::from_secs(3);
-    let reply = service.submit(&queue, &caller, job_id(2), job(vec![step(8)]), time_left).await;
+    let reply = service.submit(&queue, &caller, submitted(), time_left).await;
     let CallerReply::Refused(ResultCode::LineTooLong, Some(wait)) = reply else {
         panic!("{reply:?}")
     };
@@ -298,7 +303,7 @@
     };
     let (queue, caller) = (queue(QUEUE, POOL), CallerAccess::default());
     let time_left = Duration::from_secs(3);
-    let reply = service.submit(&queue, &caller, job_id(2), job(vec![step(8)]), time_left).await;
+    let reply = service.submit(&queue, &caller, submitted(), time_left).await;
     assert_eq!(reply, CallerReply::Stored);
 }
 
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -10,7 +10,7 @@
     AccessTable, CallerAccess, KeyDigest, OrganisationDigest, OrganisationSpec,
 };
 use ibisweir::error::ResultCode;
-use ibisweir::jobs::caller_service::{CallerReply, CallerService};
+use ibisweir::jobs::caller_service::{CallerReply, CallerService, SubmittedJob};
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::follower::{TailReader, fold_step};
 use ibisweir::jobs::model::{JobId, JobState, JobSubmission, ResourceVector};
@@ -118,7 +118,8 @@
 }
 
 async fn submit(desk: &CallerService<MemoryLog>, caller: &CallerAccess, id: JobId) -> CallerReply {
-    desk.submit(&queue(QUEUE, POOL), caller, id, job(vec![step(1)]), CALLER_TIMEOUT).await
+    let submitted = SubmittedJob { job: id, spec: job(vec![step(1)]), lease: None };
+    desk.submit(&queue(QUEUE, POOL), caller, submitted, CALLER_TIMEOUT).await
 }
 
 async fn cancel(desk: &CallerService<MemoryLog>, caller: &CallerAccess, id: JobId) -> CallerReply {
