Count what connections and requests take beside their bodies

Cause: the account counted bodies, and a connection with 14 KB, as it is opened. Two buffers of 16 to 32 KB through which bodies are read stay with the connection, a stream of HTTP/2 takes 5 KB whatever it sends, and buffers that come and go in all sizes take up to half as much again from the system.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -342,7 +342,7 @@
             self.metrics.intake.clone(),
             &self.logger,
         );
-        intake.set_head_time(limits.head_timeout);
+        intake.set_limits(limits.head_timeout, limits.body_max);
         SupervisedLoop::new(move || CallerListener {
             listener: listener.clone(),
             limits,
--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -5,17 +5,18 @@
 //! newcomer has just made progress, so stalled clients can't keep it out, however fast they open
 //! again. Nobody waits for bytes while it holds some: a place that finds none to displace is refused.
 //!
-//! A body that is whole is settled: it holds its bytes until its job is stored or dropped, and no
-//! longer gives way. Large settled bodies take half of the bytes at most.
+//! A body that is whole is settled: it holds its bytes until its job is stored or dropped, and is no
+//! longer displaced. Large settled bodies take half of the bytes at most.
 
 use std::collections::{BTreeSet, HashMap};
 
 /// Bytes that count as progress of a connection or body.
 pub const PROGRESS_BYTES: usize = 8 << 10;
-/// Largest place that is ordinary, in bytes: a part of the account is left to ordinary ones.
+/// Largest body or job that is ordinary, in bytes.
 pub const ORDINARY_BYTES: usize = 16 << 10;
-/// Least bytes for which a place is displaced.
-const DISPLACED_BYTES_MIN: usize = 4 << 10;
+/// Largest place of an ordinary body, with its buffers and the head of its request, in bytes. A part
+/// of the account is left to such places.
+pub const ORDINARY_PLACE_BYTES: usize = 64 << 10;
 /// Part of the account, as a divisor, that only ordinary places may take.
 const ORDINARY_DIVISOR: usize = 8;
 /// Part of the account, as a divisor, that large settled bodies may take.
@@ -26,18 +27,22 @@
 /// Part of all other descriptors, as a divisor, that is for callers. The leader of a large fleet has
 /// several connections to each worker.
 const CALLER_DIVISOR: usize = 4;
-/// Part of the memory, as a divisor, for connections as such, and for the bytes that they bring.
+/// Part of the memory, as a divisor, for connections as such, and for the bytes that they bring. Buffers
+/// that come and go in all sizes take up to half as much again from the system.
 const CONNECTION_MEMORY_DIVISOR: usize = 8;
-const BYTE_MEMORY_DIVISOR: usize = 4;
+const BYTE_MEMORY_DIVISOR: usize = 6;
 /// Part of the memory, as a divisor, for accepted jobs, and for those that wait for the log in one
 /// queue.
 const KEPT_MEMORY_DIVISOR: usize = 8;
 const WAITING_MEMORY_DIVISOR: usize = 16;
-/// Memory of an idle connection, in bytes: 14 KB were measured.
-const CONNECTION_BYTES: usize = 16 << 10;
-/// Least number of connections, and of bytes: a single body of the largest size must fit.
+/// Memory of a connection beside what the account counts, in bytes: 14 KB as it is opened, later two
+/// buffers through which bodies are read.
+const CONNECTION_BYTES: usize = 64 << 10;
+/// Least number of connections, and of bytes.
 const CONNECTIONS_MIN: usize = 16;
 const BYTES_MIN: usize = 4 << 20;
+/// Least bytes in largest bodies, each with its buffers: a single one must find room beside others.
+const BODIES_MIN: usize = 8;
 /// Part of the memory, as a divisor, that the account leaves free beside what the process uses.
 const SPARE_DIVISOR: usize = 8;
 
@@ -70,12 +75,13 @@
     }
 
     /// Bytes that callers may make the process hold while it uses `resident` bytes, `held` of them
-    /// for callers.
-    pub fn bytes(&self, resident: usize, held: usize) -> usize {
+    /// for callers, and a body may have `body_max`.
+    pub fn bytes(&self, resident: usize, held: usize, body_max: usize) -> usize {
         let spare = self.memory / SPARE_DIVISOR;
         let own = resident.saturating_sub(held);
         let left = self.memory.saturating_sub(own + spare);
-        left.min(self.memory / BYTE_MEMORY_DIVISOR).max(BYTES_MIN)
+        let least = body_max.saturating_mul(BODIES_MIN).max(BYTES_MIN);
+        left.min(self.memory / BYTE_MEMORY_DIVISOR).max(least)
     }
 }
 
@@ -207,7 +213,7 @@
     pub fn resize(&mut self, id: PlaceId, bytes: usize) -> Result<Vec<PlaceId>, IntakeFull> {
         let Some(place) = self.places.get(&id) else { return Err(IntakeFull) };
         let before = place.bytes;
-        let bytes_max = match bytes <= ORDINARY_BYTES {
+        let bytes_max = match bytes <= ORDINARY_PLACE_BYTES {
             true => self.bytes_max,
             false => self.bytes_max - self.bytes_max / ORDINARY_DIVISOR,
         };
@@ -280,7 +286,7 @@
         if place.kind == PlaceKind::Connection {
             self.quiet.insert((place.progress_ms, id));
         }
-        if place.bytes >= DISPLACED_BYTES_MIN {
+        if place.bytes > 0 {
             self.displaceable.insert((place.progress_ms, id));
         }
     }
@@ -296,7 +302,7 @@
 impl IntakePlace {
     /// Bytes that count for the bound on large settled bodies.
     fn settled_bytes(&self, is_settled: bool) -> usize {
-        let is_large = self.kind == PlaceKind::Body && self.bytes > ORDINARY_BYTES;
+        let is_large = self.kind == PlaceKind::Body && self.bytes > ORDINARY_PLACE_BYTES;
         if is_settled && is_large { self.bytes } else { 0 }
     }
 }
--- a/src/held_body.rs
+++ b/src/held_body.rs
@@ -17,6 +17,8 @@
 const BUFFER_BYTES_MIN: usize = 2 << 10;
 /// Largest buffer that the connection of a body may hold beside it, in bytes.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Memory of a request beside its head and body, in bytes: a stream of HTTP/2 takes 5 KB.
+const REQUEST_BYTES: usize = 8 << 10;
 
 /// Why the body of a request is not there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,7 +77,7 @@
     if body.size_hint().lower() > u64::try_from(bounds.bytes_max).unwrap_or(u64::MAX) {
         return Err(BodyFailure::TooLarge);
     }
-    let lease = BodyLease::open(intake, bounds.head_bytes)?;
+    let lease = BodyLease::open(intake, bounds.head_bytes + REQUEST_BYTES)?;
     let read = async {
         let mut received = 0;
         while let Some(frame) = body.frame().await {
@@ -105,8 +107,8 @@
     intake: Arc<CallerIntake>,
     id: PlaceId,
     signal: Arc<PlaceSignal>,
-    /// Bytes of the request's head.
-    head_bytes: usize,
+    /// Bytes of the request beside its body.
+    request_bytes: usize,
 }
 
 impl Drop for BodyLease {
@@ -116,10 +118,10 @@
 }
 
 impl BodyLease {
-    fn open(intake: &Arc<CallerIntake>, head_bytes: usize) -> Result<BodyLease, BodyFailure> {
+    fn open(intake: &Arc<CallerIntake>, request_bytes: usize) -> Result<BodyLease, BodyFailure> {
         let (id, signal) = intake.open_body();
-        let lease = BodyLease { intake: intake.clone(), id, signal, head_bytes };
-        intake.resize(id, head_bytes)?;
+        let lease = BodyLease { intake: intake.clone(), id, signal, request_bytes };
+        intake.resize(id, request_bytes)?;
         Ok(lease)
     }
 
@@ -136,7 +138,7 @@
         if needed > capacity {
             // The buffer moves as it grows, and its connection has one of its own.
             let buffers = grown + grown.min(READ_BUFFER_BYTES);
-            self.intake.resize(self.id, self.head_bytes + buffers)?;
+            self.intake.resize(self.id, self.request_bytes + buffers)?;
         }
         // Others displace a body under the lock of its buffer.
         let mut buffer = lock(&self.signal.buffer);
@@ -161,6 +163,6 @@
     /// Counts what a body was decoded to in its place.
     pub fn recount(&self, bytes: usize) {
         // If there is no room for more, it counts as before.
-        let _ = self.intake.resize(self.id, bytes);
+        let _ = self.intake.resize(self.id, self.request_bytes + bytes);
     }
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -122,6 +122,8 @@
     signals: HashMap<PlaceId, Arc<PlaceSignal>>,
     /// Time for a head; slower ones are closed.
     head_time: Duration,
+    /// Largest body, in bytes.
+    body_max: usize,
 }
 
 /// The account of one process.
@@ -154,7 +156,7 @@
         logger: &Logger,
     ) -> Arc<CallerIntake> {
         let connections_max = limits.connections().min(connections_max);
-        let bytes_max = limits.bytes(resident_bytes().unwrap_or(0), 0);
+        let bytes_max = limits.bytes(resident_bytes().unwrap_or(0), 0, 0);
         metrics.bytes_max.set(gauge(bytes_max));
         info!(logger, "account of callers"; "connections" => connections_max, "bytes" => bytes_max,
             "memory" => limits.memory, "descriptors" => limits.descriptors);
@@ -162,6 +164,7 @@
             table: IntakeTable::new(connections_max, bytes_max),
             signals: HashMap::new(),
             head_time: Duration::MAX,
+            body_max: 0,
         };
         let intake = Arc::new(CallerIntake {
             limits,
@@ -187,9 +190,14 @@
         intake
     }
 
-    /// Sets the time for a head, from its first byte.
-    pub fn set_head_time(&self, head_time: Duration) {
-        self.state().head_time = head_time;
+    /// Sets the time for a head, from its first byte, and the largest size of a body, in bytes.
+    pub fn set_limits(&self, head_time: Duration, body_max: usize) {
+        let mut state = self.state();
+        state.head_time = head_time;
+        if state.body_max != body_max {
+            state.body_max = body_max;
+            self.fit(&mut state);
+        }
     }
 
     /// Waits for a place for a connection that was accepted; the quietest one gives way.
@@ -297,25 +305,28 @@
         }
     }
 
-    /// Fits the account to what the rest of the process needs, and logs what gave way.
+    /// Fits the account to what the rest of the process needs, and logs what was displaced.
     fn refit(&self, told: &mut u64, logger: &Logger) {
         let mut state = self.state();
         let (connections, bytes) = (state.table.connections(), state.table.bytes());
-        if let Some(resident) = resident_bytes() {
-            let bytes_max = self.limits.bytes(resident, bytes);
-            state.table.set_bytes_max(bytes_max);
-            self.metrics.bytes_max.set(gauge(bytes_max));
-        }
+        self.fit(&mut state);
         drop(state);
         let total = self.metrics.total();
         if total > *told {
-            info!(logger, "callers gave way to others"; "since" => total - *told,
+            info!(logger, "callers displaced"; "since" => total - *told,
                 "connections" => connections, "bytes" => bytes,
                 "bytes_max" => self.metrics.bytes_max.get());
             *told = total;
         }
     }
 
+    fn fit(&self, state: &mut IntakeState) {
+        let (held, body_max) = (state.table.bytes(), state.body_max);
+        let bytes_max = self.limits.bytes(resident_bytes().unwrap_or(0), held, body_max);
+        state.table.set_bytes_max(bytes_max);
+        self.metrics.bytes_max.set(gauge(bytes_max));
+    }
+
     fn now(&self) -> u64 {
         crate::clock::millis(self.opened.elapsed())
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -131,7 +131,7 @@
     number(CALLERS, "head-timeout", "10000", 10, 600_000, "time for a request's head, in ms"),
     number(CALLERS, "body-timeout", "10000", 10, 600_000, "time for a request's body, in ms"),
     number(CALLERS, "callers-max", "4096", 1, 1 << 20, "most caller connections at a time"),
-    number(CALLERS, "memory-mb", "1024", 32, 1 << 20, "memory of the process, in MB"),
+    number(CALLERS, "memory-mb", "2048", 32, 1 << 20, "memory of the process, in MB"),
     number(CALLERS, "max-fds", "20000", 256, 1 << 20, "descriptors of the process"),
     number(
         CALLERS,
