--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -362,6 +362,19 @@
     case.play("idle-after", script, clients, json!({})).await;
 }
 
+/// Guards against lines of refused requests that hold what their callers sent while nobody reads the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lines_about_refused_jobs_stay_within_memory() {
+    let case = CrowdCase::open(8_125).await;
+    let output = std::process::Stdio::piped;
+    let mut site = CrowdSite::open_writing("lines", 1, case.size, json!({}), output).await;
+    let body = format!("{{\"spec\":\"x\",\"steps\":\"{}\"}}", "s".repeat(BODY_BYTES - 64));
+    let crowd = CallerCrowd::spawn(site.entries[0].callers, vec![repeated(body); 20]);
+    crowd.play_rounds(1_500).await;
+    crowd.end().await;
+    site.check("lines").await;
+}
+
 /// A request of the other mode with its body's framing.
 fn routed_head(framing: String) -> Arc<dyn Fn(u64) -> String + Send + Sync> {
     Arc::new(move |_| format!("POST /tours/hold HTTP/1.1\r\nhost: site\r\n{framing}\r\n\r\n"))
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -59,17 +59,21 @@
 pub struct CallerCrowd {
     arrived: Arc<AtomicUsize>,
     closed: Arc<AtomicUsize>,
+    /// Connections that were answered or closed.
+    rounds: Arc<AtomicUsize>,
     size: usize,
     clients: JoinSet<()>,
 }
 
 impl CallerCrowd {
     pub fn spawn(address: SocketAddr, scripts: Vec<ClientScript>) -> CallerCrowd {
-        let (arrived, closed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let counter = || Arc::new(AtomicUsize::new(0));
+        let (arrived, closed, rounds) = (counter(), counter(), counter());
         let size = scripts.len();
         let mut clients = JoinSet::new();
         for script in scripts {
             let (arrived, closed) = (Arc::clone(&arrived), Arc::clone(&closed));
+            let rounds = Arc::clone(&rounds);
             clients.spawn(async move {
                 let mut has_arrived = false;
                 loop {
@@ -80,6 +84,7 @@
                         }
                     };
                     play(address, &script, number, mark).await;
+                    rounds.fetch_add(1, Ordering::Relaxed);
                     if !script.reopens {
                         break;
                     }
@@ -91,7 +96,7 @@
                 closed.fetch_add(1, Ordering::Relaxed);
             });
         }
-        CallerCrowd { arrived, closed, size, clients }
+        CallerCrowd { arrived, closed, rounds, size, clients }
     }
 
     /// Waits until each client has sent all that it sends, or was answered or closed.
@@ -100,6 +105,12 @@
         wait("the crowd to have sent all", has_arrived).await;
     }
 
+    /// Waits until so many connections were answered or closed.
+    pub async fn play_rounds(&self, rounds: usize) {
+        let is_over = async || self.rounds.load(Ordering::Relaxed) >= rounds;
+        wait("the crowd to be answered", is_over).await;
+    }
+
     /// Waits until the entry has closed every connection.
     pub async fn be_closed(&self) {
         let is_closed = async || self.closed.load(Ordering::Relaxed) == self.size;
@@ -262,6 +273,17 @@
 impl CrowdSite {
     /// Starts entries; `limits` are those of callers' requests in the configuration.
     pub async fn open(name: &str, entries: u8, size: MachineSize, limits: Value) -> CrowdSite {
+        CrowdSite::open_writing(name, entries, size, limits, Stdio::null).await
+    }
+
+    /// The same for entries whose output goes elsewhere.
+    pub async fn open_writing(
+        name: &str,
+        entries: u8,
+        size: MachineSize,
+        limits: Value,
+        output: fn() -> Stdio,
+    ) -> CrowdSite {
         let directory =
             std::env::temp_dir().join(format!("ibisweir-crowd-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("a directory for the test's files");
@@ -273,7 +295,7 @@
         platform.log().put("keyed.op", "config", config.to_string().as_bytes());
         let mut site = CrowdSite { entries: Vec::new(), directory, _platform: platform };
         for number in 0..entries {
-            let entry = site.start(number, size);
+            let entry = site.start(number, size, output());
             site.entries.push(entry);
         }
         for entry in 0..site.entries.len() {
@@ -282,7 +304,7 @@
         site
     }
 
-    fn start(&self, number: u8, size: MachineSize) -> WatchedEntry {
+    fn start(&self, number: u8, size: MachineSize, output: Stdio) -> WatchedEntry {
         let free = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let listeners = [free(), free(), free()];
         let addresses =
@@ -300,7 +322,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_ibisweird"))
             .env("IBISWEIR_BOOT", &path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("the entry starts");
