Bound all accepted jobs by memory, with the tasks that they have

Cause: only jobs over 16 KB were refused for what is kept, by the bytes of their specification. Ordinary jobs had no bound on their sum, and a job of a hundred bytes with 2,000 tasks takes half a megabyte at the leader.

Seen on: jobs_of_many_tasks (1,000 of 2,000 tasks that no VM has room for) took 453,492 kB of 81 MB, accepted_ordinary_jobs (3,000 of 15 KB) 86,908 kB of 49 MB.

Now each job counts with its bytes and 256 for each of its tasks. Once all take a quarter of the memory, or those over 16 KB an eighth, a job for which there is no room is refused with 133 (429) before it is stored, by an entry or by the leader. The leader says which of its rejections are for memory, so that the caller gets 133 and not 131; an entry of an earlier build gets them in the form that it reads.

--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -31,9 +31,10 @@
 /// that come and go in all sizes take up to half as much again from the system.
 const CONNECTION_MEMORY_DIVISOR: usize = 8;
 const BYTE_MEMORY_DIVISOR: usize = 6;
-/// Part of the memory, as a divisor, for accepted jobs, and for those that wait for the log in one
-/// queue.
-const KEPT_MEMORY_DIVISOR: usize = 8;
+/// Part of the memory, as a divisor, for accepted jobs, for the large ones of them, and for submissions
+/// that wait for the log in one queue.
+const KEPT_MEMORY_DIVISOR: usize = 4;
+const KEPT_LARGE_MEMORY_DIVISOR: usize = 8;
 const WAITING_MEMORY_DIVISOR: usize = 16;
 /// Memory of a connection beside what the account counts, in bytes: 14 KB as it is opened, later two
 /// buffers through which bodies are read.
@@ -64,9 +65,12 @@
         by_descriptors.min(by_memory).max(CONNECTIONS_MIN)
     }
 
-    /// Bytes of accepted jobs up to which jobs larger than ordinary ones are accepted.
-    pub fn kept_jobs(&self) -> usize {
-        self.memory / KEPT_MEMORY_DIVISOR
+    /// Bytes that accepted jobs may take.
+    pub fn kept_jobs(&self) -> KeptBytes {
+        KeptBytes {
+            all: self.memory / KEPT_MEMORY_DIVISOR,
+            large: self.memory / KEPT_LARGE_MEMORY_DIVISOR,
+        }
     }
 
     /// Bytes of submissions that may wait for the log in one queue.
@@ -85,6 +89,41 @@
     }
 }
 
+/// Memory that jobs take, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeptBytes {
+    /// All jobs.
+    pub all: usize,
+    /// Those that are larger than ordinary ones.
+    pub large: usize,
+}
+
+impl KeptBytes {
+    /// What is left beside `taken`.
+    pub fn left(self, taken: KeptBytes) -> KeptBytes {
+        KeptBytes {
+            all: self.all.saturating_sub(taken.all),
+            large: self.large.saturating_sub(taken.large),
+        }
+    }
+
+    /// Whether there is room for a job of this size.
+    pub fn covers(self, job: KeptBytes) -> bool {
+        self.all >= job.all && self.large >= job.large
+    }
+
+    /// Adds a job.
+    pub fn add(&mut self, job: KeptBytes) {
+        self.all += job.all;
+        self.large += job.large;
+    }
+
+    /// Subtracts a job.
+    pub fn subtract(&mut self, job: KeptBytes) {
+        *self = self.left(job);
+    }
+}
+
 /// Id of a place.
 pub type PlaceId = u64;
 
--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -35,7 +35,7 @@
 /// When a caller that was rejected because of an outage may retry.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 
-/// When a caller may retry whose job is too large beside those that are accepted.
+/// When a caller may retry for whose job accepted ones leave no room.
 const KEPT_RETRY: Duration = Duration::from_secs(5);
 
 /// Reply to a caller.
@@ -176,7 +176,10 @@
         log_outcome(&logger, "submission", job, outcome, begun);
         match outcome {
             SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
-            SubmitOutcome::Refused | SubmitOutcome::Full | SubmitOutcome::Rejected(_)
+            SubmitOutcome::Refused
+            | SubmitOutcome::Full
+            | SubmitOutcome::Rejected(_)
+            | SubmitOutcome::JobsFull(_)
                 if is_first =>
             {
                 self.node.attempts().end(job);
@@ -185,12 +188,13 @@
             | SubmitOutcome::Refused
             | SubmitOutcome::Full
             | SubmitOutcome::Rejected(_)
+            | SubmitOutcome::JobsFull(_)
             | SubmitOutcome::Unknown => {}
         }
         match outcome {
             SubmitOutcome::Stored => self.stored_reply(caller, job).await,
             // An earlier attempt at this entry may be stored.
-            SubmitOutcome::Rejected(_) if !is_first => {
+            SubmitOutcome::Rejected(_) | SubmitOutcome::JobsFull(_) if !is_first => {
                 CallerReply::Unknown(ResultCode::JobOutcomeUnknown)
             }
             SubmitOutcome::Rejected(_) => {
@@ -201,11 +205,12 @@
         }
     }
 
-    /// The reply to a large submission for which this replica has no room; `None` to accept it.
+    /// The reply to a submission for which this replica has no room beside the accepted jobs; `None` to
+    /// accept it.
     fn reject_for_memory(&self, job: JobId, spec: &JobSpec) -> Option<CallerReply> {
-        let room = self.node.large_room();
+        let (room, kept) = (self.node.kept_room(), spec.kept());
         // A replica that is behind may not know that an earlier attempt is stored.
-        if !spec.is_large() || spec.bytes() <= room || !self.node.is_current() {
+        if room.covers(kept) || !self.node.is_current() {
             return None;
         }
         let lifetime_ms = self.node.settings.bounds.status_ms;
@@ -213,7 +218,8 @@
             return None;
         }
         info!(self.node.logger, "job rejected for the memory of accepted jobs"; "job" => %job,
-            "bytes" => spec.bytes(), "room" => room, "code" => ResultCode::JobsFull.number());
+            "bytes" => kept.all, "room" => room.all, "large_room" => room.large,
+            "code" => ResultCode::JobsFull.number());
         Some(CallerReply::Refused(ResultCode::JobsFull, Some(KEPT_RETRY)))
     }
 
@@ -479,6 +485,9 @@
         SubmitOutcome::Stored => CallerReply::Stored,
         SubmitOutcome::Refused => outage_reply(),
         SubmitOutcome::Full => CallerReply::Refused(ResultCode::EntryFull, Some(OUTAGE_RETRY)),
+        SubmitOutcome::JobsFull(retry_s) => {
+            CallerReply::Refused(ResultCode::JobsFull, Some(Duration::from_secs(retry_s)))
+        }
         SubmitOutcome::Rejected(retry_s) => {
             let wait = Duration::from_secs(retry_s);
             CallerReply::Refused(ResultCode::LineTooLong, Some(wait))
--- a/src/jobs/job_table.rs
+++ b/src/jobs/job_table.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::decide::access::OrganisationDigest;
+use crate::decide::intake::KeptBytes;
 use crate::jobs::model::{JobId, JobState, JobSubmission};
 use crate::jobs::record::{JobProgress, JobRecord, LearnedKey, LostVm, learned_term};
 
@@ -79,8 +80,8 @@
 pub struct JobTable {
     jobs: HashMap<JobId, LoggedJob>,
     waiting: HashMap<Arc<str>, u64>,
-    /// Memory that the specifications of all jobs take, about, in bytes.
-    kept_bytes: usize,
+    /// Memory that all jobs take, about.
+    kept: KeptBytes,
     waves: HashMap<u64, Arc<BTreeSet<Arc<str>>>>,
     /// VMs that lost their workers recently, by pool, with the offset of the record.
     losses: HashMap<Arc<str>, (u64, Arc<Vec<LostVm>>)>,
@@ -107,9 +108,9 @@
         self.waiting.get(queue).copied().unwrap_or(0)
     }
 
-    /// Memory that the specifications of all jobs take, about, in bytes.
-    pub fn kept_bytes(&self) -> usize {
-        self.kept_bytes
+    /// Memory that all jobs take, about.
+    pub fn kept(&self) -> KeptBytes {
+        self.kept
     }
 
     /// VMs of a wave whose maintenance is complete.
@@ -272,11 +273,10 @@
     fn count(&mut self, job: JobId, is_added: bool) {
         let Some(entry) = self.jobs.get(&job) else { return };
         let Some(submission) = &entry.submission else { return };
-        let bytes = submission.spec.bytes();
-        self.kept_bytes = match is_added {
-            true => self.kept_bytes + bytes,
-            false => self.kept_bytes.saturating_sub(bytes),
-        };
+        match is_added {
+            true => self.kept.add(submission.spec.kept()),
+            false => self.kept.subtract(submission.spec.kept()),
+        }
         if entry.state() != Some(JobState::Queued) {
             return;
         }
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::intake::ORDINARY_BYTES;
+use crate::decide::intake::{KeptBytes, ORDINARY_BYTES};
 
 /// Largest number of steps of a job; a job with more is rejected as malformed.
 pub const STEPS_MAX: usize = 256;
@@ -15,6 +15,8 @@
 /// accepts records of 262,144 bytes: a larger progress record would be rejected for ever, and block
 /// every later commit.
 pub const TASKS_MAX: usize = 2_000;
+/// Memory of a task's state at the leader, in bytes: 230 were measured.
+const TASK_BYTES: usize = 256;
 /// Longest checkpoint that is stored, in bytes; workers send checkpoints of 16 bytes.
 pub const CHECKPOINT_BYTES_MAX: usize = 64;
 /// Longest payload that a job passes to its tasks, in bytes.
@@ -324,6 +326,13 @@
         self.payload.len() + steps.sum::<usize>()
     }
 
+    /// Memory that the job takes once it is accepted, about, in bytes: at the leader each task has a
+    /// state of its own.
+    pub fn kept(&self) -> KeptBytes {
+        let all = self.bytes().saturating_add(self.task_count().saturating_mul(TASK_BYTES));
+        KeptBytes { all, large: if self.is_large() { all } else { 0 } }
+    }
+
     /// Number of times that the steps run; 1 without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -17,6 +17,7 @@
 use crate::clock::ProcessClock;
 use crate::decide::admission::{DIGEST_AGE_MAX_MS, DigestSlot, LineDigest, StartLine};
 use crate::decide::executor::{ExecutorOffer, ExecutorTable};
+use crate::decide::intake::KeptBytes;
 use crate::decide::leadership::claim_delay_ms;
 use crate::decide::replica::{ReplicaList, ReplicaPlanner};
 use crate::jobs::attempts::OpenAttempts;
@@ -25,7 +26,7 @@
 use crate::jobs::record::JobRecord;
 use crate::jobs::site::{MaintenanceWave, SiteConfig, SiteSettings};
 use crate::scheduler::Scheduler;
-use crate::scheduler::line::StartRejection;
+use crate::scheduler::line::{RejectionReason, RelayRejection};
 
 /// Age of the log's last answer from which an entry is not ready, in milliseconds: other entries of
 /// its data centre may still reach the log.
@@ -58,7 +59,7 @@
     /// be stored or not.
     pub stored: oneshot::Receiver<Bytes>,
     /// Submissions that the leader can't begin in time. Nothing of them is stored.
-    pub rejections: Vec<StartRejection>,
+    pub rejections: Vec<RelayRejection>,
 }
 
 impl RelayReceipt {
@@ -550,7 +551,7 @@
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let now = self.now();
-        let large_room = self.large_room();
+        let kept_room = self.kept_room();
         // Inserted before the scheduler knows the token, so that no commit can come first.
         self.relay_waiters().insert(token, sender);
         let rejections = self.with_scheduler(|scheduler| {
@@ -559,10 +560,10 @@
             }
             let (records, rejections) = match may_reject {
                 true => {
-                    let waiting = scheduler.waiting_large_bytes();
-                    let room = large_room
-                        .saturating_sub(waiting)
-                        .min(self.settings.limits.waiting_jobs().saturating_sub(waiting));
+                    let waiting = scheduler.waiting_bytes();
+                    let mut room = kept_room.left(waiting);
+                    let waiting_max = self.settings.limits.waiting_jobs();
+                    room.large = room.large.min(waiting_max.saturating_sub(waiting.large));
                     scheduler.reject_relayed(records, now, room)
                 }
                 false => (records, Vec::new()),
@@ -575,18 +576,24 @@
             self.relay_waiters().remove(&token);
             return None;
         };
-        if !rejections.is_empty() {
+        let count = |reason| rejections.iter().filter(|one| one.reason == reason).count();
+        let (starts, memory) = (count(RejectionReason::Starts), count(RejectionReason::Memory));
+        if starts > 0 {
             info!(self.logger, "submissions rejected for starts that are owed";
-                "rejected" => rejections.len(), "tasks" => owed.tasks, "jobs" => owed.jobs,
+                "rejected" => starts, "tasks" => owed.tasks, "jobs" => owed.jobs,
                 "rate" => owed.rate);
         }
+        if memory > 0 {
+            info!(self.logger, "submissions rejected for the memory of accepted jobs";
+                "rejected" => memory, "room" => kept_room.all, "large_room" => kept_room.large);
+        }
         self.wake.notify_one();
         Some(RelayReceipt { stored: receiver, rejections })
     }
 
-    /// Bytes that more accepted jobs that are larger than ordinary ones may take here.
-    pub fn large_room(&self) -> usize {
-        self.settings.limits.kept_jobs().saturating_sub(self.job_table().kept_bytes())
+    /// Memory that more accepted jobs may take here.
+    pub fn kept_room(&self) -> KeptBytes {
+        self.settings.limits.kept_jobs().left(self.job_table().kept())
     }
 
     /// Notifies the waiters of these batches that the log has stored them.
@@ -768,9 +775,9 @@
         metrics.replica.set(i64::from(self.has_replica()));
         metrics.leading.set(i64::from(stats.is_some()));
         let stats = stats.unwrap_or_default();
-        metrics.kept_bytes.set(size(self.job_table().kept_bytes()));
-        let waiting = self.with_scheduler(|scheduler| scheduler.waiting_large_bytes());
-        metrics.waiting_large_bytes.set(size(waiting.unwrap_or(0)));
+        metrics.kept_bytes.set(size(self.job_table().kept().all));
+        let waiting = self.with_scheduler(|scheduler| scheduler.waiting_bytes());
+        metrics.waiting_large_bytes.set(size(waiting.unwrap_or_default().large));
         metrics.open_jobs.set(size(stats.jobs));
         metrics.live_runs.set(size(stats.runs));
         let now = self.now();
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decide::access::OrganisationDigest;
+use crate::decide::intake::KeptBytes;
 use crate::jobs::model::{
     JobId, JobState, JobSubmission, OCCURRENCES_MAX, STEPS_MAX, TASKS_MAX, TaskKey,
 };
@@ -44,13 +45,11 @@
 }
 
 impl JobRecord {
-    /// Bytes of a submission that is larger than an ordinary one; 0 for any other record.
-    pub fn large_bytes(&self) -> usize {
+    /// Memory that the job of a submission takes once it is accepted; none for any other record.
+    pub fn kept(&self) -> KeptBytes {
         match self {
-            JobRecord::Submitted(_, submission) if submission.spec.is_large() => {
-                submission.spec.bytes()
-            }
-            _ => 0,
+            JobRecord::Submitted(_, submission) => submission.spec.kept(),
+            _ => KeptBytes::default(),
         }
     }
 }
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -38,15 +38,17 @@
 use crate::jobs::query::{self, QUERY_PATH};
 use crate::jobs::record::{JobRecord, KeyedRecord};
 use crate::jobs::status;
-use crate::scheduler::line::StartRejection;
+use crate::scheduler::line::{RejectionReason, RelayRejection};
 use crate::transport::{ExchangeFailure, HttpCall, HttpTransport};
 
 /// Path to which an entry posts a batch of records.
 const RELAY_PATH: &str = "/relay";
 /// Header of a batch whose sender understands that the leader rejects a part of it.
 const TAKES_REJECTIONS: HeaderName = HeaderName::from_static("x-ibisweir-takes-rejections");
-/// Header of the answer to a batch: the positions of rejected submissions, and when their callers may
-/// retry.
+/// Value of that header from a sender that also reads why they are rejected.
+const TAKES_REASONS: &str = "2";
+/// Header of the answer to a batch: the positions of rejected submissions, when their callers may
+/// retry, and what is rejected for memory.
 const REJECTIONS: HeaderName = HeaderName::from_static("x-ibisweir-rejections");
 /// Path under which the traffic metrics count the batches received from other entries.
 const RECEIVED_BATCHES: &str = "/relay-taken";
@@ -63,6 +65,8 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a batch, in bytes: the limit up to which an entry fills it, and the last record.
 const BATCH_BYTES_MAX: usize = 1 << 20;
+/// Marks a rejection for memory.
+const MEMORY_MARK: &str = "m";
 /// Timeout for the head of the leader's answer, which acknowledges receipt of a batch: the leader
 /// sends it at once, or cannot be reached.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -89,7 +93,7 @@
     /// The log has stored the batch.
     Stored,
     /// The log has stored the batch except for these submissions, which the leader can't begin in time.
-    StoredExcept(Vec<StartRejection>),
+    StoredExcept(Vec<RelayRejection>),
     /// No leader was reached, or the entry reached does not lead any more. The batch is not stored.
     NotSent,
     /// The batch may be stored, now or later.
@@ -207,7 +211,7 @@
         };
         // A sender of an earlier build would take a rejected submission for stored.
         let mut headers = HeaderMap::new();
-        headers.insert(TAKES_REJECTIONS, HeaderValue::from_static("1"));
+        headers.insert(TAKES_REJECTIONS, HeaderValue::from_static(TAKES_REASONS));
         let call = HttpCall {
             method: Method::POST,
             path: RELAY_PATH.to_owned(),
@@ -246,7 +250,7 @@
 }
 
 impl RelayOutcome {
-    fn stored_except(rejections: Vec<StartRejection>) -> RelayOutcome {
+    fn stored_except(rejections: Vec<RelayRejection>) -> RelayOutcome {
         match rejections.is_empty() {
             true => RelayOutcome::Stored,
             false => RelayOutcome::StoredExcept(rejections),
@@ -254,20 +258,30 @@
     }
 }
 
-/// Writes rejections as `position:seconds`, separated by commas.
-fn encode_rejections(rejections: &[StartRejection]) -> Option<HeaderValue> {
-    let parts = rejections
-        .iter()
-        .map(|StartRejection { position, retry_s }| format!("{position}:{retry_s}"));
+/// Writes rejections as `position:seconds` or `position:seconds:m`, separated by commas.
+fn encode_rejections(rejections: &[RelayRejection], takes_reasons: bool) -> Option<HeaderValue> {
+    let parts =
+        rejections.iter().map(|RelayRejection { position, retry_s, reason }| match reason {
+            RejectionReason::Memory if takes_reasons => {
+                format!("{position}:{retry_s}:{MEMORY_MARK}")
+            }
+            RejectionReason::Memory | RejectionReason::Starts => format!("{position}:{retry_s}"),
+        });
     HeaderValue::try_from(parts.collect::<Vec<_>>().join(",")).ok()
 }
 
 /// Reads rejections; `None` if one is malformed.
-fn decode_rejections(value: &HeaderValue) -> Option<Vec<StartRejection>> {
+fn decode_rejections(value: &HeaderValue) -> Option<Vec<RelayRejection>> {
     let parts = value.to_str().ok()?.split(',');
     let rejections = parts.map(|part| {
-        let (position, retry_s) = part.split_once(':')?;
-        Some(StartRejection { position: position.parse().ok()?, retry_s: retry_s.parse().ok()? })
+        let (position, rest) = part.split_once(':')?;
+        let (retry_s, reason) = match rest.split_once(':') {
+            None => (rest, RejectionReason::Starts),
+            Some((retry_s, MEMORY_MARK)) => (retry_s, RejectionReason::Memory),
+            Some(_) => return None,
+        };
+        let (position, retry_s) = (position.parse().ok()?, retry_s.parse().ok()?);
+        Some(RelayRejection { position, retry_s, reason })
     });
     rejections.collect()
 }
@@ -391,18 +405,22 @@
             Ok(body) => carry_out(node, workers, &body).await,
             Err(code) => status_only(code),
         },
-        RELAY_PATH => match store_batch(node, request).await {
-            Ok(RelayReceipt { stored, rejections }) => {
-                let mut response = Response::new(RelayBody::Stored(stored));
-                if !rejections.is_empty()
-                    && let Some(value) = encode_rejections(&rejections)
-                {
-                    response.headers_mut().insert(REJECTIONS, value);
+        RELAY_PATH => {
+            let takes_reasons = request.headers().get(TAKES_REJECTIONS);
+            let takes_reasons = takes_reasons.is_some_and(|value| value == TAKES_REASONS);
+            match store_batch(node, request).await {
+                Ok(RelayReceipt { stored, rejections }) => {
+                    let mut response = Response::new(RelayBody::Stored(stored));
+                    if !rejections.is_empty()
+                        && let Some(value) = encode_rejections(&rejections, takes_reasons)
+                    {
+                        response.headers_mut().insert(REJECTIONS, value);
+                    }
+                    response
                 }
-                response
+                Err(code) => status_only(code),
             }
-            Err(code) => status_only(code),
-        },
+        }
         CONFIRM_PATH => match read_body(request, QUERY_BYTES_MAX).await {
             Ok(body) => confirm::answer(node, &body)
                 .map_or_else(|| status_only(StatusCode::BAD_REQUEST), binary),
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -28,7 +28,7 @@
 use crate::jobs::record::JobRecord;
 use crate::jobs::relay::{RelayClient, RelayOutcome};
 use crate::jobs::timeout_estimator::TimeoutEstimator;
-use crate::scheduler::line::StartRejection;
+use crate::scheduler::line::{RejectionReason, RelayRejection};
 
 /// Largest number of records in one append.
 const BATCH_MAX: usize = 128;
@@ -67,6 +67,8 @@
     Full,
     /// The same, since the leader can't begin it in time; its caller may retry after so many seconds.
     Rejected(u64),
+    /// The same, since accepted jobs leave no room for it.
+    JobsFull(u64),
     /// It may or may not be in the log.
     Unknown,
 }
@@ -411,7 +413,7 @@
     fn complete_except(
         &self,
         batch: Vec<SubmitRequest>,
-        rejections: &[StartRejection],
+        rejections: &[RelayRejection],
         is_in_doubt: bool,
     ) {
         let mut stored = Vec::with_capacity(batch.len());
@@ -419,8 +421,12 @@
             match rejections.iter().find(|rejection| rejection.position == position) {
                 None => stored.push(request),
                 Some(_) if is_in_doubt => answer_all(vec![request], SubmitOutcome::Unknown),
-                Some(rejection) => {
-                    answer_all(vec![request], SubmitOutcome::Rejected(rejection.retry_s));
+                Some(RelayRejection { retry_s, reason, .. }) => {
+                    let outcome = match reason {
+                        RejectionReason::Starts => SubmitOutcome::Rejected(*retry_s),
+                        RejectionReason::Memory => SubmitOutcome::JobsFull(*retry_s),
+                    };
+                    answer_all(vec![request], outcome);
                 }
             }
         }
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::access::OrganisationDigest;
 use crate::decide::append_limit::APPEND_BYTES_MAX;
+use crate::decide::intake::KeptBytes;
 use crate::jobs::model::{JobId, JobSubmission, TaskKey};
 use crate::jobs::record::{JobRecord, KeyedRecord, LearnedKey, LostVm};
 use crate::scheduler::job::{JobRun, RunPhase};
@@ -123,8 +124,8 @@
     relayed: VecDeque<(u64, VecDeque<JobRecord>)>,
     /// Batches with submissions that are larger than ordinary ones; they come after all others.
     relayed_large: VecDeque<(u64, VecDeque<JobRecord>)>,
-    /// Bytes of these submissions.
-    large_bytes: usize,
+    /// Memory that the jobs of all relayed submissions will take.
+    waiting: KeptBytes,
     /// Number of relayed records that are not in a commit yet, by job.
     relayed_jobs: BTreeMap<JobId, usize>,
     /// Jobs whose record was taken for a commit since the last search for jobs to drop.
@@ -216,17 +217,12 @@
         for job in records.iter().filter_map(JobRecord::job) {
             *self.relayed_jobs.entry(job).or_default() += 1;
         }
-        let large_bytes: usize = records.iter().map(JobRecord::large_bytes).sum();
-        self.large_bytes += large_bytes;
-        let queue = if large_bytes > 0 { &mut self.relayed_large } else { &mut self.relayed };
+        let is_large = records.iter().any(|record| record.kept().large > 0);
+        records.iter().for_each(|record| self.waiting.add(record.kept()));
+        let queue = if is_large { &mut self.relayed_large } else { &mut self.relayed };
         queue.push_back((token, records.into()));
     }
 
-    /// Bytes of relayed submissions that are larger than ordinary ones and wait for an append.
-    pub fn large_bytes(&self) -> usize {
-        self.large_bytes
-    }
-
     /// Takes the next relayed batch, and whether it is a large one.
     fn next_relayed(&mut self) -> Option<(u64, VecDeque<JobRecord>, bool)> {
         let ordinary = self.relayed.pop_front().map(|(token, records)| (token, records, false));
@@ -243,7 +239,7 @@
 
     /// Counts off a relayed record that is in a commit.
     fn count_off_relayed(&mut self, record: &JobRecord) {
-        self.large_bytes = self.large_bytes.saturating_sub(record.large_bytes());
+        self.waiting.subtract(record.kept());
         let Some(job) = record.job() else { return };
         let Entry::Occupied(mut count) = self.relayed_jobs.entry(job) else { return };
         *count.get_mut() -= 1;
@@ -285,9 +281,9 @@
         self.commits.queue_relayed(token, records);
     }
 
-    /// Bytes of relayed submissions that are larger than ordinary ones and wait for an append.
-    pub fn waiting_large_bytes(&self) -> usize {
-        self.commits.large_bytes()
+    /// Memory that the jobs of relayed submissions will take that wait for an append.
+    pub fn waiting_bytes(&self) -> KeptBytes {
+        self.commits.waiting
     }
 
     /// Takes the next append, of any size that the log accepts.
--- a/src/scheduler/line.rs
+++ b/src/scheduler/line.rs
@@ -24,6 +24,7 @@
     ClassLine, DIGEST_VERSION, LineDigest, PoolLine, PriorityLine, QueueModel, StartLine,
     is_counted, is_deferrable, reject_beyond_starts, reject_beyond_turns, size_class, task_work,
 };
+use crate::decide::intake::KeptBytes;
 use crate::decide::lateness::round_extra_ms;
 use crate::decide::start_rate::StartMeter;
 use crate::jobs::model::{JobId, JobSpec, JobSubmission, StepSpec};
@@ -37,8 +38,8 @@
 /// Age from which the leader sends a digest no more, in milliseconds. A loop that is slower than
 /// this has not planned the pools for several intervals.
 const SEND_AGE_MAX_MS: u64 = 500;
-/// Time after which a caller may retry whose job is too large beside those that wait, in seconds.
-const LARGE_RETRY_S: u64 = 5;
+/// Time after which a caller may retry for whose job accepted ones leave no room, in seconds.
+const KEPT_RETRY_S: u64 = 5;
 /// Window in which arrivals are counted, in milliseconds: rates are per second.
 const ARRIVAL_WINDOW_MS: u64 = 1_000;
 /// Age from which the count of tasks that have not begun is used no more, in milliseconds: without a VM
@@ -299,13 +300,24 @@
     }
 }
 
-/// A submission that the leader can't begin in time.
+/// Why the leader rejects a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StartRejection {
+pub enum RejectionReason {
+    /// It can't be begun in time.
+    Starts,
+    /// Accepted jobs leave no room for it.
+    Memory,
+}
+
+/// A submission that the leader rejects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayRejection {
     /// Its position in the batch.
     pub position: usize,
     /// Seconds after which its caller may retry.
     pub retry_s: u64,
+    /// Why it is rejected.
+    pub reason: RejectionReason,
 }
 
 /// What a leader owes to accepted jobs, and how fast it brings it about.
@@ -402,36 +414,37 @@
         &mut self,
         records: Vec<JobRecord>,
         now: u64,
-    ) -> (Vec<JobRecord>, Vec<StartRejection>) {
-        self.reject_relayed(records, now, usize::MAX)
+    ) -> (Vec<JobRecord>, Vec<RelayRejection>) {
+        self.reject_relayed(records, now, KeptBytes { all: usize::MAX, large: usize::MAX })
     }
 
-    /// The same, and those larger than ordinary ones for which `large_room` bytes are not enough.
+    /// The same, and those for which `room` is not enough.
     pub fn reject_relayed(
         &mut self,
         records: Vec<JobRecord>,
         now: u64,
-        mut large_room: usize,
-    ) -> (Vec<JobRecord>, Vec<StartRejection>) {
+        mut room: KeptBytes,
+    ) -> (Vec<JobRecord>, Vec<RelayRejection>) {
         let is_line_usable = self.line.is_enabled && now < self.line.planned_ms + COUNT_AGE_MAX_MS;
         let (mut accepted, mut rejections) = (Vec::with_capacity(records.len()), Vec::new());
         for (position, record) in records.into_iter().enumerate() {
-            let large_bytes = record.large_bytes();
-            let retry_s = match &record {
-                JobRecord::Submitted(job, _) if large_bytes > large_room => {
-                    (!self.knows(*job)).then_some(LARGE_RETRY_S)
+            let kept = record.kept();
+            let rejected = match &record {
+                JobRecord::Submitted(job, _) if !room.covers(kept) => {
+                    (!self.knows(*job)).then_some((KEPT_RETRY_S, RejectionReason::Memory))
                 }
                 JobRecord::Submitted(job, submission) if is_line_usable => {
-                    self.start_retry_s(*job, submission)
+                    let retry_s = self.start_retry_s(*job, submission);
+                    retry_s.map(|retry_s| (retry_s, RejectionReason::Starts))
                 }
                 _ => None,
             };
-            if retry_s.is_none() {
-                large_room = large_room.saturating_sub(large_bytes);
-            }
-            match retry_s {
-                Some(retry_s) => rejections.push(StartRejection { position, retry_s }),
+            match rejected {
+                Some((retry_s, reason)) => {
+                    rejections.push(RelayRejection { position, retry_s, reason });
+                }
                 None => {
+                    room = room.left(kept);
                     // Jobs of the same batch count as ahead of the next.
                     if is_line_usable && let JobRecord::Submitted(_, submission) = &record {
                         self.line.record_accepted(&submission.spec);
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -352,6 +352,40 @@
     ClientScript { head, stop: body.len(), body, reopens: true, ..sized(1_024) }
 }
 
+/// Plays a crowd until so many requests were answered, and judges the entry.
+async fn play_rounds(case: &CrowdCase, what: &str, script: ClientScript, rounds: usize) {
+    let mut site = CrowdSite::open(what, 1, case.size, json!({})).await;
+    site.be_led().await;
+    let crowd = CallerCrowd::spawn(site.entries[0].callers, vec![script; 40]);
+    crowd.play_rounds(rounds).await;
+    crowd.end().await;
+    site.entries[0].read_all().await;
+    site.check(what).await;
+}
+
+/// Processor of a task that no VM has, in thousandths of a core.
+const UNPLACEABLE_CPU: u64 = 1_000_000_000;
+
+/// Guards against jobs of a few bytes whose tasks take megabytes at the leader, and are never over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_of_many_tasks_stay_within_memory() {
+    let case = CrowdCase::open(8_122).await;
+    let step = json!({ "count": 2_000, "cpu": UNPLACEABLE_CPU, "mem-mb": 16, "est-ms": 100, "long-running": true });
+    let body = json!({ "spec": "x", "steps": [step] }).to_string();
+    play_rounds(&case, "many-tasks", repeated(body), 1_000).await;
+}
+
+/// Guards against ordinary jobs that are accepted without a bound on their sum, and are never over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accepted_ordinary_jobs_stay_within_memory() {
+    let mut case = CrowdCase::open(8_123).await;
+    case.size.memory_mb = case.random.random_range(48..=56);
+    let image = "i".repeat(15_000);
+    let step = json!({ "count": 1, "cpu": UNPLACEABLE_CPU, "mem-mb": 16, "est-ms": 100, "image": image, "long-running": true });
+    let body = json!({ "spec": "x", "steps": [step] }).to_string();
+    play_rounds(&case, "ordinary-kept", repeated(body), 3_000).await;
+}
+
 /// Guards against idle connections that keep the buffers of the large bodies that they once sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_that_idle_after_large_bodies_stay_within_memory() {
--- a/tests/caller_service.rs
+++ b/tests/caller_service.rs
@@ -112,7 +112,7 @@
         let time_left = Duration::from_secs(3);
         service.submit(&queue, &caller, submitted(id, spec(bytes)), time_left).await
     };
-    let most = service.node.settings.limits.kept_jobs() as u64 / 250_000;
+    let most = service.node.settings.limits.kept_jobs().large as u64 / 250_000;
     let mut stored = 0;
     let refused = loop {
         match submit(stored + 1, 250_000).await {
--- a/tests/job_table_model.rs
+++ b/tests/job_table_model.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use ibisweir::decide::access::OrganisationDigest;
+use ibisweir::decide::intake::KeptBytes;
 use ibisweir::jobs::catch_up::CatchUpReader;
 use ibisweir::jobs::follower::{TailReader, fold_step};
 use ibisweir::jobs::job_table::JobTable;
@@ -247,7 +248,8 @@
         );
         let table = node.job_table();
         let submissions = table.iter().filter_map(|(_, job)| job.submission.as_ref());
-        let bytes: usize = submissions.map(|submission| submission.spec.bytes()).sum();
-        assert_eq!(table.kept_bytes(), bytes, "seed {seed}");
+        let mut kept = KeptBytes::default();
+        submissions.for_each(|submission| kept.add(submission.spec.kept()));
+        assert_eq!(table.kept(), kept, "seed {seed}");
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,20 +5,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibisweir::decide::intake::ProcessLimits;
+use ibisweir::jobs::model::StepSpec;
 use ibisweir::jobs::node::JobNode;
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::jobs::relay::{self, RelayClient, RelayOutcome};
+use ibisweir::jobs::site::SiteSettings;
 use ibisweir::scheduler::Scheduler;
+use ibisweir::scheduler::line::{RejectionReason, RelayRejection};
 use ibisweir::transport::HttpTransport;
-use support::fakes::{RecordingWorkers, idle_node, lead, peer_service};
-use support::sim::{job, job_id, step, submission};
+use support::fakes::{RecordingWorkers, idle_node, lead, node_with, peer_service};
+use support::sim::{job, job_id, site_settings, step, submission};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// A leader whose commits the test makes, and an entry that hands it a batch.
 async fn hand_over() -> (Arc<JobNode>, JoinHandle<RelayOutcome>) {
-    let leader = idle_node();
+    hand_over_to(idle_node(), 0).await
+}
+
+/// The same with this leader, and an image of this many bytes.
+async fn hand_over_to(
+    leader: Arc<JobNode>,
+    bytes: usize,
+) -> (Arc<JobNode>, JoinHandle<RelayOutcome>) {
     lead(&leader);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
@@ -28,7 +39,8 @@
     ));
     let entry = idle_node();
     entry.set_leader(Some(address));
-    let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step(1)]))));
+    let step = StepSpec { image: "i".repeat(bytes), ..step(1) };
+    let record = JobRecord::Submitted(job_id(1), Arc::new(submission(job(vec![step]))));
     let handed = tokio::spawn(async move {
         RelayClient::new(HttpTransport::open()).store(&entry, vec![record]).await
     });
@@ -56,3 +68,15 @@
     leader.set_scheduler(None);
     assert_eq!(handed.await.expect("no panic"), RelayOutcome::Unknown);
 }
+
+/// Guards against a caller that is told that its job would be late when there is no memory for it.
+#[tokio::test]
+async fn a_rejection_for_memory_says_so_over_the_wire() {
+    let limits = ProcessLimits { memory: 1 << 20, descriptors: 4_096 };
+    let leader = node_with(SiteSettings { limits, ..site_settings() });
+    let (leader, handed) = hand_over_to(leader, 200_000).await;
+    leader.complete_relays(&next_commit(&leader).await);
+    let reason = RejectionReason::Memory;
+    let rejections = vec![RelayRejection { position: 0, retry_s: 5, reason }];
+    assert_eq!(handed.await.expect("no panic"), RelayOutcome::StoredExcept(rejections));
+}
--- a/tests/scheduler_commit.rs
+++ b/tests/scheduler_commit.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use ibisweir::decide::intake::KeptBytes;
 use ibisweir::jobs::model::{ExitKind, JobSpec, JobState, StepSpec};
 use ibisweir::jobs::record::JobRecord;
 use ibisweir::scheduler::SchedulerEvent;
@@ -359,7 +360,7 @@
         sim.scheduler.committed(&batch, sim.now);
     }
     assert_eq!(relayed, [9, 1, 2, 3]);
-    assert_eq!(sim.scheduler.waiting_large_bytes(), 0);
+    assert_eq!(sim.scheduler.waiting_bytes(), KeptBytes::default());
 }
 
 /// Guards against large jobs of all entries that wait at the leader without a bound.
@@ -368,7 +369,8 @@
     let mut sim = SchedulerSim::open(config(), vec![worker("w1", "r1")]);
     let ordinary = JobRecord::Submitted(job_id(9), Arc::new(submission(job(vec![step(1)]))));
     let records = vec![large_submission(1, 250_000), large_submission(2, 250_000), ordinary];
-    let (accepted, rejections) = sim.scheduler.reject_relayed(records, sim.now, 300_000);
+    let room = KeptBytes { all: 1 << 20, large: 300_000 };
+    let (accepted, rejections) = sim.scheduler.reject_relayed(records, sim.now, room);
     assert_eq!(accepted.len(), 2);
     assert_eq!(rejections.iter().map(|rejection| rejection.position).collect::<Vec<_>>(), [1]);
 }
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -339,6 +339,21 @@
         answer.is_some_and(|answer| answer.status == 200)
     }
 
+    /// Waits until a leader has had an ordinary job done.
+    pub async fn be_led(&self) {
+        let path = format!("/tours/{:016x}", rand::random::<u64>() | 1 << 63);
+        let headers = [("host", CALLER_HOST), ("deadline-ms", "3000")];
+        let callers = self.entries[0].callers;
+        wait("a leader", async || {
+            let body = ordinary_job();
+            let call = try_call(callers, Method::POST, &path, &headers, body.as_bytes());
+            drop(call.await);
+            let state = try_call(callers, Method::GET, &path, &headers, b"").await;
+            state.is_some_and(|state| state.body.starts_with(b"{\"state\":\"completed\""))
+        })
+        .await;
+    }
+
     /// Judges every entry after a crowd.
     pub async fn check(&mut self, what: &str) {
         for entry in 0..self.entries.len() {
