Don't refuse a second try while the first may be stored at the same entry

Cause: a full queue, a body that found no room and an unreachable log were answered with 429 or 503, which promise that the job never runs, although the same entry still held or had sent an earlier try of the same id.

An entry can't tell of a first try elsewhere; that is listed.

--- a/src/jobs/caller_service.rs
+++ b/src/jobs/caller_service.rs
@@ -145,7 +145,7 @@
             return reply_for_stored(caller, Some(&known));
         }
         if self.node.is_log_unreachable() {
-            return outage_reply();
+            return self.refuse(job, outage_reply());
         }
         if let Some(reply) = self.reject_for_backlog(queue, caller, job, &spec, time_left).await {
             return reply;
@@ -174,29 +174,21 @@
         let is_first = self.node.attempts().begin(job, self.node.now(), lifetime_ms);
         let outcome = self.submitter.submit_held(record, deadline(queue, time_left), lease).await;
         log_outcome(&logger, "submission", job, outcome, begun);
-        match outcome {
-            SubmitOutcome::Stored if self.node.is_replica() => self.node.attempts().end(job),
+        let is_refused = match outcome {
+            SubmitOutcome::Stored | SubmitOutcome::Unknown => false,
             SubmitOutcome::Refused
             | SubmitOutcome::Full
             | SubmitOutcome::Rejected(_)
-            | SubmitOutcome::JobsFull(_)
-                if is_first =>
-            {
-                self.node.attempts().end(job);
-            }
-            SubmitOutcome::Stored
-            | SubmitOutcome::Refused
-            | SubmitOutcome::Full
-            | SubmitOutcome::Rejected(_)
-            | SubmitOutcome::JobsFull(_)
-            | SubmitOutcome::Unknown => {}
+            | SubmitOutcome::JobsFull(_) => true,
+        };
+        let is_known = outcome == SubmitOutcome::Stored && self.node.is_replica();
+        if is_known || is_refused && is_first {
+            self.node.attempts().end(job);
         }
         match outcome {
             SubmitOutcome::Stored => self.stored_reply(caller, job).await,
             // An earlier attempt at this entry may be stored.
-            SubmitOutcome::Rejected(_) | SubmitOutcome::JobsFull(_) if !is_first => {
-                CallerReply::Unknown(ResultCode::JobOutcomeUnknown)
-            }
+            _ if is_refused && !is_first => CallerReply::Unknown(ResultCode::JobOutcomeUnknown),
             SubmitOutcome::Rejected(_) => {
                 self.node.metrics.count_rejection(&queue.service);
                 outcome_reply(outcome)
@@ -205,6 +197,27 @@
         }
     }
 
+    /// Refuses a job whose body found no room at this entry; one that is stored already is answered as
+    /// such.
+    pub fn refuse_body(&self, caller: &CallerAccess, job: JobId) -> CallerReply {
+        match KnownJob::find(&self.node, job) {
+            Some(known) => reply_for_stored(caller, Some(&known)),
+            None => {
+                self.refuse(job, CallerReply::Refused(ResultCode::EntryFull, Some(OUTAGE_RETRY)))
+            }
+        }
+    }
+
+    /// The reply to a submission of which nothing was stored: unless an earlier attempt at this entry may
+    /// be, it never runs.
+    fn refuse(&self, job: JobId, refusal: CallerReply) -> CallerReply {
+        let lifetime_ms = self.node.settings.bounds.status_ms;
+        match self.node.attempts().may_be_stored(job, self.node.now(), lifetime_ms) {
+            true => CallerReply::Unknown(ResultCode::JobOutcomeUnknown),
+            false => refusal,
+        }
+    }
+
     /// The reply to a submission for which this replica has no room beside the accepted jobs; `None` to
     /// accept it.
     fn reject_for_memory(&self, job: JobId, spec: &JobSpec) -> Option<CallerReply> {
@@ -213,14 +226,11 @@
         if room.covers(kept) || !self.node.is_current() {
             return None;
         }
-        let lifetime_ms = self.node.settings.bounds.status_ms;
-        if self.node.attempts().may_be_stored(job, self.node.now(), lifetime_ms) {
-            return None;
-        }
         info!(self.node.logger, "job rejected for the memory of accepted jobs"; "job" => %job,
             "bytes" => kept.all, "room" => room.all, "large_room" => room.large,
             "code" => ResultCode::JobsFull.number());
-        Some(CallerReply::Refused(ResultCode::JobsFull, Some(KEPT_RETRY)))
+        let refusal = CallerReply::Refused(ResultCode::JobsFull, Some(KEPT_RETRY));
+        Some(self.refuse(job, refusal))
     }
 
     /// The reply to a submission that the backlog of its pool makes useless, that the leader can't
