Bound the batches that arrive at the leader

Cause: each entry may have a batch of up to 1 MB in each lane under way to the leader, and only what is whole counted there: 585 entries could bring several hundred MB.

A single one is always admitted. An entry of an earlier build takes the answer for an unknown outcome. Questions and batches of starts between entries, small each, are listed apart.

--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -69,6 +69,18 @@
     }
 }
 
+/// A large batch of another entry while it arrives.
+pub struct ArrivingBatch<'a> {
+    node: &'a JobNode,
+    bytes: usize,
+}
+
+impl Drop for ArrivingBatch<'_> {
+    fn drop(&mut self) {
+        self.node.arriving_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 /// State shared by the loops and listeners of one entry.
 pub struct JobNode {
     /// Settings of the process.
@@ -116,6 +128,8 @@
     /// How late the loop of this entry as leader is beyond what is usual, in milliseconds.
     loop_delay_ms: AtomicU64,
     relay_waiters: Mutex<HashMap<u64, oneshot::Sender<Bytes>>>,
+    /// Bytes of large batches from other entries that arrive now.
+    arriving_bytes: AtomicUsize,
     /// The newest digest of the backlog that the leader has sent.
     line: Mutex<DigestSlot>,
     attempts: Mutex<OpenAttempts>,
@@ -161,6 +175,7 @@
             leader_closed_ms: AtomicU64::new(0),
             loop_delay_ms: AtomicU64::new(0),
             relay_waiters: Mutex::new(HashMap::new()),
+            arriving_bytes: AtomicUsize::new(0),
             line: Mutex::default(),
             attempts: Mutex::default(),
             next_token: AtomicU64::new(0),
@@ -591,6 +606,14 @@
         Some(RelayReceipt { stored: receiver, rejections })
     }
 
+    /// Admits a large batch of another entry that is about to arrive, unless too many do so now.
+    pub fn admit_batch(&self, bytes: usize) -> Option<ArrivingBatch<'_>> {
+        let arriving = self.arriving_bytes.fetch_add(bytes, Ordering::AcqRel) + bytes;
+        let batch = ArrivingBatch { node: self, bytes };
+        // The only one is admitted whatever its size.
+        (arriving <= self.settings.limits.waiting_jobs().max(bytes)).then_some(batch)
+    }
+
     /// Memory that more accepted jobs may take here.
     pub fn kept_room(&self) -> KeptBytes {
         self.settings.limits.kept_jobs().left(self.job_table().kept())
--- a/src/jobs/relay.rs
+++ b/src/jobs/relay.rs
@@ -67,6 +67,8 @@
 const BATCH_BYTES_MAX: usize = 1 << 20;
 /// Marks a rejection for memory.
 const MEMORY_MARK: &str = "m";
+/// Size of a batch from which it counts as it arrives, in bytes.
+const COUNTED_BATCH_BYTES: usize = 64 << 10;
 /// Timeout for the head of the leader's answer, which acknowledges receipt of a batch: the leader
 /// sends it at once, or cannot be reached.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -96,6 +98,8 @@
     StoredExcept(Vec<RelayRejection>),
     /// No leader was reached, or the entry reached does not lead any more. The batch is not stored.
     NotSent,
+    /// The leader has no room for the batch now. It is not stored.
+    Full,
     /// The batch may be stored, now or later.
     Unknown,
 }
@@ -240,6 +244,7 @@
                 }
             }
             Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => RelayOutcome::NotSent,
+            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => RelayOutcome::Full,
             Err(ExchangeFailure::NotSent) => {
                 node.record_leader_closed();
                 RelayOutcome::NotSent
@@ -502,6 +507,12 @@
     request: Request<Incoming>,
 ) -> Result<RelayReceipt, StatusCode> {
     let takes_rejections = request.headers().contains_key(TAKES_REJECTIONS);
+    let announced = request.body().size_hint().exact().and_then(|size| usize::try_from(size).ok());
+    let announced = announced.unwrap_or(BATCH_BYTES_MAX);
+    let _arriving = match announced >= COUNTED_BATCH_BYTES {
+        true => Some(node.admit_batch(announced).ok_or(StatusCode::SERVICE_UNAVAILABLE)?),
+        false => None,
+    };
     let body = read_body(request, BATCH_BYTES_MAX).await?;
     node.metrics.traffic.count(RECEIVED_BATCHES, 0, Some(body.len()));
     let Some(records) = decode(&body) else {
--- a/src/jobs/submitter.rs
+++ b/src/jobs/submitter.rs
@@ -299,6 +299,12 @@
                 RelayOutcome::StoredExcept(rejections) => {
                     return self.complete_except(batch, &rejections, is_in_doubt);
                 }
+                RelayOutcome::Full => {
+                    let outcome =
+                        if is_in_doubt { SubmitOutcome::Unknown } else { SubmitOutcome::Full };
+                    count_many(&self.node.metrics.submissions_unsent, "full", batch.len());
+                    return answer_all(batch, outcome);
+                }
                 RelayOutcome::NotSent => {}
                 // The leader may have made the append, or may still make it: after that, a
                 // rejection by the log does not mean that the batch was not stored.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -69,6 +69,21 @@
     assert_eq!(handed.await.expect("no panic"), RelayOutcome::Unknown);
 }
 
+/// Guards against large batches of many entries that arrive at a leader at a time without a bound, and
+/// against an entry that sends one past a leader that has no room for it.
+#[tokio::test]
+async fn a_large_batch_is_refused_while_others_arrive() {
+    let leader = idle_node();
+    let room = leader.settings.limits.waiting_jobs();
+    let arriving = leader.admit_batch(2 * room).expect("the only one is admitted");
+    let (leader_again, handed) = hand_over_to(leader.clone(), 200_000).await;
+    assert_eq!(handed.await.expect("no panic"), RelayOutcome::Full);
+    drop(arriving);
+    let (_, handed) = hand_over_to(leader_again, 200_000).await;
+    drop(next_commit(&leader).await);
+    assert_eq!(handed.await.expect("no panic"), RelayOutcome::Unknown, "the test stores nothing");
+}
+
 /// Guards against a caller that is told that its job would be late when there is no memory for it.
 #[tokio::test]
 async fn a_rejection_for_memory_says_so_over_the_wire() {
