Bound the answers that are kept for idempotency keys in bytes

Cause: 100,000 keys may be kept with up to 16 KB of their answer each, bounded in number alone: 1.6 GB.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -452,6 +452,7 @@
         window_ms: settings.number("key-window"),
         skew_ms: settings.number("key-skew"),
         keys_max: settings.count("keys-max"),
+        answer_bytes_max: process_limits(settings).kept_answers(),
     }
 }
 
--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -31,8 +31,8 @@
 /// that come and go in all sizes take up to half as much again from the system.
 const CONNECTION_MEMORY_DIVISOR: usize = 8;
 const BYTE_MEMORY_DIVISOR: usize = 6;
-/// Part of the memory, as a divisor, for accepted jobs, for the large ones of them, and for submissions
-/// that wait for the log in one queue.
+/// Part of the memory, as a divisor, for accepted jobs, for the large ones of them or for answers that
+/// are kept, and for submissions that wait for the log in one queue.
 const KEPT_MEMORY_DIVISOR: usize = 4;
 const KEPT_LARGE_MEMORY_DIVISOR: usize = 8;
 const WAITING_MEMORY_DIVISOR: usize = 16;
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Bytes of answers that may be kept for idempotency keys.
+    pub fn kept_answers(&self) -> usize {
+        self.memory / KEPT_LARGE_MEMORY_DIVISOR
+    }
+
     /// Bytes of submissions that may wait for the log in one queue.
     pub fn waiting_jobs(&self) -> usize {
         self.memory / WAITING_MEMORY_DIVISOR
--- a/src/decide/key.rs
+++ b/src/decide/key.rs
@@ -55,6 +55,12 @@
     pub body: Option<Bytes>,
 }
 
+impl KeptAnswer {
+    fn body_bytes(&self) -> usize {
+        self.body.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// Outcome of the request with a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyOutcome {
@@ -101,6 +107,8 @@
     pub skew_ms: u64,
     /// Upper bound for remembered keys.
     pub keys_max: usize,
+    /// Upper bound for the bodies of their answers, in bytes; of answers beyond, only the code is kept.
+    pub answer_bytes_max: usize,
 }
 
 /// The keys that an owner remembers.
@@ -108,6 +116,8 @@
 pub struct KeyTable {
     limits: KeyLimits,
     records: HashMap<Uuid, KeyRecord>,
+    /// Bytes of the bodies of all answers.
+    answer_bytes: usize,
     /// Keys ordered by creation time, for expiry.
     by_age: BTreeMap<(u64, Uuid), ()>,
 }
@@ -115,7 +125,7 @@
 impl KeyTable {
     /// An empty table.
     pub fn new(limits: KeyLimits) -> Self {
-        KeyTable { limits, records: HashMap::new(), by_age: BTreeMap::new() }
+        KeyTable { limits, records: HashMap::new(), answer_bytes: 0, by_age: BTreeMap::new() }
     }
 
     /// Number of remembered keys.
@@ -173,15 +183,11 @@
     pub fn finish(&mut self, id: &Uuid, outcome: Option<KeyOutcome>) {
         match outcome {
             Some(outcome) => {
-                if let Some(record) = self.records.get_mut(id) {
-                    record.outcome = outcome;
-                }
-            }
-            None => {
-                if let Some(record) = self.records.remove(id) {
-                    self.by_age.remove(&(record.minted_ms, record.id));
+                if let Some(record) = self.remove_record(id) {
+                    self.insert_record(KeyRecord { outcome, ..record });
                 }
             }
+            None => drop(self.remove_record(id)),
         }
     }
 
@@ -200,11 +206,25 @@
         self.records.values().filter(|record| is_wanted(&record.id)).cloned().collect()
     }
 
-    fn insert_record(&mut self, record: KeyRecord) {
+    fn insert_record(&mut self, mut record: KeyRecord) {
+        drop(self.remove_record(&record.id));
+        if let KeyOutcome::Done(answer) = &mut record.outcome
+            && self.answer_bytes + answer.body_bytes() > self.limits.answer_bytes_max
+        {
+            answer.body = None;
+        }
+        self.answer_bytes += record.answer_bytes();
         self.by_age.insert((record.minted_ms, record.id), ());
         self.records.insert(record.id, record);
     }
 
+    fn remove_record(&mut self, id: &Uuid) -> Option<KeyRecord> {
+        let record = self.records.remove(id)?;
+        self.answer_bytes -= record.answer_bytes();
+        self.by_age.remove(&(record.minted_ms, record.id));
+        Some(record)
+    }
+
     /// A key is kept for a whole window after the last moment at which it could be accepted.
     fn remove_expired(&mut self, wall_ms: u64) {
         let oldest = wall_ms.saturating_sub(self.limits.window_ms + 2 * self.limits.skew_ms);
@@ -213,8 +233,7 @@
             if minted_ms >= oldest {
                 break;
             }
-            entry.remove();
-            self.records.remove(&id);
+            drop(self.remove_record(&id));
         }
     }
 
@@ -228,6 +247,13 @@
 }
 
 impl KeyRecord {
+    fn answer_bytes(&self) -> usize {
+        match &self.outcome {
+            KeyOutcome::Done(answer) => answer.body_bytes(),
+            KeyOutcome::Running | KeyOutcome::Unknown => 0,
+        }
+    }
+
     fn decision(&self, fingerprint: u64) -> KeyDecision {
         if self.fingerprint != fingerprint {
             return KeyDecision::Answer(ResultCode::KeyReused);
--- a/tests/key_model.rs
+++ b/tests/key_model.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use ibisweir::decide::fleet::{FleetBody, FleetRecord, FleetState, StewardAct};
-use ibisweir::decide::key::{KeptAnswer, KeyDecision, KeyLimits, KeyOutcome, KeyTable, RequestKey};
+use ibisweir::decide::key::{
+    KeptAnswer, KeyDecision, KeyLimits, KeyOutcome, KeyRecord, KeyTable, RequestKey,
+};
 use ibisweir::decide::lease::RosterLease;
 use ibisweir::decide::roster::{HandOverNotice, KeyOwnership, KeyRight, LeaseTimes, Moment};
 use ibisweir::name::EntryName;
@@ -119,7 +121,12 @@
     fn new_entry(&mut self) -> ModelEntry {
         self.entries_created += 1;
         let name = EntryName::from(format!("e{}", self.entries_created).as_str());
-        let limits = KeyLimits { window_ms: 1_000_000, skew_ms: 20, keys_max: 10_000 };
+        let limits = KeyLimits {
+            window_ms: 1_000_000,
+            skew_ms: 20,
+            keys_max: 10_000,
+            answer_bytes_max: usize::MAX,
+        };
         ModelEntry {
             ownership: KeyOwnership::new(name.clone(), TIMES),
             name,
@@ -368,3 +375,35 @@
             .quickcheck(check_steps as fn(Vec<ModelStep>) -> TestResult);
     });
 }
+
+/// Guards against answers of many keys that are kept without a bound on their sum.
+#[test]
+fn answers_beyond_the_bound_are_not_kept() {
+    let limits =
+        KeyLimits { window_ms: 1_000, skew_ms: 20, keys_max: 100, answer_bytes_max: 2_500 };
+    let mut table = KeyTable::new(limits);
+    let answer = || KeptAnswer {
+        status: 200,
+        content_type: None,
+        body: Some(bytes::Bytes::from(vec![b'a'; 1_000])),
+    };
+    let record = |number: u128| KeyRecord {
+        id: Uuid::from_u128(number),
+        minted_ms: 1_000,
+        fingerprint: 1,
+        outcome: KeyOutcome::Done(answer()),
+    };
+    (1..=5).for_each(|number| table.take_over(record(number)));
+    let kept = |table: &KeyTable| {
+        let records = table.select(|_| true).into_iter();
+        let has_body = |record: &KeyRecord| matches!(&record.outcome, KeyOutcome::Done(answer) if answer.body.is_some());
+        records.filter(has_body).count()
+    };
+    assert_eq!((table.len(), kept(&table)), (5, 2));
+    // One that was not run after all makes room again.
+    for number in 1..=5 {
+        table.finish(&Uuid::from_u128(number), None);
+    }
+    table.take_over(record(6));
+    assert_eq!((table.len(), kept(&table)), (1, 1));
+}
