Move the crowds of the other mode into a file of their own

The crowds of the other mode are in tests/routed_crowds.rs, and what both use in tests/support/crowd.rs.

--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -1,112 +1,24 @@
 //! Crowds of callers that don't behave, against real entries on loopback: each process lives, keeps to the
 //! memory and descriptors of its VM, and serves an ordinary caller afterwards.
 //!
-//! The crowds and the bounds follow from the size of the VM, which is drawn; nothing depends on time.
+//! The crowds and the bounds follow from the size of the VM, which is drawn; nothing depends on time. Those of the
+//! other mode are in `tests/routed_crowds.rs`.
 
 #[path = "support/crowd.rs"]
 mod crowd;
 mod support;
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use crowd::{
-    CallerCrowd, ClientScript, CrowdSite, MachineSize, RoutedSite, chunked, job_head, large_job,
+    BODY_BYTES, CHUNKED_END, CallerCrowd, ClientScript, CrowdCase, CrowdSite, SMALL_BODY_BYTES,
+    STORED_BYTES, in_chunks, job_head, repeated, short_by, sized,
 };
-use hyper::body::{Body, Frame};
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use rand::Rng;
+use serde_json::json;
 use support::wait;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::sync::{Mutex, MutexGuard};
-use tokio::task::JoinSet;
-
-/// Largest body of a job where nothing else is configured, in bytes, and of the other mode.
-const BODY_BYTES: usize = 262_144;
-const ROUTED_BODY_BYTES: usize = 1 << 20;
-/// Body of a job that is stored: its record, in another encoding and with its queue, has to fit as well.
-const STORED_BYTES: usize = BODY_BYTES - 1_024;
-/// Largest body where chunks are very small: all of a crowd arrives before its time is over.
-const SMALL_BODY_BYTES: usize = 65_536;
-/// Memory of a crowd's bodies, in memories of the VM.
-const CROWD_FACTOR: usize = 2;
-
-/// One case at a time.
-static TURN: Mutex<()> = Mutex::const_new(());
-
-struct CrowdCase {
-    random: StdRng,
-    size: MachineSize,
-    _turn: MutexGuard<'static, ()>,
-}
-
-impl CrowdCase {
-    /// Draws a VM; connections are bounded by its descriptors only where a case lowers them.
-    async fn open(pinned: u64) -> CrowdCase {
-        let turn = TURN.lock().await;
-        let seed = std::env::var("IBISWEIR_TEST_SEED").ok().and_then(|text| text.parse().ok());
-        let seed = seed.unwrap_or(pinned);
-        println!("seed {seed}; IBISWEIR_TEST_SEED sets another");
-        let mut random = StdRng::seed_from_u64(seed);
-        let memory_mb = random.random_range(64..=112);
-        let size = MachineSize { memory_mb, max_fds: random.random_range(4_100..=8_000) };
-        CrowdCase { random, size, _turn: turn }
-    }
-
-    /// Clients whose bodies of this size take a few memories of the VM.
-    fn clients(&self, bytes: usize) -> usize {
-        CROWD_FACTOR * self.size.memory_mb * (1 << 20) / bytes
-    }
-
-    /// Lets a crowd of copies of `script` arrive at one entry, and judges it.
-    async fn play(mut self, what: &str, script: ClientScript, clients: usize, limits: Value) {
-        let scripts = vec![script; clients];
-        self.play_all(what, scripts, limits).await;
-    }
-
-    async fn play_all(&mut self, what: &str, scripts: Vec<ClientScript>, limits: Value) {
-        let mut site = CrowdSite::open(what, 1, self.size, limits).await;
-        let crowd = CallerCrowd::spawn(site.entries[0].callers, scripts);
-        crowd.arrive().await;
-        site.entries[0].read_all().await;
-        wait("an ordinary job beside the crowd", async || site.submit(0).await).await;
-        crowd.end().await;
-        site.check(what).await;
-    }
-}
-
-/// A job with its length ahead, sent whole.
-fn sized(bytes: usize) -> ClientScript {
-    let body: Arc<[u8]> = large_job(bytes).into();
-    ClientScript {
-        head: job_head(format!("content-length: {bytes}")),
-        stop: body.len(),
-        body,
-        piece: usize::MAX,
-        pause: Duration::ZERO,
-        reopens: false,
-    }
-}
-
-/// A job in chunks of this size, sent whole.
-fn in_chunks(bytes: usize, chunk: usize) -> ClientScript {
-    let body = chunked(&large_job(bytes), chunk);
-    let head = job_head("transfer-encoding: chunked".to_owned());
-    ClientScript { head, stop: body.len(), body, ..sized(bytes) }
-}
-
-/// The same client, stopping this many bytes before the end.
-fn short_by(script: ClientScript, bytes: usize) -> ClientScript {
-    ClientScript { stop: script.stop - bytes, ..script }
-}
-
-/// Bytes of a chunked body's end.
-const CHUNKED_END: usize = 5;
 
 /// Guards against bodies of legal size whose sum no limit bounds.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -345,13 +257,6 @@
     case.play("empty-steps", script, 50, json!({})).await;
 }
 
-/// A job with this body, sent whole by a client that opens again once it is answered.
-fn repeated(body: String) -> ClientScript {
-    let body: Arc<[u8]> = body.into_bytes().into();
-    let head = job_head(format!("content-length: {}", body.len()));
-    ClientScript { head, stop: body.len(), body, reopens: true, ..sized(1_024) }
-}
-
 /// Plays a crowd until so many requests were answered, and judges the entry.
 async fn play_rounds(case: &CrowdCase, what: &str, script: ClientScript, rounds: usize) {
     let mut site = CrowdSite::open(what, 1, case.size, json!({})).await;
@@ -363,16 +268,20 @@
     site.check(what).await;
 }
 
-/// Processor of a task that no VM has, in thousandths of a core.
-const UNPLACEABLE_CPU: u64 = 1_000_000_000;
+/// A job that is never over: no VM has room for its tasks.
+fn waiting_job(tasks: usize, image_bytes: usize) -> String {
+    let step = json!({
+        "count": tasks, "cpu": 1_000_000_000_u64, "mem-mb": 16, "est-ms": 100,
+        "image": "i".repeat(image_bytes), "long-running": true,
+    });
+    json!({ "spec": "x", "steps": [step] }).to_string()
+}
 
 /// Guards against jobs of a few bytes whose tasks take megabytes at the leader, and are never over.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_of_many_tasks_stay_within_memory() {
     let case = CrowdCase::open(8_122).await;
-    let step = json!({ "count": 2_000, "cpu": UNPLACEABLE_CPU, "mem-mb": 16, "est-ms": 100, "long-running": true });
-    let body = json!({ "spec": "x", "steps": [step] }).to_string();
-    play_rounds(&case, "many-tasks", repeated(body), 1_000).await;
+    play_rounds(&case, "many-tasks", repeated(waiting_job(2_000, 0)), 1_000).await;
 }
 
 /// Guards against ordinary jobs that are accepted without a bound on their sum, and are never over.
@@ -380,10 +289,7 @@
 async fn accepted_ordinary_jobs_stay_within_memory() {
     let mut case = CrowdCase::open(8_123).await;
     case.size.memory_mb = case.random.random_range(48..=56);
-    let image = "i".repeat(15_000);
-    let step = json!({ "count": 1, "cpu": UNPLACEABLE_CPU, "mem-mb": 16, "est-ms": 100, "image": image, "long-running": true });
-    let body = json!({ "spec": "x", "steps": [step] }).to_string();
-    play_rounds(&case, "ordinary-kept", repeated(body), 3_000).await;
+    play_rounds(&case, "ordinary-kept", repeated(waiting_job(1, 15_000)), 3_000).await;
 }
 
 /// Guards against idle connections that keep the buffers of the large bodies that they once sent.
@@ -408,127 +314,3 @@
     crowd.end().await;
     site.check("lines").await;
 }
-
-/// A request of the other mode with its body's framing.
-fn routed_head(framing: String) -> Arc<dyn Fn(u64) -> String + Send + Sync> {
-    Arc::new(move |_| format!("POST /tours/hold HTTP/1.1\r\nhost: site\r\n{framing}\r\n\r\n"))
-}
-
-/// Plays a crowd against an entry of the other mode.
-async fn play_routed(case: &CrowdCase, what: &str, script: ClientScript, clients: usize) {
-    let mut site = RoutedSite::open(what, case.size, &[]).await;
-    let crowd = CallerCrowd::spawn(site.entry.callers, vec![script; clients]);
-    crowd.arrive().await;
-    site.entry.read_all().await;
-    wait("an ordinary request beside the crowd", async || site.request().await).await;
-    crowd.end().await;
-    site.check(what).await;
-}
-
-/// Guards against bodies of the other mode whose sum no limit bounds.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn routed_bodies_that_stop_short_stay_within_memory() {
-    let case = CrowdCase::open(8_117).await;
-    let body: Arc<[u8]> = vec![b'b'; ROUTED_BODY_BYTES].into();
-    let head = routed_head(format!("content-length: {}", body.len()));
-    let script = ClientScript { head, stop: body.len() - 1, body, ..sized(1_024) };
-    play_routed(&case, "routed-short", script, case.clients(ROUTED_BODY_BYTES)).await;
-}
-
-/// Guards against small chunks of the other mode that are each kept by themselves.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn routed_small_chunks_stay_within_memory() {
-    let case = CrowdCase::open(8_118).await;
-    let body = chunked(&vec![b'b'; SMALL_BODY_BYTES], 1);
-    let head = routed_head("transfer-encoding: chunked".to_owned());
-    let script = ClientScript { head, stop: body.len() - CHUNKED_END, body, ..sized(1_024) };
-    let clients = case.clients(SMALL_BODY_BYTES * 32);
-    play_routed(&case, "routed-chunks", script, clients).await;
-}
-
-/// Guards against idle connections of the other mode beyond its descriptors.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn routed_idle_connections_leave_descriptors_for_others() {
-    let mut case = CrowdCase::open(8_119).await;
-    case.size.max_fds = case.random.random_range(500..=800);
-    let script = ClientScript { head: Arc::new(|_| String::new()), stop: 0, ..sized(1_024) };
-    play_routed(&case, "routed-idle", script, case.size.max_fds).await;
-}
-
-/// A body that stops short and keeps its stream open.
-struct StoppingBody {
-    left: usize,
-    arrived: Option<tokio::sync::oneshot::Sender<()>>,
-}
-
-impl Body for StoppingBody {
-    type Data = Bytes;
-    type Error = std::convert::Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if self.left == 0 {
-            drop(self.arrived.take());
-            return Poll::Pending;
-        }
-        let size = self.left.min(16_384);
-        self.left -= size;
-        Poll::Ready(Some(Ok(Frame::data(Bytes::from(vec![b'b'; size])))))
-    }
-}
-
-/// Guards against HTTP/2 connections each of whose streams holds a body.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn routed_streams_that_stop_short_stay_within_memory() {
-    let case = CrowdCase::open(8_120).await;
-    let connections = case.clients(ROUTED_BODY_BYTES).div_ceil(40);
-    play_streams(&case, "routed-streams", connections, 40, ROUTED_BODY_BYTES - 1).await;
-}
-
-/// Guards against streams that are open and hold next to nothing, each with memory of its own.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn routed_streams_with_few_bytes_stay_within_memory() {
-    let case = CrowdCase::open(8_126).await;
-    // Each stream takes 5 KB and more.
-    let connections = case.clients(5 * 1_024 * 100);
-    play_streams(&case, "routed-many-streams", connections, 100, 10).await;
-}
-
-/// Plays a crowd of HTTP/2 connections whose streams each stop after this many bytes of a body.
-async fn play_streams(
-    case: &CrowdCase,
-    what: &str,
-    connections: usize,
-    streams: usize,
-    bytes: usize,
-) {
-    let mut site = RoutedSite::open(what, case.size, &[]).await;
-    let mut clients = JoinSet::new();
-    for _ in 0..connections {
-        let callers = site.entry.callers;
-        clients.spawn(async move {
-            let stream = tokio::net::TcpStream::connect(callers).await.ok()?;
-            let io = TokioIo::new(stream);
-            let http2 = hyper::client::conn::http2::handshake(TokioExecutor::new(), io);
-            let (sender, driver) = http2.await.ok()?;
-            tokio::spawn(driver);
-            let mut answers = JoinSet::new();
-            for _ in 0..streams {
-                let (arrived, has_arrived) = tokio::sync::oneshot::channel();
-                let body = StoppingBody { left: bytes, arrived: Some(arrived) };
-                let request = http::Request::post("http://site/tours/hold").body(body).ok()?;
-                let mut sender = sender.clone();
-                answers.spawn(async move { drop(sender.send_request(request).await) });
-                // Either it is sent, or the entry has refused it.
-                let _ = tokio::time::timeout(Duration::from_secs(1), has_arrived).await;
-            }
-            std::future::pending::<Option<()>>().await
-        });
-    }
-    site.entry.read_all().await;
-    wait("an ordinary request beside the crowd", async || site.request().await).await;
-    clients.shutdown().await;
-    site.check(what).await;
-}
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -1,4 +1,5 @@
 //! Crowds of callers, and an entry as a process with the limits of a small VM.
+#![allow(dead_code, reason = "each test file uses its own part of this module")]
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -9,9 +10,12 @@
 
 use http::Method;
 use ibisweir_standin::jobs::site::{CALLER_HOST, JobPlatform};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -428,3 +432,93 @@
         assert!(is_served, "{what}: an ordinary request is not served");
     }
 }
+
+/// Largest body of a job where nothing else is configured, in bytes, and of the other mode.
+pub const BODY_BYTES: usize = 262_144;
+pub const ROUTED_BODY_BYTES: usize = 1 << 20;
+/// Body of a job that is stored: its record, in another encoding and with its queue, has to fit as well.
+pub const STORED_BYTES: usize = BODY_BYTES - 1_024;
+/// Largest body where chunks are very small: all of a crowd arrives before its time is over.
+pub const SMALL_BODY_BYTES: usize = 65_536;
+/// Memory of a crowd's bodies, in memories of the VM.
+const CROWD_FACTOR: usize = 2;
+
+/// One case at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// A crowd, and the VM that it meets.
+pub struct CrowdCase {
+    pub random: StdRng,
+    pub size: MachineSize,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl CrowdCase {
+    /// Draws a VM; connections are bounded by its descriptors only where a case lowers them.
+    pub async fn open(pinned: u64) -> CrowdCase {
+        let turn = TURN.lock().await;
+        let seed = std::env::var("IBISWEIR_TEST_SEED").ok().and_then(|text| text.parse().ok());
+        let seed = seed.unwrap_or(pinned);
+        println!("seed {seed}; IBISWEIR_TEST_SEED sets another");
+        let mut random = StdRng::seed_from_u64(seed);
+        let memory_mb = random.random_range(64..=112);
+        let size = MachineSize { memory_mb, max_fds: random.random_range(4_100..=8_000) };
+        CrowdCase { random, size, _turn: turn }
+    }
+
+    /// Clients whose bodies of this size take a few memories of the VM.
+    pub fn clients(&self, bytes: usize) -> usize {
+        CROWD_FACTOR * self.size.memory_mb * (1 << 20) / bytes
+    }
+
+    /// Lets a crowd of copies of `script` arrive at one entry, and judges it.
+    pub async fn play(mut self, what: &str, script: ClientScript, clients: usize, limits: Value) {
+        let scripts = vec![script; clients];
+        self.play_all(what, scripts, limits).await;
+    }
+
+    pub async fn play_all(&mut self, what: &str, scripts: Vec<ClientScript>, limits: Value) {
+        let mut site = CrowdSite::open(what, 1, self.size, limits).await;
+        let crowd = CallerCrowd::spawn(site.entries[0].callers, scripts);
+        crowd.arrive().await;
+        site.entries[0].read_all().await;
+        wait("an ordinary job beside the crowd", async || site.submit(0).await).await;
+        crowd.end().await;
+        site.check(what).await;
+    }
+}
+
+/// A job with its length ahead, sent whole.
+pub fn sized(bytes: usize) -> ClientScript {
+    let body: Arc<[u8]> = large_job(bytes).into();
+    ClientScript {
+        head: job_head(format!("content-length: {bytes}")),
+        stop: body.len(),
+        body,
+        piece: usize::MAX,
+        pause: Duration::ZERO,
+        reopens: false,
+    }
+}
+
+/// A job in chunks of this size, sent whole.
+pub fn in_chunks(bytes: usize, chunk: usize) -> ClientScript {
+    let body = chunked(&large_job(bytes), chunk);
+    let head = job_head("transfer-encoding: chunked".to_owned());
+    ClientScript { head, stop: body.len(), body, ..sized(bytes) }
+}
+
+/// The same client, stopping this many bytes before the end.
+pub fn short_by(script: ClientScript, bytes: usize) -> ClientScript {
+    ClientScript { stop: script.stop - bytes, ..script }
+}
+
+/// Bytes of a chunked body's end.
+pub const CHUNKED_END: usize = 5;
+
+/// A job with this body, sent whole by a client that opens again once it is answered.
+pub fn repeated(body: String) -> ClientScript {
+    let body: Arc<[u8]> = body.into_bytes().into();
+    let head = job_head(format!("content-length: {}", body.len()));
+    ClientScript { head, stop: body.len(), body, reopens: true, ..sized(1_024) }
+}
