Don't count the tasks of jobs that have ended

Cause: accepted jobs counted with 256 bytes for each task until their record is dropped, 120 s after their end, although the leader keeps no state of their tasks by then. By reckoning 150 jobs a second of 13 tasks would have filled a quarter of 260 MB by themselves, and jobs inside the limits would have been refused with 133.

Now a job that has ended counts with its specification alone. The model of the job table counts each job by its state.

--- a/src/jobs/job_table.rs
+++ b/src/jobs/job_table.rs
@@ -272,12 +272,16 @@
     /// Adds a job to what is counted of all jobs and of the waiting ones of its queue, or removes it.
     fn count(&mut self, job: JobId, is_added: bool) {
         let Some(entry) = self.jobs.get(&job) else { return };
-        let Some(submission) = &entry.submission else { return };
+        let (Some(submission), Some(state)) = (&entry.submission, entry.state()) else { return };
+        let kept = match state.is_final() {
+            true => submission.spec.kept_ended(),
+            false => submission.spec.kept(),
+        };
         match is_added {
-            true => self.kept.add(submission.spec.kept()),
-            false => self.kept.subtract(submission.spec.kept()),
+            true => self.kept.add(kept),
+            false => self.kept.subtract(kept),
         }
-        if entry.state() != Some(JobState::Queued) {
+        if state != JobState::Queued {
             return;
         }
         let waiting = self.waiting.entry(submission.queue.clone()).or_default();
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -326,10 +326,19 @@
         self.payload.len() + steps.sum::<usize>()
     }
 
-    /// Memory that the job takes once it is accepted, about, in bytes: at the leader each task has a
-    /// state of its own.
+    /// Memory that the job takes from when it is accepted to its end, about, in bytes: at the leader
+    /// each task has a state of its own.
     pub fn kept(&self) -> KeptBytes {
-        let all = self.bytes().saturating_add(self.task_count().saturating_mul(TASK_BYTES));
+        self.kept_with(self.task_count().saturating_mul(TASK_BYTES))
+    }
+
+    /// The same after its end, while callers may still ask for it.
+    pub fn kept_ended(&self) -> KeptBytes {
+        self.kept_with(0)
+    }
+
+    fn kept_with(&self, task_bytes: usize) -> KeptBytes {
+        let all = self.bytes().saturating_add(task_bytes);
         KeptBytes { all, large: if self.is_large() { all } else { 0 } }
     }
 
--- a/tests/job_table_model.rs
+++ b/tests/job_table_model.rs
@@ -247,9 +247,13 @@
             "seed {seed}"
         );
         let table = node.job_table();
-        let submissions = table.iter().filter_map(|(_, job)| job.submission.as_ref());
         let mut kept = KeptBytes::default();
-        submissions.for_each(|submission| kept.add(submission.spec.kept()));
+        for (_, job) in table.iter() {
+            let Some(submission) = &job.submission else { continue };
+            let is_ended = job.state().is_some_and(JobState::is_final);
+            let spec = &submission.spec;
+            kept.add(if is_ended { spec.kept_ended() } else { spec.kept() });
+        }
         assert_eq!(table.kept(), kept, "seed {seed}");
     }
 }
