Keep the least account of callers within a quarter of the memory

Cause: the account is never under eight largest bodies, so that one finds room beside others.

Now these eight take a quarter of the memory at most, checked in tests/intake.rs.

--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -42,8 +42,10 @@
 /// Least number of connections, and of bytes.
 const CONNECTIONS_MIN: usize = 16;
 const BYTES_MIN: usize = 4 << 20;
-/// Least bytes in largest bodies, each with its buffers: a single one must find room beside others.
+/// Least bytes in largest bodies, each with its buffers: a single one must find room beside others. They
+/// take this part of the memory at most, as a divisor.
 const BODIES_MIN: usize = 8;
+const LEAST_MEMORY_DIVISOR: usize = 4;
 /// Part of the memory, as a divisor, that the account leaves free beside what the process uses.
 const SPARE_DIVISOR: usize = 8;
 
@@ -89,7 +91,8 @@
         let spare = self.memory / SPARE_DIVISOR;
         let own = resident.saturating_sub(held);
         let left = self.memory.saturating_sub(own + spare);
-        let least = body_max.saturating_mul(BODIES_MIN).max(BYTES_MIN);
+        let most = self.memory / LEAST_MEMORY_DIVISOR;
+        let least = body_max.saturating_mul(BODIES_MIN).min(most).max(BYTES_MIN);
         left.min(self.memory / BYTE_MEMORY_DIVISOR).max(least)
     }
 }
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -143,4 +143,5 @@
     let held = limits.bytes(220 * MB, 40 * MB, BODY);
     assert_eq!(held, 260 * MB / 6, "what callers hold is not its own");
     assert_eq!(limits.bytes(30 * MB, 0, 8 * MB), 64 * MB, "so does one of a larger limit");
+    assert_eq!(limits.bytes(30 * MB, 0, 64 * MB), 65 * MB, "within the memory");
 }
