--- a/src/jobs/follower.rs
+++ b/src/jobs/follower.rs
@@ -210,18 +210,19 @@
 /// Applies the result of one read of the job log, which ended at `position`.
 pub fn fold_step(node: &JobNode, step: TailStep, position: u64) {
     match step {
-        TailStep::Snapshot(records) => node.fold_snapshot(&decode(node, &records), position),
-        TailStep::Records(records) => node.fold_read(decode(node, &records), position),
+        TailStep::Snapshot(records) => node.fold_snapshot(&decode(node, records), position),
+        TailStep::Records(records) => node.fold_read(decode(node, records), position),
         TailStep::Failed => {}
     }
 }
 
-/// Decodes records of the job log. Records that can't be decoded are skipped and logged.
-fn decode(node: &JobNode, records: &[(u64, KeyedRecord)]) -> Vec<(u64, JobRecord)> {
+/// Decodes records of the job log, each of which is dropped as it is decoded: a snapshot has all jobs.
+/// Records that can't be decoded are skipped and logged.
+fn decode(node: &JobNode, records: Vec<(u64, KeyedRecord)>) -> Vec<(u64, JobRecord)> {
     let mut decoded = Vec::with_capacity(records.len());
     for (offset, record) in records {
         match JobRecord::decode(&record.key, &record.value) {
-            Some(record) => decoded.push((*offset, record)),
+            Some(record) => decoded.push((offset, record)),
             None if record.value.is_empty() => {}
             None => node.metrics.noted.note("job", &record.key, &record.value),
         }
--- a/standin/src/jobs/log.rs
+++ b/standin/src/jobs/log.rs
@@ -23,8 +23,11 @@
 pub const HISTORY: usize = 400;
 /// Appends of a writer whose answers are given again.
 const REPEATS: usize = 5;
-/// Keys on one page.
+/// Keys on one page, and bytes of their values.
 const PAGE: usize = 50;
+const PAGE_BYTES: usize = 1 << 20;
+/// Largest read where the call names none, in KB.
+const READ_KB_MAX: usize = 1_024;
 /// Time after which a lost append is carried out at most, in milliseconds.
 const LATE_MS: u64 = 3_000;
 
@@ -280,7 +283,14 @@
     body.extend_from_slice(&topic.end().to_be_bytes());
     body.extend_from_slice(&topic.first.to_be_bytes());
     let skip = usize::try_from(from - topic.first).ok()?;
+    let kb_max: usize =
+        call.query.get("max-kb").and_then(|text| text.parse().ok()).unwrap_or(READ_KB_MAX);
+    let head = body.len();
     for record in topic.records.iter().skip(skip) {
+        // A record that is larger is read all the same.
+        if body.len() > head && body.len() + record.len() > kb_max * 1_024 {
+            break;
+        }
         body.extend_from_slice(&u32::try_from(record.len()).ok()?.to_be_bytes());
         body.extend_from_slice(record);
     }
@@ -293,12 +303,18 @@
     let after = call.query.get("after");
     let left: Vec<_> =
         topic.newest.iter().filter(|(key, _)| after.is_none_or(|after| *key > after)).collect();
+    let mut bytes = 0;
     let items: Vec<_> = left
         .iter()
         .take(PAGE)
+        .take_while(|(_, (_, value))| {
+            let is_first = bytes == 0;
+            bytes += value.len();
+            is_first || bytes <= PAGE_BYTES
+        })
         .map(|(key, (offset, bytes))| {
             value!({ "key": key, "value": STANDARD.encode(bytes), "offset": offset })
         })
         .collect();
-    json(200, &value!({ "items": items, "more": left.len() > PAGE, "end": topic.end() }))
+    json(200, &value!({ "items": items, "more": left.len() > items.len(), "end": topic.end() }))
 }
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -258,7 +258,12 @@
 }
 
 /// Plays a crowd until so many requests were answered, and judges the entry.
-async fn play_rounds(case: &CrowdCase, what: &str, script: ClientScript, rounds: usize) {
+async fn play_rounds(
+    case: &CrowdCase,
+    what: &str,
+    script: ClientScript,
+    rounds: usize,
+) -> CrowdSite {
     let mut site = CrowdSite::open(what, 1, case.size, json!({})).await;
     site.be_led().await;
     let crowd = CallerCrowd::spawn(site.entries[0].callers, vec![script; 40]);
@@ -266,6 +271,20 @@
     crowd.end().await;
     site.entries[0].read_all().await;
     site.check(what).await;
+    site
+}
+
+/// The same, and restarts the entry beside the jobs that it has accepted.
+async fn play_rounds_and_restart(
+    case: &CrowdCase,
+    what: &str,
+    script: ClientScript,
+    rounds: usize,
+) {
+    let mut site = play_rounds(case, what, script, rounds).await;
+    site.restart(0).await;
+    site.be_led().await;
+    site.check(&format!("{what} after a restart")).await;
 }
 
 /// A job that is never over: no VM has room for its tasks.
@@ -281,7 +300,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_of_many_tasks_stay_within_memory() {
     let case = CrowdCase::open(8_122).await;
-    play_rounds(&case, "many-tasks", repeated(waiting_job(2_000, 0)), 1_000).await;
+    drop(play_rounds(&case, "many-tasks", repeated(waiting_job(2_000, 0)), 1_000).await);
 }
 
 /// Guards against ordinary jobs that are accepted without a bound on their sum, and are never over.
@@ -289,7 +308,32 @@
 async fn accepted_ordinary_jobs_stay_within_memory() {
     let mut case = CrowdCase::open(8_123).await;
     case.size.memory_mb = case.random.random_range(48..=56);
-    play_rounds(&case, "ordinary-kept", repeated(waiting_job(1, 15_000)), 3_000).await;
+    drop(play_rounds(&case, "ordinary-kept", repeated(waiting_job(1, 15_000)), 3_000).await);
+}
+
+/// Guards against an entry that can't come back beside the ordinary jobs that it has accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_restarts_beside_ordinary_jobs_within_memory() {
+    let mut case = CrowdCase::open(8_127).await;
+    case.size.memory_mb = case.random.random_range(48..=56);
+    let script = repeated(waiting_job(1, 15_000));
+    play_rounds_and_restart(&case, "ordinary-restart", script, 3_000).await;
+}
+
+/// Guards against an entry that can't come back beside jobs of many tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_restarts_beside_jobs_of_many_tasks_within_memory() {
+    let case = CrowdCase::open(8_128).await;
+    let script = repeated(waiting_job(2_000, 0));
+    play_rounds_and_restart(&case, "tasks-restart", script, 400).await;
+}
+
+/// Guards against an entry that can't come back beside large jobs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_restarts_beside_large_jobs_within_memory() {
+    let case = CrowdCase::open(8_129).await;
+    let script = repeated(waiting_job(1, 250_000));
+    play_rounds_and_restart(&case, "large-restart", script, 300).await;
 }
 
 /// Guards against idle connections that keep the buffers of the large bodies that they once sent.
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -333,6 +333,15 @@
         WatchedEntry::new(child, addresses[0], size)
     }
 
+    /// Kills an entry, and starts it again with nothing but its settings.
+    pub async fn restart(&mut self, entry: usize) {
+        let size = self.entries[entry].size;
+        drop(self.entries.remove(entry));
+        let number = u8::try_from(entry).expect("a site has few entries");
+        let restarted = self.start(number, size, Stdio::null());
+        self.entries.insert(entry, restarted);
+    }
+
     /// Submits an ordinary job to an entry; whether it is stored.
     pub async fn submit(&self, entry: usize) -> bool {
         let path = format!("/tours/{:016x}", rand::random::<u64>() | 1 << 63);
