Count answers of the other mode until their callers have read them

Cause: an answer of up to 4 MB was kept for each request until its caller took it, outside of the account. Frames of a worker's answer keep the larger buffers that they were read into, and the system's own send buffer grew to megabytes.

Now an answer counts until it is sent, and is handed out in parts of 16 KB, which are its progress. If others need the room, the connection of the one without progress for longest is closed. Without room for a large answer the caller gets 303 (the request ran); an ordinary one is sent all the same. A worker's answer is read into one buffer, and callers' connections have send buffers of 64 KB. Bytes sent are progress of a connection too.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -14,11 +14,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HOST};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -337,13 +337,20 @@
     let (head, body) = response.into_parts();
     let chunked = head.headers.contains_key(http::header::TRANSFER_ENCODING);
     let sized = head.headers.contains_key(CONTENT_LENGTH);
-    let empty = hyper::body::Body::is_end_stream(&body);
+    let empty = body.is_end_stream();
     if !(chunked || sized || empty) {
         return Err(ResultCode::AnswerCut);
     }
-    match Limited::new(body, answer_max).collect().await {
-        Ok(body) => Ok(WholeAnswer { head, body: body.to_bytes() }),
-        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::AnswerTooLarge),
-        Err(_) => Err(ResultCode::AnswerCut),
+    let length = body.size_hint().lower();
+    let capacity = usize::try_from(length).unwrap_or(usize::MAX).min(answer_max);
+    let (mut body, mut bytes) = (Limited::new(body, answer_max), BytesMut::with_capacity(capacity));
+    while let Some(frame) = body.frame().await {
+        match frame {
+            // Frames keep the buffers that they were read into, which are larger than they are.
+            Ok(frame) => frame.into_data().map_or((), |part| bytes.extend_from_slice(&part)),
+            Err(error) if error.is::<LengthLimitError>() => return Err(ResultCode::AnswerTooLarge),
+            Err(_) => return Err(ResultCode::AnswerCut),
+        }
     }
+    Ok(WholeAnswer { head, body: bytes.freeze() })
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -23,7 +23,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::decide::intake::{IntakeTable, PlaceId, ProcessLimits};
-use crate::held_body::{self, BodyBounds, BodyFailure, HeldBody};
+use crate::held_answer::AnswerLease;
+use crate::held_body::{self, BodyBounds, BodyFailure, HeldBody, REQUEST_BYTES};
 use crate::metrics::ReasonLabel;
 use crate::progress::{StreamWatcher, WatchedStream};
 
@@ -99,10 +100,12 @@
 }
 
 impl PlaceSignal {
-    fn displace(&self) {
-        self.is_displaced.store(true, Ordering::Release);
+    /// Displaces the owner; returns whether it was not before.
+    fn displace(&self) -> bool {
+        let was_displaced = self.is_displaced.swap(true, Ordering::AcqRel);
         drop(std::mem::take(&mut *lock(&self.buffer)));
         self.displaced.notify_one();
+        !was_displaced
     }
 
     pub(crate) fn is_displaced(&self) -> bool {
@@ -245,7 +248,21 @@
         (id, signal)
     }
 
-    /// Counts bytes that were received for a place.
+    /// Counts an answer on this connection, which is closed if the answer has to give way.
+    fn open_answer(
+        self: &Arc<Self>,
+        bytes: usize,
+        connection: &Arc<PlaceSignal>,
+    ) -> Option<AnswerLease> {
+        let mut state = self.state();
+        let id = state.table.open_body(self.now());
+        state.signals.insert(id, connection.clone());
+        drop(state);
+        let lease = AnswerLease::new(self.clone(), id);
+        self.resize(id, bytes).is_ok().then_some(lease)
+    }
+
+    /// Counts bytes that were received or sent for a place.
     pub(crate) fn receive(&self, id: PlaceId, bytes: usize) {
         self.state().table.receive(id, bytes, self.now());
     }
@@ -298,9 +315,9 @@
             state.signals.iter().filter(|(_, signal)| is_slow(signal)).map(|(id, _)| *id).collect();
         for id in slow {
             state.table.remove(id);
-            if let Some(signal) = state.signals.remove(&id) {
+            // A connection and its answers share a signal.
+            if state.signals.remove(&id).is_some_and(|signal| signal.displace()) {
                 self.metrics.count(SLOW_HEAD);
-                signal.displace();
             }
         }
     }
@@ -409,7 +426,9 @@
 }
 
 impl StreamWatcher for ConnectionPlace {
-    fn sent(&self, _: usize) {}
+    fn sent(&self, bytes: usize) {
+        self.intake.receive(self.id, bytes);
+    }
 
     fn received(&self, bytes: &[u8]) {
         self.receive(bytes);
@@ -448,6 +467,11 @@
         body
     }
 
+    /// Counts the request's answer until it is sent; `None` if there is no room for it.
+    pub fn hold_answer(&self, bytes: usize) -> Option<AnswerLease> {
+        self.place.intake.open_answer(bytes + REQUEST_BYTES, &self.place.signal)
+    }
+
     fn pause(&self) {
         if self.place.served.fetch_sub(1, Ordering::AcqRel) == 1 {
             let now = self.place.intake.now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 pub mod gate;
 pub mod gossip;
+pub mod held_answer;
 pub mod held_body;
 pub mod intake;
 pub mod jobs;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -9,10 +9,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue};
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -22,10 +20,12 @@
 use tokio::time::{Instant, timeout};
 
 use crate::control::ControlLoop;
+use crate::decide::intake::ORDINARY_BYTES;
 use crate::decide::key::RequestKey;
 use crate::decide::slot::SlotPolicy;
 use crate::error::{CodeResult, ResultCode, coded};
 use crate::gate::WorkClass;
+use crate::held_answer::{AnswerLease, HeldAnswer};
 use crate::held_body::{BodyBounds, BodyFailure, BodyLease, HeldBody};
 use crate::intake::{CallerIntake, CallerStream, ServingGuard};
 use crate::name::{ServiceName, TeamName, is_well_formed};
@@ -43,8 +43,9 @@
 /// code, one that doesn't fit the buffer hyper's bare 431.
 const HEAD_BUFFER: usize = 2;
 
-/// Receive buffer of a caller's connection, in bytes.
+/// Buffers of a caller's connection in the system, in bytes.
 const RECEIVE_BYTES: u32 = 16 << 10;
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -120,8 +121,8 @@
         .map_err(|error| coded(ResultCode::BindFailed, format!("{address}: {error}")))
 }
 
-/// Binds a TCP address for callers, whose connections get a small receive buffer: what they have
-/// sent and nobody has read yet takes memory as well.
+/// Binds a TCP address for callers, whose connections get small buffers in the system: what nobody has
+/// read yet takes memory as well, on either side.
 ///
 /// # Errors
 /// `BindFailed` if the address can't be bound.
@@ -132,8 +133,9 @@
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
-        // Connections take the size over from the listener.
+        // Connections take the sizes over from the listener.
         socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
@@ -214,11 +216,15 @@
     request: Request<Incoming>,
     limits: &ListenerLimits,
     serving: &ServingGuard,
-) -> Response<Full<Bytes>> {
+) -> Response<HeldAnswer> {
     let mut guard = GoneGuard { gone: Some(&router.metrics.callers_gone) };
     let answer = match decode(request, limits, serving).await {
-        // The body counts for as long as the request is in the house.
-        Ok((request, _lease)) => router.handle(request).await,
+        Ok((request, lease)) => {
+            let answer = router.handle(request).await;
+            // What the request took is there for its answer.
+            drop(lease);
+            answer
+        }
         Err(code) => {
             router.metrics.answer(Some(code));
             let retry = (code == ResultCode::EntryFull).then_some(FULL_RETRY);
@@ -226,7 +232,8 @@
         }
     };
     guard.gone = None;
-    let mut response = Response::new(Full::new(answer.body));
+    let (answer, held) = hold(answer, serving);
+    let mut response = Response::new(HeldAnswer::new(answer.body, held));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
     let left = [ResultCode::BodyTooLarge, ResultCode::BodyTooSlow, ResultCode::EntryFull];
@@ -237,6 +244,16 @@
     response
 }
 
+/// Counts an answer until it is sent. Without room for it an ordinary one is sent all the same, and of a
+/// larger one only that the request ran.
+fn hold(answer: CallerAnswer, serving: &ServingGuard) -> (CallerAnswer, Option<AnswerLease>) {
+    let held = serving.hold_answer(answer.body.len());
+    match held.is_none() && answer.body.len() > ORDINARY_BYTES {
+        true => (CallerAnswer::coded(ResultCode::AnswerNotKept, None), None),
+        false => (answer, held),
+    }
+}
+
 async fn decode(
     request: Request<Incoming>,
     limits: &ListenerLimits,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -33,6 +33,8 @@
 
 /// Header of a request that says how long its work takes, in milliseconds.
 pub const WORK_HEADER: &str = "x-work-ms";
+/// Header that asks for an answer of this size, in bytes.
+pub const ANSWER_HEADER: &str = "x-answer-bytes";
 /// Header that names a request; echoed.
 pub const REQUEST_HEADER: &str = "x-request-id";
 
@@ -317,7 +319,10 @@
     ledger.done += 1;
     ledger.work_ms += work;
     drop(ledger);
-    let mut answer = plain(StatusCode::OK, "done");
+    let mut answer = match text(headers, ANSWER_HEADER).parse() {
+        Ok(bytes) => Response::new(Full::new(Bytes::from(vec![b'a'; bytes]))),
+        Err(_) => plain(StatusCode::OK, "done"),
+    };
     if let Ok(id) = HeaderValue::from_str(&id) {
         answer.headers_mut().insert(REQUEST_HEADER, id);
     }
--- a/tests/routed_crowds.rs
+++ b/tests/routed_crowds.rs
@@ -5,6 +5,7 @@
 mod crowd;
 mod support;
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -15,11 +16,13 @@
     CHUNKED_END, CallerCrowd, ClientScript, CrowdCase, ROUTED_BODY_BYTES, RoutedSite,
     SMALL_BODY_BYTES, chunked, sized,
 };
+use http_body_util::Full;
 use hyper::body::{Body, Frame};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use rand::Rng;
 use support::wait;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 /// A request of the other mode with its body's framing.
@@ -145,3 +148,65 @@
     clients.shutdown().await;
     site.check(what).await;
 }
+
+/// Largest answer where nothing else is configured, in bytes.
+const ANSWER_BYTES: usize = 4 << 20;
+
+/// Guards against answers that are kept for callers who don't read them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn routed_answers_that_nobody_reads_stay_within_memory() {
+    let case = CrowdCase::open(8_130).await;
+    let mut site = RoutedSite::open("routed-unread", case.size, &[]).await;
+    let head = format!(
+        "POST /tours/hold HTTP/1.1\r\nhost: site\r\nx-answer-bytes: {ANSWER_BYTES}\r\ncontent-length: 0\r\n\r\n"
+    );
+    let mut clients = Vec::new();
+    for _ in 0..case.clients(ANSWER_BYTES) {
+        let mut client = connect_narrow(site.entry.callers).await;
+        client.write_all(head.as_bytes()).await.expect("it is open");
+        // One after the other, so that workers send one answer at a time.
+        let _ = client.read(&mut [0; 64]).await;
+        clients.push(client);
+    }
+    site.entry.read_all().await;
+    wait("an ordinary request beside the crowd", async || site.request().await).await;
+    drop(clients);
+    site.check("routed-unread").await;
+}
+
+/// Guards against HTTP/2 connections that read none of the answers to their streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn routed_streams_that_read_no_answers_stay_within_memory() {
+    let case = CrowdCase::open(8_131).await;
+    let mut site = RoutedSite::open("routed-unread-streams", case.size, &[]).await;
+    let streams = 20;
+    let mut answers = Vec::new();
+    for _ in 0..case.clients(ANSWER_BYTES).div_ceil(streams) {
+        let io = TokioIo::new(connect_narrow(site.entry.callers).await);
+        let http2 = hyper::client::conn::http2::Builder::new(TokioExecutor::new())
+            .initial_stream_window_size(1)
+            .handshake(io);
+        let (sender, driver) = http2.await.expect("HTTP/2");
+        tokio::spawn(driver);
+        for _ in 0..streams {
+            let request = http::Request::post("http://site/tours/hold")
+                .header("x-answer-bytes", ANSWER_BYTES)
+                .body(Full::<Bytes>::default())
+                .expect("a request");
+            let mut sender = sender.clone();
+            // The answer's head arrives, and its body stays where it is.
+            answers.push(sender.send_request(request).await);
+        }
+    }
+    site.entry.read_all().await;
+    wait("an ordinary request beside the crowd", async || site.request().await).await;
+    drop(answers);
+    site.check("routed-unread-streams").await;
+}
+
+/// Opens a connection that takes little before it is read.
+async fn connect_narrow(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("the system sets it");
+    socket.connect(address).await.expect("a connection")
+}
