--- a/src/held_body.rs
+++ b/src/held_body.rs
@@ -17,7 +17,7 @@
 const BUFFER_BYTES_MIN: usize = 2 << 10;
 /// Largest buffer that the connection of a body may hold beside it, in bytes.
 const READ_BUFFER_BYTES: usize = 32 << 10;
-/// Memory of a request beside its head and body, in bytes: a stream of HTTP/2 takes 5 KB.
+/// Memory of a request beside its head and body, in bytes: a stream of HTTP/2 takes several KB.
 pub(crate) const REQUEST_BYTES: usize = 8 << 10;
 
 /// Why the body of a request is not there.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -1,5 +1,5 @@
-//! The account of what callers make this process hold: connections, heads, and bodies from their
-//! first byte until their job is stored or dropped.
+//! The account of what callers make this process hold: connections, heads, bodies from their first
+//! byte until their job is stored or dropped, and answers until they are sent.
 //!
 //! [`IntakeTable`] decides who gives way. A body is kept in one buffer, whatever its chunks, and the
 //! table takes the buffer of a displaced body back at once; its reader then learns of it. A displaced
--- a/tests/routed_crowds.rs
+++ b/tests/routed_crowds.rs
@@ -107,7 +107,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn routed_streams_with_few_bytes_stay_within_memory() {
     let case = CrowdCase::open(8_126).await;
-    // Each stream takes 5 KB and more.
+    // Each stream takes several KB.
     let connections = case.clients(5 * 1_024 * 100);
     play_streams(&case, "routed-many-streams", connections, 100, 10).await;
 }
