Accept no more than replicas with less memory can hold

Cause: the bound on accepted jobs is a quarter of the memory of the entry that accepts and of the leader. On a site with leaders of 1 GB and replicas of 160 MB they would accept 256 MB, which each replica has to hold. Found by reading.

Now it is 64 MB at most, whatever the memory: at 60 jobs a second, as the largest fleet has, kept for 120 s after their end, jobs of 4 KB take 29 MB. Entries with up to 256 MB keep their bound. What is left is listed: replicas under 160 MB beside larger ones, and jobs that are never over.

--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -36,6 +36,8 @@
 const KEPT_MEMORY_DIVISOR: usize = 4;
 const KEPT_LARGE_MEMORY_DIVISOR: usize = 8;
 const WAITING_MEMORY_DIVISOR: usize = 16;
+/// Most bytes of accepted jobs, whatever the memory: replicas may have less than the entry that accepts.
+const KEPT_BYTES_MAX: usize = 64 << 20;
 /// Memory of a connection beside what the account counts, in bytes: 14 KB as it is opened, later two
 /// buffers through which bodies are read.
 const CONNECTION_BYTES: usize = 64 << 10;
@@ -69,10 +71,8 @@
 
     /// Bytes that accepted jobs may take.
     pub fn kept_jobs(&self) -> KeptBytes {
-        KeptBytes {
-            all: self.memory / KEPT_MEMORY_DIVISOR,
-            large: self.memory / KEPT_LARGE_MEMORY_DIVISOR,
-        }
+        let memory = self.memory.min(KEPT_BYTES_MAX * KEPT_MEMORY_DIVISOR);
+        KeptBytes { all: memory / KEPT_MEMORY_DIVISOR, large: memory / KEPT_LARGE_MEMORY_DIVISOR }
     }
 
     /// Bytes of answers that may be kept for idempotency keys.
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use ibisweir::decide::intake::{
-    IntakeFull, IntakeTable, ORDINARY_BYTES, PROGRESS_BYTES, PlaceId, ProcessLimits,
+    IntakeFull, IntakeTable, KeptBytes, ORDINARY_BYTES, PROGRESS_BYTES, PlaceId, ProcessLimits,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -145,3 +145,11 @@
     assert_eq!(limits.bytes(30 * MB, 0, 8 * MB), 64 * MB, "so does one of a larger limit");
     assert_eq!(limits.bytes(30 * MB, 0, 64 * MB), 65 * MB, "within the memory");
 }
+
+/// Guards against an entry with much memory that accepts more than the replicas of its jobs can hold.
+#[test]
+fn accepted_jobs_are_bounded_whatever_the_memory() {
+    let kept = |memory| ProcessLimits { memory: memory * MB, descriptors: 4_100 }.kept_jobs();
+    assert_eq!(kept(160), KeptBytes { all: 40 * MB, large: 20 * MB });
+    assert_eq!(kept(1_024), KeptBytes { all: 64 * MB, large: 32 * MB });
+}
